The whole thin path: quays, pilots, tenders, workers and helm as separate processes

Daemons find one another from three seeds, form a cohort of quays, carry a configuration to all live daemons, and run gangs placed by Tiresias on stand-in workers.

Tests: admission by hand-worked examples, disk versions torn, foreign and missing, configuration and settings checks.

--- /dev/null
+++ b/cmake/Suites.cmake
@@ -0,0 +1,7 @@
+function(tulip_suite group)
+  add_test(NAME ${group} COMMAND tulippitch_tests -c -sg ${group})
+  set_tests_properties(${group} PROPERTIES FAIL_REGULAR_EXPRESSION "OK [(]0 tests|ran nothing|, 0 checks" TIMEOUT 300)
+endfunction()
+tulip_suite(admission)
+tulip_suite(hold)
+tulip_suite(chart)
--- /dev/null
+++ b/src/bearing/errors.hpp
@@ -0,0 +1,51 @@
+#pragma once
+#include <string_view>
+#include <system_error>
+
+namespace tulip {
+
+enum class Kind {
+  ok = 0,
+  malformed,
+  unknownField,
+  badValue,
+  tooLarge,
+  noSuchPending,
+  neverFits,
+  cycle,
+  noSuchJob,
+  noSuchRoute,
+  noSuchMethod,
+  idTaken,
+  raced,
+  invalidChart,
+  noLeader,
+  noMajority,
+  overloaded,
+  unknownOutcome,
+  notReady,
+  cutoffPassed,
+  proxyLoop,
+  staleTerm,
+  tornFile,
+  diskFailed,
+  badEnv,
+  unknownSignal,
+  jobEnded,
+};
+
+struct Row {
+  Kind kind;
+  std::string_view name;
+  int status;
+  int exitCode;
+  double retryTerms;
+  std::string_view meaning;
+};
+
+const Row& rowOf(Kind kind);
+const std::error_category& tulipCategory();
+std::error_code make_error_code(Kind kind);
+
+}  // namespace tulip
+template <> struct std::is_error_code_enum<tulip::Kind> : std::true_type {};
--- /dev/null
+++ b/src/chart/chart.hpp
@@ -0,0 +1,85 @@
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bearing/errors.hpp"
+#include "bearing/json.hpp"
+#include "bearing/types.hpp"
+
+namespace tulip::chart {
+
+struct Pending {
+  PendingName name;
+  std::int64_t rank = 0;
+  std::int64_t failureLimit = 3;
+  Millis backoffMs = 200;
+  std::int64_t quotaSlots = 0;
+  std::int64_t mostJobs = 10000;
+};
+
+struct Pool {
+  PoolName name;
+  std::map<std::string, std::string> labels;
+  std::int64_t slots = 1;
+  std::int64_t workers = 1;
+  std::map<std::string, std::int64_t> room;
+  bool selfStop = true;
+};
+
+enum class Rule { las, gittins, fifo };
+enum class Layout { pack, spread };
+
+struct Admission {
+  Rule rule = Rule::las;
+  std::int64_t lanes = 2;
+  std::vector<Millis> thresholdsMs{3600000};
+  std::optional<double> promoteKnob = 8.0;
+  Millis reserveAfterMs = 10000;
+  Layout layout = Layout::pack;
+  Millis epochMs = 50;
+  Millis gangStartMs = 5000;
+};
+
+struct Keep {
+  Millis finishedMs = 7LL * 24 * 3600 * 1000;
+  std::int64_t finishedMost = 100000;
+};
+
+struct Gangway {
+  std::int64_t maxBodyBytes = 1 << 18;
+  std::int64_t mostTasks = 256;
+  std::int64_t mostOpenJobs = 20000;
+};
+
+struct Chart {
+  std::map<std::string, Pending> pendings;
+  std::map<std::string, Pool> pools;
+  std::map<std::string, bool> emptied;
+  std::map<std::string, bool> drained;
+  Admission admission;
+  Keep keep;
+  Gangway gangway;
+};
+
+struct Fault {
+  std::string path;
+  std::string allowed;
+};
+
+bool readChart(const json_t* root, Chart& chart, std::vector<Fault>& faults);
+bool readChartText(std::string_view text, Chart& chart, std::vector<Fault>& faults);
+Json mergePatch(const json_t* target, const json_t* patch);
+std::string faultsJson(Kind kind, const std::vector<Fault>& faults);
+std::string_view ruleName(Rule rule);
+
+struct Stored {
+  Revision revision = 0;
+  std::string text;
+  std::vector<std::pair<std::string, Revision>> transactions;
+};
+Stored readStored(std::string_view value);
+std::string writeStored(const Stored& stored);
+
+}  // namespace tulip::chart
--- /dev/null
+++ b/src/hold/disk.hpp
@@ -0,0 +1,29 @@
+#pragma once
+#include <filesystem>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "hold/image.hpp"
+
+namespace tulip::hold {
+
+struct DiskCounts {
+  std::uint64_t deltas = 0, fulls = 0, syncs = 0, bytes = 0;
+};
+
+struct Disk {
+  std::filesystem::path folder;
+  Image image;
+  std::uint64_t lastSeq = 0;
+  std::uint64_t deltaBytes = 0;
+  std::uint64_t fullBytes = 0;
+  DiskCounts counts;
+  std::string detail;
+  std::shared_ptr<void> lock;
+};
+
+std::error_code openDisk(Disk& disk, const std::filesystem::path& folder, const DaemonId& freshId);
+std::error_code writeDelta(Disk& disk, std::span<const signal::DiskEntry> entries);
+
+}  // namespace tulip::hold
--- /dev/null
+++ b/src/hold/image.cpp
@@ -0,0 +1,101 @@
+#include "hold/image.hpp"
+
+#include <algorithm>
+
+namespace tulip::hold {
+
+using signal::DiskEntry;
+using signal::Entry;
+
+namespace {
+template <class Value> std::string packed(const Value& value) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, value);
+  return std::string(buffer.data(), buffer.size());
+}
+}  // namespace
+
+std::string packCohort(const signal::Cohort& cohort) { return packed(cohort); }
+
+signal::Cohort unpackCohort(std::string_view bytes) {
+  if (bytes.empty()) return {};
+  try {
+    return msgpack::unpack(bytes.data(), bytes.size()).get().as<signal::Cohort>();
+  } catch (const std::exception&) {
+    return {};
+  }
+}
+
+namespace entry {
+DiskEntry id(const DaemonId& id) { return {"id", {id.value, {}, {}}}; }
+DiskEntry cohort(const signal::Cohort& cohort) { return {"cohort", {{}, {}, packCohort(cohort)}}; }
+DiskEntry voting(bool voting) { return {"voting", {voting ? "yes" : "no", {}, {}}}; }
+DiskEntry rangePromise(const Ballot& term) { return {"range", {{}, {term, 0}, {}}}; }
+DiskEntry fleet(Millis fleetMs) { return {"fleet", {std::to_string(fleetMs), {}, {}}}; }
+DiskEntry registerPromise(const std::string& key, const Ballot& ballot) { return {"promise", {key, {ballot, 0}, {}}}; }
+DiskEntry registerAccept(const std::string& key, const Ballot& ballot, const std::string& value) {
+  return {"accept", {key, {ballot, 0}, value}};
+}
+DiskEntry clear() { return {"clear", {}}; }
+DiskEntry job(const Entry& entry) { return {"job", entry}; }
+}  // namespace entry
+
+void apply(Image& image, const DiskEntry& disk) {
+  const auto& [kind, entry] = disk;
+  if (kind == "id") image.id = DaemonId(entry.key);
+  else if (kind == "cohort") image.cohort = unpackCohort(entry.value);
+  else if (kind == "voting") image.voting = entry.key == "yes";
+  else if (kind == "range") image.rangePromised = std::max(image.rangePromised, entry.version.ballot);
+  else if (kind == "fleet") image.fleetMs = std::max<Millis>(image.fleetMs, std::stoll(entry.key));
+  else if (kind == "promise") {
+    auto& slot = image.registers[entry.key];
+    slot.promised = std::max(slot.promised, entry.version.ballot);
+  } else if (kind == "accept") {
+    auto& slot = image.registers[entry.key];
+    slot.promised = std::max(slot.promised, entry.version.ballot);
+    slot.accepted = entry.version.ballot;
+    slot.value = entry.value;
+  } else if (kind == "job") {
+    auto found = image.jobs.find(entry.key);
+    if (found != image.jobs.end() && entry.version <= found->second.version) return;
+    if (entry.value.empty()) {
+      if (found != image.jobs.end()) image.jobs.erase(found);
+    } else if (found == image.jobs.end()) image.jobs.emplace(entry.key, entry);
+    else found->second = entry;
+  } else if (kind == "clear") {
+    image.jobs.clear();
+    image.registers.clear();
+  }
+}
+
+std::vector<DiskEntry> snapshot(const Image& image) {
+  std::vector<DiskEntry> all{entry::id(image.id), entry::fleet(image.fleetMs), entry::voting(image.voting)};
+  if (!image.empty()) all.push_back(entry::cohort(image.cohort));
+  if (image.rangePromised != Ballot{}) all.push_back(entry::rangePromise(image.rangePromised));
+  for (const auto& [key, slot] : image.registers) {
+    if (slot.accepted != Ballot{}) all.push_back(entry::registerAccept(key, slot.accepted, slot.value));
+    if (slot.promised != slot.accepted) all.push_back(entry::registerPromise(key, slot.promised));
+  }
+  for (const auto& [key, entry] : image.jobs) all.push_back(entry::job(entry));
+  return all;
+}
+
+signal::RegisterPromise promise(const Image& image, const signal::RegisterPrepare& ask, std::vector<DiskEntry>& writes) {
+  static const Register none;
+  auto found = image.registers.find(ask.key);
+  const Register& slot = found == image.registers.end() ? none : found->second;
+  signal::RegisterPromise reply{ask.key, ask.ballot, slot.promised < ask.ballot, slot.promised, slot.accepted, slot.value};
+  if (slot.promised == ask.ballot && slot.accepted < ask.ballot) reply.ok = true;
+  if (reply.ok && slot.promised < ask.ballot) writes.push_back(entry::registerPromise(ask.key, ask.ballot));
+  return reply;
+}
+
+signal::RegisterAccepted accept(const Image& image, const signal::RegisterAccept& ask, std::vector<DiskEntry>& writes) {
+  auto found = image.registers.find(ask.key);
+  const Ballot promised = found == image.registers.end() ? Ballot{} : found->second.promised;
+  signal::RegisterAccepted reply{ask.key, ask.ballot, !(ask.ballot < promised), promised};
+  if (reply.ok) writes.push_back(entry::registerAccept(ask.key, ask.ballot, ask.value));
+  return reply;
+}
+
+}  // namespace tulip::hold
--- /dev/null
+++ b/src/manifest/pilot.hpp
@@ -0,0 +1,118 @@
+#pragma once
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+
+#include <deque>
+#include <memory>
+
+#include "manifest/job.hpp"
+#include "watch/crew.hpp"
+
+namespace tulip::manifest {
+
+struct Standing {
+  std::int64_t clean = 0, failed = 0;
+  double failRate = 0;
+  int trialsLeft = 1;
+  Millis shunnedUntilMs = 0;
+  std::int64_t shuns = 0;
+};
+
+struct WorkerRow {
+  WorkerId id;
+  signal::TenderReport last;
+  Address tender;
+  Millis heardMs = -1;
+  std::uint64_t ordersSeq = 0;
+  std::map<RunId, std::uint64_t> firstOrdered;
+  Standing standing;
+};
+
+struct SeatRow {
+  Address signal;
+  bool promised = false;
+  std::uint64_t ackedSeq = 0;
+  std::uint64_t sentSeq = 0;
+  absl::btree_set<std::string> owed;
+  std::optional<signal::RangeAccept> inflight;
+  Millis sentMs = -1000000;
+  Millis beatMs = -1000000;
+  Millis leaseEchoMs = -1000000;
+};
+
+enum class HeldAnswer : std::uint8_t { submitted, cancelled };
+
+struct Waiting {
+  std::uint64_t transaction = 0;
+  JobId job;
+  HeldAnswer kind = HeldAnswer::submitted;
+};
+
+struct Batch {
+  std::vector<std::shared_ptr<const Job>> jobs;
+  std::vector<JobId> dropped;
+  std::vector<Waiting> answers;
+};
+
+enum class Course : std::uint8_t { following, preparing, leading };
+
+struct PilotCounts {
+  std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0, cleans = 0,
+                submitted = 0, denied = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0, rewritten = 0, steppedDown = 0,
+                gangRetries = 0, promotions = 0, dropped = 0;
+};
+
+struct Told {
+  std::shared_ptr<const Job> job;
+};
+
+struct PilotState {
+  watch::Crew crew;
+  Course course = Course::following;
+  Ballot term;
+  std::uint64_t highestSeen = 0;
+  Millis prepareSentMs = -1000000;
+  Millis tryAtMs = 0;
+  Millis prepareStartMs = 0;
+  std::map<DaemonId, signal::RangePromise> promises;
+
+  absl::btree_map<JobId, Job> jobs;
+  absl::btree_map<JobId, std::shared_ptr<const Job>> told;
+  absl::btree_set<JobId> open;
+  absl::btree_set<JobId> dirty;
+  std::map<WorkerId, std::map<RunId, std::pair<JobId, std::size_t>>> held;
+  std::map<WorkerId, std::map<RunId, std::pair<JobId, std::size_t>>> toldHeld;
+  std::vector<Waiting> waiting;
+  absl::btree_map<std::string, signal::Entry> current;
+  std::map<DaemonId, SeatRow> seats;
+  std::uint64_t seq = 0;
+  std::uint64_t committed = 0;
+  std::map<std::uint64_t, Batch> batches;
+  Millis leaseUntilMs = -1000000;
+  Millis leadSinceMs = 0;
+  Millis epochMs = -1000000;
+  bool epochDue = false;
+  std::map<WorkerId, WorkerRow> workers;
+  std::set<WorkerId> ordersDue;
+  std::deque<std::int64_t> sizes;
+  std::deque<std::pair<Millis, JobId>> ended;
+  std::map<PendingName, std::int64_t> openPer;
+  PilotCounts counts;
+  std::string broken;
+};
+
+PilotState makePilot(const Env& env, const DaemonId& id, std::string incarnation);
+bool leads(const PilotState& pilot, signal::Now now);
+void pilotHeard(PilotState& pilot, const signal::Heard& heard, signal::Now now, signal::Outbox& out);
+void pilotTick(PilotState& pilot, signal::Now now, signal::Outbox& out);
+void pilotResign(PilotState& pilot, signal::Now now, signal::Outbox& out);
+
+void submitJob(PilotState& pilot, std::uint64_t transaction, std::string_view body, signal::Now now, signal::Outbox& out);
+void cancelJob(PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Now now, signal::Outbox& out);
+void getJob(const PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Outbox& out);
+void listJobs(const PilotState& pilot, std::uint64_t transaction, const std::map<std::string, std::string>& query, signal::Outbox& out);
+void listWorkers(const PilotState& pilot, std::uint64_t transaction, signal::Now now, signal::Outbox& out);
+std::string countersJson(const PilotState& pilot);
+std::string checkRoom(const PilotState& pilot);
+
+}  // namespace tulip::manifest
--- /dev/null
+++ b/src/roles/roadstead.cpp
@@ -0,0 +1,173 @@
+#include <sys/wait.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "bearing/env.hpp"
+#include "bearing/errors.hpp"
+#include "bearing/json.hpp"
+#include "roles/daemon.hpp"
+
+namespace tulip::roles {
+namespace {
+
+namespace fs = std::filesystem;
+
+struct Hand {
+  std::string name;
+  std::vector<std::string> words;
+  pid_t pid = -1;
+  std::string http;
+};
+
+volatile std::sig_atomic_t stopAsked = 0;
+void onStop(int) { stopAsked = 1; }
+
+struct Ports {
+  int next = 0;
+  std::vector<boost::asio::ip::tcp::acceptor> kept;
+  boost::asio::io_context context;
+
+  std::string take() {
+    if (next > 0) return "127.0.0.1:" + std::to_string(next++);
+    kept.emplace_back(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(kept.back().local_endpoint().port());
+  }
+};
+
+pid_t start(const Hand& hand, const fs::path& folder) {
+  const pid_t pid = fork();
+  if (pid != 0) return pid;
+  const auto log = (folder / (hand.name + ".log")).string();
+  if (!freopen(log.c_str(), "a", stderr) || !freopen("/dev/null", "r", stdin)) _exit(127);
+  std::vector<char*> args;
+  for (const auto& word : hand.words) args.push_back(const_cast<char*>(word.c_str()));
+  args.push_back(nullptr);
+  execv("/proc/self/exe", args.data());
+  _exit(127);
+}
+
+void writeFleet(const fs::path& folder, const std::vector<Hand>& hands) {
+  Json root(json_object());
+  json_t* list = json_array();
+  for (const auto& hand : hands) {
+    json_t* item = json_object();
+    json_object_set_new(item, "name", jsonText(hand.name));
+    json_object_set_new(item, "pid", json_integer(hand.pid));
+    if (!hand.http.empty()) json_object_set_new(item, "http", jsonText(hand.http));
+    json_array_append_new(list, item);
+  }
+  json_object_set_new(root.get(), "hands", list);
+  const auto aside = folder / "fleet.json.aside";
+  std::ofstream(aside) << dumpJson(root.get(), JSON_INDENT(1)) << "\n";
+  fs::rename(aside, folder / "fleet.json");
+}
+
+}  // namespace
+
+int runRoadstead(int argc, char** argv) {
+  std::string folder;
+  int base = 0, cells = 0, pilots = 0, workers = 0, slots = 0;
+  long termMs = 0, workerTermMs = 0;
+  bool respawn = false;
+  try {
+    TCLAP::CmdLine line("a whole fleet on one machine, for trying and testing", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> folderArg("", "folder", "where data, logs and fleet.json go", false, "fleet", "FOLDER", line);
+    TCLAP::ValueArg<int> baseArg("", "base-port", "first port; 0 picks free ones", false, 7100, "PORT", line);
+    TCLAP::ValueArg<int> cellsArg("", "cells", "how many cells", false, 3, "N", line);
+    TCLAP::ValueArg<int> pilotsArg("", "pilots", "how many pilots", false, 4, "N", line);
+    TCLAP::ValueArg<int> workersArg("", "workers", "how many tenders and workers", false, 11, "N", line);
+    TCLAP::ValueArg<int> slotsArg("", "slots", "slots of each worker", false, 8, "N", line);
+    TCLAP::ValueArg<long> termArg("", "term-ms", "term of sessions and of the leader", false, 1500, "MS", line);
+    TCLAP::ValueArg<long> workerTermArg("", "worker-term-ms", "term of workers", false, 2000, "MS", line);
+    TCLAP::SwitchArg respawnArg("", "respawn", "start a daemon again when it ends", line);
+    line.parse(argc, argv);
+    folder = folderArg.getValue();
+    base = baseArg.getValue();
+    cells = cellsArg.getValue();
+    pilots = pilotsArg.getValue();
+    workers = workersArg.getValue();
+    slots = slotsArg.getValue();
+    termMs = termArg.getValue();
+    workerTermMs = workerTermArg.getValue();
+    respawn = respawnArg.getValue();
+    if (cells < 1 || cells > 26 || pilots < 1 || workers < 0 || slots < 1 || base < 0 || base > 60000)
+      throw TCLAP::ArgException("allowed is 1 to 26 cells, 1 pilot or more, 1 slot or more, a port up to 60000", "flags");
+  } catch (const TCLAP::ArgException& failed) {
+    std::cerr << "roadstead: " << failed.argId() << ": " << failed.error() << std::endl;
+    return rowOf(Kind::badEnv).exitCode;
+  }
+  fs::create_directories(folder);
+  Ports ports;
+  ports.next = base;
+  std::vector<Hand> hands;
+  auto cellOf = [&](int i) { return std::string(1, static_cast<char>('a' + i % cells)); };
+  std::vector<std::string> seeds{ports.take(), ports.take(), ports.take()};
+  const auto joined = seeds[0] + "," + seeds[1] + "," + seeds[2];
+  auto daemon = [&](const std::string& role, int i, const std::string& signal, std::vector<std::string> more) {
+    const auto name = role + "-" + std::to_string(i + 1);
+    const auto http = ports.take();
+    std::vector<std::string> words{"tulippitch", role, "--name", name, "--signal", signal, "--http", http, "--cell", cellOf(i), "--seeds", joined,
+                                   "--term-ms", std::to_string(termMs), "--worker-term-ms", std::to_string(workerTermMs)};
+    words.insert(words.end(), more.begin(), more.end());
+    hands.push_back({name, words, -1, http});
+    return http;
+  };
+  for (int i = 0; i < 3; ++i) daemon("quay", i, seeds[static_cast<std::size_t>(i)], {"--data-folder", folder + "/quay-" + std::to_string(i + 1)});
+  for (int i = 0; i < pilots; ++i) daemon("pilot", i, ports.take(), {});
+  for (int i = 0; i < workers; ++i) {
+    const auto name = "worker-" + std::to_string(i + 1);
+    const auto http = daemon("tender", i, ports.take(), {"--worker", name});
+    hands.push_back({name,
+                     {"tulippitch", "stevedore", "--tender", http, "--worker", name, "--pool", "side", "--slots", std::to_string(slots), "--journal",
+                      folder + "/" + name + ".journal"},
+                     -1,
+                     ""});
+  }
+  ports.kept.clear();
+  struct sigaction action {};
+  action.sa_handler = onStop;
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  for (auto& hand : hands) hand.pid = start(hand, folder);
+  writeFleet(folder, hands);
+  std::cout << "fleet of " << hands.size() << " processes; ask any of";
+  for (const auto& hand : hands)
+    if (hand.name.starts_with("pilot")) std::cout << " " << hand.http;
+  std::cout << std::endl;
+  while (!stopAsked) {
+    int status = 0;
+    const pid_t gone = waitpid(-1, &status, WNOHANG);
+    if (gone <= 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      continue;
+    }
+    for (auto& hand : hands)
+      if (hand.pid == gone) {
+        std::cout << hand.name << " ended (" << (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "exit " + std::to_string(WEXITSTATUS(status)))
+                  << ")" << std::endl;
+        hand.pid = respawn ? start(hand, folder) : -1;
+        writeFleet(folder, hands);
+      }
+  }
+  for (auto at = hands.rbegin(); at != hands.rend(); ++at)
+    if (at->pid > 0) kill(at->pid, SIGTERM);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+  for (auto& hand : hands) {
+    while (hand.pid > 0 && waitpid(hand.pid, nullptr, WNOHANG) == 0) {
+      if (std::chrono::steady_clock::now() > until) kill(hand.pid, SIGKILL);
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+  return 0;
+}
+
+}  // namespace tulip::roles
--- /dev/null
+++ b/src/roles/stevedore.cpp
@@ -0,0 +1,115 @@
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+#include "bearing/env.hpp"
+#include "gangway/http.hpp"
+#include "roles/daemon.hpp"
+#include "roles/worker.hpp"
+
+namespace tulip::roles {
+namespace asio = boost::asio;
+
+namespace {
+
+Millis steadyMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+struct Quayside {
+  asio::io_context context;
+  asio::steady_timer pulse{context};
+  Worker worker;
+  Address tender;
+  bool calling = false;
+  bool due = false;
+  bool leaveWhenIdle = false;
+  Millis leaveByMs = 0;
+  std::ofstream journal;
+
+  void writeJournal() {
+    for (const auto& line : worker.journal)
+      if (journal) journal << steadyMs() << " " << worker.traits.name << " " << worker.incarnation << " " << line << "\n";
+    journal.flush();
+    worker.journal.clear();
+  }
+
+  void call() {
+    if (calling) {
+      due = true;
+      return;
+    }
+    calling = true;
+    due = false;
+    gangway::CallOut out;
+    out.to = tender;
+    out.method = "POST";
+    out.target = "/worker/report";
+    out.body = nextReport(worker);
+    out.cutoffMs = 2000;
+    const auto sentMs = steadyMs();
+    gangway::callHttp(context, std::move(out), [this, sentMs](gangway::CallReply reply) {
+      calling = false;
+      workerTick(worker, steadyMs());
+      if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
+      writeJournal();
+      if (reply.status == 200 || due) return call();
+      pulse.expires_after(std::chrono::milliseconds(50));
+    });
+  }
+
+  void beat() {
+    pulse.expires_after(std::chrono::milliseconds(5));
+    pulse.async_wait([this](boost::system::error_code) {
+      if (workerTick(worker, steadyMs())) due = true;
+      writeJournal();
+      if (!calling) call();
+      if (worker.leaving && ((leaveWhenIdle && worker.going.empty() && worker.ended.empty()) || steadyMs() >= leaveByMs)) return context.stop();
+      beat();
+    });
+  }
+};
+
+}  // namespace
+
+int runStevedore(int argc, char** argv) {
+  Quayside side;
+  try {
+    TCLAP::CmdLine line("stand-in worker", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> tender("", "tender", "the tender's http address", true, "", "IP:PORT", line);
+    TCLAP::ValueArg<std::string> worker("", "worker", "this worker's name", true, "", "NAME", line);
+    TCLAP::ValueArg<std::string> pool("", "pool", "the pool it belongs to", false, "side", "NAME", line);
+    TCLAP::ValueArg<int> slots("", "slots", "how many slots it has", false, 8, "N", line);
+    TCLAP::ValueArg<double> slow("", "slow", "how many times longer its runs take", false, 1.0, "FACTOR", line);
+    TCLAP::ValueArg<int> failEvery("", "fail-every", "every Nth run fails", false, 0, "N", line);
+    TCLAP::ValueArg<std::string> journal("", "journal", "file for its own history of starts and ends", false, "", "FILE", line);
+    TCLAP::SwitchArg stays("", "no-self-stop", "goes on when unheard past its term", line);
+    line.parse(argc, argv);
+    if (!validAddress(tender.getValue()) || slots.getValue() < 1) {
+      std::cerr << "flags: tender, slots: allowed is an IP number and a port, and at least 1 slot" << std::endl;
+      return rowOf(Kind::badEnv).exitCode;
+    }
+    side.tender = Address(tender.getValue());
+    side.worker.traits = {worker.getValue(), pool.getValue(), slots.getValue(), {}, {}, !stays.getValue(), slow.getValue(), failEvery.getValue(), 20};
+    side.worker.incarnation = freshName();
+    if (!journal.getValue().empty()) side.journal.open(journal.getValue(), std::ios::app);
+  } catch (const TCLAP::ArgException& failed) {
+    std::cerr << "flags: " << failed.argId() << ": " << failed.error() << std::endl;
+    return rowOf(Kind::badEnv).exitCode;
+  }
+  asio::signal_set polite(side.context, SIGTERM, SIGINT);
+  polite.async_wait([&](boost::system::error_code failed, int) {
+    if (failed) return;
+    side.worker.leaving = true;
+    side.leaveWhenIdle = true;
+    side.leaveByMs = steadyMs() + 3000;
+  });
+  side.beat();
+  side.call();
+  side.context.run();
+  return 0;
+}
+
+}  // namespace tulip::roles
--- /dev/null
+++ b/src/signal/codec.cpp
@@ -0,0 +1,49 @@
+#include <array>
+
+#include "signal/messages.hpp"
+
+namespace tulip::signal {
+namespace {
+
+template <std::size_t... Is>
+bool unpackKind(std::size_t kind, const msgpack::object& body, Message& message, std::index_sequence<Is...>) {
+  bool found = false;
+  (void)((kind == Is && (found = true, message = body.as<std::variant_alternative_t<Is, Message>>(), true)) || ...);
+  return found;
+}
+
+}  // namespace
+
+std::string encode(const Frame& frame) {
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(6);
+  packer.pack(frame.revision);
+  packer.pack(static_cast<std::uint32_t>(frame.message.index()));
+  packer.pack(frame.fromId);
+  packer.pack(frame.from);
+  packer.pack(frame.to);
+  std::visit([&](const auto& body) { packer.pack(body); }, frame.message);
+  return std::string(buffer.data(), buffer.size());
+}
+
+Decoded decode(std::string_view bytes, Frame& frame) {
+  try {
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    const auto& root = handle.get();
+    if (root.type != msgpack::type::ARRAY || root.via.array.size < 6) return Decoded::malformed;
+    const auto* parts = root.via.array.ptr;
+    frame.revision = parts[0].as<std::uint32_t>();
+    frame.fromId = parts[2].as<DaemonId>();
+    frame.from = parts[3].as<Address>();
+    frame.to = parts[4].as<Address>();
+    if (frame.revision < kOldestRevision || frame.revision > kRevision) return Decoded::foreignRevision;
+    const bool known = unpackKind(parts[1].as<std::uint32_t>(), parts[5], frame.message,
+                                  std::make_index_sequence<std::variant_size_v<Message>>());
+    return known ? Decoded::ok : Decoded::malformed;
+  } catch (const std::exception&) {
+    return Decoded::malformed;
+  }
+}
+
+}  // namespace tulip::signal
--- /dev/null
+++ b/src/signal/messages.hpp
@@ -0,0 +1,290 @@
+#pragma once
+#include <map>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "bearing/types.hpp"
+
+namespace tulip::signal {
+
+inline constexpr std::uint32_t kOldestRevision = 1;
+inline constexpr std::uint32_t kRevision = 1;
+
+struct Member {
+  DaemonId id;
+  Role role = Role::pilot;
+  CellName cell;
+  Address signal;
+  Address http;
+  Revision acked = 0;
+  bool ready = false;
+  bool leaving = false;
+  Millis ageMs = 0;
+  DaemonId home;
+  MSGPACK_DEFINE(id, role, cell, signal, http, acked, ready, leaving, ageMs, home)
+};
+
+struct LeaderHint {
+  Ballot term;
+  Address signal;
+  Address http;
+  auto operator<=>(const LeaderHint&) const = default;
+  MSGPACK_DEFINE(term, signal, http)
+};
+
+struct Seat {
+  DaemonId id;
+  Address signal;
+  auto operator<=>(const Seat&) const = default;
+  MSGPACK_DEFINE(id, signal)
+};
+
+struct Cohort {
+  Revision revision = 0;
+  std::vector<Seat> seats;
+  bool operator==(const Cohort&) const = default;
+  MSGPACK_DEFINE(revision, seats)
+};
+
+struct Version {
+  Ballot ballot;
+  std::uint64_t seq = 0;
+  auto operator<=>(const Version&) const = default;
+  MSGPACK_DEFINE(ballot, seq)
+};
+
+struct Entry {
+  std::string key;
+  Version version;
+  std::string value;
+  MSGPACK_DEFINE(key, version, value)
+};
+
+struct SessionBeat {
+  Member me;
+  std::uint64_t beat = 0;
+  Millis sentMs = 0;
+  MSGPACK_DEFINE(me, beat, sentMs)
+};
+
+struct SessionGrant {
+  std::uint64_t beat = 0;
+  Millis sentMs = 0;
+  Millis termMs = 0;
+  Revision chartRevision = 0;
+  std::string chartText;
+  LeaderHint leader;
+  Cohort cohort;
+  std::vector<Member> members;
+  Millis fleetMs = 0;
+  MSGPACK_DEFINE(beat, sentMs, termMs, chartRevision, chartText, leader, cohort, members, fleetMs)
+};
+
+struct RegisterPrepare {
+  Revision cohort = 0;
+  std::string key;
+  Ballot ballot;
+  MSGPACK_DEFINE(cohort, key, ballot)
+};
+
+struct RegisterPromise {
+  std::string key;
+  Ballot ballot;
+  bool ok = false;
+  Ballot promised;
+  Ballot accepted;
+  std::string value;
+  MSGPACK_DEFINE(key, ballot, ok, promised, accepted, value)
+};
+
+struct RegisterAccept {
+  Revision cohort = 0;
+  std::string key;
+  Ballot ballot;
+  std::string value;
+  MSGPACK_DEFINE(cohort, key, ballot, value)
+};
+
+struct RegisterAccepted {
+  std::string key;
+  Ballot ballot;
+  bool ok = false;
+  Ballot promised;
+  MSGPACK_DEFINE(key, ballot, ok, promised)
+};
+
+struct RegisterChosen {
+  std::string key;
+  Ballot ballot;
+  std::string value;
+  MSGPACK_DEFINE(key, ballot, value)
+};
+
+struct AckQuery {
+  Revision chartRevision = 0;
+  std::uint64_t query = 0;
+  MSGPACK_DEFINE(chartRevision, query)
+};
+
+struct AckState {
+  Revision chartRevision = 0;
+  std::uint64_t query = 0;
+  bool learned = false;
+  std::vector<DaemonId> waiting;
+  MSGPACK_DEFINE(chartRevision, query, learned, waiting)
+};
+
+struct RangePrepare {
+  Revision cohort = 0;
+  Ballot term;
+  LeaderHint hint;
+  MSGPACK_DEFINE(cohort, term, hint)
+};
+
+struct RangePromise {
+  Ballot term;
+  bool ok = false;
+  Ballot promised;
+  Millis leaseLeftMs = 0;
+  Millis fleetMs = 0;
+  std::vector<Entry> entries;
+  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries)
+};
+
+struct RangeAccept {
+  Revision cohort = 0;
+  Ballot term;
+  std::uint64_t seq = 0;
+  Millis sentMs = 0;
+  Millis fleetMs = 0;
+  LeaderHint hint;
+  std::vector<Entry> entries;
+  MSGPACK_DEFINE(cohort, term, seq, sentMs, fleetMs, hint, entries)
+};
+
+struct RangeAccepted {
+  Ballot term;
+  std::uint64_t seq = 0;
+  Millis sentMs = 0;
+  bool ok = false;
+  bool synced = false;
+  Ballot promised;
+  MSGPACK_DEFINE(term, seq, sentMs, ok, synced, promised)
+};
+
+struct Resign {
+  Ballot term;
+  MSGPACK_DEFINE(term)
+};
+
+struct QuayBeat {
+  Seat seat;
+  std::vector<Address> seeds;
+  bool empty = true;
+  Cohort cohort;
+  Millis sentMs = 0;
+  Millis echoMs = 0;
+  Ballot chartBallot;
+  std::string chartValue;
+  LeaderHint leader;
+  Millis leaseLeftMs = 0;
+  Millis fleetMs = 0;
+  std::vector<Member> sessions;
+  MSGPACK_DEFINE(seat, seeds, empty, cohort, sentMs, echoMs, chartBallot, chartValue, leader, leaseLeftMs, fleetMs, sessions)
+};
+
+struct Form {
+  Cohort cohort;
+  MSGPACK_DEFINE(cohort)
+};
+
+struct CatchUpAsk {
+  Revision cohort = 0;
+  DaemonId id;
+  MSGPACK_DEFINE(cohort, id)
+};
+
+struct CatchUpGive {
+  Revision cohort = 0;
+  DaemonId id;
+  Ballot rangePromised;
+  Millis fleetMs = 0;
+  std::vector<Entry> entries;
+  std::vector<Entry> registers;
+  MSGPACK_DEFINE(cohort, id, rangePromised, fleetMs, entries, registers)
+};
+
+enum class RunState : std::uint8_t { ordered, going, stopping, ended };
+enum class RunOutcome : std::uint8_t { none, clean, failed, stopped, lost };
+
+struct RunReport {
+  RunId id;
+  RunState state = RunState::ordered;
+  RunOutcome outcome = RunOutcome::none;
+  std::string detail;
+  MSGPACK_DEFINE(id, state, outcome, detail)
+};
+
+struct TenderReport {
+  DaemonId tender;
+  CellName cell;
+  WorkerId worker;
+  std::string workerIncarnation;
+  bool workerHeard = false;
+  Millis workerAgeMs = 0;
+  PoolName pool;
+  std::map<std::string, std::string> labels;
+  std::int64_t slots = 0;
+  std::map<std::string, std::int64_t> room;
+  bool leaving = false;
+  Revision acked = 0;
+  Ballot ordersTerm;
+  std::uint64_t ordersSeq = 0;
+  std::uint64_t seq = 0;
+  Millis sentMs = 0;
+  std::vector<RunReport> runs;
+  MSGPACK_DEFINE(tender, cell, worker, workerIncarnation, workerHeard, workerAgeMs, pool, labels, slots, room, leaving, acked,
+                 ordersTerm, ordersSeq, seq, sentMs, runs)
+};
+
+struct WantedRun {
+  RunId id;
+  bool stop = false;
+  std::string spec;
+  MSGPACK_DEFINE(id, stop, spec)
+};
+
+struct Orders {
+  Ballot term;
+  std::uint64_t seq = 0;
+  DaemonId tender;
+  std::uint64_t echoSeq = 0;
+  Millis echoMs = 0;
+  Revision chartRevision = 0;
+  Millis fleetMs = 0;
+  std::vector<WantedRun> wanted;
+  MSGPACK_DEFINE(term, seq, tender, echoSeq, echoMs, chartRevision, fleetMs, wanted)
+};
+
+using Message =
+    std::variant<SessionBeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted, RegisterChosen,
+                 AckQuery, AckState, RangePrepare, RangePromise, RangeAccept, RangeAccepted, Resign, QuayBeat, Form, CatchUpAsk,
+                 CatchUpGive, TenderReport, Orders>;
+
+struct Frame {
+  std::uint32_t revision = kRevision;
+  DaemonId fromId;
+  Address from;
+  Address to;
+  Message message;
+};
+
+std::string encode(const Frame& frame);
+enum class Decoded { ok, malformed, foreignRevision };
+Decoded decode(std::string_view bytes, Frame& frame);
+
+}  // namespace tulip::signal
+MSGPACK_ADD_ENUM(tulip::signal::RunState)
+MSGPACK_ADD_ENUM(tulip::signal::RunOutcome)
--- /dev/null
+++ b/src/watch/crew.hpp
@@ -0,0 +1,89 @@
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "bearing/env.hpp"
+#include "chart/chart.hpp"
+#include "signal/core.hpp"
+
+namespace tulip::watch {
+
+inline const std::string kChartKey = "chart";
+
+struct Edit {
+  bool whole = false;
+  std::string body;
+  std::optional<Revision> expected;
+  std::string name;
+};
+
+enum class Phase { prepare, accept, learn, done };
+
+struct Proposal {
+  std::uint64_t transaction = 0;
+  std::string key;
+  std::optional<Edit> edit;
+  std::string fixedValue;
+  Ballot ballot;
+  Phase phase = Phase::prepare;
+  std::map<Address, signal::RegisterPromise> promises;
+  std::set<Address> accepts;
+  std::string value;
+  bool changes = false;
+  Revision revision = 0;
+  int status = 200;
+  std::string body;
+  Millis startedMs = 0;
+  Millis cutoffMs = 0;
+  Millis sentMs = 0;
+  Millis retryAtMs = 0;
+  Millis learnedMs = -1;
+  std::uint64_t query = 0;
+  std::map<Address, signal::AckState> states;
+  int attempts = 0;
+};
+
+struct Crew {
+  Env env;
+  DaemonId id;
+  std::string incarnation;
+  std::size_t home = 0;
+  std::uint64_t beat = 0;
+  Millis beatSentMs = -1000000;
+  Millis grantedMs = -1000000;
+  Millis sessionUntilMs = -1000000;
+  Revision chartRevision = 0;
+  std::string chartText;
+  std::shared_ptr<const chart::Chart> chart = std::make_shared<chart::Chart>();
+  signal::LeaderHint leader;
+  signal::Cohort cohort;
+  std::vector<signal::Member> members;
+  Millis fleetMs = 0;
+  Millis fleetAtMs = -1;
+  bool ready = false;
+  bool leaving = false;
+  std::vector<Proposal> proposals;
+  std::uint64_t ballotNumber = 0;
+  std::uint64_t proposed = 0, chosen = 0, contended = 0;
+};
+
+Crew makeCrew(const Env& env, const DaemonId& id, std::string incarnation);
+bool sessionLive(const Crew& crew, signal::Now now);
+Millis fleetNow(const Crew& crew, signal::Now now);
+void raiseFleet(Crew& crew, Millis fleetMs, signal::Now now);
+std::vector<Address> quayAddresses(const Crew& crew);
+std::vector<Address> seatAddresses(const Crew& crew);
+std::size_t majority(std::size_t count);
+
+bool crewHeard(Crew& crew, const signal::Heard& heard, signal::Now now, signal::Outbox& out);
+void crewTick(Crew& crew, signal::Now now, signal::Outbox& out);
+void beatNow(Crew& crew, signal::Now now, signal::Outbox& out);
+void proposeChart(Crew& crew, std::uint64_t transaction, Edit edit, Millis cutoffMs, signal::Now now, signal::Outbox& out);
+void proposeFixed(Crew& crew, std::string key, std::string value, signal::Now now, signal::Outbox& out);
+bool proposing(const Crew& crew, std::string_view key);
+
+void answerKind(signal::Outbox& out, std::uint64_t transaction, Kind kind, const Bounds& bounds, std::string_view detail = {});
+
+}  // namespace tulip::watch
--- /dev/null
+++ b/src/watch/quay.hpp
@@ -0,0 +1,47 @@
+#pragma once
+#include "hold/image.hpp"
+#include "watch/crew.hpp"
+
+namespace tulip::watch {
+
+struct OtherQuay {
+  signal::QuayBeat last;
+  Millis heardMs = -1000000;
+  Millis echoMs = -1000000;
+};
+
+struct SessionRow {
+  signal::Member member;
+  Millis heardMs = 0;
+  std::uint64_t beat = 0;
+  Millis sentMs = 0;
+};
+
+struct QuayState {
+  Crew crew;
+  hold::Image image;
+  bool diskFailed = false;
+  std::uint64_t ticket = 0;
+  std::map<std::uint64_t, std::vector<signal::Send>> waiting;
+  std::map<Address, OtherQuay> others;
+  std::map<DaemonId, SessionRow> sessions;
+  Ballot learnedBallot;
+  std::string learnedValue;
+  chart::Stored learned;
+  bool chartKnown = false;
+  bool sealed = false;
+  signal::LeaderHint leader;
+  Millis leaseUntilMs = 0;
+  Millis hintUntilMs = 0;
+  Millis bornMs = 0;
+  Millis beatSentMs = -1000000;
+  Millis completeAtMs = 0;
+  std::map<DaemonId, signal::CatchUpGive> catchUp;
+  std::uint64_t rangeAccepts = 0, rangeDenied = 0, grants = 0, grantsDenied = 0, catchUps = 0;
+};
+
+QuayState makeQuay(const Env& env, hold::Image image, std::string incarnation, signal::Now now);
+bool standing(const QuayState& quay, signal::Now now);
+void quayStep(QuayState& quay, const signal::Event& event, signal::Now now, signal::Outbox& out);
+
+}  // namespace tulip::watch
--- /dev/null
+++ b/tests/chart_test.cpp
@@ -0,0 +1,99 @@
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <unistd.h>
+
+#include "bearing/env.hpp"
+#include "chart/chart.hpp"
+#include "manifest/job.hpp"
+
+using namespace tulip;
+
+namespace {
+
+std::string firstFault(const char* text) {
+  chart::Chart made;
+  std::vector<chart::Fault> faults;
+  chart::readChartText(text, made, faults);
+  return faults.empty() ? "" : faults[0].path;
+}
+
+chart::Chart plainChart() {
+  chart::Chart made;
+  std::vector<chart::Fault> faults;
+  chart::readChartText(R"({"pendings":{"gate":{"quotaSlots":12}},"pools":{"side":{"slots":8,"workers":2}}})", made, faults);
+  return made;
+}
+
+manifest::Verdict verdictOf(const std::string& tasks, const std::string& more = "") {
+  manifest::Job job;
+  return manifest::readJob(R"({"id":"j","pending":"gate")" + more + R"(,"tasks":)" + tasks + "}", plainChart(), job);
+}
+
+}  // namespace
+
+TEST_GROUP(chart){};
+
+TEST(chart, every_fault_is_named_by_its_path) {
+  STRCMP_EQUAL("", firstFault("{}").c_str());
+  STRCMP_EQUAL("/pendings/gate/rnak", firstFault(R"({"pendings":{"gate":{"rnak":1}}})").c_str());
+  STRCMP_EQUAL("/pendings/gate/failureLimit", firstFault(R"({"pendings":{"gate":{"failureLimit":0}}})").c_str());
+  STRCMP_EQUAL("/admission/thresholdsMs", firstFault(R"({"admission":{"lanes":3,"thresholdsMs":[5]}})").c_str());
+  STRCMP_EQUAL("/admission/thresholdsMs/1", firstFault(R"({"admission":{"lanes":3,"thresholdsMs":[5,5]}})").c_str());
+  STRCMP_EQUAL("/admission/promoteKnob", firstFault(R"({"admission":{"promoteKnob":0}})").c_str());
+  STRCMP_EQUAL("/", firstFault(R"({"cells":{},"cells":{}})").c_str());
+}
+
+TEST(chart, a_merge_patch_changes_only_what_it_names) {
+  Json base = parseJson(R"({"cells":{"a":{"emptied":false},"b":{"emptied":true}}})");
+  Json patch = parseJson(R"({"cells":{"a":{"emptied":true},"b":null}})");
+  STRCMP_EQUAL(R"({"cells":{"a":{"emptied":true}}})", dumpJson(chart::mergePatch(base.get(), patch.get()).get()).c_str());
+}
+
+TEST(chart, a_stored_configuration_keeps_its_transactions) {
+  chart::Stored stored{7, R"({"cells":{}})", {{"t1", 6}, {"t2", 7}}};
+  const auto again = chart::readStored(chart::writeStored(stored));
+  LONGS_EQUAL(7, again.revision);
+  STRCMP_EQUAL(stored.text.c_str(), again.text.c_str());
+  CHECK(again.transactions == stored.transactions);
+}
+
+TEST(chart, a_job_that_can_not_be_is_denied_by_field) {
+  CHECK(verdictOf(R"([{"name":"a"}])").kind == Kind::ok);
+  CHECK(verdictOf(R"([{"name":"a","after":["b"]},{"name":"b","after":["a"]}])").kind == Kind::cycle);
+  CHECK(verdictOf(R"([{"name":"a","slots":9}])").kind == Kind::neverFits);
+  CHECK(verdictOf(R"([{"name":"a","slots":5},{"name":"b","slots":5},{"name":"c","slots":5}])", R"(,"gang":true)").kind == Kind::neverFits);
+  CHECK(verdictOf(R"([{"name":"a","slots":7},{"name":"b","slots":7}])", R"(,"gang":true)").kind == Kind::neverFits);
+  CHECK(verdictOf(R"([{"name":"a","slots":7},{"name":"b","slots":7}])").kind == Kind::ok);
+  STRCMP_EQUAL("/tasks/0/slots", verdictOf(R"([{"name":"a","slots":0}])").field.c_str());
+  STRCMP_EQUAL("/tasks/0/size", verdictOf(R"([{"name":"a","size":1}])").field.c_str());
+  STRCMP_EQUAL("/tasks/1/name", verdictOf(R"([{"name":"a"},{"name":"a"}])").field.c_str());
+  STRCMP_EQUAL("/cutoffMs", verdictOf(R"([{"name":"a"}])", R"(,"cutoffMs":-1)").field.c_str());
+  CHECK(verdictOf("[]").kind == Kind::badValue);
+}
+
+TEST(chart, settings_name_file_key_and_what_is_allowed) {
+  const std::string path = "/tmp/tulip-env-" + std::to_string(getpid()) + ".json";
+  Env env;
+  EnvFault fault;
+  auto with = [&](const char* text) {
+    std::ofstream(path) << text;
+    return readEnv(Role::pilot, {{"env-file", path}}, env, fault);
+  };
+  const std::string good =
+      R"("signal":"127.0.0.1:7001","http":"127.0.0.1:7002","cell":"a","seeds":["127.0.0.1:1","127.0.0.1:2","127.0.0.1:3"])";
+  CHECK(with(("{" + good + "}").c_str()));
+  CHECK_FALSE(with(("{" + good + R"(,"term":5})").c_str()));
+  STRCMP_EQUAL("term", fault.key.c_str());
+  CHECK_FALSE(with(("{" + good + R"(,"term-ms":5})").c_str()));
+  STRCMP_EQUAL((path + ": term-ms: allowed is a whole number from 200 to 60000").c_str(), faultLine(fault).c_str());
+  CHECK_FALSE(with(R"({"signal":"localhost:7001"})"));
+  STRCMP_EQUAL("signal", fault.key.c_str());
+  CHECK_FALSE(with("{"));
+  std::ofstream(path) << "{" + good + R"(,"term-ms":2000})";
+  CHECK(readEnv(Role::pilot, {{"env-file", path}, {"term-ms", "900"}}, env, fault));
+  LONGS_EQUAL(900, env.bounds.termMs);
+  CHECK_FALSE(readEnv(Role::quay, {{"env-file", path}}, env, fault));
+  STRCMP_EQUAL("data-folder", fault.key.c_str());
+  ::unlink(path.c_str());
+}
