--- /dev/null
+++ b/src/drydock/day.cpp
@@ -0,0 +1,679 @@
+#include "drydock/day.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tulip::drydock {
+
+namespace {
+
+using signal::Ask;
+
+constexpr Micros kSecond = 1000000;
+
+struct Run {
+  DayPlan plan;
+  Sim sim;
+  Judge judge;
+  DayResult result;
+  Micros fromUs = 4 * kSecond;
+  Micros quietUs = 0;
+  Micros endUs = 0;
+  std::int64_t nextJob = 0, nextMark = 0;
+  std::map<std::string, Micros> submittedUs;
+  bool stopMarks = false;
+  std::set<std::string> retired;
+  Millis leaderLostMs = -1;
+
+  explicit Run(const DayPlan& given) : plan(given), sim(given.seed, given.fleet), judge(sim) {
+    endUs = static_cast<Micros>(plan.seconds * kSecond);
+    quietUs = endUs * 3 / 4;
+  }
+
+  Host& anyHost() {
+    const auto& all = sim.all();
+    while (true) {
+      auto& host = *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
+      if (!retired.contains(host.name)) return host;
+    }
+  }
+
+  Micros faultTime() { return fromUs + sim.below(std::max<Micros>(1, quietUs - fromUs - kSecond)); }
+
+  void call(Ask ask, std::function<void(Reply)> done) {
+    auto answered = std::make_shared<bool>(false);
+    auto once = [answered, done = std::move(done)](Reply reply) {
+      if (*answered) return;
+      *answered = true;
+      done(std::move(reply));
+    };
+    sim.ask(anyHost(), std::move(ask), once);
+    sim.after(4 * kSecond, [once] { once({true, 0, 0, {}}); });
+  }
+
+  void submit(std::string id, std::string body) {
+    ++result.submitTries;
+    Ask ask;
+    ask.method = "POST";
+    ask.path = "/jobs";
+    ask.body = body;
+    call(std::move(ask), [this, id, body](Reply reply) {
+      if (!reply.lost && (reply.status == 200 || reply.status == 201)) {
+        const bool first = judge.jobs.at(id).acceptedMs < 0;
+        judge.accepted(id);
+        if (first) {
+          ++result.accepted;
+          result.submitMs.push_back((sim.nowUs() - submittedUs[id]) / 1000);
+          poll(id);
+        }
+        Json view = parseJson(reply.body);
+        judge.shown(id, 200, view.get());
+        return;
+      }
+      if (!reply.lost && reply.status < 500) return;
+      sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000 + sim.below(50000), [this, id, body] { submit(id, body); });
+    });
+  }
+
+  void poll(const std::string& id) {
+    Ask ask;
+    ask.method = "GET";
+    ask.path = "/jobs/" + id;
+    call(std::move(ask), [this, id](Reply reply) {
+      if (!reply.lost) {
+        Json view = parseJson(reply.body);
+        judge.shown(id, reply.status, view.get());
+        auto& job = judge.jobs.at(id);
+        if (!job.shown.empty()) return;
+      }
+      sim.after(250000 + sim.below(250000), [this, id] { poll(id); });
+    });
+  }
+
+  void cancel(const std::string& id) {
+    judge.jobs.at(id).cancelAskedMs = sim.nowMs();
+    Ask ask;
+    ask.method = "DELETE";
+    ask.path = "/jobs/" + id;
+    call(std::move(ask), [this, id](Reply reply) {
+      if (!reply.lost && reply.status == 200) return judge.cancelled(id);
+      if (!reply.lost && reply.status < 500) return;
+      sim.after(150000, [this, id] { cancel(id); });
+    });
+  }
+
+  std::string makeJob(const LineLoad& load, const std::string& id, bool neverSucceeds, bool huge) {
+    auto& truth = judge.submitted(id);
+    submittedUs[id] = sim.nowUs();
+    truth.line = load.line;
+    truth.neverSucceeds = neverSucceeds;
+    const auto count = load.leastTasks + sim.below(load.mostTasks - load.leastTasks + 1);
+    truth.gang = sim.chance(load.gang) || huge;
+    if (sim.chance(0.05)) truth.notBeforeMs = 200 + sim.below(1500);
+    const bool steps = sim.chance(load.steps) && count > 1;
+    Json root(json_object());
+    json_object_set_new(root.get(), "id", jsonText(id));
+    json_object_set_new(root.get(), "pending", jsonText(load.line));
+    json_object_set_new(root.get(), "gang", json_boolean(truth.gang));
+    if (truth.notBeforeMs) json_object_set_new(root.get(), "notBeforeMs", json_integer(truth.notBeforeMs));
+    json_t* tasks = json_array();
+    const auto many = huge ? 6 : count;
+    for (std::int64_t i = 0; i < many; ++i) {
+      TaskTruth task;
+      task.slots = huge ? 4 : load.leastSlots + sim.below(load.mostSlots - load.leastSlots + 1);
+      const auto name = "t" + std::to_string(i);
+      json_t *item = json_object(), *payload = json_object();
+      json_object_set_new(item, "name", jsonText(name));
+      json_object_set_new(item, "slots", json_integer(task.slots));
+      if (steps && i + 1 == many) {
+        json_t* after = json_array();
+        for (std::int64_t k = 0; k < i; ++k) {
+          json_array_append_new(after, jsonText("t" + std::to_string(k)));
+          task.after.push_back(static_cast<std::size_t>(k));
+        }
+        json_object_set_new(item, "after", after);
+      }
+      double runMs = static_cast<double>(load.leastRunMs + sim.below(load.mostRunMs - load.leastRunMs + 1));
+      if (load.heavyTail > 0) runMs = static_cast<double>(load.leastRunMs) / std::pow(std::max(1e-3, sim.unit()), load.heavyTail);
+      json_object_set_new(payload, "runMs", json_integer(static_cast<json_int_t>(runMs)));
+      if (neverSucceeds && i == 0) json_object_set_new(payload, "fails", json_true());
+      else if (sim.chance(0.03)) json_object_set_new(payload, "failAttempts", json_integer(1));
+      json_object_set_new(item, "payload", payload);
+      json_array_append_new(tasks, item);
+      truth.names.push_back(name);
+      truth.tasks.push_back(std::move(task));
+    }
+    json_object_set_new(root.get(), "tasks", tasks);
+    return dumpJson(root.get());
+  }
+
+  void newJob(const LineLoad& load, bool neverSucceeds = false, bool huge = false) {
+    const auto id = load.line + "-" + std::to_string(++nextJob);
+    auto body = makeJob(load, id, neverSucceeds, huge);
+    if (neverSucceeds || huge) {
+    } else if (sim.chance(0.04)) {
+      sim.after(100000 + sim.below(900000), [this, id] { cancel(id); });
+    } else if (sim.chance(0.03)) {
+      sim.after(sim.below(2 * kSecond), [this, id, body] { submit(id, body); });
+    }
+    submit(id, std::move(body));
+  }
+
+  void arrivals(const LineLoad& load) {
+    const double rate = load.perSecond * plan.loadFactor;
+    const auto gap = static_cast<Micros>(-std::log(1.0 - sim.unit()) / rate * kSecond);
+    sim.after(gap, [this, load] {
+      if (sim.nowUs() >= endUs) return;
+      newJob(load);
+      arrivals(load);
+    });
+  }
+
+  std::string baseChart() const {
+    return R"({"pendings":{"checkout":{"rank":10,"failureLimit":3,"backoffMs":100},"gate":{"rank":5,"failureLimit":3,"backoffMs":150},)"
+           R"("rebuild":{"rank":0,"failureLimit":4,"backoffMs":200},"probe":{"rank":20}},"pools":{"side":{"slots":)" +
+           std::to_string(plan.fleet.slots) + R"(,"workers":)" + std::to_string(plan.fleet.workers) + R"(,"selfStop":)" +
+           (plan.fleet.selfStop ? "true" : "false") + R"(}},"cells":{"a":{"emptied":false},"b":{"emptied":false},"c":{"emptied":false}},)"
+           R"("admission":{"rule":")" + plan.rule + R"(","lanes":2,"thresholdsMs":[4000],"promoteKnob":4,"reserveAfterMs":2000,"gangStartMs":3000}})";
+  }
+
+  void changeChart(const std::string& method, std::string body, std::string mark, std::string name, std::string query,
+                   std::function<void(bool)> done, int tries = 0) {
+    if (tries == 0) judge.chartProposed(mark);
+    Ask ask;
+    ask.method = method;
+    ask.path = "/configuration";
+    ask.query = query;
+    ask.body = body;
+    ask.transactionName = name;
+    call(std::move(ask), [=, this](Reply reply) {
+      if (!reply.lost && reply.status == 200) {
+        Json root = parseJson(reply.body);
+        judge.chartConfirmed(mark, static_cast<Revision>(numberAt(root.get(), "revision")));
+        if (done) done(true);
+        return;
+      }
+      if (!reply.lost && reply.status >= 400 && reply.status < 500) {
+        if (tries == 0 || query.empty()) judge.chartDenied(mark);
+        if (done) done(false);
+        return;
+      }
+      if (tries > 60) return;
+      sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000, [=, this] { changeChart(method, body, mark, name, query, done, tries + 1); });
+    });
+  }
+
+  void markOnce(bool whole, const std::string& query = {}) {
+    const auto mark = "mark-" + std::to_string(++nextMark);
+    std::string body = "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}";
+    if (whole) {
+      Json base = parseJson(baseChart());
+      Json patch = parseJson(body);
+      body = dumpJson(chart::mergePatch(base.get(), patch.get()).get());
+    }
+    changeChart(whole ? "PUT" : "PATCH", body, mark, "t-" + mark, query, {});
+  }
+
+  void invalidOnce() {
+    const auto mark = "mark-" + std::to_string(++nextMark);
+    changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"failureLimit\":0}}}", mark, "t-" + mark, "", {});
+  }
+
+  void marks(Micros everyUs) {
+    if (sim.nowUs() >= endUs || stopMarks) return;
+    const auto dice = sim.below(10);
+    if (dice == 0) invalidOnce();
+    else if (dice == 1) markOnce(false, "expected=" + std::to_string(sim.below(6)));
+    else markOnce(false);
+    sim.after(everyUs / 2 + sim.below(everyUs), [this, everyUs] { marks(everyUs); });
+  }
+
+  void readCharts() {
+    if (sim.nowUs() >= endUs) return;
+    Ask ask;
+    ask.method = "GET";
+    ask.path = "/configuration";
+    const auto askedMs = sim.nowMs();
+    call(std::move(ask), [this, askedMs](Reply reply) {
+      if (!reply.lost && reply.status == 200) readChart(reply.body, askedMs, false);
+    });
+    sim.after(150000 + sim.below(100000), [this] { readCharts(); });
+  }
+
+  void readChart(const std::string& body, Millis askedMs, bool final) {
+    Json root = parseJson(body);
+    const auto revision = static_cast<Revision>(numberAt(root.get(), "revision"));
+    if (revision) judge.chartRead(revision, dumpJson(json_object_get(root.get(), "configuration")), askedMs, final);
+  }
+
+  void sweeps() {
+    judge.sweep();
+    if (sim.leader()) {
+      if (leaderLostMs >= 0) result.leaderGapMs = std::max(result.leaderGapMs, sim.nowMs() - leaderLostMs);
+      leaderLostMs = -1;
+    } else if (leaderLostMs < 0 && sim.nowUs() > 3 * kSecond) {
+      leaderLostMs = sim.nowMs();
+    }
+    sim.after(100000, [this] { sweeps(); });
+  }
+
+  void setCell(const std::string& cell, bool emptied, std::function<void()> then) {
+    if (!emptied) judge.cellEmptied(cell, false, false);
+    const auto mark = "mark-" + std::to_string(++nextMark);
+    changeChart("PATCH",
+                "{\"pendings\":{\"" + mark + "\":{}},\"cells\":{\"" + cell + "\":{\"emptied\":" + (emptied ? "true" : "false") + "}}}", mark,
+                "t-" + mark, "", [=, this](bool done) {
+                  if (done && emptied) judge.cellEmptied(cell, true, true);
+                  if (then) then();
+                });
+  }
+
+  void setDrain(const std::string& worker, bool drained, std::function<void()> then) {
+    if (!drained) judge.drained(worker, false, false);
+    const auto mark = "mark-" + std::to_string(++nextMark);
+    changeChart("PATCH",
+                "{\"pendings\":{\"" + mark + "\":{}},\"workers\":{\"" + worker + "\":{\"drained\":" + (drained ? "true" : "false") + "}}}", mark,
+                "t-" + mark, "", [=, this](bool done) {
+                  if (done && drained) judge.drained(worker, true, true);
+                  if (then) then();
+                });
+  }
+
+  Host& pick(Role role) {
+    auto all = sim.hosts(role);
+    std::erase_if(all, [&](Host* host) { return retired.contains(host->name); });
+    return *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
+  }
+  drydock::Hand& pickHand() { return *sim.hands()[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(sim.hands().size())))]; }
+
+  void crashFor(Host& host, Micros spanUs) {
+    sim.crash(host);
+    sim.after(spanUs, [this, &host] {
+      if (!retired.contains(host.name)) sim.start(host);
+    });
+  }
+
+  void replaceQuay(Host& old, bool sameAddress) {
+    sim.crash(old);
+    if (sameAddress) {
+      sim.loseDisk(old);
+      sim.after(300000 + sim.below(kSecond), [this, &old] { sim.start(old); });
+      return;
+    }
+    retired.insert(old.name);
+    auto& fresh = sim.addHost(Role::quay, old.name + "x", old.env.cell.value);
+    sim.after(300000 + sim.below(kSecond), [this, &fresh] { sim.start(fresh); });
+  }
+
+  void healAll() {
+    sim.heal();
+    sim.plan.sea = plan.fleet.sea;
+    for (const auto& host : sim.all()) {
+      host->syncUs = 800;
+      if (host->diskFails) {
+        host->diskFails = false;
+        sim.crash(*host);
+      }
+      if (!host->up && !retired.contains(host->name)) sim.start(*host);
+    }
+    for (const auto& hand : sim.hands()) {
+      hand->cut = false;
+      hand->worker.leaving = false;
+      hand->worker.traits.failEvery = 0;
+      hand->worker.traits.slowFactor = 1;
+      if (!hand->up) sim.startWorker(*hand);
+    }
+  }
+};
+
+using Fault = void (*)(Run&);
+
+const std::map<std::string, Fault>& faults() {
+  static const std::map<std::string, Fault> all{
+      {"leader-kill", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond + run.sim.below(3 * kSecond));
+         });
+       }},
+      {"leader-freeze", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           if (auto* leader = run.sim.leader()) run.sim.freeze(*leader, kSecond / 2 + run.sim.below(5 * kSecond));
+         });
+       }},
+      {"leader-kill-after-yes", [](Run& run) {
+         for (int i = 0; i < 2; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             const LineLoad load{"checkout"};
+             const auto id = "yes-" + std::to_string(++run.nextJob);
+             auto body = run.makeJob(load, id, false, false);
+             run.submittedUs[id] = run.sim.nowUs();
+             Ask ask;
+             ask.method = "POST";
+             ask.path = "/jobs";
+             ask.body = body;
+             run.call(std::move(ask), [&run, id, body](Reply reply) {
+               if (!reply.lost && reply.status == 201) {
+                 run.judge.accepted(id);
+                 ++run.result.accepted;
+                 if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
+                 run.crashFor(run.pick(Role::quay), kSecond);
+                 run.poll(id);
+               } else {
+                 run.submit(id, body);
+               }
+             });
+           });
+       }},
+      {"leader-polite-stop", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           if (auto* leader = run.sim.leader()) {
+             run.sim.stopPolitely(*leader);
+             run.sim.after(2 * kSecond, [&run, leader] {
+               if (!run.retired.contains(leader->name)) run.sim.start(*leader);
+             });
+           }
+         });
+       }},
+      {"quay-kill", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] { run.crashFor(run.pick(Role::quay), kSecond / 2 + run.sim.below(3 * kSecond)); });
+       }},
+      {"quay-freeze", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] { run.sim.freeze(run.pick(Role::quay), kSecond / 2 + run.sim.below(4 * kSecond)); });
+       }},
+      {"quay-disk-lost", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.replaceQuay(run.pick(Role::quay), true); }); }},
+      {"quay-replaced-elsewhere", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.replaceQuay(run.pick(Role::quay), false); }); }},
+      {"quays-replaced-twice", [](Run& run) {
+         run.sim.at(run.fromUs, [&run] { run.replaceQuay(run.pick(Role::quay), false); });
+         run.sim.at(run.fromUs + 14 * kSecond, [&run] { run.replaceQuay(run.pick(Role::quay), false); });
+       }},
+      {"pilot-exchanged", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           auto& old = run.pick(Role::pilot);
+           run.sim.stopPolitely(old);
+           run.sim.after(400000, [&run, &old] { run.sim.crash(old); });
+           run.retired.insert(old.name);
+           run.sim.start(run.sim.addHost(Role::pilot, old.name + "x", old.env.cell.value));
+         });
+       }},
+      {"tender-kill", [](Run& run) {
+         for (int i = 0; i < 3; ++i)
+           run.sim.at(run.faultTime(), [&run] { run.crashFor(run.pick(Role::tender), kSecond / 4 + run.sim.below(4 * kSecond)); });
+       }},
+      {"tender-freeze", [](Run& run) {
+         for (int i = 0; i < 3; ++i)
+           run.sim.at(run.faultTime(), [&run] { run.sim.freeze(run.pick(Role::tender), kSecond / 4 + run.sim.below(5 * kSecond)); });
+       }},
+      {"worker-crash", [](Run& run) {
+         for (int i = 0; i < 4; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             auto& hand = run.pickHand();
+             run.sim.crashWorker(hand);
+             run.sim.after(200000 + run.sim.below(2 * kSecond), [&run, &hand] { run.sim.startWorker(hand); });
+           });
+       }},
+      {"worker-vanish", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           auto& hand = run.pickHand();
+           run.sim.crashWorker(hand);
+           run.sim.crash(*hand.tender);
+           run.retired.insert(hand.tender->name);
+         });
+       }},
+      {"worker-slow", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] { run.pickHand().worker.traits.slowFactor = 8; });
+       }},
+      {"worker-fails", [](Run& run) {
+         run.sim.at(run.fromUs, [&run] { run.pickHand().worker.traits.failEvery = 1; });
+       }},
+      {"worker-cut", [](Run& run) {
+         for (int i = 0; i < 3; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             auto& hand = run.pickHand();
+             hand.cut = true;
+             run.sim.after(kSecond / 2 + run.sim.below(6 * kSecond), [&hand] { hand.cut = false; });
+           });
+       }},
+      {"worker-freeze", [](Run& run) {
+         for (int i = 0; i < 3; ++i)
+           run.sim.at(run.faultTime(), [&run] { run.sim.freezeWorker(run.pickHand(), kSecond / 2 + run.sim.below(6 * kSecond)); });
+       }},
+      {"worker-leaves", [](Run& run) {
+         for (int i = 0; i < 2; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             auto& hand = run.pickHand();
+             hand.worker.leaving = true;
+             run.sim.after(3 * kSecond, [&run, &hand] {
+               run.sim.crashWorker(hand);
+               run.sim.startWorker(hand);
+             });
+           });
+       }},
+      {"cut-off-alone", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           run.sim.cutOff(run.anyHost());
+           if (auto* leader = run.sim.leader(); leader && run.sim.chance(0.5)) run.sim.cutOff(*leader);
+           run.sim.after(kSecond + run.sim.below(5 * kSecond), [&run] { run.sim.heal(); });
+         });
+       }},
+      {"one-way-cut", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           auto* leader = run.sim.leader();
+           auto& one = leader ? *leader : run.anyHost();
+           const bool outward = run.sim.chance(0.5);
+           for (const auto& other : run.sim.all())
+             if (other.get() != &one) outward ? run.sim.cut(one, *other) : run.sim.cut(*other, one);
+           run.sim.after(kSecond + run.sim.below(5 * kSecond), [&run] { run.sim.heal(); });
+         });
+       }},
+      {"split", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           for (const auto& x : run.sim.all())
+             for (const auto& y : run.sim.all())
+               if ((x->env.cell.value == "a") != (y->env.cell.value == "a")) run.sim.cut(*x, *y);
+           run.sim.after(kSecond + run.sim.below(6 * kSecond), [&run] { run.sim.heal(); });
+         });
+       }},
+      {"cell-lost", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           const auto cell = std::string(1, static_cast<char>('a' + run.sim.below(3)));
+           for (const auto& host : run.sim.all())
+             if (host->env.cell.value == cell) run.sim.crash(*host);
+           for (const auto& hand : run.sim.hands())
+             if (hand->tender->env.cell.value == cell) run.sim.crashWorker(*hand);
+         });
+       }},
+      {"slow-disk", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.pick(Role::quay).syncUs = 400000; }); }},
+      {"full-disk", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.pick(Role::quay).diskFails = true; }); }},
+      {"all-restart", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           for (const auto& host : run.sim.all()) run.crashFor(*host, 200000 + run.sim.below(kSecond));
+           for (const auto& hand : run.sim.hands())
+             if (run.sim.chance(0.5)) {
+               auto& each = *hand;
+               run.sim.crashWorker(each);
+               run.sim.after(kSecond, [&run, &each] { run.sim.startWorker(each); });
+             }
+         });
+       }},
+      {"quays-power-lost", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           for (auto* quay : run.sim.hosts(Role::quay)) run.crashFor(*quay, 100000 + run.sim.below(kSecond));
+         });
+       }},
+      {"lossy-sea", [](Run& run) {
+         run.sim.at(run.fromUs, [&run] {
+           run.sim.plan.sea.drop = 0.05;
+           run.sim.plan.sea.twice = 0.05;
+           run.sim.plan.sea.late = 0.1;
+         });
+       }},
+      {"chart-race", [](Run& run) {
+         for (int i = 0; i < 4; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             run.markOnce(false);
+             run.markOnce(true);
+             run.markOnce(false);
+           });
+       }},
+      {"chart-storm", [](Run& run) {
+         const auto when = run.faultTime();
+         for (int i = 0; i < 40; ++i) run.sim.at(when + i * 50000, [&run] { run.markOnce(run.sim.chance(0.2)); });
+       }},
+      {"cell-emptied", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           const auto cell = std::string(1, static_cast<char>('a' + run.sim.below(3)));
+           run.setCell(cell, true, [&run, cell] { run.sim.after(6 * kSecond, [&run, cell] { run.setCell(cell, false, {}); }); });
+         });
+       }},
+      {"worker-drained", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           const auto name = run.pickHand().worker.traits.name;
+           run.setDrain(name, true, [&run, name] { run.sim.after(4 * kSecond, [&run, name] { run.setDrain(name, false, {}); }); });
+         });
+       }},
+      {"crowd", [](Run& run) {
+         const auto when = run.faultTime();
+         for (int i = 0; i < 120; ++i)
+           run.sim.at(when + i * 2000, [&run] {
+             const auto load = loadOf("leatherwood");
+             run.newJob(load[static_cast<std::size_t>(run.sim.below(3))], run.sim.chance(0.1), run.sim.chance(0.05));
+           });
+       }},
+      {"never-succeed", [](Run& run) {
+         for (int i = 0; i < 8; ++i) run.sim.at(run.faultTime(), [&run] { run.newJob(LineLoad{"gate"}, true); });
+       }},
+      {"last-fault", [](Run& run) {
+         run.sim.at(run.endUs - 1000, [&run] {
+           if (auto* leader = run.sim.leader()) {
+             run.retired.insert(leader->name);
+             run.sim.crash(*leader);
+           }
+           auto& quay = run.pick(Role::quay);
+           run.retired.insert(quay.name);
+           run.sim.crash(quay);
+         });
+       }},
+  };
+  return all;
+}
+
+}  // namespace
+
+std::vector<std::string> faultNames() {
+  std::vector<std::string> names;
+  for (const auto& [name, act] : faults()) names.push_back(name);
+  return names;
+}
+
+std::vector<LineLoad> loadOf(const std::string& name) {
+  if (name == "kerala")
+    return {{"checkout", 9.0, 1, 2, 1, 2, 50, 300, 0.2, 0.1, 0},
+            {"gate", 2.0, 2, 5, 1, 3, 200, 900, 0.6, 0.3, 0},
+            {"rebuild", 0.5, 3, 8, 2, 4, 800, 3000, 0.8, 0.5, 0}};
+  if (name == "heavy")
+    return {{"checkout", 8.0, 1, 2, 1, 2, 40, 200, 0.3, 0.0, 0.9},
+            {"rebuild", 0.4, 3, 6, 3, 6, 300, 900, 0.9, 0.0, 1.0}};
+  return {{"checkout", 7.0, 1, 3, 1, 2, 80, 400, 0.5, 0.1, 0},
+          {"gate", 1.5, 2, 4, 1, 2, 300, 1200, 0.5, 0.3, 0},
+          {"rebuild", 0.8, 2, 6, 2, 4, 800, 3000, 0.8, 0.5, 0}};
+}
+
+DayResult runDay(const DayPlan& plan) {
+  Run run(plan);
+  auto& sim = run.sim;
+  run.judge.failureLimit = {{"checkout", 3}, {"gate", 3}, {"rebuild", 4}, {"probe", 3}};
+  sim.onAlarm = [&](Host& host, const std::string& text) {
+    constexpr std::size_t kMostAlarms = 200;
+    if (run.result.alarms.size() < kMostAlarms)
+      run.result.alarms.push_back(std::to_string(sim.nowMs()) + " " + host.name + ": " + text);
+    if (text.find("invariant") != std::string::npos) run.judge.broken.push_back({sim.nowMs(), "inside", host.name + ": " + text});
+  };
+  for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
+  for (const auto& hand : sim.hands()) sim.at(sim.below(400000), [&sim, each = hand.get()] { sim.startWorker(*each); });
+  sim.at(kSecond, [&run] {
+    run.changeChart("PUT", run.baseChart(), "checkout", "t-base", "", [&run](bool) {
+      for (const auto& load : loadOf(run.plan.load)) run.arrivals(load);
+      run.marks(3 * kSecond);
+      run.readCharts();
+    });
+  });
+  run.sweeps();
+  for (const auto& name : plan.faults) {
+    auto found = faults().find(name);
+    if (found != faults().end()) found->second(run);
+  }
+  sim.at(run.quietUs, [&run] { run.healAll(); });
+  sim.runUntil(run.endUs);
+  const auto probeUs = sim.nowUs();
+  const std::string probe = "probe-1";
+  run.submit(probe, run.makeJob(LineLoad{"probe", 1, 1, 1, 1, 1, 100, 100, 0, 0, 0}, probe, false, false));
+  const Micros lastUs = run.endUs + 90 * kSecond;
+  while (sim.nowUs() < lastUs) {
+    sim.runUntil(sim.nowUs() + 100000);
+    const auto& job = run.judge.jobs.at(probe);
+    if (run.result.recoveredMs < 0 && !job.shown.empty()) run.result.recoveredMs = (sim.nowUs() - probeUs) / 1000;
+    const bool over = std::all_of(run.judge.jobs.begin(), run.judge.jobs.end(),
+                                  [](const auto& row) { return row.second.acceptedMs >= 0 && !row.second.shown.empty(); });
+    if (over && sim.nowUs() > run.endUs + 8 * kSecond) break;
+  }
+  for (auto& [id, job] : run.judge.jobs) run.poll(id);
+  std::size_t reads = 0;
+  for (const auto& host : sim.all()) {
+    if (!host->up) continue;
+    Ask ask;
+    ask.method = "GET";
+    ask.path = "/configuration";
+    sim.ask(*host, ask, [&run, &reads](Reply reply) {
+      if (reply.lost || reply.status != 200) return;
+      ++reads;
+      run.readChart(reply.body, run.sim.nowMs(), true);
+    });
+  }
+  sim.runUntil(sim.nowUs() + 5 * kSecond);
+  run.judge.close();
+  if (reads < 3) run.judge.broken.push_back({sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
+  auto& result = run.result;
+  result.seed = plan.seed;
+  result.faults = plan.faults;
+  result.broken = run.judge.broken;
+  result.traceSum = sim.traceSum();
+  result.events = sim.events();
+  result.starts = run.judge.starts;
+  result.checks = run.judge.checks;
+  for (const auto& [id, job] : run.judge.jobs) {
+    ++result.jobs;
+    result.finished += job.shown == "finished";
+    result.failed += job.shown == "failed";
+    result.cancelled += job.shown == "cancelled";
+    if (job.firstStartMs >= 0) result.startMs.push_back(job.firstStartMs - job.submittedMs);
+    if (job.shown == "finished") result.finishMs.push_back(job.shownEndedMs - job.submittedMs);
+  }
+  for (const auto& host : sim.all()) result.syncs += host->syncs;
+  return result;
+}
+
+Millis quantile(std::vector<Millis> values, double at) {
+  if (values.empty()) return -1;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1, static_cast<std::size_t>(at * static_cast<double>(values.size())))];
+}
+
+std::string summary(const DayResult& result) {
+  std::string faults;
+  for (const auto& name : result.faults) faults += (faults.empty() ? "" : "+") + name;
+  char text[512];
+  std::snprintf(text, sizeof text,
+                "seed %llu %s: %s jobs %lld finished %lld failed %lld cancelled %lld; submit p50/p99 %lld/%lld start %lld/%lld finish %lld/%lld ms; "
+                "gap %lld recovered %lld ms; %llu events, trace %016llx",
+                static_cast<unsigned long long>(result.seed), faults.empty() ? "(no fault)" : faults.c_str(),
+                result.broken.empty() ? "kept" : "BROKEN", static_cast<long long>(result.jobs), static_cast<long long>(result.finished),
+                static_cast<long long>(result.failed), static_cast<long long>(result.cancelled), static_cast<long long>(quantile(result.submitMs, 0.5)),
+                static_cast<long long>(quantile(result.submitMs, 0.99)), static_cast<long long>(quantile(result.startMs, 0.5)),
+                static_cast<long long>(quantile(result.startMs, 0.99)), static_cast<long long>(quantile(result.finishMs, 0.5)),
+                static_cast<long long>(quantile(result.finishMs, 0.99)), static_cast<long long>(result.leaderGapMs),
+                static_cast<long long>(result.recoveredMs), static_cast<unsigned long long>(result.events),
+                static_cast<unsigned long long>(result.traceSum));
+  return text;
+}
+
+}  // namespace tulip::drydock
--- /dev/null
+++ b/src/drydock/sim.cpp
@@ -0,0 +1,382 @@
+#include "drydock/sim.hpp"
+
+namespace tulip::drydock {
+
+using namespace signal;
+
+Sim::Sim(std::uint64_t seed, FleetPlan given) : plan(std::move(given)), seed_(seed), random_(seed) {
+  for (int i = 0; i < 3; ++i) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
+  auto cell = [&](int i) { return std::string(1, static_cast<char>('a' + i % plan.cells)); };
+  for (int i = 0; i < 3; ++i) addHost(Role::quay, "quay-" + std::to_string(i + 1), cell(i));
+  for (int i = 0; i < plan.pilots; ++i) addHost(Role::pilot, "pilot-" + std::to_string(i + 1), cell(i));
+  for (int i = 0; i < plan.workers; ++i) {
+    const auto number = std::to_string(i + 1);
+    auto& tender = addHost(Role::tender, "tender-" + number, cell(i), "worker-" + number);
+    hands_.push_back(std::make_unique<Hand>());
+    auto& hand = *hands_.back();
+    hand.tender = &tender;
+    hand.worker.traits.name = "worker-" + number;
+    hand.worker.traits.pool = "side";
+    hand.worker.traits.slots = plan.slots;
+    hand.worker.traits.selfStop = plan.selfStop;
+  }
+}
+
+std::int64_t Sim::below(std::int64_t bound) {
+  return bound <= 1 ? 0 : static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(bound));
+}
+double Sim::unit() { return static_cast<double>(random_() >> 11) / 9007199254740992.0; }
+bool Sim::chance(double odds) { return odds > 0 && unit() < odds; }
+
+void Sim::mark(std::string_view text) {
+  for (unsigned char c : text) trace_ = (trace_ ^ c) * 1099511628211ull;
+  trace_ = (trace_ ^ static_cast<std::uint64_t>(now_)) * 1099511628211ull;
+}
+
+void Sim::at(Micros whenUs, std::function<void()> act) { due_.push({std::max(whenUs, now_), ++serial_, std::move(act)}); }
+
+void Sim::runUntil(Micros untilUs) {
+  while (!due_.empty() && due_.top().whenUs <= untilUs) {
+    auto next = std::move(const_cast<Due&>(due_.top()));
+    due_.pop();
+    now_ = next.whenUs;
+    ++events_;
+    next.act();
+  }
+  now_ = std::max(now_, untilUs);
+}
+
+Now Sim::clock(const Host& host) const {
+  return {static_cast<Millis>((static_cast<double>(now_) * host.clockRate + static_cast<double>(host.clockOffsetUs)) / 1000.0)};
+}
+
+Micros Sim::voyage() { return plan.sea.leastUs + below(plan.sea.mostUs - plan.sea.leastUs); }
+
+Host& Sim::addHost(Role role, const std::string& name, const std::string& cell, const std::string& workerName) {
+  hosts_.push_back(std::make_unique<Host>());
+  auto& host = *hosts_.back();
+  host.name = name;
+  host.env.role = role;
+  host.env.name = name;
+  host.env.cell = CellName(cell);
+  host.env.seeds = seeds_;
+  host.env.bounds = plan.bounds;
+  host.env.worker = workerName;
+  host.env.dataFolder = role == Role::quay ? "simulated" : "";
+  const auto ip = "10.0." + std::to_string(addresses_ / 250) + "." + std::to_string(addresses_ % 250 + 1);
+  ++addresses_;
+  host.env.signal = Address(ip + ":7000");
+  host.env.http = Address(ip + ":8000");
+  host.clockOffsetUs = below(3600LL * 1000000);
+  host.clockRate = 1.0 + (unit() - 0.5) * 0.0004;
+  byName_[name] = &host;
+  bySignal_[host.env.signal] = &host;
+  byHttp_[host.env.http] = &host;
+  return host;
+}
+
+void Sim::start(Host& host) {
+  if (host.up) return;
+  host.up = true;
+  ++host.lives;
+  host.frozenUntilUs = 0;
+  host.unsynced.clear();
+  host.syncing = false;
+  const auto incarnation = "i" + std::to_string(++names_);
+  if (host.env.role == Role::quay) {
+    if (host.disk.id.empty()) host.disk.id = DaemonId(host.name + "-" + incarnation);
+    host.id = host.disk.id;
+  } else {
+    host.id = DaemonId(host.name + "-" + incarnation);
+  }
+  host.node = roles::makeNode(host.env, host.id, incarnation, host.disk, clock(host));
+  mark("start " + host.name);
+  const int life = host.lives;
+  after(below(plan.tickUs), [this, &host, life] { tick(host, life); });
+}
+
+void Sim::crash(Host& host) {
+  if (!host.up) return;
+  mark("crash " + host.name);
+  host.up = false;
+  ++host.lives;
+  host.held.clear();
+  host.unsynced.clear();
+  host.node.reset();
+  auto asking = std::move(host.asking);
+  host.asking.clear();
+  host.askText.clear();
+  std::vector<std::uint64_t> order;
+  for (const auto& [transaction, done] : asking) order.push_back(transaction);
+  std::sort(order.begin(), order.end());
+  for (const auto transaction : order) after(voyage(), [done = asking[transaction]] { done({true, 0, 0, {}}); });
+}
+
+void Sim::freeze(Host& host, Micros spanUs) {
+  if (!host.up) return;
+  mark("freeze " + host.name);
+  host.frozenUntilUs = now_ + spanUs;
+  const int life = host.lives;
+  after(spanUs, [this, &host, life] {
+    if (!host.up || host.lives != life || now_ < host.frozenUntilUs) return;
+    auto held = std::move(host.held);
+    host.held.clear();
+    for (auto& act : held) act();
+  });
+}
+
+void Sim::loseDisk(Host& host) {
+  mark("lose disk " + host.name);
+  host.disk = hold::Image{};
+}
+
+void Sim::stopPolitely(Host& host) {
+  if (host.up) give(host, PoliteStop{});
+}
+
+void Sim::cutOff(const Host& host) {
+  for (const auto& other : hosts_) {
+    if (other.get() == &host) continue;
+    cut(host, *other);
+    cut(*other, host);
+  }
+}
+
+void Sim::tick(Host& host, int life) {
+  if (!host.up || host.lives != life) return;
+  if (now_ >= host.frozenUntilUs) give(host, Tick{});
+  after(plan.tickUs, [this, &host, life] { tick(host, life); });
+}
+
+void Sim::give(Host& host, Event event) {
+  if (!host.up) return;
+  if (now_ < host.frozenUntilUs) {
+    const int life = host.lives;
+    constexpr std::size_t kMostHeld = 2000;
+    if (host.held.size() < kMostHeld)
+      host.held.push_back([this, &host, life, event = std::move(event)] {
+        if (host.up && host.lives == life) give(host, event);
+      });
+    return;
+  }
+  Outbox out;
+  roles::nodeStep(*host.node, event, clock(host), out);
+  settle(host, std::move(out));
+}
+
+void Sim::settle(Host& host, Outbox&& out) {
+  for (const auto& text : out.alarms) {
+    mark(text);
+    if (onAlarm) onAlarm(host, text);
+  }
+  for (auto& persist : out.persists) host.unsynced.push_back(std::move(persist));
+  if (!host.unsynced.empty()) sync(host);
+  for (const auto& send : out.sends) carry(host, send);
+  for (auto& answer : out.answers) reply(host, answer.transaction, {false, answer.status, answer.retryMs, std::move(answer.body)});
+  for (const auto& proxy : out.proxies) {
+    auto text = host.askText.find(proxy.transaction);
+    auto to = byHttp_.find(proxy.http);
+    if (text == host.askText.end()) continue;
+    auto onward = text->second;
+    ++onward.hops;
+    const auto transaction = proxy.transaction;
+    const int life = host.lives;
+    auto back = [this, &host, life, transaction, method = onward.method](Reply got) {
+      if (!host.up || host.lives != life) return;
+      if (got.lost) {
+        const auto& row = rowOf(method == "GET" ? Kind::noLeader : Kind::unknownOutcome);
+        got = {false, row.status, plan.bounds.termMs / 2, "{\"error\":\"" + std::string(row.name) + "\"}"};
+      }
+      reply(host, transaction, std::move(got));
+    };
+    if (to == byHttp_.end() || isCut(host, *to->second) || isCut(*to->second, host)) {
+      after(100000, [back] { back({true, 0, 0, {}}); });
+      continue;
+    }
+    ask(*to->second, std::move(onward), std::move(back));
+  }
+  if (out.done) crash(host);
+}
+
+void Sim::carry(Host& from, const Send& send) {
+  auto found = bySignal_.find(send.to);
+  if (found == bySignal_.end()) return;
+  Host& to = *found->second;
+  ++frames_;
+  const bool self = &to == &from;
+  if (!self && (isCut(from, to) || chance(plan.sea.drop))) return;
+  Heard heard{from.id, from.env.signal, send.message};
+  constexpr std::uint64_t kCodecEvery = 16;
+  if (frames_ % kCodecEvery == 0) {
+    Frame frame;
+    if (decode(encode(Frame{kRevision, from.id, from.env.signal, send.to, send.message}), frame) != Decoded::ok) std::abort();
+    heard.message = std::move(frame.message);
+  }
+  const int copies = !self && chance(plan.sea.twice) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    Micros span = self ? 1 : voyage();
+    if (!self && chance(plan.sea.late)) span += below(plan.sea.lateUs);
+    after(span, [this, &to, heard, name = from.name, self] {
+      if (!self && cuts_.contains({name, to.name})) return;
+      give(to, heard);
+    });
+  }
+}
+
+void Sim::sync(Host& host) {
+  if (host.syncing) return;
+  host.syncing = true;
+  const int life = host.lives;
+  auto batch = std::move(host.unsynced);
+  host.unsynced.clear();
+  ++host.syncs;
+  const Micros span = host.syncUs + below(host.syncUs);
+  after(span, [this, &host, life, batch = std::move(batch)] {
+    if (!host.up || host.lives != life) return;
+    host.syncing = false;
+    const bool ok = !host.diskFails;
+    for (const auto& persist : batch) {
+      if (ok)
+        for (const auto& entry : persist.entries) hold::apply(host.disk, entry);
+      give(host, Persisted{persist.ticket, ok});
+      if (!host.up || host.lives != life) return;
+    }
+    if (!host.unsynced.empty()) sync(host);
+  });
+}
+
+void Sim::ask(Host& host, Ask text, std::function<void(Reply)> done) {
+  after(voyage(), [this, &host, text = std::move(text), done = std::move(done)]() mutable {
+    if (!host.up) {
+      after(voyage(), [done] { done({true, 0, 0, {}}); });
+      return;
+    }
+    const auto transaction = ++host.nextTransaction;
+    text.transaction = transaction;
+    if (text.cutoffMs == 0) text.cutoffMs = plan.bounds.callMs;
+    const int life = host.lives;
+    host.asking[transaction] = std::move(done);
+    host.askText[transaction] = text;
+    const auto cutoffUs = text.cutoffMs * 1000;
+    after(cutoffUs, [this, &host, life, transaction, method = text.method] {
+      if (!host.up || host.lives != life || !host.asking.contains(transaction)) return;
+      if (now_ < host.frozenUntilUs) {
+        auto lost = std::move(host.asking[transaction]);
+        host.asking.erase(transaction);
+        host.askText.erase(transaction);
+        lost({true, 0, 0, {}});
+        return;
+      }
+      const auto& row = rowOf(method == "GET" ? Kind::cutoffPassed : Kind::unknownOutcome);
+      reply(host, transaction, {false, row.status, plan.bounds.termMs / 2, "{\"error\":\"" + std::string(row.name) + "\"}"});
+    });
+    give(host, text);
+  });
+}
+
+void Sim::reply(Host& host, std::uint64_t transaction, Reply reply) {
+  auto found = host.asking.find(transaction);
+  if (found == host.asking.end()) return;
+  auto done = std::move(found->second);
+  host.asking.erase(found);
+  host.askText.erase(transaction);
+  after(voyage(), [done = std::move(done), reply = std::move(reply)] { done(reply); });
+}
+
+void Sim::startWorker(Hand& hand) {
+  if (hand.up) return;
+  hand.up = true;
+  ++hand.lives;
+  const auto traits = hand.worker.traits;
+  hand.worker = roles::Worker{};
+  hand.worker.traits = traits;
+  hand.worker.incarnation = "w" + std::to_string(++names_);
+  hand.calling = false;
+  hand.frozenUntilUs = 0;
+  const int life = hand.lives;
+  after(below(5000), [this, &hand, life] { workerTick(hand, life); });
+}
+
+void Sim::crashWorker(Hand& hand) {
+  if (!hand.up) return;
+  mark("crash " + hand.worker.traits.name);
+  hand.up = false;
+  ++hand.lives;
+  for (const auto& [run, going] : hand.worker.going) hand.worker.journal.push_back("end " + run + " crashed");
+  hand.worker.going.clear();
+  drainJournal(hand);
+}
+
+void Sim::freezeWorker(Hand& hand, Micros spanUs) { hand.frozenUntilUs = now_ + spanUs; }
+
+void Sim::drainJournal(Hand& hand) {
+  auto lines = std::move(hand.worker.journal);
+  hand.worker.journal.clear();
+  for (const auto& line : lines) {
+    mark(line);
+    if (onJournal) onJournal(hand, line);
+  }
+}
+
+void Sim::workerTick(Hand& hand, int life) {
+  if (!hand.up || hand.lives != life) return;
+  if (now_ >= hand.frozenUntilUs) {
+    roles::workerTick(hand.worker, nowMs());
+    drainJournal(hand);
+    if (!hand.calling) workerCall(hand);
+  }
+  after(5000, [this, &hand, life] { workerTick(hand, life); });
+}
+
+void Sim::workerCall(Hand& hand) {
+  hand.calling = true;
+  hand.calledMs = nowMs();
+  const int life = hand.lives;
+  const auto sentMs = nowMs();
+  Ask text;
+  text.method = "POST";
+  text.path = "/worker/report";
+  text.body = roles::nextReport(hand.worker);
+  const auto number = hand.worker.report;
+  auto finish = [this, &hand, life, sentMs, number, body = text.body](Reply got) {
+    if (!hand.up || hand.lives != life || hand.worker.report != number || !hand.calling) return;
+    auto act = [this, &hand, life, sentMs, number, got, body] {
+      if (!hand.up || hand.lives != life || hand.worker.report != number || !hand.calling) return;
+      roles::workerTick(hand.worker, nowMs());
+      if (!got.lost && got.status == 200) {
+        roles::heardAnswer(hand.worker, got.body, sentMs, nowMs());
+      }
+      if (onReported) onReported(hand, body, got.lost ? 0 : got.status);
+      drainJournal(hand);
+      hand.calling = false;
+      if (!got.lost && got.status == 200) workerCall(hand);
+    };
+    if (now_ < hand.frozenUntilUs) at(hand.frozenUntilUs + 1, act);
+    else act();
+  };
+  if (hand.cut) {
+    after(500000, [finish] { finish({true, 0, 0, {}}); });
+    return;
+  }
+  ask(*hand.tender, text, [this, &hand, finish](Reply got) {
+    if (hand.cut) got = {true, 0, 0, {}};
+    if (got.lost) after(50000, [finish, got] { finish(got); });
+    else finish(std::move(got));
+  });
+  after(2000000, [finish] { finish({true, 0, 0, {}}); });
+}
+
+std::vector<Host*> Sim::hosts(Role role) const {
+  std::vector<Host*> found;
+  for (const auto& host : hosts_)
+    if (host->env.role == role) found.push_back(host.get());
+  return found;
+}
+
+Host* Sim::leader() {
+  for (const auto& host : hosts_)
+    if (host->up && host->node->pilot && manifest::leads(*host->node->pilot, clock(*host))) return host.get();
+  return nullptr;
+}
+
+}  // namespace tulip::drydock
--- /dev/null
+++ b/src/drydock/sim.hpp
@@ -0,0 +1,161 @@
+#pragma once
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "roles/node.hpp"
+#include "roles/worker.hpp"
+
+namespace tulip::drydock {
+
+using Micros = std::int64_t;
+
+struct Sea {
+  Micros leastUs = 150;
+  Micros mostUs = 900;
+  double drop = 0;
+  double twice = 0;
+  double late = 0;
+  Micros lateUs = 50000;
+};
+
+struct FleetPlan {
+  int cells = 3;
+  int pilots = 4;
+  int workers = 11;
+  std::int64_t slots = 8;
+  Bounds bounds;
+  Micros tickUs = 10000;
+  bool selfStop = true;
+  Sea sea;
+};
+
+struct Reply {
+  bool lost = false;
+  int status = 0;
+  Millis retryMs = 0;
+  std::string body;
+};
+
+struct Host {
+  std::string name;
+  Env env;
+  DaemonId id;
+  int lives = 0;
+  bool up = false;
+  Micros frozenUntilUs = 0;
+  Micros clockOffsetUs = 0;
+  double clockRate = 1.0;
+  std::optional<roles::Node> node;
+  hold::Image disk;
+  bool diskFails = false;
+  Micros syncUs = 800;
+  Micros diskFreeUs = 0;
+  std::vector<signal::Persist> unsynced;
+  bool syncing = false;
+  std::uint64_t nextTransaction = 0;
+  std::unordered_map<std::uint64_t, std::function<void(Reply)>> asking;
+  std::unordered_map<std::uint64_t, signal::Ask> askText;
+  std::vector<std::function<void()>> held;
+  std::uint64_t syncs = 0;
+};
+
+struct Hand {
+  roles::Worker worker;
+  Host* tender = nullptr;
+  bool up = false;
+  bool cut = false;
+  Micros frozenUntilUs = 0;
+  int lives = 0;
+  bool calling = false;
+  Millis calledMs = 0;
+};
+
+class Sim {
+ public:
+  Sim(std::uint64_t seed, FleetPlan plan);
+
+  Micros nowUs() const { return now_; }
+  Millis nowMs() const { return now_ / 1000; }
+  void at(Micros whenUs, std::function<void()> act);
+  void after(Micros spanUs, std::function<void()> act) { at(now_ + spanUs, std::move(act)); }
+  void runUntil(Micros untilUs);
+  std::int64_t below(std::int64_t bound);
+  bool chance(double odds);
+  double unit();
+
+  Host& addHost(Role role, const std::string& name, const std::string& cell, const std::string& workerName = {});
+  void start(Host& host);
+  void crash(Host& host);
+  void freeze(Host& host, Micros spanUs);
+  void loseDisk(Host& host);
+  void stopPolitely(Host& host);
+  void ask(Host& host, signal::Ask ask, std::function<void(Reply)> done);
+  void cut(const Host& from, const Host& to) { cuts_.insert({from.name, to.name}); }
+  void cutOff(const Host& host);
+  void heal() { cuts_.clear(); }
+  bool isCut(const Host& from, const Host& to) const { return cuts_.contains({from.name, to.name}); }
+
+  void startWorker(Hand& hand);
+  void crashWorker(Hand& hand);
+  void freezeWorker(Hand& hand, Micros spanUs);
+
+  std::vector<Host*> hosts(Role role) const;
+  Host* leader();
+  Host& host(const std::string& name) { return *byName_.at(name); }
+  const std::vector<std::unique_ptr<Hand>>& hands() const { return hands_; }
+  const std::vector<std::unique_ptr<Host>>& all() const { return hosts_; }
+
+  std::function<void(Hand&, const std::string&)> onJournal;
+  std::function<void(Hand&, const std::string&, int)> onReported;
+  std::function<void(Host&, const std::string&)> onAlarm;
+  std::function<void(Host&, std::uint64_t)> onAsked;
+
+  std::uint64_t seed() const { return seed_; }
+  std::uint64_t traceSum() const { return trace_; }
+  std::uint64_t events() const { return events_; }
+  std::uint64_t frames() const { return frames_; }
+  FleetPlan plan;
+
+ private:
+  struct Due {
+    Micros whenUs;
+    std::uint64_t serial;
+    std::function<void()> act;
+    bool operator<(const Due& other) const { return std::tie(whenUs, serial) > std::tie(other.whenUs, other.serial); }
+  };
+  signal::Now clock(const Host& host) const;
+  void give(Host& host, signal::Event event);
+  void settle(Host& host, signal::Outbox&& out);
+  void carry(Host& from, const signal::Send& send);
+  void tick(Host& host, int life);
+  void sync(Host& host);
+  void reply(Host& host, std::uint64_t transaction, Reply reply);
+  void workerTick(Hand& hand, int life);
+  void workerCall(Hand& hand);
+  void drainJournal(Hand& hand);
+  void mark(std::string_view text);
+  Micros voyage();
+
+  std::uint64_t seed_;
+  std::mt19937_64 random_;
+  Micros now_ = 0;
+  std::uint64_t serial_ = 0, events_ = 0, frames_ = 0, names_ = 0;
+  std::uint64_t trace_ = 1469598103934665603ull;
+  std::priority_queue<Due> due_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::vector<std::unique_ptr<Hand>> hands_;
+  std::map<std::string, Host*> byName_;
+  std::map<Address, Host*> bySignal_, byHttp_;
+  std::vector<Address> seeds_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  int addresses_ = 0;
+};
+
+}  // namespace tulip::drydock
--- a/src/roles/daemon.hpp
+++ b/src/roles/daemon.hpp
@@ -7,6 +7,7 @@
 int runStevedore(int argc, char** argv);
 int runHelm(int argc, char** argv);
 int runRoadstead(int argc, char** argv);
+int runDrydock(int argc, char** argv);
 std::string freshName();
 
 }  // namespace tulip::roles
--- /dev/null
+++ b/src/roles/drydock.cpp
@@ -0,0 +1,97 @@
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+#include "bearing/errors.hpp"
+#include "drydock/day.hpp"
+#include "roles/daemon.hpp"
+
+namespace tulip::roles {
+
+namespace {
+
+int runDays(const std::vector<drydock::DayPlan>& plans, int threads, bool verbose) {
+  std::atomic<std::size_t> next{0};
+  std::mutex guard;
+  std::size_t broken = 0;
+  std::uint64_t checks = 0;
+  std::map<std::string, std::size_t> perRule;
+  std::vector<Millis> recovered;
+  std::vector<std::thread> crew;
+  for (int i = 0; i < threads; ++i)
+    crew.emplace_back([&] {
+      for (std::size_t at = next++; at < plans.size(); at = next++) {
+        const auto result = drydock::runDay(plans[at]);
+        std::lock_guard lock(guard);
+        checks += static_cast<std::uint64_t>(result.checks);
+        recovered.push_back(result.recoveredMs);
+        if (!result.broken.empty()) ++broken;
+        if (verbose || !result.broken.empty()) std::cout << drydock::summary(result) << "\n";
+        for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
+          std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
+        for (const auto& each : result.broken) ++perRule[each.rule];
+        if (verbose)
+          for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
+        std::cout.flush();
+      }
+    });
+  for (auto& thread : crew) thread.join();
+  std::cout << plans.size() << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << drydock::quantile(recovered, 0.5) << " p99 "
+            << drydock::quantile(recovered, 0.99) << " ms\n";
+  for (const auto& [rule, count] : perRule) std::cout << "  " << rule << ": " << count << "\n";
+  return broken ? 1 : 0;
+}
+
+}  // namespace
+
+int runDrydock(int argc, char** argv) {
+  try {
+    TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala or heavy", false, "leatherwood", "NAME", line);
+    TCLAP::ValueArg<std::string> fault("", "faults", "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false, "", "NAMES", line);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
+    TCLAP::ValueArg<std::uint64_t> count("", "days", "how many seeds", false, 1, "N", line);
+    TCLAP::ValueArg<double> seconds("", "seconds", "length of a day", false, 16, "S", line);
+    TCLAP::ValueArg<double> factor("", "load-factor", "times the load", false, 1, "X", line);
+    TCLAP::ValueArg<std::string> rule("", "rule", "las, gittins or fifo", false, "las", "RULE", line);
+    TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
+    TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
+    line.parse(argc, argv);
+    const auto names = drydock::faultNames();
+    if (fault.getValue() == "list") {
+      for (const auto& name : names) std::cout << name << "\n";
+      return 0;
+    }
+    std::vector<drydock::DayPlan> plans;
+    for (std::uint64_t i = 0; i < count.getValue(); ++i) {
+      drydock::DayPlan plan;
+      plan.seed = seed.getValue() + i;
+      plan.load = load.getValue();
+      plan.seconds = seconds.getValue();
+      plan.loadFactor = factor.getValue();
+      plan.rule = rule.getValue();
+      if (fault.getValue() == "pairs") {
+        std::mt19937_64 random(plan.seed * 7919);
+        plan.faults.push_back(names[random() % names.size()]);
+        if (random() % 3) plan.faults.push_back(names[random() % names.size()]);
+      } else {
+        std::stringstream parts(fault.getValue());
+        for (std::string part; std::getline(parts, part, ',');) {
+          if (std::find(names.begin(), names.end(), part) == names.end()) throw TCLAP::ArgException("allowed is a name that 'list' prints", part);
+          plan.faults.push_back(part);
+        }
+      }
+      plans.push_back(std::move(plan));
+    }
+    return runDays(plans, std::max(1, threads.getValue()), verbose.getValue());
+  } catch (const TCLAP::ArgException& failed) {
+    std::cerr << "drydock: " << failed.argId() << ": " << failed.error() << std::endl;
+    return rowOf(Kind::badEnv).exitCode;
+  }
+}
+
+}  // namespace tulip::roles
--- a/src/roles/main.cpp
+++ b/src/roles/main.cpp
@@ -18,6 +18,7 @@
     "  tender     stands beside a worker\n"
     "  stevedore  a stand-in worker\n"
     "  helm       asks and steers from the command line\n"
+    "  drydock    the simulator\n"
     "  roadstead  a whole fleet on one machine\n"
     "'tulippitch ROLE --help' lists a role's flags\n";
 
@@ -50,6 +51,7 @@
   if (role == "tender") return daemonOf(Role::tender, argc - 1, argv + 1);
   if (role == "stevedore") return roles::runStevedore(argc - 1, argv + 1);
   if (role == "helm") return roles::runHelm(argc - 1, argv + 1);
+  if (role == "drydock") return roles::runDrydock(argc - 1, argv + 1);
   if (role == "roadstead") return roles::runRoadstead(argc - 1, argv + 1);
   std::cerr << kUsage;
   return role == "--help" || role == "help" ? 0 : 2;
