An order names the worker's life it was made for; another life is not handed it

Cause: a worker restarts together with its tender. The new tender takes the leader's orders, which still list a run of the worker's earlier life, hands it to the new life, and then reports the new incarnation; the leader counts the run as lost and starts the next one beside it.

Ruled out: a late frame to the old tender (orders name the tender's id and are denied), a start taken from an old HTTP answer (the worker matches the report's number).

--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -588,6 +588,7 @@
       run.result.alarms.push_back(std::to_string(sim.nowMs()) + " " + host.name + ": " + text);
     if (text.find("invariant") != std::string::npos) run.judge.broken.push_back({sim.nowMs(), "inside", host.name + ": " + text});
   };
+  if (plan.trace) sim.onMark = [&](std::string_view text) { *plan.trace << sim.nowUs() << " " << text << "\n"; };
   for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
   for (const auto& hand : sim.hands()) sim.at(sim.below(400000), [&sim, each = hand.get()] { sim.startWorker(*each); });
   sim.at(kSecond, [&run] {
--- a/src/drydock/day.hpp
+++ b/src/drydock/day.hpp
@@ -1,4 +1,6 @@
 #pragma once
+#include <ostream>
+
 #include "drydock/judge.hpp"
 
 namespace tulip::drydock {
@@ -22,6 +24,7 @@
   double loadFactor = 1;
   std::string rule = "las";
   FleetPlan fleet;
+  std::ostream* trace = nullptr;
 };
 
 struct DayResult {
--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -29,6 +29,7 @@
 bool Sim::chance(double odds) { return odds > 0 && unit() < odds; }
 
 void Sim::mark(std::string_view text) {
+  if (onMark) onMark(text);
   for (unsigned char c : text) trace_ = (trace_ ^ c) * 1099511628211ull;
   trace_ = (trace_ ^ static_cast<std::uint64_t>(now_)) * 1099511628211ull;
 }
@@ -313,7 +314,7 @@
   auto lines = std::move(hand.worker.journal);
   hand.worker.journal.clear();
   for (const auto& line : lines) {
-    mark(line);
+    mark(hand.worker.traits.name + " " + line);
     if (onJournal) onJournal(hand, line);
   }
 }
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -115,7 +115,7 @@
   std::function<void(Hand&, const std::string&)> onJournal;
   std::function<void(Hand&, const std::string&, int)> onReported;
   std::function<void(Host&, const std::string&)> onAlarm;
-  std::function<void(Host&, std::uint64_t)> onAsked;
+  std::function<void(std::string_view)> onMark;
 
   std::uint64_t seed() const { return seed_; }
   std::uint64_t traceSum() const { return trace_; }
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -141,7 +141,7 @@
     const auto& task = job.tasks[where.second];
     auto first = row.firstOrdered.find(run);
     ordered[run] = first == row.firstOrdered.end() ? orders.seq : first->second;
-    WantedRun wanted{run, task.stopping, {}};
+    WantedRun wanted{run, task.stopping, {}, task.workerIncarnation};
     if (!task.stopping) {
       Json spec(json_object());
       json_object_set_new(spec.get(), "job", jsonText(job.id.view()));
--- a/src/manifest/tender.cpp
+++ b/src/manifest/tender.cpp
@@ -96,6 +96,7 @@
     run.stop = wanted.stop;
     if (fresh) {
       run.spec = wanted.spec;
+      run.workerIncarnation = wanted.workerIncarnation;
       if (wanted.stop) {
         if (tender.heard) end(tender, run, RunOutcome::lost, "never started");
         else run.state = RunState::stopping;
@@ -109,7 +110,9 @@
       at = tender.runs.erase(at);
       continue;
     }
-    if (unhanded && run.stop) end(tender, run, RunOutcome::stopped, "stopped before its start");
+    if (unhanded && tender.heard && run.workerIncarnation != tender.incarnation)
+      end(tender, run, RunOutcome::lost, "ordered for another life of the worker");
+    else if (unhanded && run.stop) end(tender, run, RunOutcome::stopped, "stopped before its start");
     else if (unhanded && drained(tender)) {
       ++tender.counts.deniedStarts;
       end(tender, run, RunOutcome::lost, "denied: draining");
@@ -235,6 +238,9 @@
     end(tender, run, outcome == "clean" ? RunOutcome::clean : outcome == "stopped" ? RunOutcome::stopped : RunOutcome::failed,
         textAt(item, "detail"));
   }
+  for (auto& [id, run] : tender.runs)
+    if (!run.listed && run.state == RunState::ordered && run.workerIncarnation != incarnation)
+      end(tender, run, RunOutcome::lost, "ordered for an earlier life of the worker");
   for (auto at = tender.runs.begin(); at != tender.runs.end();) {
     auto& run = at->second;
     const bool handed = run.state == RunState::ordered && run.handedReport > 0 && run.handedReport < report;
--- a/src/manifest/tender.hpp
+++ b/src/manifest/tender.hpp
@@ -5,6 +5,7 @@
 
 struct TenderRun {
   std::string spec;
+  std::string workerIncarnation;
   signal::RunState state = signal::RunState::ordered;
   signal::RunOutcome outcome = signal::RunOutcome::none;
   std::string detail;
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -1,6 +1,7 @@
 #include <tclap/CmdLine.h>
 
 #include <atomic>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <sstream>
@@ -59,6 +60,7 @@
     TCLAP::ValueArg<double> factor("", "load-factor", "times the load", false, 1, "X", line);
     TCLAP::ValueArg<std::string> rule("", "rule", "las, gittins or fifo", false, "las", "RULE", line);
     TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
+    TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
     line.parse(argc, argv);
     const auto names = drydock::faultNames();
@@ -87,6 +89,11 @@
       }
       plans.push_back(std::move(plan));
     }
+    std::ofstream traceOut;
+    if (!trace.getValue().empty() && !plans.empty()) {
+      traceOut.open(trace.getValue());
+      plans.front().trace = &traceOut;
+    }
     return runDays(plans, std::max(1, threads.getValue()), verbose.getValue());
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "drydock: " << failed.argId() << ": " << failed.error() << std::endl;
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -253,7 +253,8 @@
   RunId id;
   bool stop = false;
   std::string spec;
-  MSGPACK_DEFINE(id, stop, spec)
+  std::string workerIncarnation;
+  MSGPACK_DEFINE(id, stop, spec, workerIncarnation)
 };
 
 struct Orders {
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -64,3 +64,8 @@
   keeps(14, {"crowd", "never-succeed"});
   keeps(15, {"lossy-sea"});
 }
+
+TEST(day, an_order_for_a_worker_s_earlier_life_is_not_carried_out) {
+  keeps(14, {"all-restart"});
+  keeps(5, {"cell-lost"});
+}
