Runs on silent workers are waited for; a late clean end is taken

Cause: three ways to run a task again after a clean end its tender had taken. (1) The tender declared a run lost while it was itself holding the worker's poll, so the worker had no way to report. (2) A clean end that came after 'lost' was dropped. (3) A tender and worker cut from the leader were given up after one worker term, though they came back a moment later.

Now: a tender never declares silence while it holds a poll, a clean end overrides 'lost', a leader takes a late clean end of a task not started since, and pools wait lostAfterTerms (5) worker terms. Operators can mark a worker gone, which ends the wait at once.

A cut longer than that still reruns work that ended behind it: a worker that is gone for good can't be told from one that is cut off.

--- a/src/bearing/env.hpp
+++ b/src/bearing/env.hpp
@@ -17,7 +17,7 @@
   Millis reportMs() const { return workerTermMs / 8; }
   Millis longPollMs() const { return workerTermMs / 4; }
   Millis freshMs() const { return workerTermMs / 2; }
-  Millis sureMs() const { return workerTermMs + workerTermMs / 10; }
+  Millis sureMs(std::int64_t terms) const { return terms * (workerTermMs + workerTermMs / 10); }
   Millis lapseMs() const { return 2 * termMs + termMs / 10; }
 };
 
--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -104,6 +104,7 @@
                      {"slots", [&](auto* v, auto& p) { reader.number(v, p, 1, 100000, made.slots); }},
                      {"workers", [&](auto* v, auto& p) { reader.number(v, p, 1, 100000, made.workers); }},
                      {"room", [&](auto* v, auto& p) { reader.numbers(v, p, made.room); }},
+                     {"lostAfterTerms", [&](auto* v, auto& p) { reader.number(v, p, 1, 1000, made.lostAfterTerms); }},
                      {"selfStop", [&](auto* v, auto& p) { reader.flag(v, p, made.selfStop); }}});
       chart.pools[name] = made;
     });
@@ -117,9 +118,12 @@
   };
   auto workers = [&](const json_t* value, const std::string& path) {
     reader.named(value, path, [&](const json_t* item, const std::string& name) {
-      bool drained = false;
-      reader.object(item, path + "/" + name, {{"drained", [&](auto* v, auto& p) { reader.flag(v, p, drained); }}});
-      chart.drained[name] = drained;
+      bool drained = false, gone = false;
+      reader.object(item, path + "/" + name,
+                    {{"drained", [&](auto* v, auto& p) { reader.flag(v, p, drained); }},
+                     {"gone", [&](auto* v, auto& p) { reader.flag(v, p, gone); }}});
+      chart.drained[name] = drained || gone;
+      chart.gone[name] = gone;
     });
   };
   auto gangway = [&](const json_t* value, const std::string& path) {
--- a/src/chart/chart.hpp
+++ b/src/chart/chart.hpp
@@ -26,6 +26,7 @@
   std::int64_t workers = 1;
   std::map<std::string, std::int64_t> room;
   bool selfStop = true;
+  std::int64_t lostAfterTerms = 5;
 };
 
 enum class Rule { las, gittins, fifo };
@@ -58,6 +59,7 @@
   std::map<std::string, Pool> pools;
   std::map<std::string, bool> emptied;
   std::map<std::string, bool> drained;
+  std::map<std::string, bool> gone;
   Admission admission;
   Keep keep;
   Gangway gangway;
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -156,6 +156,17 @@
   out.send(row.tender, std::move(orders));
 }
 
+void takeLateEnd(PilotState& pilot, const RunId& run, const RunReport& seen, Now now) {
+  auto found = pilot.jobs.find(JobId(std::string_view(run.value).substr(0, run.value.find(':'))));
+  if (found == pilot.jobs.end() || found->second.state != JobState::open) return;
+  const auto& job = found->second;
+  for (std::size_t i = 0; i < job.tasks.size(); ++i)
+    if (job.tasks[i].state == TaskState::pending && runIdOf(job, i) == run) {
+      ++pilot.counts.lateEnds;
+      return finishRun(pilot, job.id, i, RunOutcome::clean, seen.detail, now);
+    }
+}
+
 void onReport(PilotState& pilot, const Heard& heard, const TenderReport& report, Now now, Outbox& out) {
   if (!leads(pilot, now)) return;
   ++pilot.counts.reports;
@@ -191,6 +202,8 @@
     const bool processed = first != row.firstOrdered.end() && report.ordersTerm == pilot.term && report.ordersSeq >= first->second;
     if (reborn || processed) finishRun(pilot, where.first, where.second, RunOutcome::lost, reborn ? "worker restarted" : "run is gone", now);
   }
+  for (const auto& [run, seen] : listed)
+    if (seen->state == RunState::ended && seen->outcome == RunOutcome::clean && !mine.contains(run)) takeLateEnd(pilot, run, *seen, now);
   sendOrders(pilot, row, now, out);
 }
 
@@ -518,15 +531,18 @@
     if (runs.empty()) continue;
     auto row = pilot.workers.find(worker);
     const Millis heardMs = row == pilot.workers.end() ? pilot.leadSinceMs : std::max(row->second.heardMs, pilot.leadSinceMs);
-    if (now.steadyMs - heardMs < bounds(pilot).sureMs()) continue;
-    if (row != pilot.workers.end()) {
-      auto pool = pilot.crew.chart->pools.find(row->second.last.pool.value);
-      if (pool == pilot.crew.chart->pools.end() || !pool->second.selfStop) continue;
-    } else {
-      const bool anyStays = std::any_of(pilot.crew.chart->pools.begin(), pilot.crew.chart->pools.end(),
-                                        [](const auto& pool) { return !pool.second.selfStop; });
-      if (anyStays) continue;
+    const auto& pools = pilot.crew.chart->pools;
+    std::int64_t terms = 1;
+    bool selfStop = true;
+    for (const auto& [name, pool] : pools) {
+      if (row != pilot.workers.end() && row->second.last.pool.value != name) continue;
+      terms = std::max(terms, pool.lostAfterTerms);
+      selfStop = selfStop && pool.selfStop;
     }
+    if (row != pilot.workers.end() && !pools.contains(row->second.last.pool.value)) selfStop = false;
+    const auto mark = pilot.crew.chart->gone.find(worker.value);
+    const bool gone = mark != pilot.crew.chart->gone.end() && mark->second;
+    if (!gone && (!selfStop || now.steadyMs - heardMs < bounds(pilot).sureMs(terms))) continue;
     for (const auto& [run, where] : runs) finishRun(pilot, where.first, where.second, RunOutcome::lost, "worker silent past its term", now);
   }
   const auto& keep = pilot.crew.chart->keep;
@@ -847,7 +863,7 @@
       {"stops", c.stops},           {"preempted", c.preempted},   {"lostRuns", c.lost},         {"failedRuns", c.failures},
       {"cleanRuns", c.cleans},      {"submitted", c.submitted},   {"denied", c.denied},         {"passedOver", c.passedOver},
       {"reservations", c.reservations}, {"reports", c.reports},   {"shuns", c.shuns},           {"rewritten", c.rewritten},
-      {"steppedDown", c.steppedDown}, {"gangRetries", c.gangRetries}, {"promotions", c.promotions}, {"dropped", c.dropped},
+      {"steppedDown", c.steppedDown}, {"gangRetries", c.gangRetries}, {"lateEnds", c.lateEnds}, {"promotions", c.promotions}, {"dropped", c.dropped},
       {"openJobs", pilot.open.size()}, {"knownJobs", pilot.told.size()}};
   for (const auto& [name, value] : rows) json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
   return dumpJson(root.get());
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -59,7 +59,7 @@
 struct PilotCounts {
   std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0, cleans = 0,
                 submitted = 0, denied = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0, rewritten = 0, steppedDown = 0,
-                gangRetries = 0, promotions = 0, dropped = 0;
+                gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0;
 };
 
 struct Told {
--- a/src/manifest/tender.cpp
+++ b/src/manifest/tender.cpp
@@ -65,6 +65,7 @@
     if (run.state == RunState::ended && run.listed && !run.wanted && tender.ordersSeq > 0) json_array_append_new(ack, jsonText(id.view()));
   }
   const auto grant = goOnMs(tender, now);
+  tender.answeredMs = now.steadyMs;
   tender.workerUntilMs = std::max(tender.workerUntilMs, poll.sinceMs + grant);
   json_object_set_new(root.get(), "report", json_integer(static_cast<json_int_t>(poll.report)));
   json_object_set_new(root.get(), "goOnMs", json_integer(grant));
@@ -234,7 +235,6 @@
     auto& run = tender.runs[RunId(name)];
     run.listed = true;
     if (run.state == RunState::ended && run.outcome != RunOutcome::lost) continue;
-    if (run.state == RunState::ended && run.wanted) continue;
     end(tender, run, outcome == "clean" ? RunOutcome::clean : outcome == "stopped" ? RunOutcome::stopped : RunOutcome::failed,
         textAt(item, "detail"));
   }
@@ -255,7 +255,7 @@
     else ++at;
   }
   tender.poll = Poll{transaction, report, now.steadyMs};
-  if (anythingNew(tender, now) || goOnMs(tender, now) < bounds(tender).workerTermMs / 4) answerPoll(tender, now, out);
+  if (anythingNew(tender, now)) answerPoll(tender, now, out);
   if (tender.reportDue) sendReport(tender, now, out);
 }
 
@@ -268,7 +268,10 @@
       }
   auto pool = tender.crew.chart->pools.find(tender.pool.value);
   const bool selfStop = pool != tender.crew.chart->pools.end() && pool->second.selfStop;
-  if (tender.heard && selfStop && now.steadyMs > tender.workerUntilMs + bounds(tender).workerTermMs / 10)
+  const Millis quietMs = now.steadyMs - std::max(tender.workerUntilMs, tender.answeredMs);
+  const bool silent = tender.heard && !tender.poll && selfStop &&
+                      quietMs > bounds(tender).sureMs(pool->second.lostAfterTerms) - bounds(tender).workerTermMs;
+  if (silent)
     for (auto& [id, run] : tender.runs) {
       const bool onWorker = run.state == RunState::going || run.state == RunState::stopping ||
                             (run.state == RunState::ordered && run.handedReport > 0);
@@ -276,7 +279,9 @@
       ++tender.counts.silences;
       end(tender, run, RunOutcome::lost, "worker silent past its term");
     }
-  if (tender.poll && (anythingNew(tender, now) || now.steadyMs - tender.poll->sinceMs >= bounds(tender).longPollMs()))
+  const bool scarce = goOnMs(tender, now) < bounds(tender).workerTermMs / 2;
+  const Millis holdMs = scarce ? bounds(tender).longPollMs() / 8 : bounds(tender).longPollMs();
+  if (tender.poll && (anythingNew(tender, now) || now.steadyMs - tender.poll->sinceMs >= holdMs))
     answerPoll(tender, now, out);
   if (tender.reportDue || now.steadyMs - tender.reportedMs >= bounds(tender).reportMs()) sendReport(tender, now, out);
   tender.crew.ready = watch::sessionLive(tender.crew, now) && !tender.crew.leader.http.empty() && !tender.crew.leaving;
--- a/src/manifest/tender.hpp
+++ b/src/manifest/tender.hpp
@@ -34,6 +34,7 @@
   std::uint64_t lastReport = 0;
   Millis workerMs = 0;
   Millis workerUntilMs = 0;
+  Millis answeredMs = 0;
   PoolName pool;
   std::map<std::string, std::string> labels;
   std::int64_t slots = 0;
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -69,3 +69,10 @@
   keeps(14, {"all-restart"});
   keeps(5, {"cell-lost"});
 }
+
+TEST(day, a_clean_end_taken_while_cut_from_the_leader_is_not_run_again) {
+  keeps(11, {"split"});
+  keeps(12, {"split"});
+  keeps(2, {"leader-kill-after-yes"});
+  keeps(3, {"cut-off-alone"});
+}
