--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -1,7 +1,6 @@
 #include "drydock/day.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace tulip::drydock {
 
@@ -105,46 +104,28 @@
   std::string makeJob(const LineLoad& load, const std::string& id, bool neverSucceeds, bool huge) {
     auto& truth = judge.submitted(id);
     submittedUs[id] = sim.nowUs();
-    truth.line = load.line;
-    truth.neverSucceeds = neverSucceeds;
-    const auto count = load.leastTasks + sim.below(load.mostTasks - load.leastTasks + 1);
-    truth.gang = sim.chance(load.gang) || huge;
-    if (sim.chance(0.05)) truth.notBeforeMs = 200 + sim.below(1500);
-    const bool steps = sim.chance(load.steps) && count > 1;
-    Json root(json_object());
-    json_object_set_new(root.get(), "id", jsonText(id));
-    json_object_set_new(root.get(), "pending", jsonText(load.line));
-    json_object_set_new(root.get(), "gang", json_boolean(truth.gang));
-    if (truth.notBeforeMs) json_object_set_new(root.get(), "notBeforeMs", json_integer(truth.notBeforeMs));
-    json_t* tasks = json_array();
-    const auto many = huge ? 6 : count;
-    for (std::int64_t i = 0; i < many; ++i) {
-      TaskTruth task;
-      task.slots = huge ? 4 : load.leastSlots + sim.below(load.mostSlots - load.leastSlots + 1);
-      const auto name = "t" + std::to_string(i);
-      json_t *item = json_object(), *payload = json_object();
-      json_object_set_new(item, "name", jsonText(name));
-      json_object_set_new(item, "slots", json_integer(task.slots));
-      if (steps && i + 1 == many) {
-        json_t* after = json_array();
-        for (std::int64_t k = 0; k < i; ++k) {
-          json_array_append_new(after, jsonText("t" + std::to_string(k)));
-          task.after.push_back(static_cast<std::size_t>(k));
-        }
-        json_object_set_new(item, "after", after);
+    auto sketch = sketchJob(load, id, [this] { return sim.unit(); });
+    if (huge) {
+      sketch.gang = true;
+      sketch.tasks.resize(6);
+      for (std::size_t i = 0; i < sketch.tasks.size(); ++i) {
+        sketch.tasks[i].name = "t" + std::to_string(i);
+        sketch.tasks[i].slots = 4;
+        sketch.tasks[i].after.clear();
       }
-      double runMs = static_cast<double>(load.leastRunMs + sim.below(load.mostRunMs - load.leastRunMs + 1));
-      if (load.heavyTail > 0) runMs = static_cast<double>(load.leastRunMs) / std::pow(std::max(1e-3, sim.unit()), load.heavyTail);
-      json_object_set_new(payload, "runMs", json_integer(static_cast<json_int_t>(runMs)));
-      if (neverSucceeds && i == 0) json_object_set_new(payload, "fails", json_true());
-      else if (sim.chance(0.03)) json_object_set_new(payload, "failAttempts", json_integer(1));
-      json_object_set_new(item, "payload", payload);
-      json_array_append_new(tasks, item);
-      truth.names.push_back(name);
-      truth.tasks.push_back(std::move(task));
     }
-    json_object_set_new(root.get(), "tasks", tasks);
-    return dumpJson(root.get());
+    if (neverSucceeds) sketch.tasks.front().fails = true;
+    truth.line = sketch.line;
+    truth.neverSucceeds = neverSucceeds;
+    truth.gang = sketch.gang;
+    truth.notBeforeMs = sketch.notBeforeMs;
+    for (const auto& task : sketch.tasks) {
+      truth.names.push_back(task.name);
+      truth.tasks.emplace_back();
+      truth.tasks.back().slots = task.slots;
+      truth.tasks.back().after = task.after;
+    }
+    return jobBody(sketch);
   }
 
   void newJob(const LineLoad& load, bool neverSucceeds = false, bool huge = false) {
@@ -160,8 +141,7 @@
   }
 
   void arrivals(const LineLoad& load) {
-    const double rate = load.perSecond * plan.loadFactor;
-    const auto gap = static_cast<Micros>(-std::log(1.0 - sim.unit()) / rate * kSecond);
+    const auto gap = static_cast<Micros>(gapSeconds(load, plan.loadFactor, [this] { return sim.unit(); }) * kSecond);
     sim.after(gap, [this, load] {
       if (sim.nowUs() >= endUs) return;
       newJob(load);
@@ -538,7 +518,7 @@
          const auto when = run.faultTime();
          for (int i = 0; i < 120; ++i)
            run.sim.at(when + i * 2000, [&run] {
-             const auto load = loadOf("leatherwood");
+             const auto load = builtInLoad("leatherwood");
              run.newJob(load[static_cast<std::size_t>(run.sim.below(3))], run.sim.chance(0.1), run.sim.chance(0.05));
            });
        }},
@@ -581,19 +561,6 @@
   return drawn;
 }
 
-std::vector<LineLoad> loadOf(const std::string& name) {
-  if (name == "kerala")
-    return {{"checkout", 9.0, 1, 2, 1, 2, 50, 300, 0.2, 0.1, 0},
-            {"gate", 2.0, 2, 5, 1, 3, 200, 900, 0.6, 0.3, 0},
-            {"rebuild", 0.5, 3, 8, 2, 4, 800, 3000, 0.8, 0.5, 0}};
-  if (name == "heavy")
-    return {{"checkout", 8.0, 1, 2, 1, 2, 40, 200, 0.3, 0.0, 0.9},
-            {"rebuild", 0.4, 3, 6, 3, 6, 300, 900, 0.9, 0.0, 1.0}};
-  return {{"checkout", 7.0, 1, 3, 1, 2, 80, 400, 0.5, 0.1, 0},
-          {"gate", 1.5, 2, 4, 1, 2, 300, 1200, 0.5, 0.3, 0},
-          {"rebuild", 0.8, 2, 6, 2, 4, 800, 3000, 0.8, 0.5, 0}};
-}
-
 DayResult runDay(const DayPlan& plan) {
   Run run(plan);
   auto& sim = run.sim;
@@ -609,7 +576,7 @@
   for (const auto& hand : sim.hands()) sim.at(sim.below(400000), [&sim, each = hand.get()] { sim.startWorker(*each); });
   sim.at(kSecond, [&run] {
     run.changeChart("PUT", run.baseChart(), "checkout", "t-base", "", [&run](bool) {
-      for (const auto& load : loadOf(run.plan.load)) run.arrivals(load);
+      for (const auto& load : run.plan.load) run.arrivals(load);
       run.marks(3 * kSecond);
       run.readCharts();
     });
--- a/src/drydock/day.hpp
+++ b/src/drydock/day.hpp
@@ -2,23 +2,13 @@
 #include <ostream>
 
 #include "drydock/judge.hpp"
+#include "drydock/load.hpp"
 
 namespace tulip::drydock {
 
-struct LineLoad {
-  std::string line;
-  double perSecond = 1;
-  int leastTasks = 1, mostTasks = 3;
-  std::int64_t leastSlots = 1, mostSlots = 2;
-  Millis leastRunMs = 100, mostRunMs = 600;
-  double gang = 0.5;
-  double steps = 0.2;
-  double heavyTail = 0;
-};
-
 struct DayPlan {
   std::uint64_t seed = 1;
-  std::string load = "leatherwood";
+  std::vector<LineLoad> load = builtInLoad("leatherwood");
   std::vector<std::string> faults;
   double seconds = 16;
   double loadFactor = 1;
@@ -44,7 +34,6 @@
 
 std::vector<std::string> faultNames();
 std::vector<std::string> drawFaults(std::uint64_t seed);
-std::vector<LineLoad> loadOf(const std::string& name);
 DayResult runDay(const DayPlan& plan);
 Millis quantile(std::vector<Millis> values, double at);
 std::string summary(const DayResult& result);
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -15,6 +15,18 @@
 
 namespace {
 
+std::vector<drydock::LineLoad> loadFrom(const std::string& name) {
+  if (name == "leatherwood" || name == "kerala" || name == "heavy") return drydock::builtInLoad(name);
+  std::ifstream in(name);
+  std::stringstream text;
+  text << in.rdbuf();
+  std::vector<drydock::LineLoad> lines;
+  chart::Fault fault;
+  if (!in || !drydock::readLoad(text.str(), lines, fault))
+    throw TCLAP::ArgException(in ? fault.path + ": allowed is " + fault.allowed : "cannot be read", name);
+  return lines;
+}
+
 int runDays(const std::vector<drydock::DayPlan>& plans, int threads, bool verbose) {
   std::atomic<std::size_t> next{0};
   std::mutex guard;
@@ -52,7 +64,7 @@
 int runDrydock(int argc, char** argv) {
   try {
     TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala or heavy", false, "leatherwood", "NAME", line);
+    TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala, heavy, or a scenario file", false, "leatherwood", "NAME", line);
     TCLAP::ValueArg<std::string> fault("", "faults", "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false, "", "NAMES", line);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
     TCLAP::ValueArg<std::uint64_t> count("", "days", "how many seeds", false, 1, "N", line);
@@ -72,7 +84,7 @@
     for (std::uint64_t i = 0; i < count.getValue(); ++i) {
       drydock::DayPlan plan;
       plan.seed = seed.getValue() + i;
-      plan.load = load.getValue();
+      plan.load = loadFrom(load.getValue());
       plan.seconds = seconds.getValue();
       plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
--- a/src/roles/helm.cpp
+++ b/src/roles/helm.cpp
@@ -1,11 +1,13 @@
 #include <tclap/CmdLine.h>
 
 #include <fstream>
+#include <random>
 #include <iostream>
 #include <sstream>
 #include <thread>
 
 #include "bearing/env.hpp"
+#include "drydock/load.hpp"
 #include "bearing/json.hpp"
 #include "gangway/http.hpp"
 #include "roles/daemon.hpp"
@@ -138,13 +140,116 @@
   }
 }
 
+struct LoadRun {
+  const Helm& helm;
+  boost::asio::io_context context;
+  std::mt19937_64 random;
+  std::map<std::string, std::chrono::steady_clock::time_point> since;
+  std::map<std::string, Millis> acceptedMs, startedMs, finishedMs;
+  std::map<std::string, int> ends;
+  std::size_t asked = 0, denied = 0, tries = 0, lost = 0;
+  std::chrono::steady_clock::time_point until, hard;
+
+  double dice() { return static_cast<double>(random() >> 11) / 9007199254740992.0; }
+  Millis sinceMs(const std::string& id) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - since.at(id)).count();
+  }
+  void after(double seconds, std::function<void()> act) {
+    auto pulse = std::make_shared<boost::asio::steady_timer>(context, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
+    pulse->async_wait([pulse, act](boost::system::error_code) { act(); });
+  }
+  void call(Task task, std::function<void(gangway::CallReply)> done) {
+    gangway::CallOut out;
+    out.to = helm.at[random() % helm.at.size()];
+    out.method = task.method;
+    out.target = task.target;
+    out.body = task.body;
+    gangway::callHttp(context, std::move(out), std::move(done));
+  }
+  void submit(const std::string& id, const std::string& body) {
+    ++tries;
+    call({"POST", "/jobs", body}, [this, id, body](gangway::CallReply reply) {
+      if (reply.status == 200 || reply.status == 201) {
+        acceptedMs[id] = sinceMs(id);
+        return poll(id);
+      }
+      if (reply.status >= 400 && reply.status < 500) {
+        ++denied;
+        since.erase(id);
+        return;
+      }
+      if (std::chrono::steady_clock::now() < hard)
+        after(reply.retryAfterMs > 0 ? static_cast<double>(reply.retryAfterMs) / 1000 : 0.1, [this, id, body] { submit(id, body); });
+    });
+  }
+  void poll(const std::string& id) {
+    call({"GET", "/jobs/" + id, ""}, [this, id](gangway::CallReply reply) {
+      Json view = parseJson(reply.body);
+      if (reply.status == 404) ++lost;
+      const auto state = view ? textAt(view.get(), "state") : "";
+      if (state == "finished" || state == "failed" || state == "cancelled" || state == "expired") {
+        ++ends[state];
+        const auto accepted = numberAt(view.get(), "acceptedMs");
+        startedMs[id] = numberAt(view.get(), "firstStartMs") - accepted;
+        finishedMs[id] = numberAt(view.get(), "finishedMs") - accepted;
+        return;
+      }
+      if (std::chrono::steady_clock::now() < hard) after(0.1 + 0.1 * dice(), [this, id] { poll(id); });
+    });
+  }
+  void arrive(const drydock::LineLoad& line, double factor) {
+    after(drydock::gapSeconds(line, factor, [this] { return dice(); }), [this, line, factor] {
+      if (std::chrono::steady_clock::now() >= until) return;
+      const auto id = line.line + "-" + helm.transaction + "-" + std::to_string(++asked);
+      since[id] = std::chrono::steady_clock::now();
+      submit(id, drydock::jobBody(drydock::sketchJob(line, id, [this] { return dice(); })));
+      arrive(line, factor);
+    });
+  }
+};
+
+json_t* quantiles(const std::map<std::string, Millis>& byJob) {
+  std::vector<Millis> values;
+  for (const auto& [id, value] : byJob) values.push_back(value);
+  std::sort(values.begin(), values.end());
+  json_t* item = json_object();
+  for (const auto& [name, share] : {std::pair{"p50", 0.5}, {"p95", 0.95}, {"p99", 0.99}, {"max", 1.0}})
+    if (!values.empty())
+      json_object_set_new(item, name, json_integer(values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))]));
+  return item;
+}
+
+int runLoad(const Helm& helm, const std::string& scenario, double seconds, double factor) {
+  std::vector<drydock::LineLoad> lines;
+  chart::Fault fault;
+  if (!drydock::readLoad(scenario, lines, fault)) throw TCLAP::ArgException(fault.path + ": allowed is " + fault.allowed, "scenario");
+  LoadRun run{helm, {}, std::mt19937_64(std::hash<std::string>{}(helm.transaction)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}};
+  run.until = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(seconds * 1000));
+  run.hard = run.until + std::chrono::milliseconds(helm.cutoffMs);
+  for (const auto& line : lines) run.arrive(line, factor);
+  run.context.run();
+  Json root(json_object());
+  json_object_set_new(root.get(), "jobs", json_integer(static_cast<json_int_t>(run.asked)));
+  json_object_set_new(root.get(), "accepted", json_integer(static_cast<json_int_t>(run.acceptedMs.size())));
+  json_object_set_new(root.get(), "ended", json_integer(static_cast<json_int_t>(run.finishedMs.size())));
+  json_object_set_new(root.get(), "denied", json_integer(static_cast<json_int_t>(run.denied)));
+  json_object_set_new(root.get(), "forgotten", json_integer(static_cast<json_int_t>(run.lost)));
+  json_object_set_new(root.get(), "submitTries", json_integer(static_cast<json_int_t>(run.tries)));
+  for (const auto& [state, count] : run.ends) json_object_set_new(root.get(), state.c_str(), json_integer(count));
+  json_object_set_new(root.get(), "submitMs", quantiles(run.acceptedMs));
+  json_object_set_new(root.get(), "acceptToStartMs", quantiles(run.startedMs));
+  json_object_set_new(root.get(), "acceptToFinishMs", quantiles(run.finishedMs));
+  std::cout << dumpJson(root.get(), JSON_INDENT(1) | JSON_PRESERVE_ORDER) << "\n";
+  return run.finishedMs.size() == run.acceptedMs.size() && run.acceptedMs.size() + run.denied == run.asked && run.lost == 0 ? 0 : 9;
+}
+
 }  // namespace
 
 int runHelm(int argc, char** argv) {
   try {
     TCLAP::CmdLine line(
         "commands: submit FILE | get JOB | list [STATE] | cancel JOB | wait JOB | config get | config put FILE | config patch FILE | "
-        "workers | members | leader | status | counters | log | drain WORKER | undrain WORKER | empty CELL | fill CELL",
+        "workers | members | leader | status | counters | log | drain WORKER | undrain WORKER | empty CELL | fill CELL | load SCENARIO",
         ' ', "0.1.0");
     TCLAP::ValueArg<std::string> at("a", "at", "http addresses of daemons, joined by commas", true, "", "IP:PORT,...", line);
     TCLAP::SwitchArg json("j", "json", "print the answer as it came", line);
@@ -152,6 +257,8 @@
     TCLAP::ValueArg<std::string> expected("", "expected", "the revision a change builds on", false, "", "REVISION", line);
     TCLAP::ValueArg<std::string> transaction("", "transaction", "the transaction's id, to send it again", false, "", "ID", line);
     TCLAP::ValueArg<std::string> after("", "after", "list from behind this job", false, "", "JOB", line);
+    TCLAP::ValueArg<double> seconds("", "seconds", "how long 'load' submits", false, 30, "S", line);
+    TCLAP::ValueArg<double> factor("", "load-factor", "times the scenario's rates", false, 1, "X", line);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", line);
     line.parse(argc, argv);
     Helm helm;
@@ -186,6 +293,7 @@
     if (word(0) == "leader" && one) return does({"GET", "/leader", ""});
     if (word(0) == "counters" && one) return does({"GET", "/counters", ""});
     if (word(0) == "log" && one) return does({"GET", "/log", ""});
+    if (word(0) == "load" && two) return runLoad(helm, readInput(word(1)), seconds.getValue(), factor.getValue());
     if (word(0) == "status" && one) {
       const int leader = does({"GET", "/leader", ""});
       const int members = does({"GET", "/members", ""});
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -10,7 +10,7 @@
   DayPlan plan;
   plan.seed = seed;
   plan.faults = std::move(faults);
-  plan.load = load;
+  plan.load = builtInLoad(load);
   plan.seconds = 16;
   return runDay(plan);
 }
