Workers that run slow against the others get less work, then none for a while

A worker's pace is its runs' time over the usual time of the same pending line; past 3 it is shunned, for longer each time, and tried again after. Past 1.7 others are matched first.

--- a/src/bearing/errors.cpp
+++ b/src/bearing/errors.cpp
@@ -23,7 +23,7 @@
     Row{Kind::idTaken, "id-taken", 409, 5, 0, "the id belongs to other content"},
     Row{Kind::raced, "raced", 409, 5, 0, "the expected revision is not the current one"},
     Row{Kind::invalidChart, "invalid-configuration", 422, 3, 0, "the configuration does not pass its checks"},
-    Row{Kind::noLeader, "no-leader", 503, 6, 1.0, "no pilot leads at the moment"},
+    Row{Kind::noLeader, "no-leader", 503, 6, 0.3, "no pilot leads at the moment"},
     Row{Kind::noMajority, "no-majority", 503, 6, 1.0, "too few quays answer"},
     Row{Kind::overloaded, "overloaded", 503, 6, 0.5, "more is pending than is taken"},
     Row{Kind::unknownOutcome, "unknown-outcome", 503, 7, 0.5, "it may or may not have taken effect; resend under the same id"},
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -89,13 +89,44 @@
   touch(pilot, id);
 }
 
-void judgeWorker(PilotState& pilot, WorkerRow& row, RunOutcome outcome, Now now) {
+void shun(PilotState& pilot, WorkerRow& row, Now now) {
+  auto& standing = row.standing;
+  const auto doublings = std::min<std::int64_t>(standing.shuns, 4);
+  standing.shunnedUntilMs = now.steadyMs + 4 * bounds(pilot).workerTermMs * (1LL << doublings);
+  ++standing.shuns;
+  ++pilot.counts.shuns;
+}
+
+void judgePace(PilotState& pilot, WorkerRow& row, const PendingName& line, Millis tookMs, Now now) {
+  constexpr std::int64_t kFewestEnds = 16;
+  constexpr double kWeight = 0.2, kSlow = 3.0, kMostRatio = 20.0;
+  auto& usual = pilot.paces[line];
+  ++usual.ends;
+  if (usual.ends > kFewestEnds && usual.meanMs > 0) {
+    const double ratio = std::min(kMostRatio, static_cast<double>(tookMs) / usual.meanMs);
+    row.standing.pace += kWeight * (ratio - row.standing.pace);
+  }
+  const double weight = usual.ends <= kFewestEnds ? 1.0 / static_cast<double>(usual.ends) : 0.02;
+  if (usual.ends <= kFewestEnds || static_cast<double>(tookMs) < kSlow * usual.meanMs)
+    usual.meanMs += weight * (static_cast<double>(tookMs) - usual.meanMs);
+  if (row.standing.pace > kSlow) {
+    shun(pilot, row, now);
+    row.standing.pace = kSlow * 0.8;
+  }
+}
+
+void judgeWorker(PilotState& pilot, WorkerRow& row, const Job& job, const Task& task, RunOutcome outcome, Now now) {
   auto& standing = row.standing;
   if (outcome != RunOutcome::clean && outcome != RunOutcome::failed) return;
   const bool failed = outcome == RunOutcome::failed;
   ++(failed ? standing.failed : standing.clean);
   constexpr double kWeight = 0.2;
   standing.failRate += kWeight * ((failed ? 1.0 : 0.0) - standing.failRate);
+  if (!failed) {
+    judgePace(pilot, row, job.pending, fleet(pilot, now) - task.orderedMs, now);
+    if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
+    return;
+  }
   double others = 0;
   int count = 0;
   for (const auto& [id, other] : pilot.workers)
@@ -104,16 +135,9 @@
       ++count;
     }
   const double usual = count ? others / count : 0;
-  if (!failed) {
-    standing.shuns = standing.failRate < 0.1 ? 0 : standing.shuns;
-    return;
-  }
   if (standing.failRate > 0.45 && standing.failRate > 2 * usual + 0.2) {
-    const auto doublings = std::min<std::int64_t>(standing.shuns, 4);
-    standing.shunnedUntilMs = now.steadyMs + 4 * bounds(pilot).workerTermMs * (1LL << doublings);
-    ++standing.shuns;
+    shun(pilot, row, now);
     standing.failRate = 0.4;
-    ++pilot.counts.shuns;
   }
 }
 
@@ -191,7 +215,7 @@
       if (seen.state == RunState::going && !task.confirmed)
         change(pilot, where.first, [&](Job& job) { job.tasks[where.second].confirmed = true; });
       if (seen.state == RunState::ended) {
-        judgeWorker(pilot, row, seen.outcome, now);
+        judgeWorker(pilot, row, pilot.jobs.at(where.first), task, seen.outcome, now);
         finishRun(pilot, where.first, where.second, seen.outcome, seen.detail, now);
       }
       continue;
@@ -461,7 +485,7 @@
           if (auto own = row.last.room.find(name); own != row.last.room.end()) amount = std::min(amount, own->second);
       }
       berth.usable = usableWorker(pilot, row, now);
-      berth.doubt = row.standing.failRate > 0.3 ? 1 : 0;
+      berth.doubt = row.standing.failRate > 0.3 || row.standing.pace > 1.7 ? 1 : 0;
       incarnation = row.last.workerIncarnation;
     }
     at[id] = scene.workers.size();
@@ -850,6 +874,7 @@
     json_object_set_new(item, "shunned", json_boolean(now.steadyMs < row.standing.shunnedUntilMs));
     json_object_set_new(item, "clean", json_integer(row.standing.clean));
     json_object_set_new(item, "failed", json_integer(row.standing.failed));
+    json_object_set_new(item, "pace", json_real(row.standing.pace));
     json_object_set_new(item, "heardAgoMs", json_integer(now.steadyMs - row.heardMs));
     json_array_append_new(list, item);
   }
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -13,11 +13,16 @@
 struct Standing {
   std::int64_t clean = 0, failed = 0;
   double failRate = 0;
-  int trialsLeft = 1;
+  double pace = 1;
   Millis shunnedUntilMs = 0;
   std::int64_t shuns = 0;
 };
 
+struct LinePace {
+  double meanMs = 0;
+  std::int64_t ends = 0;
+};
+
 struct WorkerRow {
   WorkerId id;
   signal::TenderReport last;
@@ -94,6 +99,7 @@
   bool epochDue = false;
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
+  std::map<PendingName, LinePace> paces;
   std::deque<std::int64_t> sizes;
   std::deque<std::pair<Millis, JobId>> ended;
   std::map<PendingName, std::int64_t> openPer;
