--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -102,8 +102,6 @@
   }
 
   std::string makeJob(const LineLoad& load, const std::string& id, bool neverSucceeds, bool huge) {
-    auto& truth = judge.submitted(id);
-    submittedUs[id] = sim.nowUs();
     auto sketch = sketchJob(load, id, [this] { return sim.unit(); });
     if (huge) {
       sketch.gang = true;
@@ -115,8 +113,14 @@
       }
     }
     if (neverSucceeds) sketch.tasks.front().fails = true;
+    return enter(sketch);
+  }
+
+  std::string enter(const JobSketch& sketch) {
+    auto& truth = judge.submitted(sketch.id);
+    submittedUs[sketch.id] = sim.nowUs();
     truth.line = sketch.line;
-    truth.neverSucceeds = neverSucceeds;
+    truth.neverSucceeds = std::any_of(sketch.tasks.begin(), sketch.tasks.end(), [](const auto& task) { return task.fails; });
     truth.gang = sketch.gang;
     truth.notBeforeMs = sketch.notBeforeMs;
     for (const auto& task : sketch.tasks) {
@@ -157,6 +161,15 @@
            R"("admission":{"rule":")" + plan.rule + R"(","lanes":2,"thresholdsMs":[4000],"promoteKnob":4,"reserveAfterMs":2000,"gangStartMs":3000}})";
   }
 
+  std::string firstChart() const {
+    Json chart = parseJson(baseChart());
+    json_t* lines = json_object_get(chart.get(), "pendings");
+    for (const auto& arrival : plan.arrivals)
+      if (!json_object_get(lines, arrival.job.line.c_str())) json_object_set_new(lines, arrival.job.line.c_str(), json_object());
+    if (Json patch = parseJson(plan.chartPatch)) chart = chart::mergePatch(chart.get(), patch.get());
+    return dumpJson(chart.get());
+  }
+
   void changeChart(const std::string& method, std::string body, std::string mark, std::string name, std::string query,
                    std::function<void(bool)> done, int tries = 0) {
     if (tries == 0) judge.chartProposed(mark);
@@ -575,7 +588,12 @@
   for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
   for (const auto& hand : sim.hands()) sim.at(sim.below(400000), [&sim, each = hand.get()] { sim.startWorker(*each); });
   sim.at(kSecond, [&run] {
-    run.changeChart("PUT", run.baseChart(), "checkout", "t-base", "", [&run](bool) {
+    run.changeChart("PUT", run.firstChart(), "checkout", "t-base", "", [&run](bool) {
+      if (!run.plan.arrivals.empty()) {
+        for (const auto& arrival : run.plan.arrivals)
+          run.sim.after(arrival.atMs * 1000, [&run, &job = arrival.job] { run.submit(job.id, run.enter(job)); });
+        return;
+      }
       for (const auto& load : run.plan.load) run.arrivals(load);
       run.marks(3 * kSecond);
       run.readCharts();
@@ -591,7 +609,7 @@
   const auto probeUs = sim.nowUs();
   const std::string probe = "probe-1";
   run.submit(probe, run.makeJob(LineLoad{"probe", 1, 1, 1, 1, 1, 100, 100, 0, 0, 0}, probe, false, false));
-  const Micros lastUs = run.endUs + 90 * kSecond;
+  const Micros lastUs = run.endUs + static_cast<Micros>(plan.tailSeconds * kSecond);
   while (sim.nowUs() < lastUs) {
     sim.runUntil(sim.nowUs() + 100000);
     const auto& job = run.judge.jobs.at(probe);
@@ -633,6 +651,7 @@
     if (job.shown == "finished") result.finishMs.push_back(job.shownEndedMs - job.submittedMs);
   }
   for (const auto& host : sim.all()) result.syncs += host->syncs;
+  result.truth = std::move(run.judge.jobs);
   return result;
 }
 
--- a/src/drydock/day.hpp
+++ b/src/drydock/day.hpp
@@ -15,6 +15,9 @@
   std::string rule = "las";
   FleetPlan fleet;
   std::ostream* trace = nullptr;
+  std::vector<Arrival> arrivals;
+  std::string chartPatch;
+  double tailSeconds = 90;
 };
 
 struct DayResult {
@@ -29,6 +32,7 @@
   Millis leaderGapMs = 0;
   std::vector<Millis> submitMs, startMs, finishMs;
   std::uint64_t syncs = 0;
+  std::map<std::string, JobTruth> truth;
   std::vector<std::string> alarms;
 };
 
--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -141,6 +141,11 @@
   if (job.shown.empty()) {
     job.shown = state;
     job.shownEndedMs = sim_.nowMs();
+    job.acceptedFleetMs = numberAt(view, "acceptedMs", -1);
+    job.startedFleetMs = numberAt(view, "firstStartMs", -1);
+    job.endedFleetMs = numberAt(view, "finishedMs", -1);
+    job.servedMs = numberAt(view, "servedSlotMs");
+    job.preemptions = numberAt(view, "preemptions");
   }
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     const auto& task = job.tasks[i];
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -26,6 +26,8 @@
   Millis firstStartMs = -1;
   Millis shownEndedMs = -1;
   std::string shown;
+  Millis acceptedFleetMs = -1, startedFleetMs = -1, endedFleetMs = -1;
+  std::int64_t servedMs = 0, preemptions = 0;
   std::vector<std::string> names;
   std::vector<TaskTruth> tasks;
 };
--- a/src/drydock/load.cpp
+++ b/src/drydock/load.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
+#include <set>
 
 namespace tulip::drydock {
 namespace {
@@ -105,6 +107,89 @@
   return true;
 }
 
+std::vector<Arrival> drawArrivals(const std::vector<LineLoad>& lines, double seconds, double factor, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const Dice dice = [&] { return static_cast<double>(random() >> 11) / 9007199254740992.0; };
+  std::vector<Arrival> all;
+  for (const auto& line : lines)
+    for (double at = gapSeconds(line, factor, dice); at < seconds; at += gapSeconds(line, factor, dice)) {
+      const auto id = line.line + "-" + std::to_string(all.size() + 1);
+      all.push_back({static_cast<Millis>(at * 1000), sketchJob(line, id, dice)});
+    }
+  std::stable_sort(all.begin(), all.end(), [](const Arrival& a, const Arrival& b) { return a.atMs < b.atMs; });
+  return all;
+}
+
+bool readTrace(std::string_view text, std::vector<Arrival>& arrivals, std::size_t& badLine, std::string& allowed) {
+  arrivals.clear();
+  badLine = 0;
+  Millis firstMs = -1, lastMs = -1;
+  std::set<std::string> ids;
+  while (!text.empty()) {
+    ++badLine;
+    const auto line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(text.size(), line.size() + 1));
+    if (line.empty()) continue;
+    auto deny = [&](const char* what) {
+      allowed = what;
+      return false;
+    };
+    Json root = parseJson(line);
+    if (!json_is_object(root.get())) return deny("one JSON object");
+    Arrival made;
+    made.atMs = numberAt(root.get(), "atMs", -1);
+    if (made.atMs < 0 || made.atMs < lastMs) return deny("an atMs of 0 or more, not below the line before");
+    if (firstMs < 0) firstMs = made.atMs;
+    lastMs = made.atMs;
+    made.atMs -= firstMs;
+    made.job.id = textAt(root.get(), "id");
+    if (made.job.id.empty() || made.job.id.find(':') != std::string::npos || !ids.insert(made.job.id).second)
+      return deny("an id of its own, without ':'");
+    made.job.line = textAt(root.get(), "pending");
+    if (made.job.line.empty()) return deny("a pending line's name");
+    made.job.gang = flagAt(root.get(), "gang");
+    made.job.notBeforeMs = numberAt(root.get(), "notBeforeMs");
+    const json_t* tasks = json_object_get(root.get(), "tasks");
+    if (json_array_size(tasks) == 0 || json_array_size(tasks) > 256) return deny("1 to 256 tasks");
+    for (std::size_t i = 0; i < json_array_size(tasks); ++i) {
+      const json_t* item = json_array_get(tasks, i);
+      TaskSketch task;
+      task.name = "t" + std::to_string(i);
+      task.slots = numberAt(item, "slots");
+      task.runMs = numberAt(item, "runMs");
+      if (task.slots < 1 || task.runMs < 1) return deny("slots and runMs of 1 or more");
+      const json_t* after = json_object_get(item, "after");
+      for (std::size_t k = 0; k < json_array_size(after); ++k) {
+        const auto dep = json_integer_value(json_array_get(after, k));
+        if (dep < 0 || dep >= static_cast<json_int_t>(json_array_size(tasks)) || dep == static_cast<json_int_t>(i))
+          return deny("after: numbers of other tasks, from 0");
+        task.after.push_back(static_cast<std::size_t>(dep));
+      }
+      made.job.tasks.push_back(std::move(task));
+    }
+    arrivals.push_back(std::move(made));
+  }
+  if (arrivals.empty()) allowed = "at least one line";
+  return !arrivals.empty();
+}
+
+Millis shortestMs(const JobSketch& job) {
+  std::vector<Millis> ends(job.tasks.size(), 0);
+  for (std::size_t round = 0; round < job.tasks.size(); ++round)
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+      Millis begins = 0;
+      for (auto dep : job.tasks[i].after) begins = std::max(begins, ends[dep]);
+      ends[i] = begins + job.tasks[i].runMs;
+    }
+  return job.notBeforeMs + *std::max_element(ends.begin(), ends.end());
+}
+
+std::int64_t workMs(const JobSketch& job) {
+  std::int64_t sum = 0;
+  for (const auto& task : job.tasks) sum += task.slots * task.runMs;
+  return sum;
+}
+
 double gapSeconds(const LineLoad& load, double factor, const Dice& dice) { return -std::log(1.0 - dice()) / (load.perSecond * factor); }
 
 }  // namespace tulip::drydock
--- a/src/drydock/load.hpp
+++ b/src/drydock/load.hpp
@@ -41,6 +41,15 @@
 std::string jobBody(const JobSketch& job);
 std::vector<LineLoad> builtInLoad(const std::string& name);
 bool readLoad(std::string_view text, std::vector<LineLoad>& lines, chart::Fault& fault);
+struct Arrival {
+  Millis atMs = 0;
+  JobSketch job;
+};
+
+std::vector<Arrival> drawArrivals(const std::vector<LineLoad>& lines, double seconds, double factor, std::uint64_t seed);
+bool readTrace(std::string_view text, std::vector<Arrival>& arrivals, std::size_t& badLine, std::string& allowed);
+Millis shortestMs(const JobSketch& job);
+std::int64_t workMs(const JobSketch& job);
 double gapSeconds(const LineLoad& load, double factor, const Dice& dice);
 
 }  // namespace tulip::drydock
--- /dev/null
+++ b/src/drydock/whatif.hpp
@@ -0,0 +1,19 @@
+#pragma once
+#include "drydock/day.hpp"
+
+namespace tulip::drydock {
+
+struct Variant {
+  std::string name;
+  std::string patch;
+};
+
+struct Figure {
+  std::string name;
+  double value = 0;
+};
+
+std::vector<Figure> figuresOf(const DayResult& result, const std::vector<Arrival>& arrivals);
+std::string sideBySide(const std::vector<std::pair<std::string, std::vector<Figure>>>& columns);
+
+}  // namespace tulip::drydock
--- a/src/gangway/front.cpp
+++ b/src/gangway/front.cpp
@@ -64,6 +64,7 @@
   add("DELETE", "/jobs/:job", {lead}, Call::cancelJob);
   add("POST", "/jobs/:job/cancel", {lead}, Call::cancelJob);
   add("GET", "/workers", {lead}, Call::workers);
+  add("GET", "/trace", {lead}, Call::trace);
   if (role == Role::tender) add("POST", "/worker/report", {body, some}, Call::report);
   return rules;
 }
--- a/src/manifest/job.cpp
+++ b/src/manifest/job.cpp
@@ -237,6 +237,26 @@
   return root;
 }
 
+std::string traceLine(const Job& job) {
+  Json root(json_object());
+  json_object_set_new(root.get(), "atMs", json_integer(job.acceptedMs));
+  json_object_set_new(root.get(), "id", jsonText(job.id.view()));
+  json_object_set_new(root.get(), "pending", jsonText(job.pending.view()));
+  json_object_set_new(root.get(), "gang", json_boolean(job.gang));
+  json_object_set_new(root.get(), "notBeforeMs", json_integer(job.notBeforeMs));
+  json_t* tasks = json_array();
+  for (const auto& task : job.tasks) {
+    json_t *item = json_object(), *after = json_array();
+    for (auto dep : task.after) json_array_append_new(after, json_integer(dep));
+    json_object_set_new(item, "slots", json_integer(task.need.slots));
+    json_object_set_new(item, "runMs", json_integer(std::max<Millis>(1, task.ranMs)));
+    json_object_set_new(item, "after", after);
+    json_array_append_new(tasks, item);
+  }
+  json_object_set_new(root.get(), "tasks", tasks);
+  return dumpJson(root.get());
+}
+
 std::int64_t heldSlots(const Job& job) {
   std::int64_t sum = 0;
   for (const auto& task : job.tasks)
@@ -308,6 +328,7 @@
   task.detail = detail.substr(0, 256);
   if (outcome == RunOutcome::clean) {
     task.state = TaskState::done;
+    task.ranMs = fleetMs - task.orderedMs;
   } else {
     task.state = TaskState::pending;
     if (outcome == RunOutcome::failed) {
--- a/src/manifest/job.hpp
+++ b/src/manifest/job.hpp
@@ -27,8 +27,9 @@
   bool confirmed = false;
   bool stopping = false;
   std::string detail;
+  Millis ranMs = 0;
   MSGPACK_DEFINE(name, need, after, payload, state, failures, attempts, notBeforeMs, run, worker, workerIncarnation, orderedMs,
-                 confirmed, stopping, detail)
+                 confirmed, stopping, detail, ranMs)
 };
 
 struct Job {
@@ -61,6 +62,7 @@
 std::string packJob(const Job& job);
 bool unpackJob(std::string_view bytes, Job& job);
 json_t* viewJob(const Job& job, bool brief);
+std::string traceLine(const Job& job);
 
 std::int64_t heldSlots(const Job& job);
 bool hasRuns(const Job& job);
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -852,6 +852,16 @@
   out.answer(transaction, 200, dumpJson(root.get()));
 }
 
+void traceJobs(const PilotState& pilot, std::uint64_t transaction, Outbox& out) {
+  std::vector<const Job*> all;
+  for (const auto& [id, job] : pilot.told)
+    if (job->state == JobState::finished) all.push_back(job.get());
+  std::sort(all.begin(), all.end(), [](const Job* a, const Job* b) { return std::tie(a->acceptedMs, a->id) < std::tie(b->acceptedMs, b->id); });
+  std::string text;
+  for (const auto* job : all) text += traceLine(*job) + "\n";
+  out.answer(transaction, 200, std::move(text));
+}
+
 void listWorkers(const PilotState& pilot, std::uint64_t transaction, Now now, Outbox& out) {
   Json root(json_object());
   json_t* list = json_array();
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -117,6 +117,7 @@
 void cancelJob(PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Now now, signal::Outbox& out);
 void getJob(const PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Outbox& out);
 void listJobs(const PilotState& pilot, std::uint64_t transaction, const std::map<std::string, std::string>& query, signal::Outbox& out);
+void traceJobs(const PilotState& pilot, std::uint64_t transaction, signal::Outbox& out);
 void listWorkers(const PilotState& pilot, std::uint64_t transaction, signal::Now now, signal::Outbox& out);
 std::string countersJson(const PilotState& pilot);
 std::string checkRoom(const PilotState& pilot);
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "bearing/errors.hpp"
-#include "drydock/day.hpp"
+#include "drydock/whatif.hpp"
 #include "roles/daemon.hpp"
 
 namespace tulip::roles {
@@ -59,6 +59,32 @@
   return broken ? 1 : 0;
 }
 
+int runWhatIf(drydock::DayPlan plan, const std::vector<drydock::Variant>& variants, int threads) {
+  std::vector<drydock::DayResult> results(variants.size());
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> crew;
+  for (int i = 0; i < threads; ++i)
+    crew.emplace_back([&] {
+      for (std::size_t at = next++; at < variants.size(); at = next++) {
+        auto mine = plan;
+        mine.chartPatch = variants[at].patch;
+        results[at] = drydock::runDay(mine);
+      }
+    });
+  for (auto& thread : crew) thread.join();
+  std::vector<std::pair<std::string, std::vector<drydock::Figure>>> columns;
+  bool broken = false;
+  for (std::size_t i = 0; i < variants.size(); ++i) {
+    columns.emplace_back(variants[i].name, drydock::figuresOf(results[i], plan.arrivals));
+    for (const auto& each : results[i].broken) {
+      std::cout << variants[i].name << " at " << each.atMs << " ms, " << each.rule << ": " << each.what << "\n";
+      broken = true;
+    }
+  }
+  std::cout << "seed " << plan.seed << ", " << plan.arrivals.size() << " jobs\n" << drydock::sideBySide(columns);
+  return broken ? 1 : 0;
+}
+
 }  // namespace
 
 int runDrydock(int argc, char** argv) {
@@ -74,7 +100,35 @@
     TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
     TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
+    TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
+    TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
     line.parse(argc, argv);
+    if (!variant.getValue().empty()) {
+      drydock::DayPlan plan;
+      plan.seed = seed.getValue();
+      plan.fleet.tickUs = 25000;
+      std::vector<drydock::Variant> variants;
+      for (const auto& text : variant.getValue()) {
+        const auto equals = text.find('=');
+        Json patch = equals == std::string::npos ? nullptr : parseJson(std::string_view(text).substr(equals + 1));
+        if (!json_is_object(patch.get())) throw TCLAP::ArgException("allowed is NAME=PATCH with a JSON object", "variant");
+        variants.push_back({text.substr(0, equals), text.substr(equals + 1)});
+      }
+      if (replay.getValue().empty()) {
+        plan.arrivals = drydock::drawArrivals(loadFrom(load.getValue()), seconds.getValue(), factor.getValue(), seed.getValue());
+      } else {
+        std::ifstream in(replay.getValue());
+        std::stringstream text;
+        text << in.rdbuf();
+        std::size_t badLine = 0;
+        std::string allowed;
+        if (!in || !drydock::readTrace(text.str(), plan.arrivals, badLine, allowed))
+          throw TCLAP::ArgException(in ? "line " + std::to_string(badLine) + ": allowed is " + allowed : "cannot be read", replay.getValue());
+      }
+      plan.seconds = 8 + static_cast<double>(plan.arrivals.empty() ? 0 : plan.arrivals.back().atMs) / 1000;
+      plan.tailSeconds = 1800;
+      return runWhatIf(std::move(plan), variants, std::max(1, threads.getValue()));
+    }
     const auto names = drydock::faultNames();
     if (fault.getValue() == "list") {
       for (const auto& name : names) std::cout << name << "\n";
--- a/src/roles/helm.cpp
+++ b/src/roles/helm.cpp
@@ -249,7 +249,7 @@
   try {
     TCLAP::CmdLine line(
         "commands: submit FILE | get JOB | list [STATE] | cancel JOB | wait JOB | config get | config put FILE | config patch FILE | "
-        "workers | members | leader | status | counters | log | drain WORKER | undrain WORKER | empty CELL | fill CELL | load SCENARIO",
+        "workers | members | leader | status | counters | log | trace | drain WORKER | undrain WORKER | empty CELL | fill CELL | load SCENARIO",
         ' ', "0.1.0");
     TCLAP::ValueArg<std::string> at("a", "at", "http addresses of daemons, joined by commas", true, "", "IP:PORT,...", line);
     TCLAP::SwitchArg json("j", "json", "print the answer as it came", line);
@@ -292,6 +292,12 @@
     if (word(0) == "members" && one) return does({"GET", "/members", ""});
     if (word(0) == "leader" && one) return does({"GET", "/leader", ""});
     if (word(0) == "counters" && one) return does({"GET", "/counters", ""});
+    if (word(0) == "trace" && one) {
+      const auto reply = ask(helm, {"GET", "/trace", ""});
+      if (reply.status != 200) return show(helm, reply);
+      std::cout << reply.body;
+      return 0;
+    }
     if (word(0) == "log" && one) return does({"GET", "/log", ""});
     if (word(0) == "load" && two) return runLoad(helm, readInput(word(1)), seconds.getValue(), factor.getValue());
     if (word(0) == "status" && one) {
--- a/src/roles/node.cpp
+++ b/src/roles/node.cpp
@@ -152,6 +152,7 @@
     case Call::getJob: return manifest::getJob(*node.pilot, ask.transaction, JobId(outcome.names.at("job")), out);
     case Call::cancelJob: return manifest::cancelJob(*node.pilot, ask.transaction, JobId(outcome.names.at("job")), now, out);
     case Call::workers: return manifest::listWorkers(*node.pilot, ask.transaction, now, out);
+    case Call::trace: return manifest::traceJobs(*node.pilot, ask.transaction, out);
     case Call::report: return manifest::workerReport(*node.tender, ask.transaction, ask.body, now, out);
   }
 }
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -1,6 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
-#include "drydock/day.hpp"
+#include "drydock/whatif.hpp"
 
 using namespace tulip::drydock;
 
@@ -80,3 +80,33 @@
 TEST(day, work_pushed_aside_again_and_again_still_ends) {
   keeps(132, {"quay-kill", "crowd"});
 }
+
+TEST(day, two_rules_see_the_same_traffic_and_lose_no_job) {
+  const auto arrivals = drawArrivals(builtInLoad("leatherwood"), 8, 1, 77);
+  for (const char* patch : {R"({"admission":{"rule":"las"}})", R"({"admission":{"rule":"fifo"}})", R"({"admission":{"rule":"gittins"}})"}) {
+    DayPlan plan;
+    plan.seed = 77;
+    plan.arrivals = arrivals;
+    plan.chartPatch = patch;
+    plan.seconds = 14;
+    const auto result = runDay(plan);
+    LONGS_EQUAL(0, result.broken.size());
+    std::size_t ended = 0;
+    for (const auto& arrival : arrivals) ended += result.truth.at(arrival.job.id).shown == "finished";
+    LONGS_EQUAL(arrivals.size(), ended);
+  }
+}
+
+TEST(day, a_bad_trace_line_is_named_by_its_number) {
+  std::vector<Arrival> arrivals;
+  std::size_t badLine = 0;
+  std::string allowed;
+  const std::string good = R"({"atMs":10,"id":"a","pending":"gate","tasks":[{"slots":1,"runMs":5}]})";
+  CHECK(readTrace(good + "\n", arrivals, badLine, allowed));
+  LONGS_EQUAL(1, arrivals.size());
+  CHECK_FALSE(readTrace(good + "\n\n" + good, arrivals, badLine, allowed));
+  LONGS_EQUAL(3, badLine);
+  CHECK_FALSE(readTrace(R"({"atMs":10,"id":"a","pending":"gate","tasks":[{"slots":1,"runMs":5,"after":[0]}]})", arrivals, badLine, allowed));
+  LONGS_EQUAL(1, badLine);
+  CHECK_FALSE(readTrace("", arrivals, badLine, allowed));
+}
