A failure counts against a worker only when the task then succeeds elsewhere

Cause: jobs that never succeed fail wherever they run. After a crowd of them most of the work left was theirs, and seven of eleven workers were shunned for up to two minutes; wide gangs had no room.

Now the worker is blamed when the task it failed ends cleanly on another; a retry goes elsewhere if it can; never more than a third of the workers are shunned at once.

--- a/src/berth/berth.cpp
+++ b/src/berth/berth.cpp
@@ -50,8 +50,9 @@
         best = i;
         continue;
       }
-      if (berths[i].doubt != berths[best].doubt) {
-        if (berths[i].doubt < berths[best].doubt) best = i;
+      const auto doubt = [&](std::size_t at) { return berths[at].doubt + (!need.avoid.empty() && need.avoid == berths[at].worker); };
+      if (doubt(i) != doubt(best)) {
+        if (doubt(i) < doubt(best)) best = i;
         continue;
       }
       if (layout == chart::Layout::pack) {
--- a/src/berth/berth.hpp
+++ b/src/berth/berth.hpp
@@ -37,6 +37,7 @@
   std::size_t task = 0;
   Room room;
   Labels labels;
+  WorkerId avoid = {};
 };
 
 bool suits(const Need& need, const Berth& berth);
--- a/src/manifest/job.cpp
+++ b/src/manifest/job.cpp
@@ -321,6 +321,7 @@
 void endRun(Job& job, std::size_t at, RunOutcome outcome, const std::string& detail, const chart::Pending& line, Millis fleetMs) {
   accrueTo(job, fleetMs);
   auto& task = job.tasks[at];
+  if (outcome == RunOutcome::failed) task.failedOn = task.worker;
   task.run = RunId();
   task.worker = WorkerId();
   task.workerIncarnation.clear();
--- a/src/manifest/job.hpp
+++ b/src/manifest/job.hpp
@@ -28,8 +28,9 @@
   bool stopping = false;
   std::string detail;
   Millis ranMs = 0;
+  WorkerId failedOn;
   MSGPACK_DEFINE(name, need, after, payload, state, failures, attempts, notBeforeMs, run, worker, workerIncarnation, orderedMs,
-                 confirmed, stopping, detail, ranMs)
+                 confirmed, stopping, detail, ranMs, failedOn)
 };
 
 struct Job {
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -91,6 +91,9 @@
 
 void shun(PilotState& pilot, WorkerRow& row, Now now) {
   auto& standing = row.standing;
+  const auto already = std::count_if(pilot.workers.begin(), pilot.workers.end(),
+                                     [&](const auto& other) { return now.steadyMs < other.second.standing.shunnedUntilMs; });
+  if (3 * (already + 1) > static_cast<std::ptrdiff_t>(pilot.workers.size()) && pilot.workers.size() > 1) return;
   const auto doublings = std::min<std::int64_t>(standing.shuns, 4);
   standing.shunnedUntilMs = now.steadyMs + 4 * bounds(pilot).workerTermMs * (1LL << doublings);
   ++standing.shuns;
@@ -115,30 +118,27 @@
   }
 }
 
+void blame(PilotState& pilot, const WorkerId& id, Now now) {
+  auto found = pilot.workers.find(id);
+  if (found == pilot.workers.end()) return;
+  constexpr double kWeight = 0.2, kShunned = 0.45;
+  auto& standing = found->second.standing;
+  standing.failRate += kWeight * (1.0 - standing.failRate);
+  if (standing.failRate <= kShunned) return;
+  shun(pilot, found->second, now);
+  standing.failRate = kShunned * 0.9;
+}
+
 void judgeWorker(PilotState& pilot, WorkerRow& row, const Job& job, const Task& task, RunOutcome outcome, Now now) {
   auto& standing = row.standing;
-  if (outcome != RunOutcome::clean && outcome != RunOutcome::failed) return;
-  const bool failed = outcome == RunOutcome::failed;
-  ++(failed ? standing.failed : standing.clean);
+  if (outcome == RunOutcome::failed) ++standing.failed;
+  if (outcome != RunOutcome::clean) return;
+  ++standing.clean;
   constexpr double kWeight = 0.2;
-  standing.failRate += kWeight * ((failed ? 1.0 : 0.0) - standing.failRate);
-  if (!failed) {
-    judgePace(pilot, row, job.pending, fleet(pilot, now) - task.orderedMs, now);
-    if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
-    return;
-  }
-  double others = 0;
-  int count = 0;
-  for (const auto& [id, other] : pilot.workers)
-    if (id != row.id && other.standing.clean + other.standing.failed > 0) {
-      others += other.standing.failRate;
-      ++count;
-    }
-  const double usual = count ? others / count : 0;
-  if (standing.failRate > 0.45 && standing.failRate > 2 * usual + 0.2) {
-    shun(pilot, row, now);
-    standing.failRate = 0.4;
-  }
+  standing.failRate -= kWeight * standing.failRate;
+  judgePace(pilot, row, job.pending, fleet(pilot, now) - task.orderedMs, now);
+  if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
+  if (!task.failedOn.empty() && task.failedOn != row.id) blame(pilot, task.failedOn, now);
 }
 
 void finishRun(PilotState& pilot, const JobId& id, std::size_t at, RunOutcome outcome, const std::string& detail, Now now) {
@@ -499,7 +499,7 @@
   for (const auto& id : pilot.open) {
     const auto& job = pilot.jobs.at(id);
     admission::Candidate candidate;
-    for (const auto i : readyTasks(job, fleetMs)) candidate.ready.push_back({i, job.tasks[i].need, job.labels});
+    for (const auto i : readyTasks(job, fleetMs)) candidate.ready.push_back({i, job.tasks[i].need, job.labels, job.tasks[i].failedOn});
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
       const auto& task = job.tasks[i];
       if (task.state != TaskState::placed) continue;
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -79,6 +79,7 @@
 
 TEST(day, work_pushed_aside_again_and_again_still_ends) {
   keeps(132, {"quay-kill", "crowd"});
+  keeps(20805, {"slow-disk", "crowd"});
 }
 
 TEST(day, two_rules_see_the_same_traffic_and_lose_no_job) {
