--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -47,10 +47,17 @@
   }
 
   void teardown() override {
+    std::vector<pid_t> left;
     if (runner > 0) {
+      for (const auto& hand : hands()) left.push_back(hand.pid);
       kill(runner, SIGTERM);
-      waitpid(runner, nullptr, 0);
+      int status = 0;
+      waitpid(runner, &status, 0);
+      CHECK(WIFEXITED(status));
+      LONGS_EQUAL(0, WEXITSTATUS(status));
     }
+    for (const auto pid : left)
+      if (pid > 0) CHECK(kill(pid, 0) != 0);
     fs::remove_all(folder);
   }
 
