--- /dev/null
+++ b/src/drydock/journals.hpp
@@ -0,0 +1,15 @@
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tulip::drydock {
+
+struct JournalVerdict {
+  std::vector<std::string> broken;
+  std::int64_t starts = 0, cleanTasks = 0, unacknowledgedReruns = 0;
+};
+
+JournalVerdict judgeJournals(const std::string& folder, std::int64_t slotsEach = 8);
+
+}  // namespace tulip::drydock
--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -62,6 +62,7 @@
   auto rest = line.substr(space + 1);
   const Millis now = sim_.nowMs();
   if (kind == "start") {
+    rest.resize(std::min(rest.size(), rest.find(' ')));
     ++starts;
     auto [job, at] = find(rest);
     if (!job) return fault("asked-for", "a run nobody asked for: " + rest);
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "bearing/errors.hpp"
+#include "drydock/journals.hpp"
 #include "drydock/whatif.hpp"
 #include "roles/daemon.hpp"
 
@@ -102,6 +103,7 @@
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
     TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
     TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> journals("", "journals", "judge the journals of a real fleet's workers in this folder", false, "", "FOLDER", line);
     line.parse(argc, argv);
     if (!variant.getValue().empty()) {
       drydock::DayPlan plan;
@@ -129,6 +131,13 @@
       plan.tailSeconds = 1800;
       return runWhatIf(std::move(plan), variants, std::max(1, threads.getValue()));
     }
+    if (!journals.getValue().empty()) {
+      const auto verdict = drydock::judgeJournals(journals.getValue());
+      for (const auto& fault : verdict.broken) std::cout << fault << "\n";
+      std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, " << verdict.broken.size() << " broken, "
+                << verdict.unacknowledgedReruns << " run again after an end that died unacknowledged\n";
+      return verdict.broken.empty() && verdict.starts > 0 ? 0 : 1;
+    }
     const auto names = drydock::faultNames();
     if (fault.getValue() == "list") {
       for (const auto& name : names) std::cout << name << "\n";
--- a/src/roles/roadstead.cpp
+++ b/src/roles/roadstead.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <thread>
 
 #include "bearing/env.hpp"
@@ -27,6 +28,7 @@
   std::vector<std::string> words;
   pid_t pid = -1;
   std::string http;
+  std::chrono::steady_clock::time_point startAt;
 };
 
 volatile std::sig_atomic_t stopAsked = 0;
@@ -81,6 +83,8 @@
   int base = 0, cells = 0, pilots = 0, workers = 0, slots = 0;
   long termMs = 0, workerTermMs = 0;
   bool respawn = false;
+  std::uint64_t stir = 0;
+  long stirEveryMs = 0;
   try {
     TCLAP::CmdLine line("a whole fleet on one machine, for trying and testing", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> folderArg("", "folder", "where data, logs and fleet.json go", false, "fleet", "FOLDER", line);
@@ -92,7 +96,11 @@
     TCLAP::ValueArg<long> termArg("", "term-ms", "term of sessions and of the leader", false, 1500, "MS", line);
     TCLAP::ValueArg<long> workerTermArg("", "worker-term-ms", "term of workers", false, 2000, "MS", line);
     TCLAP::SwitchArg respawnArg("", "respawn", "start a daemon again when it ends", line);
+    TCLAP::ValueArg<std::uint64_t> stirArg("", "stir", "seed for killing, freezing and starting again; 0 for none", false, 0, "SEED", line);
+    TCLAP::ValueArg<long> stirEveryArg("", "stir-every-ms", "mean gap between two such blows", false, 2000, "MS", line);
     line.parse(argc, argv);
+    stir = stirArg.getValue();
+    stirEveryMs = std::max(10L, stirEveryArg.getValue());
     folder = folderArg.getValue();
     base = baseArg.getValue();
     cells = cellsArg.getValue();
@@ -101,7 +109,7 @@
     slots = slotsArg.getValue();
     termMs = termArg.getValue();
     workerTermMs = workerTermArg.getValue();
-    respawn = respawnArg.getValue();
+    respawn = respawnArg.getValue() || stir != 0;
     if (cells < 1 || cells > 26 || pilots < 1 || workers < 0 || slots < 1 || base < 0 || base > 60000)
       throw TCLAP::ArgException("allowed is 1 to 26 cells, 1 pilot or more, 1 slot or more, a port up to 60000", "flags");
   } catch (const TCLAP::ArgException& failed) {
@@ -121,7 +129,7 @@
     std::vector<std::string> words{"tulippitch", role, "--name", name, "--signal", signal, "--http", http, "--cell", cellOf(i), "--seeds", joined,
                                    "--term-ms", std::to_string(termMs), "--worker-term-ms", std::to_string(workerTermMs)};
     words.insert(words.end(), more.begin(), more.end());
-    hands.push_back({name, words, -1, http});
+    hands.push_back({name, words, -1, http, {}});
     return http;
   };
   for (int i = 0; i < 3; ++i) daemon("quay", i, seeds[static_cast<std::size_t>(i)], {"--data-folder", folder + "/quay-" + std::to_string(i + 1)});
@@ -133,7 +141,8 @@
                      {"tulippitch", "stevedore", "--tender", http, "--worker", name, "--pool", "side", "--slots", std::to_string(slots), "--journal",
                       folder + "/" + name + ".journal"},
                      -1,
-                     ""});
+                     "",
+                     {}});
   }
   ports.kept.clear();
   struct sigaction action {};
@@ -147,7 +156,45 @@
   for (const auto& hand : hands)
     if (hand.name.starts_with("pilot")) std::cout << " " << hand.http;
   std::cout << std::endl;
+  std::mt19937_64 random(stir);
+  auto nextBlow = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+  std::vector<std::pair<std::chrono::steady_clock::time_point, pid_t>> frozen;
+  std::chrono::steady_clock::time_point quaySafeAt;
+  auto below = [&](long bound) { return static_cast<long>(random() % static_cast<std::uint64_t>(bound)); };
+  const auto quayDown = [&] {
+    for (const auto& hand : hands) {
+      const bool still = std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == hand.pid; });
+      if (hand.name.starts_with("quay") && (hand.pid < 0 || still)) return true;
+    }
+    return std::chrono::steady_clock::now() < quaySafeAt;
+  };
   while (!stopAsked) {
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(frozen, [&](const auto& row) { return row.first <= now && (kill(row.second, SIGCONT), true); });
+    for (auto& hand : hands)
+      if (hand.pid < 0 && hand.startAt <= now && respawn) {
+        hand.pid = start(hand, folder);
+        writeFleet(folder, hands);
+      }
+    if (stir != 0 && now >= nextBlow) {
+      nextBlow = now + std::chrono::milliseconds(stirEveryMs / 2 + below(stirEveryMs));
+      auto& hand = hands[static_cast<std::size_t>(below(static_cast<long>(hands.size())))];
+      const bool quay = hand.name.starts_with("quay");
+      const bool still = std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == hand.pid; });
+      if (hand.pid > 0 && !still && !(quay && quayDown())) {
+        const long spanMs = 200 + below(4000);
+        if (quay) quaySafeAt = now + std::chrono::milliseconds(spanMs + 3 * termMs);
+        if (below(2)) {
+          kill(hand.pid, SIGKILL);
+          hand.startAt = now + std::chrono::milliseconds(spanMs);
+          std::cout << "killed " << hand.name << " for " << spanMs << " ms" << std::endl;
+        } else {
+          kill(hand.pid, SIGSTOP);
+          frozen.emplace_back(now + std::chrono::milliseconds(spanMs), hand.pid);
+          std::cout << "froze " << hand.name << " for " << spanMs << " ms" << std::endl;
+        }
+      }
+    }
     int status = 0;
     const pid_t gone = waitpid(-1, &status, WNOHANG);
     if (gone <= 0) {
@@ -158,10 +205,11 @@
       if (hand.pid == gone) {
         std::cout << hand.name << " ended (" << (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "exit " + std::to_string(WEXITSTATUS(status)))
                   << ")" << std::endl;
-        hand.pid = respawn ? start(hand, folder) : -1;
+        hand.pid = -1;
         writeFleet(folder, hands);
       }
   }
+  for (const auto& [until, pid] : frozen) kill(pid, SIGCONT);
   for (auto at = hands.rbegin(); at != hands.rend(); ++at)
     if (at->pid > 0) kill(at->pid, SIGTERM);
   const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(8);
--- a/src/roles/worker.cpp
+++ b/src/roles/worker.cpp
@@ -61,7 +61,8 @@
   }
   const json_t* ack = json_object_get(root.get(), "ack");
   for (std::size_t i = 0; i < json_array_size(ack); ++i)
-    if (const char* run = json_string_value(json_array_get(ack, i))) worker.ended.erase(run);
+    if (const char* run = json_string_value(json_array_get(ack, i)); run && worker.ended.erase(run))
+      worker.journal.push_back(std::string("acked ") + run);
   const json_t* start = json_object_get(root.get(), "start");
   for (std::size_t i = 0; i < json_array_size(start); ++i) {
     const json_t* item = json_array_get(start, i);
@@ -76,7 +77,7 @@
     going.fails = attemptOf(run) <= numberAt(payload, "failAttempts") || flagAt(payload, "fails") ||
                   (worker.traits.failEvery > 0 && worker.started % worker.traits.failEvery == 0);
     worker.going[run] = going;
-    worker.journal.push_back("start " + run);
+    worker.journal.push_back("start " + run + " " + std::to_string(going.slots));
   }
 }
 
