--- a/src/gangway/front.cpp
+++ b/src/gangway/front.cpp
@@ -65,6 +65,7 @@
   add("POST", "/jobs/:job/cancel", {lead}, Call::cancelJob);
   add("GET", "/workers", {lead}, Call::workers);
   add("GET", "/trace", {lead}, Call::trace);
+  add("GET", "/snapshot", {lead}, Call::snapshot);
   if (role == Role::tender) add("POST", "/worker/report", {body, some}, Call::report);
   return rules;
 }
--- /dev/null
+++ b/src/lookout/lookout.hpp
@@ -0,0 +1,23 @@
+#pragma once
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bearing/errors.hpp"
+#include "bearing/json.hpp"
+
+namespace tulip::lookout {
+
+struct Table {
+  std::vector<std::string> columns;
+  std::vector<std::vector<std::string>> rows;
+};
+
+struct Bounds {
+  std::int64_t mostSteps = 50000000;
+  std::size_t mostRows = 10000;
+};
+
+std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail, Bounds bounds = {});
+
+}  // namespace tulip::lookout
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -862,8 +862,7 @@
   out.answer(transaction, 200, std::move(text));
 }
 
-void listWorkers(const PilotState& pilot, std::uint64_t transaction, Now now, Outbox& out) {
-  Json root(json_object());
+json_t* workersView(const PilotState& pilot, Now now) {
   json_t* list = json_array();
   for (const auto& [id, row] : pilot.workers) {
     json_t* item = json_object();
@@ -888,10 +887,42 @@
     json_object_set_new(item, "heardAgoMs", json_integer(now.steadyMs - row.heardMs));
     json_array_append_new(list, item);
   }
-  json_object_set_new(root.get(), "workers", list);
+  return list;
+}
+
+void listWorkers(const PilotState& pilot, std::uint64_t transaction, Now now, Outbox& out) {
+  Json root(json_object());
+  json_object_set_new(root.get(), "workers", workersView(pilot, now));
   out.answer(transaction, 200, dumpJson(root.get()));
 }
 
+void snapshotJobs(const PilotState& pilot, std::uint64_t transaction, Json members, Now now, Outbox& out) {
+  constexpr std::size_t kMostJobs = 5000;
+  std::vector<const Job*> chosen;
+  for (const auto& id : pilot.open)
+    if (auto found = pilot.told.find(id); found != pilot.told.end() && chosen.size() < kMostJobs) chosen.push_back(found->second.get());
+  for (auto at = pilot.ended.rbegin(); at != pilot.ended.rend() && chosen.size() < kMostJobs; ++at)
+    if (auto found = pilot.told.find(at->second); found != pilot.told.end()) chosen.push_back(found->second.get());
+  json_t *jobs = json_array(), *tasks = json_array();
+  for (const auto* job : chosen) {
+    json_t* view = viewJob(*job, false);
+    const json_t* own = json_object_get(view, "tasks");
+    for (std::size_t i = 0; i < json_array_size(own); ++i) {
+      json_t* task = json_array_get(own, i);
+      json_object_set_new(task, "job", jsonText(job->id.view()));
+      json_array_append(tasks, task);
+    }
+    json_object_del(view, "tasks");
+    json_array_append_new(jobs, view);
+  }
+  json_object_set_new(members.get(), "jobs", jobs);
+  json_object_set_new(members.get(), "tasks", tasks);
+  json_object_set_new(members.get(), "workers", workersView(pilot, now));
+  json_object_set_new(members.get(), "complete", json_boolean(chosen.size() == pilot.told.size()));
+  if (Json chart = parseJson(pilot.crew.chartText)) json_object_set_new(members.get(), "configuration", chart.release());
+  out.answer(transaction, 200, dumpJson(members.get()));
+}
+
 std::string countersJson(const PilotState& pilot) {
   Json root(json_object());
   const auto& c = pilot.counts;
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -118,6 +118,8 @@
 void getJob(const PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Outbox& out);
 void listJobs(const PilotState& pilot, std::uint64_t transaction, const std::map<std::string, std::string>& query, signal::Outbox& out);
 void traceJobs(const PilotState& pilot, std::uint64_t transaction, signal::Outbox& out);
+json_t* workersView(const PilotState& pilot, signal::Now now);
+void snapshotJobs(const PilotState& pilot, std::uint64_t transaction, Json members, signal::Now now, signal::Outbox& out);
 void listWorkers(const PilotState& pilot, std::uint64_t transaction, signal::Now now, signal::Outbox& out);
 std::string countersJson(const PilotState& pilot);
 std::string checkRoom(const PilotState& pilot);
--- a/src/roles/helm.cpp
+++ b/src/roles/helm.cpp
@@ -10,6 +10,7 @@
 #include "drydock/load.hpp"
 #include "bearing/json.hpp"
 #include "gangway/http.hpp"
+#include "lookout/lookout.hpp"
 #include "roles/daemon.hpp"
 
 namespace tulip::roles {
@@ -140,6 +141,37 @@
   }
 }
 
+int runQuery(const Helm& helm, const std::string& sql) {
+  const auto reply = ask(helm, {"GET", "/snapshot", ""});
+  if (reply.status != 200) return show(helm, reply);
+  Json snapshot = parseJson(reply.body);
+  lookout::Table table;
+  std::string detail;
+  if (const auto failed = lookout::query(snapshot.get(), sql, table, detail)) {
+    const auto& row = rowOf(static_cast<Kind>(failed.value()));
+    std::cerr << row.name << ": " << detail << std::endl;
+    return row.exitCode;
+  }
+  if (!flagAt(snapshot.get(), "complete")) std::cerr << "only open jobs and the newest ended ones are in this snapshot" << std::endl;
+  if (helm.json) {
+    Json list(json_array());
+    for (const auto& cells : table.rows) {
+      json_t* item = json_object();
+      for (std::size_t i = 0; i < cells.size(); ++i) json_object_set_new(item, table.columns[i].c_str(), jsonText(cells[i]));
+      json_array_append_new(list.get(), item);
+    }
+    std::cout << dumpJson(list.get()) << "\n";
+    return 0;
+  }
+  auto print = [](const std::vector<std::string>& cells) {
+    for (std::size_t i = 0; i < cells.size(); ++i) std::cout << (i ? "\t" : "") << cells[i];
+    std::cout << "\n";
+  };
+  print(table.columns);
+  for (const auto& cells : table.rows) print(cells);
+  return 0;
+}
+
 struct LoadRun {
   const Helm& helm;
   boost::asio::io_context context;
@@ -249,7 +281,7 @@
   try {
     TCLAP::CmdLine line(
         "commands: submit FILE | get JOB | list [STATE] | cancel JOB | wait JOB | config get | config put FILE | config patch FILE | "
-        "workers | members | leader | status | counters | log | trace | drain WORKER | undrain WORKER | empty CELL | fill CELL | load SCENARIO",
+        "workers | members | leader | status | counters | log | trace | drain WORKER | undrain WORKER | empty CELL | fill CELL | load SCENARIO | query SQL",
         ' ', "0.1.0");
     TCLAP::ValueArg<std::string> at("a", "at", "http addresses of daemons, joined by commas", true, "", "IP:PORT,...", line);
     TCLAP::SwitchArg json("j", "json", "print the answer as it came", line);
@@ -299,6 +331,7 @@
       return 0;
     }
     if (word(0) == "log" && one) return does({"GET", "/log", ""});
+    if (word(0) == "query" && two) return runQuery(helm, word(1));
     if (word(0) == "load" && two) return runLoad(helm, readInput(word(1)), seconds.getValue(), factor.getValue());
     if (word(0) == "status" && one) {
       const int leader = does({"GET", "/leader", ""});
--- a/src/roles/node.cpp
+++ b/src/roles/node.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-void answerMembers(const watch::Crew& crew, std::uint64_t transaction, Outbox& out) {
+Json membersView(const watch::Crew& crew) {
   Json root(json_object());
   json_t* list = json_array();
   for (const auto& member : crew.members) {
@@ -31,7 +31,7 @@
   for (const auto& seat : crew.cohort.seats) json_array_append_new(seats, jsonText(seat.id.value + "@" + seat.signal.value));
   json_object_set_new(cohort, "seats", seats);
   json_object_set_new(root.get(), "cohort", cohort);
-  out.answer(transaction, 200, dumpJson(root.get()));
+  return root;
 }
 
 void answerLeader(Node& node, std::uint64_t transaction, Now now, Outbox& out) {
@@ -143,7 +143,8 @@
       return out.answer(ask.transaction, 200, dumpJson(list.get()));
     }
     case Call::leader: return answerLeader(node, ask.transaction, now, out);
-    case Call::members: return answerMembers(crew, ask.transaction, out);
+    case Call::members: return out.answer(ask.transaction, 200, dumpJson(membersView(crew).get()));
+    case Call::snapshot: return manifest::snapshotJobs(*node.pilot, ask.transaction, membersView(crew), now, out);
     case Call::getChart: return answerChart(crew, ask.transaction, out);
     case Call::putChart: return changeChart(node, ask, true, now, out);
     case Call::patchChart: return changeChart(node, ask, false, now, out);
