Ended jobs past their keeping leave nothing behind in the leader either

The test keeps 100 ended jobs through a leader's and a quay's death and counts what is left: without the change the leader's table held more than the 100, with it 100 at the leader and 100 at each quay.

--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -413,6 +413,10 @@
            run.sim.crashWorker(hand);
            run.sim.crash(*hand.tender);
            run.retired.insert(hand.tender->name);
+           if (run.plan.fleet.selfStop) return;
+           const auto mark = "mark-" + std::to_string(++run.nextMark);
+           run.changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"workers\":{\"" + hand.worker.traits.name + "\":{\"gone\":true}}}", mark,
+                           "t-" + mark, "", {});
          });
        }},
       {"worker-slow", [](Run& run) {
@@ -577,6 +581,7 @@
 DayResult runDay(const DayPlan& plan) {
   Run run(plan);
   auto& sim = run.sim;
+  run.judge.forgetsEnded = plan.forgetsEnded;
   run.judge.failureLimit = {{"checkout", 3}, {"gate", 3}, {"rebuild", 4}, {"probe", 3}};
   sim.onAlarm = [&](Host& host, const std::string& text) {
     constexpr std::size_t kMostAlarms = 200;
@@ -650,7 +655,15 @@
     if (job.firstStartMs >= 0) result.startMs.push_back(job.firstStartMs - job.submittedMs);
     if (job.shown == "finished") result.finishMs.push_back(job.shownEndedMs - job.submittedMs);
   }
-  for (const auto& host : sim.all()) result.syncs += host->syncs;
+  for (const auto& host : sim.all()) {
+    result.syncs += host->syncs;
+    result.mostQuayKeys = std::max(result.mostQuayKeys, host->disk.jobs.size());
+  }
+  if (auto* leader = sim.leader()) {
+    result.dropped = leader->node->pilot->counts.dropped;
+    result.leaderKeys = leader->node->pilot->current.size();
+    result.leaderJobs = leader->node->pilot->told.size();
+  }
   result.truth = std::move(run.judge.jobs);
   return result;
 }
--- a/src/drydock/day.hpp
+++ b/src/drydock/day.hpp
@@ -18,6 +18,7 @@
   std::vector<Arrival> arrivals;
   std::string chartPatch;
   double tailSeconds = 90;
+  bool forgetsEnded = false;
 };
 
 struct DayResult {
@@ -32,6 +33,8 @@
   Millis leaderGapMs = 0;
   std::vector<Millis> submitMs, startMs, finishMs;
   std::uint64_t syncs = 0;
+  std::uint64_t dropped = 0;
+  std::size_t leaderKeys = 0, leaderJobs = 0, mostQuayKeys = 0;
   std::map<std::string, JobTruth> truth;
   std::vector<std::string> alarms;
 };
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -59,6 +59,7 @@
   std::map<std::string, std::int64_t> failureLimit;
   std::vector<Broken> broken;
   std::int64_t starts = 0, ends = 0, checks = 0;
+  bool forgetsEnded = false;
 
  private:
   void journal(Hand& hand, const std::string& line);
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -35,6 +35,7 @@
   pilot.toldHeld.clear();
   pilot.waiting.clear();
   pilot.current.clear();
+  pilot.tombs.clear();
   pilot.seats.clear();
   pilot.batches.clear();
   pilot.workers.clear();
@@ -253,6 +254,7 @@
 }
 
 void write(PilotState& pilot, const std::string& key, std::string value) {
+  if (value.empty()) pilot.tombs.emplace_back(pilot.seq, key);
   pilot.current[key] = Entry{key, versionNow(pilot), std::move(value)};
   for (auto& [id, seat] : pilot.seats) seat.owed.insert(key);
 }
@@ -573,6 +575,15 @@
   const bool inStep = std::all_of(pilot.seats.begin(), pilot.seats.end(), [&](const auto& seat) {
     return seat.second.promised && seat.second.ackedSeq >= pilot.committed && pilot.committed > 0;
   });
+  if (inStep) {
+    std::uint64_t least = pilot.seq;
+    for (const auto& [id, seat] : pilot.seats) least = std::min(least, seat.ackedSeq);
+    while (!pilot.tombs.empty() && pilot.tombs.front().first <= least) {
+      auto found = pilot.current.find(pilot.tombs.front().second);
+      if (found != pilot.current.end() && found->second.value.empty()) pilot.current.erase(found);
+      pilot.tombs.pop_front();
+    }
+  }
   std::size_t budget = 64;
   while (inStep && budget-- && !pilot.ended.empty() &&
          (static_cast<std::int64_t>(pilot.ended.size()) > keep.finishedMost || fleetMs - pilot.ended.front().first > keep.finishedMs)) {
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -89,6 +89,7 @@
   std::map<WorkerId, std::map<RunId, std::pair<JobId, std::size_t>>> toldHeld;
   std::vector<Waiting> waiting;
   absl::btree_map<std::string, signal::Entry> current;
+  std::deque<std::pair<std::uint64_t, std::string>> tombs;
   std::map<DaemonId, SeatRow> seats;
   std::uint64_t seq = 0;
   std::uint64_t committed = 0;
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -100,6 +100,7 @@
     TCLAP::ValueArg<std::string> rule("", "rule", "las, gittins or fifo", false, "las", "RULE", line);
     TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
     TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
+    TCLAP::SwitchArg stays("", "no-self-stop", "workers go on when unheard past their term", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
     TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
     TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
@@ -151,6 +152,7 @@
       plan.seconds = seconds.getValue();
       plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
+      plan.fleet.selfStop = !stays.getValue();
       if (fault.getValue() == "pairs") {
         plan.faults = drydock::drawFaults(plan.seed);
       } else {
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -111,3 +111,21 @@
   LONGS_EQUAL(1, badLine);
   CHECK_FALSE(readTrace("", arrivals, badLine, allowed));
 }
+
+TEST(day, ended_jobs_past_their_keeping_leave_no_trace_behind) {
+  DayPlan plan;
+  plan.seed = 31;
+  plan.seconds = 24;
+  plan.arrivals = drawArrivals(builtInLoad("kerala"), 18, 2, 31);
+  plan.chartPatch = R"({"keep":{"finishedMost":100}})";
+  plan.forgetsEnded = true;
+  plan.faults = {"leader-kill", "quay-kill"};
+  const auto result = runDay(plan);
+  for (const auto& each : result.broken) UT_PRINT((each.rule + ": " + each.what).c_str());
+  LONGS_EQUAL(0, result.broken.size());
+  CHECK(result.jobs > 300);
+  CHECK(result.dropped > 50);
+  LONGS_EQUAL(100, result.leaderJobs);
+  LONGS_EQUAL(100, result.leaderKeys);
+  LONGS_EQUAL(100, result.mostQuayKeys);
+}
