Callers take a quarter of a ring at most, a pending line its share of open jobs

Cause: daemons' messages and callers' asks shared one bounded ring, so a flood of calls could fill it and drop the quays' answers that renew the leader's lease. And one line could fill mostOpenJobs alone.

Asks beyond a quarter of the ring are denied at once as overloaded. Half of mostOpenJobs is for anyone, the other half is cut evenly among the pending lines.

--- a/src/bearing/ring.hpp
+++ b/src/bearing/ring.hpp
@@ -1,4 +1,6 @@
 #pragma once
+#include <algorithm>
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -10,10 +12,12 @@
 template <class Item> struct Ring {
   explicit Ring(std::size_t bound) : bound_(bound) {}
 
-  bool offer(Item item) {
+  bool offer(Item item) { return offerWithin(std::move(item), bound_); }
+
+  bool offerWithin(Item item, std::size_t most) {
     {
       std::lock_guard lock(guard_);
-      if (closed_ || items_.size() >= bound_) return false;
+      if (closed_ || items_.size() >= std::min(most, bound_)) return false;
       items_.push_back(std::move(item));
     }
     filled_.notify_one();
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -795,7 +795,11 @@
     return;
   }
   const auto& line = chart.pendings.at(job.pending.value);
-  if (pilot.openPer[job.pending] >= line.mostJobs || static_cast<std::int64_t>(pilot.open.size()) >= chart.gangway.mostOpenJobs) {
+  const auto most = chart.gangway.mostOpenJobs;
+  const auto open = static_cast<std::int64_t>(pilot.open.size());
+  const auto share = std::max<std::int64_t>(1, most / 2 / static_cast<std::int64_t>(chart.pendings.size()));
+  const auto mine = pilot.openPer[job.pending];
+  if (mine >= line.mostJobs || open >= most || (mine >= share && open >= most - most / 2)) {
     ++pilot.counts.denied;
     return watch::answerKind(out, transaction, Kind::overloaded, bounds(pilot), job.pending.view());
   }
--- a/src/roles/daemon.cpp
+++ b/src/roles/daemon.cpp
@@ -145,7 +145,7 @@
       [&daemon](Frame&& frame) { daemon.events.offer(Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message)}); },
       [](std::string text) { alarm(std::move(text)); });
   daemon.server = std::make_unique<gangway::HttpServer>(daemon.context, env.http, env.bounds, env.maxBodyBytes,
-                                                        [&daemon](Ask&& ask) { return daemon.events.offer(std::move(ask)); });
+                                                        [&daemon](Ask&& ask) { return daemon.events.offerWithin(std::move(ask), daemon.env.ringItems / 4); });
   try {
     daemon.wire->listen();
     daemon.server->listen();
