--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -152,6 +152,7 @@
       plan.seconds = seconds.getValue();
       plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
+      if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; })) plan.tailSeconds = 400;
       plan.fleet.selfStop = !stays.getValue();
       if (fault.getValue() == "pairs") {
         plan.faults = drydock::drawFaults(plan.seed);
