--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -542,6 +542,12 @@
       {"never-succeed", [](Run& run) {
          for (int i = 0; i < 8; ++i) run.sim.at(run.faultTime(), [&run] { run.newJob(LineLoad{"gate"}, true); });
        }},
+      {"two-quays-emptied", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           auto quays = run.sim.hosts(Role::quay);
+           for (std::size_t i = 0; i < 2; ++i) run.replaceQuay(*quays[i], true);
+         });
+       }},
       {"last-fault", [](Run& run) {
          run.sim.at(run.endUs - 1000, [&run] {
            if (auto* leader = run.sim.leader()) {
@@ -568,7 +574,8 @@
 std::vector<std::string> drawFaults(std::uint64_t seed) {
   static const std::set<std::string> takesAQuay{"quay-disk-lost", "quay-replaced-elsewhere", "quays-replaced-twice",
                                                 "last-fault",     "full-disk",               "cell-lost"};
-  const auto names = faultNames();
+  auto names = faultNames();
+  std::erase(names, "two-quays-emptied");
   std::mt19937_64 random(seed * 7919);
   std::vector<std::string> drawn{names[random() % names.size()]};
   if (random() % 3 == 0) return drawn;
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -129,3 +129,16 @@
   LONGS_EQUAL(100, result.leaderKeys);
   LONGS_EQUAL(100, result.mostQuayKeys);
 }
+
+TEST(day, two_quays_that_come_back_empty_stop_the_fleet_and_nothing_untrue_is_told) {
+  for (std::uint64_t seed : {1, 2, 3}) {
+    const auto result = day(seed, {"two-quays-emptied"});
+    bool stopped = false;
+    for (const auto& each : result.broken) {
+      stopped = stopped || each.rule == "ends";
+      CHECK(each.rule == "ends" || each.what.find("fewer than three daemons answer") == 0);
+    }
+    CHECK(stopped);
+    LONGS_EQUAL(-1, result.recoveredMs);
+  }
+}
