--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -105,6 +105,7 @@
     TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
     TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
     TCLAP::ValueArg<std::string> journals("", "journals", "judge the journals of a real fleet's workers in this folder", false, "", "FOLDER", line);
+    line.setExceptionHandling(false);
     line.parse(argc, argv);
     if (!variant.getValue().empty()) {
       drydock::DayPlan plan;
--- a/src/roles/helm.cpp
+++ b/src/roles/helm.cpp
@@ -292,6 +292,7 @@
     TCLAP::ValueArg<double> seconds("", "seconds", "how long 'load' submits", false, 30, "S", line);
     TCLAP::ValueArg<double> factor("", "load-factor", "times the scenario's rates", false, 1, "X", line);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", line);
+    line.setExceptionHandling(false);
     line.parse(argc, argv);
     Helm helm;
     std::stringstream parts(at.getValue());
--- a/src/roles/main.cpp
+++ b/src/roles/main.cpp
@@ -32,6 +32,7 @@
     };
     add("env-file");
     for (const auto& key : envKeys()) add(key);
+    line.setExceptionHandling(false);
     line.parse(argc, argv);
     for (const auto& arg : args)
       if (arg->isSet()) flags[arg->getName()] = arg->getValue();
@@ -42,17 +43,24 @@
   return roles::runDaemon(role, flags);
 }
 
+int dispatch(const std::string& role, int argc, char** argv) {
+  if (role == "quay") return daemonOf(Role::quay, argc, argv);
+  if (role == "pilot") return daemonOf(Role::pilot, argc, argv);
+  if (role == "tender") return daemonOf(Role::tender, argc, argv);
+  if (role == "stevedore") return roles::runStevedore(argc, argv);
+  if (role == "helm") return roles::runHelm(argc, argv);
+  if (role == "drydock") return roles::runDrydock(argc, argv);
+  if (role == "roadstead") return roles::runRoadstead(argc, argv);
+  std::cerr << kUsage;
+  return role == "--help" || role == "help" ? 0 : 2;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::string role = argc > 1 ? argv[1] : "";
-  if (role == "quay") return daemonOf(Role::quay, argc - 1, argv + 1);
-  if (role == "pilot") return daemonOf(Role::pilot, argc - 1, argv + 1);
-  if (role == "tender") return daemonOf(Role::tender, argc - 1, argv + 1);
-  if (role == "stevedore") return roles::runStevedore(argc - 1, argv + 1);
-  if (role == "helm") return roles::runHelm(argc - 1, argv + 1);
-  if (role == "drydock") return roles::runDrydock(argc - 1, argv + 1);
-  if (role == "roadstead") return roles::runRoadstead(argc - 1, argv + 1);
-  std::cerr << kUsage;
-  return role == "--help" || role == "help" ? 0 : 2;
+  try {
+    return dispatch(argc > 1 ? argv[1] : "", argc - 1, argv + 1);
+  } catch (const TCLAP::ExitException& over) {
+    return over.getExitStatus();
+  }
 }
--- a/src/roles/roadstead.cpp
+++ b/src/roles/roadstead.cpp
@@ -98,6 +98,7 @@
     TCLAP::SwitchArg respawnArg("", "respawn", "start a daemon again when it ends", line);
     TCLAP::ValueArg<std::uint64_t> stirArg("", "stir", "seed for killing, freezing and starting again; 0 for none", false, 0, "SEED", line);
     TCLAP::ValueArg<long> stirEveryArg("", "stir-every-ms", "mean gap between two such blows", false, 2000, "MS", line);
+    line.setExceptionHandling(false);
     line.parse(argc, argv);
     stir = stirArg.getValue();
     stirEveryMs = std::max(10L, stirEveryArg.getValue());
--- a/src/roles/stevedore.cpp
+++ b/src/roles/stevedore.cpp
@@ -82,6 +82,7 @@
     TCLAP::ValueArg<int> failEvery("", "fail-every", "every Nth run fails", false, 0, "N", line);
     TCLAP::ValueArg<std::string> journal("", "journal", "file for its own history of starts and ends", false, "", "FILE", line);
     TCLAP::SwitchArg stays("", "no-self-stop", "goes on when unheard past its term", line);
+    line.setExceptionHandling(false);
     line.parse(argc, argv);
     if (!validAddress(tender.getValue()) || slots.getValue() < 1) {
       std::cerr << "flags: tender, slots: allowed is an IP number and a port, and at least 1 slot" << std::endl;
--- a/tests/chart_test.cpp
+++ b/tests/chart_test.cpp
@@ -6,6 +6,7 @@
 #include "bearing/env.hpp"
 #include "chart/chart.hpp"
 #include "manifest/job.hpp"
+#include "roles/daemon.hpp"
 
 using namespace tulip;
 
@@ -97,3 +98,14 @@
   STRCMP_EQUAL("data-folder", fault.key.c_str());
   ::unlink(path.c_str());
 }
+
+TEST(chart, an_unknown_flag_ends_with_exit_code_2) {
+  std::vector<std::string> words{"helm", "--bogus", "leader"};
+  std::vector<char*> args;
+  for (auto& word : words) args.push_back(word.data());
+  LONGS_EQUAL(2, roles::runHelm(3, args.data()));
+  words = {"roadstead", "--cells", "many"};
+  args.clear();
+  for (auto& word : words) args.push_back(word.data());
+  LONGS_EQUAL(2, roles::runRoadstead(3, args.data()));
+}
