--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -18,6 +18,8 @@
   return found == pilot.crew.chart->pendings.end() ? fallback : found->second;
 }
 
+LeaderHint hintOf(const PilotState& pilot) { return {pilot.term, pilot.crew.env.signal, pilot.crew.env.http}; }
+
 Version versionNow(const PilotState& pilot) { return {pilot.term, pilot.seq}; }
 
 void touch(PilotState& pilot, const JobId& id) { pilot.dirty.insert(id); }
@@ -147,7 +149,6 @@
   if (outcome == RunOutcome::failed) ++pilot.counts.failures;
   if (outcome == RunOutcome::clean) ++pilot.counts.cleans;
   change(pilot, id, [&](Job& job) { endRun(job, at, outcome, detail, lineOf(pilot, job), fleet(pilot, now)); });
-  pilot.epochDue = true;
 }
 
 void sendOrders(PilotState& pilot, WorkerRow& row, Now now, Outbox& out) {
@@ -241,7 +242,7 @@
   accept.seq = pilot.seq;
   accept.sentMs = now.steadyMs;
   accept.fleetMs = fleet(pilot, now);
-  accept.hint = {pilot.term, pilot.crew.env.signal, pilot.crew.env.http};
+  accept.hint = hintOf(pilot);
   for (const auto& key : seat.owed) {
     auto found = pilot.current.find(key);
     if (found != pilot.current.end()) accept.entries.push_back(found->second);
@@ -657,7 +658,7 @@
     if (!seat.promised) {
       if (now.steadyMs - seat.sentMs >= againMs) {
         seat.sentMs = now.steadyMs;
-        out.send(seat.signal, RangePrepare{pilot.crew.cohort.revision, pilot.term, {pilot.term, pilot.crew.env.signal, pilot.crew.env.http}});
+        out.send(seat.signal, RangePrepare{pilot.crew.cohort.revision, pilot.term, hintOf(pilot)});
       }
       continue;
     }
@@ -674,7 +675,7 @@
       beat.term = pilot.term;
       beat.sentMs = now.steadyMs;
       beat.fleetMs = fleet(pilot, now);
-      beat.hint = {pilot.term, pilot.crew.env.signal, pilot.crew.env.http};
+      beat.hint = hintOf(pilot);
       out.send(seat.signal, std::move(beat));
     }
     sendSeat(pilot, seat, now, out);
@@ -686,7 +687,6 @@
   const Millis epochMs = pilot.crew.chart->admission.epochMs;
   if (now.steadyMs - pilot.epochMs < epochMs) return;
   pilot.epochMs = now.steadyMs;
-  pilot.epochDue = false;
   keepHouse(pilot, now);
   if (now.steadyMs - pilot.leadSinceMs >= bounds(pilot).reportMs()) runEpoch(pilot, now);
   if (!pilot.broken.empty()) {
@@ -727,7 +727,7 @@
   pilot.prepareSentMs = now.steadyMs;
   for (const auto& seat : pilot.crew.cohort.seats)
     if (!pilot.promises.contains(seat.id))
-      out.send(seat.signal, RangePrepare{pilot.crew.cohort.revision, pilot.term, {pilot.term, pilot.crew.env.signal, pilot.crew.env.http}});
+      out.send(seat.signal, RangePrepare{pilot.crew.cohort.revision, pilot.term, hintOf(pilot)});
 }
 
 }  // namespace
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -67,10 +67,6 @@
                 gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0;
 };
 
-struct Told {
-  std::shared_ptr<const Job> job;
-};
-
 struct PilotState {
   watch::Crew crew;
   Course course = Course::following;
@@ -97,7 +93,6 @@
   Millis leaseUntilMs = -1000000;
   Millis leadSinceMs = 0;
   Millis epochMs = -1000000;
-  bool epochDue = false;
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
   std::map<PendingName, LinePace> paces;
