Simulated operators set a flag in one place; the stir asks in one place who is frozen

The patch of a cell, a drain and a worker that is gone was written three times, the search for a frozen process twice; a field never set is gone.

--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -20,7 +20,6 @@
   Micros endUs = 0;
   std::int64_t nextJob = 0, nextMark = 0;
   std::map<std::string, Micros> submittedUs;
-  bool stopMarks = false;
   std::set<std::string> retired;
   Millis leaderLostMs = -1;
 
@@ -216,7 +215,7 @@
   }
 
   void marks(Micros everyUs) {
-    if (sim.nowUs() >= endUs || stopMarks) return;
+    if (sim.nowUs() >= endUs) return;
     const auto dice = sim.below(10);
     if (dice == 0) invalidOnce();
     else if (dice == 1) markOnce(false, "expected=" + std::to_string(sim.below(6)));
@@ -253,26 +252,27 @@
     sim.after(100000, [this] { sweeps(); });
   }
 
-  void setCell(const std::string& cell, bool emptied, std::function<void()> then) {
-    if (!emptied) judge.cellEmptied(cell, false, false);
+  void setFlag(const std::string& group, const std::string& name, const std::string& flag, bool on, std::function<void(bool)> done) {
     const auto mark = "mark-" + std::to_string(++nextMark);
     changeChart("PATCH",
-                "{\"pendings\":{\"" + mark + "\":{}},\"cells\":{\"" + cell + "\":{\"emptied\":" + (emptied ? "true" : "false") + "}}}", mark,
-                "t-" + mark, "", [=, this](bool done) {
-                  if (done && emptied) judge.cellEmptied(cell, true, true);
-                  if (then) then();
-                });
+                "{\"pendings\":{\"" + mark + "\":{}},\"" + group + "\":{\"" + name + "\":{\"" + flag + "\":" + (on ? "true" : "false") + "}}}", mark,
+                "t-" + mark, "", std::move(done));
+  }
+
+  void setCell(const std::string& cell, bool emptied, std::function<void()> then) {
+    if (!emptied) judge.cellEmptied(cell, false, false);
+    setFlag("cells", cell, "emptied", emptied, [=, this](bool done) {
+      if (done && emptied) judge.cellEmptied(cell, true, true);
+      if (then) then();
+    });
   }
 
   void setDrain(const std::string& worker, bool drained, std::function<void()> then) {
     if (!drained) judge.drained(worker, false, false);
-    const auto mark = "mark-" + std::to_string(++nextMark);
-    changeChart("PATCH",
-                "{\"pendings\":{\"" + mark + "\":{}},\"workers\":{\"" + worker + "\":{\"drained\":" + (drained ? "true" : "false") + "}}}", mark,
-                "t-" + mark, "", [=, this](bool done) {
-                  if (done && drained) judge.drained(worker, true, true);
-                  if (then) then();
-                });
+    setFlag("workers", worker, "drained", drained, [=, this](bool done) {
+      if (done && drained) judge.drained(worker, true, true);
+      if (then) then();
+    });
   }
 
   Host& pick(Role role) {
@@ -414,9 +414,7 @@
            run.sim.crash(*hand.tender);
            run.retired.insert(hand.tender->name);
            if (run.plan.fleet.selfStop) return;
-           const auto mark = "mark-" + std::to_string(++run.nextMark);
-           run.changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"workers\":{\"" + hand.worker.traits.name + "\":{\"gone\":true}}}", mark,
-                           "t-" + mark, "", {});
+           run.setFlag("workers", hand.worker.traits.name, "gone", true, {});
          });
        }},
       {"worker-slow", [](Run& run) {
--- a/src/roles/roadstead.cpp
+++ b/src/roles/roadstead.cpp
@@ -162,10 +162,10 @@
   std::vector<std::pair<std::chrono::steady_clock::time_point, pid_t>> frozen;
   std::chrono::steady_clock::time_point quaySafeAt;
   auto below = [&](long bound) { return static_cast<long>(random() % static_cast<std::uint64_t>(bound)); };
+  const auto isFrozen = [&](pid_t pid) { return std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == pid; }); };
   const auto quayDown = [&] {
     for (const auto& hand : hands) {
-      const bool still = std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == hand.pid; });
-      if (hand.name.starts_with("quay") && (hand.pid < 0 || still)) return true;
+      if (hand.name.starts_with("quay") && (hand.pid < 0 || isFrozen(hand.pid))) return true;
     }
     return std::chrono::steady_clock::now() < quaySafeAt;
   };
@@ -181,8 +181,7 @@
       nextBlow = now + std::chrono::milliseconds(stirEveryMs / 2 + below(stirEveryMs));
       auto& hand = hands[static_cast<std::size_t>(below(static_cast<long>(hands.size())))];
       const bool quay = hand.name.starts_with("quay");
-      const bool still = std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == hand.pid; });
-      if (hand.pid > 0 && !still && !(quay && quayDown())) {
+      if (hand.pid > 0 && !isFrozen(hand.pid) && !(quay && quayDown())) {
         const long spanMs = 200 + below(4000);
         if (quay) quaySafeAt = now + std::chrono::milliseconds(spanMs + 3 * termMs);
         if (below(2)) {
