--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -68,7 +68,7 @@
         judge.shown(id, 200, view.get());
         return;
       }
-      if (!reply.lost && reply.status < 500) return;
+      if (!reply.lost && reply.status < 500) return judge.denied(id, reply.status);
       sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000 + sim.below(50000), [this, id, body] { submit(id, body); });
     });
   }
@@ -77,10 +77,10 @@
     Ask ask;
     ask.method = "GET";
     ask.path = "/jobs/" + id;
-    call(std::move(ask), [this, id](Reply reply) {
+    call(std::move(ask), [this, id, askedMs = sim.nowMs()](Reply reply) {
       if (!reply.lost) {
         Json view = parseJson(reply.body);
-        judge.shown(id, reply.status, view.get());
+        judge.shown(id, reply.status, view.get(), askedMs);
         auto& job = judge.jobs.at(id);
         if (!job.shown.empty()) return;
       }
@@ -88,15 +88,35 @@
     });
   }
 
-  void cancel(const std::string& id) {
+  void submitThen(const LineLoad& load, std::function<void(const std::string&)> then) {
+    const auto id = "yes-" + std::to_string(++nextJob);
+    auto body = makeJob(load, id, false, false);
+    Ask ask;
+    ask.method = "POST";
+    ask.path = "/jobs";
+    ask.body = body;
+    call(std::move(ask), [this, id, body, then = std::move(then)](Reply reply) {
+      if (reply.lost || reply.status != 201) return submit(id, body);
+      judge.accepted(id);
+      ++result.accepted;
+      poll(id);
+      then(id);
+    });
+  }
+
+  void cancel(const std::string& id, std::function<void()> then = {}) {
     judge.jobs.at(id).cancelAskedMs = sim.nowMs();
     Ask ask;
     ask.method = "DELETE";
     ask.path = "/jobs/" + id;
-    call(std::move(ask), [this, id](Reply reply) {
-      if (!reply.lost && reply.status == 200) return judge.cancelled(id);
+    call(std::move(ask), [this, id, then = std::move(then)](Reply reply) {
+      if (!reply.lost && reply.status == 200) {
+        judge.cancelled(id);
+        if (then) then();
+        return;
+      }
       if (!reply.lost && reply.status < 500) return;
-      sim.after(150000, [this, id] { cancel(id); });
+      sim.after(150000, [this, id, then] { cancel(id, then); });
     });
   }
 
@@ -131,6 +151,19 @@
     return jobBody(sketch);
   }
 
+  void badJob() {
+    const auto id = "bad-" + std::to_string(++nextJob);
+    const auto kind = sim.below(3);
+    JobSketch sketch{id, kind == 0 ? "no-such-line" : "gate", kind == 2, 0, {}};
+    for (std::size_t i = 0; i < (kind == 2 ? 99u : 2u); ++i) {
+      sketch.tasks.push_back({"t" + std::to_string(i), 1, {}, 100, false, 0});
+      if (kind == 1) sketch.tasks.back().slots = 1000;
+    }
+    auto body = enter(sketch);
+    judge.jobs.at(id).mustBeDenied = true;
+    submit(id, std::move(body));
+  }
+
   void newJob(const LineLoad& load, bool neverSucceeds = false, bool huge = false) {
     const auto id = load.line + "-" + std::to_string(++nextJob);
     auto body = makeJob(load, id, neverSucceeds, huge);
@@ -148,6 +181,7 @@
     sim.after(gap, [this, load] {
       if (sim.nowUs() >= endUs) return;
       newJob(load);
+      if (sim.chance(0.02)) badJob();
       arrivals(load);
     });
   }
@@ -186,11 +220,11 @@
         return;
       }
       if (!reply.lost && reply.status >= 400 && reply.status < 500) {
-        if (tries == 0 || query.empty()) judge.chartDenied(mark);
+        judge.chartDenied(mark);
         if (done) done(false);
         return;
       }
-      if (tries > 60) return;
+      if (tries > 60 || name.empty()) return;
       sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000, [=, this] { changeChart(method, body, mark, name, query, done, tries + 1); });
     });
   }
@@ -214,11 +248,18 @@
     changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"failureLimit\":0}}}", mark, "t-" + mark, "", {});
   }
 
+  void conditionalOnce(bool named) {
+    const auto mark = "mark-" + std::to_string(++nextMark);
+    changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}", mark, named ? "t-" + mark : "",
+                "expected=" + std::to_string(judge.newestConfirmed()), {});
+  }
+
   void marks(Micros everyUs) {
     if (sim.nowUs() >= endUs) return;
     const auto dice = sim.below(10);
     if (dice == 0) invalidOnce();
     else if (dice == 1) markOnce(false, "expected=" + std::to_string(sim.below(6)));
+    else if (dice < 5) conditionalOnce(dice == 2);
     else markOnce(false);
     sim.after(everyUs / 2 + sim.below(everyUs), [this, everyUs] { marks(everyUs); });
   }
@@ -301,6 +342,25 @@
     sim.after(300000 + sim.below(kSecond), [this, &fresh] { sim.start(fresh); });
   }
 
+  bool cohortWhole() {
+    std::map<DaemonId, Host*> byId;
+    signal::Cohort newest;
+    for (auto* quay : sim.hosts(Role::quay)) {
+      if (!quay->up) continue;
+      byId[quay->id] = quay;
+      if (newest.revision < quay->disk.cohort.revision) newest = quay->disk.cohort;
+    }
+    return newest.revision > 0 && std::all_of(newest.seats.begin(), newest.seats.end(), [&](const auto& seat) {
+             auto found = byId.find(seat.id);
+             return found != byId.end() && found->second->disk.voting && found->second->disk.cohort == newest;
+           });
+  }
+
+  void whenWhole(std::function<void()> act) {
+    if (cohortWhole()) return act();
+    if (sim.nowUs() < endUs + 60 * kSecond) sim.after(kSecond / 4, [this, act = std::move(act)] { whenWhole(act); });
+  }
+
   void healAll() {
     sim.heal();
     sim.plan.sea = plan.fleet.sea;
@@ -339,24 +399,9 @@
       {"leader-kill-after-yes", [](Run& run) {
          for (int i = 0; i < 2; ++i)
            run.sim.at(run.faultTime(), [&run] {
-             const LineLoad load{"checkout"};
-             const auto id = "yes-" + std::to_string(++run.nextJob);
-             auto body = run.makeJob(load, id, false, false);
-             run.submittedUs[id] = run.sim.nowUs();
-             Ask ask;
-             ask.method = "POST";
-             ask.path = "/jobs";
-             ask.body = body;
-             run.call(std::move(ask), [&run, id, body](Reply reply) {
-               if (!reply.lost && reply.status == 201) {
-                 run.judge.accepted(id);
-                 ++run.result.accepted;
-                 if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
-                 run.crashFor(run.pick(Role::quay), kSecond);
-                 run.poll(id);
-               } else {
-                 run.submit(id, body);
-               }
+             run.submitThen(LineLoad{"checkout"}, [&run](const std::string&) {
+               if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
+               run.crashFor(run.pick(Role::quay), kSecond);
              });
            });
        }},
@@ -380,7 +425,7 @@
       {"quay-replaced-elsewhere", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.replaceQuay(run.pick(Role::quay), false); }); }},
       {"quays-replaced-twice", [](Run& run) {
          run.sim.at(run.fromUs, [&run] { run.replaceQuay(run.pick(Role::quay), false); });
-         run.sim.at(run.fromUs + 14 * kSecond, [&run] { run.replaceQuay(run.pick(Role::quay), false); });
+         run.sim.at(run.fromUs + 14 * kSecond, [&run] { run.whenWhole([&run] { run.replaceQuay(run.pick(Role::quay), false); }); });
        }},
       {"pilot-exchanged", [](Run& run) {
          run.sim.at(run.faultTime(), [&run] {
@@ -546,6 +591,81 @@
            for (std::size_t i = 0; i < 2; ++i) run.replaceQuay(*quays[i], true);
          });
        }},
+      {"power-lost-after-yes", [](Run& run) {
+         for (int i = 0; i < 2; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             for (auto* quay : run.sim.hosts(Role::quay)) quay->syncUs = 15000;
+             run.submitThen(LineLoad{"checkout"}, [&run](const std::string&) {
+               for (auto* quay : run.sim.hosts(Role::quay)) run.crashFor(*quay, 100000 + run.sim.below(kSecond));
+               if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
+             });
+           });
+       }},
+      {"leader-kill-after-cancel", [](Run& run) {
+         for (int i = 0; i < 3; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             run.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 4000, 6000, 0, 1.0, 0}, [&run](const std::string& id) {
+               run.cancel(id, [&run] {
+                 if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
+               });
+             });
+           });
+       }},
+      {"rule-swapped", [](Run& run) {
+         const auto swap = [&run](auto again, int turn) -> void {
+           static const char* const rules[] = {R"("rule":"fifo")", R"("rule":"gittins","lanes":3,"thresholdsMs":[2000,8000])",
+                                               R"("rule":"las","lanes":2,"thresholdsMs":[4000])", R"("rule":"las","lanes":1,"thresholdsMs":[])"};
+           if (run.sim.nowUs() >= run.quietUs) return;
+           const auto mark = "mark-" + std::to_string(++run.nextMark);
+           run.changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"admission\":{" + rules[turn % 4] + "}}", mark, "t-" + mark, "", {});
+           run.sim.after(250000 + run.sim.below(kSecond / 2), [again, turn] { again(again, turn + 1); });
+         };
+         run.sim.at(run.fromUs, [swap] { swap(swap, 0); });
+       }},
+      {"quay-lags-then-emptied", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           auto* leader = run.sim.leader();
+           if (!leader) return;
+           auto quays = run.sim.hosts(Role::quay);
+           const auto first = static_cast<std::size_t>(run.sim.below(3));
+           auto &lags = *quays[first], &emptied = *quays[(first + 1) % 3];
+           run.sim.cut(*leader, lags);
+           run.sim.cut(lags, *leader);
+           run.sim.after(kSecond / 2 + run.sim.below(kSecond), [&run, leader, &emptied] {
+             run.crashFor(*leader, 2 * kSecond);
+             run.replaceQuay(emptied, true);
+             run.sim.heal();
+           });
+         });
+       }},
+      {"tender-cut-from-quays", [](Run& run) {
+         for (int i = 0; i < 3; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             auto& tender = run.pick(Role::tender);
+             for (auto* quay : run.sim.hosts(Role::quay)) {
+               run.sim.cut(tender, *quay);
+               run.sim.cut(*quay, tender);
+             }
+             run.sim.after(2 * kSecond + run.sim.below(5 * kSecond), [&run] { run.sim.heal(); });
+           });
+       }},
+      {"resend-storm", [](Run& run) {
+         for (int i = 0; i < 30; ++i)
+           run.sim.at(run.faultTime(), [&run] {
+             const auto id = "again-" + std::to_string(++run.nextJob);
+             auto body = run.makeJob(LineLoad{"checkout", 1, 1, 3, 1, 2, 50, 900, 0.3, 0.3, 0}, id, false, false);
+             for (int k = 0; k < 4; ++k) run.sim.after(k == 0 ? 0 : run.sim.below(4 * kSecond), [&run, id, body] { run.submit(id, body); });
+           });
+       }},
+      {"cancel-storm", [](Run& run) {
+         const auto when = run.faultTime();
+         for (int i = 0; i < 40; ++i)
+           run.sim.at(when + i * 40000, [&run] {
+             run.submitThen(LineLoad{"checkout", 1, 1, 4, 1, 3, 500, 4000, 0.3, 0.3, 0}, [&run](const std::string& id) {
+               run.sim.after(run.sim.below(600000), [&run, id] { run.cancel(id); });
+             });
+           });
+       }},
       {"last-fault", [](Run& run) {
          run.sim.at(run.endUs - 1000, [&run] {
            if (auto* leader = run.sim.leader()) {
@@ -571,7 +691,7 @@
 
 std::vector<std::string> drawFaults(std::uint64_t seed) {
   static const std::set<std::string> takesAQuay{"quay-disk-lost", "quay-replaced-elsewhere", "quays-replaced-twice",
-                                                "last-fault",     "full-disk",               "cell-lost"};
+                                                "last-fault",     "full-disk",               "cell-lost",           "quay-lags-then-emptied"};
   auto names = faultNames();
   std::erase(names, "two-quays-emptied");
   std::mt19937_64 random(seed * 7919);
@@ -625,10 +745,11 @@
     const auto& job = run.judge.jobs.at(probe);
     if (run.result.recoveredMs < 0 && !job.shown.empty()) run.result.recoveredMs = (sim.nowUs() - probeUs) / 1000;
     const bool over = std::all_of(run.judge.jobs.begin(), run.judge.jobs.end(),
-                                  [](const auto& row) { return row.second.acceptedMs >= 0 && !row.second.shown.empty(); });
+                                  [](const auto& row) { return row.second.denied || (row.second.acceptedMs >= 0 && !row.second.shown.empty()); });
     if (over && sim.nowUs() > run.endUs + 8 * kSecond) break;
   }
-  for (auto& [id, job] : run.judge.jobs) run.poll(id);
+  for (auto& [id, job] : run.judge.jobs)
+    if (!job.denied) run.poll(id);
   std::size_t reads = 0;
   for (const auto& host : sim.all()) {
     if (!host->up) continue;
--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -8,6 +8,12 @@
 constexpr Millis kChartGraceMs = 2000, kDrainGraceMs = 2000, kEmptyGraceMs = 5000, kCancelGraceMs = 3000, kEarlyGraceMs = 150;
 }
 
+const std::vector<std::string>& ruleNames() {
+  static const std::vector<std::string> all{"asked-for", "cancelled", "chart",  "counters",  "denied", "denied-chart", "draining", "early", "emptied",
+                                            "ends",      "failures",  "finished", "forgotten", "gang",   "inside",       "once",     "room",  "shown", "steps"};
+  return all;
+}
+
 Judge::Judge(Sim& sim) : sim_(sim) {
   sim.onJournal = [this](Hand& hand, const std::string& line) { journal(hand, line); };
   sim.onWorkerCrash = [this](Hand& hand) {
@@ -37,6 +43,15 @@
 void Judge::accepted(const std::string& id) {
   auto& job = jobs.at(id);
   if (job.acceptedMs < 0) job.acceptedMs = sim_.nowMs();
+  if (job.mustBeDenied) fault("denied", id + " was accepted though it can never be served");
+}
+
+void Judge::denied(const std::string& id, int status) {
+  auto& job = jobs.at(id);
+  ++checks;
+  job.denied = true;
+  if (!job.mustBeDenied) fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it");
+  if (job.acceptedMs >= 0) fault("denied", id + " was denied after it had been accepted");
 }
 
 void Judge::cancelled(const std::string& id) {
@@ -66,6 +81,8 @@
     ++starts;
     auto [job, at] = find(rest);
     if (!job) return fault("asked-for", "a run nobody asked for: " + rest);
+    if (job->denied) fault("asked-for", "a run of a job that was denied: " + rest);
+    if (!job->shown.empty()) fault("asked-for", rest + " starts after its job was shown " + job->shown);
     auto& task = job->tasks[at];
     ++task.starts;
     if (job->firstStartMs < 0) job->firstStartMs = now;
@@ -124,7 +141,7 @@
   }
 }
 
-void Judge::shown(const std::string& id, int status, const json_t* view) {
+void Judge::shown(const std::string& id, int status, const json_t* view, Millis askedMs) {
   auto& job = jobs.at(id);
   ++checks;
   if (status == 404) {
@@ -132,6 +149,14 @@
     return;
   }
   if (status != 200) return;
+  if (const auto served = numberAt(view, "servedSlotMs", -1); served >= 0 && askedMs >= 0) {
+    if (served < job.servedSeenMs && askedMs > job.servedAskedMs)
+      fault("counters", id + " has served " + std::to_string(served) + " after " + std::to_string(job.servedSeenMs));
+    if (served >= job.servedSeenMs) {
+      job.servedSeenMs = served;
+      job.servedAskedMs = std::max(job.servedAskedMs, sim_.nowMs());
+    }
+  }
   const auto state = textAt(view, "state");
   const bool ended = state == "finished" || state == "failed" || state == "cancelled" || state == "expired";
   if (!ended) {
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -18,6 +18,8 @@
   std::string line;
   bool gang = false;
   bool neverSucceeds = false;
+  bool mustBeDenied = false;
+  bool denied = false;
   Millis notBeforeMs = 0;
   Millis submittedMs = 0;
   Millis acceptedMs = -1;
@@ -28,6 +30,7 @@
   std::string shown;
   Millis acceptedFleetMs = -1, startedFleetMs = -1, endedFleetMs = -1;
   std::int64_t servedMs = 0, preemptions = 0;
+  Millis servedSeenMs = 0, servedAskedMs = -1;
   std::vector<std::string> names;
   std::vector<TaskTruth> tasks;
 };
@@ -38,13 +41,16 @@
   std::string what;
 };
 
+const std::vector<std::string>& ruleNames();
+
 class Judge {
  public:
   explicit Judge(Sim& sim);
   JobTruth& submitted(const std::string& id);
   void accepted(const std::string& id);
+  void denied(const std::string& id, int status);
   void cancelled(const std::string& id);
-  void shown(const std::string& id, int status, const json_t* view);
+  void shown(const std::string& id, int status, const json_t* view, Millis askedMs = -1);
   void chartProposed(const std::string& mark);
   void chartConfirmed(const std::string& mark, Revision revision);
   void chartDenied(const std::string& mark);
@@ -54,6 +60,7 @@
   void drained(const std::string& worker, bool drained, bool confirmed);
   void sweep();
   void close();
+  Revision newestConfirmed() const { return newestConfirmed_; }
 
   std::map<std::string, JobTruth> jobs;
   std::map<std::string, std::int64_t> failureLimit;
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -28,7 +28,10 @@
   return lines;
 }
 
-int runDays(const std::vector<drydock::DayPlan>& plans, int threads, bool verbose) {
+int runDays(const std::vector<drydock::DayPlan>& plans, int threads, bool verbose, const std::string& untilRule) {
+  std::size_t ran = 0;
+  std::size_t firstBroken = plans.size();
+  std::string firstRule;
   std::atomic<std::size_t> next{0};
   std::mutex guard;
   std::size_t broken = 0;
@@ -41,6 +44,14 @@
       for (std::size_t at = next++; at < plans.size(); at = next++) {
         const auto result = drydock::runDay(plans[at]);
         std::lock_guard lock(guard);
+        ++ran;
+        const auto hit = std::find_if(result.broken.begin(), result.broken.end(),
+                                      [&](const auto& each) { return untilRule == "any" || untilRule == each.rule; });
+        if (hit != result.broken.end() && at < firstBroken) {
+          firstBroken = at;
+          firstRule = hit->rule;
+          next = plans.size();
+        }
         checks += static_cast<std::uint64_t>(result.checks);
         recovered.push_back(result.recoveredMs);
         if (!result.broken.empty()) ++broken;
@@ -54,7 +65,9 @@
       }
     });
   for (auto& thread : crew) thread.join();
-  std::cout << plans.size() << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << drydock::quantile(recovered, 0.5) << " p99 "
+  if (firstBroken < plans.size())
+    std::cout << "first broken: day " << firstBroken + 1 << " seed " << plans[firstBroken].seed << " rule " << firstRule << "\n";
+  std::cout << ran << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << drydock::quantile(recovered, 0.5) << " p99 "
             << drydock::quantile(recovered, 0.99) << " ms\n";
   for (const auto& [rule, count] : perRule) std::cout << "  " << rule << ": " << count << "\n";
   return broken ? 1 : 0;
@@ -101,6 +114,7 @@
     TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
     TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
     TCLAP::SwitchArg stays("", "no-self-stop", "workers go on when unheard past their term", line);
+    TCLAP::ValueArg<std::string> untilRule("", "until-rule", "stop at the first day that breaks this rule, or 'any', and name its seed", false, "", "RULE", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
     TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
     TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
@@ -145,6 +159,9 @@
       for (const auto& name : names) std::cout << name << "\n";
       return 0;
     }
+    const auto& rules = drydock::ruleNames();
+    if (const auto& until = untilRule.getValue(); !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
+      throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists", "until-rule");
     std::vector<drydock::DayPlan> plans;
     for (std::uint64_t i = 0; i < count.getValue(); ++i) {
       drydock::DayPlan plan;
@@ -171,7 +188,7 @@
       traceOut.open(trace.getValue());
       plans.front().trace = &traceOut;
     }
-    return runDays(plans, std::max(1, threads.getValue()), verbose.getValue());
+    return runDays(plans, std::max(1, threads.getValue()), verbose.getValue(), untilRule.getValue());
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "drydock: " << failed.argId() << ": " << failed.error() << std::endl;
     return rowOf(Kind::badEnv).exitCode;
