A change sent without a transaction id gets one, so its own outcome is not told as a loss

Cause: a proposer that is outbid in round two starts again. When another daemon had completed its value meanwhile, its second look found the revision one higher than expected and told 409 raced: a configuration that was denied took effect. With an id the outcome is found in the value; without one nothing tells.

Now every change without an id is given one made of its daemon, its life and its ballot.

--- a/src/watch/crew.cpp
+++ b/src/watch/crew.cpp
@@ -278,6 +278,7 @@
   constexpr std::size_t kMostProposals = 64;
   if (crew.cohort.seats.empty()) return answerKind(out, transaction, Kind::noMajority, crew.env.bounds);
   if (crew.proposals.size() >= kMostProposals) return answerKind(out, transaction, Kind::overloaded, crew.env.bounds);
+  if (edit.name.empty()) edit.name = crew.id.value + "/" + crew.incarnation + "/" + std::to_string(crew.ballotNumber + 1);
   Proposal proposal;
   proposal.transaction = transaction;
   proposal.key = kChartKey;
--- /dev/null
+++ b/tests/cohort_test.cpp
@@ -0,0 +1,79 @@
+#include <CppUTest/TestHarness.h>
+
+#include "watch/quay.hpp"
+
+using namespace tulip;
+using namespace tulip::signal;
+
+namespace {
+
+const Address kA("10.0.0.1:1"), kB("10.0.0.2:1"), kC("10.0.0.3:1"), kD("10.0.0.4:1");
+
+Env envOf(const Address& address) {
+  Env env;
+  env.role = Role::quay;
+  env.signal = address;
+  env.cell = CellName("a");
+  env.seeds = {kA, kB, kC};
+  return env;
+}
+
+watch::QuayState quayOf(const char* id, const Address& address, const Cohort& cohort, bool voting) {
+  hold::Image image;
+  image.id = DaemonId(id);
+  image.cohort = cohort;
+  image.voting = voting;
+  return watch::makeQuay(envOf(address), image, "i", {100000});
+}
+
+Outbox hears(watch::QuayState& quay, const char* from, const Address& address, Message message, Millis nowMs = 100010) {
+  Outbox out;
+  watch::quayStep(quay, Heard{DaemonId(from), address, std::move(message)}, {nowMs}, out);
+  Outbox synced;
+  for (const auto& persist : out.persists) watch::quayStep(quay, Persisted{persist.ticket, true}, {nowMs + 1}, synced);
+  for (auto& send : synced.sends) out.sends.push_back(std::move(send));
+  return out;
+}
+
+template <class Body> const Body* only(const Outbox& out) {
+  for (const auto& send : out.sends)
+    if (const auto* body = std::get_if<Body>(&send.message)) return body;
+  return nullptr;
+}
+
+}  // namespace
+
+TEST_GROUP(cohort){};
+
+TEST(cohort, a_change_without_a_name_that_was_finished_by_another_is_told_as_done) {
+  const Cohort cohort{1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
+  Env env = envOf(Address("10.0.0.9:1"));
+  env.role = Role::pilot;
+  auto crew = watch::makeCrew(env, DaemonId("p"), "i");
+  crew.cohort = cohort;
+  Outbox out;
+  watch::Edit edit;
+  edit.body = "{\"pendings\":{\"gate\":{}}}";
+  edit.expected = 0;
+  watch::proposeChart(crew, 77, edit, 4000, {100000}, out);
+  const auto first = crew.proposals.front().ballot;
+  auto tell = [&](const Address& from, Message message, Millis nowMs) {
+    watch::crewHeard(crew, Heard{DaemonId("q"), from, std::move(message)}, {nowMs}, out);
+  };
+  tell(kA, RegisterPromise{"chart", first, true, first, {}, {}}, 100001);
+  tell(kB, RegisterPromise{"chart", first, true, first, {}, {}}, 100001);
+  const auto value = crew.proposals.front().value;
+  CHECK_FALSE(value.empty());
+  tell(kA, RegisterAccepted{"chart", first, true, first}, 100002);
+  const Ballot theirs{first.number + 1, "other"};
+  tell(kB, RegisterAccepted{"chart", first, false, theirs}, 100003);
+  watch::crewTick(crew, {100900}, out);
+  const auto second = crew.proposals.front().ballot;
+  CHECK(theirs < second);
+  for (const auto& from : {kA, kB}) tell(from, RegisterPromise{"chart", second, true, second, theirs, value}, 100901);
+  for (const auto& from : {kA, kB}) tell(from, RegisterAccepted{"chart", second, true, second}, 100902);
+  for (const auto& from : {kA, kB, kC}) tell(from, AckState{1, second.number, true, {}}, 100903);
+  LONGS_EQUAL(1, out.answers.size());
+  LONGS_EQUAL(200, out.answers.front().status);
+  STRCMP_EQUAL("{\"revision\":1}", out.answers.front().body.c_str());
+}
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -58,6 +58,7 @@
 TEST(day, operators_race_and_storm) {
   keeps(12, {"chart-race", "cell-emptied"});
   keeps(13, {"chart-storm", "worker-drained"});
+  keeps(710073, {"split", "slow-disk"});
 }
 
 TEST(day, crowds_and_jobs_that_never_succeed) {
