A quay that catches up takes the others' promises of registers too

Cause, found by reading: a new seat took the accepted values of a majority but not what they had promised. A proposer whose round one was answered by an old seat and one that stays, under the old cohort, could write its round two at the staying one and the new seat, and so replace a value that the new seat and the third had chosen between: a confirmed configuration gone.

Ruled out: the jobs' range, whose promise was carried already; an accept under the old cohort, which the seal denies.

--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -215,7 +215,8 @@
   std::vector<Entry> entries;
   std::vector<Entry> registers;
   Ballot base;
-  MSGPACK_DEFINE(cohort, id, rangePromised, fleetMs, entries, registers, base)
+  std::vector<Entry> promises;
+  MSGPACK_DEFINE(cohort, id, rangePromised, fleetMs, entries, registers, base, promises)
 };
 
 enum class RunState : std::uint8_t { ordered, going, stopping, ended };
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -288,9 +288,12 @@
 
 void onCatchUpAsk(QuayState& quay, const Heard& heard, const CatchUpAsk& ask, Now now, Outbox& out) {
   if (!mayVote(quay) || ask.cohort != quay.image.cohort.revision || !seated(quay.image.cohort, ask.id)) return;
-  CatchUpGive give{ask.cohort, quay.image.id, quay.image.rangePromised, fleetNow(quay.crew, now), {}, {}, quay.image.rangeBase};
+  CatchUpGive give{ask.cohort, quay.image.id, quay.image.rangePromised, fleetNow(quay.crew, now), {}, {}, quay.image.rangeBase, {}};
   for (const auto& [key, entry] : quay.image.jobs) give.entries.push_back(entry);
-  for (const auto& [key, slot] : quay.image.registers) give.registers.push_back({key, {slot.accepted, 0}, slot.value});
+  for (const auto& [key, slot] : quay.image.registers) {
+    give.registers.push_back({key, {slot.accepted, 0}, slot.value});
+    give.promises.push_back({key, {slot.promised, 0}, {}});
+  }
   out.send(heard.from, std::move(give));
 }
 
@@ -316,6 +319,7 @@
         hold::apply(quay.image, writes.back());
       }
     }
+    for (const auto& entry : each.promises) writes.push_back(hold::entry::registerPromise(entry.key, entry.version.ballot));
   }
   writes.push_back(hold::entry::voting(true));
   ++quay.catchUps;
--- a/tests/cohort_test.cpp
+++ b/tests/cohort_test.cpp
@@ -45,6 +45,26 @@
 
 TEST_GROUP(cohort){};
 
+TEST(cohort, a_seat_taken_over_keeps_what_the_others_promised) {
+  const Cohort next{2, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("d"), kD}}};
+  auto a = quayOf("a", kA, next, true), b = quayOf("b", kB, next, true), d = quayOf("d", kD, next, false);
+  a.image.registers["chart"] = {{9, "x"}, {3, "x"}, "old"};
+  b.image.registers["chart"] = {{4, "x"}, {3, "x"}, "old"};
+  for (auto* each : {&a, &b}) {
+    const auto given = hears(*each, "d", kD, CatchUpAsk{2, DaemonId("d")});
+    const auto* give = only<CatchUpGive>(given);
+    CHECK(give != nullptr);
+    hears(d, each->image.id.value.c_str(), each->crew.env.signal, *give);
+  }
+  CHECK(d.image.voting);
+  STRCMP_EQUAL("old", d.image.registers["chart"].value.c_str());
+  const auto answered = hears(d, "p", Address("10.0.0.9:1"), RegisterAccept{2, "chart", {5, "y"}, "new"});
+  const auto* accepted = only<RegisterAccepted>(answered);
+  CHECK(accepted != nullptr);
+  CHECK_FALSE(accepted->ok);
+  LONGS_EQUAL(9, accepted->promised.number);
+}
+
 TEST(cohort, a_change_without_a_name_that_was_finished_by_another_is_told_as_done) {
   const Cohort cohort{1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
   Env env = envOf(Address("10.0.0.9:1"));
