A quay whose disk takes no writes says so, loses its seat to an empty one, or votes again

Cause, suspected from reading and then shown: such a quay went on beating, so its seat never counted as silent and a waiting empty quay was never seated; and if its id was the lowest nobody proposed. A disk that was full for a moment took the vote away until a restart. A disk that hangs was not noticed at all.

Now the disk duty keeps the batch and tries again at every beat; a quay whose oldest write has waited for more than a term does not vote, says it in its beats and its counters, and is treated as silent by the others; when the write is through it votes again. A folded version that can't be written is no failure of the delta before it.

--- a/src/bearing/ring.hpp
+++ b/src/bearing/ring.hpp
@@ -55,6 +55,12 @@
     }
     filled_.notify_all();
     drained_.notify_all();
+    closing_.notify_all();
+  }
+
+  template <class Span> bool closedWithin(const Span& span) {
+    std::unique_lock lock(guard_);
+    return closing_.wait_for(lock, span, [&] { return closed_; });
   }
 
   bool closed() const {
@@ -75,7 +81,7 @@
 
   std::size_t bound_;
   mutable std::mutex guard_;
-  std::condition_variable filled_, drained_;
+  std::condition_variable filled_, drained_, closing_;
   std::deque<Item> items_;
   bool closed_ = false;
 };
--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -20,7 +20,7 @@
   Micros endUs = 0;
   std::int64_t nextJob = 0, nextMark = 0;
   std::map<std::string, Micros> submittedUs;
-  std::set<std::string> retired;
+  std::set<std::string> retired, deadDisks;
   Millis leaderLostMs = -1;
 
   explicit Run(const DayPlan& given) : plan(given), sim(given.seed, given.fleet), judge(sim) {
@@ -366,10 +366,7 @@
     sim.plan.sea = plan.fleet.sea;
     for (const auto& host : sim.all()) {
       host->syncUs = 800;
-      if (host->diskFails) {
-        host->diskFails = false;
-        sim.crash(*host);
-      }
+      if (!deadDisks.contains(host->name)) host->diskFails = false;
       if (!host->up && !retired.contains(host->name)) sim.start(*host);
     }
     for (const auto& hand : sim.hands()) {
@@ -526,6 +523,21 @@
          });
        }},
       {"slow-disk", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.pick(Role::quay).syncUs = 400000; }); }},
+      {"disk-dies-quay-lives", [](Run& run) {
+         run.sim.at(run.fromUs, [&run] {
+           auto& old = run.pick(Role::quay);
+           old.diskFails = true;
+           run.deadDisks.insert(old.name);
+           run.sim.start(run.sim.addHost(Role::quay, old.name + "x", old.env.cell.value));
+           run.sim.after(14 * kSecond, [&run, &old] {
+             for (auto* quay : run.sim.hosts(Role::quay)) {
+               if (quay == &old || quay->name == old.name + "x") continue;
+               run.retired.insert(quay->name);
+               return run.sim.crash(*quay);
+             }
+           });
+         });
+       }},
       {"full-disk", [](Run& run) { run.sim.at(run.faultTime(), [&run] { run.pick(Role::quay).diskFails = true; }); }},
       {"all-restart", [](Run& run) {
          run.sim.at(run.faultTime(), [&run] {
@@ -691,7 +703,8 @@
 
 std::vector<std::string> drawFaults(std::uint64_t seed) {
   static const std::set<std::string> takesAQuay{"quay-disk-lost", "quay-replaced-elsewhere", "quays-replaced-twice",
-                                                "last-fault",     "full-disk",               "cell-lost",           "quay-lags-then-emptied"};
+                                                "last-fault",     "full-disk",               "cell-lost",           "quay-lags-then-emptied",
+                                                "disk-dies-quay-lives"};
   auto names = faultNames();
   std::erase(names, "two-quays-emptied");
   std::mt19937_64 random(seed * 7919);
--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -231,15 +231,17 @@
   auto batch = std::move(host.unsynced);
   host.unsynced.clear();
   ++host.syncs;
-  const Micros span = host.syncUs + below(host.syncUs);
+  const Micros span = host.diskFails ? 100000 : host.syncUs + below(host.syncUs);
   after(span, [this, &host, life, batch = std::move(batch)] {
     if (!host.up || host.lives != life) return;
     host.syncing = false;
-    const bool ok = !host.diskFails;
+    if (host.diskFails) {
+      host.unsynced.insert(host.unsynced.begin(), batch.begin(), batch.end());
+      return sync(host);
+    }
     for (const auto& persist : batch) {
-      if (ok)
-        for (const auto& entry : persist.entries) hold::apply(host.disk, entry);
-      give(host, Persisted{persist.ticket, ok});
+      for (const auto& entry : persist.entries) hold::apply(host.disk, entry);
+      give(host, Persisted{persist.ticket, true});
       if (!host.up || host.lives != life) return;
     }
     if (!host.unsynced.empty()) sync(host);
--- a/src/hold/disk.cpp
+++ b/src/hold/disk.cpp
@@ -79,8 +79,11 @@
   const bool good = writeAll(file, {bytes.data(), bytes.size()}) && ::fsync(file) == 0;
   if (!good) disk.detail = std::strerror(errno);
   ::close(file);
-  if (!good) return Kind::diskFailed;
   std::error_code failed;
+  if (!good) {
+    fs::remove(aside, failed);
+    return Kind::diskFailed;
+  }
   fs::rename(aside, disk.folder / name, failed);
   if (failed || !syncFolder(disk.folder)) {
     disk.detail = failed ? failed.message() : "directory sync failed";
@@ -195,7 +198,8 @@
   if (auto failed = writeVersion(disk, disk.lastSeq + 1, false, entries)) return failed;
   ++disk.lastSeq;
   for (const auto& entry : entries) apply(disk.image, entry);
-  if (disk.deltaBytes > std::max<std::uint64_t>(kCompactFloorBytes, 2 * disk.fullBytes)) return compact(disk);
+  if (disk.deltaBytes <= std::max<std::uint64_t>(kCompactFloorBytes, 2 * disk.fullBytes) || disk.deltaBytes < disk.compactAgainBytes) return {};
+  disk.compactAgainBytes = compact(disk) ? disk.deltaBytes + kCompactFloorBytes : 0;
   return {};
 }
 
--- a/src/hold/disk.hpp
+++ b/src/hold/disk.hpp
@@ -16,7 +16,7 @@
   std::filesystem::path folder;
   Image image;
   std::uint64_t lastSeq = 0;
-  std::uint64_t deltaBytes = 0;
+  std::uint64_t compactAgainBytes = 0, deltaBytes = 0;
   std::uint64_t fullBytes = 0;
   DiskCounts counts;
   std::string detail;
--- a/src/roles/daemon.cpp
+++ b/src/roles/daemon.cpp
@@ -44,9 +44,14 @@
     std::vector<DiskEntry> entries;
     for (auto& persist : batch)
       entries.insert(entries.end(), std::make_move_iterator(persist.entries.begin()), std::make_move_iterator(persist.entries.end()));
-    const auto failed = hold::writeDelta(daemon.disk, entries);
-    if (failed) alarm("disk: " + failed.message() + " " + daemon.disk.detail);
-    for (const auto& persist : batch) daemon.events.push(Persisted{persist.ticket, !failed});
+    std::string said;
+    while (auto failed = hold::writeDelta(daemon.disk, entries)) {
+      const auto text = "disk: " + failed.message() + " " + daemon.disk.detail;
+      if (text != said) alarm(text);
+      said = text;
+      if (daemon.writes.closedWithin(std::chrono::milliseconds(daemon.env.bounds.beatMs()))) return;
+    }
+    for (const auto& persist : batch) daemon.events.push(Persisted{persist.ticket, true});
   }
 }
 
--- a/src/roles/node.cpp
+++ b/src/roles/node.cpp
@@ -63,8 +63,8 @@
   if (node.quay) {
     const auto& quay = *node.quay;
     json_t* item = json_object();
-    json_object_set_new(item, "voting", json_boolean(quay.image.voting && !quay.diskFailed));
-    json_object_set_new(item, "diskFailed", json_boolean(quay.diskFailed));
+    json_object_set_new(item, "voting", json_boolean(quay.image.voting && !watch::ailing(quay)));
+    json_object_set_new(item, "ailing", json_boolean(watch::ailing(quay)));
     json_object_set_new(item, "standing", json_boolean(watch::standing(quay, now)));
     json_object_set_new(item, "jobs", json_integer(static_cast<json_int_t>(quay.image.jobs.size())));
     json_object_set_new(item, "sessions", json_integer(static_cast<json_int_t>(quay.sessions.size())));
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -193,7 +193,8 @@
   Millis leaseLeftMs = 0;
   Millis fleetMs = 0;
   std::vector<Member> sessions;
-  MSGPACK_DEFINE(seat, seeds, empty, cohort, sentMs, echoMs, chartBallot, chartValue, leader, leaseLeftMs, fleetMs, sessions)
+  bool ailing = false;
+  MSGPACK_DEFINE(seat, seeds, empty, cohort, sentMs, echoMs, chartBallot, chartValue, leader, leaseLeftMs, fleetMs, sessions, ailing)
 };
 
 struct Form {
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -11,7 +11,7 @@
 Bounds const& bounds(const QuayState& quay) { return quay.crew.env.bounds; }
 const Address& self(const QuayState& quay) { return quay.crew.env.signal; }
 
-bool mayVote(const QuayState& quay) { return quay.image.voting && !quay.diskFailed; }
+bool mayVote(const QuayState& quay) { return quay.image.voting && !ailing(quay); }
 
 bool seated(const Cohort& cohort, const DaemonId& id) {
   return std::any_of(cohort.seats.begin(), cohort.seats.end(), [&](const Seat& seat) { return seat.id == id; });
@@ -23,7 +23,7 @@
     for (auto& send : after) out.sends.push_back(std::move(send));
     return;
   }
-  quay.waiting[++quay.ticket] = std::move(after);
+  quay.waiting[++quay.ticket] = {quay.stepMs, std::move(after)};
   out.persists.push_back({quay.ticket, std::move(entries)});
 }
 
@@ -93,6 +93,7 @@
   beat.seat = {quay.image.id, self(quay)};
   beat.seeds = quay.crew.env.seeds;
   beat.empty = quay.image.empty();
+  beat.ailing = ailing(quay);
   beat.cohort = quay.image.cohort;
   beat.sentMs = now.steadyMs;
   beat.chartBallot = quay.learnedBallot;
@@ -164,12 +165,12 @@
   for (const auto& seat : quay.image.cohort.seats) {
     auto found = quay.others.find(seat.signal);
     const bool alive = seat.id == quay.image.id || (found != quay.others.end() && found->second.last.seat.id == seat.id &&
-                                                    now.steadyMs - found->second.heardMs < bounds(quay).termMs);
+                                                    now.steadyMs - found->second.soundMs < bounds(quay).termMs);
     if (alive && (!lowest || seat.id < lowest->id)) lowest = &seat;
   }
   if (!lowest || lowest->id != quay.image.id) return;
   for (const auto& [address, other] : quay.others) {
-    if (now.steadyMs - other.heardMs > bounds(quay).termMs || seated(quay.image.cohort, other.last.seat.id)) continue;
+    if (now.steadyMs - other.soundMs > bounds(quay).termMs || seated(quay.image.cohort, other.last.seat.id)) continue;
     if (other.echoMs < now.steadyMs - bounds(quay).termMs) continue;
     if (other.last.cohort.revision > quay.image.cohort.revision) continue;
     for (std::size_t i = 0; i < quay.image.cohort.seats.size(); ++i) {
@@ -177,7 +178,7 @@
       if (seat.id == quay.image.id) continue;
       auto old = quay.others.find(seat.signal);
       const bool sameAddress = seat.signal == address;
-      const bool silent = old == quay.others.end() || now.steadyMs - old->second.heardMs > silentMs;
+      const bool silent = old == quay.others.end() || now.steadyMs - old->second.soundMs > silentMs;
       if (!sameAddress && (!silent || now.steadyMs < quay.bornMs + silentMs)) continue;
       Cohort next = quay.image.cohort;
       ++next.revision;
@@ -194,6 +195,7 @@
   other.last = beat;
   other.last.chartValue.clear();
   other.heardMs = now.steadyMs;
+  if (!beat.ailing) other.soundMs = now.steadyMs;
   if (!sameLife) other.echoMs = -1000000;
   if (beat.echoMs <= now.steadyMs) other.echoMs = std::max(other.echoMs, beat.echoMs);
   raiseFleet(quay.crew, beat.fleetMs, now);
@@ -384,7 +386,12 @@
   return seated(quay.image.cohort, quay.image.id) && count >= majority(quay.image.cohort.seats.size());
 }
 
+bool ailing(const QuayState& quay) {
+  return quay.diskFailed || (!quay.waiting.empty() && quay.stepMs - quay.waiting.begin()->second.sinceMs > bounds(quay).termMs);
+}
+
 void quayStep(QuayState& quay, const Event& event, Now now, Outbox& out) {
+  quay.stepMs = now.steadyMs;
   if (const auto* heard = std::get_if<Heard>(&event)) {
     if (crewHeard(quay.crew, *heard, now, out)) {
       for (auto& proposal : quay.crew.proposals)
@@ -413,15 +420,18 @@
   } else if (const auto* persisted = std::get_if<Persisted>(&event)) {
     auto found = quay.waiting.find(persisted->ticket);
     if (found == quay.waiting.end()) return;
-    auto sends = std::move(found->second);
+    auto sends = std::move(found->second.sends);
     quay.waiting.erase(found);
     if (!persisted->ok) {
-      if (!quay.diskFailed) out.alarms.push_back("the disk failed: this quay no longer votes");
       quay.diskFailed = true;
     }
     if (!quay.diskFailed)
       for (auto& send : sends) out.sends.push_back(std::move(send));
   } else if (std::holds_alternative<Tick>(event)) {
+    if (ailing(quay) != quay.ailed) {
+      quay.ailed = !quay.ailed;
+      out.alarms.push_back(quay.ailed ? "the disk takes no writes: this quay no longer votes" : "the disk takes writes again: this quay votes");
+    }
     onTick(quay, now, out);
     crewTick(quay.crew, now, out);
     quay.crew.ready = mayVote(quay) && standing(quay, now) && sessionLive(quay.crew, now) && !quay.crew.leader.http.empty() && !quay.crew.leaving;
--- a/src/watch/quay.hpp
+++ b/src/watch/quay.hpp
@@ -7,9 +7,15 @@
 struct OtherQuay {
   signal::QuayBeat last;
   Millis heardMs = -1000000;
+  Millis soundMs = -1000000;
   Millis echoMs = -1000000;
 };
 
+struct Unsynced {
+  Millis sinceMs = 0;
+  std::vector<signal::Send> sends;
+};
+
 struct SessionRow {
   signal::Member member;
   Millis heardMs = 0;
@@ -22,7 +28,9 @@
   hold::Image image;
   bool diskFailed = false;
   std::uint64_t ticket = 0;
-  std::map<std::uint64_t, std::vector<signal::Send>> waiting;
+  std::map<std::uint64_t, Unsynced> waiting;
+  Millis stepMs = 0;
+  bool ailed = false;
   std::map<Address, OtherQuay> others;
   std::map<DaemonId, SessionRow> sessions;
   Ballot learnedBallot;
@@ -42,6 +50,7 @@
 
 QuayState makeQuay(const Env& env, hold::Image image, std::string incarnation, signal::Now now);
 bool standing(const QuayState& quay, signal::Now now);
+bool ailing(const QuayState& quay);
 void quayStep(QuayState& quay, const signal::Event& event, signal::Now now, signal::Outbox& out);
 
 }  // namespace tulip::watch
--- a/tests/cohort_test.cpp
+++ b/tests/cohort_test.cpp
@@ -97,3 +97,26 @@
   LONGS_EQUAL(200, out.answers.front().status);
   STRCMP_EQUAL("{\"revision\":1}", out.answers.front().body.c_str());
 }
+
+TEST(cohort, a_quay_whose_disk_hangs_says_so_and_votes_again_when_it_is_through) {
+  const Cohort cohort{1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
+  auto a = quayOf("a", kA, cohort, true);
+  Outbox out;
+  watch::quayStep(a, Heard{DaemonId("p"), kD, RegisterPrepare{1, "chart", {5, "p"}}}, {101000}, out);
+  LONGS_EQUAL(1, out.persists.size());
+  const auto ailsAt = [&](Millis nowMs) {
+    Outbox beats;
+    watch::quayStep(a, Tick{}, {nowMs}, beats);
+    const auto* beat = only<QuayBeat>(beats);
+    CHECK(beat != nullptr);
+    return beat->ailing;
+  };
+  CHECK_FALSE(ailsAt(102000));
+  CHECK(ailsAt(103000));
+  const auto denied = hears(a, "p", kD, RegisterPrepare{1, "chart", {7, "p"}}, 103001);
+  LONGS_EQUAL(0, denied.persists.size());
+  Outbox through;
+  watch::quayStep(a, Persisted{out.persists.front().ticket, true}, {104000}, through);
+  CHECK(only<RegisterPromise>(through) != nullptr);
+  CHECK_FALSE(ailsAt(105000));
+}
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -48,6 +48,10 @@
   keeps(7, {"full-disk", "quay-kill"});
 }
 
+TEST(day, a_quay_whose_disk_dies_while_it_lives_loses_its_seat_to_an_empty_one) {
+  for (std::uint64_t seed : {1, 2, 3, 4, 5}) keeps(seed, {"disk-dies-quay-lives"});
+}
+
 TEST(day, workers_that_crash_cut_freeze_and_leave) {
   keeps(8, {"worker-crash", "worker-leaves"});
   keeps(9, {"worker-cut", "tender-kill"});
--- a/tests/hold_test.cpp
+++ b/tests/hold_test.cpp
@@ -1,5 +1,8 @@
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
+#include <sys/resource.h>
+
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -105,3 +108,27 @@
   flush();
   STRCMP_EQUAL("new", hold::promise(image, {1, "chart", {3, "a"}}, writes).value.c_str());
 }
+
+TEST(hold, a_disk_that_is_full_for_a_while_takes_the_same_write_again_and_loses_nothing) {
+  hold::Disk disk;
+  CHECK_FALSE(static_cast<bool>(hold::openDisk(disk, folder, DaemonId("q1"))));
+  auto write = [&](int n) {
+    const std::vector<signal::DiskEntry> entries{hold::entry::job(jobEntry(n, static_cast<std::uint64_t>(n + 1)))};
+    return hold::writeDelta(disk, entries);
+  };
+  CHECK_FALSE(static_cast<bool>(write(0)));
+  auto before = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit usual{};
+  getrlimit(RLIMIT_FSIZE, &usual);
+  const rlimit tight{100, usual.rlim_max};
+  setrlimit(RLIMIT_FSIZE, &tight);
+  for (int i = 0; i < 3; ++i) CHECK(static_cast<bool>(write(1)));
+  setrlimit(RLIMIT_FSIZE, &usual);
+  std::signal(SIGXFSZ, before);
+  CHECK_FALSE(static_cast<bool>(write(1)));
+  CHECK_FALSE(static_cast<bool>(write(2)));
+  disk = {};
+  hold::Disk again;
+  CHECK_FALSE(static_cast<bool>(hold::openDisk(again, folder, DaemonId("other"))));
+  LONGS_EQUAL(3, again.image.jobs.size());
+}
