The fleet's time is the leader's, taken over from the quays of the newest base and never from hearsay

Cause: time was the highest value that a daemon had heard. And time was synced with batches only, so a fleet that was restarted whole after a quiet hour lost that hour.

Ruled out: clock rates (0.02 % at most here), the planner (it is late or on time by its own clock).

Now a takeover takes the time of the quays of the newest base, quays follow the leader they serve, a leader listens to nobody, and with open jobs a batch goes out once a term.

--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -669,6 +669,28 @@
              for (int k = 0; k < 4; ++k) run.sim.after(k == 0 ? 0 : run.sim.below(4 * kSecond), [&run, id, body] { run.submit(id, body); });
            });
        }},
+      {"far-off-jobs", [](Run& run) {
+         for (int i = 0; i < 40; ++i)
+           run.sim.at(run.fromUs + run.sim.below(run.quietUs - run.fromUs), [&run] {
+             auto sketch = sketchJob(LineLoad{"checkout", 1, 1, 2, 1, 1, 50, 300, 0, 0, 0}, "far-" + std::to_string(++run.nextJob), [&run] { return run.sim.unit(); });
+             sketch.notBeforeMs = 300 + run.sim.below(6000);
+             const auto id = sketch.id;
+             run.submit(id, run.enter(sketch));
+           });
+       }},
+      {"quays-restart-behind-a-cut", [](Run& run) {
+         run.sim.at(run.fromUs + run.sim.below(kSecond), [&run] {
+           auto quays = run.sim.hosts(Role::quay);
+           const auto alone = static_cast<std::size_t>(run.sim.below(3));
+           run.sim.cutOff(*quays[alone]);
+           for (std::size_t i = 0; i < 3; ++i)
+             if (i != alone) run.crashFor(*quays[i], kSecond + run.sim.below(kSecond));
+           run.sim.after(3 * kSecond + run.sim.below(2 * kSecond), [&run] {
+             run.sim.heal();
+             if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
+           });
+         });
+       }},
       {"cancel-storm", [](Run& run) {
          const auto when = run.faultTime();
          for (int i = 0; i < 40; ++i)
--- a/src/hold/image.cpp
+++ b/src/hold/image.cpp
@@ -32,7 +32,7 @@
 DiskEntry voting(bool voting) { return {"voting", {voting ? "yes" : "no", {}, {}}}; }
 DiskEntry rangePromise(const Ballot& term) { return {"range", {{}, {term, 0}, {}}}; }
 DiskEntry rangeBase(const Ballot& term) { return {"base", {{}, {term, 0}, {}}}; }
-DiskEntry fleet(Millis fleetMs) { return {"fleet", {std::to_string(fleetMs), {}, {}}}; }
+DiskEntry fleet(const Ballot& term, Millis fleetMs) { return {"fleet", {std::to_string(fleetMs), {term, 0}, {}}}; }
 DiskEntry registerPromise(const std::string& key, const Ballot& ballot) { return {"promise", {key, {ballot, 0}, {}}}; }
 DiskEntry registerAccept(const std::string& key, const Ballot& ballot, const std::string& value) {
   return {"accept", {key, {ballot, 0}, value}};
@@ -48,8 +48,12 @@
   else if (kind == "voting") image.voting = entry.key == "yes";
   else if (kind == "range") image.rangePromised = std::max(image.rangePromised, entry.version.ballot);
   else if (kind == "base") image.rangeBase = std::max(image.rangeBase, entry.version.ballot);
-  else if (kind == "fleet") image.fleetMs = std::max<Millis>(image.fleetMs, std::stoll(entry.key));
-  else if (kind == "promise") {
+  else if (kind == "fleet") {
+    const auto fleetMs = std::stoll(entry.key);
+    const bool newer = image.fleetTerm < entry.version.ballot;
+    if (newer || image.fleetTerm == entry.version.ballot) image.fleetMs = newer ? fleetMs : std::max<Millis>(image.fleetMs, fleetMs);
+    if (newer) image.fleetTerm = entry.version.ballot;
+  } else if (kind == "promise") {
     auto& slot = image.registers[entry.key];
     slot.promised = std::max(slot.promised, entry.version.ballot);
   } else if (kind == "accept") {
@@ -72,7 +76,7 @@
 }
 
 std::vector<DiskEntry> snapshot(const Image& image) {
-  std::vector<DiskEntry> all{entry::id(image.id), entry::fleet(image.fleetMs), entry::voting(image.voting)};
+  std::vector<DiskEntry> all{entry::id(image.id), entry::fleet(image.fleetTerm, image.fleetMs), entry::voting(image.voting)};
   if (!image.empty()) all.push_back(entry::cohort(image.cohort));
   if (image.rangePromised != Ballot{}) all.push_back(entry::rangePromise(image.rangePromised));
   if (image.rangeBase != Ballot{}) all.push_back(entry::rangeBase(image.rangeBase));
--- a/src/hold/image.hpp
+++ b/src/hold/image.hpp
@@ -23,6 +23,7 @@
   Ballot rangePromised;
   Ballot rangeBase;
   Millis fleetMs = 0;
+  Ballot fleetTerm;
   std::map<std::string, Register> registers;
   absl::btree_map<std::string, signal::Entry> jobs;
 
@@ -35,7 +36,7 @@
 signal::DiskEntry voting(bool voting);
 signal::DiskEntry rangePromise(const Ballot& term);
 signal::DiskEntry rangeBase(const Ballot& term);
-signal::DiskEntry fleet(Millis fleetMs);
+signal::DiskEntry fleet(const Ballot& term, Millis fleetMs);
 signal::DiskEntry registerPromise(const std::string& key, const Ballot& ballot);
 signal::DiskEntry registerAccept(const std::string& key, const Ballot& ballot, const std::string& value);
 signal::DiskEntry clear();
--- a/src/manifest/pilot.cpp
+++ b/src/manifest/pilot.cpp
@@ -304,10 +304,11 @@
   refreshSeats(pilot);
   absl::btree_map<std::string, Entry> newest;
   Ballot base;
+  Millis fleetMs = 0;
   for (const auto& [id, promise] : pilot.promises) base = std::max(base, promise.base);
   for (const auto& [id, promise] : pilot.promises) {
-    watch::raiseFleet(pilot.crew, promise.fleetMs, now);
     if (promise.base != base) continue;
+    fleetMs = std::max(fleetMs, promise.fleetMs);
     for (const auto& entry : promise.entries) {
       auto [slot, fresh] = newest.emplace(entry.key, entry);
       if (!fresh && slot->second.version < entry.version) slot->second = entry;
@@ -322,6 +323,7 @@
     entry.version = versionNow(pilot);
     ++pilot.counts.rewritten;
   }
+  watch::setFleet(pilot.crew, fleetMs, now);
   pilot.current = std::move(newest);
   auto promises = std::move(pilot.promises);
   pilot.promises.clear();
@@ -628,9 +630,11 @@
 }
 
 void sealBatch(PilotState& pilot, Now now, Outbox& out) {
-  if (pilot.dirty.empty() && pilot.waiting.empty()) return;
+  const bool timeDue = !pilot.open.empty() && now.steadyMs - pilot.sealedMs >= bounds(pilot).termMs;
+  if (pilot.dirty.empty() && pilot.waiting.empty() && !timeDue) return;
   constexpr std::size_t kMostOpenBatches = 2;
   if (pilot.batches.size() >= kMostOpenBatches) return;
+  pilot.sealedMs = now.steadyMs;
   ++pilot.seq;
   ++pilot.counts.batches;
   Batch batch;
@@ -744,7 +748,11 @@
 }
 
 void pilotHeard(PilotState& pilot, const Heard& heard, Now now, Outbox& out) {
-  if (watch::crewHeard(pilot.crew, heard, now, out)) return;
+  const auto fleetMs = pilot.crew.fleetMs, fleetAtMs = pilot.crew.fleetAtMs;
+  if (watch::crewHeard(pilot.crew, heard, now, out)) {
+    if (pilot.course == Course::leading) std::tie(pilot.crew.fleetMs, pilot.crew.fleetAtMs) = std::tie(fleetMs, fleetAtMs);
+    return;
+  }
   if (pilot.course == Course::leading && pilot.committed > 0 && now.steadyMs >= pilot.leaseUntilMs)
     return stepDown(pilot, now, out, "its lease lapsed");
   if (const auto* promise = std::get_if<RangePromise>(&heard.message)) onPromise(pilot, heard, *promise, now, out);
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -93,6 +93,7 @@
   Millis leaseUntilMs = -1000000;
   Millis leadSinceMs = 0;
   Millis epochMs = -1000000;
+  Millis sealedMs = -1000000;
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
   std::map<PendingName, LinePace> paces;
--- a/src/watch/crew.cpp
+++ b/src/watch/crew.cpp
@@ -176,7 +176,10 @@
 }
 
 void raiseFleet(Crew& crew, Millis fleetMs, Now now) {
-  if (crew.fleetAtMs >= 0 && fleetMs <= fleetNow(crew, now)) return;
+  if (crew.fleetAtMs < 0 || fleetMs > fleetNow(crew, now)) setFleet(crew, fleetMs, now);
+}
+
+void setFleet(Crew& crew, Millis fleetMs, Now now) {
   crew.fleetMs = fleetMs;
   crew.fleetAtMs = now.steadyMs;
 }
--- a/src/watch/crew.hpp
+++ b/src/watch/crew.hpp
@@ -73,6 +73,7 @@
 bool sessionLive(const Crew& crew, signal::Now now);
 Millis fleetNow(const Crew& crew, signal::Now now);
 void raiseFleet(Crew& crew, Millis fleetMs, signal::Now now);
+void setFleet(Crew& crew, Millis fleetMs, signal::Now now);
 std::vector<Address> quayAddresses(const Crew& crew);
 std::vector<Address> seatAddresses(const Crew& crew);
 std::size_t majority(std::size_t count);
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -198,7 +198,6 @@
   if (!beat.ailing) other.soundMs = now.steadyMs;
   if (!sameLife) other.echoMs = -1000000;
   if (beat.echoMs <= now.steadyMs) other.echoMs = std::max(other.echoMs, beat.echoMs);
-  raiseFleet(quay.crew, beat.fleetMs, now);
   learnChart(quay, beat.chartBallot, beat.chartValue, now, out);
   if (beat.cohort.revision > quay.image.cohort.revision) {
     const bool empty = quay.image.empty();
@@ -279,10 +278,13 @@
   reply.ok = true;
   quay.leader = ask.hint;
   quay.leaseUntilMs = quay.hintUntilMs = now.steadyMs + bounds(quay).termMs;
-  raiseFleet(quay.crew, ask.fleetMs, now);
+  if (std::pair(ask.term, ask.sentMs) >= quay.fleetFrom) {
+    quay.fleetFrom = {ask.term, ask.sentMs};
+    setFleet(quay.crew, ask.fleetMs, now);
+  }
   if (ask.seq > 0) {
     writes.push_back(hold::entry::rangeBase(ask.term));
-    writes.push_back(hold::entry::fleet(ask.fleetMs));
+    writes.push_back(hold::entry::fleet(ask.term, ask.fleetMs));
   }
   for (const auto& entry : ask.entries) writes.push_back(hold::entry::job(entry));
   persist(quay, std::move(writes), {{heard.from, std::move(reply)}}, out);
@@ -306,12 +308,15 @@
   std::vector<DiskEntry> writes{hold::entry::clear()};
   hold::apply(quay.image, writes.front());
   Ballot base;
+  Millis fleetMs = 0;
   for (const auto& [id, each] : quay.catchUp) base = std::max(base, each.base);
+  for (const auto& [id, each] : quay.catchUp)
+    if (each.base == base) fleetMs = std::max(fleetMs, each.fleetMs);
+  writes.push_back(hold::entry::fleet(base, fleetMs));
+  setFleet(quay.crew, fleetMs, now);
   writes.push_back(hold::entry::rangeBase(base));
   for (const auto& [id, each] : quay.catchUp) {
     writes.push_back(hold::entry::rangePromise(each.rangePromised));
-    writes.push_back(hold::entry::fleet(each.fleetMs));
-    raiseFleet(quay.crew, each.fleetMs, now);
     if (each.base == base)
       for (const auto& entry : each.entries) writes.push_back(hold::entry::job(entry));
     for (const auto& entry : each.registers) {
--- a/src/watch/quay.hpp
+++ b/src/watch/quay.hpp
@@ -40,6 +40,7 @@
   bool sealed = false;
   signal::LeaderHint leader;
   Millis leaseUntilMs = 0;
+  std::pair<Ballot, Millis> fleetFrom;
   Millis hintUntilMs = 0;
   Millis bornMs = 0;
   Millis beatSentMs = -1000000;
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -52,6 +52,27 @@
   for (std::uint64_t seed : {1, 2, 3, 4, 5}) keeps(seed, {"disk-dies-quay-lives"});
 }
 
+TEST(day, time_neither_leaps_nor_loses_more_than_a_term_when_the_quays_lose_power) {
+  keeps(740076, {"quays-power-lost", "leader-kill"});
+  for (std::uint64_t seed : {1, 2, 3, 4}) {
+    DayPlan plan;
+    plan.seed = seed;
+    plan.seconds = 24;
+    plan.faults = {"all-restart"};
+    Arrival later;
+    later.job.id = "later";
+    later.job.line = "gate";
+    later.job.notBeforeMs = 19000;
+    later.job.tasks.push_back({"t", 1, {}, 100, false, 0});
+    plan.arrivals = {later};
+    const auto result = runDay(plan);
+    LONGS_EQUAL(0, result.broken.size());
+    const auto& job = result.truth.at("later");
+    CHECK(job.firstStartMs >= job.submittedMs + 19000 - 150);
+    CHECK(job.firstStartMs <= job.submittedMs + 19000 + 4000);
+  }
+}
+
 TEST(day, workers_that_crash_cut_freeze_and_leave) {
   keeps(8, {"worker-crash", "worker-leaves"});
   keeps(9, {"worker-cut", "tender-kill"});
