--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -1,6 +1,8 @@
 #include "drydock/day.hpp"
 
 #include <algorithm>
+#include <atomic>
+#include <thread>
 
 namespace tulip::drydock {
 
@@ -715,6 +717,61 @@
   return all;
 }
 
+const std::map<std::string, Fault>& operations() {
+  static const std::map<std::string, Fault> all{
+      {"gang", [](Run& run) {
+         run.submitThen(LineLoad{"rebuild", 1, 4, 4, 2, 4, 200, 500, 1.0, 0.5, 0}, [](const std::string&) {});
+       }},
+      {"cancel", [](Run& run) {
+         run.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 1500, 2500, 0, 0.5, 0},
+                        [&run](const std::string& id) { run.sim.after(100000, [&run, id] { run.cancel(id); }); });
+       }},
+      {"failing", [](Run& run) { run.newJob(LineLoad{"gate", 1, 2, 2, 1, 1, 50, 100, 0.5, 0, 0}, true); }},
+      {"configuration", [](Run& run) {
+         run.conditionalOnce(true);
+         run.conditionalOnce(false);
+         run.setCell("b", true, {});
+         run.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 200, 500, 0, 0.5, 0}, [](const std::string&) {});
+       }},
+      {"takeover", [](Run& run) {
+         run.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 500, 3500, 0.5, 0.5, 0}, [&run](const std::string&) {
+           if (auto* leader = run.sim.leader()) run.crashFor(*leader, kSecond);
+         });
+       }},
+      {"preemption", [](Run& run) {
+         for (int i = 0; i < 3; ++i) run.newJob(LineLoad{"rebuild", 1, 4, 4, 8, 8, 5500, 6000, 0, 0, 0});
+         run.sim.after(3 * kSecond / 2, [&run] {
+           for (int i = 0; i < 6; ++i) run.newJob(LineLoad{"checkout", 1, 2, 2, 4, 4, 100, 300, 1.0, 0, 0});
+         });
+       }},
+      {"cohort-change", [](Run& run) {
+         run.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 500, 900, 0, 0.5, 0}, [](const std::string&) {});
+         run.replaceQuay(run.pick(Role::quay), false);
+         run.sim.after(11 * kSecond / 2, [&run] {
+           run.sim.points.clear();
+           for (int i = 0; i < 12; ++i) run.sim.after(i * 150000, [&run] { run.markOnce(false); });
+         });
+       }},
+  };
+  return all;
+}
+
+void strike(Run& run, Host& host) {
+  run.result.placed = true;
+  switch (run.plan.place->blow) {
+    case Blow::crash: return run.crashFor(host, kSecond);
+    case Blow::power:
+      for (auto* quay : run.sim.hosts(Role::quay))
+        if (quay != &host && !run.retired.contains(quay->name)) run.crashFor(*quay, kSecond / 2 + run.sim.below(kSecond));
+      return run.crashFor(host, kSecond);
+    case Blow::disk: return run.replaceQuay(host, true);
+    case Blow::freeze: return run.sim.freeze(host, 4 * kSecond);
+    case Blow::cut:
+      run.sim.cutOff(host);
+      return run.sim.after(4 * kSecond, [&run] { run.sim.heal(); });
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> faultNames() {
@@ -723,6 +780,32 @@
   return names;
 }
 
+void inThreads(int threads, std::size_t count, const std::function<void(std::size_t)>& act) {
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> crew;
+  for (int i = 0; i < threads; ++i)
+    crew.emplace_back([&] {
+      for (std::size_t at = next++; at < count; at = next++) act(at);
+    });
+  for (auto& thread : crew) thread.join();
+}
+
+std::vector<std::string> operationNames() {
+  std::vector<std::string> names;
+  for (const auto& [name, act] : operations()) names.push_back(name);
+  return names;
+}
+
+DayPlan operationDay(const std::string& operation, std::uint64_t seed) {
+  DayPlan plan;
+  plan.seed = seed;
+  plan.operation = operation;
+  plan.load.clear();
+  plan.seconds = operation == "cohort-change" ? 24 : 12;
+  plan.fleet.sea.mostUs = 400;
+  return plan;
+}
+
 std::vector<std::string> drawFaults(std::uint64_t seed) {
   static const std::set<std::string> takesAQuay{"quay-disk-lost", "quay-replaced-elsewhere", "quays-replaced-twice",
                                                 "last-fault",     "full-disk",               "cell-lost",           "quay-lags-then-emptied",
@@ -769,6 +852,14 @@
     auto found = faults().find(name);
     if (found != faults().end()) found->second(run);
   }
+  if (auto found = operations().find(plan.operation); found != operations().end()) {
+    sim.place = plan.place;
+    sim.onPlace = [&run](Host& host) { strike(run, host); };
+    sim.at(run.fromUs, [&run, act = found->second] {
+      run.sim.counting = true;
+      act(run);
+    });
+  }
   sim.at(run.quietUs, [&run] { run.healAll(); });
   sim.runUntil(run.endUs);
   const auto probeUs = sim.nowUs();
@@ -825,6 +916,7 @@
     result.leaderKeys = leader->node->pilot->current.size();
     result.leaderJobs = leader->node->pilot->told.size();
   }
+  result.points = sim.points;
   result.truth = std::move(run.judge.jobs);
   return result;
 }
--- a/src/drydock/day.hpp
+++ b/src/drydock/day.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <functional>
 #include <ostream>
 
 #include "drydock/judge.hpp"
@@ -19,6 +20,8 @@
   std::string chartPatch;
   double tailSeconds = 90;
   bool forgetsEnded = false;
+  std::string operation;
+  std::optional<Place> place;
 };
 
 struct DayResult {
@@ -37,11 +40,16 @@
   std::size_t leaderKeys = 0, leaderJobs = 0, mostQuayKeys = 0;
   std::map<std::string, JobTruth> truth;
   std::vector<std::string> alarms;
+  std::map<std::string, int> points;
+  bool placed = false;
 };
 
 std::vector<std::string> faultNames();
+std::vector<std::string> operationNames();
+DayPlan operationDay(const std::string& operation, std::uint64_t seed);
 std::vector<std::string> drawFaults(std::uint64_t seed);
 DayResult runDay(const DayPlan& plan);
+void inThreads(int threads, std::size_t count, const std::function<void(std::size_t)>& act);
 Millis quantile(std::vector<Millis> values, double at);
 std::string summary(const DayResult& result);
 
--- /dev/null
+++ b/src/drydock/place.hpp
@@ -0,0 +1,26 @@
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "signal/core.hpp"
+
+namespace tulip::drydock {
+
+enum class Side { before, unsent, sent };
+enum class Blow { crash, power, disk, freeze, cut };
+
+struct Place {
+  std::string point;
+  int nth = 1;
+  Side side = Side::before;
+  Blow blow = Blow::crash;
+};
+
+std::string pointOf(Role role, const signal::Event& event);
+std::string placeText(const Place& place);
+bool readPlace(const std::string& text, Place& place);
+std::vector<Place> allPlaces(const std::map<std::string, int>& points, int most, bool disks);
+
+}  // namespace tulip::drydock
--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -160,9 +160,22 @@
       });
     return;
   }
+  const auto point = counting ? pointOf(host.env.role, event) : std::string();
+  const bool here = !point.empty() && ++points[point] > 0 && place && place->point == point && points[point] == place->nth;
+  const auto struck = [&](Side side) {
+    if (!here || place->side != side) return false;
+    mark("place " + placeText(*place) + " " + host.name);
+    const int life = host.lives;
+    onPlace(host);
+    return !host.up || host.lives != life;
+  };
+  if (struck(Side::before)) return;
+  if (now_ < host.frozenUntilUs) return give(host, std::move(event));
   Outbox out;
   roles::nodeStep(*host.node, event, clock(host), out);
+  if (struck(Side::unsent)) return;
   settle(host, std::move(out));
+  struck(Side::sent);
 }
 
 void Sim::settle(Host& host, Outbox&& out) {
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "drydock/place.hpp"
 #include "roles/node.hpp"
 #include "roles/worker.hpp"
 
@@ -117,6 +118,10 @@
   std::function<void(Host&, const std::string&)> onAlarm;
   std::function<void(std::string_view)> onMark;
   std::function<void(Hand&)> onWorkerCrash;
+  std::function<void(Host&)> onPlace;
+  std::optional<Place> place;
+  bool counting = false;
+  std::map<std::string, int> points;
 
   std::uint64_t seed() const { return seed_; }
   std::uint64_t traceSum() const { return trace_; }
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -5,7 +5,6 @@
 #include <iostream>
 #include <mutex>
 #include <sstream>
-#include <thread>
 
 #include "bearing/errors.hpp"
 #include "drydock/journals.hpp"
@@ -28,43 +27,79 @@
   return lines;
 }
 
+int runPlaces(const std::string& where, int most, std::uint64_t seed, int threads, bool verbose) {
+  const auto operation = where.substr(0, where.find('@'));
+  const auto names = drydock::operationNames();
+  if (where == "list") {
+    for (const auto& name : names) std::cout << name << "\n";
+    return 0;
+  }
+  if (std::find(names.begin(), names.end(), operation) == names.end()) throw TCLAP::ArgException("allowed is an operation that 'list' prints", "place");
+  const auto plan = drydock::operationDay(operation, seed);
+  std::vector<drydock::Place> places(1);
+  if (operation != where) {
+    if (!drydock::readPlace(where.substr(operation.size() + 1), places.front()))
+      throw TCLAP::ArgException("allowed is POINT:NTH:SIDE:BLOW, as a broken day prints it", "place");
+  } else {
+    const auto quiet = drydock::runDay(plan);
+    if (!quiet.broken.empty()) std::cout << "broken without a blow: " << quiet.broken.front().rule << ": " << quiet.broken.front().what << "\n";
+    places = drydock::allPlaces(quiet.points, most, operation != "cohort-change");
+  }
+  std::mutex guard;
+  std::size_t broken = 0, struck = 0;
+  std::map<std::string, std::size_t> perRule;
+  drydock::inThreads(threads, places.size(), [&](std::size_t at) {
+    auto mine = plan;
+    mine.place = places[at];
+    const auto result = drydock::runDay(mine);
+    std::lock_guard lock(guard);
+    struck += result.placed;
+    broken += !result.broken.empty();
+    if (!result.broken.empty()) std::cout << operation << "@" << drydock::placeText(places[at]) << " seed " << seed << "\n";
+    for (std::size_t k = 0; k < result.broken.size() && k < 3; ++k)
+      std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
+    for (const auto& each : result.broken) ++perRule[each.rule];
+    if (verbose)
+      for (const auto& text : result.alarms) std::cout << "    " << text << "\n";
+  });
+  std::cout << operation << ": " << places.size() << " places, " << struck << " struck, " << broken << " broken\n";
+  for (const auto& [rule, count] : perRule) std::cout << "  " << rule << ": " << count << "\n";
+  return broken ? 1 : 0;
+}
+
 int runDays(const std::vector<drydock::DayPlan>& plans, int threads, bool verbose, const std::string& untilRule) {
   std::size_t ran = 0;
   std::size_t firstBroken = plans.size();
   std::string firstRule;
-  std::atomic<std::size_t> next{0};
+  std::atomic<bool> enough{false};
   std::mutex guard;
   std::size_t broken = 0;
   std::uint64_t checks = 0;
   std::map<std::string, std::size_t> perRule;
   std::vector<Millis> recovered;
-  std::vector<std::thread> crew;
-  for (int i = 0; i < threads; ++i)
-    crew.emplace_back([&] {
-      for (std::size_t at = next++; at < plans.size(); at = next++) {
-        const auto result = drydock::runDay(plans[at]);
-        std::lock_guard lock(guard);
-        ++ran;
-        const auto hit = std::find_if(result.broken.begin(), result.broken.end(),
-                                      [&](const auto& each) { return untilRule == "any" || untilRule == each.rule; });
-        if (hit != result.broken.end() && at < firstBroken) {
-          firstBroken = at;
-          firstRule = hit->rule;
-          next = plans.size();
-        }
-        checks += static_cast<std::uint64_t>(result.checks);
-        recovered.push_back(result.recoveredMs);
-        if (!result.broken.empty()) ++broken;
-        if (verbose || !result.broken.empty()) std::cout << drydock::summary(result) << "\n";
-        for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
-          std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
-        for (const auto& each : result.broken) ++perRule[each.rule];
-        if (verbose)
-          for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
-        std::cout.flush();
-      }
-    });
-  for (auto& thread : crew) thread.join();
+  drydock::inThreads(threads, plans.size(), [&](std::size_t at) {
+    if (enough) return;
+    const auto result = drydock::runDay(plans[at]);
+    std::lock_guard lock(guard);
+    ++ran;
+    const auto hit = std::find_if(result.broken.begin(), result.broken.end(),
+                                  [&](const auto& each) { return untilRule == "any" || untilRule == each.rule; });
+    if (hit != result.broken.end() && at < firstBroken) {
+      firstBroken = at;
+      firstRule = hit->rule;
+      enough = true;
+    }
+    checks += static_cast<std::uint64_t>(result.checks);
+    recovered.push_back(result.recoveredMs);
+    if (!result.broken.empty()) ++broken;
+    if (verbose || !result.broken.empty()) std::cout << drydock::summary(result) << "\n";
+    for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
+      std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
+    for (const auto& each : result.broken) ++perRule[each.rule];
+    if (verbose)
+      for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
+    std::cout.flush();
+  });
   if (firstBroken < plans.size())
     std::cout << "first broken: day " << firstBroken + 1 << " seed " << plans[firstBroken].seed << " rule " << firstRule << "\n";
   std::cout << ran << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << drydock::quantile(recovered, 0.5) << " p99 "
@@ -75,17 +110,11 @@
 
 int runWhatIf(drydock::DayPlan plan, const std::vector<drydock::Variant>& variants, int threads) {
   std::vector<drydock::DayResult> results(variants.size());
-  std::atomic<std::size_t> next{0};
-  std::vector<std::thread> crew;
-  for (int i = 0; i < threads; ++i)
-    crew.emplace_back([&] {
-      for (std::size_t at = next++; at < variants.size(); at = next++) {
-        auto mine = plan;
-        mine.chartPatch = variants[at].patch;
-        results[at] = drydock::runDay(mine);
-      }
-    });
-  for (auto& thread : crew) thread.join();
+  drydock::inThreads(threads, variants.size(), [&](std::size_t at) {
+    auto mine = plan;
+    mine.chartPatch = variants[at].patch;
+    results[at] = drydock::runDay(mine);
+  });
   std::vector<std::pair<std::string, std::vector<drydock::Figure>>> columns;
   bool broken = false;
   for (std::size_t i = 0; i < variants.size(); ++i) {
@@ -115,6 +144,9 @@
     TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
     TCLAP::SwitchArg stays("", "no-self-stop", "workers go on when unheard past their term", line);
     TCLAP::ValueArg<std::string> untilRule("", "until-rule", "stop at the first day that breaks this rule, or 'any', and name its seed", false, "", "RULE", line);
+    TCLAP::ValueArg<std::string> place("", "place", "OPERATION, or OPERATION@POINT:NTH:SIDE:BLOW: a blow at every step of one operation; 'list' names them", false, "",
+                                       "WHERE", line);
+    TCLAP::ValueArg<int> placeMost("", "place-most", "how many of each kind of step to strike at", false, 8, "N", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
     TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
     TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
@@ -159,6 +191,7 @@
       for (const auto& name : names) std::cout << name << "\n";
       return 0;
     }
+    if (!place.getValue().empty()) return runPlaces(place.getValue(), placeMost.getValue(), seed.getValue(), std::max(1, threads.getValue()), verbose.getValue());
     const auto& rules = drydock::ruleNames();
     if (const auto& until = untilRule.getValue(); !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
       throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists", "until-rule");
