Quays that all come back empty form no new fleet while daemons remember the old one

Cause: three empty seed quays formed a first cohort whoever else was about.

Now a session's beat says which cohort the daemon knows; an empty quay that hears of one, itself or through another, does not form and says so; a daemon takes no grant of another cohort than the one it knows. Stopping every pilot and tender is the way to begin anew.

--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -599,6 +599,11 @@
       {"never-succeed", [](Run& run) {
          for (int i = 0; i < 8; ++i) run.sim.at(run.faultTime(), [&run] { run.newJob(LineLoad{"gate"}, true); });
        }},
+      {"all-quays-emptied", [](Run& run) {
+         run.sim.at(run.faultTime(), [&run] {
+           for (auto* quay : run.sim.hosts(Role::quay)) run.replaceQuay(*quay, true);
+         });
+       }},
       {"two-quays-emptied", [](Run& run) {
          run.sim.at(run.faultTime(), [&run] {
            auto quays = run.sim.hosts(Role::quay);
@@ -812,6 +817,7 @@
                                                 "disk-dies-quay-lives"};
   auto names = faultNames();
   std::erase(names, "two-quays-emptied");
+  std::erase(names, "all-quays-emptied");
   std::mt19937_64 random(seed * 7919);
   std::vector<std::string> drawn{names[random() % names.size()]};
   if (random() % 3 == 0) return drawn;
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -66,7 +66,8 @@
   Member me;
   std::uint64_t beat = 0;
   Millis sentMs = 0;
-  MSGPACK_DEFINE(me, beat, sentMs)
+  Revision cohort = 0;
+  MSGPACK_DEFINE(me, beat, sentMs, cohort)
 };
 
 struct SessionGrant {
@@ -194,7 +195,9 @@
   Millis fleetMs = 0;
   std::vector<Member> sessions;
   bool ailing = false;
-  MSGPACK_DEFINE(seat, seeds, empty, cohort, sentMs, echoMs, chartBallot, chartValue, leader, leaseLeftMs, fleetMs, sessions, ailing)
+  Revision remembered = 0;
+  MSGPACK_DEFINE(seat, seeds, empty, cohort, sentMs, echoMs, chartBallot, chartValue, leader, leaseLeftMs, fleetMs, sessions, ailing,
+                 remembered)
 };
 
 struct Form {
--- a/src/watch/crew.cpp
+++ b/src/watch/crew.cpp
@@ -1,6 +1,7 @@
 #include "watch/crew.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tulip::watch {
 
@@ -214,16 +215,22 @@
   crew.beatSentMs = now.steadyMs;
   Member me{crew.id,    crew.env.role, crew.env.cell, crew.env.signal, crew.env.http, crew.chartRevision,
             crew.ready, crew.leaving,  0,             {}};
-  out.send(quays[crew.home % quays.size()], SessionBeat{std::move(me), ++crew.beat, now.steadyMs});
+  out.send(quays[crew.home % quays.size()], SessionBeat{std::move(me), ++crew.beat, now.steadyMs, crew.cohort.revision});
 }
 
 bool crewHeard(Crew& crew, const Heard& heard, Now now, Outbox& out) {
   if (const auto* grant = std::get_if<SessionGrant>(&heard.message)) {
     if (grant->sentMs > now.steadyMs || grant->sentMs + grant->termMs <= now.steadyMs) return true;
+    const bool foreign = grant->cohort.revision == crew.cohort.revision && grant->cohort != crew.cohort;
+    if (crew.env.role != Role::quay && (foreign || grant->cohort.revision < crew.cohort.revision)) {
+      if (!std::exchange(crew.strange, true)) out.alarms.push_back("a quay of another cohort than the one known here is not listened to");
+      return true;
+    }
+    crew.strange = false;
     crew.grantedMs = now.steadyMs;
     crew.sessionUntilMs = std::max(crew.sessionUntilMs, grant->sentMs + grant->termMs);
     crew.leader = grant->leader;
-    if (grant->cohort.revision >= crew.cohort.revision) crew.cohort = grant->cohort;
+    crew.cohort = grant->cohort;
     crew.members = grant->members;
     raiseFleet(crew, grant->fleetMs, now);
     if (grant->chartRevision > crew.chartRevision && !grant->chartText.empty()) {
--- a/src/watch/crew.hpp
+++ b/src/watch/crew.hpp
@@ -64,6 +64,7 @@
   Millis fleetAtMs = -1;
   bool ready = false;
   bool leaving = false;
+  bool strange = false;
   std::vector<Proposal> proposals;
   std::uint64_t ballotNumber = 0;
   std::uint64_t proposed = 0, chosen = 0, contended = 0;
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -1,6 +1,7 @@
 #include "watch/quay.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tulip::watch {
 
@@ -78,6 +79,10 @@
 
 void onSessionBeat(QuayState& quay, const Heard& heard, const SessionBeat& beat, Now now, Outbox& out) {
   if (!standing(quay, now) || !quay.chartKnown || !mayVote(quay)) {
+    if (quay.image.empty() && beat.me.role != Role::quay && beat.cohort > 0) {
+      quay.remembered = std::max(quay.remembered, beat.cohort);
+      quay.rememberedMs = now.steadyMs;
+    }
     ++quay.grantsDenied;
     return;
   }
@@ -94,6 +99,7 @@
   beat.seeds = quay.crew.env.seeds;
   beat.empty = quay.image.empty();
   beat.ailing = ailing(quay);
+  if (now.steadyMs - quay.rememberedMs < 4 * bounds(quay).termMs) beat.remembered = quay.remembered;
   beat.cohort = quay.image.cohort;
   beat.sentMs = now.steadyMs;
   beat.chartBallot = quay.learnedBallot;
@@ -143,6 +149,15 @@
   const auto& seeds = quay.crew.env.seeds;
   if (!quay.image.empty() || self(quay) != seeds.front()) return;
   Cohort cohort{1, {}};
+  Revision remembered = now.steadyMs - quay.rememberedMs < 4 * bounds(quay).termMs ? quay.remembered : 0;
+  for (const auto& [address, other] : quay.others)
+    if (now.steadyMs - other.heardMs < bounds(quay).termMs) remembered = std::max(remembered, other.last.remembered);
+  if (remembered > 0) {
+    if (!std::exchange(quay.deniesForming, true))
+      out.alarms.push_back("daemons remember cohort " + std::to_string(remembered) +
+                           ": no new fleet is formed here; bring back its data folders, or stop every pilot and tender to begin anew");
+    return;
+  }
   for (const auto& seed : seeds) {
     if (seed == self(quay)) {
       cohort.seats.push_back({quay.image.id, seed});
--- a/src/watch/quay.hpp
+++ b/src/watch/quay.hpp
@@ -44,6 +44,9 @@
   Millis hintUntilMs = 0;
   Millis bornMs = 0;
   Millis beatSentMs = -1000000;
+  Revision remembered = 0;
+  Millis rememberedMs = -1000000;
+  bool deniesForming = false;
   Millis completeAtMs = 0;
   std::map<DaemonId, signal::CatchUpGive> catchUp;
   std::uint64_t rangeAccepts = 0, rangeDenied = 0, grants = 0, grantsDenied = 0, catchUps = 0;
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -169,6 +169,17 @@
   }
 }
 
+TEST(day, quays_that_all_come_back_empty_do_not_begin_anew_while_daemons_remember) {
+  for (std::uint64_t seed : {1, 2, 3}) {
+    const auto result = day(seed, {"all-quays-emptied"});
+    for (const auto& each : result.broken) CHECK(each.rule == "ends" || each.what.find("fewer than three daemons answer") == 0);
+    LONGS_EQUAL(-1, result.recoveredMs);
+    bool said = false;
+    for (const auto& text : result.alarms) said = said || text.find("remember cohort") != std::string::npos;
+    CHECK(said);
+  }
+}
+
 TEST(day, what_an_older_term_left_at_one_quay_is_not_taken_for_newer) {
   DayPlan plan;
   plan.seed = 310149;
