--- a/tests/cohort_test.cpp
+++ b/tests/cohort_test.cpp
@@ -120,3 +120,45 @@
   CHECK(only<RegisterPromise>(through) != nullptr);
   CHECK_FALSE(ailsAt(105000));
 }
+
+TEST(cohort, a_quay_that_voted_for_the_next_cohort_takes_no_more_part_in_this_one) {
+  const Cohort cohort{1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
+  auto a = quayOf("a", kA, cohort, true);
+  CHECK(only<RegisterPromise>(hears(a, "p", kD, RegisterPrepare{1, "chart", {5, "p"}})) != nullptr);
+  hears(a, "b", kB, RegisterAccept{1, "cohort/2", {6, "b"}, "next"});
+  CHECK(only<RegisterPromise>(hears(a, "p", kD, RegisterPrepare{1, "chart", {7, "p"}})) == nullptr);
+  CHECK(only<RegisterAccepted>(hears(a, "p", kD, RegisterAccept{1, "chart", {7, "p"}, "late"})) == nullptr);
+  CHECK(only<RangePromise>(hears(a, "p", kD, RangePrepare{1, {9, "p"}, {}})) == nullptr);
+  auto again = watch::makeQuay(envOf(kA), a.image, "j", {200000});
+  CHECK(only<RegisterPromise>(hears(again, "p", kD, RegisterPrepare{1, "chart", {8, "p"}}, 200010)) == nullptr);
+}
+
+TEST(cohort, a_quay_grants_no_session_before_it_has_read_the_configuration) {
+  const Cohort cohort{1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
+  auto a = quayOf("a", kA, cohort, true);
+  QuayBeat beat;
+  beat.seat = {DaemonId("b"), kB};
+  beat.cohort = cohort;
+  beat.sentMs = 1;
+  beat.echoMs = 100000;
+  hears(a, "b", kB, beat);
+  CHECK(watch::standing(a, {100010}));
+  SessionBeat me;
+  me.me.id = DaemonId("t");
+  me.me.role = Role::tender;
+  me.sentMs = 5;
+  CHECK(only<SessionGrant>(hears(a, "t", kD, me)) == nullptr);
+  beat.chartBallot = {4, "p"};
+  chart::Stored stored;
+  stored.revision = 7;
+  stored.text = "{}";
+  beat.chartValue = chart::writeStored(stored);
+  ++beat.sentMs;
+  hears(a, "b", kB, beat);
+  const auto granted = hears(a, "t", kD, me);
+  CHECK(only<SessionGrant>(granted) != nullptr);
+  LONGS_EQUAL(7, only<SessionGrant>(granted)->chartRevision);
+  stored.revision = 6;
+  hears(a, "p", kD, RegisterChosen{"chart", {3, "p"}, chart::writeStored(stored)});
+  LONGS_EQUAL(7, only<SessionGrant>(hears(a, "t", kD, me))->chartRevision);
+}
--- /dev/null
+++ b/tests/takeover_test.cpp
@@ -0,0 +1,85 @@
+#include <CppUTest/TestHarness.h>
+
+#include "manifest/pilot.hpp"
+
+using namespace tulip;
+using namespace tulip::signal;
+
+namespace {
+
+const Address kA("10.0.0.1:1"), kB("10.0.0.2:1"), kC("10.0.0.3:1");
+
+std::string jobOn(const char* worker, std::int64_t attempts) {
+  manifest::Job job;
+  job.id = JobId("j");
+  job.tasks.resize(1);
+  job.tasks[0].name = std::string(1, 't');
+  if (attempts > 0) {
+    job.tasks[0].attempts = attempts - 1;
+    manifest::startRun(job, 0, WorkerId(worker), "life", 10);
+  }
+  return manifest::packJob(job);
+}
+
+RangePromise promiseOf(const Ballot& term, const Ballot& base, Millis fleetMs, std::vector<Entry> entries) {
+  RangePromise promise;
+  promise.term = promise.promised = term;
+  promise.ok = true;
+  promise.base = base;
+  promise.fleetMs = fleetMs;
+  promise.entries = std::move(entries);
+  return promise;
+}
+
+}  // namespace
+
+TEST_GROUP(takeover) {
+  manifest::PilotState pilot;
+  const Ballot first{1, "p1"}, second{2, "p2"}, third{3, "me/i"};
+  Outbox out;
+
+  void setup() override {
+    Env env;
+    env.role = Role::pilot;
+    env.signal = Address("10.0.0.9:1");
+    pilot = manifest::makePilot(env, DaemonId("me"), "i");
+    pilot.crew.cohort = {1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
+    pilot.crew.sessionUntilMs = 200000;
+    pilot.course = manifest::Course::preparing;
+    pilot.term = third;
+    pilot.prepareStartMs = 100000;
+  }
+
+  void hear(const char* id, const Address& from, RangePromise promise) {
+    manifest::pilotHeard(pilot, Heard{DaemonId(id), from, std::move(promise)}, {100010}, out);
+  }
+};
+
+TEST(takeover, what_an_older_term_left_at_one_quay_is_not_taken_for_newer) {
+  hear("b", kB, promiseOf(third, second, 5000, {{"j", {first, 3}, jobOn("", 0)}}));
+  hear("c", kC, promiseOf(third, first, 9000, {{"j", {first, 9}, jobOn("left-over", 1)}}));
+  CHECK(pilot.course == manifest::Course::leading);
+  CHECK(pilot.jobs.at(JobId("j")).tasks[0].state == manifest::TaskState::pending);
+  LONGS_EQUAL(5000, watch::fleetNow(pilot.crew, {100010}));
+  std::size_t rewrites = 0;
+  for (const auto& send : out.sends)
+    if (const auto* accept = std::get_if<RangeAccept>(&send.message); accept && !accept->entries.empty()) {
+      ++rewrites;
+      CHECK(accept->entries[0].version.ballot == third);
+    }
+  LONGS_EQUAL(2, rewrites);
+}
+
+TEST(takeover, of_two_quays_of_the_newest_base_the_newer_version_is_kept) {
+  hear("a", kA, promiseOf(third, second, 5000, {{"j", {second, 4}, jobOn("w", 1)}}));
+  hear("b", kB, promiseOf(third, second, 6000, {{"j", {second, 3}, jobOn("", 0)}}));
+  CHECK(pilot.course == manifest::Course::leading);
+  CHECK(pilot.jobs.at(JobId("j")).tasks[0].state == manifest::TaskState::placed);
+  LONGS_EQUAL(6000, watch::fleetNow(pilot.crew, {100010}));
+}
+
+TEST(takeover, nothing_leads_on_the_word_of_one_quay_or_of_a_stranger) {
+  hear("a", kA, promiseOf(third, second, 5000, {}));
+  hear("x", Address("10.0.0.4:1"), promiseOf(third, second, 5000, {}));
+  CHECK(pilot.course == manifest::Course::preparing);
+}
