Real fleets are judged by what callers and operators saw, not by the workers' journals alone

Cause: the journals of workers show double runs and room only; most of what must never happen is a matter between what a caller was told and what ran.

Each checker is shown to fire. A torn last line of a killed process is counted and is no error.

--- a/src/drydock/journals.cpp
+++ b/src/drydock/journals.cpp
@@ -1,12 +1,15 @@
 #include "drydock/journals.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <set>
 #include <sstream>
 
+#include "bearing/json.hpp"
+
 namespace tulip::drydock {
 namespace {
 
@@ -20,6 +23,118 @@
   std::string run, worker, life, outcome;
 };
 
+struct Call {
+  std::int64_t submittedMs = 0, acceptedMs = -1, deniedMs = -1, cancelledMs = -1, endedMs = -1, notBeforeMs = 0;
+  std::string line, shown;
+  std::map<std::string, std::vector<std::string>> after;
+};
+
+struct Shore {
+  std::map<std::string, Call> calls;
+  std::map<std::string, std::int64_t> limits;
+  std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> drained;
+  std::int64_t newestConfirmed = 0;
+};
+
+constexpr std::int64_t kChartGraceMs = 2000, kDrainGraceMs = 2000, kCancelGraceMs = 3000, kEarlyGraceMs = 150;
+
+void readShore(const std::string& folder, Shore& shore, JournalVerdict& verdict) {
+  std::vector<std::pair<std::int64_t, std::string>> lines;
+  for (const auto& item : std::filesystem::directory_iterator(folder)) {
+    if (item.path().extension() != ".calls") continue;
+    std::ifstream in(item.path());
+    for (std::string text; std::getline(in, text);) {
+      const auto gap = text.find(' ');
+      if (in.eof() || gap == std::string::npos) ++verdict.torn;
+      else lines.emplace_back(std::atoll(text.c_str()), text.substr(gap + 1));
+    }
+  }
+  std::stable_sort(lines.begin(), lines.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::map<std::int64_t, std::int64_t> confirmedMs;
+  for (const auto& [atMs, text] : lines) {
+    std::stringstream words(text);
+    std::string kind, name, more;
+    words >> kind >> name >> more;
+    if (kind == "submit") {
+      Json body = parseJson(std::string_view(text).substr(7));
+      auto& call = shore.calls[textAt(body.get(), "id")];
+      call.submittedMs = atMs;
+      call.line = textAt(body.get(), "pending");
+      call.notBeforeMs = numberAt(body.get(), "notBeforeMs");
+      const json_t* tasks = json_object_get(body.get(), "tasks");
+      for (std::size_t i = 0; i < json_array_size(tasks); ++i) {
+        const json_t* task = json_array_get(tasks, i);
+        auto& after = call.after[textAt(task, "name")];
+        for (std::size_t k = 0; k < json_array_size(json_object_get(task, "after")); ++k)
+          after.push_back(json_string_value(json_array_get(json_object_get(task, "after"), k)));
+      }
+    } else if (kind == "accepted") {
+      auto& call = shore.calls[name];
+      if (call.acceptedMs < 0) ++verdict.accepted, call.acceptedMs = atMs;
+    } else if (kind == "denied") shore.calls[name].deniedMs = atMs;
+    else if (kind == "cancelled") shore.calls[name].cancelledMs = atMs;
+    else if (kind == "unknown" && shore.calls[name].acceptedMs >= 0) verdict.broken.push_back("forgotten: " + name + " is unknown after it was accepted");
+    else if (kind == "shown") {
+      auto& call = shore.calls[name];
+      ++verdict.ended;
+      call.shown = more;
+      call.endedMs = atMs;
+    } else if (kind == "limit") shore.limits[name] = std::atoll(more.c_str());
+    else if (kind == "drained" || kind == "emptied") shore.drained[kind + " " + name].emplace_back(atMs, INT64_MAX);
+    else if (kind == "undrained" || kind == "unemptied") {
+      auto& spans = shore.drained[kind.substr(2) + " " + name];
+      if (!spans.empty() && spans.back().second == INT64_MAX) spans.back().second = atMs;
+    } else if (kind == "confirmed") confirmedMs.try_emplace(std::atoll(name.c_str()), atMs);
+    else if (kind == "read") {
+      ++verdict.reads;
+      for (const auto& [revision, whenMs] : confirmedMs)
+        if (revision > std::atoll(name.c_str()) && std::atoll(more.c_str()) > whenMs + kChartGraceMs)
+          verdict.broken.push_back("chart: revision " + name + " is answered " + std::to_string(std::atoll(more.c_str()) - whenMs) + " ms after " +
+                                   std::to_string(revision) + " was confirmed");
+    }
+  }
+}
+
+void judgeShore(const Shore& shore, const std::map<std::string, std::vector<Span>>& byTask, JournalVerdict& verdict) {
+  const auto fault = [&](std::string text) { verdict.broken.push_back(std::move(text)); };
+  const auto firstClean = [&](const std::string& task) {
+    std::int64_t first = INT64_MAX;
+    if (auto found = byTask.find(task); found != byTask.end())
+      for (const auto& span : found->second)
+        if (span.outcome == "clean") first = std::min(first, span.untilMs);
+    return first;
+  };
+  for (const auto& [task, spans] : byTask) {
+    const auto colon = task.find(':');
+    const auto found = shore.calls.find(task.substr(0, colon));
+    std::int64_t failures = 0;
+    for (const auto& span : spans) {
+      if (found == shore.calls.end() || !found->second.after.contains(task.substr(colon + 1))) {
+        fault("asked-for: nobody asked for " + span.run);
+        continue;
+      }
+      const auto& call = found->second;
+      if (call.deniedMs >= 0) fault("asked-for: " + span.run + " runs though its job was denied");
+      if (call.endedMs >= 0 && span.fromMs > call.endedMs) fault("asked-for: " + span.run + " starts after its job was shown " + call.shown);
+      if (call.cancelledMs >= 0 && span.fromMs > call.cancelledMs + kCancelGraceMs) fault("cancelled: " + span.run + " starts after its cancel was confirmed");
+      if (span.fromMs + kEarlyGraceMs < call.submittedMs + call.notBeforeMs) fault("early: " + span.run);
+      for (const auto& step : call.after.at(task.substr(colon + 1)))
+        if (firstClean(found->first + ":" + step) > span.fromMs) fault("steps: " + span.run + " starts before " + step + " is done");
+      if (auto limit = shore.limits.find(call.line); limit != shore.limits.end() && failures >= limit->second)
+        fault("failures: " + span.run + " starts after " + std::to_string(failures) + " failures");
+      if (auto drained = shore.drained.find("drained " + span.worker); drained != shore.drained.end())
+        for (const auto& [fromMs, untilMs] : drained->second)
+          if (span.fromMs > fromMs + kDrainGraceMs && span.fromMs < untilMs) fault("draining: " + span.run + " starts on drained " + span.worker);
+      failures += span.outcome == "failed" && span.ackedMs >= 0;
+    }
+  }
+  for (const auto& [id, call] : shore.calls) {
+    if (call.acceptedMs >= 0 && call.endedMs < 0) fault("ends: " + id + " was accepted and not seen to end");
+    for (const auto& [name, steps] : call.after)
+      if (call.shown == "finished" && firstClean(id + ":" + name) > call.endedMs) fault("finished: " + id + " is shown finished but " + name + " had not ended cleanly");
+  }
+}
+
 std::string taskOf(const std::string& run) { return run.substr(0, run.rfind(':')); }
 
 }  // namespace
@@ -35,8 +150,9 @@
       Line line;
       if (words >> line.atMs >> line.worker >> line.life >> line.kind >> line.run) {
         words >> line.more;
-        lines.push_back(std::move(line));
-      }
+        if (in.eof()) ++verdict.torn;
+        else lines.push_back(std::move(line));
+      } else ++verdict.torn;
     }
   }
   std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
@@ -71,6 +187,9 @@
       if (line.kind == "acked") span.ackedMs = line.atMs;
     }
   }
+  Shore shore;
+  readShore(folder, shore, verdict);
+  if (!shore.calls.empty()) judgeShore(shore, byTask, verdict);
   for (const auto& [task, spans] : byTask) {
     bool clean = false;
     for (const auto& one : spans) {
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -183,7 +183,8 @@
       const auto verdict = drydock::judgeJournals(journals.getValue());
       for (const auto& fault : verdict.broken) std::cout << fault << "\n";
       std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, " << verdict.broken.size() << " broken, "
-                << verdict.unacknowledgedReruns << " run again after an end that died unacknowledged\n";
+                << verdict.unacknowledgedReruns << " run again after an end that died unacknowledged; callers saw " << verdict.accepted << " accepted, "
+                << verdict.ended << " ended, " << verdict.reads << " readings of the configuration; " << verdict.torn << " torn lines\n";
       return verdict.broken.empty() && verdict.starts > 0 ? 0 : 1;
     }
     const auto names = drydock::faultNames();
--- a/src/roles/helm.cpp
+++ b/src/roles/helm.cpp
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <random>
+#include <set>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -18,11 +19,20 @@
 
 struct Helm {
   std::vector<Address> at;
+  std::string journal;
   Millis cutoffMs = 15000;
   bool json = false;
   std::string transaction;
 };
 
+Millis steadyMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+void journal(const Helm& helm, const std::string& line) {
+  if (!helm.journal.empty()) std::ofstream(helm.journal, std::ios::app) << steadyMs() << " " << line << std::endl;
+}
+
 struct Task {
   std::string method, target, body;
 };
@@ -181,6 +191,8 @@
   std::map<std::string, int> ends;
   std::size_t asked = 0, denied = 0, tries = 0, lost = 0;
   std::chrono::steady_clock::time_point until, hard;
+  std::set<std::string> seen;
+  bool limitsKnown = false;
 
   double dice() { return static_cast<double>(random() >> 11) / 9007199254740992.0; }
   Millis sinceMs(const std::string& id) const {
@@ -200,13 +212,17 @@
   }
   void submit(const std::string& id, const std::string& body) {
     ++tries;
+    if (seen.insert(id).second) journal(helm, "submit " + body);
     call({"POST", "/jobs", body}, [this, id, body](gangway::CallReply reply) {
       if (reply.status == 200 || reply.status == 201) {
         acceptedMs[id] = sinceMs(id);
+        journal(helm, "accepted " + id);
+        if (!helm.journal.empty() && dice() < 0.05) after(0.1 + dice(), [this, id] { cancel(id); });
         return poll(id);
       }
       if (reply.status >= 400 && reply.status < 500) {
         ++denied;
+        journal(helm, "denied " + id);
         since.erase(id);
         return;
       }
@@ -214,13 +230,37 @@
         after(reply.retryAfterMs > 0 ? static_cast<double>(reply.retryAfterMs) / 1000 : 0.1, [this, id, body] { submit(id, body); });
     });
   }
+  void cancel(const std::string& id) {
+    call({"DELETE", "/jobs/" + id, ""}, [this, id](gangway::CallReply reply) {
+      if (reply.status == 200) journal(helm, "cancelled " + id);
+      else if (reply.status >= 500 || reply.status == 0) after(0.2, [this, id] { cancel(id); });
+    });
+  }
+  void readChart() {
+    const auto askedMs = steadyMs();
+    call({"GET", "/configuration", ""}, [this, askedMs](gangway::CallReply reply) {
+      Json view = parseJson(reply.body);
+      const auto revision = view ? numberAt(view.get(), "revision") : 0;
+      if (reply.status == 200 && revision > 0) journal(helm, "read " + std::to_string(revision) + " " + std::to_string(askedMs));
+      const char* line;
+      json_t* pending;
+      if (!std::exchange(limitsKnown, reply.status == 200 || limitsKnown))
+        json_object_foreach(json_object_get(json_object_get(view.get(), "configuration"), "pendings"), line, pending)
+          journal(helm, "limit " + std::string(line) + " " + std::to_string(numberAt(pending, "failureLimit", 3)));
+      if (std::chrono::steady_clock::now() < until) after(0.2 + 0.2 * dice(), [this] { readChart(); });
+    });
+  }
   void poll(const std::string& id) {
     call({"GET", "/jobs/" + id, ""}, [this, id](gangway::CallReply reply) {
       Json view = parseJson(reply.body);
-      if (reply.status == 404) ++lost;
+      if (reply.status == 404) {
+        ++lost;
+        journal(helm, "unknown " + id);
+      }
       const auto state = view ? textAt(view.get(), "state") : "";
       if (state == "finished" || state == "failed" || state == "cancelled" || state == "expired") {
         ++ends[state];
+        journal(helm, "shown " + id + " " + state);
         const auto accepted = numberAt(view.get(), "acceptedMs");
         startedMs[id] = numberAt(view.get(), "firstStartMs") - accepted;
         finishedMs[id] = numberAt(view.get(), "finishedMs") - accepted;
@@ -255,10 +295,11 @@
   std::vector<drydock::LineLoad> lines;
   chart::Fault fault;
   if (!drydock::readLoad(scenario, lines, fault)) throw TCLAP::ArgException(fault.path + ": allowed is " + fault.allowed, "scenario");
-  LoadRun run{helm, {}, std::mt19937_64(std::hash<std::string>{}(helm.transaction)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}};
+  LoadRun run{helm, {}, std::mt19937_64(std::hash<std::string>{}(helm.transaction)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}, {}, false};
   run.until = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(seconds * 1000));
   run.hard = run.until + std::chrono::milliseconds(helm.cutoffMs);
   for (const auto& line : lines) run.arrive(line, factor);
+  if (!helm.journal.empty()) run.readChart();
   run.context.run();
   Json root(json_object());
   json_object_set_new(root.get(), "jobs", json_integer(static_cast<json_int_t>(run.asked)));
@@ -291,6 +332,7 @@
     TCLAP::ValueArg<std::string> after("", "after", "list from behind this job", false, "", "JOB", line);
     TCLAP::ValueArg<double> seconds("", "seconds", "how long 'load' submits", false, 30, "S", line);
     TCLAP::ValueArg<double> factor("", "load-factor", "times the scenario's rates", false, 1, "X", line);
+    TCLAP::ValueArg<std::string> journalArg("", "journal", "file for what a load or an operator saw, for 'drydock --journals'", false, "", "FILE", line);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
@@ -302,11 +344,19 @@
     }
     helm.json = json.getValue();
     helm.cutoffMs = cutoff.getValue();
+    helm.journal = journalArg.getValue();
+    if (!helm.journal.empty() && !std::ofstream(helm.journal, std::ios::app)) throw TCLAP::ArgException("allowed is a file that can be written", "journal");
     helm.transaction = transaction.getValue().empty() ? freshName() : transaction.getValue();
     const auto& all = words.getValue();
     const auto word = [&](std::size_t i) { return i < all.size() ? all[i] : std::string(); };
     const auto suffix = expected.getValue().empty() ? "" : "?expected=" + expected.getValue();
-    const auto does = [&](Task task) { return show(helm, ask(helm, task)); };
+    const auto does = [&](Task task) {
+      const auto reply = ask(helm, task);
+      Json root = parseJson(reply.body);
+      if (reply.status == 200 && task.method.starts_with("P") && numberAt(root.get(), "revision") > 0)
+        journal(helm, "confirmed " + std::to_string(numberAt(root.get(), "revision")));
+      return show(helm, reply);
+    };
     const bool two = all.size() == 2, one = all.size() == 1;
     if (word(0) == "submit" && two) return does({"POST", "/jobs", readInput(word(1))});
     if (word(0) == "get" && two) return does({"GET", "/jobs/" + word(1), ""});
@@ -340,10 +390,16 @@
       const int workers = does({"GET", "/workers", ""});
       return leader ? leader : members ? members : workers;
     }
+    const auto flags = [&](const char* flag, bool on, Task task) {
+      if (!on) journal(helm, std::string("un") + flag + " " + word(1));
+      const int code = does(std::move(task));
+      if (on && code == 0) journal(helm, std::string(flag) + " " + word(1));
+      return code;
+    };
     if ((word(0) == "drain" || word(0) == "undrain") && two)
-      return does({"PATCH", "/configuration" + suffix, flagPatch("workers", word(1), "drained", word(0) == "drain")});
+      return flags("drained", word(0) == "drain", {"PATCH", "/configuration" + suffix, flagPatch("workers", word(1), "drained", word(0) == "drain")});
     if ((word(0) == "empty" || word(0) == "fill") && two)
-      return does({"PATCH", "/configuration" + suffix, flagPatch("cells", word(1), "emptied", word(0) == "empty")});
+      return flags("emptied", word(0) == "empty", {"PATCH", "/configuration" + suffix, flagPatch("cells", word(1), "emptied", word(0) == "empty")});
     throw TCLAP::ArgException("not a command; --help lists them", word(0));
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "helm: " << failed.argId() << ": " << failed.error() << std::endl;
--- a/tests/journals_test.cpp
+++ b/tests/journals_test.cpp
@@ -46,3 +46,33 @@
   LONGS_EQUAL(1, judge("1 w1 x start j:a:1 5\n2 w1 x start j:b:1 4\n").broken.size());
   LONGS_EQUAL(0, judge("1 w1 x start j:a:1 5\n2 w1 z start j:b:1 4\n").broken.size());
 }
+
+TEST(journals, what_callers_and_operators_saw_is_judged_with_it) {
+  const std::string submit = R"(10 submit {"id":"j","pending":"gate","notBeforeMs":0,"tasks":[{"name":"a"},{"name":"b","after":["a"]}]})" "\n";
+  const auto fires = [&](const std::string& calls, const char* runs, const char* rule) {
+    std::ofstream(folder / "c.calls") << calls;
+    const auto verdict = judge(runs);
+    for (const auto& each : verdict.broken)
+      if (each.find(rule) == 0) return true;
+    return false;
+  };
+  const char* whole = "20 w1 x start j:a:1 1\n30 w1 x end j:a:1 clean\n40 w1 x start j:b:1 1\n50 w1 x end j:b:1 clean\n";
+  const auto good = submit + "12 limit gate 1\n15 accepted j\n60 shown j finished\n";
+  std::ofstream(folder / "c.calls") << good;
+  LONGS_EQUAL(0, judge(whole).broken.size());
+  LONGS_EQUAL(1, judge(whole).accepted);
+  CHECK(fires(good + "70 unknown j\n", whole, "forgotten"));
+  CHECK(fires(submit + "15 accepted j\n", whole, "ends"));
+  CHECK(fires(submit + "15 accepted j\n45 shown j finished\n", whole, "finished"));
+  CHECK(fires(submit + "15 denied j\n", whole, "asked-for"));
+  CHECK(fires(good, "20 w1 x start k:a:1 1\n", "asked-for"));
+  CHECK(fires(good, "20 w1 x start j:b:1 1\n", "steps"));
+  CHECK(fires(good, "20 w1 x start j:a:1 1\n21 w1 x end j:a:1 failed\n22 w1 x acked j:a:1\n23 w1 x start j:a:2 1\n", "failures"));
+  CHECK(fires(submit + "15 accepted j\n16 cancelled j\n", "3100 w1 x start j:a:1 1\n", "cancelled"));
+  CHECK(fires(good + "16 drained w1\n", "2100 w1 x start j:a:1 1\n", "draining"));
+  CHECK_FALSE(fires(good + "16 drained w1\n1000 undrained w1\n", "2100 w1 x start j:a:1 1\n", "draining"));
+  CHECK(fires(good + "16 confirmed 4\n3000 read 3 2990\n", whole, "chart"));
+  CHECK_FALSE(fires(good + "16 confirmed 4\n3000 read 3 900\n", whole, "chart"));
+  std::ofstream(folder / "c.calls") << good << "70 sho";
+  LONGS_EQUAL(1, judge(whole).torn);
+}
