--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -103,6 +103,25 @@
   keeps(3, {"cut-off-alone"});
 }
 
+TEST(day, the_days_that_catch_a_guard_taken_out_are_kept_with_it) {
+  keeps(4, {"tender-kill", "leader-kill"});
+  keeps(33, {"leader-freeze", "one-way-cut"});
+  keeps(1, {"resend-storm"});
+  keeps(1, {"leader-kill-after-cancel"});
+  keeps(8, {"split", "chart-storm"});
+  keeps(66, {"chart-race", "leader-kill"});
+  keeps(1, {"chart-race", "lossy-sea"});
+  keeps(2, {"worker-drained", "worker-leaves"});
+  keeps(2, {"cell-emptied"});
+  keeps(6, {"quay-lags-then-emptied"});
+  keeps(1, {"power-lost-after-yes"});
+  keeps(1, {"rule-swapped", "leader-kill"});
+  keeps(1, {"crowd"});
+  keeps(2, {"never-succeed", "leader-kill"});
+  keeps(1, {"cancel-storm"});
+  keeps(1, {"worker-crash", "tender-kill"});
+}
+
 TEST(day, work_pushed_aside_again_and_again_still_ends) {
   keeps(132, {"quay-kill", "crowd"});
   keeps(20805, {"slow-disk", "crowd"});
