--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -96,8 +96,15 @@
     for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
       std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
     for (const auto& each : result.broken) ++perRule[each.rule];
-    if (verbose)
+    if (verbose) {
+      std::map<std::string, std::vector<Millis>> startOf;
+      for (const auto& [id, job] : result.truth)
+        if (job.firstStartMs >= 0) startOf[job.line].push_back(job.firstStartMs - job.submittedMs - job.notBeforeMs);
+      for (const auto& [line, values] : startOf)
+        std::cout << "    " << line << ": " << values.size() << " started, p50/p99/longest " << drydock::quantile(values, 0.5) << "/"
+                  << drydock::quantile(values, 0.99) << "/" << drydock::quantile(values, 1.0) << " ms\n";
       for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
+    }
     std::cout.flush();
   });
   if (firstBroken < plans.size())
