--- a/src/drydock/day.cpp
+++ b/src/drydock/day.cpp
@@ -698,6 +698,12 @@
            });
          });
        }},
+      {"long-gangs", [](Run& run) {
+         for (int i = 0; i < 5; ++i)
+           run.sim.at(run.fromUs, [&run] {
+             run.submitThen(LineLoad{"rebuild", 1, 3, 4, 2, 4, 15000, 19000, 1.0, 0, 0}, [](const std::string&) {});
+           });
+       }},
       {"cancel-storm", [](Run& run) {
          const auto when = run.faultTime();
          for (int i = 0; i < 40; ++i)
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -119,7 +119,7 @@
   keeps(1, {"crowd"});
   keeps(2, {"never-succeed", "leader-kill"});
   keeps(1, {"cancel-storm"});
-  keeps(1, {"worker-crash", "tender-kill"});
+  keeps(2, {"worker-crash", "long-gangs"});
 }
 
 TEST(day, work_pushed_aside_again_and_again_still_ends) {
