--- a/src/drydock/journals.cpp
+++ b/src/drydock/journals.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "bearing/json.hpp"
+#include "drydock/grace.hpp"
 
 namespace tulip::drydock {
 namespace {
@@ -36,8 +37,6 @@
   std::int64_t newestConfirmed = 0;
 };
 
-constexpr std::int64_t kChartGraceMs = 2000, kDrainGraceMs = 2000, kCancelGraceMs = 3000, kEarlyGraceMs = 150;
-
 void readShore(const std::string& folder, Shore& shore, JournalVerdict& verdict) {
   std::vector<std::pair<std::int64_t, std::string>> lines;
   for (const auto& item : std::filesystem::directory_iterator(folder)) {
--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -4,10 +4,6 @@
 
 namespace tulip::drydock {
 
-namespace {
-constexpr Millis kChartGraceMs = 2000, kDrainGraceMs = 2000, kEmptyGraceMs = 5000, kCancelGraceMs = 3000, kEarlyGraceMs = 150;
-}
-
 const std::vector<std::string>& ruleNames() {
   static const std::vector<std::string> all{"asked-for", "cancelled", "chart",  "counters",  "denied", "denied-chart", "draining", "early", "emptied",
                                             "ends",      "failures",  "finished", "forgotten", "gang",   "inside",       "once",     "room",  "shown", "steps"};
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "drydock/grace.hpp"
 #include "drydock/sim.hpp"
 
 namespace tulip::drydock {
