--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -19,25 +19,47 @@
   MSGPACK_DEFINE(lane, servedMs, ranMs, waitMs, firstStartMs, totalServedMs, promotions, preemptions)
 };
 
-void accrue(Counters& counters, std::int64_t heldSlots, bool waiting, Millis spanMs);
+// held is the room held, in thousandths of the resource count W_J.
+void accrue(Counters& counters, std::int64_t held, bool waiting, Millis spanMs);
 bool settle(Counters& counters, const chart::Admission& rules, bool holds);
 
+// Tasks that are alike and ready: a step's, or a whole gang's.
+struct Unit {
+  std::vector<std::uint32_t> tasks;  // places in the job's tasks, in the order they are to start
+  std::vector<berth::Load> loads;    // one for each task, or a single one for all
+  bool whole = false;                // all start together or none
+  bool oneRack = false;              // takes farFactor times as long on more than one rack
+  bool saves = false;                // keeps checkpoints
+  PoolName pool;                     // empty: any
+  berth::Labels labels;              // each must stand on the worker with this value
+  std::string needs;                 // a value that one of the worker's labels must have; empty: none
+  std::string near;                  // the rack where its data lies; empty: anywhere
+  std::int64_t apart = 0;            // at most this many of the step's tasks on one worker; 0: no bound
+  std::vector<std::pair<std::size_t, std::int64_t>> beside;  // berth, tasks of the step that are there
+  std::vector<WorkerId> avoid;       // one for each task or none: where it failed last
+  Millis estimateMs = 0;
+};
+
 struct HeldRun {
   std::size_t task = 0;
   std::size_t berth = 0;
-  berth::Room room;
+  berth::Load load{};
   bool stopping = false;
+  std::size_t gang = 0;   // runs of the job with the same number above 0 are stopped together
+  Millis lossMs = 0;      // work that a stop would lose
+  bool standing = false;  // long running
 };
 
 struct Candidate {
   JobId id;
   PendingName pending;
   Counters counters;
-  std::int64_t rank = 0;
+  std::int64_t rank = 0;   // higher goes first
   Millis acceptedMs = 0;
   Millis readyForMs = 0;
+  Millis dueInMs = 0;      // until the line's aim for it passes, by its estimates; negative: passed. 0 with no aim
   bool gang = false;
-  std::vector<berth::Need> ready;
+  std::vector<Unit> ready;
   std::vector<HeldRun> runs;
 };
 
@@ -66,11 +88,14 @@
 
 struct Field {
   std::vector<berth::Berth> berths;
-  std::vector<berth::Room> free;
   std::map<PendingName, std::int64_t> quotaSlots;
   std::map<PendingName, std::int64_t> heldSlots;
+  double farFactor = 1.5;
 };
 
 Plan plan(std::span<const Candidate> jobs, Field field, const chart::Admission& rules, std::span<const std::int64_t> sizes);
 
+// Whether the pools, as configured, could hold the unit on empty workers; pools without a size hold anything.
+bool couldEverFit(const Unit& unit, const chart::Chart& chart, berth::Kinds& kinds);
+
 }  // namespace tulip::admission
--- a/src/berth/berth.hpp
+++ b/src/berth/berth.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <array>
 #include <map>
 #include <optional>
 #include <span>
@@ -23,28 +24,32 @@
 
 using Labels = std::map<std::string, std::string>;
 
+// Rooms as plain numbers, for plans: slots first, then the named kinds in the order of their interning.
+constexpr std::size_t kMostKinds = 8;
+using Load = std::array<std::int64_t, kMostKinds>;
+
+struct Kinds {
+  std::vector<std::string> names;  // names[i] is place i + 1 of a Load; kinds beyond the last place fit nowhere
+  Load load(const Room& room);
+};
+
+bool fits(const Load& need, const Load& free);
+void add(Load& into, const Load& load);
+void take(Load& from, const Load& load);
+// The largest share of total that need takes in any kind, 0 to 1; kinds that total lacks don't count.
+double dominantShare(const Load& need, const Load& total);
+
 struct Berth {
   WorkerId worker;
   CellName cell;
   PoolName pool;
   Labels labels;
-  Room total;
+  std::string rack;
+  Load total{};
+  Load free{};
   bool usable = true;
-  int doubt = 0;
+  int doubt = 0;             // lower goes first
+  Millis leavesInMs = -1;    // what starts here and can neither end nor save by then is lost; -1: it stays
 };
 
-struct Need {
-  std::size_t task = 0;
-  Room room;
-  Labels labels;
-  WorkerId avoid = {};
-};
-
-bool suits(const Need& need, const Berth& berth);
-
-using Match = std::vector<std::size_t>;
-std::optional<Match> match(std::span<const Need> needs, std::span<const Berth> berths, std::vector<Room>& free,
-                           chart::Layout layout);
-bool couldEverFit(std::span<const Need> needs, const chart::Chart& chart);
-
 }  // namespace tulip::berth
--- a/src/chart/chart.hpp
+++ b/src/chart/chart.hpp
@@ -17,16 +17,23 @@
   Millis backoffMs = 200;
   std::int64_t quotaSlots = 0;
   std::int64_t mostJobs = 10000;
+  std::string host;          // with prefix: callers reach this line by host and longest prefix
+  std::string prefix;
+  PoolName pool;             // empty: any pool
+  Millis aimMs = 0;          // wanted from hand-in to end beyond stretch times the work; 0: none
+  double stretch = 0;
+  MSGPACK_DEFINE(name, rank, failureLimit, backoffMs, quotaSlots, mostJobs, host, prefix, pool, aimMs, stretch)
 };
 
 struct Pool {
   PoolName name;
   std::map<std::string, std::string> labels;
-  std::int64_t slots = 1;
+  std::int64_t slots = 1;    // 0: as many as each worker says
   std::int64_t workers = 1;
   std::map<std::string, std::int64_t> room;
   bool selfStop = true;
   std::int64_t lostAfterTerms = 5;
+  bool guards = false;       // its workers deny what doesn't fit
 };
 
 enum class Rule { las, gittins, fifo };
@@ -56,6 +63,7 @@
 };
 
 struct Chart {
+  Revision edition = 0;      // the operator's own number, rising; 0: none given
   std::map<std::string, Pending> pendings;
   std::map<std::string, Pool> pools;
   std::map<std::string, bool> emptied;
--- /dev/null
+++ b/src/gangway/dialect.hpp
@@ -0,0 +1,32 @@
+#pragma once
+#include <memory>
+#include <string>
+
+#include "chart/chart.hpp"
+#include "gangway/front.hpp"
+#include "manifest/job.hpp"
+#include "signal/core.hpp"
+#include "watch/crew.hpp"
+
+namespace tulip::gangway {
+
+struct Wanted {
+  Call call = Call::none;
+  Kind denial = Kind::ok;
+  PendingName pending;
+  JobId job;
+  manifest::Spec spec;
+  watch::Edit edit;
+  signal::WorkerReport report;
+};
+
+class Dialect {
+ public:
+  virtual ~Dialect() = default;
+  virtual Wanted read(const signal::Ask& ask, const chart::Chart& chart) const = 0;
+  virtual signal::Answer write(Call call, signal::Answer answer) const = 0;
+};
+
+using MakeDialect = std::unique_ptr<Dialect> (*)();
+
+}  // namespace tulip::gangway
--- a/src/gangway/front.hpp
+++ b/src/gangway/front.hpp
@@ -11,7 +11,8 @@
 
 enum class Op : std::uint8_t { limitBody, needBody, needSession, needLead, call };
 enum class Call : std::uint8_t {
-  none, live, ready, counters, log, leader, members, getChart, putChart, patchChart, submit, listJobs, getJob, cancelJob, workers, trace, snapshot, report
+  none, live, ready, counters, log, leader, members, getChart, putChart, patchChart, submit, listJobs, getJob, cancelJob, workers, trace, snapshot, report,
+  countPending, emptyCell, takeBackCell, workerLeaves
 };
 
 struct Step {
--- a/src/manifest/job.hpp
+++ b/src/manifest/job.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,37 +12,83 @@
 enum class JobState : std::uint8_t { open, finished, failed, cancelled, expired };
 enum class TaskState : std::uint8_t { pending, placed, done };
 
-struct Task {
+// Tasks that are alike. A task of the own interface is a step of one.
+struct Step {
   std::string name;
+  std::uint32_t count = 1;
   berth::Room need;
-  std::vector<std::uint32_t> after;
+  std::vector<std::uint32_t> after;  // earlier or later steps whose tasks must all be done first
+  std::string payload;               // empty: the job's
+  Millis estimateMs = 0;
+  bool together = false;  // its tasks work only together; one clean end stands for all
+  bool oneRack = false;
+  bool repeats = false;   // copies may run side by side
+  bool standing = false;  // runs until the job is cancelled, started again however it ends
+  bool saves = false;     // keeps checkpoints
+  std::string needs;
+  std::string near;
+  std::int64_t apart = 0;
+  MSGPACK_DEFINE(name, count, need, after, payload, estimateMs, together, oneRack, repeats, standing, saves, needs, near, apart)
+};
+
+// What the caller sent: written once, never changed.
+struct Spec {
+  JobId id;
+  std::string digest;
+  PendingName pending;
+  PoolName pool;
+  bool gang = false;  // all ready tasks of the job start together
+  bool plainNames = true;  // steps of one task are named by the step alone; otherwise INSTANCE.STEP.INDEX
+  berth::Labels labels;
+  Millis notBeforeMs = 0;
+  Millis cutoffMs = 0;
+  std::int64_t times = 0;  // how often the steps run; 0: once, at once
+  Millis firstWallMs = 0;
+  Millis everyMs = 0;
   std::string payload;
+  std::vector<Step> steps;
+  chart::Pending line;  // the line as it was at acceptance, for when the configuration no longer has it
+  MSGPACK_DEFINE(id, digest, pending, pool, gang, plainNames, labels, notBeforeMs, cutoffMs, times, firstWallMs, everyMs, payload, steps, line)
+
+  std::size_t perInstance() const;
+  std::size_t instances() const { return times > 0 ? static_cast<std::size_t>(times) : 1; }
+};
+
+struct Task {
   TaskState state = TaskState::pending;
+  std::uint32_t step = 0;
+  std::uint32_t instance = 0;
   std::int64_t failures = 0;
   std::int64_t attempts = 0;
   Millis notBeforeMs = 0;
-  RunId run;
-  WorkerId worker;
+  WorkerId worker;  // set while room is held, which may outlast the clean end of a gang
   std::string workerIncarnation;
   Millis orderedMs = 0;
   bool confirmed = false;
   bool stopping = false;
+  std::string saved;
   std::string detail;
   Millis ranMs = 0;
   WorkerId failedOn;
-  MSGPACK_DEFINE(name, need, after, payload, state, failures, attempts, notBeforeMs, run, worker, workerIncarnation, orderedMs,
-                 confirmed, stopping, detail, ranMs, failedOn)
+  std::int64_t percent = 0;  // as last reported; not kept
+  Millis movedMs = 0;        // when percent last moved; not kept
+  std::string seenSaved;     // as last reported; kept once it is used
+
+  bool holds() const { return !worker.empty(); }
+};
+
+// How many tasks of one step of one instance are where.
+struct Tally {
+  std::uint32_t pending = 0, placed = 0, done = 0;
+  std::uint32_t failures = 0;
+  std::int64_t failedAttempt = 0;
 };
 
 struct Job {
   JobId id;
-  std::string digest;
-  PendingName pending;
-  bool gang = false;
-  berth::Labels labels;
+  std::shared_ptr<const Spec> spec;
   Millis acceptedMs = 0;
-  Millis notBeforeMs = 0;
-  Millis cutoffMs = 0;
+  Millis firstDueMs = 0;  // fleet time of the first instance
   JobState state = JobState::open;
   JobState ending = JobState::open;
   std::string reason;
@@ -49,8 +96,11 @@
   Millis accountedMs = 0;
   Millis finishedMs = 0;
   std::vector<Task> tasks;
-  MSGPACK_DEFINE(id, digest, pending, gang, labels, acceptedMs, notBeforeMs, cutoffMs, state, ending, reason, counters, accountedMs,
-                 finishedMs, tasks)
+  std::vector<Tally> tallies;  // instance by instance, step by step
+
+  const PendingName& pending() const { return spec->pending; }
+  const Step& stepOf(std::size_t task) const { return spec->steps[tasks[task].step]; }
+  Tally& tallyOf(std::size_t task) { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
 };
 
 struct Verdict {
@@ -59,20 +109,33 @@
   std::string allowed;
 };
 
-Verdict readJob(std::string_view body, const chart::Chart& chart, Job& job);
-std::string packJob(const Job& job);
-bool unpackJob(std::string_view bytes, Job& job);
+Verdict readSpec(std::string_view body, const chart::Chart& chart, Spec& spec);
+Verdict checkSpec(const Spec& spec, const chart::Chart& chart);
+std::string digestOf(std::string_view text);
+Job makeJob(std::shared_ptr<const Spec> spec);
+
+std::string packSpec(const Spec& spec);
+bool unpackSpec(std::string_view bytes, Spec& spec);
+std::string packJob(const Job& job);  // without its spec
+bool unpackJob(std::string_view bytes, std::shared_ptr<const Spec> spec, Job& job);
+
+std::string taskName(const Job& job, std::size_t task);
+std::optional<std::size_t> taskAt(const Job& job, std::string_view name);
+RunId runIdOf(const Job& job, std::size_t task);
 json_t* viewJob(const Job& job, bool brief);
 std::string traceLine(const Job& job);
+signal::JobPhase phaseOf(const Job& job);
 
 std::int64_t heldSlots(const Job& job);
 bool hasRuns(const Job& job);
-bool depsDone(const Job& job, const Task& task);
-std::vector<std::size_t> readyTasks(const Job& job, Millis fleetMs);
+bool depsDone(const Job& job, std::size_t task);
+Millis dueMs(const Job& job, std::uint32_t instance);
+// Tasks that may start now, in groups: each a step's of one instance, or all of a gang job's.
+std::vector<std::vector<std::uint32_t>> readyGroups(const Job& job, Millis fleetMs);
 void accrueTo(Job& job, Millis fleetMs);
-RunId runIdOf(const Job& job, std::size_t task);
 
 void startRun(Job& job, std::size_t task, const WorkerId& worker, const std::string& incarnation, Millis fleetMs);
+void stopRun(Job& job, std::size_t task, Millis fleetMs);
 void stopRuns(Job& job, Millis fleetMs);
 void endRun(Job& job, std::size_t task, signal::RunOutcome outcome, const std::string& detail, const chart::Pending& line, Millis fleetMs);
 void endJob(Job& job, JobState ending, std::string reason, Millis fleetMs);
--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -1,9 +1,11 @@
 #pragma once
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "bearing/env.hpp"
 #include "bearing/errors.hpp"
 #include "signal/messages.hpp"
 
@@ -11,12 +13,14 @@
 
 struct Now {
   Millis steadyMs = 0;
+  Millis wallMs = 0;  // time of day; only due times of jobs are mapped from it
 };
 
 struct Heard {
   DaemonId fromId;
   Address from;
   Message message;
+  Address to;
 };
 
 struct Ask {
@@ -28,6 +32,63 @@
   std::string transactionName;
   Millis cutoffMs = 0;
   int hops = 0;
+  FaceKind face = FaceKind::own;
+  std::string host;
+  std::string basedOn;
+};
+
+struct GoingRun {
+  RunId run;
+  std::string saved;
+  std::int64_t percent = 0;
+};
+
+struct EndedRun {
+  std::uint64_t number = 0;  // 0: acknowledged by its name, otherwise by the highest number without gaps
+  RunId run;
+  RunOutcome outcome = RunOutcome::none;
+  std::string saved;
+  std::string detail;
+};
+
+struct WorkerReport {
+  std::string incarnation;
+  std::uint64_t number = 0;
+  PoolName pool;
+  std::map<std::string, std::string> labels;
+  std::int64_t slots = 0;
+  std::map<std::string, std::int64_t> room;
+  bool leaving = false;
+  Millis leavesMs = -1;  // time left at least until it goes; -1: not said
+  std::vector<GoingRun> going;
+  std::vector<EndedRun> ended;
+};
+
+struct StartOrder {
+  RunId run;
+  std::string spec;
+  std::string saved;
+};
+
+struct WorkerAnswer {
+  std::uint64_t number = 0;
+  Millis goOnMs = 0;  // from the sending of the report that is answered
+  Millis startWithinMs = 0;
+  Millis nextMs = 0;  // when the next report is wanted; 0: at once
+  std::uint64_t fence = 0;
+  std::uint64_t lastSeen = 0;
+  std::vector<StartOrder> start;
+  std::vector<RunId> stop;
+  std::vector<RunId> acknowledged;
+};
+
+enum class JobPhase : std::uint8_t { none, waiting, running, finished, failed, cancelled };
+
+struct Brief {
+  JobPhase phase = JobPhase::none;
+  std::int64_t count = 0;
+  std::string text;
+  std::optional<WorkerAnswer> worker;
 };
 
 struct Persisted {
@@ -50,6 +111,8 @@
   int status = 200;
   Millis retryMs = 0;
   std::string body;
+  Kind kind = Kind::ok;
+  Brief brief;  // the same in plain values, for callers through a dialect
 };
 
 struct Proxy {
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -224,14 +224,16 @@
 };
 
 enum class RunState : std::uint8_t { ordered, going, stopping, ended };
-enum class RunOutcome : std::uint8_t { none, clean, failed, stopped, lost };
+enum class RunOutcome : std::uint8_t { none, clean, failed, stopped, lost, lapsed, broken, alone, refused };
 
 struct RunReport {
   RunId id;
   RunState state = RunState::ordered;
   RunOutcome outcome = RunOutcome::none;
   std::string detail;
-  MSGPACK_DEFINE(id, state, outcome, detail)
+  std::string saved;
+  std::int64_t percent = 0;
+  MSGPACK_DEFINE(id, state, outcome, detail, saved, percent)
 };
 
 struct TenderReport {
@@ -252,8 +254,10 @@
   std::uint64_t seq = 0;
   Millis sentMs = 0;
   std::vector<RunReport> runs;
+  Millis leavesMs = -1;
+  Millis wallMs = 0;
   MSGPACK_DEFINE(tender, cell, worker, workerIncarnation, workerHeard, workerAgeMs, pool, labels, slots, room, leaving, acked,
-                 ordersTerm, ordersSeq, seq, sentMs, runs)
+                 ordersTerm, ordersSeq, seq, sentMs, runs, leavesMs, wallMs)
 };
 
 struct WantedRun {
@@ -261,7 +265,8 @@
   bool stop = false;
   std::string spec;
   std::string workerIncarnation;
-  MSGPACK_DEFINE(id, stop, spec, workerIncarnation)
+  std::string saved;
+  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved)
 };
 
 struct Orders {
@@ -276,10 +281,31 @@
   MSGPACK_DEFINE(term, seq, tender, echoSeq, echoMs, chartRevision, fleetMs, wanted)
 };
 
+enum class CallKind : std::uint8_t { submit, getJob, cancelJob, countPending };
+
+struct CallAsk {
+  std::uint64_t transaction = 0;
+  CallKind call = CallKind::getJob;
+  PendingName pending;
+  JobId job;
+  std::string spec;
+  Revision chartRevision = 0;
+  MSGPACK_DEFINE(transaction, call, pending, job, spec, chartRevision)
+};
+
+struct CallAnswer {
+  std::uint64_t transaction = 0;
+  std::int64_t kind = 0;
+  std::uint8_t phase = 0;
+  std::int64_t count = 0;
+  Millis retryMs = 0;
+  MSGPACK_DEFINE(transaction, kind, phase, count, retryMs)
+};
+
 using Message =
     std::variant<SessionBeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted, RegisterChosen,
                  AckQuery, AckState, RangePrepare, RangePromise, RangeAccept, RangeAccepted, Resign, QuayBeat, Form, CatchUpAsk,
-                 CatchUpGive, TenderReport, Orders>;
+                 CatchUpGive, TenderReport, Orders, CallAsk, CallAnswer>;
 
 struct Frame {
   std::uint32_t revision = kRevision;
@@ -296,3 +322,4 @@
 }  // namespace tulip::signal
 MSGPACK_ADD_ENUM(tulip::signal::RunState)
 MSGPACK_ADD_ENUM(tulip::signal::RunOutcome)
+MSGPACK_ADD_ENUM(tulip::signal::CallKind)
--- a/src/watch/crew.hpp
+++ b/src/watch/crew.hpp
@@ -17,6 +17,9 @@
   std::string body;
   std::optional<Revision> expected;
   std::string name;
+  bool sections = false;              // only the top-level sections that body names are replaced, each whole
+  Revision edition = 0;               // the operator's own number: must rise; 0: none given
+  std::optional<Revision> basedOn;    // the edition that must be current
 };
 
 enum class Phase { prepare, accept, learn, done };
