Stand-in workers run gangs, checkpoints, standing runs and rooms by kind

Cause: jobs of steps need workers that wait for one another, resume, lapse by their own clock and turn away old attempts.

--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -7,7 +7,7 @@
 Sim::Sim(std::uint64_t seed, FleetPlan given) : plan(std::move(given)), seed_(seed), random_(seed) {
   for (int i = 0; i < 3; ++i) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
   auto cell = [&](int i) { return std::string(1, static_cast<char>('a' + i % plan.cells)); };
-  for (int i = 0; i < 3; ++i) addHost(Role::quay, "quay-" + std::to_string(i + 1), cell(i));
+  for (int i = 0; i < plan.quays; ++i) addHost(Role::quay, "quay-" + std::to_string(i + 1), cell(i));
   for (int i = 0; i < plan.pilots; ++i) addHost(Role::pilot, "pilot-" + std::to_string(i + 1), cell(i));
   for (int i = 0; i < plan.workers; ++i) {
     const auto number = std::to_string(i + 1);
@@ -19,7 +19,16 @@
     hand.worker.traits.pool = "side";
     hand.worker.traits.slots = plan.slots;
     hand.worker.traits.selfStop = plan.selfStop;
+    hand.worker.traits.room = plan.room;
+    hand.worker.traits.holdMostMs = plan.holdMostMs;
+    hand.worker.traits.gangWaitMs = plan.bounds.gangWaitMs;
+    hand.worker.traits.checkpointMs = plan.bounds.checkpointMs;
+    hand.worker.traits.farFactor = plan.bounds.farFactor;
+    if (plan.rackSize > 0) hand.worker.traits.labels["rack"] = "r" + cell(i) + "-" + std::to_string(i / plan.cells / plan.rackSize + 1);
+    if (plan.kinds > 0) hand.worker.traits.labels["kind"] = "kind-" + std::to_string(i % plan.kinds + 1);
+    hand.clockRate = 1.0 - 0.0001 * static_cast<double>(std::stoul(roles::digestOf(std::to_string(seed) + number), nullptr, 16) % 200);
   }
+  after(5000, [this] { gangTick(); });
 }
 
 std::int64_t Sim::below(std::int64_t bound) {
@@ -48,7 +57,22 @@
 }
 
 Now Sim::clock(const Host& host) const {
-  return {static_cast<Millis>((static_cast<double>(now_) * host.clockRate + static_cast<double>(host.clockOffsetUs)) / 1000.0)};
+  return {static_cast<Millis>((static_cast<double>(now_) * host.clockRate + static_cast<double>(host.clockOffsetUs)) / 1000.0),
+          wallMs() + host.wallOffsetMs};
+}
+
+bool Sim::troubled(Millis withinMs) const {
+  if (now_ - troubleUs_ <= withinMs * 1000 || !cuts_.empty() || plan.sea.drop > 0 || plan.sea.late > 0) return true;
+  const Micros since = now_ - withinMs * 1000;
+  for (const auto& host : hosts_)
+    if ((!host->up && !host->gone) || host->frozenUntilUs > since || host->diskFails || host->syncUs > 5000) return true;
+  for (const auto& hand : hands_) {
+    const auto& traits = hand->worker.traits;
+    if ((!hand->up && !hand->tender->gone) || hand->cut || hand->frozenUntilUs > since || traits.mute || traits.standsStill || traits.slowFactor > 1 || traits.failEvery > 0 ||
+        traits.failShare > 0)
+      return true;
+  }
+  return false;
 }
 
 Micros Sim::voyage() { return plan.sea.leastUs + below(plan.sea.mostUs - plan.sea.leastUs); }
@@ -62,6 +86,7 @@
   host.env.cell = CellName(cell);
   host.env.seeds = seeds_;
   host.env.bounds = plan.bounds;
+  host.env.losses = plan.losses;
   host.env.worker = workerName;
   host.env.dataFolder = role == Role::quay ? "simulated" : "";
   const auto ip = "10.0." + std::to_string(addresses_ / 250) + "." + std::to_string(addresses_ % 250 + 1);
@@ -78,6 +103,7 @@
 
 void Sim::start(Host& host) {
   if (host.up) return;
+  trouble();
   host.up = true;
   ++host.lives;
   host.frozenUntilUs = 0;
@@ -99,6 +125,7 @@
 void Sim::crash(Host& host) {
   if (!host.up) return;
   mark("crash " + host.name);
+  trouble();
   host.up = false;
   ++host.lives;
   host.held.clear();
@@ -128,10 +155,12 @@
 
 void Sim::loseDisk(Host& host) {
   mark("lose disk " + host.name);
+  trouble();
   host.disk = hold::Image{};
 }
 
 void Sim::stopPolitely(Host& host) {
+  trouble();
   if (host.up) give(host, PoliteStop{});
 }
 
@@ -307,6 +336,8 @@
   hand.worker = roles::Worker{};
   hand.worker.traits = traits;
   hand.worker.incarnation = "w" + std::to_string(++names_);
+  hand.news = false;
+  trouble();
   hand.calling = false;
   hand.frozenUntilUs = 0;
   const int life = hand.lives;
@@ -316,6 +347,7 @@
 void Sim::crashWorker(Hand& hand) {
   if (!hand.up) return;
   mark("crash " + hand.worker.traits.name);
+  trouble();
   if (onWorkerCrash) onWorkerCrash(hand);
   hand.up = false;
   ++hand.lives;
@@ -331,42 +363,103 @@
   hand.worker.journal.clear();
   for (const auto& line : lines) {
     mark(hand.worker.traits.name + " " + line);
+    noteGang(hand, line);
     if (onJournal) onJournal(hand, line);
   }
 }
 
+void Sim::noteGang(Hand& hand, const std::string& line) {
+  if (line.starts_with("start ")) {
+    const auto run = line.substr(6, line.find(' ', 6) - 6);
+    const auto found = hand.worker.going.find(run);
+    if (found == hand.worker.going.end() || found->second.gang.empty()) return;
+    gangs_[found->second.gang];
+    gangRuns_.insert(run);
+  } else if (line.starts_with("end ")) {
+    const auto run = line.substr(4, line.rfind(' ') - 4);
+    if (gangRuns_.erase(run) && !line.ends_with(" clean")) gangs_[roles::gangOf(run)].broken = true;
+  }
+}
+
+void Sim::gangTick() {
+  after(5000, [this] { gangTick(); });
+  if (gangRuns_.empty()) return;
+  struct Member {
+    Hand* hand;
+    std::string run;
+    const roles::GoingRun* going;
+  };
+  std::map<std::string, std::vector<Member>> present;
+  for (const auto& hand : hands_)
+    for (const auto& [run, going] : hand->worker.going)
+      if (!going.gang.empty()) present[going.gang].push_back({hand.get(), run, &going});
+  std::set<Hand*> touched;
+  for (auto& [key, members] : present) {
+    auto& gang = gangs_[key];
+    if (gang.broken) {
+      for (const auto& member : members) {
+        if (member.going->stopping || now_ < member.hand->frozenUntilUs) continue;
+        roles::gangBroken(member.hand->worker, member.run, clockOf(*member.hand));
+        touched.insert(member.hand);
+      }
+      continue;
+    }
+    const bool frozen = std::any_of(members.begin(), members.end(), [&](const auto& member) { return now_ < member.hand->frozenUntilUs; });
+    if (frozen || static_cast<std::int64_t>(members.size()) < members.front().going->members) continue;
+    if (!gang.whole) {
+      gang.whole = true;
+      std::set<std::string> racks;
+      for (const auto& member : members) racks.insert(member.hand->worker.traits.labels["rack"]);
+      const double factor = members.front().going->oneRack && racks.size() > 1 ? plan.bounds.farFactor : 1.0;
+      for (const auto& member : members) roles::gangWhole(member.hand->worker, member.run, factor, clockOf(*member.hand));
+      continue;
+    }
+    if (!std::all_of(members.begin(), members.end(), [](const auto& member) { return member.going->workDone && !member.going->stopping && !member.going->fails; }))
+      continue;
+    for (const auto& member : members) {
+      roles::gangDone(member.hand->worker, member.run, clockOf(*member.hand));
+      touched.insert(member.hand);
+    }
+  }
+  for (const auto& hand : hands_) {
+    if (!touched.contains(hand.get())) continue;
+    hand->news = true;
+    drainJournal(*hand);
+  }
+}
+
 void Sim::workerTick(Hand& hand, int life) {
   if (!hand.up || hand.lives != life) return;
   if (now_ >= hand.frozenUntilUs) {
-    const bool news = roles::workerTick(hand.worker, nowMs());
+    const bool news = roles::workerTick(hand.worker, clockOf(hand)) || hand.news;
+    hand.news = false;
     drainJournal(hand);
-    if (!hand.calling || news) workerCall(hand);
+    if (!hand.worker.traits.mute && (news || (!hand.calling && clockOf(hand) >= hand.worker.callAtMs))) workerCall(hand);
   }
   after(5000, [this, &hand, life] { workerTick(hand, life); });
 }
 
 void Sim::workerCall(Hand& hand) {
   hand.calling = true;
-  hand.calledMs = nowMs();
   const int life = hand.lives;
-  const auto sentMs = nowMs();
+  const auto sentMs = clockOf(hand);
   Ask text;
   text.method = "POST";
   text.path = "/worker/report";
-  text.body = roles::nextReport(hand.worker);
+  text.body = roles::nextReport(hand.worker, sentMs);
   const auto number = hand.worker.report;
   auto finish = [this, &hand, life, sentMs, number, body = text.body](Reply got) {
     if (!hand.up || hand.lives != life || hand.worker.report != number || !hand.calling) return;
     auto act = [this, &hand, life, sentMs, number, got, body] {
       if (!hand.up || hand.lives != life || hand.worker.report != number || !hand.calling) return;
-      roles::workerTick(hand.worker, nowMs());
+      roles::workerTick(hand.worker, clockOf(hand));
       if (!got.lost && got.status == 200) {
-        roles::heardAnswer(hand.worker, got.body, sentMs, nowMs());
+        roles::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
       }
       if (onReported) onReported(hand, body, got.lost ? 0 : got.status);
       drainJournal(hand);
       hand.calling = false;
-      if (!got.lost && got.status == 200) workerCall(hand);
+      if (!got.lost && got.status == 200 && clockOf(hand) >= hand.worker.callAtMs) workerCall(hand);
     };
     if (now_ < hand.frozenUntilUs) at(hand.frozenUntilUs + 1, act);
     else act();
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -35,8 +35,16 @@
   Micros tickUs = 10000;
   bool selfStop = true;
   Sea sea;
+  int quays = 3;
+  std::int64_t losses = 1;
+  std::map<std::string, std::int64_t> room;  // each worker's, beside its slots
+  int rackSize = 0;                          // workers a rack, within one cell; 0: no racks
+  int kinds = 0;                             // of workers, told by a label; 0: none
+  Millis holdMostMs = 0;                     // a worker cuts a longer hold to this; 0: any
 };
 
+constexpr Millis kWallEpochMs = 1700000000000;
+
 struct Reply {
   bool lost = false;
   int status = 0;
@@ -50,9 +58,11 @@
   DaemonId id;
   int lives = 0;
   bool up = false;
+  bool gone = false;  // for good, and replaced or not missed
   Micros frozenUntilUs = 0;
   Micros clockOffsetUs = 0;
   double clockRate = 1.0;
+  Millis wallOffsetMs = 0;
   std::optional<roles::Node> node;
   hold::Image disk;
   bool diskFails = false;
@@ -75,7 +85,8 @@
   Micros frozenUntilUs = 0;
   int lives = 0;
   bool calling = false;
-  Millis calledMs = 0;
+  bool news = false;
+  double clockRate = 1.0;  // its steady clock is up to 2 % slow
 };
 
 class Sim {
@@ -84,6 +95,8 @@
 
   Micros nowUs() const { return now_; }
   Millis nowMs() const { return now_ / 1000; }
+  Millis wallMs() const { return kWallEpochMs + nowMs(); }
+  Millis clockOf(const Hand& hand) const { return static_cast<Millis>(static_cast<double>(now_) * hand.clockRate / 1000.0); }
   void at(Micros whenUs, std::function<void()> act);
   void after(Micros spanUs, std::function<void()> act) { at(now_ + spanUs, std::move(act)); }
   void runUntil(Micros untilUs);
@@ -98,9 +111,17 @@
   void loseDisk(Host& host);
   void stopPolitely(Host& host);
   void ask(Host& host, signal::Ask ask, std::function<void(Reply)> done);
-  void cut(const Host& from, const Host& to) { cuts_.insert({from.name, to.name}); }
+  void cut(const Host& from, const Host& to) {
+    cuts_.insert({from.name, to.name});
+    trouble();
+  }
   void cutOff(const Host& host);
-  void heal() { cuts_.clear(); }
+  void heal() {
+    cuts_.clear();
+    trouble();
+  }
+  void trouble() { troubleUs_ = std::max(troubleUs_, now_); }
+  bool troubled(Millis withinMs) const;  // anything beyond load and configurations happened within this time, or goes on
   bool isCut(const Host& from, const Host& to) const { return cuts_.contains({from.name, to.name}); }
 
   void startWorker(Hand& hand);
@@ -144,6 +165,8 @@
   void sync(Host& host);
   void reply(Host& host, std::uint64_t transaction, Reply reply);
   void workerTick(Hand& hand, int life);
+  void gangTick();
+  void noteGang(Hand& hand, const std::string& line);
   void workerCall(Hand& hand);
   void drainJournal(Hand& hand);
   void mark(std::string_view text);
@@ -162,6 +185,12 @@
   std::vector<Address> seeds_;
   std::set<std::pair<std::string, std::string>> cuts_;
   int addresses_ = 0;
+  struct Gang {
+    bool whole = false, broken = false;
+  };
+  std::map<std::string, Gang> gangs_;
+  std::set<std::string> gangRuns_;
+  Micros troubleUs_ = -1000000000;
 };
 
 }  // namespace tulip::drydock
