--- a/src/drydock/load.cpp
+++ b/src/drydock/load.cpp
@@ -12,9 +12,104 @@
   return low + static_cast<std::int64_t>(dice() * static_cast<double>(high - low + 1));
 }
 
+JobSketch sketchSteps(const LineLoad& load, const std::string& id, const Dice& dice, const Grounds& grounds) {
+  JobSketch job{id, load.line, false, 0, {}};
+  const auto drawn = [&](double share) { return share > 0 && dice() < share; };
+  const auto whole = static_cast<std::int64_t>(load.perJob);
+  const auto count = std::max<std::int64_t>(1, whole + drawn(load.perJob - static_cast<double>(whole)));
+  const auto around = [&](std::int64_t mean) { return std::max<std::int64_t>(1, static_cast<std::int64_t>(static_cast<double>(mean) * (0.6 + 0.8 * dice()))); };
+  for (std::int64_t i = 0; i < count; ++i) {
+    StepSketch step;
+    step.name = "s" + std::to_string(i);
+    step.count = std::max<std::int64_t>(1, between(load.count / 2, load.count * 3 / 2, dice));
+    if (load.cpu) step.room["cpu"] = around(load.cpu);
+    if (load.memMb) step.room["mem_mb"] = around(load.memMb);
+    step.runMs = around(load.runMs);
+    step.estimateMs = around(step.runMs);
+    if (i > 0) step.after.push_back(static_cast<std::size_t>(between(0, i - 1, dice)));
+    step.together = drawn(load.together) && step.count > 1;
+    step.oneRack = step.together && drawn(load.oneRack);
+    step.saves = drawn(load.saves);
+    step.repeats = !step.together && drawn(load.repeats);
+    if (!grounds.racks.empty() && drawn(load.near)) step.near = grounds.racks[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.racks.size()) - 1, dice))];
+    if (!grounds.kinds.empty() && drawn(load.needs)) step.needs = grounds.kinds[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.kinds.size()) - 1, dice))];
+    if (drawn(load.apart)) step.apart = std::max<std::int64_t>(2, step.count / 4);
+    if (drawn(0.03)) step.failAttempts = 1;
+    job.steps.push_back(std::move(step));
+  }
+  if (drawn(load.timed)) {
+    job.times = between(2, 4, dice);
+    job.firstInMs = between(0, 1500, dice);
+    job.everyMs = between(500, 2500, dice);
+  } else if (drawn(load.standing)) {
+    job.steps.resize(1);
+    job.steps[0].standing = true;
+    job.steps[0].together = job.steps[0].oneRack = job.steps[0].repeats = job.steps[0].saves = false;
+    job.steps[0].count = 2;
+  }
+  return job;
+}
+
+Json payloadJson(Millis runMs, bool fails, std::int64_t failAttempts) {
+  Json payload(json_object());
+  json_object_set_new(payload.get(), "runMs", json_integer(runMs));
+  if (fails) json_object_set_new(payload.get(), "fails", json_true());
+  if (failAttempts) json_object_set_new(payload.get(), "failAttempts", json_integer(failAttempts));
+  return payload;
+}
+
+json_t* roomJson(const std::map<std::string, std::int64_t>& room) {
+  json_t* made = json_object();
+  for (const auto& [kind, amount] : room) json_object_set_new(made, kind.c_str(), json_integer(amount));
+  return made;
+}
+
+void addSteps(json_t* root, const JobSketch& job, Millis wallMs) {
+  json_t* steps = json_array();
+  for (const auto& step : job.steps) {
+    json_t* item = json_object();
+    json_object_set_new(item, "name", jsonText(step.name));
+    json_object_set_new(item, "count", json_integer(step.count));
+    json_object_set_new(item, "slots", json_integer(step.slots));
+    if (!step.room.empty()) json_object_set_new(item, "room", roomJson(step.room));
+    if (!step.after.empty()) {
+      json_t* after = json_array();
+      for (auto k : step.after) json_array_append_new(after, jsonText(job.steps[k].name));
+      json_object_set_new(item, "after", after);
+    }
+    if (step.estimateMs) json_object_set_new(item, "estimateMs", json_integer(step.estimateMs));
+    const std::pair<const char*, bool> flags[] = {
+        {"together", step.together}, {"oneRack", step.oneRack}, {"repeats", step.repeats}, {"standing", step.standing}, {"saves", step.saves}};
+    for (const auto& [name, on] : flags)
+      if (on) json_object_set_new(item, name, json_true());
+    if (!step.needs.empty()) json_object_set_new(item, "needs", jsonText(step.needs));
+    if (!step.near.empty()) json_object_set_new(item, "near", jsonText(step.near));
+    if (step.apart) json_object_set_new(item, "apart", json_integer(step.apart));
+    if (job.steps.size() > 1) json_object_set_new(item, "payload", parseJson(payloadOf(step)).release());
+    json_array_append_new(steps, item);
+  }
+  json_object_set_new(root, "steps", steps);
+  if (job.steps.size() == 1) json_object_set_new(root, "payload", parseJson(payloadOf(job.steps[0])).release());
+  if (job.times > 0) {
+    json_object_set_new(root, "times", json_integer(job.times));
+    json_object_set_new(root, "firstAtMs", json_integer(wallMs + job.firstInMs));
+    json_object_set_new(root, "everyMs", json_integer(job.everyMs));
+  }
+}
+
 }  // namespace
 
-JobSketch sketchJob(const LineLoad& load, const std::string& id, const Dice& dice) {
+Grounds groundsOf(const FleetPlan& fleet) {
+  std::set<std::string> racks, kinds;
+  for (int i = 0; i < fleet.workers; ++i) {
+    if (fleet.rackSize > 0) racks.insert(rackOf(fleet, i));
+    if (fleet.kinds > 0) kinds.insert(kindOf(fleet, i));
+  }
+  return {{racks.begin(), racks.end()}, {kinds.begin(), kinds.end()}};
+}
+
+JobSketch sketchJob(const LineLoad& load, const std::string& id, const Dice& dice, const Grounds& grounds) {
+  if (load.perJob > 0) return sketchSteps(load, id, dice, grounds);
   JobSketch job{id, load.line, dice() < load.gang, 0, {}};
   if (dice() < 0.05) job.notBeforeMs = between(200, 1700, dice);
   const auto count = between(load.leastTasks, load.mostTasks, dice);
@@ -34,15 +129,34 @@
   return job;
 }
 
-std::string jobBody(const JobSketch& job) {
+std::string payloadOf(const TaskSketch& task) { return dumpJson(payloadJson(task.runMs, task.fails, task.failAttempts).get()); }
+
+std::string payloadOf(const StepSketch& step) {
+  Json payload = payloadJson(step.runMs, step.fails, step.failAttempts);
+  json_object_set_new(payload.get(), "slots", json_integer(step.slots));
+  if (!step.room.empty()) json_object_set_new(payload.get(), "room", roomJson(step.room));
+  if (step.together) json_object_set_new(payload.get(), "together", json_integer(step.count));
+  const std::pair<const char*, bool> flags[] = {{"oneRack", step.oneRack}, {"standing", step.standing}, {"saves", step.saves}};
+  for (const auto& [name, on] : flags)
+    if (on) json_object_set_new(payload.get(), name, json_true());
+  if (!step.near.empty()) json_object_set_new(payload.get(), "near", jsonText(step.near));
+  return dumpJson(payload.get());
+}
+
+std::string jobBody(const JobSketch& job, Millis wallMs) {
   Json root(json_object());
   json_object_set_new(root.get(), "id", jsonText(job.id));
   json_object_set_new(root.get(), "pending", jsonText(job.line));
   json_object_set_new(root.get(), "gang", json_boolean(job.gang));
   if (job.notBeforeMs) json_object_set_new(root.get(), "notBeforeMs", json_integer(job.notBeforeMs));
+  if (!job.steps.empty()) {
+    json_object_del(root.get(), "gang");
+    addSteps(root.get(), job, wallMs);
+    return dumpJson(root.get());
+  }
   json_t* tasks = json_array();
   for (const auto& task : job.tasks) {
-    json_t *item = json_object(), *payload = json_object();
+    json_t* item = json_object();
     json_object_set_new(item, "name", jsonText(task.name));
     json_object_set_new(item, "slots", json_integer(task.slots));
     if (!task.after.empty()) {
@@ -50,17 +164,57 @@
       for (auto k : task.after) json_array_append_new(after, jsonText(job.tasks[k].name));
       json_object_set_new(item, "after", after);
     }
-    json_object_set_new(payload, "runMs", json_integer(task.runMs));
-    if (task.fails) json_object_set_new(payload, "fails", json_true());
-    if (task.failAttempts) json_object_set_new(payload, "failAttempts", json_integer(task.failAttempts));
-    json_object_set_new(item, "payload", payload);
+    json_object_set_new(item, "payload", parseJson(payloadOf(task)).release());
     json_array_append_new(tasks, item);
   }
   json_object_set_new(root.get(), "tasks", tasks);
   return dumpJson(root.get());
 }
 
+const std::vector<std::string>& loadNames() {
+  static const std::vector<std::string> all{"leatherwood", "kerala", "heavy", "leatherwood-steps", "kerala-steps", "leatherwood-grown", "kerala-grown"};
+  return all;
+}
+
 std::vector<LineLoad> builtInLoad(const std::string& name) {
+  const auto steps = [](LineLoad line, double perJob, std::int64_t count, std::int64_t cpu, Millis runMs, Millis aimMs, double stretch, std::int64_t rank) {
+    line.perJob = perJob;
+    line.count = count;
+    line.cpu = cpu;
+    line.memMb = cpu / 4;
+    line.runMs = runMs;
+    line.aimMs = aimMs;
+    line.stretch = stretch;
+    line.rank = rank;
+    line.apart = line.needs = 0.06;
+    line.near = 0.25;
+    return line;
+  };
+  const auto threeLines = [&](LineLoad big, LineLoad middle, LineLoad small) {
+    big.together = 0.4;
+    big.oneRack = 0.5;
+    big.saves = 0.6;
+    big.failureLimit = 4;
+    middle.together = 0.15;
+    middle.saves = 0.2;
+    middle.repeats = 0.1;
+    middle.timed = 0.08;
+    middle.standing = 0.03;
+    small.repeats = 0.1;
+    return std::vector<LineLoad>{small, middle, big};
+  };
+  if (name == "leatherwood-steps")
+    return threeLines(steps({"rebuild", 0.65}, 1.2, 4, 2900, 5000, 2000, 2.2, 0), steps({"gate", 1.25}, 1.5, 10, 800, 1800, 4000, 3.2, 5),
+                      steps({"checkout", 5.9}, 1, 2, 1100, 1000, 1000, 1.5, 10));
+  if (name == "kerala-steps")
+    return threeLines(steps({"rebuild", 0.53}, 1.2, 4, 11000, 6200, 2000, 2.2, 0), steps({"gate", 1.6}, 1.5, 10, 3200, 1400, 4000, 3.2, 5),
+                      steps({"checkout", 7.4}, 1, 2, 4600, 800, 1200, 1.5, 10));
+  if (name == "leatherwood-grown")
+    return threeLines(steps({"rebuild", 0.9}, 1.2, 20, 2900, 5000, 1500, 2.2, 0), steps({"gate", 3.2}, 1.5, 25, 800, 1800, 4000, 3.2, 5),
+                      steps({"checkout", 23}, 1, 3, 1100, 1000, 800, 1.5, 10));
+  if (name == "kerala-grown")
+    return threeLines(steps({"rebuild", 0.95}, 1.2, 20, 11000, 6200, 2000, 2.2, 0), steps({"gate", 4.1}, 1.5, 25, 3200, 1800, 4000, 3.2, 5),
+                      steps({"checkout", 48}, 1, 3, 4600, 640, 1200, 1.5, 10));
   if (name == "kerala")
     return {{"checkout", 9.0, 1, 2, 1, 2, 50, 300, 0.2, 0.1, 0},
             {"gate", 2.0, 2, 5, 1, 3, 200, 900, 0.6, 0.3, 0},
@@ -73,6 +227,34 @@
           {"rebuild", 0.8, 2, 6, 2, 4, 800, 3000, 0.8, 0.5, 0}};
 }
 
+FleetPlan fleetOf(const std::string& load) {
+  FleetPlan fleet;
+  if (!load.ends_with("-steps") && !load.ends_with("-grown")) return fleet;
+  const bool kerala = load.starts_with("kerala"), grown = load.ends_with("-grown");
+  const std::int64_t cores = kerala ? 64 : 16, memMb = !kerala ? 65536 : grown ? 262144 : 131072;
+  fleet.room = {{"cpu", cores * 1000}, {"mem_mb", memMb}};
+  fleet.slots = cores * 4;
+  fleet.rackSize = grown ? 9 : 3;
+  fleet.kinds = 2;
+  fleet.pilots = grown ? (kerala ? 11 : 8) : kerala ? 3 : 4;
+  fleet.sea.mostUs = kerala ? 1400 : 1900;
+  fleet.sea.leastUs = kerala ? 900 : 1400;
+  auto& bounds = fleet.bounds;
+  bounds.gangWaitMs = grown ? 4000 : 3000;
+  bounds.runStopMs = 200;
+  bounds.earlyMs = 250;
+  bounds.checkpointMs = kerala ? (grown ? 500 : 1000) : 2000;
+  bounds.farFactor = grown && !kerala ? 3 : 1.5;
+  fleet.holdMostMs = kerala ? 10000 : 6000;
+  if (grown) {
+    fleet.quays = kerala ? 8 : 6;
+    fleet.losses = 2;
+    fleet.cells = kerala ? 4 : 3;
+    fleet.workers = kerala ? 74 : 58;
+  }
+  return fleet;
+}
+
 bool readLoad(std::string_view text, std::vector<LineLoad>& lines, chart::Fault& fault) {
   Json root = parseJson(text);
   const json_t* list = json_object_get(root.get(), "lines");
@@ -102,6 +284,19 @@
     line.gang = json_number_value(json_object_get(item, "gang"));
     line.steps = json_number_value(json_object_get(item, "steps"));
     line.heavyTail = json_number_value(json_object_get(item, "heavyTail"));
+    line.perJob = json_number_value(json_object_get(item, "perJob"));
+    line.count = numberAt(item, "count", 1);
+    line.cpu = numberAt(item, "cpu");
+    line.memMb = numberAt(item, "mem_mb");
+    line.runMs = line.perJob > 0 ? (line.leastRunMs + line.mostRunMs) / 2 : 0;
+    line.rank = numberAt(item, "rank");
+    const std::pair<const char*, double*> shares[] = {
+        {"together", &line.together}, {"oneRack", &line.oneRack}, {"saves", &line.saves}, {"near", &line.near},   {"apart", &line.apart},
+        {"needs", &line.needs},       {"repeats", &line.repeats}, {"timed", &line.timed}, {"standing", &line.standing}};
+    for (const auto& [key, share] : shares) {
+      *share = json_number_value(json_object_get(item, key));
+      if (*share < 0 || *share > 1) return deny(at + "/" + key, "a number from 0 to 1");
+    }
     lines.push_back(std::move(line));
   }
   return true;
@@ -174,19 +369,24 @@
 }
 
 Millis shortestMs(const JobSketch& job) {
-  std::vector<Millis> ends(job.tasks.size(), 0);
-  for (std::size_t round = 0; round < job.tasks.size(); ++round)
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-      Millis begins = 0;
-      for (auto dep : job.tasks[i].after) begins = std::max(begins, ends[dep]);
-      ends[i] = begins + job.tasks[i].runMs;
-    }
-  return job.notBeforeMs + *std::max_element(ends.begin(), ends.end());
+  const auto longest = [](const auto& parts) {
+    std::vector<Millis> ends(parts.size(), 0);
+    for (std::size_t round = 0; round < parts.size(); ++round)
+      for (std::size_t i = 0; i < parts.size(); ++i) {
+        Millis begins = 0;
+        for (auto dep : parts[i].after) begins = std::max(begins, ends[dep]);
+        ends[i] = begins + parts[i].runMs;
+      }
+    return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
+  };
+  if (!job.steps.empty()) return longest(job.steps) + job.firstInMs + (job.instances() - 1) * job.everyMs;
+  return job.notBeforeMs + longest(job.tasks);
 }
 
 std::int64_t workMs(const JobSketch& job) {
   std::int64_t sum = 0;
   for (const auto& task : job.tasks) sum += task.slots * task.runMs;
+  for (const auto& step : job.steps) sum += step.slots * step.runMs * step.count * job.instances();
   return sum;
 }
 
--- a/src/drydock/load.hpp
+++ b/src/drydock/load.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "chart/chart.hpp"
+#include "drydock/sim.hpp"
 
 namespace tulip::drydock {
 
@@ -16,6 +17,16 @@
   double gang = 0.5;
   double steps = 0.2;
   double heavyTail = 0;
+  // Jobs of steps: perJob is the mean number of steps, count the tasks of each; 0: jobs of single tasks.
+  double perJob = 0;
+  std::int64_t count = 0;
+  std::int64_t cpu = 0, memMb = 0;  // each task's room
+  Millis runMs = 0;
+  Millis aimMs = 0;                 // wanted beyond stretch times the work
+  double stretch = 0;
+  std::int64_t rank = 0;
+  std::int64_t failureLimit = 3;
+  double together = 0, oneRack = 0, saves = 0, near = 0, apart = 0, needs = 0, repeats = 0, timed = 0, standing = 0;  // shares, 0 to 1
 };
 
 struct TaskSketch {
@@ -27,19 +38,51 @@
   std::int64_t failAttempts = 0;
 };
 
+struct StepSketch {
+  std::string name;
+  std::int64_t count = 1;
+  std::int64_t slots = 1;
+  std::map<std::string, std::int64_t> room;
+  std::vector<std::size_t> after;  // places of other steps
+  Millis runMs = 100;
+  Millis estimateMs = 0;
+  bool together = false, oneRack = false, repeats = false, standing = false, saves = false;
+  std::string needs, near;
+  std::int64_t apart = 0;
+  bool fails = false;
+  std::int64_t failAttempts = 0;
+};
+
+// A job of single tasks, or one of steps; times, firstInMs (from now, by the time of day) and everyMs are for steps only.
 struct JobSketch {
   std::string id;
   std::string line;
   bool gang = false;
   Millis notBeforeMs = 0;
   std::vector<TaskSketch> tasks;
+  std::vector<StepSketch> steps = {};
+  std::int64_t times = 0;
+  Millis firstInMs = 0;
+  Millis everyMs = 0;
+
+  std::int64_t instances() const { return times > 0 ? times : 1; }
 };
 
 using Dice = std::function<double()>;
 
-JobSketch sketchJob(const LineLoad& load, const std::string& id, const Dice& dice);
-std::string jobBody(const JobSketch& job);
+// racks and kinds are the labels that a step may ask for.
+struct Grounds {
+  std::vector<std::string> racks, kinds;
+};
+
+Grounds groundsOf(const FleetPlan& fleet);
+JobSketch sketchJob(const LineLoad& load, const std::string& id, const Dice& dice, const Grounds& grounds = {});
+std::string jobBody(const JobSketch& job, Millis wallMs = kWallEpochMs);
+std::string payloadOf(const TaskSketch& task);
+std::string payloadOf(const StepSketch& step);
+const std::vector<std::string>& loadNames();
 std::vector<LineLoad> builtInLoad(const std::string& name);
+FleetPlan fleetOf(const std::string& load);
 bool readLoad(std::string_view text, std::vector<LineLoad>& lines, chart::Fault& fault);
 struct Arrival {
   Millis atMs = 0;
--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -4,9 +4,15 @@
 
 using namespace signal;
 
+std::string cellOf(const FleetPlan& fleet, int worker) { return std::string(1, static_cast<char>('a' + worker % fleet.cells)); }
+std::string rackOf(const FleetPlan& fleet, int worker) {
+  return "r" + cellOf(fleet, worker) + "-" + std::to_string(worker / fleet.cells / fleet.rackSize + 1);
+}
+std::string kindOf(const FleetPlan& fleet, int worker) { return "kind-" + std::to_string(worker % fleet.kinds + 1); }
+
 Sim::Sim(std::uint64_t seed, FleetPlan given) : plan(std::move(given)), seed_(seed), random_(seed) {
   for (int i = 0; i < 3; ++i) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
-  auto cell = [&](int i) { return std::string(1, static_cast<char>('a' + i % plan.cells)); };
+  auto cell = [&](int i) { return cellOf(plan, i); };
   for (int i = 0; i < plan.quays; ++i) addHost(Role::quay, "quay-" + std::to_string(i + 1), cell(i));
   for (int i = 0; i < plan.pilots; ++i) addHost(Role::pilot, "pilot-" + std::to_string(i + 1), cell(i));
   for (int i = 0; i < plan.workers; ++i) {
@@ -24,8 +30,8 @@
     hand.worker.traits.gangWaitMs = plan.bounds.gangWaitMs;
     hand.worker.traits.checkpointMs = plan.bounds.checkpointMs;
     hand.worker.traits.farFactor = plan.bounds.farFactor;
-    if (plan.rackSize > 0) hand.worker.traits.labels["rack"] = "r" + cell(i) + "-" + std::to_string(i / plan.cells / plan.rackSize + 1);
-    if (plan.kinds > 0) hand.worker.traits.labels["kind"] = "kind-" + std::to_string(i % plan.kinds + 1);
+    if (plan.rackSize > 0) hand.worker.traits.labels["rack"] = rackOf(plan, i);
+    if (plan.kinds > 0) hand.worker.traits.labels["kind"] = kindOf(plan, i);
     hand.clockRate = 1.0 - 0.0001 * static_cast<double>(std::stoul(roles::digestOf(std::to_string(seed) + number), nullptr, 16) % 200);
   }
   after(5000, [this] { gangTick(); });
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -43,6 +43,10 @@
   Millis holdMostMs = 0;                     // a worker cuts a longer hold to this; 0: any
 };
 
+std::string cellOf(const FleetPlan& fleet, int worker);
+std::string rackOf(const FleetPlan& fleet, int worker);
+std::string kindOf(const FleetPlan& fleet, int worker);
+
 constexpr Millis kWallEpochMs = 1700000000000;
 
 struct Reply {
