The judge knows jobs of steps: room by kind, gangs, checkpoints, labels, apart, stalls, turned-away jobs

Cause: the platform's rules hold for the product too. Ends of a gang are kept by its first member, failures by attempt; new rules apart, needs, stalled, turned-away.

--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -5,8 +5,9 @@
 namespace tulip::drydock {
 
 const std::vector<std::string>& ruleNames() {
-  static const std::vector<std::string> all{"asked-for", "cancelled", "chart",  "counters",  "denied", "denied-chart", "draining", "early", "emptied",
-                                            "ends",      "failures",  "finished", "forgotten", "gang",   "inside",       "once",     "room",  "shown", "steps"};
+  static const std::vector<std::string> all{"apart",   "asked-for", "cancelled", "chart", "counters", "denied", "denied-chart", "draining",
+                                            "early",   "emptied",   "ends",      "failures", "finished", "forgotten", "gang",       "inside",
+                                            "needs",   "once",      "room",      "shown", "stalled",  "steps",  "turned-away"};
   return all;
 }
 
@@ -15,8 +16,8 @@
   sim.onWorkerCrash = [this](Hand& hand) {
     for (const auto& [run, ended] : hand.worker.ended)
       if (auto [job, at] = find(run); job) {
-        job->tasks[at].cleanDelivered = false;
-        job->tasks[at].failedEnds -= ended.outcome == "failed";
+        job->lead(at).delivered.erase(run);
+        job->lead(at).failed.erase(run);
       }
   };
   sim.onReported = [this](Hand& hand, const std::string& body, int status) { reported(hand, body, status); };
@@ -36,6 +37,67 @@
   return job;
 }
 
+JobTruth& Judge::submitted(const JobSketch& sketch) {
+  auto& job = submitted(sketch.id);
+  job.line = sketch.line;
+  job.gang = sketch.gang;
+  job.notBeforeMs = sketch.notBeforeMs;
+  for (const auto& task : sketch.tasks) {
+    job.neverSucceeds = job.neverSucceeds || task.fails;
+    job.names.push_back(task.name);
+    auto& truth = job.tasks.emplace_back();
+    truth.slots = task.slots;
+    truth.after = task.after;
+    truth.payload = roles::digestOf(payloadOf(task));
+  }
+  for (std::int64_t k = 0; !sketch.steps.empty() && k < sketch.instances(); ++k) {
+    std::vector<std::size_t> firstOf;
+    std::size_t next = job.tasks.size();
+    for (const auto& step : sketch.steps) {
+      firstOf.push_back(next);
+      next += static_cast<std::size_t>(step.count);
+    }
+    for (std::size_t s = 0; s < sketch.steps.size(); ++s) {
+      const auto& step = sketch.steps[s];
+      job.neverSucceeds = job.neverSucceeds || step.fails;
+      TaskTruth truth;
+      truth.slots = step.slots;
+      truth.room = step.room;
+      truth.step = s;
+      truth.instance = k;
+      if (sketch.times > 0) truth.dueMs = sim_.nowMs() + sketch.firstInMs + k * sketch.everyMs;
+      truth.repeats = step.repeats;
+      truth.standing = step.standing;
+      truth.needs = step.needs;
+      truth.apart = step.apart;
+      truth.payload = roles::digestOf(payloadOf(step));
+      if (step.together) {
+        truth.lead = firstOf[s];
+        truth.members = step.count;
+      }
+      for (auto dep : step.after)
+        for (std::int64_t i = 0; i < sketch.steps[dep].count; ++i) truth.after.push_back(firstOf[dep] + static_cast<std::size_t>(i));
+      for (std::int64_t i = 0; i < step.count; ++i) {
+        job.names.push_back(std::to_string(k) + "." + std::to_string(s) + "." + std::to_string(i));
+        job.tasks.push_back(truth);
+      }
+    }
+  }
+  return job;
+}
+
+std::int64_t JobTruth::failures(std::size_t at) const {
+  std::set<std::int64_t> attempts;
+  for (const auto& run : lead(at).failed) attempts.insert(roles::attemptOf(run));
+  return static_cast<std::int64_t>(attempts.size());
+}
+
+bool JobTruth::ready(std::size_t at, Millis nowMs) const {
+  const auto& task = tasks[at];
+  return !clean(at) && nowMs >= task.dueMs && nowMs >= submittedMs + notBeforeMs &&
+         std::all_of(task.after.begin(), task.after.end(), [&](auto dep) { return clean(dep); });
+}
+
 void Judge::accepted(const std::string& id) {
   auto& job = jobs.at(id);
   if (job.acceptedMs < 0) job.acceptedMs = sim_.nowMs();
@@ -50,6 +112,8 @@
   if (job.acceptedMs >= 0) fault("denied", id + " was denied after it had been accepted");
 }
 
+void Judge::turnedAway(const std::string& id) { jobs.at(id).turnedAway = true; }
+
 void Judge::cancelled(const std::string& id) {
   auto& job = jobs.at(id);
   if (job.cancelledMs < 0) job.cancelledMs = sim_.nowMs();
@@ -70,56 +134,113 @@
 void Judge::journal(Hand& hand, const std::string& line) {
   const auto space = line.find(' ');
   const auto kind = line.substr(0, space);
-  auto rest = line.substr(space + 1);
+  const auto rest = line.substr(space + 1);
+  if (kind == "start") return started(hand, rest);
+  const auto gap = rest.rfind(' ');
+  if (kind == "end") return runEnded(hand, rest.substr(0, gap), rest.substr(gap + 1));
+  if (kind == "saved")
+    if (auto [job, at] = find(rest.substr(0, gap)); job) job->lead(at).issued.insert(rest.substr(gap + 1));
+}
+
+void Judge::started(Hand& hand, const std::string& text) {
+  const auto run = text.substr(0, text.find(' '));
+  const auto word = [&](const std::string& key) {
+    const auto at = text.find(" " + key + "=");
+    return at == std::string::npos ? std::string() : text.substr(at + key.size() + 2, text.find(' ', at + 1) - at - key.size() - 2);
+  };
   const Millis now = sim_.nowMs();
-  if (kind == "start") {
-    rest.resize(std::min(rest.size(), rest.find(' ')));
-    ++starts;
-    auto [job, at] = find(rest);
-    if (!job) return fault("asked-for", "a run nobody asked for: " + rest);
-    if (job->denied) fault("asked-for", "a run of a job that was denied: " + rest);
-    if (!job->shown.empty()) fault("asked-for", rest + " starts after its job was shown " + job->shown);
-    auto& task = job->tasks[at];
-    ++task.starts;
-    if (job->firstStartMs < 0) job->firstStartMs = now;
-    checks += 8;
-    for (const auto& [other, where] : task.going) {
-      if (where->up && sim_.nowUs() < where->frozenUntilUs) task.superseded.insert(other);
-      else fault("once", rest + " starts on " + hand.worker.traits.name + " while " + other + " runs on " + where->worker.traits.name);
-    }
-    if (task.cleanDelivered) fault("once", rest + " starts after the task ended cleanly");
-    for (auto dep : task.after)
-      if (job->tasks[dep].cleanEnds == 0) fault("steps", rest + " starts before " + job->names[dep] + " is done");
-    if (now + kEarlyGraceMs < job->submittedMs + job->notBeforeMs) fault("early", rest + " starts before its time");
-    if (auto limit = failureLimit.find(job->line); limit != failureLimit.end() && task.failedEnds >= limit->second)
-      fault("failures", rest + " starts after " + std::to_string(task.failedEnds) + " failures");
-    if (job->cancelledMs >= 0 && now > job->cancelledMs + kCancelGraceMs) fault("cancelled", rest + " starts after its cancel was confirmed");
-    const auto& cell = hand.tender->env.cell.value;
-    if (auto since = emptiedSinceMs_.find(cell); since != emptiedSinceMs_.end() && now > since->second + kEmptyGraceMs)
-      fault("emptied", rest + " starts in emptied cell " + cell);
-    if (auto since = drainedSinceMs_.find(hand.worker.traits.name); since != drainedSinceMs_.end() && now > since->second + kDrainGraceMs)
-      fault("draining", rest + " starts on drained " + hand.worker.traits.name);
-    if (auto since = leavingSinceMs_.find(hand.worker.traits.name); since != leavingSinceMs_.end() && now > since->second + kDrainGraceMs)
-      fault("draining", rest + " starts on leaving " + hand.worker.traits.name);
-    task.going[rest] = &hand;
-    std::int64_t held = 0;
-    for (const auto& [run, going] : hand.worker.going) held += going.slots;
-    if (held > hand.worker.traits.slots) fault("room", hand.worker.traits.name + " runs " + std::to_string(held) + " slots");
-  } else if (kind == "end") {
-    ++ends;
-    const auto gap = rest.rfind(' ');
-    const auto outcome = rest.substr(gap + 1);
-    rest.resize(gap);
-    auto [job, at] = find(rest);
-    if (!job) return;
-    auto& task = job->tasks[at];
-    task.going.erase(rest);
-    if (outcome == "clean") {
-      ++task.cleanEnds;
-      if (task.superseded.contains(rest)) fault("once", rest + " ended cleanly after it was started elsewhere");
-    }
-    if (outcome == "failed") ++task.failedEnds;
+  ++starts;
+  auto [job, at] = find(run);
+  if (!job) return fault("asked-for", "a run nobody asked for: " + run);
+  auto& task = job->tasks[at];
+  auto& lead = job->lead(at);
+  if (job->denied) fault("asked-for", "a run of a job that was denied: " + run);
+  if (job->turnedAway) fault("turned-away", run + " starts though every try to hand its job in was turned away");
+  const bool lateCopy = task.repeats && now <= job->shownEndedMs + kNotedMs;
+  if (!job->shown.empty() && !lateCopy) fault("asked-for", run + " starts after its job was shown " + job->shown);
+  if (!task.payload.empty() && word("payload") != task.payload) fault("asked-for", run + " is started with a payload that is not its own");
+  if (const auto saved = word("saved"); !saved.empty() && !lead.issued.contains(saved))
+    fault("asked-for", run + " is started from a checkpoint that is not its own: " + saved);
+  if (task.members > 1) {
+    const auto [first, fresh] = lead.resumed.try_emplace(roles::attemptOf(run), word("saved"));
+    if (!fresh && first->second != word("saved")) fault("gang", run + " is started from another checkpoint than its gang");
+  }
+  ++task.starts;
+  if (job->firstStartMs < 0) job->firstStartMs = now;
+  checks += 12;
+  for (const auto& [other, where] : task.going) {
+    if (task.repeats) break;
+    if (where->up && sim_.nowUs() < where->frozenUntilUs) task.superseded.insert(other);
+    else fault("once", run + " starts on " + hand.worker.traits.name + " while " + other + " runs on " + where->worker.traits.name);
+  }
+  const bool noted = !task.repeats || (now > lead.deliveredMs + kNotedMs && !sim_.troubled(kInTouchMs));
+  if (!lead.delivered.empty() && noted) fault("once", run + " starts after the task ended cleanly");
+  for (auto dep : task.after)
+    if (!job->clean(dep)) fault("steps", run + " starts before " + job->names[dep] + " is done");
+  const Millis earlyMs = std::max(kEarlyGraceMs, sim_.plan.bounds.earlyMs) + (clockStepped ? kClockStepMs : 0);
+  if (now + kEarlyGraceMs < job->submittedMs + job->notBeforeMs || now + earlyMs < task.dueMs) fault("early", run + " starts before its time");
+  const bool counted = !task.standing && (!task.repeats || (now > lead.failedMs + kNotedMs && !sim_.troubled(kInTouchMs)));
+  if (auto limit = failureLimit.find(job->line); counted && limit != failureLimit.end() && job->failures(at) >= limit->second)
+    fault("failures", run + " starts after " + std::to_string(job->failures(at)) + " failures");
+  if (job->cancelledMs >= 0 && now > job->cancelledMs + kCancelGraceMs) fault("cancelled", run + " starts after its cancel was confirmed");
+  task.going[run] = &hand;
+  judgePlace(hand, *job, at, run);
+  judgeRoom(hand);
+}
+
+void Judge::judgePlace(Hand& hand, const JobTruth& job, std::size_t at, const std::string& run) {
+  const Millis now = sim_.nowMs();
+  const auto& task = job.tasks[at];
+  const auto& traits = hand.worker.traits;
+  const auto& cell = hand.tender->env.cell.value;
+  if (auto since = emptiedSinceMs_.find(cell); since != emptiedSinceMs_.end() && now > since->second + kEmptyGraceMs)
+    fault("emptied", run + " starts in emptied cell " + cell);
+  if (auto since = drainedSinceMs_.find(traits.name); since != drainedSinceMs_.end() && now > since->second + kDrainGraceMs)
+    fault("draining", run + " starts on drained " + traits.name);
+  if (auto since = leavingSinceMs_.find(traits.name); since != leavingSinceMs_.end() && now > since->second + kDrainGraceMs)
+    fault("draining", run + " starts on leaving " + traits.name);
+  if (!task.needs.empty() && std::none_of(traits.labels.begin(), traits.labels.end(), [&](const auto& label) { return label.second == task.needs; }))
+    fault("needs", run + " starts on " + traits.name + ", which has no label " + task.needs);
+  if (task.apart > 0) {
+    std::int64_t beside = 0;
+    for (const auto& other : job.tasks)
+      if (other.step == task.step && other.instance == task.instance)
+        for (const auto& [name, where] : other.going) beside += where == &hand;
+    if (beside > task.apart) fault("apart", traits.name + " runs " + std::to_string(beside) + " tasks of the step of " + run);
+  }
+}
+
+void Judge::judgeRoom(Hand& hand) {
+  const auto& traits = hand.worker.traits;
+  std::int64_t slots = 0;
+  std::map<std::string, std::int64_t> held;
+  for (const auto& [run, going] : hand.worker.going) {
+    slots += going.slots;
+    for (const auto& [kind, amount] : going.room) held[kind] += amount;
+  }
+  if (slots > traits.slots) fault("room", traits.name + " runs " + std::to_string(slots) + " slots");
+  for (const auto& [kind, amount] : held) {
+    const auto total = traits.room.find(kind);
+    if (amount > (total == traits.room.end() ? 0 : total->second)) fault("room", traits.name + " runs " + std::to_string(amount) + " of " + kind);
+  }
+}
+
+void Judge::runEnded(Hand&, const std::string& run, const std::string& outcome) {
+  ++ends;
+  auto [job, at] = find(run);
+  if (!job) return;
+  auto& task = job->tasks[at];
+  task.going.erase(run);
+  if (outcome == "clean") {
+    ++job->lead(at).cleanEnds;
+    if (task.superseded.contains(run)) fault("once", run + " ended cleanly after it was started elsewhere");
+  }
+  if (outcome == "failed") {
+    job->lead(at).failed.insert(run);
+    job->lead(at).failedMs = sim_.nowMs();
   }
+  if (outcome == "alone" && job->cancelAskedMs < 0 && !sim_.troubled(kInTouchMs + sim_.plan.bounds.gangWaitMs))
+    fault("gang", run + " waited in vain for its gang, with no trouble near");
 }
 
 void Judge::reported(Hand& hand, const std::string& body, int status) {
@@ -133,7 +254,9 @@
     const json_t* item = json_array_get(ended, i);
     if (textAt(item, "outcome") != "clean") continue;
     auto [job, at] = find(textAt(item, "run"));
-    if (job) job->tasks[at].cleanDelivered = true;
+    if (!job) continue;
+    if (job->lead(at).delivered.empty()) job->lead(at).deliveredMs = sim_.nowMs();
+    job->lead(at).delivered.insert(textAt(item, "run"));
   }
 }
 
@@ -171,9 +294,9 @@
   }
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     const auto& task = job.tasks[i];
-    if (state == "finished" && task.cleanEnds == 0) fault("finished", id + " is shown finished but " + job.names[i] + " never ended cleanly");
+    if (state == "finished" && !job.clean(i)) fault("finished", id + " is shown finished but " + job.names[i] + " never ended cleanly");
     for (const auto& [run, where] : task.going)
-      if (!task.superseded.contains(run) && !(where->up && sim_.nowUs() < where->frozenUntilUs))
+      if (!task.repeats && !task.superseded.contains(run) && !(where->up && sim_.nowUs() < where->frozenUntilUs))
         fault("finished", id + " is shown " + state + " while " + run + " runs");
   }
   if (state == "finished" && job.neverSucceeds) fault("finished", id + " can not succeed but is shown finished");
@@ -223,6 +346,13 @@
 }
 
 void Judge::sweep() {
+  sweepLonely();
+  sweepCancelled();
+  constexpr std::uint64_t kStallSweeps = 5;
+  if (stalls && ++sweeps_ % kStallSweeps == 0) sweepStalled();
+}
+
+void Judge::sweepLonely() {
   const auto& bounds = sim_.plan.bounds;
   const Millis lonelyMs = 5000 + 3 * bounds.workerTermMs;
   for (auto& [id, job] : jobs) {
@@ -234,7 +364,7 @@
       if (!task.going.empty()) {
         for (std::size_t k = 0; k < job.tasks.size(); ++k) {
           const auto& other = job.tasks[k];
-          const bool ready = std::all_of(other.after.begin(), other.after.end(), [&](auto dep) { return job.tasks[dep].cleanEnds > 0; });
+          const bool ready = std::all_of(other.after.begin(), other.after.end(), [&](auto dep) { return job.clean(dep); });
           const bool sameWave = other.after == task.after;
           if (k != i && ready && sameWave && other.going.empty() && other.cleanEnds == 0) alone = true;
         }
@@ -249,6 +379,95 @@
   }
 }
 
+void Judge::sweepCancelled() {
+  const Millis lastMs = kCancelGraceMs + sim_.plan.bounds.runStopMs;
+  for (auto& [id, job] : jobs) {
+    if (job.cancelledMs < 0 || sim_.nowMs() <= job.cancelledMs + lastMs || !job.shown.empty()) continue;
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+      ++checks;
+      if (!job.tasks[i].going.empty() && !sim_.troubled(lastMs + kInTouchMs)) fault("cancelled", id + ": " + job.names[i] + " still runs after its cancel was confirmed");
+    }
+  }
+}
+
+bool Judge::usable(const Hand& hand) const {
+  const auto& name = hand.worker.traits.name;
+  return hand.up && hand.tender->up && !hand.cut && !hand.worker.leaving && sim_.nowUs() >= hand.frozenUntilUs && !drainedSinceMs_.contains(name) &&
+         !emptiedSinceMs_.contains(hand.tender->env.cell.value);
+}
+
+void Judge::sweepStalled() {
+  if (sim_.troubled(kSettledMs)) {
+    for (auto& [id, job] : jobs) job.stalledSinceMs = -1;
+    return;
+  }
+  using Room = std::map<std::string, std::int64_t>;
+  struct Free {
+    const Hand* hand;
+    Room room;
+  };
+  std::vector<Free> free;
+  Room total, used;
+  for (const auto& hand : sim_.hands()) {
+    if (!usable(*hand)) continue;
+    Room room = hand->worker.traits.room;
+    room[""] = hand->worker.traits.slots;
+    for (const auto& [kind, amount] : room) total[kind] += amount;
+    for (const auto& [run, going] : hand->worker.going) {
+      room[""] -= going.slots;
+      used[""] += going.slots;
+      for (const auto& [kind, amount] : going.room) {
+        room[kind] -= amount;
+        used[kind] += amount;
+      }
+    }
+    free.push_back({hand.get(), std::move(room)});
+  }
+  const bool roomy = !free.empty() && std::all_of(total.begin(), total.end(), [&](const auto& each) { return used[each.first] * 2 < each.second; });
+  const auto fitsTwice = [&](const JobTruth& job, const std::vector<std::size_t>& unit) {
+    auto left = free;
+    for (int copy = 0; copy < 2; ++copy) {
+      std::map<const Hand*, std::int64_t> beside;
+      for (auto at : unit) {
+        const auto& task = job.tasks[at];
+        Room need = task.room;
+        need[""] = task.slots;
+        const auto found = std::find_if(left.begin(), left.end(), [&](Free& each) {
+          const auto& labels = each.hand->worker.traits.labels;
+          return (task.needs.empty() || std::any_of(labels.begin(), labels.end(), [&](const auto& label) { return label.second == task.needs; })) &&
+                 (task.apart == 0 || beside[each.hand] < task.apart) &&
+                 std::all_of(need.begin(), need.end(), [&](const auto& kind) { return kind.second <= each.room[kind.first]; });
+        });
+        if (found == left.end()) return false;
+        ++beside[found->hand];
+        for (const auto& [kind, amount] : need) found->room[kind] -= amount;
+      }
+    }
+    return true;
+  };
+  for (auto& [id, job] : jobs) {
+    if (job.acceptedMs < 0 || !job.shown.empty() || job.cancelAskedMs >= 0) continue;
+    ++checks;
+    const bool runs = std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return !task.going.empty(); });
+    std::vector<std::size_t> unit;
+    if (roomy && !runs)
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        if (!job.ready(i, sim_.nowMs())) continue;
+        const auto limit = failureLimit.find(job.line);
+        if (!job.tasks[i].standing && limit != failureLimit.end() && job.failures(i) >= limit->second) continue;
+        const bool sameGang = !unit.empty() && job.tasks[i].members > 1 && job.tasks[i].lead == job.tasks[unit.front()].lead;
+        if (unit.empty() || job.gang || sameGang) unit.push_back(i);
+      }
+    if (unit.empty() || !fitsTwice(job, unit)) job.stalledSinceMs = -1;
+    else if (job.stalledSinceMs < 0) job.stalledSinceMs = sim_.nowMs();
+    else if (sim_.nowMs() - job.stalledSinceMs > kStallMs) {
+      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) + " ms though " + job.names[unit.front()] +
+                           " could start and there is room for it twice over");
+      job.stalledSinceMs = sim_.nowMs();
+    }
+  }
+}
+
 void Judge::close() {
   for (const auto& [id, job] : jobs) {
     ++checks;
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -1,6 +1,6 @@
 #pragma once
 #include "drydock/grace.hpp"
-#include "drydock/sim.hpp"
+#include "drydock/load.hpp"
 
 namespace tulip::drydock {
 
@@ -9,9 +9,22 @@
   std::vector<std::size_t> after;
   std::map<std::string, Hand*> going;
   std::set<std::string> superseded;
-  std::int64_t starts = 0, cleanEnds = 0, failedEnds = 0;
-  bool cleanDelivered = false;
+  std::int64_t starts = 0, cleanEnds = 0;
+  std::set<std::string> failed, delivered;  // runs that failed; runs whose clean end was reported
+  Millis deliveredMs = -1, failedMs = -1;
   Millis lonelySinceMs = -1;
+  std::map<std::string, std::int64_t> room;
+  std::size_t lead = kItself;   // the first member, which keeps the ends of its whole gang
+  std::size_t step = 0;
+  std::int64_t instance = 0, members = 1;
+  Millis dueMs = 0;
+  bool repeats = false, standing = false;
+  std::string needs, payload;   // payload: its digest; empty: any
+  std::int64_t apart = 0;
+  std::set<std::string> issued;                // checkpoints of its runs
+  std::map<std::int64_t, std::string> resumed; // attempt -> checkpoint it was started from
+
+  static constexpr std::size_t kItself = static_cast<std::size_t>(-1);
 };
 
 struct JobTruth {
@@ -21,6 +34,7 @@
   bool neverSucceeds = false;
   bool mustBeDenied = false;
   bool denied = false;
+  bool turnedAway = false;  // its caller gave up, and each answer had said that it was not taken
   Millis notBeforeMs = 0;
   Millis submittedMs = 0;
   Millis acceptedMs = -1;
@@ -34,6 +48,13 @@
   Millis servedSeenMs = 0, servedAskedMs = -1;
   std::vector<std::string> names;
   std::vector<TaskTruth> tasks;
+  Millis stalledSinceMs = -1;
+
+  TaskTruth& lead(std::size_t at) { return tasks[tasks[at].lead == TaskTruth::kItself ? at : tasks[at].lead]; }
+  const TaskTruth& lead(std::size_t at) const { return tasks[tasks[at].lead == TaskTruth::kItself ? at : tasks[at].lead]; }
+  bool clean(std::size_t at) const { return lead(at).cleanEnds > 0; }
+  std::int64_t failures(std::size_t at) const;
+  bool ready(std::size_t at, Millis nowMs) const;
 };
 
 struct Broken {
@@ -48,8 +69,10 @@
  public:
   explicit Judge(Sim& sim);
   JobTruth& submitted(const std::string& id);
+  JobTruth& submitted(const JobSketch& sketch);
   void accepted(const std::string& id);
   void denied(const std::string& id, int status);
+  void turnedAway(const std::string& id);
   void cancelled(const std::string& id);
   void shown(const std::string& id, int status, const json_t* view, Millis askedMs = -1);
   void chartProposed(const std::string& mark);
@@ -68,16 +91,26 @@
   std::vector<Broken> broken;
   std::int64_t starts = 0, ends = 0, checks = 0;
   bool forgetsEnded = false;
+  bool stalls = true;  // off where the order of work may leave room unused
+  bool clockStepped = false;
 
  private:
   void journal(Hand& hand, const std::string& line);
   void reported(Hand& hand, const std::string& body, int status);
+  void started(Hand& hand, const std::string& text);
+  void runEnded(Hand& hand, const std::string& run, const std::string& outcome);
+  void judgeRoom(Hand& hand);
+  void judgePlace(Hand& hand, const JobTruth& job, std::size_t at, const std::string& run);
+  void sweepLonely();
+  void sweepCancelled();
+  void sweepStalled();
+  bool usable(const Hand& hand) const;
   void fault(const char* rule, std::string what);
   std::pair<JobTruth*, std::size_t> find(const std::string& run);
 
   Sim& sim_;
+  std::uint64_t sweeps_ = 0;
   int wholeCharts_ = 0;
-  std::map<std::string, Millis> confirmedAt_;
   std::map<Revision, std::string> textOf_;
   std::set<std::string> denied_;
   std::map<std::string, Revision> markRevision_;
