--- /dev/null
+++ b/src/drydock/audit.cpp
@@ -0,0 +1,81 @@
+#include "drydock/audit.hpp"
+
+#include <algorithm>
+
+namespace tulip::drydock {
+
+using signal::Ask;
+
+void audit(World& world) {
+  auto& sim = world.sim;
+  auto& result = world.result;
+  for (auto& [id, job] : world.judge.jobs)
+    if (!job.denied && !job.turnedAway) world.poll(id);
+  std::size_t reads = 0;
+  for (const auto& host : sim.all()) {
+    if (!host->up) continue;
+    Ask ask;
+    ask.method = "GET";
+    ask.path = "/configuration";
+    sim.ask(*host, ask, [&world, &reads](Reply reply) {
+      if (reply.lost || reply.status != 200) return;
+      ++reads;
+      world.readChart(reply.body, world.sim.nowMs(), true);
+    });
+  }
+  sim.runUntil(sim.nowUs() + 5 * kSecond);
+  world.judge.close();
+  if (reads < 3) world.judge.broken.push_back({sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
+  result.seed = world.plan.seed;
+  result.faults = world.plan.faults;
+  result.broken = world.judge.broken;
+  result.traceSum = sim.traceSum();
+  result.events = sim.events();
+  result.starts = world.judge.starts;
+  result.checks = world.judge.checks;
+  for (const auto& [id, job] : world.judge.jobs) {
+    ++result.jobs;
+    result.finished += job.shown == "finished";
+    result.failed += job.shown == "failed";
+    result.cancelled += job.shown == "cancelled";
+    if (job.firstStartMs >= 0) result.startMs.push_back(job.firstStartMs - job.submittedMs);
+    if (job.shown == "finished") result.finishMs.push_back(job.shownEndedMs - job.submittedMs);
+  }
+  for (const auto& host : sim.all()) {
+    result.syncs += host->syncs;
+    result.mostQuayKeys = std::max(result.mostQuayKeys, host->disk.jobs.size());
+  }
+  if (auto* leader = sim.leader()) {
+    result.dropped = leader->node->pilot->counts.dropped;
+    result.leaderKeys = leader->node->pilot->current.size();
+    result.leaderJobs = leader->node->pilot->told.size();
+  }
+  result.points = sim.points;
+  result.truth = std::move(world.judge.jobs);
+}
+
+Millis quantile(std::vector<Millis> values, double at) {
+  if (values.empty()) return -1;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1, static_cast<std::size_t>(at * static_cast<double>(values.size())))];
+}
+
+std::string summary(const DayResult& result) {
+  std::string faults;
+  for (const auto& name : result.faults) faults += (faults.empty() ? "" : "+") + name;
+  char text[512];
+  std::snprintf(text, sizeof text,
+                "seed %llu %s: %s jobs %lld finished %lld failed %lld cancelled %lld; submit p50/p99 %lld/%lld start %lld/%lld finish %lld/%lld ms; "
+                "gap %lld recovered %lld ms; %llu events, trace %016llx",
+                static_cast<unsigned long long>(result.seed), faults.empty() ? "(no fault)" : faults.c_str(),
+                result.broken.empty() ? "kept" : "BROKEN", static_cast<long long>(result.jobs), static_cast<long long>(result.finished),
+                static_cast<long long>(result.failed), static_cast<long long>(result.cancelled), static_cast<long long>(quantile(result.submitMs, 0.5)),
+                static_cast<long long>(quantile(result.submitMs, 0.99)), static_cast<long long>(quantile(result.startMs, 0.5)),
+                static_cast<long long>(quantile(result.startMs, 0.99)), static_cast<long long>(quantile(result.finishMs, 0.5)),
+                static_cast<long long>(quantile(result.finishMs, 0.99)), static_cast<long long>(result.leaderGapMs),
+                static_cast<long long>(result.recoveredMs), static_cast<unsigned long long>(result.events),
+                static_cast<unsigned long long>(result.traceSum));
+  return text;
+}
+
+}  // namespace tulip::drydock
--- /dev/null
+++ b/src/drydock/faults.hpp
@@ -0,0 +1,13 @@
+#pragma once
+#include "drydock/world.hpp"
+
+namespace tulip::drydock {
+
+using Fault = void (*)(World&);
+
+// By name: what strikes a day, and what a place is struck in.
+const std::map<std::string, Fault>& faults();
+const std::map<std::string, Fault>& operations();
+void strike(World& world, Host& host);
+
+}  // namespace tulip::drydock
--- a/src/drydock/load.cpp
+++ b/src/drydock/load.cpp
@@ -236,6 +236,7 @@
   fleet.slots = cores * 4;
   fleet.rackSize = grown ? 9 : 3;
   fleet.kinds = 2;
+  fleet.sizedPool = !kerala;
   fleet.pilots = grown ? (kerala ? 11 : 8) : kerala ? 3 : 4;
   fleet.sea.mostUs = kerala ? 1400 : 1900;
   fleet.sea.leastUs = kerala ? 900 : 1400;
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -40,6 +40,7 @@
   std::map<std::string, std::int64_t> room;  // each worker's, beside its slots
   int rackSize = 0;                          // workers a rack, within one cell; 0: no racks
   int kinds = 0;                             // of workers, told by a label; 0: none
+  bool sizedPool = true;                     // the configuration says how large the pool's workers are
   Millis holdMostMs = 0;                     // a worker cuts a longer hold to this; 0: any
 };
 
--- /dev/null
+++ b/src/drydock/world.cpp
@@ -0,0 +1,468 @@
+#include "drydock/world.hpp"
+
+#include <algorithm>
+
+#include "bearing/errors.hpp"
+
+namespace tulip::drydock {
+
+using signal::Ask;
+
+namespace {
+
+// The error says that nothing was taken, rather than that it is not known.
+bool notTakenBy(const std::string& error) {
+  for (const auto kind : {Kind::noLeader, Kind::overloaded, Kind::notReady})
+    if (rowOf(kind).name == error) return true;
+  return false;
+}
+
+std::string stepChart(const DayPlan& plan) {
+  Json chart(json_object());
+  json_t *lines = json_object(), *pool = json_object(), *cells = json_object();
+  json_object_set_new(lines, "probe", parseJson(R"({"rank":20})").release());
+  for (const auto& line : plan.load) {
+    Json made = parseJson(R"({"backoffMs":100})");
+    json_object_set_new(made.get(), "rank", json_integer(line.rank));
+    json_object_set_new(made.get(), "failureLimit", json_integer(line.failureLimit));
+    if (line.aimMs) json_object_set_new(made.get(), "aimMs", json_integer(line.aimMs));
+    if (line.stretch > 0) json_object_set_new(made.get(), "stretch", json_real(line.stretch));
+    json_object_set_new(lines, line.line.c_str(), made.release());
+  }
+  const auto& fleet = plan.fleet;
+  json_object_set_new(pool, "slots", json_integer(fleet.sizedPool ? fleet.slots : 0));
+  json_object_set_new(pool, "workers", json_integer(fleet.workers));
+  json_object_set_new(pool, "selfStop", json_boolean(fleet.selfStop));
+  if (fleet.sizedPool) {
+    json_t* room = json_object();
+    for (const auto& [kind, amount] : fleet.room) json_object_set_new(room, kind.c_str(), json_integer(amount));
+    json_object_set_new(pool, "room", room);
+  }
+  for (int i = 0; i < fleet.cells; ++i) json_object_set_new(cells, cellOf(fleet, i).c_str(), parseJson(R"({"emptied":false})").release());
+  json_t* pools = json_object();
+  json_object_set_new(pools, "side", pool);
+  json_object_set_new(chart.get(), "pendings", lines);
+  json_object_set_new(chart.get(), "pools", pools);
+  json_object_set_new(chart.get(), "cells", cells);
+  Json admission = parseJson(R"({"lanes":2,"thresholdsMs":[4000],"promoteKnob":4,"reserveAfterMs":2000,"gangStartMs":3000})");
+  json_object_set_new(admission.get(), "rule", jsonText(plan.rule));
+  json_object_set_new(chart.get(), "admission", admission.release());
+  json_object_set_new(chart.get(), "gangway", parseJson(R"({"mostTasks":1000})").release());
+  return dumpJson(chart.get());
+}
+
+}  // namespace
+
+World::World(const DayPlan& given) : plan(given), sim(given.seed, given.fleet), judge(sim), grounds(groundsOf(given.fleet)) {
+  endUs = static_cast<Micros>(plan.seconds * kSecond);
+  quietUs = endUs * 3 / 4;
+}
+
+Host& World::anyHost() {
+  const auto& all = sim.all();
+  while (true) {
+    auto& host = *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
+    if (!retired.contains(host.name)) return host;
+  }
+}
+
+Micros World::faultTime() { return fromUs + sim.below(std::max<Micros>(1, quietUs - fromUs - kSecond)); }
+
+void World::call(Ask ask, std::function<void(Reply)> done) {
+  auto answered = std::make_shared<bool>(false);
+  auto once = [answered, done = std::move(done)](Reply reply) {
+    if (*answered) return;
+    *answered = true;
+    done(std::move(reply));
+  };
+  sim.ask(anyHost(), std::move(ask), once);
+  sim.after(4 * kSecond, [once] { once({true, 0, 0, {}}); });
+}
+
+void World::submit(std::string id, std::string body) {
+  ++result.submitTries;
+  Ask ask;
+  ask.method = "POST";
+  ask.path = "/jobs";
+  ask.body = body;
+  call(std::move(ask), [this, id, body, askedMs = sim.nowMs()](Reply reply) {
+    if (!reply.lost && (reply.status == 200 || reply.status == 201)) {
+      const bool first = judge.jobs.at(id).acceptedMs < 0;
+      judge.accepted(id);
+      if (first) {
+        ++result.accepted;
+        result.submitMs.push_back((sim.nowUs() - submittedUs[id]) / 1000);
+        poll(id);
+      }
+      Json view = parseJson(reply.body);
+      judge.shown(id, 200, view.get(), askedMs);
+      return;
+    }
+    if (!reply.lost && reply.status < 500) return judge.denied(id, reply.status);
+    sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000 + sim.below(50000), [this, id, body] { submit(id, body); });
+  });
+}
+
+void World::poll(const std::string& id) {
+  Ask ask;
+  ask.method = "GET";
+  ask.path = "/jobs/" + id;
+  call(std::move(ask), [this, id, askedMs = sim.nowMs()](Reply reply) {
+    if (!reply.lost) {
+      Json view = parseJson(reply.body);
+      judge.shown(id, reply.status, view.get(), askedMs);
+      auto& job = judge.jobs.at(id);
+      if (!job.shown.empty()) return;
+    }
+    sim.after(250000 + sim.below(250000), [this, id] { poll(id); });
+  });
+}
+
+void World::submitThen(const LineLoad& load, std::function<void(const std::string&)> then) {
+  const auto id = "yes-" + std::to_string(++nextJob);
+  auto body = makeJob(load, id, false, false);
+  Ask ask;
+  ask.method = "POST";
+  ask.path = "/jobs";
+  ask.body = body;
+  call(std::move(ask), [this, id, body, then = std::move(then)](Reply reply) {
+    if (reply.lost || reply.status != 201) return submit(id, body);
+    judge.accepted(id);
+    ++result.accepted;
+    poll(id);
+    then(id);
+  });
+}
+
+void World::cancel(const std::string& id, std::function<void()> then) {
+  judge.jobs.at(id).cancelAskedMs = sim.nowMs();
+  Ask ask;
+  ask.method = "DELETE";
+  ask.path = "/jobs/" + id;
+  call(std::move(ask), [this, id, then = std::move(then)](Reply reply) {
+    if (!reply.lost && reply.status == 200) {
+      judge.cancelled(id);
+      if (then) then();
+      return;
+    }
+    if (!reply.lost && reply.status < 500) return;
+    sim.after(150000, [this, id, then] { cancel(id, then); });
+  });
+}
+
+std::string World::makeJob(const LineLoad& load, const std::string& id, bool neverSucceeds, bool huge) {
+  auto sketch = sketchJob(load, id, [this] { return sim.unit(); }, grounds);
+  if (huge && sketch.steps.empty()) {
+    sketch.gang = true;
+    sketch.tasks.resize(6);
+    for (std::size_t i = 0; i < sketch.tasks.size(); ++i) {
+      sketch.tasks[i].name = "t" + std::to_string(i);
+      sketch.tasks[i].slots = 4;
+      sketch.tasks[i].after.clear();
+    }
+  }
+  if (neverSucceeds && !sketch.steps.empty()) {
+    sketch.steps.front().fails = true;
+    sketch.steps.front().standing = false;
+    sketch.times = 0;
+  } else if (neverSucceeds) sketch.tasks.front().fails = true;
+  return enter(sketch);
+}
+
+std::string World::enter(const JobSketch& sketch) {
+  judge.submitted(sketch);
+  submittedUs[sketch.id] = sim.nowUs();
+  if (std::any_of(sketch.steps.begin(), sketch.steps.end(), [](const auto& step) { return step.standing; }))
+    sim.at(std::max(sim.nowUs() + 2 * kSecond, endUs - 2 * kSecond), [this, id = sketch.id] { endStanding(id); });
+  return jobBody(sketch, sim.wallMs());
+}
+
+void World::endStanding(const std::string& id) {
+  const auto& job = judge.jobs.at(id);
+  if (job.denied || job.turnedAway || !job.shown.empty()) return;
+  if (job.acceptedMs >= 0) return cancel(id);
+  sim.after(kSecond / 5, [this, id] { endStanding(id); });
+}
+
+void World::badJob() {
+  const auto id = "bad-" + std::to_string(++nextJob);
+  const auto drawn = sim.below(3);
+  const auto kind = plan.fleet.sizedPool ? drawn : 0;
+  const bool wide = kind == 2;
+  JobSketch sketch{id, kind == 0 ? "no-such-line" : "gate", wide, 0, {}};
+  const auto& fleet = plan.fleet;
+  const auto slots = wide && !fleet.room.empty() ? fleet.slots : 1;
+  const auto count = !wide ? 2 : fleet.room.empty() ? 99 : fleet.workers + 1;
+  for (int i = 0; i < count; ++i) {
+    sketch.tasks.push_back({"t" + std::to_string(i), slots, {}, 100, false, 0});
+    if (kind == 1) sketch.tasks.back().slots = 1000;
+  }
+  auto body = enter(sketch);
+  judge.jobs.at(id).mustBeDenied = true;
+  submit(id, std::move(body));
+}
+
+void World::newJob(const LineLoad& load, bool neverSucceeds, bool huge) {
+  const auto id = load.line + "-" + std::to_string(++nextJob);
+  auto body = makeJob(load, id, neverSucceeds, huge);
+  if (neverSucceeds || huge) {
+  } else if (sim.chance(0.04)) {
+    sim.after(100000 + sim.below(900000), [this, id] { cancel(id); });
+  } else if (sim.chance(0.03)) {
+    sim.after(sim.below(2 * kSecond), [this, id, body] { submit(id, body); });
+  } else if (load.perJob > 0 && sim.chance(0.05)) {
+    return submitImpatient(id, std::move(body), 2, false);
+  }
+  submit(id, std::move(body));
+}
+
+void World::submitImpatient(std::string id, std::string body, int tries, bool unclear) {
+  ++result.submitTries;
+  Ask ask;
+  ask.method = "POST";
+  ask.path = "/jobs";
+  ask.body = body;
+  call(std::move(ask), [this, id, body, tries, unclear](Reply reply) {
+    Json said = parseJson(reply.body);
+    const bool notTaken = !reply.lost && reply.status >= 500 && notTakenBy(textAt(said.get(), "error"));
+    if (!notTaken && !reply.lost && reply.status < 500) return submit(id, body);
+    if (unclear || !notTaken || tries > 1)
+      return sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000 + sim.below(50000), [this, id, body, tries, unclear = unclear || !notTaken] {
+        if (unclear) submit(id, body);
+        else submitImpatient(id, body, tries - 1, false);
+      });
+    judge.turnedAway(id);
+  });
+}
+
+void World::arrivals(const LineLoad& load) {
+  const auto gap = static_cast<Micros>(gapSeconds(load, plan.loadFactor, [this] { return sim.unit(); }) * kSecond);
+  sim.after(gap, [this, load] {
+    if (sim.nowUs() >= endUs) return;
+    newJob(load);
+    if (sim.chance(0.02)) badJob();
+    arrivals(load);
+  });
+}
+
+std::string World::baseChart() const {
+  if (!plan.fleet.room.empty()) return stepChart(plan);
+  return R"({"pendings":{"checkout":{"rank":10,"failureLimit":3,"backoffMs":100},"gate":{"rank":5,"failureLimit":3,"backoffMs":150},)"
+         R"("rebuild":{"rank":0,"failureLimit":4,"backoffMs":200},"probe":{"rank":20}},"pools":{"side":{"slots":)" +
+         std::to_string(plan.fleet.slots) + R"(,"workers":)" + std::to_string(plan.fleet.workers) + R"(,"selfStop":)" +
+         (plan.fleet.selfStop ? "true" : "false") + R"(}},"cells":{"a":{"emptied":false},"b":{"emptied":false},"c":{"emptied":false}},)"
+         R"("admission":{"rule":")" + plan.rule + R"(","lanes":2,"thresholdsMs":[4000],"promoteKnob":4,"reserveAfterMs":2000,"gangStartMs":3000}})";
+}
+
+std::string World::firstChart() const {
+  Json chart = parseJson(baseChart());
+  json_t* lines = json_object_get(chart.get(), "pendings");
+  for (const auto& arrival : plan.arrivals)
+    if (!json_object_get(lines, arrival.job.line.c_str())) json_object_set_new(lines, arrival.job.line.c_str(), json_object());
+  if (Json patch = parseJson(plan.chartPatch)) chart = chart::mergePatch(chart.get(), patch.get());
+  return dumpJson(chart.get());
+}
+
+void World::changeChart(const std::string& method, std::string body, std::string mark, std::string name, std::string query,
+                        std::function<void(bool)> done, int tries) {
+  if (tries == 0) judge.chartProposed(mark);
+  Ask ask;
+  ask.method = method;
+  ask.path = "/configuration";
+  ask.query = query;
+  ask.body = body;
+  ask.transactionName = name;
+  call(std::move(ask), [=, this](Reply reply) {
+    if (!reply.lost && reply.status == 200) {
+      Json root = parseJson(reply.body);
+      judge.chartConfirmed(mark, static_cast<Revision>(numberAt(root.get(), "revision")));
+      if (done) done(true);
+      return;
+    }
+    if (!reply.lost && reply.status >= 400 && reply.status < 500) {
+      judge.chartDenied(mark);
+      if (done) done(false);
+      return;
+    }
+    if (tries > 60 || name.empty()) return;
+    sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000, [=, this] { changeChart(method, body, mark, name, query, done, tries + 1); });
+  });
+}
+
+void World::markOnce(bool whole, const std::string& query) {
+  const auto mark = "mark-" + std::to_string(++nextMark);
+  std::string body = "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}";
+  if (whole) {
+    Json base = parseJson(baseChart());
+    Json patch = parseJson(body);
+    body = dumpJson(chart::mergePatch(base.get(), patch.get()).get());
+  }
+  if (whole) judge.wholeChart(true);
+  changeChart(whole ? "PUT" : "PATCH", body, mark, "t-" + mark, query, [this, whole](bool) {
+    if (whole) judge.wholeChart(false);
+  });
+}
+
+void World::invalidOnce() {
+  const auto mark = "mark-" + std::to_string(++nextMark);
+  changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"failureLimit\":0}}}", mark, "t-" + mark, "", {});
+}
+
+void World::conditionalOnce(bool named) {
+  const auto mark = "mark-" + std::to_string(++nextMark);
+  changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}", mark, named ? "t-" + mark : "",
+              "expected=" + std::to_string(judge.newestConfirmed()), {});
+}
+
+void World::marks(Micros everyUs) {
+  if (sim.nowUs() >= endUs) return;
+  const auto dice = sim.below(10);
+  if (dice == 0) invalidOnce();
+  else if (dice == 1) markOnce(false, "expected=" + std::to_string(sim.below(6)));
+  else if (dice < 5) conditionalOnce(dice == 2);
+  else markOnce(false);
+  sim.after(everyUs / 2 + sim.below(everyUs), [this, everyUs] { marks(everyUs); });
+}
+
+void World::readCharts() {
+  if (sim.nowUs() >= endUs) return;
+  Ask ask;
+  ask.method = "GET";
+  ask.path = "/configuration";
+  const auto askedMs = sim.nowMs();
+  call(std::move(ask), [this, askedMs](Reply reply) {
+    if (!reply.lost && reply.status == 200) readChart(reply.body, askedMs, false);
+  });
+  sim.after(150000 + sim.below(100000), [this] { readCharts(); });
+}
+
+void World::readChart(const std::string& body, Millis askedMs, bool final) {
+  Json root = parseJson(body);
+  const auto revision = static_cast<Revision>(numberAt(root.get(), "revision"));
+  if (revision) judge.chartRead(revision, dumpJson(json_object_get(root.get(), "configuration")), askedMs, final);
+}
+
+void World::sweeps() {
+  judge.sweep();
+  if (sim.leader()) {
+    if (leaderLostMs >= 0) result.leaderGapMs = std::max(result.leaderGapMs, sim.nowMs() - leaderLostMs);
+    leaderLostMs = -1;
+  } else if (leaderLostMs < 0 && sim.nowUs() > 3 * kSecond) {
+    leaderLostMs = sim.nowMs();
+  }
+  sim.after(100000, [this] { sweeps(); });
+}
+
+void World::setFlag(const std::string& group, const std::string& name, const std::string& flag, bool on, std::function<void(bool)> done) {
+  const auto mark = "mark-" + std::to_string(++nextMark);
+  changeChart("PATCH",
+              "{\"pendings\":{\"" + mark + "\":{}},\"" + group + "\":{\"" + name + "\":{\"" + flag + "\":" + (on ? "true" : "false") + "}}}", mark,
+              "t-" + mark, "", std::move(done));
+}
+
+void World::setCell(const std::string& cell, bool emptied, std::function<void()> then) {
+  if (!emptied) judge.cellEmptied(cell, false, false);
+  setFlag("cells", cell, "emptied", emptied, [=, this](bool done) {
+    if (done && emptied) judge.cellEmptied(cell, true, true);
+    if (then) then();
+  });
+}
+
+void World::setDrain(const std::string& worker, bool drained, std::function<void()> then) {
+  if (!drained) judge.drained(worker, false, false);
+  setFlag("workers", worker, "drained", drained, [=, this](bool done) {
+    if (done && drained) judge.drained(worker, true, true);
+    if (then) then();
+  });
+}
+
+Host& World::pick(Role role) {
+  auto all = sim.hosts(role);
+  std::erase_if(all, [&](Host* host) { return retired.contains(host->name); });
+  return *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
+}
+Hand& World::pickHand() { return *sim.hands()[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(sim.hands().size())))]; }
+
+void World::crashFor(Host& host, Micros spanUs) {
+  sim.crash(host);
+  sim.after(spanUs, [this, &host] {
+    if (!retired.contains(host.name)) sim.start(host);
+  });
+}
+
+void World::replaceQuay(Host& old, bool sameAddress) {
+  sim.crash(old);
+  if (sameAddress) {
+    sim.loseDisk(old);
+    sim.after(300000 + sim.below(kSecond), [this, &old] { sim.start(old); });
+    return;
+  }
+  retire(old);
+  auto& fresh = sim.addHost(Role::quay, old.name + "x", old.env.cell.value);
+  sim.after(300000 + sim.below(kSecond), [this, &fresh] { sim.start(fresh); });
+}
+
+bool World::cohortWhole() {
+  std::map<DaemonId, Host*> byId;
+  signal::Cohort newest;
+  for (auto* quay : sim.hosts(Role::quay)) {
+    if (!quay->up) continue;
+    byId[quay->id] = quay;
+    if (newest.revision < quay->disk.cohort.revision) newest = quay->disk.cohort;
+  }
+  return newest.revision > 0 && std::all_of(newest.seats.begin(), newest.seats.end(), [&](const auto& seat) {
+           auto found = byId.find(seat.id);
+           return found != byId.end() && found->second->disk.voting && found->second->disk.cohort == newest;
+         });
+}
+
+void World::whenWhole(std::function<void()> act) {
+  if (cohortWhole()) return act();
+  if (sim.nowUs() < endUs + 60 * kSecond) sim.after(kSecond / 4, [this, act = std::move(act)] { whenWhole(act); });
+}
+
+void World::retire(Host& host) {
+  retired.insert(host.name);
+  host.gone = true;
+}
+
+void World::takeSoon(Hand& hand, Millis inMs) {
+  hand.worker.leaving = true;
+  hand.worker.leavesAtMs = sim.clockOf(hand) + inMs;
+  const int life = hand.lives;
+  sim.trouble();
+  sim.after(inMs * 1000, [this, &hand, life] {
+    if (hand.lives == life && hand.worker.leaving) sim.crashWorker(hand);
+  });
+}
+
+const LineLoad& World::lineOf(const std::string& name) const {
+  const auto found = std::find_if(plan.load.begin(), plan.load.end(), [&](const auto& line) { return line.line == name; });
+  static const auto usual = builtInLoad("leatherwood");
+  if (found != plan.load.end()) return *found;
+  return *std::find_if(usual.begin(), usual.end(), [&](const auto& line) { return line.line == name; });
+}
+
+void World::healAll() {
+  sim.heal();
+  sim.plan.sea = plan.fleet.sea;
+  for (const auto& host : sim.all()) {
+    host->syncUs = 800;
+    if (!deadDisks.contains(host->name)) host->diskFails = false;
+    if (!host->up && !retired.contains(host->name)) sim.start(*host);
+  }
+  for (const auto& hand : sim.hands()) {
+    hand->cut = false;
+    auto& traits = hand->worker.traits;
+    if (hand->worker.leaving || traits.failEvery || traits.slowFactor > 1 || traits.failShare > 0 || traits.standsStill || traits.mute) sim.trouble();
+    hand->worker.leaving = false;
+    hand->worker.leavesAtMs = -1;
+    traits.failEvery = 0;
+    traits.slowFactor = 1;
+    traits.failShare = 0;
+    traits.standsStill = traits.mute = false;
+    if (!hand->up) sim.startWorker(*hand);
+  }
+}
+
+}  // namespace tulip::drydock
