--- a/src/bearing/env.hpp
+++ b/src/bearing/env.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
   Millis beatMs() const { return termMs / 5; }
   Millis reportMs() const { return workerTermMs / 8; }
   Millis longPollMs() const { return workerTermMs / 4; }
+  Millis nextBeatMs() const { return std::max<Millis>(20, workerTermMs / 40); }   // between beats of a busy worker
+  Millis newsHoldMs() const { return workerTermMs / 50; }   // a beat that brings ends waits this long for new work
+  Millis idleHoldMs() const { return workerTermMs / 10; }   // one of an idle worker waits this long
   Millis freshMs() const { return workerTermMs / 2; }
   Millis sureMs(std::int64_t terms) const { return terms * (workerTermMs + workerTermMs / 10); }
   Millis lapseMs() const { return 2 * termMs + termMs / 10; }
--- a/src/gangway/front.cpp
+++ b/src/gangway/front.cpp
@@ -63,6 +63,7 @@
   add("GET", "/jobs/:job", {lead}, Call::getJob);
   add("DELETE", "/jobs/:job", {lead}, Call::cancelJob);
   add("POST", "/jobs/:job/cancel", {lead}, Call::cancelJob);
+  add("GET", "/pendings/:pending", {lead}, Call::countPending);
   add("GET", "/workers", {lead}, Call::workers);
   add("GET", "/trace", {lead}, Call::trace);
   add("GET", "/snapshot", {lead}, Call::snapshot);
--- /dev/null
+++ b/src/manifest/epoch.cpp
@@ -0,0 +1,293 @@
+#include <algorithm>
+#include <cmath>
+
+#include "manifest/parts.hpp"
+
+namespace tulip::manifest {
+
+using namespace signal;
+
+berth::Load totalOf(PilotState& pilot, const WorkerRow& row) {
+  berth::Room room;
+  room.slots = row.last.slots;
+  if (auto pool = pilot.crew.chart->pools.find(row.last.pool.value); pool != pilot.crew.chart->pools.end()) {
+    if (pool->second.slots == 0) {
+      room.more = row.last.room;
+    } else {
+      room = {std::min(pool->second.slots, row.last.slots), pool->second.room};
+      for (auto& [name, amount] : room.more)
+        if (auto own = row.last.room.find(name); own != row.last.room.end()) amount = std::min(amount, own->second);
+    }
+  }
+  return pilot.kinds.load(room);
+}
+
+namespace {
+
+struct Scene {
+  std::vector<admission::Candidate> candidates;
+  std::vector<JobId> ids;
+  std::vector<WorkerId> workers;
+  std::vector<std::string> incarnations;
+  admission::Field field;
+};
+
+void loadSteps(PilotState& pilot, Job& job) {
+  if (job.loads.size() == job.spec->steps.size()) return;
+  job.loads.clear();
+  for (const auto& step : job.spec->steps) job.loads.push_back(pilot.kinds.load(step.need));
+}
+
+Millis lossOf(const Job& job, std::size_t at, Millis fleetMs, Millis checkpointMs) {
+  const auto& task = job.tasks[at];
+  const auto ranMs = std::max<Millis>(0, fleetMs - task.orderedMs);
+  return job.stepOf(at).saves ? std::min(ranMs, checkpointMs / 2) : ranMs;
+}
+
+Scene makeScene(PilotState& pilot, Now now) {
+  Scene scene;
+  const auto& chart = *pilot.crew.chart;
+  std::map<WorkerId, std::size_t> at;
+  std::set<WorkerId> all;
+  for (const auto& [id, row] : pilot.workers) all.insert(id);
+  for (const auto& [id, runs] : pilot.held)
+    if (!runs.empty()) all.insert(id);
+  for (const auto& id : all) {
+    berth::Berth berth;
+    berth.worker = id;
+    berth.usable = false;
+    std::string incarnation;
+    if (auto found = pilot.workers.find(id); found != pilot.workers.end()) {
+      const auto& row = found->second;
+      berth.cell = row.last.cell;
+      berth.pool = row.last.pool;
+      berth.labels = row.last.labels;
+      if (auto pool = chart.pools.find(berth.pool.value); pool != chart.pools.end())
+        for (const auto& [name, value] : pool->second.labels) berth.labels[name] = value;
+      if (auto rack = berth.labels.find("rack"); rack != berth.labels.end()) berth.rack = rack->second;
+      berth.total = totalOf(pilot, row);
+      berth.usable = usableWorker(pilot, row, now);
+      berth.doubt = row.standing.failRate > 0.3 || row.standing.pace > 1.7 ? 1 : 0;
+      berth.leavesInMs = row.last.leavesMs;
+      incarnation = row.last.workerIncarnation;
+    }
+    berth.free = berth.total;
+    at[id] = scene.workers.size();
+    scene.workers.push_back(id);
+    scene.incarnations.push_back(incarnation);
+    scene.field.berths.push_back(std::move(berth));
+  }
+  scene.field.farFactor = bounds(pilot).farFactor;
+  for (const auto& [name, line] : chart.pendings)
+    if (line.quotaSlots > 0) scene.field.quotaSlots[PendingName(name)] = line.quotaSlots;
+  const auto fleetMs = fleet(pilot, now);
+  for (const auto& id : pilot.open) {
+    auto& job = pilot.jobs.at(id);
+    loadSteps(pilot, job);
+    admission::Candidate candidate;
+    const auto groups = readyGroups(job, fleetMs);
+    if (groups.empty() && job.holding == 0) continue;
+    std::map<std::size_t, std::size_t> gangs;
+    std::map<std::size_t, std::vector<std::pair<std::size_t, std::int64_t>>> beside;
+    if (job.holding > 0)
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (!task.holds()) continue;
+        const auto where = at.at(task.worker);
+        const auto& step = job.stepOf(i);
+        const auto& load = job.loads[task.step];
+        berth::take(scene.field.berths[where].free, load);
+        const bool over = task.stopping || task.state == TaskState::done;
+        std::size_t gang = 0;
+        if (job.spec->gang) gang = 1;
+        else if (step.together) gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
+        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(pilot).checkpointMs), step.standing});
+        if (step.apart > 0) {
+          auto& rows = beside[gangBegin(job, i)];
+          auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == where; });
+          if (found == rows.end()) rows.emplace_back(where, 1);
+          else ++found->second;
+        }
+        scene.field.heldSlots[job.pending()] += step.need.slots;
+      }
+    Millis chainMs = 0;
+    for (const auto& group : groups) {
+      const auto& first = job.tasks[group.front()];
+      const auto& step = job.spec->steps[first.step];
+      admission::Unit unit;
+      unit.tasks = group;
+      if (job.spec->gang)
+        for (const auto i : group) unit.loads.push_back(job.loads[job.tasks[i].step]);
+      else unit.loads.push_back(job.loads[first.step]);
+      unit.whole = job.spec->gang || step.together;
+      unit.oneRack = step.oneRack;
+      unit.saves = step.saves;
+      unit.pool = job.spec->pool;
+      unit.labels = job.spec->labels;
+      unit.needs = step.needs;
+      unit.near = step.near;
+      unit.apart = step.apart;
+      unit.estimateMs = step.estimateMs;
+      if (auto found = beside.find(gangBegin(job, group.front())); found != beside.end()) unit.beside = found->second;
+      bool failed = false;
+      for (const auto i : group) failed = failed || !job.tasks[i].failedOn.empty();
+      if (failed)
+        for (const auto i : group) unit.avoid.push_back(job.tasks[i].failedOn);
+      chainMs = std::max(chainMs, step.estimateMs);
+      candidate.ready.push_back(std::move(unit));
+    }
+    candidate.id = id;
+    candidate.pending = job.pending();
+    candidate.counters = job.counters;
+    const auto& line = lineOf(pilot, job);
+    candidate.rank = line.rank;
+    candidate.acceptedMs = job.acceptedMs;
+    candidate.gang = job.spec->gang;
+    if (line.aimMs > 0) candidate.dueInMs = job.acceptedMs + line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs)) - chainMs - fleetMs;
+    if (!candidate.ready.empty() && candidate.runs.empty()) candidate.readyForMs = job.counters.waitMs;
+    scene.candidates.push_back(std::move(candidate));
+    scene.ids.push_back(id);
+  }
+  return scene;
+}
+
+}  // namespace
+
+void keepHouse(PilotState& pilot, Now now) {
+  const auto fleetMs = fleet(pilot, now);
+  pilot.houseMs = now.steadyMs;
+  judgeProgress(pilot, now);
+  const auto& rules = pilot.crew.chart->admission;
+  const auto openNow = std::vector<JobId>(pilot.open.begin(), pilot.open.end());
+  for (const auto& id : openNow) {
+    auto& job = pilot.jobs.at(id);
+    accrueTo(job, fleetMs);
+    const auto promotions = job.counters.promotions;
+    if (admission::settle(job.counters, rules, hasRuns(job))) pilot.dirty.insert(id);
+    pilot.counts.promotions += static_cast<std::uint64_t>(job.counters.promotions - promotions);
+    if (job.spec->cutoffMs > 0 && job.ending == JobState::open && fleetMs >= job.acceptedMs + job.spec->cutoffMs)
+      change(pilot, id, [&](Job& each) {
+        endJob(each, JobState::expired, "its cutoff passed", fleetMs);
+        closeIfOver(each, fleetMs);
+      });
+    if (job.ending == JobState::open && job.holding > 0) {
+      std::vector<std::size_t> late;
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (task.state != TaskState::placed || task.confirmed || task.stopping || !(job.spec->gang || job.stepOf(i).together)) continue;
+        if (fleetMs - std::max(task.orderedMs, task.movedMs) >= rules.gangStartMs) late.push_back(i);
+      }
+      if (!late.empty()) {
+        ++pilot.counts.gangRetries;
+        change(pilot, id, [&](Job& each) {
+          for (const auto i : late) stopRun(each, i, fleetMs);
+        });
+      }
+    }
+  }
+  const auto quiet = pilot.held;
+  for (const auto& [worker, runs] : quiet) {
+    if (runs.empty()) continue;
+    auto row = pilot.workers.find(worker);
+    const Millis heardMs = row == pilot.workers.end() ? pilot.leadSinceMs : std::max(row->second.heardMs, pilot.leadSinceMs);
+    const auto& pools = pilot.crew.chart->pools;
+    std::int64_t terms = 1;
+    bool selfStop = true;
+    for (const auto& [name, pool] : pools) {
+      if (row != pilot.workers.end() && row->second.last.pool.value != name) continue;
+      terms = std::max(terms, pool.lostAfterTerms);
+      selfStop = selfStop && pool.selfStop;
+    }
+    if (row != pilot.workers.end() && !pools.contains(row->second.last.pool.value)) selfStop = false;
+    const auto mark = pilot.crew.chart->gone.find(worker.value);
+    const bool gone = mark != pilot.crew.chart->gone.end() && mark->second;
+    if (!gone && (!selfStop || now.steadyMs - heardMs < bounds(pilot).sureMs(terms))) continue;
+    for (const auto& [run, where] : runs) finishRun(pilot, where.first, where.second, RunOutcome::lost, "worker silent past its term", now);
+  }
+  const auto& keep = pilot.crew.chart->keep;
+  const Millis keepMs = bounds(pilot).statusMs > 0 ? bounds(pilot).statusMs + bounds(pilot).statusMs / 10 : keep.finishedMs;
+  const bool inStep = std::all_of(pilot.seats.begin(), pilot.seats.end(), [&](const auto& seat) {
+    return seat.second.promised && seat.second.ackedSeq >= pilot.committed && pilot.committed > 0;
+  });
+  if (inStep) {
+    std::uint64_t least = pilot.seq;
+    for (const auto& [id, seat] : pilot.seats) least = std::min(least, seat.ackedSeq);
+    while (!pilot.tombs.empty() && pilot.tombs.front().first <= least) {
+      auto found = pilot.current.find(pilot.tombs.front().second);
+      if (found != pilot.current.end() && found->second.value.empty()) pilot.current.erase(found);
+      pilot.tombs.pop_front();
+    }
+  }
+  std::size_t budget = 64;
+  while (inStep && budget-- && !pilot.ended.empty() &&
+         (static_cast<std::int64_t>(pilot.ended.size()) > keep.finishedMost || fleetMs - pilot.ended.front().first > keepMs)) {
+    const auto id = pilot.ended.front().second;
+    if (pilot.dirty.contains(id)) break;
+    pilot.ended.pop_front();
+    pilot.jobs.erase(id);
+    pilot.dirty.insert(id);
+    ++pilot.counts.dropped;
+  }
+}
+
+void runEpoch(PilotState& pilot, Now now) {
+  ++pilot.counts.epochs;
+  const auto fleetMs = fleet(pilot, now);
+  auto scene = makeScene(pilot, now);
+  const std::vector<std::int64_t> sizes(pilot.sizes.begin(), pilot.sizes.end());
+  const auto plan = admission::plan(scene.candidates, scene.field, pilot.crew.chart->admission, sizes);
+  pilot.counts.passedOver += plan.passedOver;
+  pilot.counts.reservations += plan.reservedFor.has_value();
+  std::set<std::size_t> pushed;
+  for (const auto& stop : plan.stops) {
+    ++pilot.counts.stops;
+    const bool first = pushed.insert(stop.job).second;
+    change(pilot, scene.ids[stop.job], [&](Job& job) {
+      accrueTo(job, fleetMs);
+      stopRun(job, stop.task, fleetMs);
+      job.counters.preemptions += first;
+    });
+    pilot.counts.preempted += first;
+  }
+  std::map<std::size_t, std::vector<const admission::Start*>> startsOf;
+  for (const auto& start : plan.starts) {
+    ++pilot.counts.starts;
+    startsOf[start.job].push_back(&start);
+  }
+  for (const auto& [at, starts] : startsOf)
+    change(pilot, scene.ids[at], [&](Job& job) {
+      for (const auto* start : starts) {
+        const auto& berth = scene.field.berths[start->berth];
+        const auto& step = job.stepOf(start->task);
+        const auto weight = step.need.slots > 0 ? 0 : std::max<std::int64_t>(1, std::llround(1000 * berth::dominantShare(job.loads[job.tasks[start->task].step], berth.total)));
+        startRun(job, start->task, scene.workers[start->berth], scene.incarnations[start->berth], fleetMs, weight);
+      }
+    });
+  if (!plan.starts.empty())
+    if (auto fault = checkRoom(pilot); !fault.empty() && pilot.broken.empty()) pilot.broken = fault;
+}
+
+std::string checkRoom(const PilotState& pilot) {
+  auto kinds = pilot.kinds;
+  for (const auto& [worker, runs] : pilot.held) {
+    auto row = pilot.workers.find(worker);
+    if (row == pilot.workers.end() || runs.empty()) continue;
+    berth::Load sum{};
+    bool fresh = false;
+    for (const auto& [run, where] : runs) {
+      const auto& job = pilot.jobs.at(where.first);
+      const auto& task = job.tasks[where.second];
+      berth::add(sum, kinds.load(job.stepOf(where.second).need));
+      fresh = fresh || !task.confirmed;
+    }
+    auto pool = pilot.crew.chart->pools.find(row->second.last.pool.value);
+    if (!fresh || pool == pilot.crew.chart->pools.end()) continue;
+    berth::Room room{std::max(pool->second.slots, row->second.last.slots), {}};
+    for (const auto& [name, amount] : row->second.last.room) room.more[name] = amount;
+    for (const auto& [name, amount] : pool->second.room) room.more[name] = std::max(room.more[name], amount);
+    if (!berth::fits(sum, kinds.load(room))) return worker.value + " holds more than its room";
+  }
+  return {};
+}
+
+}  // namespace tulip::manifest
--- a/src/manifest/job.hpp
+++ b/src/manifest/job.hpp
@@ -1,11 +1,12 @@
 #pragma once
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "admission/admission.hpp"
-#include "signal/messages.hpp"
+#include "signal/core.hpp"
 
 namespace tulip::manifest {
 
@@ -70,6 +71,7 @@
   std::string detail;
   Millis ranMs = 0;
   WorkerId failedOn;
+  std::int64_t weight = 0;  // its part of W_J while it holds room, in thousandths
   std::int64_t percent = 0;  // as last reported; not kept
   Millis movedMs = 0;        // when percent last moved; not kept
   std::string seenSaved;     // as last reported; kept once it is used
@@ -97,9 +99,14 @@
   Millis finishedMs = 0;
   std::vector<Task> tasks;
   std::vector<Tally> tallies;  // instance by instance, step by step
+  std::int64_t held = 0;       // sum of the weights of what holds room
+  std::int64_t holding = 0;    // tasks that hold room
+  std::int64_t doneTasks = 0;
+  std::vector<berth::Load> loads;  // step by step, in the leader's kinds; not kept
 
   const PendingName& pending() const { return spec->pending; }
   const Step& stepOf(std::size_t task) const { return spec->steps[tasks[task].step]; }
+  const Tally& tallyOf(std::size_t task) const { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
   Tally& tallyOf(std::size_t task) { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
 };
 
@@ -127,6 +134,7 @@
 signal::JobPhase phaseOf(const Job& job);
 
 std::int64_t heldSlots(const Job& job);
+std::size_t gangBegin(const Job& job, std::size_t task);  // first task of its step and instance
 bool hasRuns(const Job& job);
 bool depsDone(const Job& job, std::size_t task);
 Millis dueMs(const Job& job, std::uint32_t instance);
@@ -134,7 +142,8 @@
 std::vector<std::vector<std::uint32_t>> readyGroups(const Job& job, Millis fleetMs);
 void accrueTo(Job& job, Millis fleetMs);
 
-void startRun(Job& job, std::size_t task, const WorkerId& worker, const std::string& incarnation, Millis fleetMs);
+// weight: the task's part of W_J there, in thousandths; 0: its slots.
+void startRun(Job& job, std::size_t task, const WorkerId& worker, const std::string& incarnation, Millis fleetMs, std::int64_t weight = 0);
 void stopRun(Job& job, std::size_t task, Millis fleetMs);
 void stopRuns(Job& job, Millis fleetMs);
 void endRun(Job& job, std::size_t task, signal::RunOutcome outcome, const std::string& detail, const chart::Pending& line, Millis fleetMs);
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -1,6 +1,8 @@
 #pragma once
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <memory>
@@ -16,6 +18,7 @@
   double pace = 1;
   Millis shunnedUntilMs = 0;
   std::int64_t shuns = 0;
+  std::int64_t sinceShun = 0;  // clean ends since the last shun
 };
 
 struct LinePace {
@@ -29,7 +32,10 @@
   Address tender;
   Millis heardMs = -1;
   std::uint64_t ordersSeq = 0;
-  std::map<RunId, std::uint64_t> firstOrdered;
+  absl::flat_hash_map<std::string, std::uint64_t> firstOrdered;
+  absl::flat_hash_set<std::string> listed;
+  Millis wallOffsetMs = 0;
+  bool wallKnown = false;
   Standing standing;
 };
 
@@ -47,8 +53,15 @@
 
 enum class HeldAnswer : std::uint8_t { submitted, cancelled };
 
-struct Waiting {
+// Who is told: a caller here, through the own interface or a dialect, or a daemon that passed its call on.
+struct Caller {
   std::uint64_t transaction = 0;
+  bool brief = false;
+  Address remote;
+};
+
+struct Waiting {
+  Caller caller;
   JobId job;
   HeldAnswer kind = HeldAnswer::submitted;
 };
@@ -59,14 +72,27 @@
   std::vector<Waiting> answers;
 };
 
+// A call of this daemon's caller that only the leader can answer.
+struct Forward {
+  signal::CallAsk ask;
+  Millis sinceMs = 0;
+  Millis sentMs = -1000000;
+  Millis cutoffMs = 0;
+  Address sentTo;
+  bool sent = false;
+  bool repeated = false;
+};
+
 enum class Course : std::uint8_t { following, preparing, leading };
 
 struct PilotCounts {
   std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0, cleans = 0,
                 submitted = 0, denied = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0, rewritten = 0, steppedDown = 0,
-                gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0;
+                gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0, forwarded = 0;
 };
 
+using HeldRuns = std::map<WorkerId, std::map<RunId, std::pair<JobId, std::size_t>>>;
+
 struct PilotState {
   watch::Crew crew;
   Course course = Course::following;
@@ -81,8 +107,9 @@
   absl::btree_map<JobId, std::shared_ptr<const Job>> told;
   absl::btree_set<JobId> open;
   absl::btree_set<JobId> dirty;
-  std::map<WorkerId, std::map<RunId, std::pair<JobId, std::size_t>>> held;
-  std::map<WorkerId, std::map<RunId, std::pair<JobId, std::size_t>>> toldHeld;
+  absl::btree_set<JobId> fresh;  // whose spec is still to be written
+  HeldRuns held;
+  HeldRuns toldHeld;
   std::vector<Waiting> waiting;
   absl::btree_map<std::string, signal::Entry> current;
   std::deque<std::pair<std::uint64_t, std::string>> tombs;
@@ -93,13 +120,18 @@
   Millis leaseUntilMs = -1000000;
   Millis leadSinceMs = 0;
   Millis epochMs = -1000000;
+  Millis plannedMs = -1000000;
+  Millis houseMs = -1000000;
   Millis sealedMs = -1000000;
+  bool planDue = false;
+  berth::Kinds kinds;
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
   std::map<PendingName, LinePace> paces;
   std::deque<std::int64_t> sizes;
   std::deque<std::pair<Millis, JobId>> ended;
   std::map<PendingName, std::int64_t> openPer;
+  std::map<std::uint64_t, Forward> forwards;
   PilotCounts counts;
   std::string broken;
 };
@@ -111,8 +143,12 @@
 void pilotResign(PilotState& pilot, signal::Now now, signal::Outbox& out);
 
 void submitJob(PilotState& pilot, std::uint64_t transaction, std::string_view body, signal::Now now, signal::Outbox& out);
-void cancelJob(PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Now now, signal::Outbox& out);
-void getJob(const PilotState& pilot, std::uint64_t transaction, const JobId& id, signal::Outbox& out);
+void submitSpec(PilotState& pilot, const Caller& caller, Spec spec, signal::Now now, signal::Outbox& out);
+void cancelJob(PilotState& pilot, const Caller& caller, const JobId& id, signal::Now now, signal::Outbox& out);
+void getJob(const PilotState& pilot, const Caller& caller, const JobId& id, signal::Outbox& out);
+void countPending(const PilotState& pilot, const Caller& caller, const PendingName& line, signal::Outbox& out);
+// Answers here when this pilot leads, otherwise by the leader, asked again until it answers or the cutoff passes.
+void callLeader(PilotState& pilot, signal::CallAsk ask, Millis cutoffMs, signal::Now now, signal::Outbox& out);
 void listJobs(const PilotState& pilot, std::uint64_t transaction, const std::map<std::string, std::string>& query, signal::Outbox& out);
 void traceJobs(const PilotState& pilot, std::uint64_t transaction, signal::Outbox& out);
 json_t* workersView(const PilotState& pilot, signal::Now now);
--- a/src/manifest/tender.cpp
+++ b/src/manifest/tender.cpp
@@ -43,37 +43,75 @@
   });
 }
 
-void answerPoll(TenderState& tender, Now now, Outbox& out) {
-  const auto poll = *tender.poll;
-  tender.poll.reset();
+RunOutcome outcomeOf(std::string_view text) {
+  constexpr std::pair<std::string_view, RunOutcome> rows[] = {
+      {"clean", RunOutcome::clean},   {"stopped", RunOutcome::stopped}, {"lapsed", RunOutcome::lapsed},
+      {"broken", RunOutcome::broken}, {"alone", RunOutcome::alone},     {"refused", RunOutcome::refused}};
+  for (const auto& [name, outcome] : rows)
+    if (name == text) return outcome;
+  return RunOutcome::failed;
+}
+
+std::string answerJson(const WorkerAnswer& answer) {
   Json root(json_object());
   json_t *start = json_array(), *stop = json_array(), *ack = json_array();
+  for (const auto& each : answer.start) {
+    Json spec = parseJson(each.spec);
+    if (!json_is_object(spec.get())) spec.reset(json_object());
+    json_object_set_new(spec.get(), "run", jsonText(each.run.view()));
+    if (!each.saved.empty()) json_object_set_new(spec.get(), "saved", jsonText(each.saved));
+    json_array_append_new(start, spec.release());
+  }
+  for (const auto& run : answer.stop) json_array_append_new(stop, jsonText(run.view()));
+  for (const auto& run : answer.acknowledged) json_array_append_new(ack, jsonText(run.view()));
+  json_object_set_new(root.get(), "report", json_integer(static_cast<json_int_t>(answer.number)));
+  json_object_set_new(root.get(), "goOnMs", json_integer(answer.goOnMs));
+  json_object_set_new(root.get(), "startWithinMs", json_integer(answer.startWithinMs));
+  json_object_set_new(root.get(), "start", start);
+  json_object_set_new(root.get(), "stop", stop);
+  json_object_set_new(root.get(), "ack", ack);
+  return dumpJson(root.get());
+}
+
+bool released(const TenderState& tender, const TenderRun& run) {
+  return run.state == RunState::ended && run.listed && !run.wanted && tender.ordersSeq > 0;
+}
+
+void answerPoll(TenderState& tender, Now now, Outbox& out) {
+  const auto poll = std::move(*tender.poll);
+  tender.poll.reset();
+  WorkerAnswer answer;
+  answer.number = poll.report;
+  answer.startWithinMs = bounds(tender).freshMs();
+  answer.nextMs = bounds(tender).nextBeatMs();
+  answer.fence = tender.term.number;
   const bool may = mayStart(tender, now);
   for (auto& [id, run] : tender.runs) {
     if (run.state == RunState::ordered && run.handedReport == 0 && may) {
       run.handedReport = poll.report;
       ++tender.counts.handed;
-      Json spec = parseJson(run.spec);
-      if (!spec) spec.reset(json_object());
-      json_object_set_new(spec.get(), "run", jsonText(id.view()));
-      json_array_append_new(start, spec.release());
+      answer.start.push_back({id, run.spec, run.saved});
     }
     if (run.state == RunState::stopping) {
       run.stopReport = poll.report;
-      json_array_append_new(stop, jsonText(id.view()));
+      answer.stop.push_back(id);
     }
-    if (run.state == RunState::ended && run.listed && !run.wanted && tender.ordersSeq > 0) json_array_append_new(ack, jsonText(id.view()));
+    if (!poll.brief && released(tender, run)) answer.acknowledged.push_back(id);
   }
-  const auto grant = goOnMs(tender, now);
+  for (const auto& ended : poll.ended) {
+    if (ended.number <= tender.lastSeen) continue;
+    auto found = tender.runs.find(ended.run);
+    if (ended.number != tender.lastSeen + 1 || (found != tender.runs.end() && !released(tender, found->second)) || tender.ordersSeq == 0) break;
+    tender.lastSeen = ended.number;
+  }
+  answer.lastSeen = tender.lastSeen;
+  answer.goOnMs = goOnMs(tender, now);
   tender.answeredMs = now.steadyMs;
-  tender.workerUntilMs = std::max(tender.workerUntilMs, poll.sinceMs + grant);
-  json_object_set_new(root.get(), "report", json_integer(static_cast<json_int_t>(poll.report)));
-  json_object_set_new(root.get(), "goOnMs", json_integer(grant));
-  json_object_set_new(root.get(), "startWithinMs", json_integer(bounds(tender).freshMs()));
-  json_object_set_new(root.get(), "start", start);
-  json_object_set_new(root.get(), "stop", stop);
-  json_object_set_new(root.get(), "ack", ack);
-  out.answer(poll.transaction, 200, dumpJson(root.get()));
+  tender.workerUntilMs = std::max(tender.workerUntilMs, poll.sinceMs + answer.goOnMs);
+  if (!poll.brief) return out.answer(poll.transaction, 200, answerJson(answer));
+  Brief brief;
+  brief.worker = std::move(answer);
+  out.tell(poll.transaction, Kind::ok, std::move(brief));
 }
 
 void onOrders(TenderState& tender, const Orders& orders, Now now, Outbox& out) {
@@ -95,8 +133,14 @@
     auto& run = slot->second;
     run.wanted = true;
     run.stop = wanted.stop;
+    if (fresh && !wanted.stop && !wanted.whole) {
+      tender.runs.erase(slot);
+      tender.reportDue = true;
+      continue;
+    }
     if (fresh) {
       run.spec = wanted.spec;
+      run.saved = wanted.saved;
       run.workerIncarnation = wanted.workerIncarnation;
       if (wanted.stop) {
         if (tender.heard) end(tender, run, RunOutcome::lost, "never started");
@@ -144,9 +188,13 @@
   report.ordersSeq = tender.ordersSeq;
   report.seq = ++tender.reportSeq;
   report.sentMs = now.steadyMs;
+  report.leavesMs = tender.leavesAtMs < 0 ? -1 : std::max<Millis>(0, tender.leavesAtMs - now.steadyMs);
+  report.wallMs = now.wallMs;
+  report.runs.reserve(tender.runs.size());
   for (const auto& [id, run] : tender.runs) {
     const bool seen = run.state == RunState::stopping && !run.listed;
-    report.runs.push_back({id, seen ? RunState::ordered : run.state, run.outcome, run.detail});
+    const bool there = run.listed || run.state == RunState::ended;
+    report.runs.push_back({id, seen ? RunState::ordered : run.state, run.outcome, run.detail, there ? run.saved : std::string(), run.percent});
   }
   ++tender.counts.reports;
   out.send(tender.crew.leader.signal, std::move(report));
@@ -171,79 +219,102 @@
 }
 
 void workerReport(TenderState& tender, std::uint64_t transaction, std::string_view body, Now now, Outbox& out) {
-  auto deny = [&](Kind kind, const char* field, const char* allowed) {
-    out.answer(transaction, rowOf(kind).status, chart::faultsJson(kind, {{field, allowed}}));
-  };
+  auto deny = [&](Kind kind, const char* field, const char* allowed) { out.deny(transaction, kind, chart::faultsJson(kind, {{field, allowed}})); };
   Json root = parseJson(body);
   if (!root || !json_is_object(root.get())) return deny(Kind::malformed, "/", "one JSON object");
   if (textAt(root.get(), "worker") != tender.worker.value) return deny(Kind::badValue, "/worker", "the name of this tender's worker");
-  const auto incarnation = textAt(root.get(), "incarnation");
+  WorkerReport report;
+  report.incarnation = textAt(root.get(), "incarnation");
   const auto number = numberAt(root.get(), "report");
-  if (incarnation.empty()) return deny(Kind::badValue, "/incarnation", "a text, new at each start of the worker");
+  if (report.incarnation.empty()) return deny(Kind::badValue, "/incarnation", "a text, new at each start of the worker");
   if (number < 1) return deny(Kind::badValue, "/report", "a number that grows with each report");
-  if (numberAt(root.get(), "slots") < 1) return deny(Kind::badValue, "/slots", "a whole number of at least 1");
-  const bool same = tender.heard && incarnation == tender.incarnation;
-  const auto report = static_cast<std::uint64_t>(number);
-  if (same && report <= tender.lastReport) {
+  report.slots = numberAt(root.get(), "slots");
+  if (report.slots < 1) return deny(Kind::badValue, "/slots", "a whole number of at least 1");
+  report.number = static_cast<std::uint64_t>(number);
+  report.leaving = flagAt(root.get(), "leaving");
+  report.leavesMs = numberAt(root.get(), "leavesMs", -1);
+  report.pool = PoolName(textAt(root.get(), "pool"));
+  const char* key;
+  json_t* value;
+  json_object_foreach(json_object_get(root.get(), "labels"), key, value) {
+    if (json_is_string(value)) report.labels[key] = json_string_value(value);
+  }
+  json_object_foreach(json_object_get(root.get(), "room"), key, value) {
+    if (json_is_integer(value)) report.room[key] = json_integer_value(value);
+  }
+  const json_t* going = json_object_get(root.get(), "going");
+  for (std::size_t i = 0; i < json_array_size(going); ++i) {
+    const json_t* item = json_array_get(going, i);
+    if (json_is_string(item)) report.going.push_back({RunId(json_string_value(item)), {}, 0});
+    else if (auto run = textAt(item, "run"); !run.empty()) report.going.push_back({RunId(run), textAt(item, "saved"), numberAt(item, "percent")});
+  }
+  const json_t* ended = json_object_get(root.get(), "ended");
+  for (std::size_t i = 0; i < json_array_size(ended); ++i) {
+    const json_t* item = json_array_get(ended, i);
+    if (auto run = textAt(item, "run"); !run.empty())
+      report.ended.push_back({0, RunId(run), outcomeOf(textAt(item, "outcome")), textAt(item, "saved"), textAt(item, "detail")});
+  }
+  const bool same = tender.heard && report.incarnation == tender.incarnation;
+  if (same && report.number <= tender.lastReport) {
     ++tender.counts.staleReports;
     return deny(Kind::staleTerm, "/report", "a number above the last one reported");
   }
+  workerReport(tender, transaction, report, now, out);
+}
+
+void workerReport(TenderState& tender, std::uint64_t transaction, const WorkerReport& report, Now now, Outbox& out) {
+  const bool same = tender.heard && report.incarnation == tender.incarnation;
+  const bool numbered = !tender.crew.env.dialect.empty();
+  if (same && report.number <= tender.lastReport) {
+    ++tender.counts.staleReports;
+    return out.deny(transaction, Kind::staleTerm, {});
+  }
   if (tender.poll) answerPoll(tender, now, out);
   if (tender.heard && !same)
     for (auto& [id, run] : tender.runs)
       if (run.state != RunState::ended && (run.state != RunState::ordered || run.handedReport)) end(tender, run, RunOutcome::lost, "worker restarted");
   if (!same || !tender.heard) tender.reportDue = true;
-  const bool leaving = flagAt(root.get(), "leaving");
-  if (leaving != tender.leaving) tender.reportDue = true;
+  if (report.incarnation != tender.incarnation) tender.lastSeen = 0;
+  if (report.leaving != tender.leaving) tender.reportDue = true;
   tender.heard = true;
-  tender.incarnation = incarnation;
-  tender.lastReport = report;
+  tender.incarnation = report.incarnation;
+  tender.lastReport = report.number;
   tender.workerMs = now.steadyMs;
-  tender.leaving = leaving;
-  tender.pool = PoolName(textAt(root.get(), "pool"));
-  tender.slots = numberAt(root.get(), "slots");
-  tender.labels.clear();
-  tender.room.clear();
-  const char* key;
-  json_t* value;
-  json_object_foreach(json_object_get(root.get(), "labels"), key, value) {
-    if (json_is_string(value)) tender.labels[key] = json_string_value(value);
-  }
-  json_object_foreach(json_object_get(root.get(), "room"), key, value) {
-    if (json_is_integer(value)) tender.room[key] = json_integer_value(value);
-  }
+  tender.leaving = report.leaving;
+  tender.leavesAtMs = report.leavesMs < 0 ? -1 : now.steadyMs + report.leavesMs;
+  tender.pool = report.pool;
+  tender.slots = report.slots;
+  tender.labels = report.labels;
+  tender.room = report.room;
   for (auto& [id, run] : tender.runs) run.listed = false;
-  const json_t* going = json_object_get(root.get(), "going");
-  for (std::size_t i = 0; i < json_array_size(going); ++i) {
-    const char* name = json_string_value(json_array_get(going, i));
-    if (!name) continue;
-    auto [slot, fresh] = tender.runs.try_emplace(RunId(name));
-    auto& run = slot->second;
-    run.listed = true;
+  bool busy = false, news = false;
+  for (const auto& going : report.going) {
+    auto& run = tender.runs[going.run];
+    busy = run.listed = true;
+    run.percent = going.percent;
+    if (run.saved != going.saved) run.saved = going.saved;
     if (run.state == RunState::ordered) {
       run.state = RunState::going;
       tender.reportDue = true;
     }
     if (run.state == RunState::ended) run.state = RunState::stopping;
   }
-  const json_t* ended = json_object_get(root.get(), "ended");
-  for (std::size_t i = 0; i < json_array_size(ended); ++i) {
-    const json_t* item = json_array_get(ended, i);
-    const auto name = textAt(item, "run");
-    const auto outcome = textAt(item, "outcome");
-    if (name.empty()) continue;
-    auto& run = tender.runs[RunId(name)];
+  for (const auto& ended : report.ended) {
+    if (ended.number > 0 && ended.number <= tender.lastSeen) continue;
+    auto& run = tender.runs[ended.run];
     run.listed = true;
+    run.number = ended.number;
     if (run.state == RunState::ended && run.outcome != RunOutcome::lost) continue;
-    end(tender, run, outcome == "clean" ? RunOutcome::clean : outcome == "stopped" ? RunOutcome::stopped : RunOutcome::failed,
-        textAt(item, "detail"));
+    run.saved = ended.saved;
+    end(tender, run, ended.outcome, ended.detail);
+    news = true;
   }
   for (auto& [id, run] : tender.runs)
-    if (!run.listed && run.state == RunState::ordered && run.workerIncarnation != incarnation)
+    if (!run.listed && run.state == RunState::ordered && run.workerIncarnation != report.incarnation)
       end(tender, run, RunOutcome::lost, "ordered for an earlier life of the worker");
   for (auto at = tender.runs.begin(); at != tender.runs.end();) {
     auto& run = at->second;
-    const bool handed = run.state == RunState::ordered && run.handedReport > 0 && run.handedReport < report;
+    const bool handed = run.state == RunState::ordered && run.handedReport > 0 && run.handedReport < report.number;
     const bool vanished = run.state == RunState::going || run.state == RunState::stopping;
     if (!run.listed && handed) {
       if (run.wanted && !run.stop && mayStart(tender, now)) {
@@ -254,11 +325,28 @@
     if (!run.listed && run.state == RunState::ended && !run.wanted && tender.ordersSeq > 0) at = tender.runs.erase(at);
     else ++at;
   }
-  tender.poll = Poll{transaction, report, now.steadyMs};
-  if (anythingNew(tender, now)) answerPoll(tender, now, out);
+  tender.poll = Poll{transaction, report.number, now.steadyMs, bounds(tender).longPollMs(), numbered, {}};
+  if (numbered) {
+    tender.poll->ended = report.ended;
+    tender.poll->holdMs = news ? bounds(tender).newsHoldMs() : busy ? 0 : bounds(tender).idleHoldMs();
+  }
+  if (anythingNew(tender, now) || tender.poll->holdMs == 0) answerPoll(tender, now, out);
+  else out.wakeBy(now.steadyMs + tender.poll->holdMs);
   if (tender.reportDue) sendReport(tender, now, out);
 }
 
+void workerLeaves(TenderState& tender, std::uint64_t transaction, std::string_view incarnation, Now now, Outbox& out) {
+  if (tender.heard && tender.incarnation == incarnation) {
+    if (tender.poll) answerPoll(tender, now, out);
+    for (auto& [id, run] : tender.runs)
+      if (run.state != RunState::ended) end(tender, run, RunOutcome::lost, "its worker left");
+    tender.leaving = true;
+    tender.gone = true;
+    sendReport(tender, now, out);
+  }
+  out.answer(transaction, 200, "{}");
+}
+
 void tenderTick(TenderState& tender, Now now, Outbox& out) {
   if (drained(tender))
     for (auto& [id, run] : tender.runs)
@@ -280,9 +368,11 @@
       end(tender, run, RunOutcome::lost, "worker silent past its term");
     }
   const bool scarce = goOnMs(tender, now) < bounds(tender).workerTermMs / 2;
-  const Millis holdMs = scarce ? bounds(tender).longPollMs() / 8 : bounds(tender).longPollMs();
-  if (tender.poll && (anythingNew(tender, now) || now.steadyMs - tender.poll->sinceMs >= holdMs))
-    answerPoll(tender, now, out);
+  if (tender.poll) {
+    const Millis holdMs = scarce ? tender.poll->holdMs / 8 : tender.poll->holdMs;
+    if (anythingNew(tender, now) || now.steadyMs - tender.poll->sinceMs >= holdMs) answerPoll(tender, now, out);
+    else out.wakeBy(tender.poll->sinceMs + holdMs);
+  }
   if (tender.reportDue || now.steadyMs - tender.reportedMs >= bounds(tender).reportMs()) sendReport(tender, now, out);
   tender.crew.ready = watch::sessionLive(tender.crew, now) && !tender.crew.leader.http.empty() && !tender.crew.leaving;
 }
--- a/src/manifest/tender.hpp
+++ b/src/manifest/tender.hpp
@@ -9,17 +9,23 @@
   signal::RunState state = signal::RunState::ordered;
   signal::RunOutcome outcome = signal::RunOutcome::none;
   std::string detail;
+  std::string saved;  // to resume from while ordered, as last reported afterwards
+  std::int64_t percent = 0;
   bool wanted = false;
   bool stop = false;
   bool listed = false;
   std::uint64_t handedReport = 0;
   std::uint64_t stopReport = 0;
+  std::uint64_t number = 0;
 };
 
 struct Poll {
   std::uint64_t transaction = 0;
   std::uint64_t report = 0;
   Millis sinceMs = 0;
+  Millis holdMs = 0;
+  bool brief = false;
+  std::vector<signal::EndedRun> ended;
 };
 
 struct TenderCounts {
@@ -40,6 +46,8 @@
   std::int64_t slots = 0;
   std::map<std::string, std::int64_t> room;
   bool leaving = false;
+  Millis leavesAtMs = -1;
+  bool gone = false;  // its worker said that it ends
   std::optional<Poll> poll;
   std::map<RunId, TenderRun> runs;
   Ballot term;
@@ -47,6 +55,7 @@
   Revision orderedRevision = 0;
   Millis echoMs = -1000000;
   std::uint64_t reportSeq = 0;
+  std::uint64_t lastSeen = 0;
   Millis reportedMs = -1000000;
   bool reportDue = false;
   TenderCounts counts;
@@ -55,6 +64,8 @@
 TenderState makeTender(const Env& env, const DaemonId& id, std::string incarnation);
 void tenderHeard(TenderState& tender, const signal::Heard& heard, signal::Now now, signal::Outbox& out);
 void workerReport(TenderState& tender, std::uint64_t transaction, std::string_view body, signal::Now now, signal::Outbox& out);
+void workerReport(TenderState& tender, std::uint64_t transaction, const signal::WorkerReport& report, signal::Now now, signal::Outbox& out);
+void workerLeaves(TenderState& tender, std::uint64_t transaction, std::string_view incarnation, signal::Now now, signal::Outbox& out);
 void tenderTick(TenderState& tender, signal::Now now, signal::Outbox& out);
 std::string countersJson(const TenderState& tender);
 
--- a/src/roles/node.cpp
+++ b/src/roles/node.cpp
@@ -111,9 +111,67 @@
   watch::proposeChart(crew, ask.transaction, std::move(edit), ask.cutoffMs * 9 / 10, now, out);
 }
 
+void askLeader(Node& node, const Ask& ask, gangway::Wanted& wanted, CallKind kind, Now now, Outbox& out) {
+  CallAsk call;
+  call.transaction = ask.transaction;
+  call.call = kind;
+  call.pending = wanted.pending;
+  call.job = wanted.job;
+  if (kind == CallKind::submit) call.spec = manifest::packSpec(wanted.spec);
+  manifest::callLeader(*node.pilot, std::move(call), ask.cutoffMs, now, out);
+}
+
+void onDialect(Node& node, const Ask& ask, Now now, Outbox& out) {
+  auto& crew = crewOf(node);
+  auto wanted = node.dialect->read(ask, *crew.chart);
+  node.dialectCalls[ask.transaction] = wanted.call;
+  auto deny = [&](Kind kind, std::string_view detail = {}) {
+    ++node.deniedAsks;
+    watch::answerKind(out, ask.transaction, kind, crew.env.bounds, detail);
+  };
+  if (wanted.denial != Kind::ok) return deny(wanted.denial);
+  switch (wanted.call) {
+    case Call::ready: return crew.ready ? out.tell(ask.transaction, Kind::ok, {}) : deny(Kind::notReady);
+    case Call::submit:
+      if (!node.pilot) return deny(Kind::noSuchRoute);
+      if (!watch::sessionLive(crew, now)) return deny(Kind::notReady);
+      if (const auto verdict = manifest::checkSpec(wanted.spec, *crew.chart); verdict.kind != Kind::ok) return deny(verdict.kind, verdict.field);
+      return askLeader(node, ask, wanted, CallKind::submit, now, out);
+    case Call::getJob:
+    case Call::cancelJob:
+    case Call::countPending:
+      if (!node.pilot) return deny(Kind::noSuchRoute);
+      return askLeader(node, ask, wanted,
+                       wanted.call == Call::getJob      ? CallKind::getJob
+                       : wanted.call == Call::cancelJob ? CallKind::cancelJob
+                                                        : CallKind::countPending,
+                       now, out);
+    case Call::putChart:
+    case Call::patchChart:
+    case Call::emptyCell:
+    case Call::takeBackCell:
+      if (!watch::sessionLive(crew, now)) return deny(Kind::notReady);
+      return watch::proposeChart(crew, ask.transaction, std::move(wanted.edit), ask.cutoffMs * 9 / 10, now, out);
+    case Call::getChart: {
+      if (!watch::sessionLive(crew, now) || crew.chartRevision == 0) return deny(Kind::notReady);
+      Brief brief;
+      brief.text = crew.chartText;
+      return out.tell(ask.transaction, Kind::ok, std::move(brief));
+    }
+    case Call::report:
+      if (!node.tender) return deny(Kind::noSuchRoute);
+      return manifest::workerReport(*node.tender, ask.transaction, wanted.report, now, out);
+    case Call::workerLeaves:
+      if (!node.tender) return deny(Kind::noSuchRoute);
+      return manifest::workerLeaves(*node.tender, ask.transaction, wanted.report.incarnation, now, out);
+    default: return deny(Kind::noSuchRoute);
+  }
+}
+
 void onAsk(Node& node, const Ask& ask, Now now, Outbox& out) {
   ++node.asks;
   auto& crew = crewOf(node);
+  if (ask.face != FaceKind::own && node.dialect) return onDialect(node, ask, now, out);
   if (node.rules.empty() || node.compiledFor != crew.chartRevision) {
     node.rules = gangway::compile(*crew.chart, crew.env.role);
     node.compiledFor = crew.chartRevision;
@@ -150,11 +208,15 @@
     case Call::patchChart: return changeChart(node, ask, false, now, out);
     case Call::submit: return manifest::submitJob(*node.pilot, ask.transaction, ask.body, now, out);
     case Call::listJobs: return manifest::listJobs(*node.pilot, ask.transaction, gangway::queryOf(ask.query), out);
-    case Call::getJob: return manifest::getJob(*node.pilot, ask.transaction, JobId(outcome.names.at("job")), out);
-    case Call::cancelJob: return manifest::cancelJob(*node.pilot, ask.transaction, JobId(outcome.names.at("job")), now, out);
+    case Call::getJob: return manifest::getJob(*node.pilot, {ask.transaction, false, {}}, JobId(outcome.names.at("job")), out);
+    case Call::cancelJob: return manifest::cancelJob(*node.pilot, {ask.transaction, false, {}}, JobId(outcome.names.at("job")), now, out);
     case Call::workers: return manifest::listWorkers(*node.pilot, ask.transaction, now, out);
     case Call::trace: return manifest::traceJobs(*node.pilot, ask.transaction, out);
     case Call::report: return manifest::workerReport(*node.tender, ask.transaction, ask.body, now, out);
+    case Call::countPending: return manifest::countPending(*node.pilot, {ask.transaction, false, {}}, PendingName(outcome.names.at("pending")), out);
+    case Call::emptyCell:
+    case Call::takeBackCell:
+    case Call::workerLeaves: return watch::answerKind(out, ask.transaction, Kind::noSuchRoute, crew.env.bounds);
   }
 }
 
@@ -170,7 +232,9 @@
   return node;
 }
 
-void nodeStep(Node& node, const Event& event, Now now, Outbox& out) {
+namespace {
+
+void step(Node& node, const Event& event, Now now, Outbox& out) {
   if (const auto* ask = std::get_if<Ask>(&event)) return onAsk(node, *ask, now, out);
   auto& crew = crewOf(node);
   if (std::holds_alternative<PoliteStop>(event)) {
@@ -195,4 +259,18 @@
   if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= crew.env.bounds.beatMs()) out.done = true;
 }
 
+}  // namespace
+
+void nodeStep(Node& node, const Event& event, Now now, Outbox& out) {
+  const auto before = out.answers.size();
+  step(node, event, now, out);
+  if (node.dialectCalls.empty()) return;
+  for (std::size_t i = before; i < out.answers.size(); ++i)
+    if (auto found = node.dialectCalls.find(out.answers[i].transaction); found != node.dialectCalls.end()) {
+      const auto call = found->second;
+      node.dialectCalls.erase(found);
+      out.answers[i] = node.dialect->write(call, std::move(out.answers[i]));
+    }
+}
+
 }  // namespace tulip::roles
--- a/src/roles/node.hpp
+++ b/src/roles/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <optional>
 
+#include "gangway/dialect.hpp"
 #include "gangway/front.hpp"
 #include "manifest/pilot.hpp"
 #include "manifest/tender.hpp"
@@ -15,6 +16,8 @@
   std::vector<gangway::Rule> rules;
   Revision compiledFor = 0;
   Millis leavingSinceMs = -1;
+  std::shared_ptr<const gangway::Dialect> dialect;  // for the faces beside the own interface
+  std::map<std::uint64_t, gangway::Call> dialectCalls;
   std::uint64_t asks = 0, deniedAsks = 0, proxiedAsks = 0;
 };
 
--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -138,10 +139,18 @@
   std::vector<Persist> persists;
   std::vector<std::string> alarms;
   bool done = false;
+  Millis wakeMs = -1;  // steady time by which the next tick is wanted; -1: the usual one will do
+  void wakeBy(Millis atMs) { wakeMs = wakeMs < 0 ? atMs : std::min(wakeMs, atMs); }
 
   void send(const Address& to, Message message) { sends.push_back({to, std::move(message)}); }
   void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0) {
-    answers.push_back({transaction, status, retryMs, std::move(body)});
+    answers.push_back({transaction, status, retryMs, std::move(body), Kind::ok, {}});
+  }
+  void deny(std::uint64_t transaction, Kind kind, std::string body, Millis retryMs = 0) {
+    answers.push_back({transaction, rowOf(kind).status, retryMs, std::move(body), kind, {}});
+  }
+  void tell(std::uint64_t transaction, Kind kind, Brief brief, Millis retryMs = 0) {
+    answers.push_back({transaction, rowOf(kind).status, retryMs, {}, kind, std::move(brief)});
   }
 };
 
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -9,8 +9,8 @@
 
 namespace tulip::signal {
 
-inline constexpr std::uint32_t kOldestRevision = 1;
-inline constexpr std::uint32_t kRevision = 1;
+inline constexpr std::uint32_t kOldestRevision = 2;
+inline constexpr std::uint32_t kRevision = 2;
 
 struct Member {
   DaemonId id;
@@ -266,7 +266,8 @@
   std::string spec;
   std::string workerIncarnation;
   std::string saved;
-  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved)
+  bool whole = false;  // spec and saved are given; not so once the tender lists the run
+  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved, whole)
 };
 
 struct Orders {
