The planner places loads of several kinds, with racks, shares of a step apart and priced stops

Rooms as maps of strings were compared for every try; a plan now interns pools, labels and racks once and works on plain numbers. Shapes that found no room are remembered by dominance: a need at least as large with the same constraints is not tried again. 20,000 candidates on a full fleet: 3 tries where there were 8.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -16,10 +16,12 @@
   std::int64_t totalServedMs = 0;
   std::int64_t promotions = 0;
   std::int64_t preemptions = 0;
-  MSGPACK_DEFINE(lane, servedMs, ranMs, waitMs, firstStartMs, totalServedMs, promotions, preemptions)
+  std::int64_t rest = 0;  // service below a millisecond, in thousandths
+  MSGPACK_DEFINE(lane, servedMs, ranMs, waitMs, firstStartMs, totalServedMs, promotions, preemptions, rest)
 };
 
-// held is the room held, in thousandths of the resource count W_J.
+// held is the room held, in thousandths of the resource count W_J: slots of the own interface count 1000 each; loads of
+// several kinds count the dominant share of a worker that each run takes, and servedMs is then worker milliseconds.
 void accrue(Counters& counters, std::int64_t held, bool waiting, Millis spanMs);
 bool settle(Counters& counters, const chart::Admission& rules, bool holds);
 
@@ -30,6 +32,7 @@
   bool whole = false;                // all start together or none
   bool oneRack = false;              // takes farFactor times as long on more than one rack
   bool saves = false;                // keeps checkpoints
+  bool standing = false;             // long running
   PoolName pool;                     // empty: any
   berth::Labels labels;              // each must stand on the worker with this value
   std::string needs;                 // a value that one of the worker's labels must have; empty: none
@@ -48,6 +51,7 @@
   std::size_t gang = 0;   // runs of the job with the same number above 0 are stopped together
   Millis lossMs = 0;      // work that a stop would lose
   bool standing = false;  // long running
+  Millis endsInMs = -1;   // until its end by its estimate; 0 or less: unknown or overdue
 };
 
 struct Candidate {
@@ -91,6 +95,8 @@
   std::map<PendingName, std::int64_t> quotaSlots;
   std::map<PendingName, std::int64_t> heldSlots;
   double farFactor = 1.5;
+  bool rankFirst = false;  // as the option of that name, for fleets whose env asks for it
+  double mostLoss = 0;     // as the option of that name, where above 0
 };
 
 Plan plan(std::span<const Candidate> jobs, Field field, const chart::Admission& rules, std::span<const std::int64_t> sizes);
--- /dev/null
+++ b/src/admission/placement.hpp
@@ -0,0 +1,112 @@
+#pragma once
+#include <array>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "berth/berth.hpp"
+
+namespace tulip::admission {
+
+constexpr std::uint32_t kNowhere = UINT32_MAX;
+constexpr int kWorker = 1 << 16;  // the score of a whole free worker in one kind
+
+// The rooms of all berths, with a score of how much of a worker each is.
+struct Rooms {
+  std::vector<berth::Load> load;
+  std::vector<int> score;
+};
+
+// What placement knows of the berths, as plain numbers.
+struct Deck {
+  std::size_t kinds = 0;  // places of a load that any berth offers
+  std::array<double, berth::kMostKinds> weight{};
+  std::vector<int> doubt;
+  std::vector<std::uint32_t> rack;
+  chart::Layout layout = chart::Layout::pack;
+  int farDoubt = 0;  // what work away from its rack counts in doubt
+
+  bool fits(const berth::Load& need, const berth::Load& room) const {
+    for (std::size_t i = 0; i < kinds; ++i)
+      if (need[i] > room[i] && need[i] > 0) return false;
+    return true;
+  }
+  bool within(const berth::Load& low, const berth::Load& high) const {
+    for (std::size_t i = 0; i < kinds; ++i)
+      if (low[i] > high[i]) return false;
+    return true;
+  }
+  bool offered(const berth::Load& need) const {
+    for (std::size_t i = kinds; i < berth::kMostKinds; ++i)
+      if (need[i] > 0) return false;
+    return true;
+  }
+  int score(const berth::Load& load) const {
+    double sum = 0;
+    for (std::size_t i = 0; i < kinds; ++i) sum += static_cast<double>(load[i]) * weight[i];
+    return static_cast<int>(sum);
+  }
+  void add(Rooms& rooms, std::uint32_t at, const berth::Load& load) const {
+    for (std::size_t i = 0; i < kinds; ++i) rooms.load[at][i] += load[i];
+    rooms.score[at] = score(rooms.load[at]);
+  }
+  void take(Rooms& rooms, std::uint32_t at, const berth::Load& load) const {
+    for (std::size_t i = 0; i < kinds; ++i) rooms.load[at][i] -= load[i];
+    rooms.score[at] = score(rooms.load[at]);
+  }
+};
+
+Deck makeDeck(std::span<const berth::Berth> berths, chart::Layout layout, double farFactor);
+
+// Tasks to place, as plain numbers.
+struct Demand {
+  std::span<const berth::Load> loads;  // one for each task, or a single one for all
+  std::size_t count = 0;
+  std::int64_t apart = 0;
+  std::uint32_t near = kNowhere;
+  bool oneRack = false;
+  std::span<const std::uint32_t> avoid;  // berth for each task, or none
+
+  const berth::Load& load(std::size_t at) const { return loads[loads.size() == 1 ? 0 : at]; }
+  bool alike() const { return loads.size() == 1; }
+  std::uint32_t avoided(std::size_t at) const { return avoid.empty() ? kNowhere : avoid[at]; }
+};
+
+// How many of the unit's tasks are on each berth.
+struct Tally {
+  std::vector<int> count;
+  std::vector<std::uint32_t> touched;
+
+  void put(std::uint32_t at, int amount) {
+    count[at] += amount;
+    touched.push_back(at);
+  }
+  void clear(std::size_t keep = 0) {
+    while (touched.size() > keep) {
+      count[touched.back()] = 0;
+      touched.pop_back();
+    }
+  }
+};
+
+int burden(const Deck& deck, const Demand& demand, std::size_t task, std::uint32_t at);
+std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Rooms& rooms,
+                   const Tally& tally);
+
+// Places tasks together and reuses its memory from call to call.
+struct Matcher {
+  std::vector<std::uint32_t> chosen;  // the result: a berth for each task
+  bool spread = false;                // the result is on more than one rack
+  bool together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Rooms& rooms, Tally& tally);
+
+  const std::vector<std::size_t>& bySize(const Deck& deck, const Demand& demand);
+
+ private:
+  Rooms scratch;
+  std::vector<std::size_t> order;
+  std::vector<std::uint32_t> racks, part, best;
+  int heaviest = 0;
+  bool greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Rooms& rooms, Tally& tally);
+};
+
+}  // namespace tulip::admission
--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -165,6 +165,10 @@
       rules.promoteKnob = json_number_value(value);
     else reader.fault(path, "a number above 0, or \"infinity\"");
   };
+  auto mostLoss = [&](const json_t* value, const std::string& path) {
+    if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e6) rules.mostLoss = json_number_value(value);
+    else reader.fault(path, "a number from 0 to 1000000");
+  };
   auto admission = [&](const json_t* value, const std::string& path) {
     reader.object(value, path,
                   {{"rule", rule},
@@ -174,6 +178,8 @@
                    {"reserveAfterMs", [&](auto* v, auto& p) { reader.number(v, p, 100, 86400000, rules.reserveAfterMs); }},
                    {"layout", layout},
                    {"epochMs", [&](auto* v, auto& p) { reader.number(v, p, 5, 1000, rules.epochMs); }},
+                   {"rankFirst", [&](auto* v, auto& p) { reader.flag(v, p, rules.rankFirst); }},
+                   {"mostLoss", mostLoss},
                    {"mostPushes", [&](auto* v, auto& p) { reader.number(v, p, 0, 1000000, rules.mostPushes); }},
                    {"gangStartMs", [&](auto* v, auto& p) { reader.number(v, p, 100, 600000, rules.gangStartMs); }}});
     if (!thresholdsGiven) {
--- a/src/chart/chart.hpp
+++ b/src/chart/chart.hpp
@@ -49,6 +49,8 @@
   Millis epochMs = 50;
   Millis gangStartMs = 5000;
   std::int64_t mostPushes = 3;
+  bool rankFirst = false;    // rank goes before the lane, and higher rank may push lower out
+  double mostLoss = 0;       // work a push may lose, as a multiple of the work it lets start; 0: no bound
 };
 
 struct Keep {
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -11,8 +11,13 @@
   Candidate made;
   made.id = JobId(id);
   made.gang = gang;
-  std::size_t task = 0;
-  for (auto each : slots) made.ready.push_back({task++, {each, {}}, {}});
+  Unit unit;
+  unit.whole = gang;
+  for (auto each : slots) {
+    unit.tasks.push_back(static_cast<std::uint32_t>(unit.tasks.size()));
+    unit.loads.push_back({each});
+  }
+  made.ready.push_back(unit);
   return made;
 }
 
@@ -22,7 +27,7 @@
   made.gang = true;
   made.counters.lane = lane;
   made.counters.firstStartMs = firstStartMs;
-  made.runs.push_back({0, berth, {slots, {}}, false});
+  made.runs.push_back({0, berth, {slots}});
   return made;
 }
 
@@ -32,9 +37,9 @@
   for (auto slots : free) {
     berth::Berth berth;
     berth.worker = WorkerId("w" + std::to_string(n++));
-    berth.total.slots = total;
+    berth.total[0] = total;
+    berth.free[0] = slots;
     made.berths.push_back(berth);
-    made.free.push_back({slots, {}});
   }
   return made;
 }
@@ -47,8 +52,8 @@
 
 TEST(admission, service_is_room_held_times_time) {
   Counters counters;
-  accrue(counters, 4, false, 1000);
-  accrue(counters, 2, false, 500);
+  accrue(counters, 4000, false, 1000);
+  accrue(counters, 2000, false, 500);
   LONGS_EQUAL(5000, counters.servedMs);
   LONGS_EQUAL(1500, counters.ranMs);
   accrue(counters, 0, true, 700);
@@ -60,9 +65,9 @@
   auto given = rules();
   given.promoteKnob = 2.0;
   Counters counters;
-  accrue(counters, 8, false, 449999);
+  accrue(counters, 8000, false, 449999);
   CHECK_FALSE(settle(counters, given, true));
-  accrue(counters, 8, false, 1);
+  accrue(counters, 8000, false, 1);
   CHECK(settle(counters, given, true));
   LONGS_EQUAL(1, counters.lane);
   accrue(counters, 0, true, 899999);
@@ -79,7 +84,7 @@
   auto given = rules();
   given.promoteKnob.reset();
   Counters counters;
-  accrue(counters, 8, false, 450000);
+  accrue(counters, 8000, false, 450000);
   settle(counters, given, true);
   accrue(counters, 0, true, 1LL << 40);
   CHECK_FALSE(settle(counters, given, false));
@@ -193,7 +198,7 @@
   LONGS_EQUAL(0, plan(jobs, field({0}), given, {}).stops.size());
 }
 
-TEST(admission, a_full_fleet_looks_once_at_each_shape_of_need) {
+TEST(admission, a_full_fleet_looks_once_at_the_least_of_the_shapes_of_need) {
   std::vector<Candidate> jobs;
   for (int i = 0; i < 20000; ++i) {
     const std::int64_t wide = 1 + i % 4;
@@ -202,5 +207,5 @@
   }
   const auto made = plan(jobs, field({0, 0, 0}), rules(), {});
   LONGS_EQUAL(40000, made.passedOver);
-  LONGS_EQUAL(2 * 4, made.tries);
+  LONGS_EQUAL(3, made.tries);
 }
