--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -219,7 +219,7 @@
   ++frames_;
   const bool self = &to == &from;
   if (!self && (isCut(from, to) || chance(plan.sea.drop))) return;
-  Heard heard{from.id, from.env.signal, send.message};
+  Heard heard{from.id, from.env.signal, send.message, send.to};
   constexpr std::uint64_t kCodecEvery = 16;
   if (frames_ % kCodecEvery == 0) {
     Frame frame;
--- a/tests/chart_test.cpp
+++ b/tests/chart_test.cpp
@@ -27,8 +27,8 @@
 }
 
 manifest::Verdict verdictOf(const std::string& tasks, const std::string& more = "") {
-  manifest::Job job;
-  return manifest::readJob(R"({"id":"j","pending":"gate")" + more + R"(,"tasks":)" + tasks + "}", plainChart(), job);
+  manifest::Spec job;
+  return manifest::readSpec(R"({"id":"j","pending":"gate")" + more + R"(,"tasks":)" + tasks + "}", plainChart(), job);
 }
 
 }  // namespace
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -9,11 +9,17 @@
 
 const Address kA("10.0.0.1:1"), kB("10.0.0.2:1"), kC("10.0.0.3:1");
 
+std::shared_ptr<const manifest::Spec> oneTask() {
+  manifest::Spec spec;
+  spec.id = JobId("j");
+  spec.steps.resize(1);
+  spec.steps[0].name = std::string(1, 't');
+  spec.steps[0].need.slots = 1;
+  return std::make_shared<const manifest::Spec>(std::move(spec));
+}
+
 std::string jobOn(const char* worker, std::int64_t attempts) {
-  manifest::Job job;
-  job.id = JobId("j");
-  job.tasks.resize(1);
-  job.tasks[0].name = std::string(1, 't');
+  auto job = manifest::makeJob(oneTask());
   if (attempts > 0) {
     job.tasks[0].attempts = attempts - 1;
     manifest::startRun(job, 0, WorkerId(worker), "life", 10);
@@ -28,6 +34,7 @@
   promise.base = base;
   promise.fleetMs = fleetMs;
   promise.entries = std::move(entries);
+  if (!promise.entries.empty()) promise.entries.push_back({"~j", {base, 1}, manifest::packSpec(*oneTask())});
   return promise;
 }
 
