Several nodes in one process share one wire, one core thread and their HTTP listeners

Sends of a batch of steps to one peer leave in one write, and a line whose peer acknowledges nothing for two terms is given up, since a machine without power says nothing. One timer serves all requests' cutoffs. Not built as a whole yet: the core's side of the shared headers is still being written.

--- a/src/gangway/dialect.hpp
+++ b/src/gangway/dialect.hpp
@@ -20,9 +20,17 @@
   signal::WorkerReport report;
 };
 
+// Headers of requests that a dialect names; empty: it has none.
+struct HeaderNames {
+  std::string cutoffMs;
+  std::string basedOn;
+};
+
+// One thread reads; any may write and ask for the header names.
 class Dialect {
  public:
   virtual ~Dialect() = default;
+  virtual HeaderNames headers() const = 0;
   virtual Wanted read(const signal::Ask& ask, const chart::Chart& chart) const = 0;
   virtual signal::Answer write(Call call, signal::Answer answer) const = 0;
 };
--- a/src/gangway/http.cpp
+++ b/src/gangway/http.cpp
@@ -10,11 +10,15 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
+using Steady = std::chrono::steady_clock;
 
 namespace {
 
-constexpr std::size_t kMostSessions = 4096;
-constexpr auto kIdle = std::chrono::seconds(60);
+constexpr std::size_t kMostSessions = 3072;
+constexpr std::uint32_t kHeaderBytes = 16384;
+constexpr std::size_t kKeptBytes = 16384;
+constexpr Millis kIdleCalls = 20;
+constexpr Millis kMostCalls = 12;
 
 struct Outgoing : std::enable_shared_from_this<Outgoing> {
   Outgoing(asio::io_context& context, CallOut out, std::function<void(CallReply)> finished)
@@ -81,139 +85,237 @@
   return reply;
 }
 
+struct HttpServer::Door {
+  Door(asio::io_context& context, FaceKind spoken, std::size_t owner) : acceptor(context), face(spoken), node(owner) {}
+  tcp::acceptor acceptor;
+  FaceKind face;
+  std::size_t node;
+};
+
 struct HttpServer::Session : std::enable_shared_from_this<HttpServer::Session> {
-  Session(HttpServer& owner, tcp::socket socket) 
-      : server(owner), counts(owner.counts_), stream(std::move(socket)), cutoff(owner.context_) {
+  Session(HttpServer& owner, tcp::socket connected, const Door& door)
+      : server(owner), counts(owner.counts_), socket(std::move(connected)), face(door.face), node(door.node) {
     ++counts->open;
+    server.sessions_.insert(this);
+  }
+  ~Session() {
+    --counts->open;
+    if (!orphan) server.sessions_.erase(this);
   }
-  ~Session() { --counts->open; }
+
+  Steady::time_point idleUntil() const { return since + std::chrono::milliseconds(server.bounds_.callMs * (draining ? 1 : kIdleCalls)); }
 
   void read() {
+    since = Steady::now();
     parser.emplace();
     parser->body_limit(server.maxBodyBytes_);
-    stream.expires_after(kIdle);
-    http::async_read(stream, buffer, *parser, [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onRead(failed); });
+    parser->header_limit(kHeaderBytes);
+    http::async_read(socket, buffer, *parser, [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onRead(failed); });
   }
 
   void onRead(beast::error_code failed) {
-    if (server.closed_) return;
-    if (failed == http::error::body_limit) {
-      closing = true;
-      return write(rowOf(Kind::tooLarge).status, "{\"error\":\"too-large\"}", 0);
-    }
+    if (orphan || gone) return;
+    if (failed == http::error::body_limit) return denyUnread(Kind::tooLarge);
+    if (failed == http::error::header_limit) return denyUnread(Kind::tooLarge);
+    if (failed && failed != http::error::end_of_stream && failed != http::error::partial_message && failed.category() == http::make_error_code(http::error::bad_method).category())
+      return denyUnread(Kind::malformed);
     if (failed) return shut();
-    stream.expires_never();
-    const auto& request = parser->get();
+    auto& request = parser->get();
     signal::Ask ask;
+    ask.face = face;
     ask.method = std::string(request.method_string());
-    const std::string target(request.target());
+    const std::string_view target(request.target().data(), request.target().size());
     const auto mark = target.find('?');
-    ask.path = target.substr(0, mark);
-    if (mark != std::string::npos) ask.query = target.substr(mark + 1);
-    ask.body = request.body();
-    auto header = [&](const char* name) {
-      auto found = request.find(name);
+    ask.path = std::string(target.substr(0, mark));
+    if (mark != std::string_view::npos) ask.query = std::string(target.substr(mark + 1));
+    auto header = [&](std::string_view name) {
+      auto found = name.empty() ? request.end() : request.find(beast::string_view(name.data(), name.size()));
       return found == request.end() ? std::string() : std::string(found->value());
     };
-    ask.transactionName = header("X-Tulippitch-Transaction");
-    ask.hops = std::atoi(header("X-Tulippitch-Hops").c_str());
-    const auto asked = std::atoll(header("X-Tulippitch-Cutoff-Ms").c_str());
-    ask.cutoffMs = asked > 0 ? std::min<Millis>(asked, server.bounds_.callMs * 12) : server.bounds_.callMs;
+    if (face == FaceKind::own) {
+      ask.body = request.body();
+      ask.transactionName = header("X-Tulippitch-Transaction");
+      ask.hops = std::atoi(header("X-Tulippitch-Hops").c_str());
+    } else {
+      ask.body = std::move(request.body());
+      ask.basedOn = header(server.headers_.basedOn);
+    }
+    ask.host = std::string(request[http::field::host]);
+    const auto asked = std::atoll(header(face == FaceKind::own ? "X-Tulippitch-Cutoff-Ms" : std::string_view(server.headers_.cutoffMs)).c_str());
+    const auto mostMs = server.bounds_.callMs * (face == FaceKind::own ? kMostCalls : 1);
+    ask.cutoffMs = asked > 0 ? std::min<Millis>(asked, mostMs) : server.bounds_.callMs;
     ask.transaction = transaction = ++server.next_;
     method = ask.method;
     hops = ask.hops;
-    until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ask.cutoffMs);
+    until = Steady::now() + std::chrono::milliseconds(ask.cutoffMs);
     server.asking_[transaction] = shared_from_this();
+    server.arm(until);
     ++server.counts_->asks;
-    cutoff.expires_at(until);
-    cutoff.async_wait([self = shared_from_this(), mine = transaction](beast::error_code cancelled) {
-      if (cancelled || self->transaction != mine || !self->server.asking_.contains(mine)) return;
-      ++self->server.counts_->cutoffs;
-      self->server.answerKind(mine, self->method == "GET" ? Kind::cutoffPassed : Kind::unknownOutcome);
-    });
-    if (!server.give_(std::move(ask))) {
+    if (!server.give_(node, std::move(ask))) {
       ++server.counts_->overloaded;
       server.answerKind(transaction, Kind::overloaded);
     }
   }
 
-  void write(int status, std::string body, Millis retryMs) {
-    cutoff.cancel();
-    response = {static_cast<http::status>(status), 11};
-    response.set(http::field::server, "tulippitch");
-    response.set(http::field::content_type, "application/json");
+  // What the peer still sends is read and dropped, so that the answer is not lost in a reset.
+  void denyUnread(Kind kind) {
+    closing = true;
+    write(rowOf(kind).status, "{\"error\":\"" + std::string(rowOf(kind).name) + "\"}", 0);
+  }
+
+  void write(int status, const std::string& body, Millis retryMs) {
+    const bool keep = !closing && !server.leaving_ && parser->get().keep_alive();
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    out.clear();
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size());
+    out.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size()));
     if (retryMs > 0) {
-      response.set(http::field::retry_after, std::to_string((retryMs + 999) / 1000));
-      response.set("X-Tulippitch-Retry-Ms", std::to_string(retryMs));
+      out.append("\r\nRetry-After: ").append(std::to_string((retryMs + 999) / 1000));
+      if (face == FaceKind::own) out.append("\r\nX-Tulippitch-Retry-Ms: ").append(std::to_string(retryMs));
     }
-    const bool keep = !closing && parser->get().keep_alive();
-    response.keep_alive(keep);
-    response.body() = std::move(body);
-    response.prepare_payload();
-    stream.expires_after(kIdle);
-    http::async_write(stream, response, [self = shared_from_this(), keep](beast::error_code failed, std::size_t) {
-      if (failed || !keep || self->server.closed_) return self->shut();
-      self->read();
+    if (!keep) out.append("\r\nConnection: close");
+    out.append("\r\n\r\n").append(body);
+    since = Steady::now();
+    ++server.writing_;
+    asio::async_write(socket, asio::buffer(out), [self = shared_from_this(), keep](beast::error_code failed, std::size_t) {
+      if (self->orphan) return;
+      --self->server.writing_;
+      if (self->gone) return;
+      if (failed) return self->shut();
+      if (self->out.capacity() > kKeptBytes) std::string().swap(self->out);
+      if (keep) return self->read();
+      beast::error_code ignored;
+      self->socket.shutdown(tcp::socket::shutdown_send, ignored);
+      self->draining = true;
+      self->since = Steady::now();
+      self->server.arm(self->idleUntil());
+      self->drain();
+    });
+  }
+
+  void drain() {
+    socket.async_read_some(asio::buffer(scrap), [self = shared_from_this()](beast::error_code failed, std::size_t) {
+      if (self->orphan || self->gone) return;
+      if (failed) return self->shut();
+      self->drain();
     });
   }
 
   void shut() {
+    if (gone) return;
+    gone = true;
     beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    stream.socket().close(ignored);
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+    socket.close(ignored);
   }
 
   HttpServer& server;
   std::shared_ptr<HttpCounts> counts;
-  beast::tcp_stream stream;
-  asio::steady_timer cutoff;
+  tcp::socket socket;
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
-  http::response<http::string_body> response;
+  std::string out;
+  std::array<char, 512> scrap;
   std::uint64_t transaction = 0;
   std::string method;
   int hops = 0;
-  std::chrono::steady_clock::time_point until;
+  Steady::time_point until, since;
+  FaceKind face;
+  std::size_t node;
   bool closing = false;
+  bool draining = false;
+  bool gone = false;
+  bool orphan = false;  // its server is closed
 };
 
-HttpServer::HttpServer(asio::io_context& context, Address self, Bounds bounds, std::size_t maxBodyBytes, Give give)
-    : context_(context), acceptor_(context), self_(std::move(self)), bounds_(bounds), maxBodyBytes_(maxBodyBytes), give_(std::move(give)) {}
+HttpServer::HttpServer(asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give, std::shared_ptr<const Dialect> dialect)
+    : context_(context), timer_(context), bounds_(bounds), maxBodyBytes_(maxBodyBytes), give_(std::move(give)), dialect_(std::move(dialect)) {
+  if (dialect_) headers_ = dialect_->headers();
+}
+
+HttpServer::~HttpServer() { close(); }
 
-void HttpServer::listen() {
-  const auto endpoint = signal::endpointOf(self_);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
-  accept();
+void HttpServer::listen(const Address& at, FaceKind face, std::size_t node) {
+  auto door = std::make_unique<Door>(context_, face, node);
+  const auto endpoint = signal::endpointOf(at);
+  door->acceptor.open(endpoint.protocol());
+  door->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  door->acceptor.bind(endpoint);
+  door->acceptor.listen();
+  doors_.push_back(std::move(door));
+  accept(*doors_.back());
 }
 
-void HttpServer::accept() {
-  acceptor_.async_accept([this](beast::error_code failed, tcp::socket socket) {
+void HttpServer::accept(Door& door) {
+  door.acceptor.async_accept([this, &door](beast::error_code failed, tcp::socket socket) {
     if (closed_ || failed == asio::error::operation_aborted) return;
     if (!failed && counts_->open < kMostSessions) {
       beast::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<Session>(*this, std::move(socket))->read();
+      auto session = std::make_shared<Session>(*this, std::move(socket), door);
+      session->read();
+      arm(session->idleUntil());
     }
-    accept();
+    accept(door);
   });
 }
 
+void HttpServer::arm(Steady::time_point at) {
+  if (closed_ || (armed_ && armedFor_ <= at)) return;
+  armed_ = true;
+  armedFor_ = at;
+  timer_.expires_at(at);
+  timer_.async_wait([this](beast::error_code cancelled) {
+    if (cancelled || closed_) return;
+    armed_ = false;
+    sweep();
+  });
+}
+
+void HttpServer::sweep() {
+  const auto now = Steady::now();
+  std::vector<std::uint64_t> passed;
+  std::vector<std::shared_ptr<Session>> idle;
+  std::optional<Steady::time_point> next;
+  auto wanted = [&](Steady::time_point at) { next = next ? std::min(*next, at) : at; };
+  for (const auto& [transaction, session] : asking_) {
+    if (session->until <= now) passed.push_back(transaction);
+    else wanted(session->until);
+  }
+  for (auto* session : sessions_) {
+    if (session->gone || asking_.contains(session->transaction)) continue;
+    if (session->idleUntil() > now) wanted(session->idleUntil());
+    else if (auto held = session->weak_from_this().lock()) idle.push_back(std::move(held));
+  }
+  for (const auto transaction : passed) {
+    ++counts_->cutoffs;
+    answerKind(transaction, asking_.at(transaction)->method == "GET" ? Kind::cutoffPassed : Kind::unknownOutcome);
+  }
+  for (const auto& session : idle) session->shut();
+  if (next) arm(std::max(*next, now + std::chrono::milliseconds(bounds_.callMs / 150 + 1)));
+}
+
 void HttpServer::answer(const signal::Answer& answer) {
   auto found = asking_.find(answer.transaction);
   if (found == asking_.end()) return;
   auto session = std::move(found->second);
   asking_.erase(found);
   ++counts_->answers;
-  session->write(answer.status, answer.body, answer.retryMs);
+  if (!session->gone) session->write(answer.status, answer.body, answer.retryMs);
 }
 
 void HttpServer::answerKind(std::uint64_t transaction, Kind kind) {
+  const auto found = asking_.find(transaction);
+  if (found == asking_.end()) return;
   const auto& row = rowOf(kind);
-  answer({transaction, row.status, static_cast<Millis>(row.retryTerms * static_cast<double>(bounds_.termMs)),
-          "{\"error\":\"" + std::string(row.name) + "\",\"meaning\":\"" + std::string(row.meaning) + "\"}"});
+  signal::Answer made;
+  made.transaction = transaction;
+  made.status = row.status;
+  made.retryMs = static_cast<Millis>(row.retryTerms * static_cast<double>(bounds_.termMs));
+  made.body = "{\"error\":\"" + std::string(row.name) + "\",\"meaning\":\"" + std::string(row.meaning) + "\"}";
+  made.kind = kind;
+  if (dialect_ && found->second->face != FaceKind::own) made = dialect_->write(Call::none, std::move(made));
+  answer(made);
 }
 
 void HttpServer::proxy(const signal::Proxy& proxy) {
@@ -227,7 +329,7 @@
   call.method = session.method;
   call.target = std::string(request.target());
   call.body = request.body();
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(session.until - std::chrono::steady_clock::now()).count();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(session.until - Steady::now()).count();
   call.cutoffMs = std::max<Millis>(1, left);
   call.headers["X-Tulippitch-Cutoff-Ms"] = std::to_string(call.cutoffMs);
   call.headers["X-Tulippitch-Hops"] = std::to_string(session.hops + 1);
@@ -235,21 +337,29 @@
     call.headers["X-Tulippitch-Transaction"] = std::string(name->value());
   callHttp(context_, std::move(call), [this, transaction = proxy.transaction, method = session.method](CallReply reply) {
     if (closed_) return;
-    if (reply.status > 0) return answer({transaction, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body)});
+    if (reply.status > 0) return answer({transaction, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), Kind::ok, {}});
     answerKind(transaction, reply.sent && method != "GET" ? Kind::unknownOutcome : Kind::noLeader);
   });
 }
 
-void HttpServer::close() {
-  closed_ = true;
+void HttpServer::leave() { leaving_ = true; }
+
+void HttpServer::stopListening() {
   beast::error_code ignored;
-  acceptor_.close(ignored);
-  auto asking = std::move(asking_);
-  asking_.clear();
-  for (auto& [transaction, session] : asking) {
-    session->cutoff.cancel();
+  for (auto& door : doors_) door->acceptor.close(ignored);
+}
+
+void HttpServer::close() {
+  if (closed_) return;
+  stopListening();
+  timer_.cancel();
+  for (auto* session : sessions_) {
     session->shut();
+    session->orphan = true;
   }
+  closed_ = true;
+  sessions_.clear();
+  asking_.clear();
 }
 
 }  // namespace tulip::gangway
--- a/src/gangway/http.hpp
+++ b/src/gangway/http.hpp
@@ -6,9 +6,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "bearing/env.hpp"
+#include "gangway/dialect.hpp"
 #include "signal/core.hpp"
 
 namespace tulip::gangway {
@@ -37,30 +40,46 @@
   std::atomic<std::uint64_t> asks{0}, answers{0}, cutoffs{0}, proxied{0}, overloaded{0}, open{0};
 };
 
+// Serves the own interface and the faces of a dialect, for every node of its process.
 class HttpServer {
  public:
-  using Give = std::function<bool(signal::Ask&&)>;
-  HttpServer(boost::asio::io_context& context, Address self, Bounds bounds, std::size_t maxBodyBytes, Give give);
-  void listen();
+  using Give = std::function<bool(std::size_t node, signal::Ask&&)>;
+  HttpServer(boost::asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give,
+             std::shared_ptr<const Dialect> dialect = nullptr);
+  ~HttpServer();
+  void listen(const Address& at, FaceKind face, std::size_t node);
   void answer(const signal::Answer& answer);
   void proxy(const signal::Proxy& proxy);
+  void leave();           // every connection ends after its next answer
+  void stopListening();
+  bool answered() const { return asking_.empty() && writing_ == 0; }
   void close();
   const HttpCounts& counts() const { return *counts_; }
   void rebound(const Bounds& bounds) { bounds_ = bounds; }
 
  private:
   struct Session;
-  void accept();
+  struct Door;
+  void accept(Door& door);
   void answerKind(std::uint64_t transaction, Kind kind);
+  void arm(std::chrono::steady_clock::time_point at);
+  void sweep();
   boost::asio::io_context& context_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  Address self_;
+  boost::asio::steady_timer timer_;
+  std::vector<std::unique_ptr<Door>> doors_;
   Bounds bounds_;
   std::size_t maxBodyBytes_;
   Give give_;
+  std::shared_ptr<const Dialect> dialect_;
+  HeaderNames headers_;
   std::uint64_t next_ = 0;
   std::map<std::uint64_t, std::shared_ptr<Session>> asking_;
+  std::set<Session*> sessions_;
   std::shared_ptr<HttpCounts> counts_ = std::make_shared<HttpCounts>();
+  std::chrono::steady_clock::time_point armedFor_;
+  bool armed_ = false;
+  std::size_t writing_ = 0;
+  bool leaving_ = false;
   bool closed_ = false;
 };
 
--- a/src/roles/main.cpp
+++ b/src/roles/main.cpp
@@ -24,6 +24,7 @@
 
 int daemonOf(Role role, int argc, char** argv) {
   EnvFlags flags;
+  if (argc < 2) return roles::runDaemon(role, flags);
   try {
     TCLAP::CmdLine line(std::string(roleName(role)) + " of tulippitch; a settings file takes the same names, flags win", ' ', "0.1.0");
     std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> args;
--- a/src/signal/wire.cpp
+++ b/src/signal/wire.cpp
@@ -1,15 +1,34 @@
 #include "signal/wire.hpp"
 
-#include <deque>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <cstring>
 
 namespace tulip::signal {
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
+using Steady = std::chrono::steady_clock;
 
 namespace {
-constexpr std::size_t kMostFrames = 512;
-constexpr std::uint32_t kMostBytes = 256u << 20;
-constexpr auto kRedial = std::chrono::milliseconds(50);
+
+constexpr std::size_t kMostQueuedBytes = 4u << 20;
+constexpr std::uint32_t kMostFrameBytes = 256u << 20;
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kKeptBytes = 64u << 10;
+
+void setPatience(tcp::socket& socket, Millis termMs) {
+  boost::system::error_code ignored;
+  const int handle = socket.native_handle();
+  const int unackedMs = static_cast<int>(2 * termMs), idleS = static_cast<int>(std::max<Millis>(1, termMs / 1000)), everyS = 1, tries = 2;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unackedMs, sizeof unackedMs);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &idleS, sizeof idleS);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &everyS, sizeof everyS);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof tries);
+}
+
 }  // namespace
 
 tcp::endpoint endpointOf(const Address& address) {
@@ -23,87 +42,98 @@
 struct Wire::Line {
   explicit Line(asio::io_context& context) : socket(context) {}
   tcp::socket socket;
-  Address other;
-  std::deque<std::string> out;
-  std::array<unsigned char, 4> head{};
-  std::string body;
+  std::set<Address> others;  // addresses of the peer process that are reached through it
+  std::string queued, going;
+  std::string in;
+  std::size_t filled = 0;
+  Steady::time_point dialed;
   bool up = false;
+  bool unflushed = false;
   bool writing = false;
   bool gone = false;
 };
 
-Wire::Wire(asio::io_context& context, Address self, DaemonId id, Receive receive, std::function<void(std::string)> alarm)
-    : context_(context), acceptor_(context), self_(std::move(self)), id_(std::move(id)), receive_(std::move(receive)),
-      alarm_(std::move(alarm)) {}
+struct Wire::Door {
+  Door(asio::io_context& context, Address at) : acceptor(context), self(std::move(at)) {}
+  tcp::acceptor acceptor;
+  Address self;
+};
+
+Wire::Wire(asio::io_context& context, Millis termMs, Receive receive, std::function<void(std::string)> alarm)
+    : context_(context), termMs_(termMs), receive_(std::move(receive)), alarm_(std::move(alarm)) {}
 
 Wire::~Wire() { close(); }
 
-void Wire::listen() {
-  const auto endpoint = endpointOf(self_);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
-  accept();
+void Wire::listen(const Address& self) {
+  auto door = std::make_unique<Door>(context_, self);
+  const auto endpoint = endpointOf(self);
+  door->acceptor.open(endpoint.protocol());
+  door->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  door->acceptor.bind(endpoint);
+  door->acceptor.listen();
+  doors_.push_back(std::move(door));
+  accept(*doors_.back());
 }
 
 void Wire::close() {
   closed_ = true;
   boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  for (auto& door : doors_) door->acceptor.close(ignored);
   auto all = all_;
   for (const auto& line : all) drop(line);
 }
 
-void Wire::accept() {
+void Wire::accept(Door& door) {
   auto line = std::make_shared<Line>(context_);
-  acceptor_.async_accept(line->socket, [this, line](boost::system::error_code failed) {
+  door.acceptor.async_accept(line->socket, [this, &door, line](boost::system::error_code failed) {
     if (closed_ || failed == asio::error::operation_aborted) return;
     if (!failed) {
       all_.insert(line);
+      setPatience(line->socket, termMs_);
       start(line);
     }
-    accept();
+    accept(door);
   });
 }
 
 void Wire::start(const std::shared_ptr<Line>& line) {
-  boost::system::error_code ignored;
-  line->socket.set_option(tcp::no_delay(true), ignored);
   line->up = true;
-  readHead(line);
+  read(line);
   write(line);
 }
 
 void Wire::dial(const Address& to) {
   auto line = std::make_shared<Line>(context_);
-  line->other = to;
+  line->others.insert(to);
+  line->dialed = Steady::now();
   lines_[to] = line;
   all_.insert(line);
-  line->socket.async_connect(endpointOf(to), [this, line](boost::system::error_code failed) {
+  const auto endpoint = endpointOf(to);
+  boost::system::error_code failed;
+  line->socket.open(endpoint.protocol(), failed);
+  if (failed) return drop(line);
+  setPatience(line->socket, termMs_);
+  line->socket.async_connect(endpoint, [this, line, to](boost::system::error_code lost) {
     if (closed_ || line->gone) return;
-    if (failed) {
-      denied_[line->other] = std::chrono::steady_clock::now() + kRedial;
+    if (lost) {
+      denied_[to] = Steady::now() + std::chrono::milliseconds(termMs_ / 20);
       return drop(line);
     }
     start(line);
   });
 }
 
-void Wire::send(const Address& to, Message message) {
+void Wire::send(const DaemonId& fromId, const Address& from, const Address& to, Message message) {
   if (closed_ || to.empty()) return;
-  if (to == self_) {
-    Frame frame{kRevision, id_, self_, to, std::move(message)};
-    asio::post(context_, [this, frame = std::move(frame)]() mutable {
-      if (!closed_) receive_(std::move(frame));
-    });
-    return;
-  }
   auto found = lines_.find(to);
+  if (found != lines_.end() && !found->second->up && Steady::now() - found->second->dialed > std::chrono::milliseconds(termMs_)) {
+    drop(found->second);
+    found = lines_.end();
+  }
   if (found == lines_.end()) {
     auto blocked = denied_.find(to);
     if (blocked != denied_.end()) {
-      if (blocked->second > std::chrono::steady_clock::now()) {
+      if (blocked->second > Steady::now()) {
         ++counts_.dropped;
         return;
       }
@@ -111,91 +141,123 @@
     }
     dial(to);
     found = lines_.find(to);
+    if (found == lines_.end()) return;
   }
-  auto line = found->second;
-  if (line->out.size() >= kMostFrames) {
+  const auto& line = found->second;
+  const std::string body = encode(Frame{kRevision, fromId, from, to, std::move(message)});
+  if (!line->queued.empty() && line->queued.size() + body.size() > kMostQueuedBytes) {
     ++counts_.dropped;
     return;
   }
-  std::string body = encode(Frame{kRevision, id_, self_, to, std::move(message)});
   const auto size = static_cast<std::uint32_t>(body.size());
-  std::string bytes;
-  bytes.reserve(body.size() + 4);
-  for (int shift = 24; shift >= 0; shift -= 8) bytes.push_back(static_cast<char>((size >> shift) & 0xff));
-  bytes += body;
-  line->out.push_back(std::move(bytes));
+  for (int shift = 24; shift >= 0; shift -= 8) line->queued.push_back(static_cast<char>((size >> shift) & 0xff));
+  line->queued += body;
   ++counts_.sent;
-  write(line);
+  if (line->unflushed) return;
+  line->unflushed = true;
+  unflushed_.push_back(line);
+}
+
+void Wire::flush() {
+  auto lines = std::move(unflushed_);
+  unflushed_.clear();
+  for (const auto& line : lines) {
+    line->unflushed = false;
+    write(line);
+  }
 }
 
 void Wire::write(const std::shared_ptr<Line>& line) {
-  if (!line->up || line->writing || line->gone || line->out.empty()) return;
+  if (!line->up || line->writing || line->gone || line->queued.empty()) return;
   line->writing = true;
-  asio::async_write(line->socket, asio::buffer(line->out.front()), [this, line](boost::system::error_code failed, std::size_t) {
+  line->going.clear();
+  std::swap(line->going, line->queued);
+  ++counts_.writes;
+  asio::async_write(line->socket, asio::buffer(line->going), [this, line](boost::system::error_code failed, std::size_t) {
     line->writing = false;
     if (closed_ || line->gone) return;
     if (failed) return drop(line);
-    line->out.pop_front();
+    if (line->going.capacity() > kKeptBytes) std::string().swap(line->going);
     write(line);
   });
 }
 
-void Wire::readHead(const std::shared_ptr<Line>& line) {
-  asio::async_read(line->socket, asio::buffer(line->head), [this, line](boost::system::error_code failed, std::size_t) {
-    if (closed_ || line->gone) return;
-    if (failed) return drop(line);
-    std::uint32_t size = 0;
-    for (unsigned char byte : line->head) size = (size << 8) | byte;
-    if (size == 0 || size > kMostBytes) {
+void Wire::read(const std::shared_ptr<Line>& line) {
+  if (line->in.size() - line->filled < kReadBytes / 4) line->in.resize(std::max(kReadBytes, line->filled + kReadBytes));
+  line->socket.async_read_some(asio::buffer(line->in.data() + line->filled, line->in.size() - line->filled),
+                               [this, line](boost::system::error_code failed, std::size_t count) {
+                                 if (closed_ || line->gone) return;
+                                 if (failed) return drop(line);
+                                 line->filled += count;
+                                 if (takeFrames(line)) read(line);
+                                 else drop(line);
+                               });
+}
+
+// False: the line says nothing that can be believed.
+bool Wire::takeFrames(const std::shared_ptr<Line>& line) {
+  std::size_t at = 0;
+  std::uint32_t size = 0;
+  while (line->filled - at >= 4) {
+    size = 0;
+    for (std::size_t i = 0; i < 4; ++i) size = (size << 8) | static_cast<unsigned char>(line->in[at + i]);
+    if (size == 0 || size > kMostFrameBytes) {
       ++counts_.malformed;
-      return drop(line);
+      return false;
     }
-    line->body.resize(size);
-    asio::async_read(line->socket, asio::buffer(line->body), [this, line](boost::system::error_code lost, std::size_t) {
-      if (closed_ || line->gone) return;
-      if (lost) return drop(line);
-      Frame frame;
-      const auto decoded = decode(line->body, frame);
-      if (decoded != Decoded::ok) {
-        auto& count = decoded == Decoded::foreignRevision ? counts_.foreign : counts_.malformed;
-        if (count++ == 0)
-          alarm_(decoded == Decoded::foreignRevision
-                     ? "inner protocol revision " + std::to_string(frame.revision) + " of " + frame.fromId.value + " is not spoken here"
-                     : "a malformed frame arrived");
-        return drop(line);
-      }
-      ++counts_.received;
-      if (frame.to == self_) {
-        if (line->other.empty()) {
-          line->other = frame.from;
-          auto& slot = lines_[frame.from];
-          if (!slot || !slot->up) {
-            if (slot) {
-              line->out.insert(line->out.end(), slot->out.begin(), slot->out.end());
-              auto old = slot;
-              slot = line;
-              drop(old);
-            }
-            slot = line;
-            write(line);
-          }
-        }
-        receive_(std::move(frame));
-      }
-      readHead(line);
-    });
-  });
+    if (line->filled - at - 4 < size) break;
+    Frame frame;
+    const auto decoded = decode(std::string_view(line->in).substr(at + 4, size), frame);
+    if (decoded != Decoded::ok) {
+      auto& count = decoded == Decoded::foreignRevision ? counts_.foreign : counts_.malformed;
+      if (count++ == 0)
+        alarm_(decoded == Decoded::foreignRevision
+                   ? "inner protocol revision " + std::to_string(frame.revision) + " of " + frame.fromId.value + " is not spoken here"
+                   : "a malformed frame arrived");
+      return false;
+    }
+    at += 4 + size;
+    ++counts_.received;
+    const bool ours = std::ranges::any_of(doors_, [&](const auto& door) { return door->self == frame.to; });
+    if (!ours) continue;
+    if (!line->others.contains(frame.from)) adopt(line, frame.from);
+    receive_(std::move(frame));
+    if (closed_ || line->gone) return true;
+    size = 0;
+  }
+  std::memmove(line->in.data(), line->in.data() + at, line->filled - at);
+  line->filled -= at;
+  if (line->filled >= 4 && line->in.size() < size + 4u) line->in.resize(size + 4u);
+  else if (line->filled == 0 && line->in.size() > kKeptBytes) std::string().swap(line->in);
+  return true;
+}
+
+// The newest line from a peer is surely alive; an older one may hang on a machine that lost power.
+void Wire::adopt(const std::shared_ptr<Line>& line, const Address& other) {
+  line->others.insert(other);
+  auto& slot = lines_[other];
+  if (slot == line) return;
+  const auto old = slot;
+  slot = line;
+  if (!old) return;
+  old->others.erase(other);
+  if (old->up) return;
+  line->queued += old->queued;
+  drop(old);
+  write(line);
 }
 
 void Wire::drop(const std::shared_ptr<Line>& line) {
   if (line->gone) return;
   line->gone = true;
-  counts_.dropped += line->out.size();
+  if (!line->queued.empty()) ++counts_.dropped;
   boost::system::error_code ignored;
   line->socket.close(ignored);
   all_.erase(line);
-  auto found = lines_.find(line->other);
-  if (found != lines_.end() && found->second == line) lines_.erase(found);
+  for (const auto& other : line->others) {
+    auto found = lines_.find(other);
+    if (found != lines_.end() && found->second == line) lines_.erase(found);
+  }
 }
 
 }  // namespace tulip::signal
--- a/src/signal/wire.hpp
+++ b/src/signal/wire.hpp
@@ -6,43 +6,50 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "signal/messages.hpp"
 
 namespace tulip::signal {
 
 struct WireCounts {
-  std::atomic<std::uint64_t> sent{0}, received{0}, dropped{0}, malformed{0}, foreign{0};
+  std::atomic<std::uint64_t> sent{0}, received{0}, dropped{0}, malformed{0}, foreign{0}, writes{0};
 };
 
+// Frames between processes. One wire serves every node of its process: each listens at its own address, and lines are shared.
 class Wire {
  public:
   using Receive = std::function<void(Frame&&)>;
-  Wire(boost::asio::io_context& context, Address self, DaemonId id, Receive receive,
-       std::function<void(std::string)> alarm);
+  // A line whose peer acknowledges nothing for two terms is given up.
+  Wire(boost::asio::io_context& context, Millis termMs, Receive receive, std::function<void(std::string)> alarm);
   ~Wire();
-  void listen();
-  void send(const Address& to, Message message);
+  void listen(const Address& self);
+  // Queued until flush, which writes what goes to one peer at once.
+  void send(const DaemonId& fromId, const Address& from, const Address& to, Message message);
+  void flush();
   void close();
   const WireCounts& counts() const { return counts_; }
 
  private:
   struct Line;
-  void accept();
+  struct Door;
+  void accept(Door& door);
   void dial(const Address& to);
   void start(const std::shared_ptr<Line>& line);
-  void readHead(const std::shared_ptr<Line>& line);
+  void read(const std::shared_ptr<Line>& line);
+  bool takeFrames(const std::shared_ptr<Line>& line);
+  void adopt(const std::shared_ptr<Line>& line, const Address& other);
   void write(const std::shared_ptr<Line>& line);
   void drop(const std::shared_ptr<Line>& line);
 
   boost::asio::io_context& context_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  Address self_;
-  DaemonId id_;
+  Millis termMs_;
   Receive receive_;
   std::function<void(std::string)> alarm_;
+  std::vector<std::unique_ptr<Door>> doors_;
   std::map<Address, std::shared_ptr<Line>> lines_;
   std::set<std::shared_ptr<Line>> all_;
+  std::vector<std::shared_ptr<Line>> unflushed_;
   std::map<Address, std::chrono::steady_clock::time_point> denied_;
   WireCounts counts_;
   bool closed_ = false;
