--- a/src/bearing/ledger.cpp
+++ b/src/bearing/ledger.cpp
@@ -15,7 +15,10 @@
   std::mutex guard;
   std::deque<std::string> lines;
   std::size_t unwritten = 0;
-  log4cxx::LoggerPtr logger;
+  std::string who;
+  bool open = false;
+  bool wanted = false;  // something went wrong
+  log4cxx::LoggerPtr logger;  // made when first written to, since most processes never do
 };
 
 Ledger& ledger() {
@@ -34,16 +37,31 @@
   book.unwritten = std::min(book.unwritten + 1, book.lines.size());
 }
 
+void makeLogger(Ledger& book) {
+  auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d ") + log4cxx::LogString(book.who.begin(), book.who.end()) + LOG4CXX_STR(" %m%n"));
+  auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+  book.logger = log4cxx::Logger::getRootLogger();
+  book.logger->removeAllAppenders();
+  book.logger->addAppender(appender);
+}
+
+void writeOut(Ledger& book) {
+  if (!book.open || !book.wanted) return;
+  if (!book.logger) makeLogger(book);
+  for (auto at = book.lines.end() - static_cast<std::ptrdiff_t>(book.unwritten); at != book.lines.end(); ++at)
+    LOG4CXX_WARN(book.logger, *at);
+  book.unwritten = 0;
+  book.wanted = false;
+}
+
 }  // namespace
 
 void openLedger(const std::string& who) {
   auto& book = ledger();
   std::lock_guard lock(book.guard);
-  auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d ") + log4cxx::LogString(who.begin(), who.end()) + LOG4CXX_STR(" %m%n"));
-  auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
-  book.logger = log4cxx::Logger::getRootLogger();
-  book.logger->removeAllAppenders();
-  book.logger->addAppender(appender);
+  book.who = who;
+  book.open = true;
+  writeOut(book);
 }
 
 void note(std::string text) {
@@ -56,10 +74,8 @@
   auto& book = ledger();
   std::lock_guard lock(book.guard);
   keep(book, stamped("ALARM " + text));
-  if (!book.logger) return;
-  for (auto at = book.lines.end() - static_cast<std::ptrdiff_t>(book.unwritten); at != book.lines.end(); ++at)
-    LOG4CXX_WARN(book.logger, *at);
-  book.unwritten = 0;
+  book.wanted = true;
+  writeOut(book);
 }
 
 std::vector<std::string> ledgerLines() {
--- a/src/roles/daemon.cpp
+++ b/src/roles/daemon.cpp
@@ -353,7 +353,7 @@
     maxBodyBytes = std::max(maxBodyBytes, env.maxBodyBytes);
     const std::string incarnation = freshName();
     one.id = DaemonId(std::string(roleName(env.role)) + "-" + (env.name.empty() ? "" : env.name + "-") + incarnation);
-    if (env.role == Role::quay) {
+    if (env.role == Role::quay && !env.dataFolder.empty()) {
       keeps = true;
       if (auto failed = hold::openDisk(one.disk, env.dataFolder, one.id)) {
         std::cerr << env.dataFolder << ": " << failed.message() << ": " << one.disk.detail << "; empty the folder to rejoin as a new quay"
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -4,7 +4,7 @@
   g++ cmake ninja-build pkg-config ccache
   libboost-dev libboost-system-dev
   libtclap-dev liblog4cxx-dev libcpputest-dev libabsl-dev
-  libmsgpack-cxx-dev libjansson-dev libsqlite3-dev
+  libmsgpack-cxx-dev libjansson-dev libsqlite3-dev libtomlplusplus-dev
 )
 missing=()
 for name in "${packages[@]}"; do
