--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -113,6 +113,7 @@
   host.up = true;
   ++host.lives;
   host.frozenUntilUs = 0;
+  host.wakeUs = -1;
   host.unsynced.clear();
   host.syncing = false;
   const auto incarnation = "i" + std::to_string(++names_);
@@ -180,10 +181,24 @@
 
 void Sim::tick(Host& host, int life) {
   if (!host.up || host.lives != life) return;
+  host.wakeUs = -1;
   if (now_ >= host.frozenUntilUs) give(host, Tick{});
   after(plan.tickUs, [this, &host, life] { tick(host, life); });
 }
 
+void Sim::wake(Host& host, Millis steadyMs) {
+  const auto whenUs = static_cast<Micros>((static_cast<double>(steadyMs) * 1000.0 - static_cast<double>(host.clockOffsetUs)) / host.clockRate) + 1;
+  const auto wakeUs = std::max(now_ + 100, whenUs);
+  if (host.wakeUs >= 0 && host.wakeUs <= wakeUs) return;
+  host.wakeUs = wakeUs;
+  const int life = host.lives;
+  at(wakeUs, [this, &host, life, wakeUs] {
+    if (!host.up || host.lives != life || host.wakeUs != wakeUs) return;
+    host.wakeUs = -1;
+    if (now_ >= host.frozenUntilUs) give(host, Tick{});
+  });
+}
+
 void Sim::give(Host& host, Event event) {
   if (!host.up) return;
   if (now_ < host.frozenUntilUs) {
@@ -218,6 +233,7 @@
     mark(text);
     if (onAlarm) onAlarm(host, text);
   }
+  if (out.wakeMs >= 0) wake(host, out.wakeMs);
   for (auto& persist : out.persists) host.unsynced.push_back(std::move(persist));
   if (!host.unsynced.empty()) sync(host);
   for (const auto& send : out.sends) carry(host, send);
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -68,6 +68,7 @@
   Micros clockOffsetUs = 0;
   double clockRate = 1.0;
   Millis wallOffsetMs = 0;
+  Micros wakeUs = -1;  // when it wants its next tick; -1: with the others
   std::optional<roles::Node> node;
   hold::Image disk;
   bool diskFails = false;
@@ -167,6 +168,7 @@
   void settle(Host& host, signal::Outbox&& out);
   void carry(Host& from, const signal::Send& send);
   void tick(Host& host, int life);
+  void wake(Host& host, Millis steadyMs);
   void sync(Host& host);
   void reply(Host& host, std::uint64_t transaction, Reply reply);
   void workerTick(Hand& hand, int life);
--- a/src/roles/drydock.cpp
+++ b/src/roles/drydock.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 std::vector<drydock::LineLoad> loadFrom(const std::string& name) {
-  if (name == "leatherwood" || name == "kerala" || name == "heavy") return drydock::builtInLoad(name);
+  const auto& names = drydock::loadNames();
+  if (std::find(names.begin(), names.end(), name) != names.end()) return drydock::builtInLoad(name);
   std::ifstream in(name);
   std::stringstream text;
   text << in.rdbuf();
@@ -140,7 +141,7 @@
 int runDrydock(int argc, char** argv) {
   try {
     TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala, heavy, or a scenario file", false, "leatherwood", "NAME", line);
+    TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala or heavy, either of the first two with -steps or -grown, or a scenario file", false, "leatherwood", "NAME", line);
     TCLAP::ValueArg<std::string> fault("", "faults", "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false, "", "NAMES", line);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
     TCLAP::ValueArg<std::uint64_t> count("", "days", "how many seeds", false, 1, "N", line);
@@ -208,6 +209,7 @@
       drydock::DayPlan plan;
       plan.seed = seed.getValue() + i;
       plan.load = loadFrom(load.getValue());
+      plan.fleet = drydock::fleetOf(load.getValue());
       plan.seconds = seconds.getValue();
       plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
--- a/src/roles/stevedore.cpp
+++ b/src/roles/stevedore.cpp
@@ -36,30 +36,44 @@
     worker.journal.clear();
   }
 
+  // A process can't see the other members of a gang: each works and ends by itself.
+  bool gangsByThemselves() {
+    std::vector<std::string> done;
+    for (const auto& [run, going] : worker.going) {
+      if (going.gang.empty() || going.stopping) continue;
+      if (going.waits) gangWhole(worker, run, 1.0, steadyMs());
+      else if (going.workDone && !going.fails) done.push_back(run);
+    }
+    for (const auto& run : done) gangDone(worker, run, steadyMs());
+    return !done.empty();
+  }
+
   void call() {
     calling = true;
     gangway::CallOut out;
     out.to = tender;
     out.method = "POST";
     out.target = "/worker/report";
-    out.body = nextReport(worker);
-    out.cutoffMs = 2000;
     const auto sentMs = steadyMs();
+    out.body = nextReport(worker, sentMs);
+    out.cutoffMs = 2000;
     gangway::callHttp(context, std::move(out), [this, sentMs, number = worker.report](gangway::CallReply reply) {
       if (number != worker.report) return;
       workerTick(worker, steadyMs());
       if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
       writeJournal();
       calling = false;
-      if (reply.status == 200) call();
-      else callAgainMs = steadyMs() + 50;
+      if (reply.status != 200) callAgainMs = steadyMs() + 50;
+      else if (steadyMs() >= worker.callAtMs) call();
+      else callAgainMs = worker.callAtMs;
     });
   }
 
   void beat() {
     pulse.expires_after(std::chrono::milliseconds(5));
     pulse.async_wait([this](boost::system::error_code) {
-      const bool news = workerTick(worker, steadyMs());
+      bool news = workerTick(worker, steadyMs());
+      news = gangsByThemselves() || news;
       writeJournal();
       if ((!calling && steadyMs() >= callAgainMs) || news) call();
       if (worker.leaving && ((leaveWhenIdle && worker.going.empty() && worker.ended.empty()) || steadyMs() >= leaveByMs)) return context.stop();
@@ -78,6 +92,8 @@
     TCLAP::ValueArg<std::string> worker("", "worker", "this worker's name", true, "", "NAME", line);
     TCLAP::ValueArg<std::string> pool("", "pool", "the pool it belongs to", false, "side", "NAME", line);
     TCLAP::ValueArg<int> slots("", "slots", "how many slots it has", false, 8, "N", line);
+    TCLAP::MultiArg<std::string> room("", "room", "further room it has", false, "KIND=AMOUNT", line);
+    TCLAP::MultiArg<std::string> label("", "label", "a label, such as rack or kind", false, "NAME=VALUE", line);
     TCLAP::ValueArg<double> slow("", "slow", "how many times longer its runs take", false, 1.0, "FACTOR", line);
     TCLAP::ValueArg<int> failEvery("", "fail-every", "every Nth run fails", false, 0, "N", line);
     TCLAP::ValueArg<std::string> journal("", "journal", "file for its own history of starts and ends", false, "", "FILE", line);
@@ -89,7 +105,24 @@
       return rowOf(Kind::badEnv).exitCode;
     }
     side.tender = Address(tender.getValue());
-    side.worker.traits = {worker.getValue(), pool.getValue(), slots.getValue(), {}, {}, !stays.getValue(), slow.getValue(), failEvery.getValue(), 20};
+    auto& traits = side.worker.traits;
+    traits.name = worker.getValue();
+    traits.pool = pool.getValue();
+    traits.slots = slots.getValue();
+    traits.selfStop = !stays.getValue();
+    traits.slowFactor = slow.getValue();
+    traits.failEvery = failEvery.getValue();
+    for (const auto& text : label.getValue()) {
+      const auto equals = text.find('=');
+      if (equals == 0 || equals == std::string::npos) throw TCLAP::ArgException("allowed is NAME=VALUE", "label");
+      traits.labels[text.substr(0, equals)] = text.substr(equals + 1);
+    }
+    for (const auto& text : room.getValue()) {
+      const auto equals = text.find('=');
+      const auto amount = equals == std::string::npos ? 0 : std::atoll(text.c_str() + equals + 1);
+      if (equals == 0 || amount < 1) throw TCLAP::ArgException("allowed is KIND=AMOUNT, an amount of 1 or more", "room");
+      traits.room[text.substr(0, equals)] = amount;
+    }
     side.worker.incarnation = freshName();
     if (!journal.getValue().empty()) side.journal.open(journal.getValue(), std::ios::app);
   } catch (const TCLAP::ArgException& failed) {
@@ -102,6 +135,7 @@
     side.worker.leaving = true;
     side.leaveWhenIdle = true;
     side.leaveByMs = steadyMs() + 3000;
+    side.worker.leavesAtMs = side.leaveByMs;
   });
   side.beat();
   side.call();
