--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -104,11 +104,11 @@
   if (job.mustBeDenied) fault("denied", id + " was accepted though it can never be served");
 }
 
-void Judge::denied(const std::string& id, int status) {
+void Judge::denied(const std::string& id, int status, const std::string& answer) {
   auto& job = jobs.at(id);
   ++checks;
   job.denied = true;
-  if (!job.mustBeDenied) fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it");
+  if (!job.mustBeDenied) fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it " + answer);
   if (job.acceptedMs >= 0) fault("denied", id + " was denied after it had been accepted");
 }
 
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -71,7 +71,7 @@
   JobTruth& submitted(const std::string& id);
   JobTruth& submitted(const JobSketch& sketch);
   void accepted(const std::string& id);
-  void denied(const std::string& id, int status);
+  void denied(const std::string& id, int status, const std::string& answer = {});
   void turnedAway(const std::string& id);
   void cancelled(const std::string& id);
   void shown(const std::string& id, int status, const json_t* view, Millis askedMs = -1);
--- a/src/drydock/world.cpp
+++ b/src/drydock/world.cpp
@@ -98,7 +98,7 @@
       judge.shown(id, 200, view.get(), askedMs);
       return;
     }
-    if (!reply.lost && reply.status < 500) return judge.denied(id, reply.status);
+    if (!reply.lost && reply.status < 500) return judge.denied(id, reply.status, reply.body);
     sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000 + sim.below(50000), [this, id, body] { submit(id, body); });
   });
 }
@@ -280,6 +280,7 @@
       return;
     }
     if (!reply.lost && reply.status >= 400 && reply.status < 500) {
+      if (name == "t-base") judge.broken.push_back({sim.nowMs(), "chart", "the day's first configuration is denied: " + reply.body});
       judge.chartDenied(mark);
       if (done) done(false);
       return;
