--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -9,6 +9,7 @@
   return "r" + cellOf(fleet, worker) + "-" + std::to_string(worker / fleet.cells / fleet.rackSize + 1);
 }
 std::string kindOf(const FleetPlan& fleet, int worker) { return "kind-" + std::to_string(worker % fleet.kinds + 1); }
+std::string poolOf(const FleetPlan& fleet, int worker) { return fleet.sizedPool && fleet.kinds > 0 ? kindOf(fleet, worker) : "side"; }
 
 Sim::Sim(std::uint64_t seed, FleetPlan given) : plan(std::move(given)), seed_(seed), random_(seed) {
   for (int i = 0; i < 3; ++i) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
@@ -22,7 +23,7 @@
     auto& hand = *hands_.back();
     hand.tender = &tender;
     hand.worker.traits.name = "worker-" + number;
-    hand.worker.traits.pool = "side";
+    hand.worker.traits.pool = poolOf(plan, i);
     hand.worker.traits.slots = plan.slots;
     hand.worker.traits.selfStop = plan.selfStop;
     hand.worker.traits.room = plan.room;
--- a/src/drydock/sim.hpp
+++ b/src/drydock/sim.hpp
@@ -47,6 +47,7 @@
 std::string cellOf(const FleetPlan& fleet, int worker);
 std::string rackOf(const FleetPlan& fleet, int worker);
 std::string kindOf(const FleetPlan& fleet, int worker);
+std::string poolOf(const FleetPlan& fleet, int worker);  // by kind where pools are sized, as a pool has the labels of all its workers
 
 constexpr Millis kWallEpochMs = 1700000000000;
 
--- a/src/drydock/world.cpp
+++ b/src/drydock/world.cpp
@@ -17,9 +17,15 @@
   return false;
 }
 
+std::set<std::string> poolsOf(const FleetPlan& fleet) {
+  std::set<std::string> names;
+  for (int i = 0; i < fleet.workers; ++i) names.insert(poolOf(fleet, i));
+  return names;
+}
+
 std::string stepChart(const DayPlan& plan) {
   Json chart(json_object());
-  json_t *lines = json_object(), *pool = json_object(), *cells = json_object();
+  json_t *lines = json_object(), *pools = json_object(), *cells = json_object();
   json_object_set_new(lines, "probe", parseJson(R"({"rank":20})").release());
   for (const auto& line : plan.load) {
     Json made = parseJson(R"({"backoffMs":100})");
@@ -30,17 +36,23 @@
     json_object_set_new(lines, line.line.c_str(), made.release());
   }
   const auto& fleet = plan.fleet;
-  json_object_set_new(pool, "slots", json_integer(fleet.sizedPool ? fleet.slots : 0));
-  json_object_set_new(pool, "workers", json_integer(fleet.workers));
-  json_object_set_new(pool, "selfStop", json_boolean(fleet.selfStop));
-  if (fleet.sizedPool) {
-    json_t* room = json_object();
-    for (const auto& [kind, amount] : fleet.room) json_object_set_new(room, kind.c_str(), json_integer(amount));
-    json_object_set_new(pool, "room", room);
+  for (const auto& name : poolsOf(fleet)) {
+    json_t* pool = json_object();
+    int workers = 0;
+    for (int i = 0; i < fleet.workers; ++i) workers += poolOf(fleet, i) == name;
+    json_object_set_new(pool, "slots", json_integer(fleet.sizedPool ? fleet.slots : 0));
+    json_object_set_new(pool, "workers", json_integer(workers));
+    json_object_set_new(pool, "selfStop", json_boolean(fleet.selfStop));
+    if (fleet.sizedPool) {
+      json_t *room = json_object(), *labels = json_object();
+      for (const auto& [kind, amount] : fleet.room) json_object_set_new(room, kind.c_str(), json_integer(amount));
+      json_object_set_new(labels, "kind", jsonText(name));
+      json_object_set_new(pool, "room", room);
+      json_object_set_new(pool, "labels", labels);
+    }
+    json_object_set_new(pools, name.c_str(), pool);
   }
   for (int i = 0; i < fleet.cells; ++i) json_object_set_new(cells, cellOf(fleet, i).c_str(), parseJson(R"({"emptied":false})").release());
-  json_t* pools = json_object();
-  json_object_set_new(pools, "side", pool);
   json_object_set_new(chart.get(), "pendings", lines);
   json_object_set_new(chart.get(), "pools", pools);
   json_object_set_new(chart.get(), "cells", cells);
