--- a/src/manifest/succession.cpp
+++ b/src/manifest/succession.cpp
@@ -154,7 +154,7 @@
   std::map<std::string, std::shared_ptr<const Spec>> specs;
   for (auto at = pilot.current.lower_bound("~"); at != pilot.current.end() && at->first.front() == '~'; ++at) {
     Spec spec;
-    if (unpackSpec(at->second.value, spec)) specs[spec.id.value] = std::make_shared<const Spec>(std::move(spec));
+    if (unpackSpec(at->second.value, spec)) specs[at->first.substr(1)] = std::make_shared<const Spec>(std::move(spec));
     else if (!at->second.value.empty()) out.alarms.push_back("a stored job's spec does not read: " + at->first);
   }
   for (const auto& [key, entry] : pilot.current) {
--- a/src/roles/roadstead.cpp
+++ b/src/roles/roadstead.cpp
@@ -50,7 +50,7 @@
   const pid_t pid = fork();
   if (pid != 0) return pid;
   prctl(PR_SET_PDEATHSIG, SIGTERM);
-  signal(SIGPIPE, SIG_DFL);
+  ::signal(SIGPIPE, SIG_DFL);
   const auto log = (folder / (hand.name + ".log")).string();
   if (!freopen(log.c_str(), "a", stderr) || !freopen("/dev/null", "r", stdin)) _exit(127);
   std::vector<char*> args;
@@ -150,7 +150,7 @@
   action.sa_handler = onStop;
   sigaction(SIGTERM, &action, nullptr);
   sigaction(SIGINT, &action, nullptr);
-  signal(SIGPIPE, SIG_IGN);
+  ::signal(SIGPIPE, SIG_IGN);
   for (auto& hand : hands) hand.pid = start(hand, folder);
   writeFleet(folder, hands);
   std::cout << "fleet of " << hands.size() << " processes; ask any of";
--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -21,7 +21,7 @@
   DaemonId fromId;
   Address from;
   Message message;
-  Address to;
+  Address to = {};
 };
 
 struct Ask {
@@ -113,7 +113,7 @@
   Millis retryMs = 0;
   std::string body;
   Kind kind = Kind::ok;
-  Brief brief;  // the same in plain values, for callers through a dialect
+  Brief brief = {};  // the same in plain values, for callers through a dialect
 };
 
 struct Proxy {
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -231,7 +231,7 @@
   RunState state = RunState::ordered;
   RunOutcome outcome = RunOutcome::none;
   std::string detail;
-  std::string saved;
+  std::string saved = {};
   std::int64_t percent = 0;
   MSGPACK_DEFINE(id, state, outcome, detail, saved, percent)
 };
@@ -265,7 +265,7 @@
   bool stop = false;
   std::string spec;
   std::string workerIncarnation;
-  std::string saved;
+  std::string saved = {};
   bool whole = false;  // spec and saved are given; not so once the tender lists the run
   MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved, whole)
 };
--- a/tests/tender_test.cpp
+++ b/tests/tender_test.cpp
@@ -55,7 +55,7 @@
     return out;
   }
 
-  WantedRun go(const char* run, const char* life = "w1") { return {RunId(run), false, "{}", life}; }
+  WantedRun go(const char* run, const char* life = "w1") { return {RunId(run), false, "{}", life, {}, true}; }
 
   static std::size_t started(const Outbox& out) {
     std::size_t count = 0;
