--- a/src/roles/daemon.cpp
+++ b/src/roles/daemon.cpp
@@ -12,6 +12,7 @@
 #include "bearing/ring.hpp"
 #include "gangway/http.hpp"
 #include "hold/disk.hpp"
+#include "roles/dialects.hpp"
 #include "roles/node.hpp"
 #include "signal/wire.hpp"
 
