--- a/src/bearing/json.hpp
+++ b/src/bearing/json.hpp
@@ -29,6 +29,18 @@
   return made ? made : json_string("(not utf-8)");
 }
 
+// Appends the text as JSON, for what is written too often to be built as a tree; the text is UTF-8.
+inline void appendJsonText(std::string& into, std::string_view text) {
+  constexpr const char* kHex = "0123456789abcdef";
+  into.push_back('"');
+  for (const unsigned char c : text) {
+    if (c == '"' || c == '\\') into.push_back('\\');
+    if (c >= 0x20) into.push_back(static_cast<char>(c));
+    else into.append("\\u00").append(1, kHex[c >> 4]).append(1, kHex[c & 15]);
+  }
+  into.push_back('"');
+}
+
 inline std::string textAt(const json_t* object, const char* key, std::string_view fallback = {}) {
   const json_t* found = json_object_get(object, key);
   return json_is_string(found) ? std::string(json_string_value(found), json_string_length(found)) : std::string(fallback);
--- a/platform/routes.cpp
+++ b/src/gangway/routes.cpp
@@ -1,8 +1,9 @@
-#include "platform/routes.hpp"
+#include "gangway/routes.hpp"
 
 #include <algorithm>
+#include <cctype>
 
-namespace tulip::platform {
+namespace tulip::gangway {
 namespace {
 
 bool leads(const chart::Pending& line, std::string_view host, std::string_view path) {
@@ -12,8 +13,7 @@
 }  // namespace
 
 std::string plainHost(std::string_view host) {
-  const auto colon = host.rfind(':');
-  std::string plain(host.substr(0, colon));
+  std::string plain(host.substr(0, host.rfind(':')));
   std::ranges::transform(plain, plain.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
   return plain;
 }
@@ -47,4 +47,4 @@
   return longest;
 }
 
-}  // namespace tulip::platform
+}  // namespace tulip::gangway
--- a/platform/routes.hpp
+++ b/src/gangway/routes.hpp
@@ -7,7 +7,7 @@
 
 #include "chart/chart.hpp"
 
-namespace tulip::platform {
+namespace tulip::gangway {
 
 // The pending line that a host and a path lead to: the longest prefix goes first. Read again whenever the chart is another one.
 class Routes {
@@ -28,4 +28,4 @@
 
 std::string plainHost(std::string_view host);  // without its port, in small letters
 
-}  // namespace tulip::platform
+}  // namespace tulip::gangway
