--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -1,76 +1,285 @@
 #include "chart/chart.hpp"
 
-#include <functional>
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <array>
+#include <span>
+#include <utility>
 
 namespace tulip::chart {
 namespace {
 
-struct Reader {
-  std::vector<Fault>& faults;
+constexpr std::size_t kMostNames = 10000;
+
+class Reader {
+ public:
+  explicit Reader(std::vector<Fault>& faults) : faults_(faults) {}
 
-  void fault(const std::string& path, std::string allowed) { faults.push_back({path, std::move(allowed)}); }
+  void fault(std::string allowed) {
+    std::string path;
+    for (const auto step : steps_) path.append("/").append(step);
+    faults_.push_back({path.empty() ? "/" : path, std::move(allowed)});
+  }
 
-  void number(const json_t* value, const std::string& path, std::int64_t low, std::int64_t high, std::int64_t& into) {
-    if (json_is_integer(value) && json_integer_value(value) >= low && json_integer_value(value) <= high)
-      into = json_integer_value(value);
-    else
-      fault(path, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+  template <class Act> void within(std::string_view step, Act act) {
+    steps_.push_back(step);
+    act();
+    steps_.pop_back();
   }
 
-  void flag(const json_t* value, const std::string& path, bool& into) {
+  void number(const json_t* value, std::int64_t low, std::int64_t high, std::int64_t& into) {
+    if (json_is_integer(value) && json_integer_value(value) >= low && json_integer_value(value) <= high) into = json_integer_value(value);
+    else fault("a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+  }
+
+  void flag(const json_t* value, bool& into) {
     if (json_is_boolean(value)) into = json_is_true(value);
-    else fault(path, "true or false");
+    else fault("true or false");
   }
 
-  void texts(const json_t* value, const std::string& path, std::map<std::string, std::string>& into) {
-    if (!json_is_object(value)) return fault(path, "an object of texts");
-    const char* key;
-    json_t* item;
-    json_object_foreach(const_cast<json_t*>(value), key, item) {
-      if (json_is_string(item)) into[key] = json_string_value(item);
-      else fault(path + "/" + key, "a text");
-    }
+  void text(const json_t* value, std::size_t most, std::string& into) {
+    if (json_is_string(value) && json_string_length(value) <= most) into.assign(json_string_value(value), json_string_length(value));
+    else fault("a text of at most " + std::to_string(most) + " bytes");
   }
 
-  void numbers(const json_t* value, const std::string& path, std::map<std::string, std::int64_t>& into) {
-    if (!json_is_object(value)) return fault(path, "an object of whole numbers");
-    const char* key;
-    json_t* item;
-    json_object_foreach(const_cast<json_t*>(value), key, item) number(item, path + "/" + key, 0, 1LL << 50, into[key]);
+  void opaque(const json_t* value) {
+    if (!json_is_object(value)) fault("an object");
   }
 
-  using Field = std::function<void(const json_t*, const std::string&)>;
-  void object(const json_t* value, const std::string& path, const std::map<std::string, Field>& fields) {
-    if (!json_is_object(value)) return fault(path.empty() ? "/" : path, "an object");
+  template <class Act> void each(const json_t* value, const char* allowed, Act act) {
+    if (!json_is_object(value)) return fault(allowed);
     const char* key;
     json_t* item;
-    json_object_foreach(const_cast<json_t*>(value), key, item) {
-      const auto field = fields.find(key);
-      if (field != fields.end()) {
-        field->second(item, path + "/" + key);
-        continue;
-      }
+    json_object_foreach(const_cast<json_t*>(value), key, item) within(key, [&] { act(key, item); });
+  }
+
+  template <class Into> struct Field {
+    std::string_view key;
+    void (*read)(Reader&, const json_t*, Into&);
+  };
+
+  template <class Into, std::size_t Count> void object(const json_t* value, const std::array<Field<Into>, Count>& fields, Into& into) {
+    each(value, "an object", [&](std::string_view key, const json_t* item) {
+      for (const auto& field : fields)
+        if (field.key == key) return field.read(*this, item, into);
       std::string known;
-      for (const auto& [name, ignored] : fields) known += (known.empty() ? "" : ", ") + name;
-      fault(path + "/" + key, "one of: " + known);
-    }
+      for (const auto& field : fields) known.append(known.empty() ? "" : ", ").append(field.key);
+      fault("one of: " + known);
+    });
   }
 
-  void named(const json_t* value, const std::string& path, const Field& each) {
-    if (!json_is_object(value)) return fault(path, "an object keyed by name");
-    if (json_object_size(value) > 1000) return fault(path, "at most 1000 names");
-    const char* key;
-    json_t* item;
-    json_object_foreach(const_cast<json_t*>(value), key, item) {
-      const std::string_view name = key;
+  template <class Act> void named(const json_t* value, Act act) {
+    if (json_object_size(value) > kMostNames) return fault("at most " + std::to_string(kMostNames) + " names");
+    each(value, "an object keyed by name", [&](std::string_view name, const json_t* item) {
       bool plain = !name.empty() && name.size() <= 64;
       for (char c : name) plain = plain && (isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.');
-      if (!plain) fault(path + "/" + key, "a name of 1 to 64 letters, digits, '-', '_' or '.'");
-      else each(item, key);
-    }
+      if (!plain) fault("a name of 1 to 64 letters, digits, '-', '_' or '.'");
+      else act(name, item);
+    });
+  }
+
+ private:
+  std::vector<Fault>& faults_;
+  std::vector<std::string_view> steps_;
+};
+
+template <class Into> using Fields = Reader::Field<Into>;
+
+template <auto Member, std::int64_t Low, std::int64_t High, class Into> void readNumber(Reader& reader, const json_t* value, Into& into) {
+  std::int64_t number = static_cast<std::int64_t>(into.*Member);
+  reader.number(value, Low, High, number);
+  into.*Member = static_cast<std::remove_reference_t<decltype(into.*Member)>>(number);
+}
+
+template <auto Member, class Into> void readFlag(Reader& reader, const json_t* value, Into& into) { reader.flag(value, into.*Member); }
+
+template <class Into> void readOpaque(Reader& reader, const json_t* value, Into&) { reader.opaque(value); }
+
+template <class Into> void readPlace(Reader& reader, const json_t* value, Into&) {
+  std::int64_t place = 0;
+  reader.number(value, -(1LL << 50), 1LL << 50, place);
+}
+
+constexpr std::array pendingFields{
+    Fields<Pending>{"rank", readNumber<&Pending::rank, -1000, 1000, Pending>},
+    Fields<Pending>{"failureLimit", readNumber<&Pending::failureLimit, 1, 1000, Pending>},
+    Fields<Pending>{"backoffMs", readNumber<&Pending::backoffMs, 0, 3600000, Pending>},
+    Fields<Pending>{"quotaSlots", readNumber<&Pending::quotaSlots, 0, 1000000, Pending>},
+    Fields<Pending>{"mostJobs", readNumber<&Pending::mostJobs, 1, 1000000, Pending>},
+    Fields<Pending>{"host", [](Reader& reader, const json_t* value, Pending& into) { reader.text(value, 256, into.host); }},
+    Fields<Pending>{"prefix", [](Reader& reader, const json_t* value, Pending& into) { reader.text(value, 4096, into.prefix); }},
+    Fields<Pending>{"pool", [](Reader& reader, const json_t* value, Pending& into) { reader.text(value, 64, into.pool.value); }},
+    Fields<Pending>{"aimMs", readNumber<&Pending::aimMs, 0, 1LL << 50, Pending>},
+    Fields<Pending>{"stretch",
+                    [](Reader& reader, const json_t* value, Pending& into) {
+                      if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e9)
+                        into.stretch = json_number_value(value);
+                      else reader.fault("a number from 0 to 1000000000");
+                    }},
+    Fields<Pending>{"place", readPlace<Pending>},
+    Fields<Pending>{"asSent", readOpaque<Pending>},
+};
+
+constexpr std::array poolFields{
+    Fields<Pool>{"labels",
+                 [](Reader& reader, const json_t* value, Pool& into) {
+                   reader.each(value, "an object of texts", [&](const char* key, const json_t* item) {
+                     if (json_is_string(item)) into.labels[key] = json_string_value(item);
+                     else reader.fault("a text");
+                   });
+                 }},
+    Fields<Pool>{"slots", readNumber<&Pool::slots, 0, 100000, Pool>},
+    Fields<Pool>{"workers", readNumber<&Pool::workers, 1, 100000, Pool>},
+    Fields<Pool>{"room",
+                 [](Reader& reader, const json_t* value, Pool& into) {
+                   reader.each(value, "an object of whole numbers", [&](const char* key, const json_t* item) { reader.number(item, 0, 1LL << 50, into.room[key]); });
+                 }},
+    Fields<Pool>{"lostAfterTerms", readNumber<&Pool::lostAfterTerms, 1, 1000, Pool>},
+    Fields<Pool>{"selfStop", readFlag<&Pool::selfStop, Pool>},
+    Fields<Pool>{"guards", readFlag<&Pool::guards, Pool>},
+    Fields<Pool>{"place", readPlace<Pool>},
+    Fields<Pool>{"asSent", readOpaque<Pool>},
+};
+
+struct CellEntry {
+  bool emptied = false;
+};
+constexpr std::array cellFields{Fields<CellEntry>{"emptied", readFlag<&CellEntry::emptied, CellEntry>}};
+
+struct WorkerEntry {
+  bool drained = false, gone = false;
+};
+constexpr std::array workerFields{Fields<WorkerEntry>{"drained", readFlag<&WorkerEntry::drained, WorkerEntry>},
+                                  Fields<WorkerEntry>{"gone", readFlag<&WorkerEntry::gone, WorkerEntry>}};
+
+constexpr std::array gangwayFields{
+    Fields<Gangway>{"maxBodyBytes", readNumber<&Gangway::maxBodyBytes, 1024, 1 << 24, Gangway>},
+    Fields<Gangway>{"mostTasks", readNumber<&Gangway::mostTasks, 1, 10000, Gangway>},
+    Fields<Gangway>{"mostOpenJobs", readNumber<&Gangway::mostOpenJobs, 1, 1000000, Gangway>},
+};
+
+constexpr std::array keepFields{
+    Fields<Keep>{"finishedMs", readNumber<&Keep::finishedMs, 60000, 366LL * 86400000, Keep>},
+    Fields<Keep>{"finishedMost", readNumber<&Keep::finishedMost, 100, 10000000, Keep>},
+};
+
+void readRule(Reader& reader, const json_t* value, Admission& into) {
+  const std::string_view text = json_is_string(value) ? json_string_value(value) : "";
+  if (text == "las") into.rule = Rule::las;
+  else if (text == "gittins") into.rule = Rule::gittins;
+  else if (text == "fifo") into.rule = Rule::fifo;
+  else reader.fault("\"las\", \"gittins\" or \"fifo\"");
+}
+
+void readLayout(Reader& reader, const json_t* value, Admission& into) {
+  const std::string_view text = json_is_string(value) ? json_string_value(value) : "";
+  if (text == "pack") into.layout = Layout::pack;
+  else if (text == "spread") into.layout = Layout::spread;
+  else reader.fault("\"pack\" or \"spread\"");
+}
+
+void readThresholds(Reader& reader, const json_t* value, Admission& into) {
+  into.thresholdsMs.clear();
+  if (!json_is_array(value) || json_array_size(value) > 15) return reader.fault("a rising list of at most 15 slot milliseconds");
+  for (std::size_t i = 0; i < json_array_size(value); ++i) {
+    const auto place = std::to_string(i);
+    reader.within(place, [&] {
+      Millis threshold = 0;
+      reader.number(json_array_get(value, i), 1, 1LL << 50, threshold);
+      if (!into.thresholdsMs.empty() && threshold <= into.thresholdsMs.back()) reader.fault("more than the threshold before it");
+      into.thresholdsMs.push_back(threshold);
+    });
   }
+}
+
+void readKnob(Reader& reader, const json_t* value, Admission& into) {
+  if (json_is_null(value) || (json_is_string(value) && std::string_view(json_string_value(value)) == "infinity")) into.promoteKnob.reset();
+  else if (json_is_number(value) && json_number_value(value) > 0 && json_number_value(value) <= 1e9) into.promoteKnob = json_number_value(value);
+  else reader.fault("a number above 0, or \"infinity\"");
+}
+
+constexpr std::array admissionFields{
+    Fields<Admission>{"rule", readRule},
+    Fields<Admission>{"lanes", readNumber<&Admission::lanes, 1, 16, Admission>},
+    Fields<Admission>{"thresholdsMs", readThresholds},
+    Fields<Admission>{"promoteKnob", readKnob},
+    Fields<Admission>{"reserveAfterMs", readNumber<&Admission::reserveAfterMs, 100, 86400000, Admission>},
+    Fields<Admission>{"layout", readLayout},
+    Fields<Admission>{"epochMs", readNumber<&Admission::epochMs, 5, 1000, Admission>},
+    Fields<Admission>{"mostPushes", readNumber<&Admission::mostPushes, 0, 1000000, Admission>},
+    Fields<Admission>{"gangStartMs", readNumber<&Admission::gangStartMs, 100, 600000, Admission>},
 };
 
+void readPendings(Reader& reader, const json_t* value, Chart& chart) {
+  reader.named(value, [&](std::string_view name, const json_t* item) {
+    Pending made;
+    made.name = PendingName(name);
+    reader.object(item, pendingFields, made);
+    chart.pendings.insert_or_assign(std::string(name), std::move(made));
+  });
+}
+
+void readPools(Reader& reader, const json_t* value, Chart& chart) {
+  reader.named(value, [&](std::string_view name, const json_t* item) {
+    Pool made;
+    made.name = PoolName(name);
+    reader.object(item, poolFields, made);
+    chart.pools.insert_or_assign(std::string(name), std::move(made));
+  });
+}
+
+void readCells(Reader& reader, const json_t* value, Chart& chart) {
+  reader.named(value, [&](std::string_view name, const json_t* item) {
+    CellEntry cell;
+    reader.object(item, cellFields, cell);
+    chart.emptied[std::string(name)] = cell.emptied;
+  });
+}
+
+void readWorkers(Reader& reader, const json_t* value, Chart& chart) {
+  reader.named(value, [&](std::string_view name, const json_t* item) {
+    WorkerEntry worker;
+    reader.object(item, workerFields, worker);
+    chart.drained[std::string(name)] = worker.drained || worker.gone;
+    chart.gone[std::string(name)] = worker.gone;
+  });
+}
+
+void readAdmission(Reader& reader, const json_t* value, Chart& chart) {
+  auto& rules = chart.admission;
+  reader.object(value, admissionFields, rules);
+  if (!json_object_get(value, "thresholdsMs")) {
+    rules.thresholdsMs.clear();
+    for (std::int64_t i = 1; i < rules.lanes; ++i) rules.thresholdsMs.push_back(3600000 * (1LL << (2 * (i - 1))));
+  }
+  if (static_cast<std::int64_t>(rules.thresholdsMs.size()) != rules.lanes - 1)
+    reader.within("thresholdsMs", [&] { reader.fault("one entry fewer than lanes"); });
+}
+
+constexpr std::array chartFields{
+    Fields<Chart>{"edition", readNumber<&Chart::edition, 0, 1LL << 62, Chart>},
+    Fields<Chart>{"origin", readOpaque<Chart>},
+    Fields<Chart>{"pendings", readPendings},
+    Fields<Chart>{"pools", readPools},
+    Fields<Chart>{"cells", readCells},
+    Fields<Chart>{"workers", readWorkers},
+    Fields<Chart>{"gangway", [](Reader& reader, const json_t* value, Chart& into) { reader.object(value, gangwayFields, into.gangway); }},
+    Fields<Chart>{"admission", readAdmission},
+    Fields<Chart>{"keep", [](Reader& reader, const json_t* value, Chart& into) { reader.object(value, keepFields, into.keep); }},
+};
+
+void checkLines(Reader& reader, const Chart& chart) {
+  absl::flat_hash_set<std::pair<std::string_view, std::string_view>> taken;
+  for (const auto& [name, line] : chart.pendings) {
+    const auto at = [&](std::string_view field, const char* allowed) {
+      reader.within("pendings", [&] { reader.within(name, [&] { reader.within(field, [&] { reader.fault(allowed); }); }); });
+    };
+    if (!line.pool.empty() && !chart.pools.contains(line.pool.value)) at("pool", "a pool of this configuration");
+    if (!line.prefix.empty() && !taken.emplace(line.host, line.prefix).second) at("prefix", "a prefix that no other line of the host has");
+  }
+}
+
 }  // namespace
 
 std::string_view ruleName(Rule rule) {
@@ -81,115 +290,8 @@
   chart = Chart{};
   Reader reader{faults};
   const std::size_t before = faults.size();
-  bool thresholdsGiven = false;
-  auto pendings = [&](const json_t* value, const std::string& path) {
-    reader.named(value, path, [&](const json_t* item, const std::string& name) {
-      Pending made;
-      made.name = PendingName(name);
-      reader.object(item, path + "/" + name,
-                    {{"rank", [&](auto* v, auto& p) { reader.number(v, p, -1000, 1000, made.rank); }},
-                     {"failureLimit", [&](auto* v, auto& p) { reader.number(v, p, 1, 1000, made.failureLimit); }},
-                     {"backoffMs", [&](auto* v, auto& p) { reader.number(v, p, 0, 3600000, made.backoffMs); }},
-                     {"quotaSlots", [&](auto* v, auto& p) { reader.number(v, p, 0, 1000000, made.quotaSlots); }},
-                     {"mostJobs", [&](auto* v, auto& p) { reader.number(v, p, 1, 1000000, made.mostJobs); }}});
-      chart.pendings[name] = made;
-    });
-  };
-  auto pools = [&](const json_t* value, const std::string& path) {
-    reader.named(value, path, [&](const json_t* item, const std::string& name) {
-      Pool made;
-      made.name = PoolName(name);
-      reader.object(item, path + "/" + name,
-                    {{"labels", [&](auto* v, auto& p) { reader.texts(v, p, made.labels); }},
-                     {"slots", [&](auto* v, auto& p) { reader.number(v, p, 1, 100000, made.slots); }},
-                     {"workers", [&](auto* v, auto& p) { reader.number(v, p, 1, 100000, made.workers); }},
-                     {"room", [&](auto* v, auto& p) { reader.numbers(v, p, made.room); }},
-                     {"lostAfterTerms", [&](auto* v, auto& p) { reader.number(v, p, 1, 1000, made.lostAfterTerms); }},
-                     {"selfStop", [&](auto* v, auto& p) { reader.flag(v, p, made.selfStop); }}});
-      chart.pools[name] = made;
-    });
-  };
-  auto cells = [&](const json_t* value, const std::string& path) {
-    reader.named(value, path, [&](const json_t* item, const std::string& name) {
-      bool emptied = false;
-      reader.object(item, path + "/" + name, {{"emptied", [&](auto* v, auto& p) { reader.flag(v, p, emptied); }}});
-      chart.emptied[name] = emptied;
-    });
-  };
-  auto workers = [&](const json_t* value, const std::string& path) {
-    reader.named(value, path, [&](const json_t* item, const std::string& name) {
-      bool drained = false, gone = false;
-      reader.object(item, path + "/" + name,
-                    {{"drained", [&](auto* v, auto& p) { reader.flag(v, p, drained); }},
-                     {"gone", [&](auto* v, auto& p) { reader.flag(v, p, gone); }}});
-      chart.drained[name] = drained || gone;
-      chart.gone[name] = gone;
-    });
-  };
-  auto gangway = [&](const json_t* value, const std::string& path) {
-    reader.object(value, path,
-                  {{"maxBodyBytes", [&](auto* v, auto& p) { reader.number(v, p, 1024, 1 << 24, chart.gangway.maxBodyBytes); }},
-                   {"mostTasks", [&](auto* v, auto& p) { reader.number(v, p, 1, 10000, chart.gangway.mostTasks); }},
-                   {"mostOpenJobs", [&](auto* v, auto& p) { reader.number(v, p, 1, 1000000, chart.gangway.mostOpenJobs); }}});
-  };
-  auto& rules = chart.admission;
-  auto rule = [&](const json_t* value, const std::string& path) {
-    const std::string text = json_is_string(value) ? json_string_value(value) : "";
-    if (text == "las") rules.rule = Rule::las;
-    else if (text == "gittins") rules.rule = Rule::gittins;
-    else if (text == "fifo") rules.rule = Rule::fifo;
-    else reader.fault(path, "\"las\", \"gittins\" or \"fifo\"");
-  };
-  auto layout = [&](const json_t* value, const std::string& path) {
-    const std::string text = json_is_string(value) ? json_string_value(value) : "";
-    if (text == "pack") rules.layout = Layout::pack;
-    else if (text == "spread") rules.layout = Layout::spread;
-    else reader.fault(path, "\"pack\" or \"spread\"");
-  };
-  auto thresholds = [&](const json_t* value, const std::string& path) {
-    thresholdsGiven = true;
-    rules.thresholdsMs.clear();
-    if (!json_is_array(value) || json_array_size(value) > 15) return reader.fault(path, "a rising list of at most 15 slot milliseconds");
-    for (std::size_t i = 0; i < json_array_size(value); ++i) {
-      Millis each = 0;
-      reader.number(json_array_get(value, i), path + "/" + std::to_string(i), 1, 1LL << 50, each);
-      if (!rules.thresholdsMs.empty() && each <= rules.thresholdsMs.back())
-        reader.fault(path + "/" + std::to_string(i), "more than the threshold before it");
-      rules.thresholdsMs.push_back(each);
-    }
-  };
-  auto knob = [&](const json_t* value, const std::string& path) {
-    if (json_is_null(value) || (json_is_string(value) && std::string_view(json_string_value(value)) == "infinity"))
-      rules.promoteKnob.reset();
-    else if (json_is_number(value) && json_number_value(value) > 0 && json_number_value(value) <= 1e9)
-      rules.promoteKnob = json_number_value(value);
-    else reader.fault(path, "a number above 0, or \"infinity\"");
-  };
-  auto admission = [&](const json_t* value, const std::string& path) {
-    reader.object(value, path,
-                  {{"rule", rule},
-                   {"lanes", [&](auto* v, auto& p) { reader.number(v, p, 1, 16, rules.lanes); }},
-                   {"thresholdsMs", thresholds},
-                   {"promoteKnob", knob},
-                   {"reserveAfterMs", [&](auto* v, auto& p) { reader.number(v, p, 100, 86400000, rules.reserveAfterMs); }},
-                   {"layout", layout},
-                   {"epochMs", [&](auto* v, auto& p) { reader.number(v, p, 5, 1000, rules.epochMs); }},
-                   {"mostPushes", [&](auto* v, auto& p) { reader.number(v, p, 0, 1000000, rules.mostPushes); }},
-                   {"gangStartMs", [&](auto* v, auto& p) { reader.number(v, p, 100, 600000, rules.gangStartMs); }}});
-    if (!thresholdsGiven) {
-      rules.thresholdsMs.clear();
-      for (std::int64_t i = 1; i < rules.lanes; ++i) rules.thresholdsMs.push_back(3600000 * (1LL << (2 * (i - 1))));
-    }
-    if (static_cast<std::int64_t>(rules.thresholdsMs.size()) != rules.lanes - 1)
-      reader.fault(path + "/thresholdsMs", "one entry fewer than lanes");
-  };
-  auto keep = [&](const json_t* value, const std::string& path) {
-    reader.object(value, path,
-                  {{"finishedMs", [&](auto* v, auto& p) { reader.number(v, p, 60000, 366LL * 86400000, chart.keep.finishedMs); }},
-                   {"finishedMost", [&](auto* v, auto& p) { reader.number(v, p, 100, 10000000, chart.keep.finishedMost); }}});
-  };
-  reader.object(root, "",
-                {{"pendings", pendings}, {"pools", pools}, {"cells", cells}, {"workers", workers}, {"gangway", gangway}, {"admission", admission}, {"keep", keep}});
+  reader.object(root, chartFields, chart);
+  checkLines(reader, chart);
   return faults.size() == before;
 }
 
@@ -202,15 +304,31 @@
   return readChart(root.get(), chart, faults);
 }
 
-Json mergePatch(const json_t* target, const json_t* patch) {
-  if (!json_is_object(patch)) return Json(json_deep_copy(patch));
-  Json result(json_is_object(target) ? json_deep_copy(target) : json_object());
+void mergeInto(json_t* target, const json_t* patch) {
   const char* key;
   json_t* value;
   json_object_foreach(const_cast<json_t*>(patch), key, value) {
-    if (json_is_null(value)) json_object_del(result.get(), key);
-    else json_object_set_new(result.get(), key, mergePatch(json_object_get(result.get(), key), value).release());
+    if (json_is_null(value)) {
+      json_object_del(target, key);
+      continue;
+    }
+    if (!json_is_object(value)) {
+      json_object_set(target, key, value);
+      continue;
+    }
+    json_t* inner = json_object_get(target, key);
+    if (!json_is_object(inner)) {
+      inner = json_object();
+      json_object_set_new(target, key, inner);
+    }
+    mergeInto(inner, value);
   }
+}
+
+Json mergePatch(const json_t* target, const json_t* patch) {
+  if (!json_is_object(patch)) return Json(json_deep_copy(patch));
+  Json result(json_is_object(target) ? json_deep_copy(target) : json_object());
+  mergeInto(result.get(), patch);
   return result;
 }
 
@@ -232,32 +350,18 @@
 Stored readStored(std::string_view value) {
   Stored stored;
   if (value.empty()) return stored;
-  Json root = parseJson(value);
-  if (!root) return stored;
-  stored.revision = static_cast<Revision>(numberAt(root.get(), "revision"));
-  if (const json_t* chart = json_object_get(root.get(), "chart")) stored.text = dumpJson(chart);
-  const json_t* done = json_object_get(root.get(), "transactions");
-  for (std::size_t i = 0; i < json_array_size(done); ++i) {
-    const json_t* pair = json_array_get(done, i);
-    stored.transactions.emplace_back(json_string_value(json_array_get(pair, 0)),
-                                     static_cast<Revision>(json_integer_value(json_array_get(pair, 1))));
+  try {
+    msgpack::unpack(value.data(), value.size()).get().convert(stored);
+  } catch (const std::exception&) {
+    return {};
   }
   return stored;
 }
 
 std::string writeStored(const Stored& stored) {
-  Json root(json_object());
-  json_object_set_new(root.get(), "revision", json_integer(static_cast<json_int_t>(stored.revision)));
-  if (Json chart = parseJson(stored.text)) json_object_set_new(root.get(), "chart", chart.release());
-  json_t* done = json_array();
-  for (const auto& [name, revision] : stored.transactions) {
-    json_t* pair = json_array();
-    json_array_append_new(pair, jsonText(name));
-    json_array_append_new(pair, json_integer(static_cast<json_int_t>(revision)));
-    json_array_append_new(done, pair);
-  }
-  json_object_set_new(root.get(), "transactions", done);
-  return dumpJson(root.get());
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, stored);
+  return std::string(buffer.data(), buffer.size());
 }
 
 }  // namespace tulip::chart
--- a/src/chart/chart.hpp
+++ b/src/chart/chart.hpp
@@ -81,16 +81,25 @@
 
 bool readChart(const json_t* root, Chart& chart, std::vector<Fault>& faults);
 bool readChartText(std::string_view text, Chart& chart, std::vector<Fault>& faults);
+// RFC 7396. mergeInto changes target, an object that shares no part with another owner; patch is an object.
+void mergeInto(json_t* target, const json_t* patch);
 Json mergePatch(const json_t* target, const json_t* patch);
 std::string faultsJson(Kind kind, const std::vector<Fault>& faults);
 std::string_view ruleName(Rule rule);
 
+// What the register keeps; reading it back doesn't touch the JSON.
 struct Stored {
   Revision revision = 0;
   std::string text;
   std::vector<std::pair<std::string, Revision>> transactions;
+  MSGPACK_DEFINE(revision, text, transactions)
 };
 Stored readStored(std::string_view value);
 std::string writeStored(const Stored& stored);
 
+// What turns base into next, in pieces between the ends of entries; empty when it would save less than half.
+std::string makeDelta(std::string_view base, std::string_view next);
+// Empty when the delta was made for another base.
+std::string applyDelta(std::string_view base, std::string_view delta);
+
 }  // namespace tulip::chart
--- a/src/hold/image.cpp
+++ b/src/hold/image.cpp
@@ -29,6 +29,7 @@
 namespace entry {
 DiskEntry id(const DaemonId& id) { return {"id", {id.value, {}, {}}}; }
 DiskEntry cohort(const signal::Cohort& cohort) { return {"cohort", {{}, {}, packCohort(cohort)}}; }
+DiskEntry joined(const signal::Form& form) { return {"joined", {{}, {{form.number, {}}, 0}, packCohort(form.cohort)}}; }
 DiskEntry voting(bool voting) { return {"voting", {voting ? "yes" : "no", {}, {}}}; }
 DiskEntry rangePromise(const Ballot& term) { return {"range", {{}, {term, 0}, {}}}; }
 DiskEntry rangeBase(const Ballot& term) { return {"base", {{}, {term, 0}, {}}}; }
@@ -44,7 +45,10 @@
 void apply(Image& image, const DiskEntry& disk) {
   const auto& [kind, entry] = disk;
   if (kind == "id") image.id = DaemonId(entry.key);
-  else if (kind == "cohort") image.cohort = unpackCohort(entry.value);
+  else if (kind == "cohort") {
+    image.cohort = unpackCohort(entry.value);
+    image.joined = {};
+  } else if (kind == "joined") image.joined = {unpackCohort(entry.value), entry.version.ballot.number};
   else if (kind == "voting") image.voting = entry.key == "yes";
   else if (kind == "range") image.rangePromised = std::max(image.rangePromised, entry.version.ballot);
   else if (kind == "base") image.rangeBase = std::max(image.rangeBase, entry.version.ballot);
@@ -78,6 +82,7 @@
 std::vector<DiskEntry> snapshot(const Image& image) {
   std::vector<DiskEntry> all{entry::id(image.id), entry::fleet(image.fleetTerm, image.fleetMs), entry::voting(image.voting)};
   if (!image.empty()) all.push_back(entry::cohort(image.cohort));
+  if (!image.joined.cohort.seats.empty()) all.push_back(entry::joined(image.joined));
   if (image.rangePromised != Ballot{}) all.push_back(entry::rangePromise(image.rangePromised));
   if (image.rangeBase != Ballot{}) all.push_back(entry::rangeBase(image.rangeBase));
   for (const auto& [key, slot] : image.registers) {
@@ -92,7 +97,8 @@
   static const Register none;
   auto found = image.registers.find(ask.key);
   const Register& slot = found == image.registers.end() ? none : found->second;
-  signal::RegisterPromise reply{ask.key, ask.ballot, slot.promised < ask.ballot, slot.promised, slot.accepted, slot.value};
+  signal::RegisterPromise reply{ask.key, ask.ballot, slot.promised < ask.ballot, slot.promised, slot.accepted,
+                                slot.accepted == ask.known ? std::string() : slot.value};
   if (slot.promised == ask.ballot && slot.accepted < ask.ballot) reply.ok = true;
   if (reply.ok) writes.push_back(entry::registerPromise(ask.key, ask.ballot));
   return reply;
--- a/src/hold/image.hpp
+++ b/src/hold/image.hpp
@@ -19,6 +19,7 @@
 struct Image {
   DaemonId id;
   signal::Cohort cohort;
+  signal::Form joined;  // the first cohort promised to, until one stands
   bool voting = false;
   Ballot rangePromised;
   Ballot rangeBase;
@@ -33,6 +34,7 @@
 namespace entry {
 signal::DiskEntry id(const DaemonId& id);
 signal::DiskEntry cohort(const signal::Cohort& cohort);
+signal::DiskEntry joined(const signal::Form& form);
 signal::DiskEntry voting(bool voting);
 signal::DiskEntry rangePromise(const Ballot& term);
 signal::DiskEntry rangeBase(const Ballot& term);
--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -140,8 +140,8 @@
   bool done = false;
 
   void send(const Address& to, Message message) { sends.push_back({to, std::move(message)}); }
-  void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0) {
-    answers.push_back({transaction, status, retryMs, std::move(body)});
+  void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0, Kind kind = Kind::ok) {
+    answers.push_back({transaction, status, retryMs, std::move(body), kind, {}});
   }
 };
 
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -44,8 +44,9 @@
 struct Cohort {
   Revision revision = 0;
   std::vector<Seat> seats;
+  std::uint32_t givers = 0;  // states that a new seat takes before it votes: a majority of the cohort before; 0: of this one
   bool operator==(const Cohort&) const = default;
-  MSGPACK_DEFINE(revision, seats)
+  MSGPACK_DEFINE(revision, seats, givers)
 };
 
 struct Version {
@@ -67,7 +68,8 @@
   std::uint64_t beat = 0;
   Millis sentMs = 0;
   Revision cohort = 0;
-  MSGPACK_DEFINE(me, beat, sentMs, cohort)
+  std::uint64_t membersDigest = 0;  // of the list that the sender has; 0: none
+  MSGPACK_DEFINE(me, beat, sentMs, cohort, membersDigest)
 };
 
 struct SessionGrant {
@@ -78,16 +80,19 @@
   std::string chartText;
   LeaderHint leader;
   Cohort cohort;
-  std::vector<Member> members;
+  std::vector<Member> members;      // empty with the digest that the beat named: unchanged
   Millis fleetMs = 0;
-  MSGPACK_DEFINE(beat, sentMs, termMs, chartRevision, chartText, leader, cohort, members, fleetMs)
+  std::uint64_t membersDigest = 0;  // without ages; 0: nothing said of members
+  Revision chartBase = 0;           // above 0: chartText is a delta to the text of this revision
+  MSGPACK_DEFINE(beat, sentMs, termMs, chartRevision, chartText, leader, cohort, members, fleetMs, membersDigest, chartBase)
 };
 
 struct RegisterPrepare {
   Revision cohort = 0;
   std::string key;
   Ballot ballot;
-  MSGPACK_DEFINE(cohort, key, ballot)
+  Ballot known;  // the accepted value of this ballot need not be sent back
+  MSGPACK_DEFINE(cohort, key, ballot, known)
 };
 
 struct RegisterPromise {
@@ -119,7 +124,7 @@
 struct RegisterChosen {
   std::string key;
   Ballot ballot;
-  std::string value;
+  std::string value;  // empty: the value that the receiver accepted under this ballot
   MSGPACK_DEFINE(key, ballot, value)
 };
 
@@ -134,7 +139,8 @@
   std::uint64_t query = 0;
   bool learned = false;
   std::vector<DaemonId> waiting;
-  MSGPACK_DEFINE(chartRevision, query, learned, waiting)
+  std::vector<DaemonId> silent;  // seats unheard for so long that no session of theirs is left unless others heard them
+  MSGPACK_DEFINE(chartRevision, query, learned, waiting, silent)
 };
 
 struct RangePrepare {
@@ -181,6 +187,14 @@
   MSGPACK_DEFINE(term)
 };
 
+// Asks an empty quay to promise itself to this first cohort, and to no other unless it is asked with a higher number.
+struct Form {
+  Cohort cohort;
+  std::uint64_t number = 0;
+  bool operator==(const Form&) const = default;
+  MSGPACK_DEFINE(cohort, number)
+};
+
 struct QuayBeat {
   Seat seat;
   std::vector<Address> seeds;
@@ -196,13 +210,22 @@
   std::vector<Member> sessions;
   bool ailing = false;
   Revision remembered = 0;
+  CellName cell;
+  bool diskless = false;             // holds no seat; only tells where the others are
+  bool voting = false;
+  bool firstBoot = true;
+  Form joined;                       // the first cohort that the sender promised itself to, synced
+  std::uint64_t sessionsDigest = 0;  // without ages
+  std::uint64_t echoDigest = 0;      // of the receiver's sessions as known here
+  bool sameSessions = false;         // left out, since the receiver echoed their digest
   MSGPACK_DEFINE(seat, seeds, empty, cohort, sentMs, echoMs, chartBallot, chartValue, leader, leaseLeftMs, fleetMs, sessions, ailing,
-                 remembered)
+                 remembered, cell, diskless, voting, firstBoot, joined, sessionsDigest, echoDigest, sameSessions)
 };
 
-struct Form {
-  Cohort cohort;
-  MSGPACK_DEFINE(cohort)
+// The answer to a session beat that is not granted: where to ask instead.
+struct Referral {
+  std::vector<Address> quays;
+  MSGPACK_DEFINE(quays)
 };
 
 struct CatchUpAsk {
@@ -305,7 +328,7 @@
 using Message =
     std::variant<SessionBeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted, RegisterChosen,
                  AckQuery, AckState, RangePrepare, RangePromise, RangeAccept, RangeAccepted, Resign, QuayBeat, Form, CatchUpAsk,
-                 CatchUpGive, TenderReport, Orders, CallAsk, CallAnswer>;
+                 CatchUpGive, TenderReport, Orders, CallAsk, CallAnswer, Referral>;
 
 struct Frame {
   std::uint32_t revision = kRevision;
--- a/src/watch/crew.hpp
+++ b/src/watch/crew.hpp
@@ -22,7 +22,7 @@
   std::optional<Revision> basedOn;    // the edition that must be current
 };
 
-enum class Phase { prepare, accept, learn, done };
+enum class Phase { queued, prepare, accept, learn, done };
 
 struct Proposal {
   std::uint64_t transaction = 0;
@@ -30,13 +30,15 @@
   std::optional<Edit> edit;
   std::string fixedValue;
   Ballot ballot;
-  Phase phase = Phase::prepare;
+  Phase phase = Phase::queued;
   std::map<Address, signal::RegisterPromise> promises;
   std::set<Address> accepts;
   std::string value;
+  std::optional<Ballot> judgedOn;  // the accepted ballot that value was made from
   bool changes = false;
   Revision revision = 0;
   int status = 200;
+  Kind kind = Kind::ok;
   std::string body;
   Millis startedMs = 0;
   Millis cutoffMs = 0;
@@ -45,6 +47,7 @@
   Millis learnedMs = -1;
   std::uint64_t query = 0;
   std::map<Address, signal::AckState> states;
+  std::map<Address, Millis> toldMs;  // when a seat was last sent the chosen value itself
   int attempts = 0;
 };
 
@@ -52,7 +55,8 @@
   Env env;
   DaemonId id;
   std::string incarnation;
-  std::size_t home = 0;
+  Address home;
+  std::vector<Address> referred;
   std::uint64_t beat = 0;
   Millis beatSentMs = -1000000;
   Millis grantedMs = -1000000;
@@ -63,6 +67,7 @@
   signal::LeaderHint leader;
   signal::Cohort cohort;
   std::vector<signal::Member> members;
+  std::uint64_t membersDigest = 0;
   Millis fleetMs = 0;
   Millis fleetAtMs = -1;
   bool ready = false;
@@ -70,6 +75,8 @@
   bool strange = false;
   std::vector<Proposal> proposals;
   std::uint64_t ballotNumber = 0;
+  Ballot knownBallot;      // a ballot of the configuration's register and its value
+  std::string knownValue;
   std::uint64_t proposed = 0, chosen = 0, contended = 0;
 };
 
@@ -88,6 +95,9 @@
 void proposeChart(Crew& crew, std::uint64_t transaction, Edit edit, Millis cutoffMs, signal::Now now, signal::Outbox& out);
 void proposeFixed(Crew& crew, std::string key, std::string value, signal::Now now, signal::Outbox& out);
 bool proposing(const Crew& crew, std::string_view key);
+std::uint64_t mix(std::string_view text, std::uint64_t hash = 1469598103934665603ull);
+// Of what matters of the members; ages only as silent for a term or not. Never 0.
+std::uint64_t digestOf(const std::vector<signal::Member>& members, Millis termMs);
 
 void answerKind(signal::Outbox& out, std::uint64_t transaction, Kind kind, const Bounds& bounds, std::string_view detail = {});
 
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -32,6 +32,8 @@
 
 bool leaseLive(const QuayState& quay, Now now) { return now.steadyMs < quay.leaseUntilMs; }
 
+const Cohort& knownCohort(const QuayState& quay) { return quay.image.empty() ? quay.known : quay.image.cohort; }
+
 std::vector<Member> allMembers(const QuayState& quay, Now now) {
   std::map<DaemonId, Member> all;
   auto put = [&](Member member, Millis ageMs, const DaemonId& home) {
@@ -43,22 +45,64 @@
   };
   for (const auto& [id, row] : quay.sessions) put(row.member, now.steadyMs - row.heardMs, quay.image.id);
   for (const auto& [address, other] : quay.others)
-    for (const auto& member : other.last.sessions) put(member, member.ageMs + now.steadyMs - other.heardMs, other.last.seat.id);
+    for (const auto& member : other.sessions) put(member, member.ageMs + now.steadyMs - other.heardMs, other.last.seat.id);
   std::vector<Member> list;
   for (auto& [id, member] : all) list.push_back(std::move(member));
   return list;
 }
 
-SessionGrant makeGrant(const QuayState& quay, const SessionRow& row, Now now) {
+std::vector<Member> ownSessions(const QuayState& quay, Now now) {
+  std::vector<Member> list;
+  for (const auto& [id, row] : quay.sessions) {
+    if (now.steadyMs - row.heardMs > 2 * bounds(quay).termMs) continue;
+    list.push_back(row.member);
+    list.back().ageMs = now.steadyMs - row.heardMs;
+  }
+  return list;
+}
+
+void gatherMembers(QuayState& quay, Now now) {
+  quay.members = allMembers(quay, now);
+  quay.membersDigest = digestOf(quay.members, bounds(quay).termMs);
+}
+
+// The delta from a text that the daemon has, or the whole.
+void putChart(QuayState& quay, SessionRow& row, SessionGrant& grant) {
+  for (const auto& [revision, text] : quay.olderTexts) {
+    if (revision != row.member.acked) continue;
+    auto [delta, made] = quay.deltas.try_emplace(revision);
+    if (made) delta->second = chart::makeDelta(text, quay.learned.text);
+    if (delta->second.empty()) break;
+    grant.chartBase = revision;
+    grant.chartText = delta->second;
+    return;
+  }
+  grant.chartText = quay.learned.text;
+}
+
+SessionGrant makeGrant(QuayState& quay, SessionRow& row, Now now) {
+  const auto termMs = bounds(quay).termMs;
   SessionGrant grant;
   grant.beat = row.beat;
   grant.sentMs = row.sentMs;
-  grant.termMs = bounds(quay).termMs;
+  grant.termMs = termMs;
   grant.chartRevision = quay.learned.revision;
-  if (row.member.acked < quay.learned.revision) grant.chartText = quay.learned.text;
+  // A daemon takes no session from a grant of a revision that it lacks, so what was just sent need not come again.
+  const bool sent = row.textRevision == quay.learned.revision && now.steadyMs - row.textSentMs < termMs;
+  if (row.member.acked < quay.learned.revision && !sent) {
+    putChart(quay, row, grant);
+    row.textRevision = quay.learned.revision;
+    row.textSentMs = now.steadyMs;
+  }
   if (now.steadyMs < quay.hintUntilMs) grant.leader = quay.leader;
   grant.cohort = quay.image.cohort;
-  grant.members = allMembers(quay, now);
+  const Millis pauseMs = row.member.role == Role::tender ? 2 * termMs : termMs / 4;
+  if (row.membersDigest == 0 || (row.membersDigest != quay.membersDigest && now.steadyMs - row.membersSentMs >= pauseMs)) {
+    if (quay.members.empty()) gatherMembers(quay, now);
+    grant.members = quay.members;
+    grant.membersDigest = quay.membersDigest;
+    row.membersSentMs = now.steadyMs;
+  }
   grant.fleetMs = fleetNow(quay.crew, now);
   return grant;
 }
@@ -68,15 +112,29 @@
   auto stored = chart::readStored(value);
   if (stored.revision < quay.learned.revision) return;
   const bool newer = stored.revision > quay.learned.revision;
+  if (newer) {
+    constexpr std::size_t kOlderTexts = 3;
+    if (quay.learned.revision > 0) quay.olderTexts.emplace_back(quay.learned.revision, std::move(quay.learned.text));
+    if (quay.olderTexts.size() > kOlderTexts) quay.olderTexts.erase(quay.olderTexts.begin());
+    quay.deltas.clear();
+  }
   quay.learnedBallot = ballot;
   quay.learnedValue = value;
   quay.learned = std::move(stored);
+  quay.learnedMs = now.steadyMs;
   quay.chartKnown = true;
   if (!newer || !standing(quay, now)) return;
-  for (const auto& [id, row] : quay.sessions)
+  for (auto& [id, row] : quay.sessions)
     if (now.steadyMs - row.heardMs <= bounds(quay).termMs) out.send(row.member.signal, makeGrant(quay, row, now));
 }
 
+void refer(const QuayState& quay, const Address& to, Outbox& out) {
+  Referral referral;
+  for (const auto& seat : knownCohort(quay).seats)
+    if (seat.signal != self(quay)) referral.quays.push_back(seat.signal);
+  if (!referral.quays.empty()) out.send(to, std::move(referral));
+}
+
 void onSessionBeat(QuayState& quay, const Heard& heard, const SessionBeat& beat, Now now, Outbox& out) {
   if (!standing(quay, now) || !quay.chartKnown || !mayVote(quay)) {
     if (quay.image.empty() && beat.me.role != Role::quay && beat.cohort > 0) {
@@ -84,23 +142,30 @@
       quay.rememberedMs = now.steadyMs;
     }
     ++quay.grantsDenied;
+    if (heard.from != self(quay)) refer(quay, heard.from, out);
     return;
   }
   ++quay.grants;
-  auto& row = quay.sessions[beat.me.id];
-  row = {beat.me, now.steadyMs, beat.beat, beat.sentMs};
+  auto [found, fresh] = quay.sessions.try_emplace(beat.me.id);
+  auto& row = found->second;
+  if (beat.me.acked < row.member.acked) row.textSentMs = -1000000;
+  row.member = beat.me;
+  row.heardMs = now.steadyMs;
+  row.beat = beat.beat;
+  row.sentMs = beat.sentMs;
+  row.membersDigest = beat.membersDigest;
+  if (fresh) gatherMembers(quay, now);
   out.send(heard.from, makeGrant(quay, row, now));
 }
 
-void sendQuayBeats(QuayState& quay, Now now, Outbox& out) {
-  quay.beatSentMs = now.steadyMs;
+QuayBeat makeQuayBeat(const QuayState& quay, Now now) {
   QuayBeat beat;
   beat.seat = {quay.image.id, self(quay)};
   beat.seeds = quay.crew.env.seeds;
   beat.empty = quay.image.empty();
   beat.ailing = ailing(quay);
   if (now.steadyMs - quay.rememberedMs < 4 * bounds(quay).termMs) beat.remembered = quay.remembered;
-  beat.cohort = quay.image.cohort;
+  beat.cohort = knownCohort(quay);
   beat.sentMs = now.steadyMs;
   beat.chartBallot = quay.learnedBallot;
   if (leaseLive(quay, now)) {
@@ -108,25 +173,64 @@
     beat.leaseLeftMs = quay.leaseUntilMs - now.steadyMs;
   }
   beat.fleetMs = fleetNow(quay.crew, now);
-  for (const auto& [id, row] : quay.sessions) {
-    if (now.steadyMs - row.heardMs > 2 * bounds(quay).termMs) continue;
-    beat.sessions.push_back(row.member);
-    beat.sessions.back().ageMs = now.steadyMs - row.heardMs;
+  beat.cell = quay.crew.env.cell;
+  beat.diskless = quay.diskless;
+  beat.voting = mayVote(quay);
+  beat.firstBoot = quay.crew.env.firstBoot;
+  beat.joined = quay.joined;
+  if (!quay.diskless) {
+    beat.sessions = ownSessions(quay, now);
+    beat.sessionsDigest = digestOf(beat.sessions, bounds(quay).termMs);
   }
-  std::set<Address> targets(quay.crew.env.seeds.begin(), quay.crew.env.seeds.end());
-  for (const auto& seat : quay.image.cohort.seats) targets.insert(seat.signal);
-  for (const auto& [address, other] : quay.others)
-    if (now.steadyMs - other.heardMs < 4 * bounds(quay).termMs) targets.insert(address);
-  targets.erase(self(quay));
-  for (const auto& target : targets) {
-    beat.echoMs = -1000000;
-    beat.chartValue.clear();
-    if (auto found = quay.others.find(target); found != quay.others.end()) {
-      beat.echoMs = found->second.last.sentMs;
-      if (found->second.last.chartBallot < quay.learnedBallot) beat.chartValue = quay.learnedValue;
-    }
-    out.send(target, beat);
+  return beat;
+}
+
+void sendQuayBeat(QuayState& quay, const Address& target, QuayBeat beat, Now now, Outbox& out) {
+  beat.echoMs = -1000000;
+  if (auto found = quay.others.find(target); found != quay.others.end()) {
+    auto& other = found->second;
+    other.repliedMs = now.steadyMs;
+    beat.echoDigest = other.sessionsDigest;
+    beat.sameSessions = beat.sessionsDigest != 0 && other.last.echoDigest == beat.sessionsDigest;
+    // No echo lets a quay stand that was not given what is chosen: it comes with the value, or after the quay has it.
+    const bool behind = other.last.chartBallot < quay.learnedBallot && !other.last.diskless;
+    const bool give = behind && now.steadyMs - quay.learnedMs >= bounds(quay).beatMs();
+    if (give) beat.chartValue = quay.learnedValue;
+    if (!behind || give) beat.echoMs = other.last.sentMs;
+    if (other.last.diskless) beat.sameSessions = true;
+  }
+  if (beat.sameSessions) beat.sessions.clear();
+  out.send(target, std::move(beat));
+}
+
+void sendQuayBeats(QuayState& quay, Now now, Outbox& out) {
+  quay.beatSentMs = now.steadyMs;
+  const auto& cohort = knownCohort(quay);
+  std::set<Address> targets;
+  for (const auto& seat : cohort.seats) targets.insert(seat.signal);
+  const bool seeds = cohort.seats.empty() || now.steadyMs - quay.seedsMs >= bounds(quay).termMs;
+  if (seeds) {
+    quay.seedsMs = now.steadyMs;
+    targets.insert(quay.crew.env.seeds.begin(), quay.crew.env.seeds.end());
   }
+  if (!quay.diskless || cohort.seats.empty())
+    for (const auto& [address, other] : quay.others)
+      if (!other.last.diskless && now.steadyMs - other.heardMs < 4 * bounds(quay).termMs) targets.insert(address);
+  targets.erase(self(quay));
+  const auto beat = makeQuayBeat(quay, now);
+  for (const auto& target : targets) sendQuayBeat(quay, target, beat, now, out);
+}
+
+Millis beatPauseMs(const QuayState& quay) {
+  return quay.diskless && !quay.known.seats.empty() ? bounds(quay).termMs : bounds(quay).beatMs();
+}
+
+void askCatchUp(QuayState& quay, Now now, Outbox& out) {
+  if (quay.image.empty() || quay.image.voting || !seated(quay.image.cohort, quay.image.id)) return;
+  if (now.steadyMs - quay.askedMs < bounds(quay).termMs / 2) return;
+  quay.askedMs = now.steadyMs;
+  for (const auto& seat : quay.image.cohort.seats)
+    if (seat.id != quay.image.id && !quay.catchUp.contains(seat.id)) out.send(seat.signal, CatchUpAsk{quay.image.cohort.revision, quay.image.id});
 }
 
 void installCohort(QuayState& quay, const Cohort& cohort, Now now, Outbox& out) {
@@ -142,65 +246,197 @@
   if (votes && !voted) quay.leaseUntilMs = now.steadyMs + bounds(quay).termMs;
   persist(quay, std::move(writes), {}, out);
   quay.crew.cohort = cohort;
+  quay.joined = {};
   sendQuayBeats(quay, now, out);
+  quay.askedMs = -1000000;
+  askCatchUp(quay, now, out);
+  if (!votes || !standing(quay, now) || !quay.chartKnown) return;
+  for (auto& [id, row] : quay.sessions)
+    if (row.member.role == Role::pilot && now.steadyMs - row.heardMs <= bounds(quay).termMs) out.send(row.member.signal, makeGrant(quay, row, now));
+}
+
+// Once every member of the first cohort is seen to have promised itself to it, none can be in another.
+void tryStand(QuayState& quay, Now now, Outbox& out) {
+  if (!quay.image.empty() || quay.joined.cohort.seats.empty()) return;
+  for (const auto& seat : quay.joined.cohort.seats) {
+    if (seat.id == quay.image.id) continue;
+    auto found = quay.others.find(seat.signal);
+    if (found == quay.others.end() || found->second.last.seat.id != seat.id || found->second.last.joined != quay.joined) return;
+  }
+  const Cohort cohort = quay.joined.cohort;
+  installCohort(quay, cohort, now, out);
+}
+
+void onForm(QuayState& quay, const Form& form, Now now, Outbox& out) {
+  if (quay.diskless || !quay.image.empty() || !quay.crew.env.firstBoot || !quay.known.seats.empty() || ailing(quay)) return;
+  if (now.steadyMs - quay.rememberedMs < 4 * bounds(quay).termMs) return;
+  if (!seated(form.cohort, quay.image.id) || form.number <= quay.image.joined.number) return;
+  quay.joined = {};
+  persist(quay, {hold::entry::joined(form)}, {}, out);
+  quay.joinedTicket = quay.ticket;
+}
+
+struct Candidate {
+  CellName cell;
+  Seat seat;
+};
+
+// Taken from the cells in turn, so that the loss of one cell leaves a majority where that can be.
+std::vector<Seat> pickSeats(const std::vector<Candidate>& candidates, std::size_t count) {
+  std::map<CellName, std::vector<Seat>> cells;
+  for (const auto& candidate : candidates) cells[candidate.cell].push_back(candidate.seat);
+  std::vector<Seat> seats;
+  for (std::size_t round = 0; seats.size() < count; ++round)
+    for (const auto& [cell, list] : cells)
+      if (round < list.size() && seats.size() < count) seats.push_back(list[round]);
+  return seats;
+}
+
+std::size_t wantedSeats(const QuayState& quay) { return static_cast<std::size_t>(2 * std::max<std::int64_t>(0, quay.crew.env.losses) + 1); }
+
+bool sameSeeds(std::vector<Address> one, std::vector<Address> other) {
+  std::sort(one.begin(), one.end());
+  std::sort(other.begin(), other.end());
+  return one == other;
+}
+
+// Heard within a term, and its word back to us too.
+bool inTouch(const QuayState& quay, const OtherQuay& other, Now now) {
+  const auto since = now.steadyMs - bounds(quay).termMs;
+  return other.soundMs >= since && other.echoMs >= since;
 }
 
+// One decider, the lowest seed, names the members of the first cohort.
 void tryForm(QuayState& quay, Now now, Outbox& out) {
-  const auto& seeds = quay.crew.env.seeds;
-  if (!quay.image.empty() || self(quay) != seeds.front()) return;
-  Cohort cohort{1, {}};
-  Revision remembered = now.steadyMs - quay.rememberedMs < 4 * bounds(quay).termMs ? quay.remembered : 0;
+  const auto& env = quay.crew.env;
+  if (!env.firstBoot || !knownCohort(quay).seats.empty() || env.seeds.empty()) return;
+  if (self(quay) != *std::min_element(env.seeds.begin(), env.seeds.end())) return;
+  const auto termMs = bounds(quay).termMs;
+  Revision remembered = now.steadyMs - quay.rememberedMs < 4 * termMs ? quay.remembered : 0;
   for (const auto& [address, other] : quay.others)
-    if (now.steadyMs - other.heardMs < bounds(quay).termMs) remembered = std::max(remembered, other.last.remembered);
+    if (now.steadyMs - other.heardMs < termMs) remembered = std::max(remembered, other.last.remembered);
   if (remembered > 0) {
     if (!std::exchange(quay.deniesForming, true))
       out.alarms.push_back("daemons remember cohort " + std::to_string(remembered) +
                            ": no new fleet is formed here; bring back its data folders, or stop every pilot and tender to begin anew");
     return;
   }
-  for (const auto& seed : seeds) {
-    if (seed == self(quay)) {
-      cohort.seats.push_back({quay.image.id, seed});
-      continue;
-    }
+  const auto fit = [&](const OtherQuay& other) {
+    return inTouch(quay, other, now) && other.last.empty && other.last.cohort.seats.empty() && other.last.firstBoot && sameSeeds(other.last.seeds, env.seeds);
+  };
+  for (const auto& seed : env.seeds) {
+    if (seed == self(quay)) continue;
     auto found = quay.others.find(seed);
-    if (found == quay.others.end()) return;
-    const auto& other = found->second;
-    if (now.steadyMs - other.heardMs > bounds(quay).termMs || !other.last.empty || other.last.seeds != seeds) return;
-    if (other.echoMs < now.steadyMs - bounds(quay).termMs) return;
-    cohort.seats.push_back(other.last.seat);
+    if (found == quay.others.end() || !fit(found->second)) return;
+  }
+  std::vector<Candidate> candidates;
+  Form joined = quay.image.joined;
+  if (!quay.diskless) candidates.push_back({env.cell, {quay.image.id, self(quay)}});
+  for (const auto& [address, other] : quay.others) {
+    if (other.last.diskless || !fit(other)) continue;
+    candidates.push_back({other.last.cell, other.last.seat});
+    if (other.last.joined.number > joined.number) joined = other.last.joined;
+  }
+  auto& forming = quay.forming;
+  if (joined.number > forming.wanted.number) forming.wanted = joined;
+  // A member whose address has another identity now is gone with its disk, and its promise with it.
+  const bool gone = std::any_of(forming.wanted.cohort.seats.begin(), forming.wanted.cohort.seats.end(), [&](const Seat& seat) {
+    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& each) { return each.seat.signal == seat.signal && each.seat.id != seat.id; });
+  });
+  if (forming.wanted.cohort.seats.empty() || gone) {
+    if (std::exchange(forming.candidates, candidates.size()) != candidates.size()) forming.grownMs = now.steadyMs;
+    const auto most = wantedSeats(quay);
+    if (candidates.empty() || now.steadyMs - forming.grownMs < (candidates.size() < most ? 2 * termMs : termMs / 3)) return;
+    auto count = std::min(most, candidates.size());
+    if (count % 2 == 0) --count;
+    forming.wanted = {Cohort{1, pickSeats(candidates, count)}, forming.wanted.number + 1};
+  }
+  for (const auto& seat : forming.wanted.cohort.seats) {
+    if (seat.id == quay.image.id) onForm(quay, forming.wanted, now, out);
+    else if (auto found = quay.others.find(seat.signal); found == quay.others.end() || found->second.last.joined != forming.wanted)
+      out.send(seat.signal, forming.wanted);
   }
-  installCohort(quay, cohort, now, out);
 }
 
-void tryReplace(QuayState& quay, Now now, Outbox& out) {
-  if (quay.image.empty() || !mayVote(quay) || !standing(quay, now) || proposing(quay.crew, nextCohortKey(quay))) return;
-  const Millis silentMs = 4 * bounds(quay).termMs;
-  const Seat* lowest = nullptr;
-  for (const auto& seat : quay.image.cohort.seats) {
+struct Change {
+  std::vector<Seat> seats;
+  std::uint32_t givers = 0;
+};
+
+// The next cohort that is wanted: one seat replaced or added.
+std::optional<Change> nextSeats(const QuayState& quay, Now now) {
+  const auto& seats = quay.image.cohort.seats;
+  const auto termMs = bounds(quay).termMs;
+  std::map<DaemonId, CellName> cells{{quay.image.id, quay.crew.env.cell}};
+  const Seat* proposer = nullptr;
+  bool calm = true;
+  const auto holder = [&](const Seat& seat) -> const OtherQuay* {
     auto found = quay.others.find(seat.signal);
-    const bool alive = seat.id == quay.image.id || (found != quay.others.end() && found->second.last.seat.id == seat.id &&
-                                                    now.steadyMs - found->second.soundMs < bounds(quay).termMs);
-    if (alive && (!lowest || seat.id < lowest->id)) lowest = &seat;
+    return found != quay.others.end() && found->second.last.seat.id == seat.id ? &found->second : nullptr;
+  };
+  for (const auto& seat : seats) {
+    const auto* other = holder(seat);
+    if (other) cells[seat.id] = other->last.cell;
+    const bool alive = seat.id == quay.image.id || (other && now.steadyMs - other->soundMs < termMs);
+    const bool votes = seat.id == quay.image.id || (alive && other->last.voting);
+    calm = calm && votes;
+    if (votes && (!proposer || seat.id < proposer->id)) proposer = &seat;
   }
-  if (!lowest || lowest->id != quay.image.id) return;
-  for (const auto& [address, other] : quay.others) {
-    if (now.steadyMs - other.soundMs > bounds(quay).termMs || seated(quay.image.cohort, other.last.seat.id)) continue;
-    if (other.echoMs < now.steadyMs - bounds(quay).termMs) continue;
-    if (other.last.cohort.revision > quay.image.cohort.revision) continue;
-    for (std::size_t i = 0; i < quay.image.cohort.seats.size(); ++i) {
-      const auto& seat = quay.image.cohort.seats[i];
-      if (seat.id == quay.image.id) continue;
-      auto old = quay.others.find(seat.signal);
-      const bool sameAddress = seat.signal == address;
-      const bool silent = old == quay.others.end() || now.steadyMs - old->second.soundMs > silentMs;
-      if (!sameAddress && (!silent || now.steadyMs < quay.bornMs + silentMs)) continue;
-      Cohort next = quay.image.cohort;
-      ++next.revision;
-      next.seats[i] = other.last.seat;
-      return proposeFixed(quay.crew, nextCohortKey(quay), hold::packCohort(next), now, out);
+  if (!proposer || proposer->id != quay.image.id) return {};
+  std::vector<const QuayBeat*> spares;
+  for (const auto& [address, other] : quay.others)
+    if (!other.last.diskless && inTouch(quay, other, now) && !seated(quay.image.cohort, other.last.seat.id) &&
+        other.last.cohort.revision <= quay.image.cohort.revision)
+      spares.push_back(&other.last);
+  if (spares.empty()) return {};
+  const auto inCell = [&](const CellName& cell, const DaemonId& without) {
+    return std::count_if(seats.begin(), seats.end(), [&](const Seat& seat) {
+      auto found = cells.find(seat.id);
+      return seat.id != without && found != cells.end() && found->second == cell;
+    });
+  };
+  const auto best = [&](const DaemonId& without) {
+    return *std::min_element(spares.begin(), spares.end(), [&](const QuayBeat* one, const QuayBeat* other) {
+      return std::pair(inCell(one->cell, without), one->seat.id) < std::pair(inCell(other->cell, without), other->seat.id);
+    });
+  };
+  const auto replaced = [&](std::size_t place, const Seat& by) {
+    Change change{seats, 0};
+    change.seats[place] = by;
+    return change;
+  };
+  for (std::size_t i = 0; i < seats.size(); ++i)
+    for (const auto* spare : spares)
+      if (spare->seat.signal == seats[i].signal && seats[i].id != quay.image.id) return replaced(i, spare->seat);
+  const Millis patientMs = 4 * termMs;
+  const Millis silentMs = bounds(quay).catchUpMs > 0 ? std::min(patientMs, bounds(quay).catchUpMs / 3) : patientMs;
+  if (now.steadyMs >= quay.bornMs + silentMs)
+    for (std::size_t i = 0; i < seats.size(); ++i) {
+      if (seats[i].id == quay.image.id) continue;
+      const auto* other = holder(seats[i]);
+      if (!other || now.steadyMs - other->soundMs > silentMs) return replaced(i, best(seats[i].id)->seat);
     }
+  if (!calm) return {};
+  const auto most = wantedSeats(quay);
+  const bool toOdd = seats.size() % 2 == 0;
+  if (seats.size() < most && (toOdd || spares.size() >= 2 || seats.size() + 1 == most)) {
+    Change change{seats, static_cast<std::uint32_t>(majority(seats.size()))};
+    change.seats.push_back(best({})->seat);
+    return change;
+  }
+  const auto bearable = static_cast<std::ptrdiff_t>(seats.size() - majority(seats.size()));
+  for (std::size_t i = seats.size(); i-- > 0;) {
+    if (seats[i].id == quay.image.id || inCell(cells[seats[i].id], {}) <= bearable) continue;
+    const auto* spare = best(seats[i].id);
+    if (inCell(spare->cell, seats[i].id) < bearable) return replaced(i, spare->seat);
   }
+  return {};
+}
+
+void tryReseat(QuayState& quay, Now now, Outbox& out) {
+  if (quay.image.empty() || !mayVote(quay) || !standing(quay, now) || proposing(quay.crew, nextCohortKey(quay))) return;
+  if (auto change = nextSeats(quay, now))
+    proposeFixed(quay.crew, nextCohortKey(quay), hold::packCohort(Cohort{quay.image.cohort.revision + 1, std::move(change->seats), change->givers}), now, out);
 }
 
 void onQuayBeat(QuayState& quay, const Heard& heard, const QuayBeat& beat, Now now, Outbox& out) {
@@ -209,15 +445,29 @@
   const bool sameLife = other.last.seat.id == beat.seat.id;
   other.last = beat;
   other.last.chartValue.clear();
+  other.last.sessions.clear();
   other.heardMs = now.steadyMs;
   if (!beat.ailing) other.soundMs = now.steadyMs;
   if (!sameLife) other.echoMs = -1000000;
   if (beat.echoMs <= now.steadyMs) other.echoMs = std::max(other.echoMs, beat.echoMs);
-  learnChart(quay, beat.chartBallot, beat.chartValue, now, out);
-  if (beat.cohort.revision > quay.image.cohort.revision) {
-    const bool empty = quay.image.empty();
-    if (!empty || seated(beat.cohort, quay.image.id)) installCohort(quay, beat.cohort, now, out);
+  if (!beat.sameSessions) {
+    other.sessions = beat.sessions;
+    other.sessionsDigest = beat.sessionsDigest;
+  } else if (!sameLife || other.sessionsDigest != beat.sessionsDigest) {
+    other.sessionsDigest = 0;
+  }
+  if (!quay.diskless) learnChart(quay, beat.chartBallot, beat.chartValue, now, out);
+  if (beat.cohort.revision > quay.image.cohort.revision && (!quay.image.empty() || seated(beat.cohort, quay.image.id))) {
+    installCohort(quay, beat.cohort, now, out);
+  } else if (quay.image.empty() && beat.cohort.revision > quay.known.revision) {
+    quay.known = beat.cohort;
+    sendQuayBeats(quay, now, out);
   }
+  tryStand(quay, now, out);
+  const bool lost = beat.echoMs < now.steadyMs - bounds(quay).termMs && !quay.diskless;
+  const bool behind = beat.cohort.revision < knownCohort(quay).revision;
+  if ((lost || behind || (beat.diskless && !quay.diskless)) && now.steadyMs - other.repliedMs >= bounds(quay).beatMs() / 4)
+    sendQuayBeat(quay, heard.from, makeQuayBeat(quay, now), now, out);
   if (!beat.leader.term.owner.empty() && quay.leader.term <= beat.leader.term && beat.leaseLeftMs > 0) {
     quay.leader = beat.leader;
     quay.hintUntilMs = std::max(quay.hintUntilMs, now.steadyMs + beat.leaseLeftMs);
@@ -246,15 +496,28 @@
 }
 
 void onRegisterChosen(QuayState& quay, const RegisterChosen& chosen, Now now, Outbox& out) {
-  if (chosen.key == kChartKey) learnChart(quay, chosen.ballot, chosen.value, now, out);
-  else if (chosen.key == nextCohortKey(quay) && !quay.image.empty()) installCohort(quay, hold::unpackCohort(chosen.value), now, out);
+  if (chosen.key == kChartKey) {
+    const auto found = quay.image.registers.find(kChartKey);
+    const bool held = found != quay.image.registers.end() && found->second.accepted == chosen.ballot;
+    learnChart(quay, chosen.ballot, chosen.value.empty() && held ? found->second.value : chosen.value, now, out);
+  }
+  if (chosen.key != nextCohortKey(quay) || quay.image.empty()) return;
+  const auto found = quay.image.registers.find(chosen.key);
+  const bool held = found != quay.image.registers.end() && found->second.accepted == chosen.ballot;
+  installCohort(quay, hold::unpackCohort(chosen.value.empty() && held ? found->second.value : chosen.value), now, out);
 }
 
 void onAckQuery(QuayState& quay, const Heard& heard, const AckQuery& ask, Now now, Outbox& out) {
-  AckState state{ask.chartRevision, ask.query, quay.learned.revision >= ask.chartRevision, {}};
+  AckState state{ask.chartRevision, ask.query, quay.learned.revision >= ask.chartRevision, {}, {}};
   for (const auto& [id, row] : quay.sessions)
     if (row.member.acked < ask.chartRevision && now.steadyMs - row.heardMs <= bounds(quay).termMs + bounds(quay).beatMs())
       state.waiting.push_back(id);
+  const auto lapseMs = bounds(quay).lapseMs();
+  for (const auto& seat : quay.image.cohort.seats) {
+    if (seat.id == quay.image.id || now.steadyMs - quay.bornMs < lapseMs) continue;
+    auto found = quay.others.find(seat.signal);
+    if (found == quay.others.end() || now.steadyMs - found->second.heardMs >= lapseMs) state.silent.push_back(seat.id);
+  }
   out.send(heard.from, std::move(state));
 }
 
@@ -319,7 +582,8 @@
 void onCatchUpGive(QuayState& quay, const CatchUpGive& give, Now now, Outbox& out) {
   if (quay.image.voting || give.cohort != quay.image.cohort.revision || !seated(quay.image.cohort, give.id)) return;
   quay.catchUp[give.id] = give;
-  if (quay.catchUp.size() < majority(quay.image.cohort.seats.size())) return;
+  const auto& cohort = quay.image.cohort;
+  if (quay.catchUp.size() < (cohort.givers > 0 ? cohort.givers : majority(cohort.seats.size()))) return;
   std::vector<DiskEntry> writes{hold::entry::clear()};
   hold::apply(quay.image, writes.front());
   Ballot base;
@@ -351,21 +615,23 @@
 }
 
 void onTick(QuayState& quay, Now now, Outbox& out) {
-  if (now.steadyMs - quay.beatSentMs >= bounds(quay).beatMs()) {
+  if (now.steadyMs - quay.beatSentMs >= beatPauseMs(quay)) {
     tryForm(quay, now, out);
+    gatherMembers(quay, now);
     sendQuayBeats(quay, now, out);
-    if (!quay.image.empty() && !quay.image.voting && seated(quay.image.cohort, quay.image.id))
-      for (const auto& seat : quay.image.cohort.seats)
-        if (seat.id != quay.image.id) out.send(seat.signal, CatchUpAsk{quay.image.cohort.revision, quay.image.id});
-    tryReplace(quay, now, out);
+    askCatchUp(quay, now, out);
+    tryReseat(quay, now, out);
     std::erase_if(quay.sessions, [&](const auto& row) { return now.steadyMs - row.second.heardMs > 4 * bounds(quay).termMs; });
   }
   if (!mayVote(quay) || quay.image.empty()) return;
+  auto found = quay.image.registers.find(kChartKey);
+  const bool open = found != quay.image.registers.end() && quay.learnedBallot < found->second.accepted;
+  if (!open) quay.openSinceMs = -1;
+  else if (quay.openSinceMs < 0) quay.openSinceMs = now.steadyMs;
   if (standing(quay, now) && now.steadyMs >= quay.completeAtMs) {
+    const bool abandoned = open && now.steadyMs - quay.openSinceMs >= bounds(quay).termMs / 2;
     quay.completeAtMs = now.steadyMs + bounds(quay).termMs;
-    auto found = quay.image.registers.find(kChartKey);
-    const bool open = found != quay.image.registers.end() && quay.learnedBallot < found->second.accepted;
-    if ((!quay.chartKnown || open) && !proposing(quay.crew, kChartKey)) proposeFixed(quay.crew, kChartKey, "", now, out);
+    if ((!quay.chartKnown || abandoned) && !proposing(quay.crew, kChartKey)) proposeFixed(quay.crew, kChartKey, "", now, out);
     auto step = quay.image.registers.find(nextCohortKey(quay));
     if (step != quay.image.registers.end() && !step->second.value.empty() && !proposing(quay.crew, step->first))
       proposeFixed(quay.crew, step->first, "", now, out);
@@ -381,9 +647,11 @@
   quay.crew.fleetMs = image.fleetMs;
   quay.crew.fleetAtMs = now.steadyMs;
   quay.bornMs = now.steadyMs;
+  quay.diskless = env.dataFolder.empty();
   for (const auto& [key, slot] : image.registers)
     quay.crew.ballotNumber = std::max(quay.crew.ballotNumber, slot.promised.number);
   quay.image = std::move(image);
+  quay.joined = quay.image.joined;
   if (auto found = quay.image.registers.find(nextCohortKey(quay)); found != quay.image.registers.end())
     quay.sealed = !found->second.value.empty();
   if (!quay.image.empty()) quay.leaseUntilMs = now.steadyMs + env.bounds.termMs;
@@ -432,6 +700,7 @@
           else if constexpr (std::is_same_v<Body, RangeAccept>) onRangeAccept(quay, *heard, body, now, out);
           else if constexpr (std::is_same_v<Body, CatchUpAsk>) onCatchUpAsk(quay, *heard, body, now, out);
           else if constexpr (std::is_same_v<Body, CatchUpGive>) onCatchUpGive(quay, body, now, out);
+          else if constexpr (std::is_same_v<Body, Form>) onForm(quay, body, now, out);
           else if constexpr (std::is_same_v<Body, Resign>) {
             if (quay.leader.term == body.term) quay.leaseUntilMs = quay.hintUntilMs = now.steadyMs;
           }
@@ -442,6 +711,11 @@
     if (found == quay.waiting.end()) return;
     auto sends = std::move(found->second.sends);
     quay.waiting.erase(found);
+    if (persisted->ok && persisted->ticket == quay.joinedTicket) {
+      quay.joined = quay.image.joined;
+      sendQuayBeats(quay, now, out);
+      tryStand(quay, now, out);
+    }
     if (!persisted->ok) {
       quay.diskFailed = true;
     }
--- a/src/watch/quay.hpp
+++ b/src/watch/quay.hpp
@@ -9,6 +9,9 @@
   Millis heardMs = -1000000;
   Millis soundMs = -1000000;
   Millis echoMs = -1000000;
+  Millis repliedMs = -1000000;
+  std::vector<signal::Member> sessions;
+  std::uint64_t sessionsDigest = 0;
 };
 
 struct Unsynced {
@@ -21,11 +24,26 @@
   Millis heardMs = 0;
   std::uint64_t beat = 0;
   Millis sentMs = 0;
+  std::uint64_t membersDigest = 0;  // of the list that the daemon said it has
+  Millis membersSentMs = -1000000;
+  Revision textRevision = 0;        // the configuration last sent to it
+  Millis textSentMs = -1000000;
+};
+
+struct Forming {
+  std::size_t candidates = 0;
+  Millis grownMs = 0;
+  signal::Form wanted;
 };
 
 struct QuayState {
   Crew crew;
   hold::Image image;
+  bool diskless = false;
+  signal::Cohort known;  // the newest cohort heard of while holding none
+  signal::Form joined;   // image.joined once it is synced
+  std::uint64_t joinedTicket = 0;
+  Forming forming;
   bool diskFailed = false;
   std::uint64_t ticket = 0;
   std::map<std::uint64_t, Unsynced> waiting;
@@ -36,6 +54,11 @@
   Ballot learnedBallot;
   std::string learnedValue;
   chart::Stored learned;
+  Millis learnedMs = -1000000;
+  std::vector<std::pair<Revision, std::string>> olderTexts;
+  std::map<Revision, std::string> deltas;  // from an older revision to the learned one
+  std::vector<signal::Member> members;
+  std::uint64_t membersDigest = 0;
   bool chartKnown = false;
   bool sealed = false;
   signal::LeaderHint leader;
@@ -44,10 +67,13 @@
   Millis hintUntilMs = 0;
   Millis bornMs = 0;
   Millis beatSentMs = -1000000;
+  Millis seedsMs = -1000000;
   Revision remembered = 0;
   Millis rememberedMs = -1000000;
   bool deniesForming = false;
   Millis completeAtMs = 0;
+  Millis openSinceMs = -1;
+  Millis askedMs = -1000000;
   std::map<DaemonId, signal::CatchUpGive> catchUp;
   std::uint64_t rangeAccepts = 0, rangeDenied = 0, grants = 0, grantsDenied = 0, catchUps = 0;
 };
