--- a/src/hold/image.cpp
+++ b/src/hold/image.cpp
@@ -31,6 +31,7 @@
 DiskEntry cohort(const signal::Cohort& cohort) { return {"cohort", {{}, {}, packCohort(cohort)}}; }
 DiskEntry joined(const signal::Form& form) { return {"joined", {{}, {{form.number, {}}, 0}, packCohort(form.cohort)}}; }
 DiskEntry voting(bool voting) { return {"voting", {voting ? "yes" : "no", {}, {}}}; }
+DiskEntry learned(const Ballot& ballot) { return {"learned", {{}, {ballot, 0}, {}}}; }
 DiskEntry rangePromise(const Ballot& term) { return {"range", {{}, {term, 0}, {}}}; }
 DiskEntry rangeBase(const Ballot& term) { return {"base", {{}, {term, 0}, {}}}; }
 DiskEntry fleet(const Ballot& term, Millis fleetMs) { return {"fleet", {std::to_string(fleetMs), {term, 0}, {}}}; }
@@ -49,6 +50,7 @@
     image.cohort = unpackCohort(entry.value);
     image.joined = {};
   } else if (kind == "joined") image.joined = {unpackCohort(entry.value), entry.version.ballot.number};
+  else if (kind == "learned") image.learned = std::max(image.learned, entry.version.ballot);
   else if (kind == "voting") image.voting = entry.key == "yes";
   else if (kind == "range") image.rangePromised = std::max(image.rangePromised, entry.version.ballot);
   else if (kind == "base") image.rangeBase = std::max(image.rangeBase, entry.version.ballot);
@@ -83,6 +85,7 @@
   std::vector<DiskEntry> all{entry::id(image.id), entry::fleet(image.fleetTerm, image.fleetMs), entry::voting(image.voting)};
   if (!image.empty()) all.push_back(entry::cohort(image.cohort));
   if (!image.joined.cohort.seats.empty()) all.push_back(entry::joined(image.joined));
+  if (image.learned != Ballot{}) all.push_back(entry::learned(image.learned));
   if (image.rangePromised != Ballot{}) all.push_back(entry::rangePromise(image.rangePromised));
   if (image.rangeBase != Ballot{}) all.push_back(entry::rangeBase(image.rangeBase));
   for (const auto& [key, slot] : image.registers) {
--- a/src/hold/image.hpp
+++ b/src/hold/image.hpp
@@ -21,6 +21,7 @@
   signal::Cohort cohort;
   signal::Form joined;  // the first cohort promised to, until one stands
   bool voting = false;
+  Ballot learned;  // the newest ballot of the configuration's register that it was told is chosen
   Ballot rangePromised;
   Ballot rangeBase;
   Millis fleetMs = 0;
@@ -36,6 +37,7 @@
 signal::DiskEntry cohort(const signal::Cohort& cohort);
 signal::DiskEntry joined(const signal::Form& form);
 signal::DiskEntry voting(bool voting);
+signal::DiskEntry learned(const Ballot& ballot);
 signal::DiskEntry rangePromise(const Ballot& term);
 signal::DiskEntry rangeBase(const Ballot& term);
 signal::DiskEntry fleet(const Ballot& term, Millis fleetMs);
--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -20,7 +20,7 @@
   DaemonId fromId;
   Address from;
   Message message;
-  Address to;
+  Address to{};
 };
 
 struct Ask {
--- a/src/signal/messages.hpp
+++ b/src/signal/messages.hpp
@@ -91,7 +91,7 @@
   Revision cohort = 0;
   std::string key;
   Ballot ballot;
-  Ballot known;  // the accepted value of this ballot need not be sent back
+  Ballot known{};  // the accepted value of this ballot need not be sent back
   MSGPACK_DEFINE(cohort, key, ballot, known)
 };
 
@@ -139,7 +139,7 @@
   std::uint64_t query = 0;
   bool learned = false;
   std::vector<DaemonId> waiting;
-  std::vector<DaemonId> silent;  // seats unheard for so long that no session of theirs is left unless others heard them
+  std::vector<DaemonId> silent{};  // seats unheard for so long that no session of theirs is left unless others heard them
   MSGPACK_DEFINE(chartRevision, query, learned, waiting, silent)
 };
 
@@ -243,7 +243,8 @@
   std::vector<Entry> registers;
   Ballot base;
   std::vector<Entry> promises;
-  MSGPACK_DEFINE(cohort, id, rangePromised, fleetMs, entries, registers, base, promises)
+  Ballot learned{};
+  MSGPACK_DEFINE(cohort, id, rangePromised, fleetMs, entries, registers, base, promises, learned)
 };
 
 enum class RunState : std::uint8_t { ordered, going, stopping, ended };
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -24,7 +24,7 @@
     for (auto& send : after) out.sends.push_back(std::move(send));
     return;
   }
-  quay.waiting[++quay.ticket] = {quay.stepMs, std::move(after)};
+  quay.waiting[++quay.ticket] = {quay.stepMs, std::move(after), 0};
   out.persists.push_back({quay.ticket, std::move(entries)});
 }
 
@@ -122,7 +122,11 @@
   quay.learnedValue = value;
   quay.learned = std::move(stored);
   quay.learnedMs = now.steadyMs;
-  quay.chartKnown = true;
+  if (quay.image.learned < ballot && seated(quay.image.cohort, quay.image.id)) {
+    persist(quay, {hold::entry::learned(ballot)}, {}, out);
+    quay.waiting[quay.ticket].learned = quay.learned.revision;
+  }
+  quay.chartKnown = quay.chartKnown || !(ballot < quay.image.learned);
   if (!newer || !standing(quay, now)) return;
   for (auto& [id, row] : quay.sessions)
     if (now.steadyMs - row.heardMs <= bounds(quay).termMs) out.send(row.member.signal, makeGrant(quay, row, now));
@@ -136,13 +140,13 @@
 }
 
 void onSessionBeat(QuayState& quay, const Heard& heard, const SessionBeat& beat, Now now, Outbox& out) {
-  if (!standing(quay, now) || !quay.chartKnown || !mayVote(quay)) {
+  if (!standing(quay, now) || !quay.chartKnown || !mayVote(quay) || quay.sealed) {
     if (quay.image.empty() && beat.me.role != Role::quay && beat.cohort > 0) {
       quay.remembered = std::max(quay.remembered, beat.cohort);
       quay.rememberedMs = now.steadyMs;
     }
     ++quay.grantsDenied;
-    if (heard.from != self(quay)) refer(quay, heard.from, out);
+    if (heard.from != self(quay) && !quay.sealed) refer(quay, heard.from, out);
     return;
   }
   ++quay.grants;
@@ -185,6 +189,13 @@
   return beat;
 }
 
+// Others stand by this echo. So none is given by a quay that may have forgotten what it had learned, that has no vote in
+// the cohort yet, or that has voted for the next one.
+bool mayEcho(const QuayState& quay) {
+  if (quay.image.empty() || !seated(quay.image.cohort, quay.image.id)) return true;
+  return quay.image.voting && !quay.sealed && !(quay.learnedBallot < quay.image.learned);
+}
+
 void sendQuayBeat(QuayState& quay, const Address& target, QuayBeat beat, Now now, Outbox& out) {
   beat.echoMs = -1000000;
   if (auto found = quay.others.find(target); found != quay.others.end()) {
@@ -196,7 +207,7 @@
     const bool behind = other.last.chartBallot < quay.learnedBallot && !other.last.diskless;
     const bool give = behind && now.steadyMs - quay.learnedMs >= bounds(quay).beatMs();
     if (give) beat.chartValue = quay.learnedValue;
-    if (!behind || give) beat.echoMs = other.last.sentMs;
+    if (mayEcho(quay) && (!behind || give)) beat.echoMs = other.last.sentMs;
     if (other.last.diskless) beat.sameSessions = true;
   }
   if (beat.sameSessions) beat.sessions.clear();
@@ -208,6 +219,7 @@
   const auto& cohort = knownCohort(quay);
   std::set<Address> targets;
   for (const auto& seat : cohort.seats) targets.insert(seat.signal);
+  for (const auto& seat : quay.image.joined.cohort.seats) targets.insert(seat.signal);
   const bool seeds = cohort.seats.empty() || now.steadyMs - quay.seedsMs >= bounds(quay).termMs;
   if (seeds) {
     quay.seedsMs = now.steadyMs;
@@ -241,6 +253,12 @@
   const bool first = quay.image.empty() && cohort.revision == 1 && keeps;
   const bool votes = keeps && (first || (voted && cohort.revision == quay.image.cohort.revision + 1));
   writes.push_back(hold::entry::voting(votes));
+  for (const auto& seat : quay.image.cohort.seats) {
+    if (seat.id == quay.image.id || seated(cohort, seat.id)) continue;
+    auto found = quay.others.find(seat.signal);
+    const bool heard = found != quay.others.end() && found->second.last.seat.id == seat.id;
+    quay.formerUntilMs[seat.id] = (heard ? found->second.heardMs : now.steadyMs) + bounds(quay).lapseMs();
+  }
   quay.sealed = false;
   quay.catchUp.clear();
   if (votes && !voted) quay.leaseUntilMs = now.steadyMs + bounds(quay).termMs;
@@ -508,10 +526,12 @@
 }
 
 void onAckQuery(QuayState& quay, const Heard& heard, const AckQuery& ask, Now now, Outbox& out) {
-  AckState state{ask.chartRevision, ask.query, quay.learned.revision >= ask.chartRevision, {}, {}};
+  AckState state{ask.chartRevision, ask.query, quay.keptRevision >= ask.chartRevision, {}};
   for (const auto& [id, row] : quay.sessions)
     if (row.member.acked < ask.chartRevision && now.steadyMs - row.heardMs <= bounds(quay).termMs + bounds(quay).beatMs())
       state.waiting.push_back(id);
+  for (const auto& [id, untilMs] : quay.formerUntilMs)
+    if (now.steadyMs < untilMs) state.waiting.push_back(id);
   const auto lapseMs = bounds(quay).lapseMs();
   for (const auto& seat : quay.image.cohort.seats) {
     if (seat.id == quay.image.id || now.steadyMs - quay.bornMs < lapseMs) continue;
@@ -570,7 +590,7 @@
 
 void onCatchUpAsk(QuayState& quay, const Heard& heard, const CatchUpAsk& ask, Now now, Outbox& out) {
   if (!mayVote(quay) || ask.cohort != quay.image.cohort.revision || !seated(quay.image.cohort, ask.id)) return;
-  CatchUpGive give{ask.cohort, quay.image.id, quay.image.rangePromised, fleetNow(quay.crew, now), {}, {}, quay.image.rangeBase, {}};
+  CatchUpGive give{ask.cohort, quay.image.id, quay.image.rangePromised, fleetNow(quay.crew, now), {}, {}, quay.image.rangeBase, {}, quay.image.learned};
   for (const auto& [key, entry] : quay.image.jobs) give.entries.push_back(entry);
   for (const auto& [key, slot] : quay.image.registers) {
     give.registers.push_back({key, {slot.accepted, 0}, slot.value});
@@ -596,6 +616,7 @@
   writes.push_back(hold::entry::rangeBase(base));
   for (const auto& [id, each] : quay.catchUp) {
     writes.push_back(hold::entry::rangePromise(each.rangePromised));
+    if (each.learned != Ballot{}) writes.push_back(hold::entry::learned(each.learned));
     if (each.base == base)
       for (const auto& entry : each.entries) writes.push_back(hold::entry::job(entry));
     for (const auto& entry : each.registers) {
@@ -632,10 +653,12 @@
     const bool abandoned = open && now.steadyMs - quay.openSinceMs >= bounds(quay).termMs / 2;
     quay.completeAtMs = now.steadyMs + bounds(quay).termMs;
     if ((!quay.chartKnown || abandoned) && !proposing(quay.crew, kChartKey)) proposeFixed(quay.crew, kChartKey, "", now, out);
-    auto step = quay.image.registers.find(nextCohortKey(quay));
-    if (step != quay.image.registers.end() && !step->second.value.empty() && !proposing(quay.crew, step->first))
-      proposeFixed(quay.crew, step->first, "", now, out);
   }
+  auto step = quay.image.registers.find(nextCohortKey(quay));
+  if (step == quay.image.registers.end() || step->second.value.empty()) quay.stepSinceMs = -1;
+  else if (quay.stepSinceMs < 0) quay.stepSinceMs = now.steadyMs;
+  else if (now.steadyMs - quay.stepSinceMs >= bounds(quay).beatMs() && !proposing(quay.crew, step->first))
+    proposeFixed(quay.crew, step->first, "", now, out);
 }
 
 }  // namespace
@@ -652,6 +675,14 @@
     quay.crew.ballotNumber = std::max(quay.crew.ballotNumber, slot.promised.number);
   quay.image = std::move(image);
   quay.joined = quay.image.joined;
+  if (auto found = quay.image.registers.find(kChartKey);
+      found != quay.image.registers.end() && found->second.accepted == quay.image.learned && !found->second.value.empty()) {
+    quay.learnedBallot = found->second.accepted;
+    quay.learnedValue = found->second.value;
+    quay.learned = chart::readStored(quay.learnedValue);
+    quay.keptRevision = quay.learned.revision;
+    quay.chartKnown = true;
+  }
   if (auto found = quay.image.registers.find(nextCohortKey(quay)); found != quay.image.registers.end())
     quay.sealed = !found->second.value.empty();
   if (!quay.image.empty()) quay.leaseUntilMs = now.steadyMs + env.bounds.termMs;
@@ -683,7 +714,7 @@
   if (const auto* heard = std::get_if<Heard>(&event)) {
     if (crewHeard(quay.crew, *heard, now, out)) {
       for (auto& proposal : quay.crew.proposals)
-        if (proposal.phase == Phase::done && !proposal.edit && proposal.key == kChartKey && proposal.value.empty())
+        if (proposal.phase == Phase::done && !proposal.edit && proposal.key == kChartKey && proposal.value.empty() && quay.image.learned == Ballot{})
           quay.chartKnown = true;
       return;
     }
@@ -710,6 +741,7 @@
     auto found = quay.waiting.find(persisted->ticket);
     if (found == quay.waiting.end()) return;
     auto sends = std::move(found->second.sends);
+    if (persisted->ok) quay.keptRevision = std::max(quay.keptRevision, found->second.learned);
     quay.waiting.erase(found);
     if (persisted->ok && persisted->ticket == quay.joinedTicket) {
       quay.joined = quay.image.joined;
--- a/src/watch/quay.hpp
+++ b/src/watch/quay.hpp
@@ -17,6 +17,7 @@
 struct Unsynced {
   Millis sinceMs = 0;
   std::vector<signal::Send> sends;
+  Revision learned = 0;  // the configuration's revision that is then kept as learned
 };
 
 struct SessionRow {
@@ -59,7 +60,9 @@
   std::map<Revision, std::string> deltas;  // from an older revision to the learned one
   std::vector<signal::Member> members;
   std::uint64_t membersDigest = 0;
+  Revision keptRevision = 0;  // learned, and synced as learned
   bool chartKnown = false;
+  std::map<DaemonId, Millis> formerUntilMs;  // seats no longer in the cohort: when none of their sessions can be left
   bool sealed = false;
   signal::LeaderHint leader;
   Millis leaseUntilMs = 0;
@@ -73,6 +76,7 @@
   bool deniesForming = false;
   Millis completeAtMs = 0;
   Millis openSinceMs = -1;
+  Millis stepSinceMs = -1;
   Millis askedMs = -1000000;
   std::map<DaemonId, signal::CatchUpGive> catchUp;
   std::uint64_t rangeAccepts = 0, rangeDenied = 0, grants = 0, grantsDenied = 0, catchUps = 0;
--- a/tests/cohort_test.cpp
+++ b/tests/cohort_test.cpp
@@ -14,6 +14,7 @@
   env.role = Role::quay;
   env.signal = address;
   env.cell = CellName("a");
+  env.dataFolder = "simulated";
   env.seeds = {kA, kB, kC};
   return env;
 }
