--- a/src/manifest/succession.cpp
+++ b/src/manifest/succession.cpp
@@ -346,7 +346,7 @@
   if (pilot.committed == 0 && now.steadyMs - pilot.leadSinceMs > 2 * bounds(pilot).termMs)
     return stepDown(pilot, now, out, "the first batch found no majority");
   if (!leads(pilot, now)) return;
-  const Millis epochMs = pilot.crew.chart->admission.epochMs;
+  const Millis epochMs = rulesOf(pilot).epochMs;
   if (now.steadyMs - pilot.epochMs < epochMs) return out.wakeBy(pilot.epochMs + epochMs);
   pilot.epochMs = now.steadyMs;
   if (now.steadyMs - pilot.houseMs >= bounds(pilot).beatMs() / 2 || pilot.planDue) keepHouse(pilot, now);
@@ -407,6 +407,17 @@
 PilotState makePilot(const Env& env, const DaemonId& id, std::string incarnation) {
   PilotState pilot;
   pilot.crew = watch::makeCrew(env, id, std::move(incarnation));
+  if (env.firstThresholdMs > 0) {
+    chart::Admission rules;
+    rules.lanes = 3;
+    rules.thresholdsMs = {env.firstThresholdMs, 4 * env.firstThresholdMs};
+    rules.epochMs = std::max<Millis>(10, env.bounds.termMs / 40);
+    rules.gangStartMs = env.bounds.gangWaitMs * 2 / 3;
+    rules.reserveAfterMs = 2 * env.bounds.termMs;
+    rules.rankFirst = true;
+    rules.mostLoss = 1;
+    pilot.usual = std::move(rules);
+  }
   return pilot;
 }
 
--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -143,8 +143,8 @@
   void wakeBy(Millis atMs) { wakeMs = wakeMs < 0 ? atMs : std::min(wakeMs, atMs); }
 
   void send(const Address& to, Message message) { sends.push_back({to, std::move(message)}); }
-  void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0) {
-    answers.push_back({transaction, status, retryMs, std::move(body), Kind::ok, {}});
+  void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0, Kind kind = Kind::ok) {
+    answers.push_back({transaction, status, retryMs, std::move(body), kind, {}});
   }
   void deny(std::uint64_t transaction, Kind kind, std::string body, Millis retryMs = 0) {
     answers.push_back({transaction, rowOf(kind).status, retryMs, std::move(body), kind, {}});
