--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -245,13 +245,14 @@
       std::sort(each.begin(), each.end(), [](const auto& a, const auto& b) { return a.endsInMs < b.endsInMs; });
   }
 
-  // Whether the tasks would fit once what is thought to end by then has ended; within one rack, if one is given.
-  bool fitsBy(const Demand& demand, std::size_t task, bool whole, const Scope& scope, Millis horizonMs, std::uint32_t rack, bool oneRack) {
+  // Whether the tasks would fit once what is thought to end by then has ended; if they are to be by their data or on one
+  // rack, then there and on workers that are worth the wait.
+  bool fitsBy(const Demand& demand, std::size_t task, bool whole, const Scope& scope, Millis horizonMs, bool nearOnly) {
     if (horizonMs <= 0 || ++forecasts > kMostForecasts) return false;
     findEndings();
     std::vector<std::uint32_t> among;
     for (const auto at : scope.berths) {
-      if (rack != kNowhere && deck.rack[at] != rack) continue;
+      if (nearOnly && (deck.doubt[at] >= deck.farDoubt || (demand.near != kNowhere && deck.rack[at] != demand.near))) continue;
       among.push_back(at);
       scratch.load[at] = soon.load[at];
       for (const auto& ending : endings[at]) {
@@ -260,15 +261,22 @@
       }
       scratch.score[at] = deck.score(scratch.load[at]);
     }
-    if (!whole) return pick(deck, demand, task, among, scratch, tally) != kNowhere;
-    return matcher.together(deck, demand, among, scratch, tally) && !(oneRack && matcher.spread);
+    if (!whole) {
+      const auto found = pick(deck, demand, task, among, scratch, tally);
+      return found != kNowhere && !(nearOnly && found == demand.avoided(task));
+    }
+    if (!matcher.together(deck, demand, among, scratch, tally)) return false;
+    if (!nearOnly) return true;
+    for (std::size_t i = 0; i < demand.count; ++i)
+      if (matcher.chosen[i] == demand.avoided(i)) return false;
+    return !matcher.spread;
   }
 
   // Whether work that would start away from its rack does better to wait a little for room there.
   bool waitsForRack(const Candidate& job, const Unit& unit, const Demand& demand, std::size_t task, bool whole, const Scope& scope) {
     const auto extraMs = static_cast<Millis>((field.farFactor - 1) * static_cast<double>(unit.estimateMs)) / 2;
     if (!job.runs.empty() || job.readyForMs >= std::min(extraMs, rules.reserveAfterMs / 10)) return false;
-    return fitsBy(demand, task, whole, scope, extraMs, demand.near, unit.oneRack);
+    return fitsBy(demand, task, whole, scope, extraMs, true);
   }
 
   void findVictims() {
@@ -383,7 +391,7 @@
       return false;
     if (job.dueInMs < 0) return false;
     const bool whole = count > 1;
-    if (job.dueInMs > 0 && fitsBy(demand, first, whole, scope, (job.dueInMs - unit.estimateMs) / 2, kNowhere, false)) return false;
+    if (job.dueInMs > 0 && fitsBy(demand, first, whole, scope, (job.dueInMs - unit.estimateMs) / 2, false)) return false;
     ++pushes;
     scratch = soon;
     std::fill(placed.begin(), placed.end(), berth::Load{});
@@ -394,6 +402,7 @@
       const auto& need = demand.load(task);
       std::uint32_t found = kNowhere;
       std::tuple<std::int64_t, int, std::size_t> bestKey;
+      tally.looks += scope.berths.size();
       for (const auto berth : scope.berths) {
         if (demand.apart > 0 && tally.count[berth] >= demand.apart) continue;
         if (!priceAt(job, lane, need, berth, price)) continue;
@@ -779,6 +788,7 @@
       place(at, job.ready[u]);
     }
   }
+  planner.out.looks = planner.tally.looks;
   return std::move(planner.out);
 }
 
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -88,6 +88,7 @@
   std::optional<std::size_t> reservedFor;
   std::size_t passedOver = 0;
   std::size_t tries = 0;
+  std::size_t looks = 0;  // at a berth for a task: what a plan costs
 };
 
 struct Field {
--- a/src/admission/placement.cpp
+++ b/src/admission/placement.cpp
@@ -41,7 +41,8 @@
 }
 
 std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Rooms& rooms,
-                   const Tally& tally) {
+                   Tally& tally) {
+  tally.looks += among.size();
   const auto& need = demand.load(task);
   std::uint32_t best = kNowhere;
   std::tuple<int, int, int> bestKey;
--- a/src/admission/placement.hpp
+++ b/src/admission/placement.hpp
@@ -76,22 +76,21 @@
 struct Tally {
   std::vector<int> count;
   std::vector<std::uint32_t> touched;
+  std::size_t looks = 0;  // at a berth for a task
 
   void put(std::uint32_t at, int amount) {
     count[at] += amount;
     touched.push_back(at);
   }
-  void clear(std::size_t keep = 0) {
-    while (touched.size() > keep) {
-      count[touched.back()] = 0;
-      touched.pop_back();
-    }
+  void clear() {
+    for (const auto at : touched) count[at] = 0;
+    touched.clear();
   }
 };
 
 int burden(const Deck& deck, const Demand& demand, std::size_t task, std::uint32_t at);
 std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Rooms& rooms,
-                   const Tally& tally);
+                   Tally& tally);
 
 // Places tasks together and reuses its memory from call to call.
 struct Matcher {
