--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -306,7 +306,8 @@
         auto& victim = victims[at];
         victim.runs.push_back(r);
         victim.standing = victim.standing || run.standing;
-        victim.lost += (run.lossMs + 1) * thousandths(run.load, field.berths[run.berth].total);
+        const auto delayMs = job.dueInMs > 0 ? std::max<Millis>(0, run.endsInMs) : 0;
+        victim.lost += (run.lossMs + delayMs + 1) * thousandths(run.load, field.berths[run.berth].total);
         auto part = std::find_if(victim.parts.begin(), victim.parts.end(), [&](const auto& each) { return each.berth == run.berth; });
         if (part == victim.parts.end()) victim.parts.push_back({static_cast<std::uint32_t>(run.berth), run.load});
         else berth::add(part->load, run.load);
@@ -389,9 +390,12 @@
                  (lane >= each.lane || (rules.rankFirst && job.rank < each.rank));
         }))
       return false;
-    if (job.dueInMs < 0) return false;
     const bool whole = count > 1;
-    if (job.dueInMs > 0 && fitsBy(demand, first, whole, scope, (job.dueInMs - unit.estimateMs) / 2, false)) return false;
+    if (job.dueInMs != 0) {
+      const auto slackMs = job.dueInMs - unit.estimateMs;
+      if (slackMs <= 0 || slackMs > unit.estimateMs || forecasts >= kMostForecasts) return false;
+      if (fitsBy(demand, first, whole, scope, slackMs / 2, false)) return false;
+    }
     ++pushes;
     scratch = soon;
     std::fill(placed.begin(), placed.end(), berth::Load{});
