--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -392,9 +392,8 @@
       return false;
     const bool whole = count > 1;
     if (job.dueInMs != 0) {
-      const auto slackMs = job.dueInMs - unit.estimateMs;
-      if (slackMs <= 0 || slackMs > unit.estimateMs || forecasts >= kMostForecasts) return false;
-      if (fitsBy(demand, first, whole, scope, slackMs / 2, false)) return false;
+      if (job.dueInMs < 0 || job.dueInMs > unit.estimateMs || forecasts >= kMostForecasts) return false;
+      if (fitsBy(demand, first, whole, scope, job.dueInMs / 2, false)) return false;
     }
     ++pushes;
     scratch = soon;
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -61,7 +61,7 @@
   std::int64_t rank = 0;   // higher goes first
   Millis acceptedMs = 0;
   Millis readyForMs = 0;
-  Millis dueInMs = 0;      // until the line's aim for it passes, by its estimates; negative: passed. 0 with no aim
+  Millis dueInMs = 0;      // until what is left must start for the line's aim, by its estimates; negative: passed. 0 with no aim
   bool gang = false;
   std::vector<Unit> ready;
   std::vector<HeldRun> runs;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -436,7 +436,7 @@
       made.rank = job.rank;
       made.acceptedMs = job.acceptedMs;
       made.counters = job.counters;
-      made.dueInMs = job.acceptedMs + job.aimMs - now;
+      made.dueInMs = job.acceptedMs + job.aimMs - job.unit.estimateMs - now;
       if (made.dueInMs == 0) made.dueInMs = -1;
       if (!running) made.readyForMs = job.counters.waitMs;
       if (!ready.tasks.empty() && !(job.unit.whole && running)) made.ready.push_back(ready);
@@ -620,10 +620,10 @@
 TEST(placement, an_aim_pushes_only_when_waiting_would_miss_it_and_not_once_it_has_passed) {
   std::vector<Candidate> jobs{waiting("urgent", tasks(1, load(4)), 1), busy("held", {held(0, 0, load(8), 100)}, 1, 0)};
   jobs[0].ready[0].estimateMs = 1000;
-  jobs[0].dueInMs = 4000;
+  jobs[0].dueInMs = 1100;
   jobs[1].runs[0].endsInMs = 5000;
   LONGS_EQUAL(0, plan(jobs, freeField({0}), byRank(), {}).stops.size());
-  jobs[0].dueInMs = 1800;
+  jobs[0].dueInMs = 800;
   jobs[1].runs[0].endsInMs = 300;
   LONGS_EQUAL(0, plan(jobs, freeField({0}), byRank(), {}).stops.size());
   jobs[1].runs[0].endsInMs = 1000;
