--- a/src/signal/core.hpp
+++ b/src/signal/core.hpp
@@ -21,7 +21,7 @@
   DaemonId fromId;
   Address from;
   Message message;
-  Address to;
+  Address to = {};
 };
 
 struct Ask {
@@ -113,7 +113,7 @@
   Millis retryMs = 0;
   std::string body;
   Kind kind = Kind::ok;
-  Brief brief;  // the same in plain values, for callers through a dialect
+  Brief brief = {};  // the same in plain values, for callers through a dialect
 };
 
 struct Proxy {
@@ -143,8 +143,8 @@
   void wakeBy(Millis atMs) { wakeMs = wakeMs < 0 ? atMs : std::min(wakeMs, atMs); }
 
   void send(const Address& to, Message message) { sends.push_back({to, std::move(message)}); }
-  void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0) {
-    answers.push_back({transaction, status, retryMs, std::move(body), Kind::ok, {}});
+  void answer(std::uint64_t transaction, int status, std::string body, Millis retryMs = 0, Kind kind = Kind::ok) {
+    answers.push_back({transaction, status, retryMs, std::move(body), kind, {}});
   }
   void deny(std::uint64_t transaction, Kind kind, std::string body, Millis retryMs = 0) {
     answers.push_back({transaction, rowOf(kind).status, retryMs, std::move(body), kind, {}});
