--- a/src/drydock/faults.cpp
+++ b/src/drydock/faults.cpp
@@ -221,11 +221,13 @@
          for (int i = 0; i < 8; ++i) world.sim.at(world.faultTime(), [&world] { world.newJob(LineLoad{"gate"}, true); });
        }},
       {"all-quays-emptied", [](World& world) {
+         world.judge.stalls = false;
          world.sim.at(world.faultTime(), [&world] {
            for (auto* quay : world.sim.hosts(Role::quay)) world.replaceQuay(*quay, true);
          });
        }},
       {"two-quays-emptied", [](World& world) {
+         world.judge.stalls = false;
          world.sim.at(world.faultTime(), [&world] {
            auto quays = world.sim.hosts(Role::quay);
            for (std::size_t i = 0; i < 2; ++i) world.replaceQuay(*quays[i], true);
--- a/src/drydock/journals.cpp
+++ b/src/drydock/journals.cpp
@@ -28,6 +28,8 @@
   std::int64_t submittedMs = 0, acceptedMs = -1, deniedMs = -1, cancelledMs = -1, endedMs = -1, notBeforeMs = 0;
   std::string line, shown;
   std::map<std::string, std::vector<std::string>> after;
+  std::map<std::string, std::vector<std::string>> gang;  // task -> the members, where one clean end stands for all
+  std::set<std::string> repeats, standing;
 };
 
 struct Shore {
@@ -37,6 +39,34 @@
   std::int64_t newestConfirmed = 0;
 };
 
+void readSteps(const json_t* body, Call& call) {
+  const json_t* steps = json_object_get(body, "steps");
+  std::map<std::string, std::size_t> byName;
+  for (std::size_t s = 0; s < json_array_size(steps); ++s) byName[textAt(json_array_get(steps, s), "name")] = s;
+  const auto countOf = [&](std::size_t s) { return numberAt(json_array_get(steps, s), "count", 1); };
+  for (std::int64_t k = 0; k < std::max<std::int64_t>(1, numberAt(body, "times")); ++k) {
+    const auto membersOf = [&](std::size_t s) {
+      std::vector<std::string> names;
+      for (std::int64_t i = 0; i < countOf(s); ++i) names.push_back(std::to_string(k) + "." + std::to_string(s) + "." + std::to_string(i));
+      return names;
+    };
+    for (std::size_t s = 0; s < json_array_size(steps); ++s) {
+      const json_t* step = json_array_get(steps, s);
+      std::vector<std::string> after;
+      const json_t* named = json_object_get(step, "after");
+      for (std::size_t n = 0; n < json_array_size(named); ++n)
+        for (auto& dep : membersOf(byName[json_string_value(json_array_get(named, n))])) after.push_back(std::move(dep));
+      const auto members = membersOf(s);
+      for (const auto& name : members) {
+        call.after[name] = after;
+        if (flagAt(step, "together")) call.gang[name] = members;
+        if (flagAt(step, "repeats")) call.repeats.insert(name);
+        if (flagAt(step, "standing")) call.standing.insert(name);
+      }
+    }
+  }
+}
+
 void readShore(const std::string& folder, Shore& shore, JournalVerdict& verdict) {
   std::vector<std::pair<std::int64_t, std::string>> lines;
   for (const auto& item : std::filesystem::directory_iterator(folder)) {
@@ -60,6 +90,7 @@
       call.submittedMs = atMs;
       call.line = textAt(body.get(), "pending");
       call.notBeforeMs = numberAt(body.get(), "notBeforeMs");
+      readSteps(body.get(), call);
       const json_t* tasks = json_object_get(body.get(), "tasks");
       for (std::size_t i = 0; i < json_array_size(tasks); ++i) {
         const json_t* task = json_array_get(tasks, i);
@@ -96,11 +127,13 @@
 
 void judgeShore(const Shore& shore, const std::map<std::string, std::vector<Span>>& byTask, JournalVerdict& verdict) {
   const auto fault = [&](std::string text) { verdict.broken.push_back(std::move(text)); };
-  const auto firstClean = [&](const std::string& task) {
+  const auto firstClean = [&](const std::string& id, const Call& call, const std::string& name) {
     std::int64_t first = INT64_MAX;
-    if (auto found = byTask.find(task); found != byTask.end())
-      for (const auto& span : found->second)
-        if (span.outcome == "clean") first = std::min(first, span.untilMs);
+    const auto gang = call.gang.find(name);
+    for (const auto& member : gang == call.gang.end() ? std::vector<std::string>{name} : gang->second)
+      if (auto found = byTask.find(id + ":" + member); found != byTask.end())
+        for (const auto& span : found->second)
+          if (span.outcome == "clean") first = std::min(first, span.untilMs);
     return first;
   };
   for (const auto& [task, spans] : byTask) {
@@ -118,8 +151,8 @@
       if (call.cancelledMs >= 0 && span.fromMs > call.cancelledMs + kCancelGraceMs) fault("cancelled: " + span.run + " starts after its cancel was confirmed");
       if (span.fromMs + kEarlyGraceMs < call.submittedMs + call.notBeforeMs) fault("early: " + span.run);
       for (const auto& step : call.after.at(task.substr(colon + 1)))
-        if (firstClean(found->first + ":" + step) > span.fromMs) fault("steps: " + span.run + " starts before " + step + " is done");
-      if (auto limit = shore.limits.find(call.line); limit != shore.limits.end() && failures >= limit->second)
+        if (firstClean(found->first, call, step) > span.fromMs) fault("steps: " + span.run + " starts before " + step + " is done");
+      if (auto limit = shore.limits.find(call.line); limit != shore.limits.end() && failures >= limit->second && !call.standing.contains(task.substr(colon + 1)))
         fault("failures: " + span.run + " starts after " + std::to_string(failures) + " failures");
       if (auto drained = shore.drained.find("drained " + span.worker); drained != shore.drained.end())
         for (const auto& [fromMs, untilMs] : drained->second)
@@ -130,7 +163,7 @@
   for (const auto& [id, call] : shore.calls) {
     if (call.acceptedMs >= 0 && call.endedMs < 0) fault("ends: " + id + " was accepted and not seen to end");
     for (const auto& [name, steps] : call.after)
-      if (call.shown == "finished" && firstClean(id + ":" + name) > call.endedMs) fault("finished: " + id + " is shown finished but " + name + " had not ended cleanly");
+      if (call.shown == "finished" && firstClean(id, call, name) > call.endedMs) fault("finished: " + id + " is shown finished but " + name + " had not ended cleanly");
   }
 }
 
@@ -162,6 +195,8 @@
     auto& life = lifeOf[line.worker];
     if (life != line.life) held[line.worker] = 0;
     life = line.life;
+    if (line.kind == "over" && line.more != "slots") verdict.broken.push_back("room: " + line.worker + " has too little " + line.more + " for " + line.run);
+    if (line.kind != "start" && line.kind != "end" && line.kind != "acked") continue;
     auto& spans = byTask[taskOf(line.run)];
     if (line.kind == "start") {
       ++verdict.starts;
@@ -191,10 +226,12 @@
   if (!shore.calls.empty()) judgeShore(shore, byTask, verdict);
   for (const auto& [task, spans] : byTask) {
     bool clean = false;
+    const auto call = shore.calls.find(task.substr(0, task.find(':')));
+    const bool repeats = call != shore.calls.end() && call->second.repeats.contains(task.substr(task.find(':') + 1));
     for (const auto& one : spans) {
       clean = clean || one.outcome == "clean";
       for (const auto& other : spans) {
-        if (&one == &other || other.fromMs < one.fromMs) continue;
+        if (&one == &other || other.fromMs < one.fromMs || repeats) continue;
         const bool completed = one.outcome == "clean" || one.outcome == "failed";
         if (completed && other.fromMs < one.untilMs) verdict.broken.push_back("once: " + other.run + " starts while " + one.run + " runs");
         if (one.outcome != "clean" || other.fromMs < one.untilMs) continue;
--- a/src/drydock/load.cpp
+++ b/src/drydock/load.cpp
@@ -33,7 +33,7 @@
     step.repeats = !step.together && drawn(load.repeats);
     if (!grounds.racks.empty() && drawn(load.near)) step.near = grounds.racks[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.racks.size()) - 1, dice))];
     if (!grounds.kinds.empty() && drawn(load.needs)) step.needs = grounds.kinds[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.kinds.size()) - 1, dice))];
-    if (drawn(load.apart)) step.apart = std::max<std::int64_t>(2, step.count / 4);
+    if (drawn(load.apart)) step.apart = std::max<std::int64_t>(2, (step.count + 4) / 5);  // fits on the five workers of a kind
     if (drawn(0.03)) step.failAttempts = 1;
     job.steps.push_back(std::move(step));
   }
--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -70,7 +70,7 @@
 
 bool Sim::troubled(Millis withinMs) const {
   if (now_ - troubleUs_ <= withinMs * 1000 || !cuts_.empty() || plan.sea.drop > 0 || plan.sea.late > 0) return true;
-  const Micros since = now_ - withinMs * 1000;
+  const Micros since = std::max<Micros>(0, now_ - withinMs * 1000);
   for (const auto& host : hosts_)
     if ((!host->up && !host->gone) || host->frozenUntilUs > since || host->diskFails || host->syncUs > 5000) return true;
   for (const auto& hand : hands_) {
--- a/tests/journals_test.cpp
+++ b/tests/journals_test.cpp
@@ -47,6 +47,27 @@
   LONGS_EQUAL(0, judge("1 w1 x start j:a:1 5\n2 w1 z start j:b:1 4\n").broken.size());
 }
 
+TEST(journals, a_worker_that_says_it_is_over_its_room_fires) {
+  LONGS_EQUAL(1, judge("1 w1 x start j:0.0.0:1 1 payload=00\n1 w1 x over j:0.0.0:1 cpu\n").broken.size());
+}
+
+TEST(journals, jobs_of_steps_are_judged_by_their_numbers) {
+  const std::string submit =
+      R"(10 submit {"id":"j","pending":"gate","times":2,"steps":[{"name":"a","count":2,"together":true},{"name":"b","after":["a"],"repeats":true}]})" "\n";
+  const auto brokenOf = [&](const std::string& more, const char* runs) {
+    std::ofstream(folder / "c.calls") << submit << "15 accepted j\n" << more;
+    return judge(runs).broken.size();
+  };
+  const char* whole =
+      "20 w1 x start j:0.0.0:1 1\n20 w1 x start j:0.0.1:1 1\n30 w1 x end j:0.0.1:1 clean\n30 w1 x end j:0.0.0:1 crashed\n"
+      "40 w1 x start j:0.1.0:1 1\n41 w1 x start j:0.1.0:2 1\n50 w1 x end j:0.1.0:1 clean\n51 w1 x end j:0.1.0:2 clean\n"
+      "60 w1 x start j:1.0.0:1 1\n60 w1 x start j:1.0.1:1 1\n70 w1 x end j:1.0.0:1 clean\n70 w1 x end j:1.0.1:1 clean\n"
+      "80 w1 x start j:1.1.0:1 1\n90 w1 x end j:1.1.0:1 clean\n";
+  LONGS_EQUAL(0, brokenOf("99 shown j finished\n", whole));
+  LONGS_EQUAL(1, brokenOf("85 shown j finished\n", whole));
+  LONGS_EQUAL(2, brokenOf("99 shown j cancelled\n", "20 w1 x start j:0.1.0:1 1\n"));
+}
+
 TEST(journals, what_callers_and_operators_saw_is_judged_with_it) {
   const std::string submit = R"(10 submit {"id":"j","pending":"gate","notBeforeMs":0,"tasks":[{"name":"a"},{"name":"b","after":["a"]}]})" "\n";
   const auto fires = [&](const std::string& calls, const char* runs, const char* rule) {
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -188,3 +188,286 @@
   line("start stranger:a:1");
   CHECK(fires("asked-for"));
 }
+
+TEST_GROUP(steps) {
+  Sim* sim;
+  Judge* judge;
+
+  void setup() override {
+    FleetPlan fleet;
+    fleet.room = {{"cpu", 16000}};
+    fleet.slots = 64;
+    fleet.rackSize = 3;
+    fleet.kinds = 2;
+    sim = new Sim(1, fleet);
+    for (const auto& host : sim->all()) host->up = true;
+    for (const auto& each : sim->hands()) each->up = true;
+    judge = new Judge(*sim);
+    judge->failureLimit["line"] = 2;
+  }
+  void teardown() override {
+    delete judge;
+    delete sim;
+  }
+
+  JobTruth& job(std::vector<StepSketch> steps, std::int64_t times = 0, Millis firstInMs = 0, Millis everyMs = 0) {
+    JobSketch sketch{"j", "line", false, 0, {}, std::move(steps), times, firstInMs, everyMs};
+    digests.clear();
+    for (const auto& step : sketch.steps) digests.push_back(roles::digestOf(payloadOf(step)));
+    auto& truth = judge->submitted(sketch);
+    judge->accepted("j");
+    return truth;
+  }
+  static StepSketch step(std::int64_t count, std::vector<std::size_t> after = {}) {
+    StepSketch made;
+    made.name = "s";
+    made.count = count;
+    made.after = std::move(after);
+    made.room = {{"cpu", 4000}};
+    return made;
+  }
+  Hand& hand(std::size_t at) { return *sim->hands()[at]; }
+  void start(const std::string& run, std::size_t at = 0, const std::string& saved = {}) {
+    const auto number = static_cast<std::size_t>(std::atoi(run.c_str() + run.find('.') + 1));
+    sim->onJournal(hand(at), "start " + run + " 1 payload=" + digests[number] + (saved.empty() ? "" : " saved=" + saved));
+  }
+  void end(const std::string& run, const char* outcome, std::size_t at = 0) { sim->onJournal(hand(at), "end " + run + " " + outcome); }
+  void deliver(const std::string& run, std::size_t at = 0) {
+    sim->onReported(hand(at), "{\"ended\":[{\"run\":\"" + run + "\",\"outcome\":\"clean\"}]}", 200);
+  }
+  void passMs(Millis span) {
+    for (Millis past = 0; past < span; past += 100) {
+      sim->runUntil(sim->nowUs() + 100000);
+      judge->sweep();
+    }
+  }
+  bool fires(const char* rule) {
+    for (const auto& each : judge->broken)
+      if (each.rule == rule) return true;
+    return false;
+  }
+  void shown(const char* state) {
+    Json view = parseJson("{\"state\":\"" + std::string(state) + "\"}");
+    judge->shown("j", 200, view.get());
+  }
+  std::vector<std::string> digests;
+};
+
+TEST(steps, an_ordinary_course_breaks_nothing) {
+  auto first = step(2);
+  first.together = first.saves = true;
+  job({first, step(1, {0})}, 2, 200, 500);
+  passMs(200);
+  start("j:0.0.0:1", 0);
+  start("j:0.0.1:1", 1);
+  sim->onJournal(hand(0), "saved j:0.0.0:1 abc");
+  end("j:0.0.0:1", "stopped", 0);
+  end("j:0.0.1:1", "broken", 1);
+  start("j:0.0.0:2", 1, "abc");
+  start("j:0.0.1:2", 0, "abc");
+  end("j:0.0.1:2", "clean", 0);
+  end("j:0.0.0:2", "crashed", 1);
+  deliver("j:0.0.1:2");
+  start("j:0.1.0:1");
+  end("j:0.1.0:1", "clean");
+  passMs(500);
+  start("j:1.0.0:1", 0);
+  start("j:1.0.1:1", 1);
+  end("j:1.0.0:1", "clean", 0);
+  end("j:1.0.1:1", "clean", 1);
+  start("j:1.1.0:1");
+  end("j:1.1.0:1", "clean");
+  shown("finished");
+  judge->close();
+  for (const auto& each : judge->broken) UT_PRINT((each.rule + ": " + each.what).c_str());
+  LONGS_EQUAL(0, judge->broken.size());
+}
+
+TEST(steps, room_of_any_kind_that_is_taken_twice_fires) {
+  job({step(5)});
+  for (int i = 0; i < 4; ++i) hand(0).worker.going["x" + std::to_string(i)].room["cpu"] = 4000;
+  start("j:0.0.0:1");
+  CHECK_FALSE(fires("room"));
+  hand(0).worker.going["y"].stopping = true;
+  hand(0).worker.going["y"].room["cpu"] = 1;
+  start("j:0.0.1:1");
+  CHECK(fires("room"));
+}
+
+TEST(steps, a_task_before_the_whole_step_it_waits_for_fires) {
+  job({step(2), step(1, {0})});
+  start("j:0.0.0:1");
+  end("j:0.0.0:1", "clean");
+  start("j:0.1.0:1");
+  CHECK(fires("steps"));
+}
+
+TEST(steps, one_clean_end_of_a_gang_stands_for_all_of_it) {
+  auto first = step(2);
+  first.together = true;
+  job({first});
+  start("j:0.0.0:1");
+  end("j:0.0.0:1", "clean");
+  deliver("j:0.0.0:1");
+  start("j:0.0.1:2", 1);
+  CHECK(fires("once"));
+}
+
+TEST(steps, an_instance_ahead_of_its_time_fires) {
+  job({step(1)}, 3, 1000, 2000);
+  passMs(900);
+  start("j:0.0.0:1");
+  CHECK_FALSE(fires("early"));
+  start("j:1.0.0:1", 1);
+  CHECK(fires("early"));
+}
+
+TEST(steps, a_wrong_payload_or_checkpoint_fires) {
+  auto saving = step(2);
+  saving.saves = true;
+  job({saving});
+  start("j:0.0.0:1");
+  sim->onJournal(hand(0), "saved j:0.0.0:1 abc");
+  end("j:0.0.0:1", "stopped");
+  start("j:0.0.0:2", 0, "abc");
+  CHECK_FALSE(fires("asked-for"));
+  start("j:0.0.1:1", 1, "abc");
+  CHECK(fires("asked-for"));
+  judge->broken.clear();
+  sim->onJournal(hand(2), "start j:0.0.1:2 1 payload=00000000");
+  CHECK(fires("asked-for"));
+}
+
+TEST(steps, a_gang_from_two_checkpoints_fires) {
+  auto saving = step(2);
+  saving.saves = saving.together = true;
+  job({saving});
+  start("j:0.0.0:1");
+  sim->onJournal(hand(0), "saved j:0.0.0:1 abc");
+  end("j:0.0.0:1", "stopped");
+  start("j:0.0.0:2", 0, "abc");
+  start("j:0.0.1:2", 1);
+  CHECK(fires("gang"));
+}
+
+TEST(steps, a_member_left_alone_in_calm_fires) {
+  auto first = step(2);
+  first.together = true;
+  job({first});
+  start("j:0.0.0:1");
+  sim->trouble();
+  passMs(5000);
+  end("j:0.0.0:1", "alone");
+  CHECK_FALSE(fires("gang"));
+  start("j:0.0.0:2");
+  passMs(5000);
+  end("j:0.0.0:2", "alone");
+  CHECK(fires("gang"));
+}
+
+TEST(steps, a_gang_fails_once_an_attempt_and_no_more_than_the_limit) {
+  auto first = step(2);
+  first.together = true;
+  job({first});
+  for (const char* attempt : {"1", "2"}) {
+    start(std::string("j:0.0.0:") + attempt, 0);
+    start(std::string("j:0.0.1:") + attempt, 1);
+    end(std::string("j:0.0.0:") + attempt, "failed", 0);
+    end(std::string("j:0.0.1:") + attempt, "failed", 1);
+    CHECK_FALSE(fires("failures"));
+  }
+  start("j:0.0.1:3", 1);
+  CHECK(fires("failures"));
+}
+
+TEST(steps, standing_tasks_have_no_such_limit) {
+  auto first = step(1);
+  first.standing = true;
+  job({first});
+  for (const char* attempt : {"1", "2", "3", "4"}) {
+    start(std::string("j:0.0.0:") + attempt);
+    end(std::string("j:0.0.0:") + attempt, "failed");
+  }
+  LONGS_EQUAL(0, judge->broken.size());
+}
+
+TEST(steps, copies_are_for_steps_that_repeat_and_only_until_an_end_is_known) {
+  auto first = step(1);
+  first.repeats = true;
+  job({first});
+  start("j:0.0.0:1", 0);
+  start("j:0.0.0:2", 1);
+  end("j:0.0.0:1", "clean", 0);
+  deliver("j:0.0.0:1");
+  passMs(900);
+  start("j:0.0.0:3", 2);
+  CHECK_FALSE(fires("once"));
+  passMs(200);
+  start("j:0.0.0:4", 3);
+  CHECK(fires("once"));
+}
+
+TEST(steps, a_worker_without_the_label_fires) {
+  auto first = step(2);
+  first.needs = "kind-1";
+  job({first});
+  start("j:0.0.0:1", 0);
+  CHECK_FALSE(fires("needs"));
+  start("j:0.0.1:1", 1);
+  CHECK(fires("needs"));
+}
+
+TEST(steps, more_of_a_step_on_one_worker_than_it_allows_fires) {
+  auto first = step(3);
+  first.apart = 2;
+  job({first});
+  start("j:0.0.0:1");
+  start("j:0.0.1:1");
+  CHECK_FALSE(fires("apart"));
+  start("j:0.0.2:1");
+  CHECK(fires("apart"));
+}
+
+TEST(steps, a_job_that_was_turned_away_and_runs_fires) {
+  job({step(1)});
+  judge->turnedAway("j");
+  start("j:0.0.0:1");
+  CHECK(fires("turned-away"));
+}
+
+TEST(steps, a_run_that_outlives_its_cancel_fires) {
+  job({step(1)});
+  start("j:0.0.0:1");
+  judge->jobs.at("j").cancelAskedMs = sim->nowMs();
+  judge->cancelled("j");
+  passMs(kCancelGraceMs + sim->plan.bounds.runStopMs);
+  CHECK_FALSE(fires("cancelled"));
+  passMs(300);
+  CHECK(fires("cancelled"));
+}
+
+TEST(steps, a_job_that_stands_still_beside_free_room_fires) {
+  passMs(kSettledMs);
+  auto wide = step(12);
+  wide.together = true;
+  job({wide});
+  passMs(kStallMs);
+  CHECK_FALSE(fires("stalled"));
+  passMs(1200);
+  CHECK(fires("stalled"));
+}
+
+TEST(steps, a_job_without_room_for_it_twice_or_in_trouble_does_not) {
+  passMs(kSettledMs);
+  auto wide = step(30);
+  wide.together = true;
+  job({wide});
+  passMs(6000);
+  CHECK_FALSE(fires("stalled"));
+  JobSketch other{"k", "line", false, 0, {}, {step(1)}};
+  judge->submitted(other);
+  judge->accepted("k");
+  sim->trouble();
+  passMs(6000);
+  CHECK_FALSE(fires("stalled"));
+}
