--- a/src/drydock/audit.cpp
+++ b/src/drydock/audit.cpp
@@ -50,6 +50,7 @@
     result.leaderKeys = leader->node->pilot->current.size();
     result.leaderJobs = leader->node->pilot->told.size();
   }
+  result.outcomes = world.judge.outcomes;
   result.points = sim.points;
   result.truth = std::move(world.judge.jobs);
 }
--- a/src/drydock/day.hpp
+++ b/src/drydock/day.hpp
@@ -39,6 +39,7 @@
   std::uint64_t dropped = 0;
   std::size_t leaderKeys = 0, leaderJobs = 0, mostQuayKeys = 0;
   std::map<std::string, JobTruth> truth;
+  std::map<std::string, std::int64_t> outcomes;
   std::vector<std::string> alarms;
   std::map<std::string, int> points;
   bool placed = false;
--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -227,6 +227,7 @@
 
 void Judge::runEnded(Hand&, const std::string& run, const std::string& outcome) {
   ++ends;
+  ++outcomes[outcome];
   auto [job, at] = find(run);
   if (!job) return;
   auto& task = job->tasks[at];
@@ -461,8 +462,10 @@
     if (unit.empty() || !fitsTwice(job, unit)) job.stalledSinceMs = -1;
     else if (job.stalledSinceMs < 0) job.stalledSinceMs = sim_.nowMs();
     else if (sim_.nowMs() - job.stalledSinceMs > kStallMs) {
-      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) + " ms though " + job.names[unit.front()] +
-                           " could start and there is room for it twice over");
+      const auto& task = job.tasks[unit.front()];
+      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) + " ms though " + job.names[unit.front()] + " (of " +
+                           std::to_string(unit.size()) + " at once, " + std::to_string(task.apart) + " apart, needs '" + task.needs + "', " +
+                           std::to_string(job.failures(unit.front())) + " failures) could start and there is room for it twice over");
       job.stalledSinceMs = sim_.nowMs();
     }
   }
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -90,6 +90,7 @@
   std::map<std::string, std::int64_t> failureLimit;
   std::vector<Broken> broken;
   std::int64_t starts = 0, ends = 0, checks = 0;
+  std::map<std::string, std::int64_t> outcomes;  // of runs, as their workers journalled them
   bool forgetsEnded = false;
   bool stalls = true;  // off where the order of work may leave room unused
   bool clockStepped = false;
--- a/src/drydock/sim.cpp
+++ b/src/drydock/sim.cpp
@@ -472,9 +472,13 @@
   text.body = roles::nextReport(hand.worker, sentMs);
   const auto number = hand.worker.report;
   auto finish = [this, &hand, life, sentMs, number, body = text.body](Reply got) {
-    if (!hand.up || hand.lives != life || hand.worker.report != number || !hand.calling) return;
+    if (!hand.up || hand.lives != life) return;
     auto act = [this, &hand, life, sentMs, number, got, body] {
-      if (!hand.up || hand.lives != life || hand.worker.report != number || !hand.calling) return;
+      if (!hand.up || hand.lives != life) return;
+      if (hand.worker.report != number || !hand.calling) {
+        if (!got.lost && got.status == 200) roles::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
+        return;
+      }
       roles::workerTick(hand.worker, clockOf(hand));
       if (!got.lost && got.status == 200) {
         roles::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
--- a/src/roles/stevedore.cpp
+++ b/src/roles/stevedore.cpp
@@ -58,7 +58,10 @@
     out.body = nextReport(worker, sentMs);
     out.cutoffMs = 2000;
     gangway::callHttp(context, std::move(out), [this, sentMs, number = worker.report](gangway::CallReply reply) {
-      if (number != worker.report) return;
+      if (number != worker.report) {
+        if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
+        return;
+      }
       workerTick(worker, steadyMs());
       if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
       writeJournal();
--- a/src/roles/worker.cpp
+++ b/src/roles/worker.cpp
@@ -161,13 +161,15 @@
 
 void heardAnswer(Worker& worker, std::string_view body, Millis sentMs, Millis nowMs) {
   Json root = parseJson(body);
-  if (!root || numberAt(root.get(), "report") != static_cast<std::int64_t>(worker.report)) return;
+  if (!root || numberAt(root.get(), "report") > static_cast<std::int64_t>(worker.report)) return;
   const auto fence = static_cast<std::uint64_t>(numberAt(root.get(), "fence"));
   if (fence < worker.fence) return;
   worker.fence = fence;
   auto holdMs = numberAt(root.get(), "goOnMs");
   if (worker.traits.holdMostMs > 0) holdMs = std::min(holdMs, worker.traits.holdMostMs);
   worker.goOnUntilMs = std::max(worker.goOnUntilMs, sentMs + holdMs);
+  // An answer to a report that another has followed holds on; what it orders was given up when the later one came without it.
+  if (numberAt(root.get(), "report") < static_cast<std::int64_t>(worker.report)) return;
   worker.callAtMs = nowMs + numberAt(root.get(), "nextMs");
   const bool fresh = nowMs - sentMs <= numberAt(root.get(), "startWithinMs") && (nowMs < worker.goOnUntilMs || !worker.traits.selfStop);
   const json_t* stop = json_object_get(root.get(), "stop");
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -11,7 +11,8 @@
   plan.seed = seed;
   plan.faults = std::move(faults);
   plan.load = builtInLoad(load);
-  plan.seconds = 16;
+  plan.fleet = fleetOf(load);
+  plan.seconds = plan.fleet.room.empty() ? 16 : 24;
   return runDay(plan);
 }
 
@@ -40,6 +41,26 @@
   keeps(2, {}, "kerala");
 }
 
+TEST(day, quiet_days_of_jobs_of_steps_lose_no_run) {
+  for (const char* load : {"leatherwood-steps", "kerala-steps"})
+    for (std::uint64_t seed : {6, 8}) {
+      auto result = day(seed, {}, load);
+      for (const auto& each : result.broken) UT_PRINT((each.rule + ": " + each.what).c_str());
+      LONGS_EQUAL(0, result.broken.size());
+      CHECK(result.outcomes["clean"] > 500);
+      for (const char* lost : {"lapsed", "alone", "crashed"}) LONGS_EQUAL(0, result.outcomes[lost]);
+    }
+}
+
+TEST(day, jobs_of_steps_under_faults) {
+  const std::pair<std::uint64_t, std::vector<std::string>> days[] = {
+      {21, {"worker-machine-cut", "leader-kill"}}, {22, {"worker-taken", "workers-flap"}},       {23, {"worker-stands-still", "burst-of-large"}},
+      {24, {"poison", "worker-mute"}},             {25, {"core-killed", "burst-of-urgent"}},     {26, {"all-power-lost"}},
+      {27, {"core-machine-replaced"}},             {28, {"clock-steps", "leader-freeze"}},       {29, {"disk-stalls", "worker-fails-some"}},
+      {30, {"workers-slow", "tender-kill"}},       {31, {"worker-gone", "leader-kill-after-yes"}}};
+  for (const auto& [seed, faults] : days) keeps(seed, faults, seed % 2 ? "leatherwood-steps" : "kerala-steps");
+}
+
 TEST(day, quays_lost_and_replaced) {
   keeps(3, {"quay-disk-lost"});
   keeps(4, {"quay-replaced-elsewhere"});
--- a/tests/worker_test.cpp
+++ b/tests/worker_test.cpp
@@ -73,6 +73,14 @@
   LONGS_EQUAL(nowMs + 6000, worker.goOnUntilMs);
 }
 
+TEST(worker, a_late_answer_to_an_earlier_report_holds_on_and_orders_nothing) {
+  nextReport(worker, nowMs);
+  nextReport(worker, nowMs);
+  heardAnswer(worker, R"({"report":1,"goOnMs":2000,"startWithinMs":1000,"start":[{"run":"j:a:1"}]})", nowMs, nowMs + 100);
+  LONGS_EQUAL(nowMs + 2000, worker.goOnUntilMs);
+  CHECK(worker.going.empty());
+}
+
 TEST(worker, a_run_not_above_one_stopped_or_ended_here_is_refused) {
   stop("j:a:3");
   start("j:a:3", "{}");
