--- a/src/drydock/judge.cpp
+++ b/src/drydock/judge.cpp
@@ -346,6 +346,15 @@
   if (!drained) drainedSinceMs_.erase(worker);
 }
 
+std::string Judge::described(const JobTruth& job, std::size_t at) const {
+  const auto& task = job.tasks[at];
+  auto text = job.names[at] + " (" + std::to_string(task.starts) + " starts, " + std::to_string(job.failures(at)) + " failures";
+  if (task.members > 1) text += ", one of " + std::to_string(task.members);
+  if (task.apart > 0) text += ", " + std::to_string(task.apart) + " on a worker";
+  if (!task.needs.empty()) text += ", needs " + task.needs;
+  return text + ")";
+}
+
 void Judge::sweep() {
   sweepLonely();
   sweepCancelled();
@@ -462,10 +471,8 @@
     if (unit.empty() || !fitsTwice(job, unit)) job.stalledSinceMs = -1;
     else if (job.stalledSinceMs < 0) job.stalledSinceMs = sim_.nowMs();
     else if (sim_.nowMs() - job.stalledSinceMs > kStallMs) {
-      const auto& task = job.tasks[unit.front()];
-      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) + " ms though " + job.names[unit.front()] + " (of " +
-                           std::to_string(unit.size()) + " at once, " + std::to_string(task.apart) + " apart, needs '" + task.needs + "', " +
-                           std::to_string(job.failures(unit.front())) + " failures) could start and there is room for it twice over");
+      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) + " ms though there is room twice over for " +
+                           described(job, unit.front()) + ", " + std::to_string(unit.size()) + " at once");
       job.stalledSinceMs = sim_.nowMs();
     }
   }
@@ -474,7 +481,11 @@
 void Judge::close() {
   for (const auto& [id, job] : jobs) {
     ++checks;
-    if (job.acceptedMs >= 0 && job.shown.empty()) fault("ends", id + " was accepted and never ended");
+    if (job.acceptedMs >= 0 && job.shown.empty()) {
+      std::size_t open = 0;
+      while (open + 1 < job.tasks.size() && !job.ready(open, sim_.nowMs())) ++open;
+      fault("ends", id + " was accepted and never ended" + (job.tasks.empty() ? "" : ": " + described(job, open)));
+    }
     if (job.cancelledMs < 0 && job.acceptedMs >= 0 && !job.neverSucceeds && job.cancelAskedMs < 0 && job.shown == "cancelled")
       fault("shown", id + " is shown cancelled but nobody cancelled it");
   }
--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -105,6 +105,7 @@
   void sweepLonely();
   void sweepCancelled();
   void sweepStalled();
+  std::string described(const JobTruth& job, std::size_t at) const;
   bool usable(const Hand& hand) const;
   void fault(const char* rule, std::string what);
   std::pair<JobTruth*, std::size_t> find(const std::string& run);
