--- a/src/drydock/place.cpp
+++ b/src/drydock/place.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 22> kMessages{
+constexpr std::array<std::string_view, 23> kMessages{
     "SessionBeat", "SessionGrant", "RegisterPrepare", "RegisterPromise", "RegisterAccept", "RegisterAccepted", "RegisterChosen",
     "AckQuery",    "AckState",     "RangePrepare",    "RangePromise",    "RangeAccept",    "RangeAccepted",    "Resign",
     "QuayBeat",    "Form",         "CatchUpAsk",      "CatchUpGive",     "TenderReport",   "Orders",          "CallAsk",
-    "CallAnswer"};
+    "CallAnswer",  "Referral"};
 static_assert(kMessages.size() == std::variant_size_v<signal::Message>);
 constexpr std::array<std::string_view, 3> kSides{"before", "unsent", "sent"};
 constexpr std::array<std::string_view, 5> kBlows{"crash", "power", "disk", "freeze", "cut"};
