--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -199,6 +199,11 @@
   else reader.fault("a number above 0, or \"infinity\"");
 }
 
+void readMostLoss(Reader& reader, const json_t* value, Admission& into) {
+  if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e6) into.mostLoss = json_number_value(value);
+  else reader.fault("a number from 0 to 1000000");
+}
+
 constexpr std::array admissionFields{
     Fields<Admission>{"rule", readRule},
     Fields<Admission>{"lanes", readNumber<&Admission::lanes, 1, 16, Admission>},
@@ -207,6 +212,8 @@
     Fields<Admission>{"reserveAfterMs", readNumber<&Admission::reserveAfterMs, 100, 86400000, Admission>},
     Fields<Admission>{"layout", readLayout},
     Fields<Admission>{"epochMs", readNumber<&Admission::epochMs, 5, 1000, Admission>},
+    Fields<Admission>{"rankFirst", readFlag<&Admission::rankFirst, Admission>},
+    Fields<Admission>{"mostLoss", readMostLoss},
     Fields<Admission>{"mostPushes", readNumber<&Admission::mostPushes, 0, 1000000, Admission>},
     Fields<Admission>{"gangStartMs", readNumber<&Admission::gangStartMs, 100, 600000, Admission>},
 };
@@ -248,6 +255,7 @@
 
 void readAdmission(Reader& reader, const json_t* value, Chart& chart) {
   auto& rules = chart.admission;
+  chart.admissionGiven = true;
   reader.object(value, admissionFields, rules);
   if (!json_object_get(value, "thresholdsMs")) {
     rules.thresholdsMs.clear();
