--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -61,7 +61,7 @@
   std::int64_t rank = 0;   // higher goes first
   Millis acceptedMs = 0;
   Millis readyForMs = 0;
-  Millis dueInMs = 0;      // until the line's aim for it passes, by its estimates; negative: passed. 0 with no aim
+  Millis dueInMs = 0;      // until what is left must start for the line's aim, by its estimates; negative: passed. 0 with no aim
   bool gang = false;
   std::vector<Unit> ready;
   std::vector<HeldRun> runs;
@@ -88,6 +88,7 @@
   std::optional<std::size_t> reservedFor;
   std::size_t passedOver = 0;
   std::size_t tries = 0;
+  std::size_t looks = 0;  // at a berth for a task: what a plan costs
 };
 
 struct Field {
--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -157,7 +157,7 @@
   const auto fleetMs = fleet(pilot, now);
   pilot.houseMs = now.steadyMs;
   judgeProgress(pilot, now);
-  const auto& rules = pilot.crew.chart->admission;
+  const auto& rules = rulesOf(pilot);
   const auto openNow = std::vector<JobId>(pilot.open.begin(), pilot.open.end());
   for (const auto& id : openNow) {
     auto& job = pilot.jobs.at(id);
@@ -235,7 +235,7 @@
   const auto fleetMs = fleet(pilot, now);
   auto scene = makeScene(pilot, now);
   const std::vector<std::int64_t> sizes(pilot.sizes.begin(), pilot.sizes.end());
-  const auto plan = admission::plan(scene.candidates, scene.field, pilot.crew.chart->admission, sizes);
+  const auto plan = admission::plan(scene.candidates, scene.field, rulesOf(pilot), sizes);
   pilot.counts.passedOver += plan.passedOver;
   pilot.counts.reservations += plan.reservedFor.has_value();
   std::set<std::size_t> pushed;
--- a/src/manifest/parts.hpp
+++ b/src/manifest/parts.hpp
@@ -7,6 +7,10 @@
 
 inline const Bounds& bounds(const PilotState& pilot) { return pilot.crew.env.bounds; }
 inline Millis fleet(const PilotState& pilot, signal::Now now) { return watch::fleetNow(pilot.crew, now); }
+inline const chart::Admission& rulesOf(const PilotState& pilot) {
+  const auto& chart = *pilot.crew.chart;
+  return pilot.usual && !chart.admissionGiven ? *pilot.usual : chart.admission;
+}
 inline std::string specKey(const JobId& id) { return "~" + id.value; }
 
 const chart::Pending& lineOf(const PilotState& pilot, const Job& job);
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -125,6 +125,7 @@
   Millis sealedMs = -1000000;
   bool planDue = false;
   berth::Kinds kinds;
+  std::optional<chart::Admission> usual;  // rules that the settings bring, for a configuration without any
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
   std::map<PendingName, LinePace> paces;
