--- a/src/manifest/tender.cpp
+++ b/src/manifest/tender.cpp
@@ -274,6 +274,7 @@
     for (auto& [id, run] : tender.runs)
       if (run.state != RunState::ended && (run.state != RunState::ordered || run.handedReport)) end(tender, run, RunOutcome::lost, "worker restarted");
   if (!same || !tender.heard) tender.reportDue = true;
+  if (!tender.heard) tender.workerUntilMs = std::max(tender.workerUntilMs, now.steadyMs + bounds(tender).workerTermMs);
   if (report.incarnation != tender.incarnation) tender.lastSeen = 0;
   if (report.leaving != tender.leaving) tender.reportDue = true;
   tender.heard = true;
--- a/tests/tender_test.cpp
+++ b/tests/tender_test.cpp
@@ -128,3 +128,17 @@
   ordered({}, nowMs);
   CHECK(tender.runs.at(RunId("stranger:a:1")).state == RunState::stopping);
 }
+
+TEST(tender, after_its_own_restart_it_waits_out_what_its_earlier_life_may_have_granted) {
+  auto chart = std::make_shared<chart::Chart>(*tender.crew.chart);
+  chart->pools.at("side").lostAfterTerms = 1;
+  tender.crew.chart = chart;
+  reports(R"(["j:a:1"])");
+  Outbox out;
+  nowMs += 600;
+  manifest::tenderTick(tender, {nowMs}, out);
+  manifest::tenderTick(tender, {nowMs + tender.crew.env.bounds.workerTermMs / 2}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).state == RunState::going);
+  manifest::tenderTick(tender, {nowMs + 2 * tender.crew.env.bounds.workerTermMs}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).outcome == RunOutcome::lost);
+}
