A second quay is lost only once a dead disk's seat is taken, and that it is taken is judged

Cause: with power lost in between, the seat was not yet taken 14 s after the disk died, so two of three quays were lost at once, which no fleet bears (, quays-power-lost,disk-dies-quay-lives).

--- a/src/drydock/audit.cpp
+++ b/src/drydock/audit.cpp
@@ -26,6 +26,7 @@
   sim.runUntil(sim.nowUs() + 5 * kSecond);
   world.judge.close();
   if (reads < 3) world.judge.broken.push_back({sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
+  if (world.awaitsWhole) world.judge.broken.push_back({sim.nowMs(), "inside", "the seat of a lost quay is never taken"});
   result.seed = world.plan.seed;
   result.faults = world.plan.faults;
   result.broken = world.judge.broken;
--- a/src/drydock/faults.cpp
+++ b/src/drydock/faults.cpp
@@ -153,11 +153,13 @@
            world.deadDisks.insert(old.name);
            world.sim.start(world.sim.addHost(Role::quay, old.name + "x", old.env.cell.value));
            world.sim.after(14 * kSecond, [&world, &old] {
-             for (auto* quay : world.sim.hosts(Role::quay)) {
-               if (quay == &old || quay->name == old.name + "x") continue;
-               world.retire(*quay);
-               return world.sim.crash(*quay);
-             }
+             world.whenWhole([&world, &old] {
+               for (auto* quay : world.sim.hosts(Role::quay)) {
+                 if (quay == &old || quay->name == old.name + "x") continue;
+                 world.retire(*quay);
+                 return world.sim.crash(*quay);
+               }
+             });
            });
          });
        }},
--- a/src/drydock/world.cpp
+++ b/src/drydock/world.cpp
@@ -425,12 +425,16 @@
   }
   return newest.revision > 0 && std::all_of(newest.seats.begin(), newest.seats.end(), [&](const auto& seat) {
            auto found = byId.find(seat.id);
-           return found != byId.end() && found->second->disk.voting && found->second->disk.cohort == newest;
+           return found != byId.end() && !deadDisks.contains(found->second->name) && found->second->disk.voting && found->second->disk.cohort == newest;
          });
 }
 
 void World::whenWhole(std::function<void()> act) {
-  if (cohortWhole()) return act();
+  awaitsWhole = true;
+  if (cohortWhole()) {
+    awaitsWhole = false;
+    return act();
+  }
   if (sim.nowUs() < endUs + 60 * kSecond) sim.after(kSecond / 4, [this, act = std::move(act)] { whenWhole(act); });
 }
 
--- a/src/drydock/world.hpp
+++ b/src/drydock/world.hpp
@@ -21,6 +21,7 @@
   std::map<std::string, Micros> submittedUs;
   std::set<std::string> retired, deadDisks;
   Millis leaderLostMs = -1;
+  bool awaitsWhole = false;  // a second quay is lost only once the first one's seat is taken
 
   Host& anyHost();
   Micros faultTime();
