Quays read the register after a start whether or not they stand

The drydock's blow of power at the first AckState found it: three quays, each with a learned ballot below its accepted one, gave no echoes and so none stood to read the register.

--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -651,10 +651,11 @@
   const bool open = found != quay.image.registers.end() && quay.learnedBallot < found->second.accepted;
   if (!open) quay.openSinceMs = -1;
   else if (quay.openSinceMs < 0) quay.openSinceMs = now.steadyMs;
-  if (standing(quay, now) && now.steadyMs >= quay.completeAtMs) {
-    const bool abandoned = open && now.steadyMs - quay.openSinceMs >= bounds(quay).termMs / 2;
+  // Reading the register waits for no one to stand: quays that forgot what they had learned let none stand before.
+  const bool abandoned = open && standing(quay, now) && now.steadyMs - quay.openSinceMs >= bounds(quay).termMs / 2;
+  if ((!quay.chartKnown || abandoned) && now.steadyMs >= quay.completeAtMs && !proposing(quay.crew, kChartKey)) {
     quay.completeAtMs = now.steadyMs + bounds(quay).termMs;
-    if ((!quay.chartKnown || abandoned) && !proposing(quay.crew, kChartKey)) proposeFixed(quay.crew, kChartKey, "", now, out);
+    proposeFixed(quay.crew, kChartKey, "", now, out);
   }
   auto step = quay.image.registers.find(nextCohortKey(quay));
   if (step == quay.image.registers.end() || step->second.value.empty()) quay.stepSinceMs = -1;
@@ -688,6 +689,9 @@
   if (auto found = quay.image.registers.find(nextCohortKey(quay)); found != quay.image.registers.end())
     quay.sealed = !found->second.value.empty();
   if (!quay.image.empty()) quay.leaseUntilMs = now.steadyMs + env.bounds.termMs;
+  const auto& seats = quay.image.cohort.seats;
+  const auto place = std::find_if(seats.begin(), seats.end(), [&](const Seat& seat) { return seat.id == quay.image.id; }) - seats.begin();
+  quay.completeAtMs = now.steadyMs + place * env.bounds.beatMs() / 4;
   return quay;
 }
 
--- a/tests/forming_test.cpp
+++ b/tests/forming_test.cpp
@@ -257,6 +257,26 @@
   CHECK(tookMs >= 0 && tookMs <= 2 * harbour.bounds.termMs);
 }
 
+TEST(forming, power_lost_at_any_moment_of_a_change_is_got_over) {
+  for (Millis atMs = 0; atMs < 60; ++atMs) {
+    Harbour harbour;
+    harbour.tickMs = 5;
+    harbour.syncMs = 3;
+    threeQuays(harbour);
+    harbour.crew(21);
+    harbour.run(4000);
+    for (const char* name : {"one", "two"}) {
+      harbour.propose(21, edit(R"({"cells":{"a":{"emptied":true}}})", name));
+      harbour.run(name[0] == 'o' ? 200 : atMs);
+    }
+    const auto told = harbour.at(21).answers.size();
+    for (int number : {1, 2, 3, 21}) harbour.stop(number);
+    harbour.run(500);
+    for (int number : {1, 2, 3, 21}) harbour.start(number);
+    CHECK(harbour.runUntil(3000, [&] { return harbour.stands(3) && harbour.crewAt(21).chartRevision >= told; }) >= 0);
+  }
+}
+
 TEST(forming, the_loss_of_a_cell_is_never_prepared_for_worse_than_the_quays_allow) {
   Harbour harbour;
   seed(harbour, {1, 2, 3});
