--- a/src/watch/crew.cpp
+++ b/src/watch/crew.cpp
@@ -115,6 +115,7 @@
 
 void sendPhase(Crew& crew, Proposal& proposal, Now now, Outbox& out) {
   proposal.sentMs = now.steadyMs;
+  out.wakeBy(now.steadyMs + resendMs(proposal.phase, crew.env.bounds));
   const bool chart = proposal.key == kChartKey;
   for (const auto& seat : seatAddresses(crew)) {
     if (proposal.phase == Phase::prepare && !proposal.promises.contains(seat))
@@ -157,12 +158,13 @@
   }
 }
 
-void backOff(Crew& crew, Proposal& proposal, Now now) {
+void backOff(Crew& crew, Proposal& proposal, Now now, Outbox& out) {
   if (proposal.retryAtMs) return;
   ++crew.contended;
   const Millis span = std::max<Millis>(1, crew.env.bounds.beatMs() / 8);
   const auto spread = mix(crew.id.value + std::to_string(proposal.ballot.number)) % (1 + std::min(proposal.attempts, 6));
   proposal.retryAtMs = now.steadyMs + span * static_cast<Millis>(1 + spread);
+  out.wakeBy(proposal.retryAtMs);
 }
 
 void finish(Proposal& proposal, Outbox& out) {
@@ -175,7 +177,7 @@
   crew.ballotNumber = std::max(crew.ballotNumber, reply.promised.number);
   for (auto& proposal : crew.proposals) {
     if (proposal.phase != Phase::prepare || proposal.ballot != reply.ballot || proposal.key != reply.key) continue;
-    if (!reply.ok) return backOff(crew, proposal, now);
+    if (!reply.ok) return backOff(crew, proposal, now, out);
     const auto seats = seatAddresses(crew);
     if (std::find(seats.begin(), seats.end(), from) == seats.end()) return;
     proposal.promises[from] = reply;
@@ -204,7 +206,7 @@
   crew.ballotNumber = std::max(crew.ballotNumber, reply.promised.number);
   for (auto& proposal : crew.proposals) {
     if (proposal.phase != Phase::accept || proposal.ballot != reply.ballot || proposal.key != reply.key) continue;
-    if (!reply.ok) return backOff(crew, proposal, now);
+    if (!reply.ok) return backOff(crew, proposal, now, out);
     const auto seats = seatAddresses(crew);
     if (std::find(seats.begin(), seats.end(), from) == seats.end()) return;
     proposal.accepts.insert(from);
--- a/tests/chart_test.cpp
+++ b/tests/chart_test.cpp
@@ -45,6 +45,38 @@
   STRCMP_EQUAL("/", firstFault(R"({"cells":{},"cells":{}})").c_str());
 }
 
+TEST(chart, what_a_line_and_a_pool_say_for_callers_from_elsewhere_is_checked) {
+  STRCMP_EQUAL("", firstFault(R"({"edition":7,"origin":{"any":[1,{"thing":null}]},"pools":{"p":{"slots":0,"guards":true,"place":2,"asSent":{"x":1}}},
+    "pendings":{"a":{"host":"h","prefix":"/x/","pool":"p","aimMs":2000,"stretch":2.2,"place":1,"asSent":{"name":"r","deep":{"er":[]}}},
+                "b":{"host":"h","prefix":"/y/","stretch":3},"c":{"host":"g","prefix":"/x/"},"d":{},"e":{}}})").c_str());
+  STRCMP_EQUAL("/pendings/b/prefix", firstFault(R"({"pendings":{"a":{"host":"h","prefix":"/x/"},"b":{"host":"h","prefix":"/x/"}}})").c_str());
+  STRCMP_EQUAL("/pendings/a/pool", firstFault(R"({"pools":{"q":{}},"pendings":{"a":{"pool":"p"}}})").c_str());
+  STRCMP_EQUAL("/pendings/a/stretch", firstFault(R"({"pendings":{"a":{"stretch":-0.5}}})").c_str());
+  STRCMP_EQUAL("/pendings/a/aimMs", firstFault(R"({"pendings":{"a":{"aimMs":1.5}}})").c_str());
+  STRCMP_EQUAL("/pendings/a/asSent", firstFault(R"({"pendings":{"a":{"asSent":3}}})").c_str());
+  STRCMP_EQUAL("/pools/p/slots", firstFault(R"({"pools":{"p":{"slots":-1}}})").c_str());
+  STRCMP_EQUAL("/edition", firstFault(R"({"edition":-1})").c_str());
+  STRCMP_EQUAL("/origin", firstFault(R"({"origin":"text"})").c_str());
+  STRCMP_EQUAL("/pendings/a b", firstFault(R"({"pendings":{"a b":{}}})").c_str());
+}
+
+TEST(chart, a_delta_between_two_texts_gives_the_next_and_fits_no_other_base) {
+  std::string base = R"({"edition":1,"pendings":{)";
+  for (int i = 0; i < 300; ++i) base += (i ? "," : "") + std::string("\"line-") + std::to_string(i) + R"(":{"asSent":{"name":"r"},"rank":)" + std::to_string(i % 7) + "}";
+  base += "}}";
+  auto next = base;
+  next.replace(next.find("\"edition\":1"), 11, "\"edition\":25");
+  const auto gone = next.find("\"line-40\"");
+  next.erase(gone, next.find("\"line-41\"") - gone);
+  next.insert(next.find("\"line-200\""), R"("line-1990":{"rank":-3},)");
+  const auto delta = chart::makeDelta(base, next);
+  CHECK(!delta.empty() && delta.size() < 300);
+  CHECK(chart::applyDelta(base, delta) == next);
+  CHECK(chart::applyDelta(next, delta).empty());
+  CHECK(chart::applyDelta(base, delta.substr(1)).empty());
+  CHECK(chart::makeDelta("{}", base).empty());
+}
+
 TEST(chart, a_merge_patch_changes_only_what_it_names) {
   Json base = parseJson(R"({"cells":{"a":{"emptied":false},"b":{"emptied":true}}})");
   Json patch = parseJson(R"({"cells":{"a":{"emptied":true},"b":null}})");
--- a/tests/forming_test.cpp
+++ b/tests/forming_test.cpp
@@ -277,6 +277,32 @@
   }
 }
 
+TEST(forming, five_seats_bear_a_lost_cell_and_take_its_quays_back) {
+  Harbour harbour;
+  harbour.losses = 2;
+  seed(harbour, {1, 3, 5});
+  const char* cells[] = {"a", "a", "b", "b", "c", "c"};
+  for (int i = 0; i < 6; ++i) harbour.quay(i + 1, cells[i]);
+  harbour.crew(21);
+  CHECK(harbour.runUntil(5000, [&] { return harbour.stands(5); }) >= 0);
+  harbour.run(2000);
+  for (int number : {1, 2}) harbour.stop(number);
+  harbour.propose(21, edit("{}", "while-lost"));
+  CHECK(harbour.runUntil(3500, [&] { return !harbour.at(21).answers.empty(); }) >= 0);
+  LONGS_EQUAL(200, harbour.at(21).answers.front().status);
+  harbour.run(4000);
+  CHECK(harbour.quayAt(5).image.voting && harbour.quayAt(6).image.voting);
+  for (int number : {1, 2}) {
+    harbour.wipe(number);
+    harbour.start(number);
+  }
+  CHECK(harbour.runUntil(6000, [&] { return harbour.stands(5); }) >= 0);
+  harbour.run(3000);
+  CHECK(harbour.stands(5));
+  CHECK(harbour.oneFleet());
+  for (const auto& [cell, count] : cellsOf(harbour, harbour.quayAt(3).image.cohort)) CHECK(count <= 2);
+}
+
 TEST(forming, the_loss_of_a_cell_is_never_prepared_for_worse_than_the_quays_allow) {
   Harbour harbour;
   seed(harbour, {1, 2, 3});
--- a/tests/hold_test.cpp
+++ b/tests/hold_test.cpp
@@ -93,6 +93,26 @@
   LONGS_EQUAL(4, again.lastSeq);
 }
 
+TEST(hold, a_quay_reads_back_whom_it_promised_itself_to_and_what_it_had_learned) {
+  const signal::Form form{{1, {{DaemonId("q1"), Address("10.0.0.1:1")}, {DaemonId("q2"), Address("10.0.0.2:1")}}}, 3};
+  const auto written = [&](std::vector<signal::DiskEntry> entries) {
+    hold::Disk disk;
+    CHECK_FALSE(static_cast<bool>(hold::openDisk(disk, folder, DaemonId("q1"))));
+    CHECK_FALSE(static_cast<bool>(hold::writeDelta(disk, entries)));
+    disk = {};
+    CHECK_FALSE(static_cast<bool>(hold::openDisk(disk, folder, DaemonId("q1"))));
+    hold::Image again;
+    for (const auto& entry : hold::snapshot(disk.image)) hold::apply(again, entry);
+    return again;
+  };
+  CHECK(written({hold::entry::joined(form)}).joined == form);
+  CHECK(written({hold::entry::learned({4, "b"}), hold::entry::learned({3, "z"})}).learned == (Ballot{4, "b"}));
+  const auto seated = written({hold::entry::cohort(form.cohort)});
+  CHECK(seated.joined == signal::Form{});
+  CHECK(seated.cohort == form.cohort);
+  CHECK(seated.learned == (Ballot{4, "b"}));
+}
+
 TEST(hold, an_acceptor_keeps_its_promise) {
   hold::Image image;
   std::vector<signal::DiskEntry> writes;
