--- a/src/drydock/judge.hpp
+++ b/src/drydock/judge.hpp
@@ -90,6 +90,7 @@
   std::map<std::string, std::int64_t> failureLimit;
   std::vector<Broken> broken;
   std::int64_t starts = 0, ends = 0, checks = 0;
+  std::map<std::string, std::int64_t> outcomes;  // of runs, as their workers journalled them
   bool forgetsEnded = false;
   bool stalls = true;  // off where the order of work may leave room unused
   bool clockStepped = false;
@@ -104,6 +105,7 @@
   void sweepLonely();
   void sweepCancelled();
   void sweepStalled();
+  std::string described(const JobTruth& job, std::size_t at) const;
   bool usable(const Hand& hand) const;
   void fault(const char* rule, std::string what);
   std::pair<JobTruth*, std::size_t> find(const std::string& run);
