--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -153,6 +153,30 @@
 
 }  // namespace
 
+// A job that could start and doesn't for ten terms is worth a line, once.
+void tellLongWaits(PilotState& pilot, Now now, Outbox& out) {
+  const auto fleetMs = fleet(pilot, now);
+  for (const auto& id : pilot.open) {
+    const auto& job = pilot.jobs.at(id);
+    if (job.holding > 0 || job.counters.waitMs < 10 * bounds(pilot).termMs || pilot.longWaits.contains(id)) continue;
+    pilot.longWaits.insert(id);
+    const auto groups = readyGroups(job, fleetMs);
+    std::string text = "job " + id.value + " waits for " + std::to_string(job.counters.waitMs) + " ms in lane " + std::to_string(job.counters.lane + 1);
+    if (groups.empty()) text += ", nothing of it ready, due in " + std::to_string(dueMs(job, 0) - fleetMs) + " ms";
+    for (const auto& group : groups) {
+      const auto& step = job.stepOf(group.front());
+      text += ", step " + std::to_string(job.tasks[group.front()].step) + ": " + std::to_string(group.size()) + " of " + std::to_string(step.count);
+      for (const auto& [name, amount] : step.need.more) text += " " + name + " " + std::to_string(amount);
+      if (step.together) text += " together";
+      if (step.oneRack) text += " on one rack";
+      if (!step.needs.empty()) text += " needs " + step.needs;
+      if (!step.near.empty()) text += " near " + step.near;
+      if (step.apart > 0) text += " apart " + std::to_string(step.apart);
+    }
+    out.alarms.push_back(std::move(text));
+  }
+}
+
 void keepHouse(PilotState& pilot, Now now) {
   const auto fleetMs = fleet(pilot, now);
   pilot.houseMs = now.steadyMs;
--- a/src/manifest/parts.hpp
+++ b/src/manifest/parts.hpp
@@ -48,6 +48,7 @@
 bool usableWorker(const PilotState& pilot, const WorkerRow& row, signal::Now now);
 
 void keepHouse(PilotState& pilot, signal::Now now);
+void tellLongWaits(PilotState& pilot, signal::Now now, signal::Outbox& out);
 void runEpoch(PilotState& pilot, signal::Now now);
 
 Millis wallNow(const PilotState& pilot, signal::Now now);
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -129,6 +129,7 @@
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
   std::map<PendingName, LinePace> paces;
+  std::set<JobId> longWaits;  // told of in the log, once each
   std::deque<std::int64_t> sizes;
   std::deque<std::pair<Millis, JobId>> ended;
   std::map<PendingName, std::int64_t> openPer;
--- a/src/manifest/succession.cpp
+++ b/src/manifest/succession.cpp
@@ -35,6 +35,7 @@
   pilot.workers.clear();
   pilot.ordersDue.clear();
   pilot.sizes.clear();
+  pilot.longWaits.clear();
   pilot.ended.clear();
   pilot.openPer.clear();
   pilot.seq = pilot.committed = 0;
@@ -349,7 +350,10 @@
   const Millis epochMs = rulesOf(pilot).epochMs;
   if (now.steadyMs - pilot.epochMs < epochMs) return out.wakeBy(pilot.epochMs + epochMs);
   pilot.epochMs = now.steadyMs;
-  if (now.steadyMs - pilot.houseMs >= bounds(pilot).beatMs() / 2 || pilot.planDue) keepHouse(pilot, now);
+  if (now.steadyMs - pilot.houseMs >= bounds(pilot).beatMs() / 2 || pilot.planDue) {
+    keepHouse(pilot, now);
+    tellLongWaits(pilot, now, out);
+  }
   const bool due = pilot.planDue || now.steadyMs - pilot.plannedMs >= bounds(pilot).beatMs() / 2;
   if (due && now.steadyMs - pilot.leadSinceMs >= bounds(pilot).reportMs()) {
     pilot.planDue = false;
