--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -173,6 +173,15 @@
       if (!step.near.empty()) text += " near " + step.near;
       if (step.apart > 0) text += " apart " + std::to_string(step.apart);
     }
+    std::size_t usable = 0, shunned = 0, behind = 0, quiet = 0;
+    for (const auto& [worker, row] : pilot.workers) {
+      usable += usableWorker(pilot, row, now);
+      shunned += now.steadyMs < row.standing.shunnedUntilMs;
+      behind += row.last.acked < pilot.crew.chartRevision;
+      quiet += now.steadyMs - row.heardMs > bounds(pilot).freshMs() || !row.last.workerHeard || row.last.workerAgeMs > bounds(pilot).freshMs();
+    }
+    text += "; workers " + std::to_string(pilot.workers.size()) + ", usable " + std::to_string(usable) + ", shunned " + std::to_string(shunned) +
+            ", behind the configuration " + std::to_string(behind) + ", quiet " + std::to_string(quiet);
     out.alarms.push_back(std::move(text));
   }
 }
