--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -158,7 +158,21 @@
   const auto fleetMs = fleet(pilot, now);
   for (const auto& id : pilot.open) {
     const auto& job = pilot.jobs.at(id);
-    if (job.holding > 0 || job.counters.waitMs < 10 * bounds(pilot).termMs || pilot.longWaits.contains(id)) continue;
+    if (pilot.longWaits.contains(id)) continue;
+    if (job.holding > 0) {
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (!task.holds() || (task.confirmed && !task.stopping) || fleetMs - std::max(task.orderedMs, task.movedMs) < 8 * bounds(pilot).termMs) continue;
+        auto row = pilot.workers.find(task.worker);
+        pilot.longWaits.insert(id);
+        out.alarms.push_back("run " + runIdOf(job, i).value + " at " + task.worker.value + " is " + (task.stopping ? "not stopped" : "not confirmed") + " after " +
+                             std::to_string(fleetMs - task.orderedMs) + " ms; its worker was heard " +
+                             (row == pilot.workers.end() ? std::string("never") : std::to_string(now.steadyMs - row->second.heardMs) + " ms ago, by its tender " + std::to_string(row->second.last.workerHeard) + ", lists it " + std::to_string(row->second.listed.contains(runIdOf(job, i).value)) + ", life " + row->second.last.workerIncarnation + " for " + task.workerIncarnation));
+        break;
+      }
+      continue;
+    }
+    if (job.counters.waitMs < 10 * bounds(pilot).termMs) continue;
     pilot.longWaits.insert(id);
     const auto groups = readyGroups(job, fleetMs);
     std::string text = "job " + id.value + " waits for " + std::to_string(job.counters.waitMs) + " ms in lane " + std::to_string(job.counters.lane + 1);
