--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -22,6 +22,16 @@
   return pilot.kinds.load(room);
 }
 
+// What is left of a run by its progress, or else by its step's estimate; 0: not known.
+Millis leftMs(const Job& job, std::size_t at, Millis fleetMs, double pace) {
+  const auto& task = job.tasks[at];
+  const auto& step = job.stepOf(at);
+  if (step.standing || step.estimateMs <= 0) return 0;
+  const auto ranMs = std::max<Millis>(0, fleetMs - task.orderedMs);
+  if (task.percent >= 10) return std::max<Millis>(1, ranMs * (100 - task.percent) / task.percent);
+  return std::max<Millis>(1, static_cast<Millis>(static_cast<double>(step.estimateMs) * pace) - ranMs);
+}
+
 namespace {
 
 struct Scene {
@@ -67,7 +77,7 @@
       if (auto rack = berth.labels.find("rack"); rack != berth.labels.end()) berth.rack = rack->second;
       berth.total = totalOf(pilot, row);
       berth.usable = usableWorker(pilot, row, now);
-      berth.doubt = row.standing.failRate > 0.3 || row.standing.pace > 1.7 ? 1 : 0;
+      berth.doubt = row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
       berth.leavesInMs = row.last.leavesMs;
       incarnation = row.last.workerIncarnation;
     }
@@ -101,7 +111,10 @@
         std::size_t gang = 0;
         if (job.spec->gang) gang = 1;
         else if (step.together) gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
-        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(pilot).checkpointMs), step.standing});
+        const auto row = pilot.workers.find(task.worker);
+        const auto pace = row == pilot.workers.end() ? 1.0 : std::max(1.0, row->second.standing.pace);
+        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(pilot).checkpointMs), step.standing,
+                                  leftMs(job, i, fleetMs, pace)});
         if (step.apart > 0) {
           auto& rows = beside[gangBegin(job, i)];
           auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == where; });
@@ -110,7 +123,6 @@
         }
         scene.field.heldSlots[job.pending()] += step.need.slots;
       }
-    Millis chainMs = 0;
     for (const auto& group : groups) {
       const auto& first = job.tasks[group.front()];
       const auto& step = job.spec->steps[first.step];
@@ -128,12 +140,12 @@
       unit.near = step.near;
       unit.apart = step.apart;
       unit.estimateMs = step.estimateMs;
+      unit.standing = step.standing;
       if (auto found = beside.find(gangBegin(job, group.front())); found != beside.end()) unit.beside = found->second;
       bool failed = false;
       for (const auto i : group) failed = failed || !job.tasks[i].failedOn.empty();
       if (failed)
         for (const auto i : group) unit.avoid.push_back(job.tasks[i].failedOn);
-      chainMs = std::max(chainMs, step.estimateMs);
       candidate.ready.push_back(std::move(unit));
     }
     candidate.id = id;
@@ -143,7 +155,11 @@
     candidate.rank = line.rank;
     candidate.acceptedMs = job.acceptedMs;
     candidate.gang = job.spec->gang;
-    if (line.aimMs > 0) candidate.dueInMs = job.acceptedMs + line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs)) - chainMs - fleetMs;
+    if (line.aimMs > 0) {
+      const auto instance = groups.empty() ? 0 : job.tasks[groups.front().front()].instance;
+      const auto aimMs = line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs(job, instance, true)));
+      candidate.dueInMs = dueMs(job, instance) + aimMs - chainMs(job, instance, false) - fleetMs;
+    }
     if (!candidate.ready.empty() && candidate.runs.empty()) candidate.readyForMs = job.counters.waitMs;
     scene.candidates.push_back(std::move(candidate));
     scene.ids.push_back(id);
--- a/src/manifest/job.cpp
+++ b/src/manifest/job.cpp
@@ -630,6 +630,22 @@
   return std::max(job.acceptedMs + job.spec->notBeforeMs, job.firstDueMs + static_cast<Millis>(instance) * job.spec->everyMs);
 }
 
+Millis chainMs(const Job& job, std::uint32_t instance, bool whole) {
+  const auto& steps = job.spec->steps;
+  const auto* tallies = &job.tallies[instance * steps.size()];
+  std::vector<Millis> longest(steps.size(), -1);
+  const auto walk = [&](const auto& self, std::size_t at) -> Millis {
+    if (longest[at] >= 0) return longest[at];
+    Millis before = 0;
+    for (const auto dep : steps[at].after) before = std::max(before, self(self, dep));
+    const bool done = !whole && tallies[at].done == steps[at].count;
+    return longest[at] = before + (done ? 0 : steps[at].estimateMs);
+  };
+  Millis most = 0;
+  for (std::size_t i = 0; i < steps.size(); ++i) most = std::max(most, walk(walk, i));
+  return most;
+}
+
 std::vector<std::vector<std::uint32_t>> readyGroups(const Job& job, Millis fleetMs) {
   std::vector<std::vector<std::uint32_t>> groups;
   if (job.state != JobState::open || job.ending != JobState::open || fleetMs < job.acceptedMs + job.spec->notBeforeMs) return groups;
@@ -718,8 +734,9 @@
   task.orderedMs = fleetMs;
   task.confirmed = false;
   task.stopping = false;
-  task.percent = 0;
+  task.percent = task.goingPercent = 0;
   task.movedMs = fleetMs;
+  task.goingMs = -1;
   if (!task.seenSaved.empty()) task.saved = task.seenSaved;
   task.seenSaved.clear();
   if (job.counters.firstStartMs < 0) job.counters.firstStartMs = fleetMs;
--- a/src/manifest/job.hpp
+++ b/src/manifest/job.hpp
@@ -74,6 +74,8 @@
   std::int64_t weight = 0;  // its part of W_J while it holds room, in thousandths
   std::int64_t percent = 0;  // as last reported; not kept
   Millis movedMs = 0;        // when percent last moved; not kept
+  Millis goingMs = -1;       // when it was first seen at work under this leader, and how far it was; not kept
+  std::int64_t goingPercent = 0;
   std::string seenSaved;     // as last reported; kept once it is used
 
   bool holds() const { return !worker.empty(); }
@@ -138,6 +140,8 @@
 bool hasRuns(const Job& job);
 bool depsDone(const Job& job, std::size_t task);
 Millis dueMs(const Job& job, std::uint32_t instance);
+// The longest chain of estimates through the steps that aren't done; of all steps with whole.
+Millis chainMs(const Job& job, std::uint32_t instance, bool whole);
 // Tasks that may start now, in groups: each a step's of one instance, or all of a gang job's.
 std::vector<std::vector<std::uint32_t>> readyGroups(const Job& job, Millis fleetMs);
 void accrueTo(Job& job, Millis fleetMs);
--- a/src/manifest/orders.cpp
+++ b/src/manifest/orders.cpp
@@ -143,6 +143,12 @@
         if (!task.confirmed || task.percent != seen.percent) task.movedMs = fleetMs;
         task.confirmed = true;
         task.percent = seen.percent;
+        const bool whole = !job.stepOf(where.second).together || job.tallyOf(where.second).placed == job.stepOf(where.second).count;
+        if (task.goingMs < 0 && whole) {
+          task.goingMs = fleetMs;
+          task.goingPercent = seen.percent;
+        }
+        observeRun(pilot, row, job, where.second, now);
       }
       if (seen.state == RunState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
       continue;
--- a/src/manifest/standing.cpp
+++ b/src/manifest/standing.cpp
@@ -14,27 +14,26 @@
                                      [&](const auto& other) { return now.steadyMs < other.second.standing.shunnedUntilMs; });
   if (3 * (already + 1) > static_cast<std::ptrdiff_t>(pilot.workers.size()) && pilot.workers.size() > 1) return;
   const auto doublings = std::min<std::int64_t>(standing.shuns, 4);
-  standing.shunnedUntilMs = now.steadyMs + 4 * bounds(pilot).workerTermMs * (1LL << doublings);
+  standing.shunnedUntilMs = now.steadyMs + bounds(pilot).workerTermMs * 3 / 2 * (1LL << doublings);
   ++standing.shuns;
   ++pilot.counts.shuns;
 }
 
+constexpr double kWeight = 0.2, kSlow = 2.4, kMostRatio = 20.0;
+
+void notePace(PilotState& pilot, WorkerRow& row, double ratio, Now now) {
+  row.standing.pace += kWeight * (std::min(kMostRatio, ratio) - row.standing.pace);
+  if (row.standing.pace > kSlow && now.steadyMs >= row.standing.shunnedUntilMs) shun(pilot, row, now);
+}
+
 void judgePace(PilotState& pilot, WorkerRow& row, const PendingName& line, Millis tookMs, Now now) {
   constexpr std::int64_t kFewestEnds = 16;
-  constexpr double kWeight = 0.2, kSlow = 3.0, kMostRatio = 20.0;
   auto& usual = pilot.paces[line];
   ++usual.ends;
-  if (usual.ends > kFewestEnds && usual.meanMs > 0) {
-    const double ratio = std::min(kMostRatio, static_cast<double>(tookMs) / usual.meanMs);
-    row.standing.pace += kWeight * (ratio - row.standing.pace);
-  }
+  if (usual.ends > kFewestEnds && usual.meanMs > 0) notePace(pilot, row, static_cast<double>(tookMs) / usual.meanMs, now);
   const double weight = usual.ends <= kFewestEnds ? 1.0 / static_cast<double>(usual.ends) : 0.02;
   if (usual.ends <= kFewestEnds || static_cast<double>(tookMs) < kSlow * usual.meanMs)
     usual.meanMs += weight * (static_cast<double>(tookMs) - usual.meanMs);
-  if (row.standing.pace > kSlow) {
-    shun(pilot, row, now);
-    row.standing.pace = kSlow * 0.8;
-  }
 }
 
 void blame(PilotState& pilot, const WorkerId& id, Now now) {
@@ -58,38 +57,79 @@
   ++standing.clean;
   constexpr double kWeight = 0.2;
   standing.failRate -= kWeight * standing.failRate;
-  judgePace(pilot, row, job.pending(), fleet(pilot, now) - task.orderedMs, now);
+  const auto& step = job.stepOf(at);
+  const auto tookMs = fleet(pilot, now) - task.orderedMs;
+  if (step.estimateMs <= 0) judgePace(pilot, row, job.pending(), tookMs, now);
+  else if (task.goingMs >= 0 && task.goingPercent == 0 && !step.oneRack && step.near.empty())
+    notePace(pilot, row, static_cast<double>(fleet(pilot, now) - task.goingMs) / static_cast<double>(step.estimateMs), now);
   if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
   if (!task.failedOn.empty() && task.failedOn != row.id) blame(pilot, task.failedOn, now);
 }
 
-// Runs that stand still while a sound one would have moved are stopped, and their worker is shunned.
+void observeRun(PilotState& pilot, WorkerRow& row, const Job& job, std::size_t at, Now now) {
+  const auto& task = job.tasks[at];
+  const auto& step = job.stepOf(at);
+  if (task.goingMs < 0 || step.estimateMs <= 0 || step.standing || task.stopping) return;
+  const auto ranMs = fleet(pilot, now) - task.goingMs;
+  if (ranMs < std::max<Millis>(bounds(pilot).termMs / 4, step.estimateMs / 8)) return;
+  const auto done = std::max<double>(1.0, static_cast<double>(task.percent - task.goingPercent)) / 100.0;
+  const auto far = step.oneRack || !step.near.empty() ? bounds(pilot).farFactor : 1.0;
+  const auto ratio = static_cast<double>(ranMs) / (far * done * static_cast<double>(step.estimateMs));
+  if (ratio > 1) notePace(pilot, row, ratio, now);
+}
+
+// Runs are stopped, to start elsewhere, where they stand still while a sound one would have moved, where they would take far longer than
+// anew on a sound worker, and where their worker leaves before they can end.
 void judgeProgress(PilotState& pilot, Now now) {
   const auto fleetMs = fleet(pilot, now);
-  struct Stuck {
+  struct Moved {
     WorkerId worker;
     JobId job;
     std::size_t task;
+    bool stuck;
   };
-  std::vector<Stuck> stuck;
+  std::vector<Moved> moved;
+  std::size_t usable = 0;
+  for (const auto& [worker, row] : pilot.workers) usable += usableWorker(pilot, row, now);
   for (const auto& [worker, runs] : pilot.held) {
-    auto row = pilot.workers.find(worker);
-    if (runs.empty() || row == pilot.workers.end()) continue;
-    if (now.steadyMs - row->second.heardMs > bounds(pilot).reportMs() + bounds(pilot).beatMs()) continue;
+    auto found = pilot.workers.find(worker);
+    if (runs.empty() || found == pilot.workers.end()) continue;
+    const auto& row = found->second;
+    if (now.steadyMs - row.heardMs > bounds(pilot).reportMs() + bounds(pilot).beatMs()) continue;
+    const bool slow = row.standing.pace > kSlow && usable * 2 > pilot.workers.size();
+    const Millis leavesMs = row.last.leavesMs < 0 ? -1 : row.last.leavesMs - (now.steadyMs - row.heardMs);
     for (const auto& [run, where] : runs) {
       const auto& job = pilot.jobs.at(where.first);
       const auto& task = job.tasks[where.second];
       const auto& step = job.stepOf(where.second);
-      if (!task.confirmed || task.stopping || task.state != TaskState::placed || step.standing || step.estimateMs <= 0) continue;
-      if (step.together && job.tallyOf(where.second).placed < step.count) continue;
-      const Millis patienceMs = std::max<Millis>(bounds(pilot).termMs, step.estimateMs / 4) + bounds(pilot).reportMs();
-      if (fleetMs - task.movedMs >= patienceMs) stuck.push_back({worker, where.first, where.second});
+      if (!task.confirmed || task.stopping || task.state != TaskState::placed) continue;
+      if (row.last.leavesMs >= 0 && usable > 0) {
+        const auto left = leftMs(job, where.second, fleetMs, std::max(1.0, row.standing.pace));
+        if (step.standing || left > std::max<Millis>(0, leavesMs)) {
+          moved.push_back({worker, where.first, where.second, false});
+          continue;
+        }
+      }
+      if (step.standing || step.estimateMs <= 0 || task.goingMs < 0) continue;
+      const Millis patienceMs = std::max<Millis>(bounds(pilot).termMs * 3 / 5, step.estimateMs / 8) + bounds(pilot).reportMs();
+      if (fleetMs - task.movedMs >= patienceMs) {
+        moved.push_back({worker, where.first, where.second, true});
+        continue;
+      }
+      if (!slow || fleetMs - task.goingMs < bounds(pilot).termMs / 4) continue;
+      const auto leftHere = static_cast<double>(step.estimateMs) * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
+      const auto kept = step.saves ? static_cast<double>(task.percent) / 200.0 : 0.0;
+      const auto anew = static_cast<double>(step.estimateMs) * (1.1 - kept) + static_cast<double>(bounds(pilot).termMs) / 4;
+      if (leftHere > (step.together ? 2.0 : 1.3) * anew) moved.push_back({worker, where.first, where.second, false});
     }
   }
-  for (const auto& each : stuck) {
-    ++pilot.counts.stalls;
+  for (const auto& each : moved) {
     auto& row = pilot.workers.at(each.worker);
-    if (now.steadyMs >= row.standing.shunnedUntilMs) shun(pilot, row, now);
+    if (each.stuck) {
+      ++pilot.counts.stalls;
+      if (now.steadyMs >= row.standing.shunnedUntilMs) shun(pilot, row, now);
+    }
+    ++pilot.counts.stops;
     change(pilot, each.job, [&](Job& job) {
       job.tasks[each.task].failedOn = each.worker;
       stopRun(job, each.task, fleetMs);
--- a/src/manifest/succession.cpp
+++ b/src/manifest/succession.cpp
@@ -355,7 +355,7 @@
     tellLongWaits(pilot, now, out);
   }
   const bool due = pilot.planDue || now.steadyMs - pilot.plannedMs >= bounds(pilot).beatMs() / 2;
-  if (due && now.steadyMs - pilot.leadSinceMs >= bounds(pilot).reportMs()) {
+  if (due && now.steadyMs - pilot.leadSinceMs >= bounds(pilot).beatMs() * 3 / 2) {
     pilot.planDue = false;
     pilot.plannedMs = now.steadyMs;
     runEpoch(pilot, now);
@@ -419,7 +419,7 @@
     rules.gangStartMs = env.bounds.gangWaitMs * 2 / 3;
     rules.reserveAfterMs = 2 * env.bounds.termMs;
     rules.rankFirst = true;
-    rules.mostLoss = 1;
+    rules.mostLoss = 0.1;
     pilot.usual = std::move(rules);
   }
   return pilot;
