A leader ticks like every daemon: what it wants sooner it asks for

Cause: the core thread of a leading daemon woke 100 times a second although epochs, polls and retries name the step they want.

--- a/src/roles/daemon.cpp
+++ b/src/roles/daemon.cpp
@@ -23,7 +23,6 @@
 namespace {
 
 constexpr Millis kTicksPerTerm = 40;
-constexpr Millis kLeadingTicksPerTerm = 100;
 constexpr int kMostRounds = 64;
 
 Now clockNow() {
@@ -140,16 +139,14 @@
   void tick(Wants& wants) {
     const auto now = clockNow();
     const bool all = now.steadyMs >= nextTickMs_;
-    bool leading = false;
     for (std::size_t node = 0; node < host_.berthed.size(); ++node) {
       auto& one = host_.berthed[node];
       if (all || (one.wakeMs >= 0 && one.wakeMs <= now.steadyMs)) {
         one.wakeMs = -1;
         step(node, Tick{}, wants);
       }
-      leading = leading || (one.node.pilot && manifest::leads(*one.node.pilot, now));
     }
-    if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.env().bounds.termMs / (leading ? kLeadingTicksPerTerm : kTicksPerTerm));
+    if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.env().bounds.termMs / kTicksPerTerm);
   }
 
   void step(std::size_t node, const Event& event, Wants& wants) {
