--- a/src/manifest/orders.cpp
+++ b/src/manifest/orders.cpp
@@ -130,6 +130,7 @@
     std::string detail;
   };
   std::vector<Over> over;
+  std::vector<double> paces;
   absl::flat_hash_set<std::string_view> known;
   for (const auto& [run, where] : pilot.held[report.worker]) {
     auto& job = pilot.jobs.at(where.first);
@@ -148,7 +149,7 @@
           task.goingMs = fleetMs;
           task.goingPercent = seen.percent;
         }
-        observeRun(pilot, row, job, where.second, now);
+        if (const auto pace = paceOf(pilot, job, where.second, fleetMs); pace > 0) paces.push_back(pace);
       }
       if (seen.state == RunState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
       continue;
@@ -159,6 +160,7 @@
     const bool processed = first != row.firstOrdered.end() && report.ordersTerm == pilot.term && report.ordersSeq >= first->second;
     if (reborn || processed) over.push_back({where.first, where.second, RunOutcome::lost, reborn ? "worker restarted" : "run is gone"});
   }
+  observeRuns(pilot, row, std::move(paces), now);
   for (const auto& each : over) {
     if (each.outcome != RunOutcome::lost || listed.contains(runIdOf(pilot.jobs.at(each.job), each.task).view()))
       judgeWorker(pilot, row, pilot.jobs.at(each.job), each.task, each.outcome, now);
--- a/src/manifest/parts.hpp
+++ b/src/manifest/parts.hpp
@@ -45,8 +45,9 @@
 
 void judgeWorker(PilotState& pilot, WorkerRow& row, const Job& job, std::size_t task, signal::RunOutcome outcome, signal::Now now);
 void judgeProgress(PilotState& pilot, signal::Now now);
-// How many times as long as estimated a run at work takes there, as far as can be told yet.
-void observeRun(PilotState& pilot, WorkerRow& row, const Job& job, std::size_t task, signal::Now now);
+// How many times as long as estimated a run at work takes there; 0 while it can't be told.
+double paceOf(const PilotState& pilot, const Job& job, std::size_t task, Millis fleetMs);
+void observeRuns(PilotState& pilot, WorkerRow& row, std::vector<double> paces, signal::Now now);
 Millis leftMs(const Job& job, std::size_t task, Millis fleetMs, double pace);
 bool usableWorker(const PilotState& pilot, const WorkerRow& row, signal::Now now);
 
--- a/src/manifest/pilot.hpp
+++ b/src/manifest/pilot.hpp
@@ -36,6 +36,7 @@
   absl::flat_hash_set<std::string> listed;
   Millis wallOffsetMs = 0;
   bool wallKnown = false;
+  Millis pacedMs = -1000000;
   Standing standing;
 };
 
--- a/src/manifest/standing.cpp
+++ b/src/manifest/standing.cpp
@@ -19,7 +19,7 @@
   ++pilot.counts.shuns;
 }
 
-constexpr double kWeight = 0.2, kSlow = 2.4, kMostRatio = 20.0;
+constexpr double kWeight = 0.25, kSlow = 2.4, kMostRatio = 20.0;
 
 void notePace(PilotState& pilot, WorkerRow& row, double ratio, Now now) {
   row.standing.pace += kWeight * (std::min(kMostRatio, ratio) - row.standing.pace);
@@ -66,16 +66,24 @@
   if (!task.failedOn.empty() && task.failedOn != row.id) blame(pilot, task.failedOn, now);
 }
 
-void observeRun(PilotState& pilot, WorkerRow& row, const Job& job, std::size_t at, Now now) {
+double paceOf(const PilotState& pilot, const Job& job, std::size_t at, Millis fleetMs) {
   const auto& task = job.tasks[at];
   const auto& step = job.stepOf(at);
-  if (task.goingMs < 0 || step.estimateMs <= 0 || step.standing || task.stopping) return;
-  const auto ranMs = fleet(pilot, now) - task.goingMs;
-  if (ranMs < std::max<Millis>(bounds(pilot).termMs / 4, step.estimateMs / 8)) return;
+  if (task.goingMs < 0 || step.estimateMs <= 0 || step.standing || task.stopping || task.percent >= 100) return 0;
+  const auto lagMs = bounds(pilot).nextBeatMs() * 3 / 2;
+  const auto ranMs = fleetMs - task.goingMs - lagMs;
+  if (ranMs < std::max<Millis>(bounds(pilot).termMs / 3, step.estimateMs / 8)) return 0;
   const auto done = std::max<double>(1.0, static_cast<double>(task.percent - task.goingPercent)) / 100.0;
   const auto far = step.oneRack || !step.near.empty() ? bounds(pilot).farFactor : 1.0;
-  const auto ratio = static_cast<double>(ranMs) / (far * done * static_cast<double>(step.estimateMs));
-  if (ratio > 1) notePace(pilot, row, ratio, now);
+  return static_cast<double>(ranMs) / (far * done * static_cast<double>(step.estimateMs));
+}
+
+void observeRuns(PilotState& pilot, WorkerRow& row, std::vector<double> paces, Now now) {
+  if (paces.empty() || now.steadyMs - row.pacedMs < bounds(pilot).beatMs()) return;
+  row.pacedMs = now.steadyMs;
+  const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  notePace(pilot, row, *middle, now);
 }
 
 // Runs are stopped, to start elsewhere, where they stand still while a sound one would have moved, where they would take far longer than
@@ -112,11 +120,11 @@
       }
       if (step.standing || step.estimateMs <= 0 || task.goingMs < 0) continue;
       const Millis patienceMs = std::max<Millis>(bounds(pilot).termMs * 3 / 5, step.estimateMs / 8) + bounds(pilot).reportMs();
-      if (fleetMs - task.movedMs >= patienceMs) {
+      if (task.percent < 100 && fleetMs - task.movedMs >= patienceMs) {
         moved.push_back({worker, where.first, where.second, true});
         continue;
       }
-      if (!slow || fleetMs - task.goingMs < bounds(pilot).termMs / 4) continue;
+      if (!slow || paceOf(pilot, job, where.second, fleetMs) < kSlow) continue;
       const auto leftHere = static_cast<double>(step.estimateMs) * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
       const auto kept = step.saves ? static_cast<double>(task.percent) / 200.0 : 0.0;
       const auto anew = static_cast<double>(step.estimateMs) * (1.1 - kept) + static_cast<double>(bounds(pilot).termMs) / 4;
--- a/src/watch/crew.cpp
+++ b/src/watch/crew.cpp
@@ -30,8 +30,14 @@
   const char* name;
   json_t* entry;
   json_object_foreach(const_cast<json_t*>(entries), name, entry) {
-    if (json_is_null(entry)) json_object_del(into, name);
-    else json_object_set(into, name, entry);
+    if (json_is_null(entry)) {
+      json_object_del(into, name);
+      continue;
+    }
+    json_t* place = json_incref(json_object_get(json_object_get(into, name), "place"));
+    json_t* next = json_copy(entry);
+    if (place) json_object_set_new(next, "place", place);
+    json_object_set_new(into, name, next);
   }
 }
 
