--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -22,6 +22,16 @@
   return pilot.kinds.load(room);
 }
 
+// What is left of a run by its progress, or else by its step's estimate; 0: not known.
+Millis leftMs(const Job& job, std::size_t at, Millis fleetMs, double pace) {
+  const auto& task = job.tasks[at];
+  const auto& step = job.stepOf(at);
+  if (step.standing || step.estimateMs <= 0) return 0;
+  const auto ranMs = std::max<Millis>(0, fleetMs - task.orderedMs);
+  if (task.percent >= 10) return std::max<Millis>(1, ranMs * (100 - task.percent) / task.percent);
+  return std::max<Millis>(1, static_cast<Millis>(static_cast<double>(step.estimateMs) * pace) - ranMs);
+}
+
 namespace {
 
 struct Scene {
@@ -67,7 +77,7 @@
       if (auto rack = berth.labels.find("rack"); rack != berth.labels.end()) berth.rack = rack->second;
       berth.total = totalOf(pilot, row);
       berth.usable = usableWorker(pilot, row, now);
-      berth.doubt = row.standing.failRate > 0.3 || row.standing.pace > 1.7 ? 1 : 0;
+      berth.doubt = row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
       berth.leavesInMs = row.last.leavesMs;
       incarnation = row.last.workerIncarnation;
     }
@@ -101,7 +111,10 @@
         std::size_t gang = 0;
         if (job.spec->gang) gang = 1;
         else if (step.together) gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
-        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(pilot).checkpointMs), step.standing});
+        const auto row = pilot.workers.find(task.worker);
+        const auto pace = row == pilot.workers.end() ? 1.0 : std::max(1.0, row->second.standing.pace);
+        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(pilot).checkpointMs), step.standing,
+                                  leftMs(job, i, fleetMs, pace)});
         if (step.apart > 0) {
           auto& rows = beside[gangBegin(job, i)];
           auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == where; });
@@ -110,7 +123,6 @@
         }
         scene.field.heldSlots[job.pending()] += step.need.slots;
       }
-    Millis chainMs = 0;
     for (const auto& group : groups) {
       const auto& first = job.tasks[group.front()];
       const auto& step = job.spec->steps[first.step];
@@ -128,12 +140,12 @@
       unit.near = step.near;
       unit.apart = step.apart;
       unit.estimateMs = step.estimateMs;
+      unit.standing = step.standing;
       if (auto found = beside.find(gangBegin(job, group.front())); found != beside.end()) unit.beside = found->second;
       bool failed = false;
       for (const auto i : group) failed = failed || !job.tasks[i].failedOn.empty();
       if (failed)
         for (const auto i : group) unit.avoid.push_back(job.tasks[i].failedOn);
-      chainMs = std::max(chainMs, step.estimateMs);
       candidate.ready.push_back(std::move(unit));
     }
     candidate.id = id;
@@ -143,7 +155,11 @@
     candidate.rank = line.rank;
     candidate.acceptedMs = job.acceptedMs;
     candidate.gang = job.spec->gang;
-    if (line.aimMs > 0) candidate.dueInMs = job.acceptedMs + line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs)) - chainMs - fleetMs;
+    if (line.aimMs > 0) {
+      const auto instance = groups.empty() ? 0 : job.tasks[groups.front().front()].instance;
+      const auto aimMs = line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs(job, instance, true)));
+      candidate.dueInMs = dueMs(job, instance) + aimMs - chainMs(job, instance, false) - fleetMs;
+    }
     if (!candidate.ready.empty() && candidate.runs.empty()) candidate.readyForMs = job.counters.waitMs;
     scene.candidates.push_back(std::move(candidate));
     scene.ids.push_back(id);
@@ -153,6 +169,53 @@
 
 }  // namespace
 
+// A job that could start and doesn't for ten terms is worth a line, once.
+void tellLongWaits(PilotState& pilot, Now now, Outbox& out) {
+  const auto fleetMs = fleet(pilot, now);
+  for (const auto& id : pilot.open) {
+    const auto& job = pilot.jobs.at(id);
+    if (pilot.longWaits.contains(id)) continue;
+    if (job.holding > 0) {
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (!task.holds() || (task.confirmed && !task.stopping) || fleetMs - std::max(task.orderedMs, task.movedMs) < 8 * bounds(pilot).termMs) continue;
+        auto row = pilot.workers.find(task.worker);
+        pilot.longWaits.insert(id);
+        out.alarms.push_back("run " + runIdOf(job, i).value + " at " + task.worker.value + " is " + (task.stopping ? "not stopped" : "not confirmed") + " after " +
+                             std::to_string(fleetMs - task.orderedMs) + " ms; its worker was heard " +
+                             (row == pilot.workers.end() ? std::string("never") : std::to_string(now.steadyMs - row->second.heardMs) + " ms ago, by its tender " + std::to_string(row->second.last.workerHeard) + ", lists it " + std::to_string(row->second.listed.contains(runIdOf(job, i).value)) + ", life " + row->second.last.workerIncarnation + " for " + task.workerIncarnation));
+        break;
+      }
+      continue;
+    }
+    if (job.counters.waitMs < 10 * bounds(pilot).termMs) continue;
+    pilot.longWaits.insert(id);
+    const auto groups = readyGroups(job, fleetMs);
+    std::string text = "job " + id.value + " waits for " + std::to_string(job.counters.waitMs) + " ms in lane " + std::to_string(job.counters.lane + 1);
+    if (groups.empty()) text += ", nothing of it ready, due in " + std::to_string(dueMs(job, 0) - fleetMs) + " ms";
+    for (const auto& group : groups) {
+      const auto& step = job.stepOf(group.front());
+      text += ", step " + std::to_string(job.tasks[group.front()].step) + ": " + std::to_string(group.size()) + " of " + std::to_string(step.count);
+      for (const auto& [name, amount] : step.need.more) text += " " + name + " " + std::to_string(amount);
+      if (step.together) text += " together";
+      if (step.oneRack) text += " on one rack";
+      if (!step.needs.empty()) text += " needs " + step.needs;
+      if (!step.near.empty()) text += " near " + step.near;
+      if (step.apart > 0) text += " apart " + std::to_string(step.apart);
+    }
+    std::size_t usable = 0, shunned = 0, behind = 0, quiet = 0;
+    for (const auto& [worker, row] : pilot.workers) {
+      usable += usableWorker(pilot, row, now);
+      shunned += now.steadyMs < row.standing.shunnedUntilMs;
+      behind += row.last.acked < pilot.crew.chartRevision;
+      quiet += now.steadyMs - row.heardMs > bounds(pilot).freshMs() || !row.last.workerHeard || row.last.workerAgeMs > bounds(pilot).freshMs();
+    }
+    text += "; workers " + std::to_string(pilot.workers.size()) + ", usable " + std::to_string(usable) + ", shunned " + std::to_string(shunned) +
+            ", behind the configuration " + std::to_string(behind) + ", quiet " + std::to_string(quiet);
+    out.alarms.push_back(std::move(text));
+  }
+}
+
 void keepHouse(PilotState& pilot, Now now) {
   const auto fleetMs = fleet(pilot, now);
   pilot.houseMs = now.steadyMs;
--- a/src/manifest/parts.hpp
+++ b/src/manifest/parts.hpp
@@ -45,9 +45,14 @@
 
 void judgeWorker(PilotState& pilot, WorkerRow& row, const Job& job, std::size_t task, signal::RunOutcome outcome, signal::Now now);
 void judgeProgress(PilotState& pilot, signal::Now now);
+// How many times as long as estimated a run at work takes there; 0 while it can't be told.
+double paceOf(const PilotState& pilot, const Job& job, std::size_t task, Millis fleetMs);
+void observeRuns(PilotState& pilot, WorkerRow& row, std::vector<double> paces, signal::Now now);
+Millis leftMs(const Job& job, std::size_t task, Millis fleetMs, double pace);
 bool usableWorker(const PilotState& pilot, const WorkerRow& row, signal::Now now);
 
 void keepHouse(PilotState& pilot, signal::Now now);
+void tellLongWaits(PilotState& pilot, signal::Now now, signal::Outbox& out);
 void runEpoch(PilotState& pilot, signal::Now now);
 
 Millis wallNow(const PilotState& pilot, signal::Now now);
--- a/src/manifest/succession.cpp
+++ b/src/manifest/succession.cpp
@@ -35,6 +35,7 @@
   pilot.workers.clear();
   pilot.ordersDue.clear();
   pilot.sizes.clear();
+  pilot.longWaits.clear();
   pilot.ended.clear();
   pilot.openPer.clear();
   pilot.seq = pilot.committed = 0;
@@ -349,9 +350,12 @@
   const Millis epochMs = rulesOf(pilot).epochMs;
   if (now.steadyMs - pilot.epochMs < epochMs) return out.wakeBy(pilot.epochMs + epochMs);
   pilot.epochMs = now.steadyMs;
-  if (now.steadyMs - pilot.houseMs >= bounds(pilot).beatMs() / 2 || pilot.planDue) keepHouse(pilot, now);
+  if (now.steadyMs - pilot.houseMs >= bounds(pilot).beatMs() / 2 || pilot.planDue) {
+    keepHouse(pilot, now);
+    tellLongWaits(pilot, now, out);
+  }
   const bool due = pilot.planDue || now.steadyMs - pilot.plannedMs >= bounds(pilot).beatMs() / 2;
-  if (due && now.steadyMs - pilot.leadSinceMs >= bounds(pilot).reportMs()) {
+  if (due && now.steadyMs - pilot.leadSinceMs >= bounds(pilot).beatMs() * 3 / 2) {
     pilot.planDue = false;
     pilot.plannedMs = now.steadyMs;
     runEpoch(pilot, now);
@@ -415,7 +419,7 @@
     rules.gangStartMs = env.bounds.gangWaitMs * 2 / 3;
     rules.reserveAfterMs = 2 * env.bounds.termMs;
     rules.rankFirst = true;
-    rules.mostLoss = 1;
+    rules.mostLoss = 0.1;
     pilot.usual = std::move(rules);
   }
   return pilot;
