--- a/src/manifest/tender.cpp
+++ b/src/manifest/tender.cpp
@@ -139,6 +139,7 @@
       continue;
     }
     if (fresh) {
+      run.sinceMs = now.steadyMs;
       run.spec = wanted.spec;
       run.saved = wanted.saved;
       run.workerIncarnation = wanted.workerIncarnation;
@@ -357,6 +358,18 @@
       }
   auto pool = tender.crew.chart->pools.find(tender.pool.value);
   const bool selfStop = pool != tender.crew.chart->pools.end() && pool->second.selfStop;
+  const auto& pools = tender.crew.chart->pools;
+  const bool allStop = tender.heard ? selfStop : std::all_of(pools.begin(), pools.end(), [](const auto& each) { return each.second.selfStop; });
+  std::int64_t terms = 1;
+  for (const auto& [name, each] : pools)
+    if (!tender.heard || name == tender.pool.value) terms = std::max(terms, each.lostAfterTerms);
+  if (allStop && !tender.poll)
+    for (auto& [id, run] : tender.runs) {
+      if (run.state != RunState::ordered || run.handedReport > 0) continue;
+      if (now.steadyMs - std::max({run.sinceMs, tender.workerMs, tender.workerUntilMs}) <= bounds(tender).sureMs(terms)) continue;
+      ++tender.counts.silences;
+      end(tender, run, RunOutcome::lost, "its worker is silent");
+    }
   const Millis quietMs = now.steadyMs - std::max(tender.workerUntilMs, tender.answeredMs);
   const bool silent = tender.heard && !tender.poll && selfStop &&
                       quietMs > bounds(tender).sureMs(pool->second.lostAfterTerms) - bounds(tender).workerTermMs;
--- a/src/manifest/tender.hpp
+++ b/src/manifest/tender.hpp
@@ -17,6 +17,7 @@
   std::uint64_t handedReport = 0;
   std::uint64_t stopReport = 0;
   std::uint64_t number = 0;
+  Millis sinceMs = 0;  // when this life of the tender first heard of it
 };
 
 struct Poll {
--- a/tests/tender_test.cpp
+++ b/tests/tender_test.cpp
@@ -142,3 +142,29 @@
   manifest::tenderTick(tender, {nowMs + 2 * tender.crew.env.bounds.workerTermMs}, out);
   CHECK(tender.runs.at(RunId("j:a:1")).outcome == RunOutcome::lost);
 }
+
+TEST(tender, an_order_that_its_silent_worker_never_fetched_is_given_back) {
+  auto chart = std::make_shared<chart::Chart>(*tender.crew.chart);
+  chart->pools.at("side").lostAfterTerms = 1;
+  tender.crew.chart = chart;
+  const auto wTMs = tender.crew.env.bounds.workerTermMs;
+  reports();
+  Outbox out;
+  nowMs += wTMs;
+  manifest::tenderTick(tender, {nowMs}, out);
+  ordered({go("j:a:1")}, nowMs);
+  manifest::tenderTick(tender, {nowMs + wTMs / 2}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).state == RunState::ordered);
+  manifest::tenderTick(tender, {nowMs + 3 * wTMs}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).outcome == RunOutcome::lost);
+}
+
+TEST(tender, so_is_one_for_a_worker_that_was_never_heard) {
+  const auto wTMs = tender.crew.env.bounds.workerTermMs;
+  ordered({go("j:a:1")}, nowMs);
+  Outbox out;
+  manifest::tenderTick(tender, {nowMs + wTMs / 2}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).state == RunState::ordered);
+  manifest::tenderTick(tender, {nowMs + 20 * wTMs}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).outcome == RunOutcome::lost);
+}
