A plan looks workers up by place, and the house copies no list of runs

Cause: at 100 workers with 4800 running tasks a plan took 7.6 ms, of which 1.0 ms copied the held runs, 1.8 ms built the scene through ordered maps of names and 0.7 ms summed the room of workers without a fresh run.

--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -57,16 +57,21 @@
 Scene makeScene(PilotState& pilot, Now now) {
   Scene scene;
   const auto& chart = *pilot.crew.chart;
-  std::map<WorkerId, std::size_t> at;
-  std::set<WorkerId> all;
-  for (const auto& [id, row] : pilot.workers) all.insert(id);
+  std::vector<std::string_view> all;
+  for (const auto& [id, row] : pilot.workers) all.push_back(id.view());
   for (const auto& [id, runs] : pilot.held)
-    if (!runs.empty()) all.insert(id);
-  for (const auto& id : all) {
+    if (!runs.empty() && !pilot.workers.contains(id)) all.push_back(id.view());
+  std::sort(all.begin(), all.end());
+  absl::flat_hash_map<std::string_view, std::size_t> at;
+  at.reserve(all.size());
+  std::vector<double> paces;
+  for (const auto name : all) {
+    const WorkerId id(name);
     berth::Berth berth;
     berth.worker = id;
     berth.usable = false;
     std::string incarnation;
+    double pace = 1;
     if (auto found = pilot.workers.find(id); found != pilot.workers.end()) {
       const auto& row = found->second;
       berth.cell = row.last.cell;
@@ -80,9 +85,11 @@
       berth.doubt = row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
       berth.leavesInMs = row.last.leavesMs;
       incarnation = row.last.workerIncarnation;
+      pace = std::max(1.0, row.standing.pace);
     }
     berth.free = berth.total;
-    at[id] = scene.workers.size();
+    at[name] = scene.workers.size();
+    paces.push_back(pace);
     scene.workers.push_back(id);
     scene.incarnations.push_back(incarnation);
     scene.field.berths.push_back(std::move(berth));
@@ -103,7 +110,7 @@
       for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto& task = job.tasks[i];
         if (!task.holds()) continue;
-        const auto where = at.at(task.worker);
+        const auto where = at.at(task.worker.view());
         const auto& step = job.stepOf(i);
         const auto& load = job.loads[task.step];
         berth::take(scene.field.berths[where].free, load);
@@ -111,10 +118,8 @@
         std::size_t gang = 0;
         if (job.spec->gang) gang = 1;
         else if (step.together) gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
-        const auto row = pilot.workers.find(task.worker);
-        const auto pace = row == pilot.workers.end() ? 1.0 : std::max(1.0, row->second.standing.pace);
         candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(pilot).checkpointMs), step.standing,
-                                  leftMs(job, i, fleetMs, pace)});
+                                  leftMs(job, i, fleetMs, paces[where])});
         if (step.apart > 0) {
           auto& rows = beside[gangBegin(job, i)];
           auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == where; });
@@ -248,11 +253,14 @@
       }
     }
   }
-  const auto quiet = pilot.held;
-  for (const auto& [worker, runs] : quiet) {
+  std::vector<std::pair<JobId, std::size_t>> lost;
+  for (const auto& [worker, runs] : pilot.held) {
     if (runs.empty()) continue;
+    const auto mark = pilot.crew.chart->gone.find(worker.value);
+    const bool gone = mark != pilot.crew.chart->gone.end() && mark->second;
     auto row = pilot.workers.find(worker);
     const Millis heardMs = row == pilot.workers.end() ? pilot.leadSinceMs : std::max(row->second.heardMs, pilot.leadSinceMs);
+    if (!gone && now.steadyMs - heardMs < bounds(pilot).sureMs(1)) continue;
     const auto& pools = pilot.crew.chart->pools;
     std::int64_t terms = 1;
     bool selfStop = true;
@@ -262,11 +270,10 @@
       selfStop = selfStop && pool.selfStop;
     }
     if (row != pilot.workers.end() && !pools.contains(row->second.last.pool.value)) selfStop = false;
-    const auto mark = pilot.crew.chart->gone.find(worker.value);
-    const bool gone = mark != pilot.crew.chart->gone.end() && mark->second;
     if (!gone && (!selfStop || now.steadyMs - heardMs < bounds(pilot).sureMs(terms))) continue;
-    for (const auto& [run, where] : runs) finishRun(pilot, where.first, where.second, RunOutcome::lost, "worker silent past its term", now);
+    for (const auto& [run, where] : runs) lost.push_back(where);
   }
+  for (const auto& [id, at] : lost) finishRun(pilot, id, at, RunOutcome::lost, "worker silent past its term", now);
   const auto& keep = pilot.crew.chart->keep;
   const Millis keepMs = bounds(pilot).statusMs > 0 ? bounds(pilot).statusMs + bounds(pilot).statusMs / 10 : keep.finishedMs;
   const bool inStep = std::all_of(pilot.seats.begin(), pilot.seats.end(), [&](const auto& seat) {
@@ -335,16 +342,12 @@
   for (const auto& [worker, runs] : pilot.held) {
     auto row = pilot.workers.find(worker);
     if (row == pilot.workers.end() || runs.empty()) continue;
-    berth::Load sum{};
-    bool fresh = false;
-    for (const auto& [run, where] : runs) {
-      const auto& job = pilot.jobs.at(where.first);
-      const auto& task = job.tasks[where.second];
-      berth::add(sum, kinds.load(job.stepOf(where.second).need));
-      fresh = fresh || !task.confirmed;
-    }
     auto pool = pilot.crew.chart->pools.find(row->second.last.pool.value);
-    if (!fresh || pool == pilot.crew.chart->pools.end()) continue;
+    if (pool == pilot.crew.chart->pools.end()) continue;
+    const bool fresh = std::any_of(runs.begin(), runs.end(), [&](const auto& each) { return !pilot.jobs.at(each.second.first).tasks[each.second.second].confirmed; });
+    if (!fresh) continue;
+    berth::Load sum{};
+    for (const auto& [run, where] : runs) berth::add(sum, kinds.load(pilot.jobs.at(where.first).stepOf(where.second).need));
     berth::Room room{std::max(pool->second.slots, row->second.last.slots), {}};
     for (const auto& [name, amount] : row->second.last.room) room.more[name] = amount;
     for (const auto& [name, amount] : pool->second.room) room.more[name] = std::max(room.more[name], amount);
