--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -30,6 +30,22 @@
 
 std::string nextCohortKey(const QuayState& quay) { return "cohort/" + std::to_string(quay.image.cohort.revision + 1); }
 
+// ROLE-NAME of a daemon with a name; empty for one without.
+std::string_view hostOf(std::string_view id) {
+  id = id.substr(0, id.find('/'));
+  const auto life = id.rfind('-');
+  if (life == std::string_view::npos || id.substr(0, life).find('-') == std::string_view::npos) return {};
+  return id.substr(0, life);
+}
+
+// Whoever was promised the jobs last is the only one whose lease can stand here; a later life of the same daemon says that it is over.
+void endLeaseOfEarlierLife(QuayState& quay, const DaemonId& heard, Now now) {
+  const std::string_view owner = quay.image.rangePromised.owner;
+  const auto host = hostOf(owner);
+  if (host.empty() || hostOf(heard.view()) != host || owner.substr(0, owner.find('/')) == heard.view()) return;
+  quay.leaseUntilMs = std::min(quay.leaseUntilMs, now.steadyMs);
+}
+
 bool leaseLive(const QuayState& quay, Now now) { return now.steadyMs < quay.leaseUntilMs; }
 
 const Cohort& knownCohort(const QuayState& quay) { return quay.image.empty() ? quay.known : quay.image.cohort; }
@@ -140,6 +156,7 @@
 }
 
 void onSessionBeat(QuayState& quay, const Heard& heard, const SessionBeat& beat, Now now, Outbox& out) {
+  endLeaseOfEarlierLife(quay, beat.me.id, now);
   if (!standing(quay, now) || !quay.chartKnown || !mayVote(quay) || quay.sealed) {
     if (quay.image.empty() && beat.me.role != Role::quay && beat.cohort > 0) {
       quay.remembered = std::max(quay.remembered, beat.cohort);
@@ -544,6 +561,7 @@
 }
 
 void onRangePrepare(QuayState& quay, const Heard& heard, const RangePrepare& ask, Now now, Outbox& out) {
+  endLeaseOfEarlierLife(quay, heard.fromId, now);
   if (!cohortMatches(quay, ask.cohort)) return;
   RangePromise reply;
   reply.term = ask.term;
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "manifest/pilot.hpp"
+#include "watch/quay.hpp"
 
 using namespace tulip;
 using namespace tulip::signal;
@@ -108,3 +109,29 @@
   for (const auto& send : out.sends) resigned += std::holds_alternative<Resign>(send.message);
   LONGS_EQUAL(3, resigned);
 }
+
+TEST(takeover, a_later_life_of_the_leader_ends_its_lease_at_a_quay_that_restarted) {
+  for (const char* beats : {"pilot-a-2", "pilot-c-1", "pilot-a-1"}) {
+    Env env;
+    env.role = Role::quay;
+    env.signal = kA;
+    env.dataFolder = "d";
+    hold::Image image;
+    image.id = DaemonId("a");
+    image.voting = true;
+    image.cohort = {1, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}}};
+    image.rangePromised = {5, "pilot-a-1/1"};
+    auto quay = watch::makeQuay(env, image, "i", {1000});
+    auto asks = [&](Millis atMs) {
+      Outbox got;
+      watch::quayStep(quay, Heard{DaemonId("pilot-b-1"), kB, RangePrepare{1, {6, "pilot-b-1/1"}, {}}}, {atMs}, got);
+      return !got.persists.empty();
+    };
+    CHECK_FALSE(asks(1010));
+    Outbox got;
+    SessionBeat beat;
+    beat.me.id = DaemonId(beats);
+    watch::quayStep(quay, Heard{beat.me.id, kC, beat}, {1020}, got);
+    CHECK_EQUAL(std::string_view(beats) == "pilot-a-2", asks(1030));
+  }
+}
