A new configuration no longer sends the whole roster to every tender

Cause: what members acknowledged was part of the digest by which a quay resends its list of members, so each change of the configuration sent every tender the whole list: bytes that grow with the square of the fleet. A tender's list now comes again for joins, leaves, silence and readiness; the revisions shown in it may be old. Quays and pilots get the list as before.

--- a/src/watch/crew.cpp
+++ b/src/watch/crew.cpp
@@ -299,12 +299,13 @@
   return hash;
 }
 
-std::uint64_t digestOf(const std::vector<Member>& members, Millis termMs) {
+std::uint64_t digestOf(const std::vector<Member>& members, Millis termMs, bool withAcked) {
   std::uint64_t digest = mix("members");
   for (const auto& member : members) {
     for (const std::string_view text : {member.id.view(), member.cell.view(), member.signal.view(), member.http.view()}) digest = mix("/", mix(text, digest));
     const char flags[] = {static_cast<char>(member.role), member.ready ? 'r' : '-', member.leaving ? 'l' : '-', member.ageMs > termMs ? 's' : '-'};
-    digest = mix(std::to_string(member.acked), mix({flags, sizeof flags}, digest));
+    digest = mix({flags, sizeof flags}, digest);
+    if (withAcked) digest = mix(std::to_string(member.acked), digest);
   }
   return digest ? digest : 1;
 }
--- a/src/watch/crew.hpp
+++ b/src/watch/crew.hpp
@@ -97,7 +97,7 @@
 bool proposing(const Crew& crew, std::string_view key);
 std::uint64_t mix(std::string_view text, std::uint64_t hash = 1469598103934665603ull);
 // Of what matters of the members; ages only as silent for a term or not. Never 0.
-std::uint64_t digestOf(const std::vector<signal::Member>& members, Millis termMs);
+std::uint64_t digestOf(const std::vector<signal::Member>& members, Millis termMs, bool withAcked = true);
 
 void answerKind(signal::Outbox& out, std::uint64_t transaction, Kind kind, const Bounds& bounds, std::string_view detail = {});
 
--- a/src/watch/quay.cpp
+++ b/src/watch/quay.cpp
@@ -64,6 +64,7 @@
 void gatherMembers(QuayState& quay, Now now) {
   quay.members = allMembers(quay, now);
   quay.membersDigest = digestOf(quay.members, bounds(quay).termMs);
+  quay.rosterDigest = digestOf(quay.members, bounds(quay).termMs, false);
 }
 
 // The delta from a text that the daemon has, or the whole.
@@ -96,11 +97,14 @@
   }
   if (now.steadyMs < quay.hintUntilMs) grant.leader = quay.leader;
   grant.cohort = quay.image.cohort;
-  const Millis pauseMs = row.member.role == Role::tender ? 2 * termMs : termMs / 4;
-  if (row.membersDigest == 0 || (row.membersDigest != quay.membersDigest && now.steadyMs - row.membersSentMs >= pauseMs)) {
+  const bool tender = row.member.role == Role::tender;
+  const Millis pauseMs = tender ? 2 * termMs : termMs / 4;
+  // A new configuration changes what every member has acknowledged; that alone is not told to every tender.
+  const auto& digest = tender ? quay.rosterDigest : quay.membersDigest;
+  if (row.membersDigest == 0 || (row.membersDigest != digest && now.steadyMs - row.membersSentMs >= pauseMs)) {
     if (quay.members.empty()) gatherMembers(quay, now);
     grant.members = quay.members;
-    grant.membersDigest = quay.membersDigest;
+    grant.membersDigest = digest;
     row.membersSentMs = now.steadyMs;
   }
   grant.fleetMs = fleetNow(quay.crew, now);
--- a/src/watch/quay.hpp
+++ b/src/watch/quay.hpp
@@ -60,6 +60,7 @@
   std::map<Revision, std::string> deltas;  // from an older revision to the learned one
   std::vector<signal::Member> members;
   std::uint64_t membersDigest = 0;
+  std::uint64_t rosterDigest = 0;   // of the members without what they acknowledged
   Revision keptRevision = 0;  // learned, and synced as learned
   bool chartKnown = false;
   std::map<DaemonId, Millis> formerUntilMs;  // seats no longer in the cohort: when none of their sessions can be left
