--- a/src/manifest/tender.cpp
+++ b/src/manifest/tender.cpp
@@ -158,8 +158,8 @@
     }
     if (unhanded && tender.heard && run.workerIncarnation != tender.incarnation)
       end(tender, run, RunOutcome::lost, "ordered for another life of the worker");
-    else if (unhanded && run.stop) end(tender, run, RunOutcome::stopped, "stopped before its start");
-    else if (unhanded && drained(tender)) {
+    else if (unhanded && tender.heard && run.stop) end(tender, run, RunOutcome::stopped, "stopped before its start");
+    else if (unhanded && tender.heard && drained(tender)) {
       ++tender.counts.deniedStarts;
       end(tender, run, RunOutcome::lost, "denied: draining");
     } else if ((run.stop || !run.wanted) && run.state != RunState::ended) run.state = RunState::stopping;
@@ -350,7 +350,7 @@
 }
 
 void tenderTick(TenderState& tender, Now now, Outbox& out) {
-  if (drained(tender))
+  if (tender.heard && drained(tender))
     for (auto& [id, run] : tender.runs)
       if (run.state == RunState::ordered && run.handedReport == 0) {
         ++tender.counts.deniedStarts;
--- a/tests/tender_test.cpp
+++ b/tests/tender_test.cpp
@@ -168,3 +168,15 @@
   manifest::tenderTick(tender, {nowMs + 20 * wTMs}, out);
   CHECK(tender.runs.at(RunId("j:a:1")).outcome == RunOutcome::lost);
 }
+
+TEST(tender, until_it_has_heard_its_worker_it_says_of_no_run_that_it_never_started) {
+  configure(R"({"cells":{"a":{"emptied":true}}})", 2);
+  ordered({go("j:a:1")}, nowMs);
+  ordered({{RunId("j:b:1"), false, "{}", "w1", {}, true}, go("j:a:1")}, nowMs);
+  Outbox out;
+  manifest::tenderTick(tender, {nowMs + 5}, out);
+  CHECK(tender.runs.at(RunId("j:a:1")).state == RunState::ordered);
+  nowMs += 10;
+  reports(R"(["j:a:1"])");
+  CHECK(tender.runs.at(RunId("j:a:1")).state == RunState::going);
+}
