--- a/src/manifest/epoch.cpp
+++ b/src/manifest/epoch.cpp
@@ -57,6 +57,10 @@
 Scene makeScene(PilotState& pilot, Now now) {
   Scene scene;
   const auto& chart = *pilot.crew.chart;
+  const bool waitsLong = std::any_of(pilot.open.begin(), pilot.open.end(), [&](const JobId& id) {
+    const auto& job = pilot.jobs.at(id);
+    return job.holding == 0 && job.counters.waitMs > 2 * bounds(pilot).termMs;
+  });
   std::vector<std::string_view> all;
   for (const auto& [id, row] : pilot.workers) all.push_back(id.view());
   for (const auto& [id, runs] : pilot.held)
@@ -81,8 +85,9 @@
         for (const auto& [name, value] : pool->second.labels) berth.labels[name] = value;
       if (auto rack = berth.labels.find("rack"); rack != berth.labels.end()) berth.rack = rack->second;
       berth.total = totalOf(pilot, row);
-      berth.usable = usableWorker(pilot, row, now);
+      berth.usable = usableWorker(pilot, row, now, waitsLong);
       berth.doubt = row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
+      if (now.steadyMs < row.standing.shunnedUntilMs) berth.doubt += 40;
       berth.leavesInMs = row.last.leavesMs;
       incarnation = row.last.workerIncarnation;
       pace = std::max(1.0, row.standing.pace);
--- a/src/manifest/parts.hpp
+++ b/src/manifest/parts.hpp
@@ -49,7 +49,8 @@
 double paceOf(const PilotState& pilot, const Job& job, std::size_t task, Millis fleetMs);
 void observeRuns(PilotState& pilot, WorkerRow& row, std::vector<double> paces, signal::Now now);
 Millis leftMs(const Job& job, std::size_t task, Millis fleetMs, double pace);
-bool usableWorker(const PilotState& pilot, const WorkerRow& row, signal::Now now);
+// lastResort: a shunned worker will do.
+bool usableWorker(const PilotState& pilot, const WorkerRow& row, signal::Now now, bool lastResort = false);
 
 void keepHouse(PilotState& pilot, signal::Now now);
 void tellLongWaits(PilotState& pilot, signal::Now now, signal::Outbox& out);
--- a/src/manifest/standing.cpp
+++ b/src/manifest/standing.cpp
@@ -13,7 +13,7 @@
   const auto already = std::count_if(pilot.workers.begin(), pilot.workers.end(),
                                      [&](const auto& other) { return now.steadyMs < other.second.standing.shunnedUntilMs; });
   if (3 * (already + 1) > static_cast<std::ptrdiff_t>(pilot.workers.size()) && pilot.workers.size() > 1) return;
-  const auto doublings = std::min<std::int64_t>(standing.shuns, 4);
+  const auto doublings = std::min<std::int64_t>(standing.shuns, 2);
   standing.shunnedUntilMs = now.steadyMs + bounds(pilot).workerTermMs * 3 / 2 * (1LL << doublings);
   ++standing.shuns;
   ++pilot.counts.shuns;
@@ -63,7 +63,8 @@
   else if (task.goingMs >= 0 && task.goingPercent == 0 && !step.oneRack && step.near.empty())
     notePace(pilot, row, static_cast<double>(fleet(pilot, now) - task.goingMs) / static_cast<double>(step.estimateMs), now);
   if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
-  if (!task.failedOn.empty() && task.failedOn != row.id) blame(pilot, task.failedOn, now);
+  const bool once = !step.together || at == gangBegin(job, at);
+  if (once && !task.failedOn.empty() && task.failedOn != row.id) blame(pilot, task.failedOn, now);
 }
 
 double paceOf(const PilotState& pilot, const Job& job, std::size_t at, Millis fleetMs) {
@@ -145,7 +146,7 @@
   }
 }
 
-bool usableWorker(const PilotState& pilot, const WorkerRow& row, Now now) {
+bool usableWorker(const PilotState& pilot, const WorkerRow& row, Now now, bool lastResort) {
   const auto& chart = *pilot.crew.chart;
   if (row.heardMs < 0 || now.steadyMs - row.heardMs > bounds(pilot).freshMs()) return false;
   if (!row.last.workerHeard || row.last.workerAgeMs > bounds(pilot).freshMs() || row.last.leaving) return false;
@@ -153,7 +154,7 @@
   if (!chart.pools.contains(row.last.pool.value)) return false;
   if (auto cell = chart.emptied.find(row.last.cell.value); cell != chart.emptied.end() && cell->second) return false;
   if (auto drain = chart.drained.find(row.id.value); drain != chart.drained.end() && drain->second) return false;
-  return now.steadyMs >= row.standing.shunnedUntilMs;
+  return lastResort || now.steadyMs >= row.standing.shunnedUntilMs;
 }
 
 }  // namespace tulip::manifest
