--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t kMostFills = 512;
 constexpr std::size_t kMostKnown = 48;
 
-std::int64_t laneOf(const Counters& counters, const chart::Admission& rules) {
+std::int64_t laneOf(const Counters& counters, const config::Admission& rules) {
   return std::min(counters.lane, rules.lanes - 1);
 }
 
@@ -34,14 +34,14 @@
 struct Scope {
   struct Gang {
     std::size_t count = 0;
-    berth::Load load{};
+    placement::Load load{};
   };
   struct Push {
     Gang what;
     std::int64_t lane = 0;
     std::int64_t rank = 0;
   };
-  std::vector<std::uint32_t> berths;
+  std::vector<std::uint32_t> workers;
   std::vector<char> has;
   std::vector<Gang> missing;
   std::vector<Push> pushless;
@@ -51,7 +51,7 @@
   std::string_view pool;
   std::string_view needs;
   std::size_t leave = 0;
-  const berth::Labels* labels = nullptr;
+  const placement::Labels* labels = nullptr;
 
   bool operator==(const ScopeKey& other) const {
     return pool == other.pool && needs == other.needs && leave == other.leave && *labels == *other.labels;
@@ -64,8 +64,8 @@
 };
 
 struct Part {
-  std::uint32_t berth = 0;
-  berth::Load load{};
+  std::uint32_t worker = 0;
+  placement::Load load{};
 };
 
 // Runs that are stopped together.
@@ -84,20 +84,20 @@
 
 struct Ending {
   Millis endsInMs = 0;
-  const berth::Load* load = nullptr;
+  const placement::Load* load = nullptr;
 };
 
-std::int64_t thousandths(const berth::Load& load, const berth::Load& total) {
-  return std::max<std::int64_t>(1, static_cast<std::int64_t>(1000 * berth::dominantShare(load, total)));
+std::int64_t thousandths(const placement::Load& load, const placement::Load& total) {
+  return std::max<std::int64_t>(1, static_cast<std::int64_t>(1000 * placement::dominantShare(load, total)));
 }
 
 struct Planner {
   std::span<const Candidate> jobs;
   Field field;
-  const chart::Admission& rules;
+  const config::Admission& rules;
   Deck deck;
-  Rooms free;  // what starts now may take
-  Rooms soon;  // free and what is being stopped, less what that is kept for
+  Capacities free;  // what starts now may take
+  Capacities soon;  // free and what is being stopped, less what that is kept for
   Plan out;
 
   std::vector<Millis> leaves;
@@ -107,7 +107,7 @@
   absl::flat_hash_map<std::string_view, std::uint32_t> workerAt;
   std::vector<std::uint32_t> avoid;
   std::vector<std::size_t> placeOf;
-  std::vector<berth::Load> kept;  // free room taken out for a reservation
+  std::vector<placement::Load> kept;  // free room taken out for a reservation
   std::vector<std::uint32_t> keptOn;
   Millis keptForMs = 0;
   std::vector<Victim> victims;
@@ -117,32 +117,32 @@
   std::int64_t lowestRank = 0;
   std::vector<std::vector<Ending>> endings;
   bool endingsKnown = false;
-  Rooms scratch;
-  std::vector<berth::Load> placed;
+  Capacities scratch;
+  std::vector<placement::Load> placed;
   Tally tally;
   Matcher matcher;
   std::size_t pushes = 0, forecasts = 0, fills = 0;
 
-  Planner(std::span<const Candidate> given, Field where, const chart::Admission& admission)
+  Planner(std::span<const Candidate> given, Field where, const config::Admission& admission)
       : jobs(given), field(std::move(where)), rules(admission) {
-    const auto& berths = field.berths;
-    deck = makeDeck(berths, rules.layout, field.farFactor);
-    for (std::size_t i = 0; i < berths.size(); ++i) {
-      rackAt.try_emplace(berths[i].rack, deck.rack[i]);
-      if (berths[i].leavesInMs >= 0) leaves.push_back(berths[i].leavesInMs);
-      free.load.push_back(berths[i].free);
-      free.score.push_back(deck.score(berths[i].free));
+    const auto& workers = field.workers;
+    deck = makeDeck(workers, rules.layout, field.farFactor);
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      rackAt.try_emplace(workers[i].rack, deck.rack[i]);
+      if (workers[i].leavesInMs >= 0) leaves.push_back(workers[i].leavesInMs);
+      free.load.push_back(workers[i].free);
+      free.score.push_back(deck.score(workers[i].free));
     }
     std::sort(leaves.begin(), leaves.end());
     leaves.erase(std::unique(leaves.begin(), leaves.end()), leaves.end());
     soon = free;
     for (const auto& job : jobs)
       for (const auto& run : job.runs)
-        if (run.stopping && run.berth < berths.size()) deck.add(soon, static_cast<std::uint32_t>(run.berth), run.load);
+        if (run.stopping && run.worker < workers.size()) deck.add(soon, static_cast<std::uint32_t>(run.worker), run.load);
     scratch = free;
-    kept.resize(berths.size());
-    placed.resize(berths.size());
-    tally.count.resize(berths.size());
+    kept.resize(workers.size());
+    placed.resize(workers.size());
+    tally.count.resize(workers.size());
   }
 
   Scope& scopeOf(const Unit& unit) {
@@ -155,20 +155,20 @@
     auto [found, fresh] = scopeAt.try_emplace(key, scopes.size());
     if (!fresh) return scopes[found->second];
     Scope made;
-    made.has.resize(field.berths.size());
-    for (std::size_t i = 0; i < field.berths.size(); ++i) {
-      const auto& berth = field.berths[i];
-      if (!berth.usable || (!unit.pool.empty() && berth.pool != unit.pool)) continue;
-      if (berth.leavesInMs >= 0 && berth.leavesInMs < stayMs) continue;
+    made.has.resize(field.workers.size());
+    for (std::size_t i = 0; i < field.workers.size(); ++i) {
+      const auto& worker = field.workers[i];
+      if (!worker.usable || (!unit.pool.empty() && worker.pool != unit.pool)) continue;
+      if (worker.leavesInMs >= 0 && worker.leavesInMs < stayMs) continue;
       if (!unit.needs.empty() &&
-          std::none_of(berth.labels.begin(), berth.labels.end(), [&](const auto& label) { return label.second == unit.needs; }))
+          std::none_of(worker.labels.begin(), worker.labels.end(), [&](const auto& label) { return label.second == unit.needs; }))
         continue;
       if (!std::all_of(unit.labels.begin(), unit.labels.end(), [&](const auto& label) {
-            auto own = berth.labels.find(label.first);
-            return own != berth.labels.end() && own->second == label.second;
+            auto own = worker.labels.find(label.first);
+            return own != worker.labels.end() && own->second == label.second;
           }))
         continue;
-      made.berths.push_back(static_cast<std::uint32_t>(i));
+      made.workers.push_back(static_cast<std::uint32_t>(i));
       made.has[i] = 1;
     }
     scopes.push_back(std::move(made));
@@ -177,8 +177,8 @@
 
   std::uint32_t indexOf(const WorkerId& worker) {
     if (workerAt.empty())
-      for (std::size_t i = 0; i < field.berths.size(); ++i)
-        workerAt.try_emplace(field.berths[i].worker.view(), static_cast<std::uint32_t>(i));
+      for (std::size_t i = 0; i < field.workers.size(); ++i)
+        workerAt.try_emplace(field.workers[i].worker.view(), static_cast<std::uint32_t>(i));
     auto found = workerAt.find(worker.view());
     return found == workerAt.end() ? kNowhere : found->second;
   }
@@ -207,24 +207,24 @@
     return quota->second - (held == field.heldSlots.end() ? 0 : held->second);
   }
 
-  bool knownMissing(const Scope& scope, const berth::Load& low, std::size_t count) const {
+  bool knownMissing(const Scope& scope, const placement::Load& low, std::size_t count) const {
     return std::any_of(scope.missing.begin(), scope.missing.end(),
                        [&](const auto& gang) { return gang.count <= count && deck.within(gang.load, low); });
   }
 
-  void noteMissing(Scope& scope, const berth::Load& high, std::size_t count) const {
+  void noteMissing(Scope& scope, const placement::Load& high, std::size_t count) const {
     std::erase_if(scope.missing, [&](const auto& gang) { return count <= gang.count && deck.within(high, gang.load); });
     if (scope.missing.size() < kMostKnown) scope.missing.push_back({count, high});
   }
 
-  void start(std::size_t job, std::uint32_t task, std::uint32_t at, const berth::Load& need) {
+  void start(std::size_t job, std::uint32_t task, std::uint32_t at, const placement::Load& need) {
     out.starts.push_back({job, task, at});
     deck.take(free, at, need);
     deck.take(soon, at, need);
   }
 
   // Keeps room at a berth: free room first, then what is coming.
-  void claim(std::uint32_t at, const berth::Load& need, bool reserved) {
+  void claim(std::uint32_t at, const placement::Load& need, bool reserved) {
     for (std::size_t i = 0; i < deck.kinds; ++i) {
       const auto first = std::min(std::max<std::int64_t>(free.load[at][i], 0), need[i]);
       free.load[at][i] -= first;
@@ -236,11 +236,11 @@
 
   void findEndings() {
     if (std::exchange(endingsKnown, true)) return;
-    endings.resize(field.berths.size());
+    endings.resize(field.workers.size());
     for (const auto& job : jobs)
       for (const auto& run : job.runs)
-        if (!run.stopping && !run.standing && run.endsInMs > 0 && run.berth < endings.size())
-          endings[run.berth].push_back({run.endsInMs, &run.load});
+        if (!run.stopping && !run.standing && run.endsInMs > 0 && run.worker < endings.size())
+          endings[run.worker].push_back({run.endsInMs, &run.load});
     for (auto& each : endings)
       std::sort(each.begin(), each.end(), [](const auto& a, const auto& b) { return a.endsInMs < b.endsInMs; });
   }
@@ -251,7 +251,7 @@
     if (horizonMs <= 0 || ++forecasts > kMostForecasts) return false;
     findEndings();
     std::vector<std::uint32_t> among;
-    for (const auto at : scope.berths) {
+    for (const auto at : scope.workers) {
       if (nearOnly && (deck.doubt[at] >= deck.farDoubt || (demand.near != kNowhere && deck.rack[at] != demand.near))) continue;
       among.push_back(at);
       scratch.load[at] = soon.load[at];
@@ -281,7 +281,7 @@
 
   void findVictims() {
     if (std::exchange(victimsKnown, true)) return;
-    victimsOn.resize(field.berths.size());
+    victimsOn.resize(field.workers.size());
     std::vector<std::pair<std::size_t, std::size_t>> gangs;
     for (std::size_t j = 0; j < jobs.size(); ++j) {
       const auto& job = jobs[j];
@@ -289,7 +289,7 @@
       gangs.clear();
       for (std::size_t r = job.runs.size(); r-- > 0;) {
         const auto& run = job.runs[r];
-        if (run.stopping || run.berth >= field.berths.size()) continue;
+        if (run.stopping || run.worker >= field.workers.size()) continue;
         const auto gang = job.gang ? std::numeric_limits<std::size_t>::max() : run.gang;
         auto known = std::find_if(gangs.begin(), gangs.end(), [&](const auto& each) { return gang > 0 && each.first == gang; });
         std::size_t at = victims.size();
@@ -307,20 +307,20 @@
         victim.runs.push_back(r);
         victim.standing = victim.standing || run.standing;
         const auto delayMs = job.dueInMs > 0 ? std::max<Millis>(0, run.endsInMs) : 0;
-        victim.lost += (run.lossMs + delayMs + 1) * thousandths(run.load, field.berths[run.berth].total);
-        auto part = std::find_if(victim.parts.begin(), victim.parts.end(), [&](const auto& each) { return each.berth == run.berth; });
-        if (part == victim.parts.end()) victim.parts.push_back({static_cast<std::uint32_t>(run.berth), run.load});
-        else berth::add(part->load, run.load);
+        victim.lost += (run.lossMs + delayMs + 1) * thousandths(run.load, field.workers[run.worker].total);
+        auto part = std::find_if(victim.parts.begin(), victim.parts.end(), [&](const auto& each) { return each.worker == run.worker; });
+        if (part == victim.parts.end()) victim.parts.push_back({static_cast<std::uint32_t>(run.worker), run.load});
+        else placement::add(part->load, run.load);
         lowestRank = lowestLane < 0 ? job.rank : std::min(lowestRank, job.rank);
         lowestLane = std::max(lowestLane, victim.lane);
       }
     }
     for (std::size_t v = 0; v < victims.size(); ++v)
-      for (std::size_t p = 0; p < victims[v].parts.size(); ++p) victimsOn[victims[v].parts[p].berth].emplace_back(v, p);
+      for (std::size_t p = 0; p < victims[v].parts.size(); ++p) victimsOn[victims[v].parts[p].worker].emplace_back(v, p);
     for (std::size_t at = 0; at < victimsOn.size(); ++at) {
       auto price = [&](const std::pair<std::size_t, std::size_t>& entry) {
         const auto& victim = victims[entry.first];
-        return std::pair(victim.lost / thousandths(victim.parts[entry.second].load, field.berths[at].total),
+        return std::pair(victim.lost / thousandths(victim.parts[entry.second].load, field.workers[at].total),
                          -static_cast<std::int64_t>(victim.place));
       };
       std::stable_sort(victimsOn[at].begin(), victimsOn[at].end(), [&](const auto& a, const auto& b) { return price(a) < price(b); });
@@ -336,36 +336,36 @@
     std::int64_t lost = 0;
     std::size_t place = 0;  // of the first in the order that would be stopped
     std::vector<std::size_t> picks;
-    std::vector<const berth::Load*> loads;
+    std::vector<const placement::Load*> loads;
   };
 
   // The cheapest stops found by which the need would fit at the berth, beside what was chosen before.
-  bool priceAt(const Candidate& job, std::int64_t lane, const berth::Load& need, std::uint32_t at, Price& price) const {
+  bool priceAt(const Candidate& job, std::int64_t lane, const placement::Load& need, std::uint32_t at, Price& price) const {
     price.lost = 0;
     price.place = std::numeric_limits<std::size_t>::max();
     price.picks.clear();
     price.loads.clear();
-    auto room = scratch.load[at];
-    if (!deck.fits(need, room)) {
+    auto capacity = scratch.load[at];
+    if (!deck.fits(need, capacity)) {
       bool enough = false;
       for (const auto& [v, p] : victimsOn[at]) {
         const auto& victim = victims[v];
         if (victim.stopped || victim.chosen || !mayPush(job, lane, victim)) continue;
         const auto& load = victim.parts[p].load;
         bool helps = false;
-        for (std::size_t i = 0; i < deck.kinds; ++i) helps = helps || (need[i] > room[i] && load[i] > 0);
+        for (std::size_t i = 0; i < deck.kinds; ++i) helps = helps || (need[i] > capacity[i] && load[i] > 0);
         if (!helps) continue;
-        for (std::size_t i = 0; i < deck.kinds; ++i) room[i] += load[i];
+        for (std::size_t i = 0; i < deck.kinds; ++i) capacity[i] += load[i];
         price.picks.push_back(v);
         price.loads.push_back(&load);
-        if ((enough = deck.fits(need, room))) break;
+        if ((enough = deck.fits(need, capacity))) break;
       }
       if (!enough) return false;
       for (std::size_t i = price.picks.size(); i-- > 0;) {
-        auto less = room;
+        auto less = capacity;
         for (std::size_t k = 0; k < deck.kinds; ++k) less[k] -= (*price.loads[i])[k];
         if (!deck.fits(need, less)) continue;
-        room = less;
+        capacity = less;
         price.picks.erase(price.picks.begin() + static_cast<std::ptrdiff_t>(i));
         price.loads.erase(price.loads.begin() + static_cast<std::ptrdiff_t>(i));
       }
@@ -379,10 +379,10 @@
 
   // Stops what must make room for the tasks, all or none, and keeps that room for them.
   bool push(std::size_t at, const Unit& unit, const Demand& demand, std::size_t first, std::size_t count, Scope& scope,
-            const berth::Load& low, const berth::Load& high) {
+            const placement::Load& low, const placement::Load& high) {
     const auto& job = jobs[at];
     const auto lane = laneOf(job.counters, rules);
-    if (rules.rule == chart::Rule::fifo || pushes >= kMostPushTries || scope.berths.empty() || !deck.offered(high)) return false;
+    if (rules.rule == config::Rule::fifo || pushes >= kMostPushTries || scope.workers.empty() || !deck.offered(high)) return false;
     findVictims();
     if (lowestLane <= lane && !(rules.rankFirst && lowestRank < job.rank)) return false;
     if (std::any_of(scope.pushless.begin(), scope.pushless.end(), [&](const auto& each) {
@@ -397,7 +397,7 @@
     }
     ++pushes;
     scratch = soon;
-    std::fill(placed.begin(), placed.end(), berth::Load{});
+    std::fill(placed.begin(), placed.end(), placement::Load{});
     std::vector<std::size_t> picks;
     std::vector<std::pair<std::size_t, std::uint32_t>> where;
     Price price, best;
@@ -405,13 +405,13 @@
       const auto& need = demand.load(task);
       std::uint32_t found = kNowhere;
       std::tuple<std::int64_t, int, std::size_t> bestKey;
-      tally.looks += scope.berths.size();
-      for (const auto berth : scope.berths) {
-        if (demand.apart > 0 && tally.count[berth] >= demand.apart) continue;
-        if (!priceAt(job, lane, need, berth, price)) continue;
-        const std::tuple key(price.lost, burden(deck, demand, task, berth), std::numeric_limits<std::size_t>::max() - price.place);
+      tally.looks += scope.workers.size();
+      for (const auto worker : scope.workers) {
+        if (demand.apart > 0 && tally.count[worker] >= demand.apart) continue;
+        if (!priceAt(job, lane, need, worker, price)) continue;
+        const std::tuple key(price.lost, burden(deck, demand, task, worker), std::numeric_limits<std::size_t>::max() - price.place);
         if (found != kNowhere && key >= bestKey) continue;
-        found = berth;
+        found = worker;
         bestKey = key;
         std::swap(price, best);
       }
@@ -419,10 +419,10 @@
       for (const auto v : best.picks) {
         picks.push_back(v);
         victims[v].chosen = true;
-        for (const auto& part : victims[v].parts) deck.add(scratch, part.berth, part.load);
+        for (const auto& part : victims[v].parts) deck.add(scratch, part.worker, part.load);
       }
       deck.take(scratch, found, need);
-      berth::add(placed[found], need);
+      placement::add(placed[found], need);
       ++tally.count[found];
       where.emplace_back(task, found);
       return true;
@@ -434,7 +434,7 @@
       for (const auto task : matcher.bySize(deck, demand))
         if (!(all = place(task))) break;
     }
-    for (const auto& [task, berth] : where) --tally.count[berth];
+    for (const auto& [task, worker] : where) --tally.count[worker];
     if (all) prune(picks);
     std::int64_t lost = 0;
     double gain = 0;
@@ -442,8 +442,8 @@
       victims[v].chosen = false;
       lost += victims[v].lost;
     }
-    for (const auto& [task, berth] : where)
-      gain += static_cast<double>(thousandths(demand.load(task), field.berths[berth].total) * unit.estimateMs);
+    for (const auto& [task, worker] : where)
+      gain += static_cast<double>(thousandths(demand.load(task), field.workers[worker].total) * unit.estimateMs);
     if (!all) {
       if (demand.apart == 0 && scope.pushless.size() < kMostKnown) scope.pushless.push_back({{count, high}, lane, job.rank});
       return false;
@@ -451,12 +451,12 @@
     if (rules.mostLoss > 0 && unit.estimateMs > 0 && static_cast<double>(lost) > rules.mostLoss * gain) return false;
     for (const auto v : picks) {
       victims[v].stopped = true;
-      for (const auto& part : victims[v].parts) deck.add(soon, part.berth, part.load);
+      for (const auto& part : victims[v].parts) deck.add(soon, part.worker, part.load);
       for (const auto r : victims[v].runs) out.stops.push_back({victims[v].job, jobs[victims[v].job].runs[r].task});
     }
-    for (const auto& [task, berth] : where) {
-      claim(berth, demand.load(task), false);
-      tally.put(berth, 1);
+    for (const auto& [task, worker] : where) {
+      claim(worker, demand.load(task), false);
+      tally.put(worker, 1);
     }
     for (auto& each : scopes) {
       each.missing.clear();
@@ -470,8 +470,8 @@
     std::erase_if(picks, [&](auto v) {
       for (const auto& part : victims[v].parts)
         for (std::size_t i = 0; i < deck.kinds; ++i)
-          if (placed[part.berth][i] > 0 && scratch.load[part.berth][i] < part.load[i]) return false;
-      for (const auto& part : victims[v].parts) deck.take(scratch, part.berth, part.load);
+          if (placed[part.worker][i] > 0 && scratch.load[part.worker][i] < part.load[i]) return false;
+      for (const auto& part : victims[v].parts) deck.take(scratch, part.worker, part.load);
       victims[v].chosen = false;
       return true;
     });
@@ -485,9 +485,9 @@
       if (!scope.has[at] || ++fills > kMostFills) continue;
       if (unit.estimateMs * 3 / 2 * (10 + std::max(0, deck.doubt[at])) / 10 > keptForMs) continue;
       if (demand.apart > 0 && tally.count[at] >= demand.apart) continue;
-      auto room = free.load[at];
-      for (std::size_t i = 0; i < deck.kinds; ++i) room[i] = std::max<std::int64_t>(room[i], 0) + kept[at][i];
-      if (!deck.fits(need, room)) continue;
+      auto capacity = free.load[at];
+      for (std::size_t i = 0; i < deck.kinds; ++i) capacity[i] = std::max<std::int64_t>(capacity[i], 0) + kept[at][i];
+      if (!deck.fits(need, capacity)) continue;
       for (std::size_t i = 0; i < deck.kinds; ++i) {
         const auto first = std::min(std::max<std::int64_t>(free.load[at][i], 0), need[i]);
         free.load[at][i] -= first;
@@ -509,28 +509,28 @@
       const auto& need = demand.load(i);
       slots += need[0];
       if (demand.alike()) continue;
-      for (std::size_t k = 0; k < berth::kMostKinds; ++k) {
+      for (std::size_t k = 0; k < placement::kMostKinds; ++k) {
         low[k] = std::min(low[k], need[k]);
         high[k] = std::max(high[k], need[k]);
       }
     }
     if (slots > quotaLeft(job)) return false;
     auto& scope = scopeOf(unit);
-    for (const auto& [berth, count] : unit.beside)
-      if (berth < field.berths.size()) tally.put(static_cast<std::uint32_t>(berth), static_cast<int>(count));
+    for (const auto& [worker, count] : unit.beside)
+      if (worker < field.workers.size()) tally.put(static_cast<std::uint32_t>(worker), static_cast<int>(count));
     const bool placedNow = placeTogether(at, unit, demand, scope, low, high);
     tally.clear();
     if (placedNow) field.heldSlots[job.pending] += slots;
     return placedNow;
   }
 
-  bool placeTogether(std::size_t at, const Unit& unit, const Demand& demand, Scope& scope, const berth::Load& low, const berth::Load& high) {
+  bool placeTogether(std::size_t at, const Unit& unit, const Demand& demand, Scope& scope, const placement::Load& low, const placement::Load& high) {
     if (deck.offered(high) && !knownMissing(scope, low, demand.count) && !knownMissing(scope, high, 1)) {
       ++out.tries;
-      if (matcher.together(deck, demand, scope.berths, free, tally)) {
+      if (matcher.together(deck, demand, scope.workers, free, tally)) {
         const auto chosen = matcher.chosen;
-        const bool far = matcher.spread || (demand.near != kNowhere && std::any_of(chosen.begin(), chosen.end(), [&](auto berth) {
-                                              return deck.rack[berth] != demand.near;
+        const bool far = matcher.spread || (demand.near != kNowhere && std::any_of(chosen.begin(), chosen.end(), [&](auto worker) {
+                                              return deck.rack[worker] != demand.near;
                                             }));
         if (far && waitsForRack(jobs[at], unit, demand, 0, true, scope)) {
           ++out.passedOver;
@@ -539,7 +539,7 @@
         for (std::size_t i = 0; i < demand.count; ++i) start(at, unit.tasks[i], chosen[i], demand.load(i));
         return true;
       }
-      if (matcher.together(deck, demand, scope.berths, soon, tally)) {
+      if (matcher.together(deck, demand, scope.workers, soon, tally)) {
         for (std::size_t i = 0; i < demand.count; ++i) claim(matcher.chosen[i], demand.load(i), false);
         return true;
       }
@@ -556,8 +556,8 @@
     const auto demand = demandOf(unit);
     auto left = quotaLeft(job);
     auto& scope = scopeOf(unit);
-    for (const auto& [berth, count] : unit.beside)
-      if (berth < field.berths.size()) tally.put(static_cast<std::uint32_t>(berth), static_cast<int>(count));
+    for (const auto& [worker, count] : unit.beside)
+      if (worker < field.workers.size()) tally.put(static_cast<std::uint32_t>(worker), static_cast<int>(count));
     std::int64_t took = 0;
     std::size_t found = 0;
     for (std::size_t i = 0; i < demand.count; ++i) {
@@ -587,14 +587,14 @@
     if (!deck.offered(need)) return false;
     if (!knownMissing(scope, need, 1)) {
       ++out.tries;
-      if (const auto found = pick(deck, demand, task, scope.berths, free, tally); found != kNowhere) {
+      if (const auto found = pick(deck, demand, task, scope.workers, free, tally); found != kNowhere) {
         const bool far = demand.near != kNowhere && deck.rack[found] != demand.near;
         if (far && waitsForRack(jobs[at], unit, demand, task, false, scope)) return false;
         start(at, unit.tasks[task], found, need);
         tally.put(found, 1);
         return true;
       }
-      if (const auto found = pick(deck, demand, task, scope.berths, soon, tally); found != kNowhere) {
+      if (const auto found = pick(deck, demand, task, scope.workers, soon, tally); found != kNowhere) {
         claim(found, need, false);
         tally.put(found, 1);
         return true;
@@ -625,43 +625,43 @@
     for (const auto& load : unit.loads)
       if (!deck.offered(load)) return false;
     auto& scope = scopeOf(unit);
-    Rooms whole = free;
-    for (std::size_t i = 0; i < field.berths.size(); ++i) whole.load[i] = field.berths[i].total;
+    Capacities whole = free;
+    for (std::size_t i = 0; i < field.workers.size(); ++i) whole.load[i] = field.workers[i].total;
     for (const auto& job : jobs)
       for (const auto& run : job.runs)
-        if (run.standing && !run.stopping && run.berth < field.berths.size()) berth::take(whole.load[run.berth], run.load);
+        if (run.standing && !run.stopping && run.worker < field.workers.size()) placement::take(whole.load[run.worker], run.load);
     auto doubt = deck.doubt;
-    for (std::size_t i = 0; i < field.berths.size(); ++i) {
+    for (std::size_t i = 0; i < field.workers.size(); ++i) {
       whole.score[i] = deck.score(whole.load[i]);
       deck.doubt[i] = whole.score[i] - soon.score[i];
     }
-    for (const auto& [berth, count] : unit.beside)
-      if (berth < field.berths.size()) tally.put(static_cast<std::uint32_t>(berth), static_cast<int>(count));
-    const bool found = matcher.together(deck, demand, scope.berths, whole, tally);
+    for (const auto& [worker, count] : unit.beside)
+      if (worker < field.workers.size()) tally.put(static_cast<std::uint32_t>(worker), static_cast<int>(count));
+    const bool found = matcher.together(deck, demand, scope.workers, whole, tally);
     tally.clear();
     deck.doubt = std::move(doubt);
     if (!found) return false;
-    std::fill(placed.begin(), placed.end(), berth::Load{});
+    std::fill(placed.begin(), placed.end(), placement::Load{});
     for (std::size_t i = 0; i < demand.count; ++i) {
       claim(matcher.chosen[i], demand.load(i), true);
-      berth::add(placed[matcher.chosen[i]], demand.load(i));
+      placement::add(placed[matcher.chosen[i]], demand.load(i));
     }
     keptOn = matcher.chosen;
     std::sort(keptOn.begin(), keptOn.end());
     keptOn.erase(std::unique(keptOn.begin(), keptOn.end()), keptOn.end());
     findEndings();
     for (const auto at : keptOn) {
-      auto room = soon.load[at];
+      auto capacity = soon.load[at];
       auto ready = [&] {
         for (std::size_t i = 0; i < deck.kinds; ++i)
-          if (placed[at][i] > 0 && room[i] < 0) return false;
+          if (placed[at][i] > 0 && capacity[i] < 0) return false;
         return true;
       };
       Millis byMs = 0;
       for (const auto& ending : endings[at]) {
         if (ready()) break;
         byMs = ending.endsInMs;
-        for (std::size_t i = 0; i < deck.kinds; ++i) room[i] += (*ending.load)[i];
+        for (std::size_t i = 0; i < deck.kinds; ++i) capacity[i] += (*ending.load)[i];
       }
       if (ready()) keptForMs = std::max(keptForMs, byMs);
     }
@@ -685,7 +685,7 @@
   }
 }
 
-bool settle(Counters& counters, const chart::Admission& rules, bool holds) {
+bool settle(Counters& counters, const config::Admission& rules, bool holds) {
   const auto before = counters.lane;
   counters.lane = std::min(counters.lane, rules.lanes - 1);
   while (counters.lane < rules.lanes - 1 && counters.servedMs >= rules.thresholdsMs[static_cast<std::size_t>(counters.lane)])
@@ -710,10 +710,10 @@
   return spent > 0 ? done / spent : 0;
 }
 
-std::vector<std::size_t> order(std::span<const Candidate> jobs, const chart::Admission& rules, std::span<const std::int64_t> sizes) {
+std::vector<std::size_t> order(std::span<const Candidate> jobs, const config::Admission& rules, std::span<const std::int64_t> sizes) {
   std::vector<std::size_t> ranking(jobs.size());
   std::iota(ranking.begin(), ranking.end(), 0);
-  const bool byIndex = rules.rule == chart::Rule::gittins && sizes.size() >= kFewestSizes;
+  const bool byIndex = rules.rule == config::Rule::gittins && sizes.size() >= kFewestSizes;
   std::vector<double> index(jobs.size(), 0);
   if (byIndex)
     for (std::size_t i = 0; i < jobs.size(); ++i) {
@@ -734,7 +734,7 @@
     const bool fresh = job.counters.firstStartMs < 0;
     keys[i].rank = rules.rankFirst ? -job.rank : 0;
     keys[i].acceptedMs = job.acceptedMs;
-    if (rules.rule == chart::Rule::fifo) continue;
+    if (rules.rule == config::Rule::fifo) continue;
     keys[i].lane = laneOf(job.counters, rules);
     keys[i].index = -index[i];
     keys[i].firstStartMs = fresh ? std::numeric_limits<Millis>::max() : job.counters.firstStartMs;
@@ -752,7 +752,7 @@
   return ranking;
 }
 
-Plan plan(std::span<const Candidate> jobs, Field field, const chart::Admission& given, std::span<const std::int64_t> sizes) {
+Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& given, std::span<const std::int64_t> sizes) {
   auto rules = given;
   rules.rankFirst = rules.rankFirst || field.rankFirst;
   if (field.mostLoss > 0) rules.mostLoss = field.mostLoss;
@@ -795,11 +795,11 @@
   return std::move(planner.out);
 }
 
-bool couldEverFit(const Unit& unit, const chart::Chart& chart, berth::Kinds& kinds) {
+bool couldEverFit(const Unit& unit, const config::Config& config, placement::Kinds& kinds) {
   if (unit.tasks.empty() || unit.loads.empty()) return true;
   const auto needed = static_cast<std::int64_t>(unit.tasks.size());
-  std::vector<berth::Berth> berths;
-  for (const auto& [name, pool] : chart.pools) {
+  std::vector<placement::WorkerCapacity> workers;
+  for (const auto& [name, pool] : config.pools) {
     if (!unit.pool.empty() && unit.pool != pool.name) continue;
     if (pool.slots == 0) return true;
     if (!std::all_of(unit.labels.begin(), unit.labels.end(), [&](const auto& label) {
@@ -810,27 +810,27 @@
     if (!unit.needs.empty() &&
         std::none_of(pool.labels.begin(), pool.labels.end(), [&](const auto& label) { return label.second == unit.needs; }))
       continue;
-    berth::Berth made;
-    made.total = made.free = kinds.load({pool.slots, pool.room});
-    for (std::int64_t i = 0; i < std::min(pool.workers, needed); ++i) berths.push_back(made);
+    placement::WorkerCapacity made;
+    made.total = made.free = kinds.load({pool.slots, pool.capacity});
+    for (std::int64_t i = 0; i < std::min(pool.workers, needed); ++i) workers.push_back(made);
   }
-  const auto deck = makeDeck(berths, chart::Layout::pack, 1);
-  std::vector<std::uint32_t> among(berths.size());
+  const auto deck = makeDeck(workers, config::Layout::pack, 1);
+  std::vector<std::uint32_t> among(workers.size());
   std::iota(among.begin(), among.end(), 0);
-  Rooms rooms;
-  for (const auto& berth : berths) {
-    rooms.load.push_back(berth.free);
-    rooms.score.push_back(deck.score(berth.free));
+  Capacities capacities;
+  for (const auto& worker : workers) {
+    capacities.load.push_back(worker.free);
+    capacities.score.push_back(deck.score(worker.free));
   }
   Tally tally;
-  tally.count.resize(berths.size());
+  tally.count.resize(workers.size());
   Demand demand;
   demand.loads = unit.loads;
   demand.count = unit.tasks.size();
   demand.apart = unit.apart;
   for (std::size_t i = 0; i < demand.count; ++i)
-    if (!deck.offered(demand.load(i)) || pick(deck, demand, i, among, rooms, tally) == kNowhere) return false;
-  return !unit.whole || Matcher{}.together(deck, demand, among, rooms, tally);
+    if (!deck.offered(demand.load(i)) || pick(deck, demand, i, among, capacities, tally) == kNowhere) return false;
+  return !unit.whole || Matcher{}.together(deck, demand, among, capacities, tally);
 }
 
 }  // namespace tulip::admission
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -3,7 +3,7 @@
 #include <span>
 #include <vector>
 
-#include "berth/berth.hpp"
+#include "placement/capacity.hpp"
 
 namespace tulip::admission {
 
@@ -23,18 +23,18 @@
 // held is the room held, in thousandths of the resource count W_J: slots of the own interface count 1000 each; loads of
 // several kinds count the dominant share of a worker that each run takes, and servedMs is then worker milliseconds.
 void accrue(Counters& counters, std::int64_t held, bool waiting, Millis spanMs);
-bool settle(Counters& counters, const chart::Admission& rules, bool holds);
+bool settle(Counters& counters, const config::Admission& rules, bool holds);
 
 // Tasks that are alike and ready: a step's, or a whole gang's.
 struct Unit {
   std::vector<std::uint32_t> tasks;  // places in the job's tasks, in the order they are to start
-  std::vector<berth::Load> loads;    // one for each task, or a single one for all
+  std::vector<placement::Load> loads;    // one for each task, or a single one for all
   bool whole = false;                // all start together or none
   bool oneRack = false;              // takes farFactor times as long on more than one rack
   bool saves = false;                // keeps checkpoints
   bool standing = false;             // long running
   PoolName pool;                     // empty: any
-  berth::Labels labels;              // each must stand on the worker with this value
+  placement::Labels labels;              // each must stand on the worker with this value
   std::string needs;                 // a value that one of the worker's labels must have; empty: none
   std::string near;                  // the rack where its data lies; empty: anywhere
   std::int64_t apart = 0;            // at most this many of the step's tasks on one worker; 0: no bound
@@ -45,8 +45,8 @@
 
 struct HeldRun {
   std::size_t task = 0;
-  std::size_t berth = 0;
-  berth::Load load{};
+  std::size_t worker = 0;
+  placement::Load load{};
   bool stopping = false;
   std::size_t gang = 0;   // runs of the job with the same number above 0 are stopped together
   Millis lossMs = 0;      // work that a stop would lose
@@ -56,7 +56,7 @@
 
 struct Candidate {
   JobId id;
-  PendingName pending;
+  QueueName pending;
   Counters counters;
   std::int64_t rank = 0;   // higher goes first
   Millis acceptedMs = 0;
@@ -68,12 +68,12 @@
 };
 
 double gittinsIndex(std::int64_t servedMs, std::span<const std::int64_t> sizes, std::int64_t quantumMs);
-std::vector<std::size_t> order(std::span<const Candidate> jobs, const chart::Admission& rules, std::span<const std::int64_t> sizes);
+std::vector<std::size_t> order(std::span<const Candidate> jobs, const config::Admission& rules, std::span<const std::int64_t> sizes);
 
 struct Start {
   std::size_t job = 0;
   std::size_t task = 0;
-  std::size_t berth = 0;
+  std::size_t worker = 0;
   bool operator==(const Start&) const = default;
 };
 struct Stop {
@@ -92,17 +92,17 @@
 };
 
 struct Field {
-  std::vector<berth::Berth> berths;
-  std::map<PendingName, std::int64_t> quotaSlots;
-  std::map<PendingName, std::int64_t> heldSlots;
+  std::vector<placement::WorkerCapacity> workers;
+  std::map<QueueName, std::int64_t> quotaSlots;
+  std::map<QueueName, std::int64_t> heldSlots;
   double farFactor = 1.5;
   bool rankFirst = false;  // as the option of that name, for fleets whose env asks for it
   double mostLoss = 0;     // as the option of that name, where above 0
 };
 
-Plan plan(std::span<const Candidate> jobs, Field field, const chart::Admission& rules, std::span<const std::int64_t> sizes);
+Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& rules, std::span<const std::int64_t> sizes);
 
 // Whether the pools, as configured, could hold the unit on empty workers; pools without a size hold anything.
-bool couldEverFit(const Unit& unit, const chart::Chart& chart, berth::Kinds& kinds);
+bool couldEverFit(const Unit& unit, const config::Config& config, placement::Kinds& kinds);
 
 }  // namespace tulip::admission
--- a/src/admission/placement.cpp
+++ b/src/admission/placement.cpp
@@ -17,19 +17,19 @@
 
 }  // namespace
 
-Deck makeDeck(std::span<const berth::Berth> berths, chart::Layout layout, double farFactor) {
+Deck makeDeck(std::span<const placement::WorkerCapacity> workers, config::Layout layout, double farFactor) {
   Deck deck;
   deck.layout = layout;
   deck.farDoubt = std::max(1, static_cast<int>(std::lround(10 * (farFactor - 1))));
-  berth::Load most{};
+  placement::Load most{};
   absl::flat_hash_map<std::string_view, std::uint32_t> racks;
-  for (const auto& berth : berths) {
-    for (std::size_t i = 0; i + 1 < berth::kMostKinds; ++i) {
-      most[i] = std::max({most[i], berth.total[i], berth.free[i]});
-      if (berth.total[i] != 0 || berth.free[i] != 0) deck.kinds = std::max(deck.kinds, i + 1);
+  for (const auto& worker : workers) {
+    for (std::size_t i = 0; i + 1 < placement::kMostKinds; ++i) {
+      most[i] = std::max({most[i], worker.total[i], worker.free[i]});
+      if (worker.total[i] != 0 || worker.free[i] != 0) deck.kinds = std::max(deck.kinds, i + 1);
     }
-    deck.doubt.push_back(berth.doubt + (berth.leavesInMs >= 0 ? kLeaving : 0));
-    deck.rack.push_back(racks.try_emplace(berth.rack, static_cast<std::uint32_t>(racks.size())).first->second);
+    deck.doubt.push_back(worker.doubt + (worker.leavesInMs >= 0 ? kLeaving : 0));
+    deck.rack.push_back(racks.try_emplace(worker.rack, static_cast<std::uint32_t>(racks.size())).first->second);
   }
   for (std::size_t i = 0; i < deck.kinds; ++i) deck.weight[i] = most[i] > 0 ? kWorker / static_cast<double>(most[i]) : 0;
   return deck;
@@ -40,19 +40,19 @@
          (demand.avoided(task) == at ? kAvoided : 0);
 }
 
-std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Rooms& rooms,
+std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Capacities& capacities,
                    Tally& tally) {
   tally.looks += among.size();
   const auto& need = demand.load(task);
   std::uint32_t best = kNowhere;
   std::tuple<int, int, int> bestKey;
   for (const auto at : among) {
-    if (!deck.fits(need, rooms.load[at])) continue;
+    if (!deck.fits(need, capacities.load[at])) continue;
     const int mine = tally.count[at];
     if (demand.apart > 0 && mine >= demand.apart) continue;
     const int heavy = burden(deck, demand, task, at);
-    const auto key = deck.layout == chart::Layout::pack ? std::tuple(heavy, rooms.score[at] / kSameFit, mine)
-                                                        : std::tuple(heavy, mine, -rooms.score[at]);
+    const auto key = deck.layout == config::Layout::pack ? std::tuple(heavy, capacities.score[at] / kSameFit, mine)
+                                                        : std::tuple(heavy, mine, -capacities.score[at]);
     if (best != kNowhere && key >= bestKey) continue;
     best = at;
     bestKey = key;
@@ -69,10 +69,10 @@
   return order;
 }
 
-bool Matcher::greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Rooms& rooms, Tally& tally) {
+bool Matcher::greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Capacities& capacities, Tally& tally) {
   for (const auto at : among) {
-    scratch.load[at] = rooms.load[at];
-    scratch.score[at] = rooms.score[at];
+    scratch.load[at] = capacities.load[at];
+    scratch.score[at] = capacities.score[at];
   }
   chosen.assign(demand.count, kNowhere);
   heaviest = 0;
@@ -93,12 +93,12 @@
   return whole;
 }
 
-bool Matcher::together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Rooms& rooms, Tally& tally) {
-  scratch.load.resize(rooms.load.size());
-  scratch.score.resize(rooms.score.size());
+bool Matcher::together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Capacities& capacities, Tally& tally) {
+  scratch.load.resize(capacities.load.size());
+  scratch.score.resize(capacities.score.size());
   bySize(deck, demand);
   spread = false;
-  if (!greedy(deck, demand, among, rooms, tally)) return false;
+  if (!greedy(deck, demand, among, capacities, tally)) return false;
   const auto onMany = [&] {
     return std::any_of(chosen.begin(), chosen.end(), [&](auto at) { return deck.rack[at] != deck.rack[chosen[0]]; });
   };
@@ -115,9 +115,9 @@
     for (const auto at : among)
       if (deck.rack[at] == rack) {
         part.push_back(at);
-        free += std::max(rooms.score[at], 0) / kSameFit;
+        free += std::max(capacities.score[at], 0) / kSameFit;
       }
-    if (!greedy(deck, demand, part, rooms, tally)) continue;
+    if (!greedy(deck, demand, part, capacities, tally)) continue;
     const std::pair key{heaviest, free};
     if (key >= bestKey) continue;
     best = chosen;
--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,405 @@
+#include "agent/agent.hpp"
+
+#include <algorithm>
+
+namespace tulip::agent {
+
+using namespace transport;
+
+namespace {
+
+const Bounds& bounds(const AgentState& agent) { return agent.client.settings.bounds; }
+
+bool drained(const AgentState& agent) {
+  const auto& config = *agent.client.config;
+  auto zone = config.emptied.find(agent.client.settings.zone.value);
+  auto drain = config.drained.find(agent.worker.value);
+  return agent.leaving || agent.client.leaving || (zone != config.emptied.end() && zone->second) ||
+         (drain != config.drained.end() && drain->second);
+}
+
+bool mayStart(const AgentState& agent, Now now) {
+  return control::sessionLive(agent.client, now) && agent.client.configVersion >= agent.orderedVersion && !drained(agent) &&
+         now.steadyMs - agent.acknowledgedMs <= bounds(agent).freshMs();
+}
+
+Millis goOnMs(const AgentState& agent, Now now) {
+  return std::max<Millis>(0, agent.acknowledgedMs + bounds(agent).workerLeaseMs - now.steadyMs);
+}
+
+void end(AgentState& agent, AgentAttempt& run, AttemptOutcome outcome, std::string detail) {
+  run.state = AttemptState::ended;
+  run.outcome = outcome;
+  run.detail = std::move(detail);
+  agent.reportDue = true;
+}
+
+bool anythingNew(const AgentState& agent, Now now) {
+  const bool may = mayStart(agent, now);
+  return std::any_of(agent.runs.begin(), agent.runs.end(), [&](const auto& row) {
+    const auto& run = row.second;
+    if (run.state == AttemptState::ordered && run.handedReport == 0 && may) return true;
+    return run.state == AttemptState::stopping && run.stopReport == 0;
+  });
+}
+
+AttemptOutcome outcomeOf(std::string_view text) {
+  constexpr std::pair<std::string_view, AttemptOutcome> rows[] = {
+      {"clean", AttemptOutcome::clean},   {"stopped", AttemptOutcome::stopped}, {"lapsed", AttemptOutcome::lapsed},
+      {"broken", AttemptOutcome::broken}, {"alone", AttemptOutcome::alone},     {"refused", AttemptOutcome::refused}};
+  for (const auto& [name, outcome] : rows)
+    if (name == text) return outcome;
+  return AttemptOutcome::failed;
+}
+
+std::string answerJson(const WorkerAnswer& answer) {
+  Json root(json_object());
+  json_t *start = json_array(), *stop = json_array(), *ack = json_array();
+  for (const auto& each : answer.start) {
+    Json spec = parseJson(each.spec);
+    if (!json_is_object(spec.get())) spec.reset(json_object());
+    json_object_set_new(spec.get(), "run", jsonText(each.run.view()));
+    if (!each.saved.empty()) json_object_set_new(spec.get(), "saved", jsonText(each.saved));
+    json_array_append_new(start, spec.release());
+  }
+  for (const auto& run : answer.stop) json_array_append_new(stop, jsonText(run.view()));
+  for (const auto& run : answer.acknowledged) json_array_append_new(ack, jsonText(run.view()));
+  json_object_set_new(root.get(), "report", json_integer(static_cast<json_int_t>(answer.number)));
+  json_object_set_new(root.get(), "goOnMs", json_integer(answer.goOnMs));
+  json_object_set_new(root.get(), "startWithinMs", json_integer(answer.startWithinMs));
+  json_object_set_new(root.get(), "start", start);
+  json_object_set_new(root.get(), "stop", stop);
+  json_object_set_new(root.get(), "ack", ack);
+  return dumpJson(root.get());
+}
+
+bool released(const AgentState& agent, const AgentAttempt& run) {
+  return run.state == AttemptState::ended && run.listed && !run.wanted && agent.ordersSeq > 0;
+}
+
+void answerPoll(AgentState& agent, Now now, Outbox& out) {
+  const auto poll = std::move(*agent.poll);
+  agent.poll.reset();
+  WorkerAnswer answer;
+  answer.number = poll.report;
+  answer.startWithinMs = bounds(agent).freshMs();
+  answer.nextMs = bounds(agent).nextHeartbeatMs();
+  answer.fence = agent.term.number;
+  const bool may = mayStart(agent, now);
+  for (auto& [id, run] : agent.runs) {
+    if (run.state == AttemptState::ordered && run.handedReport == 0 && may) {
+      run.handedReport = poll.report;
+      ++agent.counts.handed;
+      answer.start.push_back({id, run.spec, run.saved});
+    }
+    if (run.state == AttemptState::stopping) {
+      run.stopReport = poll.report;
+      answer.stop.push_back(id);
+    }
+    if (!poll.brief && released(agent, run)) answer.acknowledged.push_back(id);
+  }
+  for (const auto& ended : poll.ended) {
+    if (ended.number <= agent.lastSeen) continue;
+    auto found = agent.runs.find(ended.run);
+    if (ended.number != agent.lastSeen + 1 || (found != agent.runs.end() && !released(agent, found->second)) || agent.ordersSeq == 0) break;
+    agent.lastSeen = ended.number;
+  }
+  answer.lastSeen = agent.lastSeen;
+  answer.goOnMs = goOnMs(agent, now);
+  agent.answeredMs = now.steadyMs;
+  agent.workerUntilMs = std::max(agent.workerUntilMs, poll.sinceMs + answer.goOnMs);
+  if (!poll.brief) return out.answer(poll.requestId, 200, answerJson(answer));
+  CallResult brief;
+  brief.worker = std::move(answer);
+  out.tell(poll.requestId, Kind::ok, std::move(brief));
+}
+
+void onOrders(AgentState& agent, const Orders& orders, Now now, Outbox& out) {
+  const auto newest = std::max(agent.term, agent.client.leader.term);
+  if (orders.agent != agent.client.id || orders.term < newest || orders.acknowledgedSeq > agent.reportSeq || orders.acknowledgedMs > now.steadyMs ||
+      (orders.term == agent.term && orders.seq <= agent.ordersSeq)) {
+    ++agent.counts.rejectedOrders;
+    return;
+  }
+  ++agent.counts.orders;
+  agent.term = orders.term;
+  agent.ordersSeq = orders.seq;
+  agent.orderedVersion = orders.configVersion;
+  agent.acknowledgedMs = std::max(agent.acknowledgedMs, orders.acknowledgedMs);
+  control::raiseFleet(agent.client, orders.fleetMs, now);
+  for (auto& [id, run] : agent.runs) run.wanted = false;
+  for (const auto& wanted : orders.wanted) {
+    auto [slot, fresh] = agent.runs.try_emplace(wanted.id);
+    auto& run = slot->second;
+    run.wanted = true;
+    run.stop = wanted.stop;
+    if (fresh && !wanted.stop && !wanted.whole) {
+      agent.runs.erase(slot);
+      agent.reportDue = true;
+      continue;
+    }
+    if (fresh) {
+      run.sinceMs = now.steadyMs;
+      run.spec = wanted.spec;
+      run.saved = wanted.saved;
+      run.workerIncarnation = wanted.workerIncarnation;
+      if (wanted.stop) {
+        if (agent.heard) end(agent, run, AttemptOutcome::lost, "never started");
+        else run.state = AttemptState::stopping;
+      }
+    }
+  }
+  for (auto at = agent.runs.begin(); at != agent.runs.end();) {
+    auto& run = at->second;
+    const bool unhanded = run.state == AttemptState::ordered && run.handedReport == 0;
+    if (!run.wanted && (unhanded || (run.state == AttemptState::ended && !run.listed))) {
+      at = agent.runs.erase(at);
+      continue;
+    }
+    if (unhanded && agent.heard && run.workerIncarnation != agent.incarnation)
+      end(agent, run, AttemptOutcome::lost, "ordered for another life of the worker");
+    else if (unhanded && agent.heard && run.stop) end(agent, run, AttemptOutcome::stopped, "stopped before its start");
+    else if (unhanded && agent.heard && drained(agent)) {
+      ++agent.counts.rejectedStarts;
+      end(agent, run, AttemptOutcome::lost, "denied: draining");
+    } else if ((run.stop || !run.wanted) && run.state != AttemptState::ended) run.state = AttemptState::stopping;
+    ++at;
+  }
+  if (agent.poll && anythingNew(agent, now)) answerPoll(agent, now, out);
+}
+
+void sendReport(AgentState& agent, Now now, Outbox& out) {
+  agent.reportedMs = now.steadyMs;
+  agent.reportDue = false;
+  if (agent.client.leader.peerAddress.empty() || !control::sessionLive(agent.client, now)) return;
+  AgentReport report;
+  report.agent = agent.client.id;
+  report.zone = agent.client.settings.zone;
+  report.worker = agent.worker;
+  report.workerIncarnation = agent.incarnation;
+  report.workerHeard = agent.heard;
+  report.workerAgeMs = agent.heard ? now.steadyMs - agent.workerMs : 0;
+  report.pool = agent.pool;
+  report.labels = agent.labels;
+  report.slots = agent.slots;
+  report.capacity = agent.capacity;
+  report.leaving = agent.leaving || agent.client.leaving;
+  report.acked = agent.client.configVersion;
+  report.ordersTerm = agent.term;
+  report.ordersSeq = agent.ordersSeq;
+  report.seq = ++agent.reportSeq;
+  report.sentMs = now.steadyMs;
+  report.leavesMs = agent.leavesAtMs < 0 ? -1 : std::max<Millis>(0, agent.leavesAtMs - now.steadyMs);
+  report.wallMs = now.wallMs;
+  report.runs.reserve(agent.runs.size());
+  for (const auto& [id, run] : agent.runs) {
+    const bool seen = run.state == AttemptState::stopping && !run.listed;
+    const bool there = run.listed || run.state == AttemptState::ended;
+    report.runs.push_back({id, seen ? AttemptState::ordered : run.state, run.outcome, run.detail, there ? run.saved : std::string(), run.percent});
+  }
+  ++agent.counts.reports;
+  out.send(agent.client.leader.peerAddress, std::move(report));
+}
+
+}  // namespace
+
+AgentState makeAgent(const Settings& settings, const DaemonId& id, std::string incarnation) {
+  AgentState agent;
+  agent.client = control::makeControlClient(settings, id, std::move(incarnation));
+  agent.worker = WorkerId(settings.worker);
+  return agent;
+}
+
+void agentHeard(AgentState& agent, const Heard& heard, Now now, Outbox& out) {
+  const auto before = agent.client.leader.peerAddress;
+  if (control::clientHeard(agent.client, heard, now, out)) {
+    if (agent.client.leader.peerAddress != before) agent.reportDue = true;
+    return;
+  }
+  if (const auto* orders = std::get_if<Orders>(&heard.message)) onOrders(agent, *orders, now, out);
+}
+
+void workerReport(AgentState& agent, std::uint64_t requestId, std::string_view body, Now now, Outbox& out) {
+  auto reject = [&](Kind kind, const char* field, const char* allowed) { out.reject(requestId, kind, config::faultsJson(kind, {{field, allowed}})); };
+  Json root = parseJson(body);
+  if (!root || !json_is_object(root.get())) return reject(Kind::malformed, "/", "one JSON object");
+  if (textAt(root.get(), "worker") != agent.worker.value) return reject(Kind::badValue, "/worker", "the name of this agent's worker");
+  WorkerReport report;
+  report.incarnation = textAt(root.get(), "incarnation");
+  const auto number = numberAt(root.get(), "report");
+  if (report.incarnation.empty()) return reject(Kind::badValue, "/incarnation", "a text, new at each start of the worker");
+  if (number < 1) return reject(Kind::badValue, "/report", "a number that grows with each report");
+  report.slots = numberAt(root.get(), "slots");
+  if (report.slots < 1) return reject(Kind::badValue, "/slots", "a whole number of at least 1");
+  report.number = static_cast<std::uint64_t>(number);
+  report.leaving = flagAt(root.get(), "leaving");
+  report.leavesMs = numberAt(root.get(), "leavesMs", -1);
+  report.pool = PoolName(textAt(root.get(), "pool"));
+  const char* key;
+  json_t* value;
+  json_object_foreach(json_object_get(root.get(), "labels"), key, value) {
+    if (json_is_string(value)) report.labels[key] = json_string_value(value);
+  }
+  json_object_foreach(json_object_get(root.get(), "room"), key, value) {
+    if (json_is_integer(value)) report.capacity[key] = json_integer_value(value);
+  }
+  const json_t* running = json_object_get(root.get(), "going");
+  for (std::size_t i = 0; i < json_array_size(running); ++i) {
+    const json_t* item = json_array_get(running, i);
+    if (json_is_string(item)) report.running.push_back({AttemptId(json_string_value(item)), {}, 0});
+    else if (auto run = textAt(item, "run"); !run.empty()) report.running.push_back({AttemptId(run), textAt(item, "saved"), numberAt(item, "percent")});
+  }
+  const json_t* ended = json_object_get(root.get(), "ended");
+  for (std::size_t i = 0; i < json_array_size(ended); ++i) {
+    const json_t* item = json_array_get(ended, i);
+    if (auto run = textAt(item, "run"); !run.empty())
+      report.ended.push_back({0, AttemptId(run), outcomeOf(textAt(item, "outcome")), textAt(item, "saved"), textAt(item, "detail")});
+  }
+  const bool same = agent.heard && report.incarnation == agent.incarnation;
+  if (same && report.number <= agent.lastReport) {
+    ++agent.counts.staleReports;
+    return reject(Kind::staleTerm, "/report", "a number above the last one reported");
+  }
+  workerReport(agent, requestId, report, now, out);
+}
+
+void workerReport(AgentState& agent, std::uint64_t requestId, const WorkerReport& report, Now now, Outbox& out) {
+  const bool same = agent.heard && report.incarnation == agent.incarnation;
+  const bool numbered = !agent.client.settings.adapter.empty();
+  if (same && report.number <= agent.lastReport) {
+    ++agent.counts.staleReports;
+    return out.reject(requestId, Kind::staleTerm, {});
+  }
+  if (agent.poll) answerPoll(agent, now, out);
+  if (agent.heard && !same)
+    for (auto& [id, run] : agent.runs)
+      if (run.state != AttemptState::ended && (run.state != AttemptState::ordered || run.handedReport)) end(agent, run, AttemptOutcome::lost, "worker restarted");
+  if (!same || !agent.heard) agent.reportDue = true;
+  if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
+  if (report.incarnation != agent.incarnation) agent.lastSeen = 0;
+  if (report.leaving != agent.leaving) agent.reportDue = true;
+  agent.heard = true;
+  agent.incarnation = report.incarnation;
+  agent.lastReport = report.number;
+  agent.workerMs = now.steadyMs;
+  agent.leaving = report.leaving;
+  agent.leavesAtMs = report.leavesMs < 0 ? -1 : now.steadyMs + report.leavesMs;
+  agent.pool = report.pool;
+  agent.slots = report.slots;
+  agent.labels = report.labels;
+  agent.capacity = report.capacity;
+  for (auto& [id, run] : agent.runs) run.listed = false;
+  bool busy = false, news = false;
+  for (const auto& running : report.running) {
+    auto& run = agent.runs[running.run];
+    busy = run.listed = true;
+    run.percent = running.percent;
+    if (run.saved != running.saved) run.saved = running.saved;
+    if (run.state == AttemptState::ordered) {
+      run.state = AttemptState::running;
+      agent.reportDue = true;
+    }
+    if (run.state == AttemptState::ended) run.state = AttemptState::stopping;
+  }
+  for (const auto& ended : report.ended) {
+    if (ended.number > 0 && ended.number <= agent.lastSeen) continue;
+    auto& run = agent.runs[ended.run];
+    run.listed = true;
+    run.number = ended.number;
+    if (run.state == AttemptState::ended && run.outcome != AttemptOutcome::lost) continue;
+    run.saved = ended.saved;
+    end(agent, run, ended.outcome, ended.detail);
+    news = true;
+  }
+  for (auto& [id, run] : agent.runs)
+    if (!run.listed && run.state == AttemptState::ordered && run.workerIncarnation != report.incarnation)
+      end(agent, run, AttemptOutcome::lost, "ordered for an earlier life of the worker");
+  for (auto at = agent.runs.begin(); at != agent.runs.end();) {
+    auto& run = at->second;
+    const bool handed = run.state == AttemptState::ordered && run.handedReport > 0 && run.handedReport < report.number;
+    const bool vanished = run.state == AttemptState::running || run.state == AttemptState::stopping;
+    if (!run.listed && handed) {
+      if (run.wanted && !run.stop && mayStart(agent, now)) {
+        run.handedReport = 0;
+        ++agent.counts.rehanded;
+      } else end(agent, run, AttemptOutcome::lost, "never started");
+    } else if (!run.listed && vanished) end(agent, run, run.stop ? AttemptOutcome::stopped : AttemptOutcome::lost, "gone from the worker");
+    if (!run.listed && run.state == AttemptState::ended && !run.wanted && agent.ordersSeq > 0) at = agent.runs.erase(at);
+    else ++at;
+  }
+  agent.poll = Poll{requestId, report.number, now.steadyMs, bounds(agent).longPollMs(), numbered, {}};
+  if (numbered) {
+    agent.poll->ended = report.ended;
+    agent.poll->holdMs = news ? bounds(agent).newsHoldMs() : busy ? 0 : bounds(agent).idleHoldMs();
+  }
+  if (anythingNew(agent, now) || agent.poll->holdMs == 0) answerPoll(agent, now, out);
+  else out.wakeBy(now.steadyMs + agent.poll->holdMs);
+  if (agent.reportDue) sendReport(agent, now, out);
+}
+
+void workerLeaves(AgentState& agent, std::uint64_t requestId, std::string_view incarnation, Now now, Outbox& out) {
+  if (agent.heard && agent.incarnation == incarnation) {
+    if (agent.poll) answerPoll(agent, now, out);
+    for (auto& [id, run] : agent.runs)
+      if (run.state != AttemptState::ended) end(agent, run, AttemptOutcome::lost, "its worker left");
+    agent.leaving = true;
+    agent.gone = true;
+    sendReport(agent, now, out);
+  }
+  out.answer(requestId, 200, "{}");
+}
+
+void agentTick(AgentState& agent, Now now, Outbox& out) {
+  if (agent.heard && drained(agent))
+    for (auto& [id, run] : agent.runs)
+      if (run.state == AttemptState::ordered && run.handedReport == 0) {
+        ++agent.counts.rejectedStarts;
+        end(agent, run, AttemptOutcome::lost, "denied: draining");
+      }
+  auto pool = agent.client.config->pools.find(agent.pool.value);
+  const bool selfStop = pool != agent.client.config->pools.end() && pool->second.selfStop;
+  const auto& pools = agent.client.config->pools;
+  const bool allStop = agent.heard ? selfStop : std::all_of(pools.begin(), pools.end(), [](const auto& each) { return each.second.selfStop; });
+  std::int64_t leases = 1;
+  for (const auto& [name, each] : pools)
+    if (!agent.heard || name == agent.pool.value) leases = std::max(leases, each.lostAfterLeases);
+  if (allStop && !agent.poll)
+    for (auto& [id, run] : agent.runs) {
+      if (run.state != AttemptState::ordered || run.handedReport > 0) continue;
+      if (now.steadyMs - std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) <= bounds(agent).sureMs(leases)) continue;
+      ++agent.counts.silences;
+      end(agent, run, AttemptOutcome::lost, "its worker is silent");
+    }
+  const Millis quietMs = now.steadyMs - std::max(agent.workerUntilMs, agent.answeredMs);
+  const bool silent = agent.heard && !agent.poll && selfStop &&
+                      quietMs > bounds(agent).sureMs(pool->second.lostAfterLeases) - bounds(agent).workerLeaseMs;
+  if (silent)
+    for (auto& [id, run] : agent.runs) {
+      const bool onWorker = run.state == AttemptState::running || run.state == AttemptState::stopping ||
+                            (run.state == AttemptState::ordered && run.handedReport > 0);
+      if (!onWorker) continue;
+      ++agent.counts.silences;
+      end(agent, run, AttemptOutcome::lost, "worker silent past its term");
+    }
+  const bool scarce = goOnMs(agent, now) < bounds(agent).workerLeaseMs / 2;
+  if (agent.poll) {
+    const Millis holdMs = scarce ? agent.poll->holdMs / 8 : agent.poll->holdMs;
+    if (anythingNew(agent, now) || now.steadyMs - agent.poll->sinceMs >= holdMs) answerPoll(agent, now, out);
+    else out.wakeBy(agent.poll->sinceMs + holdMs);
+  }
+  if (agent.reportDue || now.steadyMs - agent.reportedMs >= bounds(agent).reportMs()) sendReport(agent, now, out);
+  agent.client.ready = control::sessionLive(agent.client, now) && !agent.client.leader.http.empty() && !agent.client.leaving;
+}
+
+std::string countersJson(const AgentState& agent) {
+  Json root(json_object());
+  const auto& c = agent.counts;
+  const std::pair<const char*, std::uint64_t> rows[] = {
+      {"reports", c.reports},           {"orders", c.orders},           {"deniedOrders", c.rejectedOrders}, {"handed", c.handed},
+      {"rehanded", c.rehanded},         {"deniedStarts", c.rejectedStarts}, {"staleReports", c.staleReports}, {"silences", c.silences},
+      {"runs", agent.runs.size()}};
+  for (const auto& [name, value] : rows) json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
+  return dumpJson(root.get());
+}
+
+}  // namespace
--- a/src/bearing/errors.cpp
+++ b/src/base/errors.cpp
@@ -1,9 +1,9 @@
-#include "bearing/errors.hpp"
+#include "base/errors.hpp"
 
 #include <array>
 #include <string>
 
-#include "bearing/types.hpp"
+#include "base/types.hpp"
 
 namespace tulip {
 namespace {
@@ -14,7 +14,7 @@
     Row{Kind::unknownField, "unknown-field", 422, 3, 0, "a field that is not known here"},
     Row{Kind::badValue, "bad-value", 422, 3, 0, "a value outside what is allowed"},
     Row{Kind::tooLarge, "too-large", 413, 3, 0, "the body is larger than is taken"},
-    Row{Kind::noSuchPending, "no-such-pending", 422, 3, 0, "the configuration has no such pending line"},
+    Row{Kind::noSuchQueue, "no-such-pending", 422, 3, 0, "the configuration has no such pending line"},
     Row{Kind::neverFits, "never-fits", 422, 3, 0, "no configured pool could ever hold it"},
     Row{Kind::cycle, "cycle", 422, 3, 0, "the tasks wait for one another in a ring"},
     Row{Kind::noSuchJob, "no-such-job", 404, 4, 0, "no such job is known"},
@@ -22,18 +22,18 @@
     Row{Kind::noSuchMethod, "no-such-method", 405, 3, 0, "this path does not take this method"},
     Row{Kind::idTaken, "id-taken", 409, 5, 0, "the id belongs to other content"},
     Row{Kind::raced, "raced", 409, 5, 0, "the expected revision is not the current one"},
-    Row{Kind::invalidChart, "invalid-configuration", 422, 3, 0, "the configuration does not pass its checks"},
-    Row{Kind::noLeader, "no-leader", 503, 6, 0.3, "no pilot leads at the moment"},
-    Row{Kind::noMajority, "no-majority", 503, 6, 1.0, "too few quays answer"},
+    Row{Kind::invalidConfig, "invalid-configuration", 422, 3, 0, "the configuration does not pass its checks"},
+    Row{Kind::noLeader, "no-leader", 503, 6, 0.3, "no scheduler leads at the moment"},
+    Row{Kind::noMajority, "no-majority", 503, 6, 1.0, "too few replicas answer"},
     Row{Kind::overloaded, "overloaded", 503, 6, 0.5, "more is pending than is taken"},
     Row{Kind::unknownOutcome, "unknown-outcome", 503, 7, 0.5, "it may or may not have taken effect; resend under the same id"},
     Row{Kind::notReady, "not-ready", 503, 6, 0.5, "this daemon can not serve yet"},
-    Row{Kind::cutoffPassed, "cutoff-passed", 504, 7, 0.5, "the caller's cutoff passed first; resend under the same id"},
-    Row{Kind::proxyLoop, "proxy-loop", 503, 6, 0.5, "the daemons do not agree yet on who leads"},
+    Row{Kind::deadlinePassed, "cutoff-passed", 504, 7, 0.5, "the caller's cutoff passed first; resend under the same id"},
+    Row{Kind::forwardLoop, "proxy-loop", 503, 6, 0.5, "the daemons do not agree yet on who leads"},
     Row{Kind::staleTerm, "stale-term", 409, 5, 0, "sent under a term that has ended"},
     Row{Kind::tornFile, "torn-file", 500, 8, 0, "a stored version does not match its checksum"},
     Row{Kind::diskFailed, "disk-failed", 500, 8, 0, "the disk did not take a write"},
-    Row{Kind::badEnv, "bad-env", 500, 2, 0, "the settings do not pass their checks"},
+    Row{Kind::badSettings, "bad-env", 500, 2, 0, "the settings do not pass their checks"},
     Row{Kind::unknownSignal, "unknown-signal-revision", 500, 8, 0, "an inner protocol revision not spoken here"},
     Row{Kind::jobEnded, "job-ended", 409, 5, 0, "the job has already ended"},
 };
@@ -60,9 +60,9 @@
 
 std::string_view roleName(Role role) {
   switch (role) {
-    case Role::quay: return "quay";
-    case Role::pilot: return "pilot";
-    case Role::tender: return "tender";
+    case Role::replica: return "replica";
+    case Role::scheduler: return "scheduler";
+    case Role::agent: return "agent";
   }
   return "?";
 }
--- a/src/bearing/errors.hpp
+++ b/src/base/errors.hpp
@@ -10,7 +10,7 @@
   unknownField,
   badValue,
   tooLarge,
-  noSuchPending,
+  noSuchQueue,
   neverFits,
   cycle,
   noSuchJob,
@@ -18,18 +18,18 @@
   noSuchMethod,
   idTaken,
   raced,
-  invalidChart,
+  invalidConfig,
   noLeader,
   noMajority,
   overloaded,
   unknownOutcome,
   notReady,
-  cutoffPassed,
-  proxyLoop,
+  deadlinePassed,
+  forwardLoop,
   staleTerm,
   tornFile,
   diskFailed,
-  badEnv,
+  badSettings,
   unknownSignal,
   jobEnded,
 };
@@ -39,7 +39,7 @@
   std::string_view name;
   int status;
   int exitCode;
-  double retryTerms;
+  double retryLeases;
   std::string_view meaning;
 };
 
--- a/src/bearing/ledger.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "bearing/ledger.hpp"
+#include "base/log.hpp"
 
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kMostLines = 512;
 
-struct Ledger {
+struct LogRing {
   std::mutex guard;
   std::deque<std::string> lines;
   std::size_t unwritten = 0;
@@ -21,8 +21,8 @@
   log4cxx::LoggerPtr logger;  // made when first written to, since most processes never do
 };
 
-Ledger& ledger() {
-  static auto* one = new Ledger;
+LogRing& logRing() {
+  static auto* one = new LogRing;
   return *one;
 }
 
@@ -31,13 +31,13 @@
   return std::to_string(ms) + " " + text;
 }
 
-void keep(Ledger& book, std::string line) {
+void keep(LogRing& book, std::string line) {
   book.lines.push_back(std::move(line));
   if (book.lines.size() > kMostLines) book.lines.pop_front();
   book.unwritten = std::min(book.unwritten + 1, book.lines.size());
 }
 
-void makeLogger(Ledger& book) {
+void makeLogger(LogRing& book) {
   auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d ") + log4cxx::LogString(book.who.begin(), book.who.end()) + LOG4CXX_STR(" %m%n"));
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
   book.logger = log4cxx::Logger::getRootLogger();
@@ -45,7 +45,7 @@
   book.logger->addAppender(appender);
 }
 
-void writeOut(Ledger& book) {
+void writeOut(LogRing& book) {
   if (!book.open || !book.wanted) return;
   if (!book.logger) makeLogger(book);
   for (auto at = book.lines.end() - static_cast<std::ptrdiff_t>(book.unwritten); at != book.lines.end(); ++at)
@@ -57,7 +57,7 @@
 }  // namespace
 
 void openLedger(const std::string& who) {
-  auto& book = ledger();
+  auto& book = logRing();
   std::lock_guard lock(book.guard);
   book.who = who;
   book.open = true;
@@ -65,13 +65,13 @@
 }
 
 void note(std::string text) {
-  auto& book = ledger();
+  auto& book = logRing();
   std::lock_guard lock(book.guard);
   keep(book, stamped(text));
 }
 
 void alarm(std::string text) {
-  auto& book = ledger();
+  auto& book = logRing();
   std::lock_guard lock(book.guard);
   keep(book, stamped("ALARM " + text));
   book.wanted = true;
@@ -79,7 +79,7 @@
 }
 
 std::vector<std::string> ledgerLines() {
-  auto& book = ledger();
+  auto& book = logRing();
   std::lock_guard lock(book.guard);
   return {book.lines.begin(), book.lines.end()};
 }
--- a/src/bearing/env.cpp
+++ b/src/base/settings.cpp
@@ -1,4 +1,4 @@
-#include "bearing/env.hpp"
+#include "base/settings.hpp"
 
 #include <utility>
 
@@ -7,7 +7,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "bearing/json.hpp"
+#include "base/json.hpp"
 
 namespace tulip {
 namespace {
@@ -27,58 +27,58 @@
 struct CountKey {
   std::string_view key;
   std::int64_t low, high;
-  void (*put)(Env&, std::int64_t);
+  void (*put)(Settings&, std::int64_t);
 };
 
 const CountKey counts[] = {
-    {"term-ms", 200, 60000, [](Env& e, std::int64_t v) { e.bounds.termMs = v; }},
-    {"worker-term-ms", 200, 60000, [](Env& e, std::int64_t v) { e.bounds.workerTermMs = v; }},
-    {"stop-ms", 100, 600000, [](Env& e, std::int64_t v) { e.bounds.stopMs = v; }},
-    {"call-ms", 100, 600000, [](Env& e, std::int64_t v) { e.bounds.callMs = v; }},
-    {"ring-items", 64, 1048576, [](Env& e, std::int64_t v) { e.ringItems = static_cast<std::size_t>(v); }},
-    {"max-body-bytes", 1024, 67108864, [](Env& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
+    {"term-ms", 200, 60000, [](Settings& e, std::int64_t v) { e.bounds.leaseMs = v; }},
+    {"worker-term-ms", 200, 60000, [](Settings& e, std::int64_t v) { e.bounds.workerLeaseMs = v; }},
+    {"stop-ms", 100, 600000, [](Settings& e, std::int64_t v) { e.bounds.stopMs = v; }},
+    {"call-ms", 100, 600000, [](Settings& e, std::int64_t v) { e.bounds.callMs = v; }},
+    {"ring-items", 64, 1048576, [](Settings& e, std::int64_t v) { e.ringItems = static_cast<std::size_t>(v); }},
+    {"max-body-bytes", 1024, 67108864, [](Settings& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
 };
 
-bool putKey(Env& env, const std::string& key, const std::string& value, std::string& allowed) {
+bool putKey(Settings& settings, const std::string& key, const std::string& value, std::string& allowed) {
   auto address = [&](Address& into) {
     allowed = "an IP number and a port, such as 127.0.0.1:7001";
     if (!validAddress(value)) return false;
     into = Address(value);
     return true;
   };
-  if (key == "signal") return address(env.signal);
-  if (key == "http") return address(env.http);
+  if (key == "signal") return address(settings.peerAddress);
+  if (key == "http") return address(settings.http);
   if (key == "cell" || key == "name" || key == "worker") {
     allowed = "1 to 64 letters, digits, '-', '_' or '.'";
     if (!plainName(value)) return false;
-    if (key == "cell") env.cell = CellName(value);
-    if (key == "name") env.name = value;
-    if (key == "worker") env.worker = value;
+    if (key == "cell") settings.zone = ZoneName(value);
+    if (key == "name") settings.name = value;
+    if (key == "worker") settings.worker = value;
     return true;
   }
   if (key == "data-folder") {
     allowed = "a folder's path";
-    env.dataFolder = value;
+    settings.dataFolder = value;
     return !value.empty();
   }
   if (key == "seeds") {
-    allowed = "three addresses of quays, joined by commas";
-    env.seeds.clear();
+    allowed = "three addresses of replicas, joined by commas";
+    settings.seeds.clear();
     std::stringstream parts(value);
     for (std::string part; std::getline(parts, part, ',');) {
       if (!validAddress(part)) return false;
-      for (const auto& seed : env.seeds)
+      for (const auto& seed : settings.seeds)
         if (seed.value == part) return false;
-      env.seeds.emplace_back(part);
+      settings.seeds.emplace_back(part);
     }
-    return env.seeds.size() == 3;
+    return settings.seeds.size() == 3;
   }
   for (const auto& row : counts)
     if (row.key == key) {
       allowed = "a whole number from " + std::to_string(row.low) + " to " + std::to_string(row.high);
       std::int64_t number = 0;
       if (!parseCount(value, number) || number < row.low || number > row.high) return false;
-      row.put(env, number);
+      row.put(settings, number);
       return true;
     }
   allowed = "one of the known keys";
@@ -96,7 +96,7 @@
   return !failed && parseCount(text.substr(colon + 1), port) && port >= 1 && port <= 65535;
 }
 
-const std::vector<std::string>& envKeys() {
+const std::vector<std::string>& settingsKeys() {
   static const std::vector<std::string> keys = [] {
     std::vector<std::string> all{"signal", "http", "cell", "name", "worker", "data-folder", "seeds"};
     for (const auto& row : counts) all.emplace_back(row.key);
@@ -105,13 +105,13 @@
   return keys;
 }
 
-bool readEnv(Role role, const EnvFlags& flags, Env& env, EnvFault& fault) {
-  env = Env{};
-  env.role = role;
-  EnvFlags merged;
+bool readSettings(Role role, const SettingsFlags& flags, Settings& settings, SettingsFault& fault) {
+  settings = Settings{};
+  settings.role = role;
+  SettingsFlags merged;
   std::map<std::string, std::string> from;
   if (auto file = flags.find("env-file"); file != flags.end()) {
-    env.envFile = file->second;
+    settings.settingsFile = file->second;
     std::ifstream in(file->second);
     std::stringstream text;
     text << in.rdbuf();
@@ -146,28 +146,28 @@
     }
   for (const auto& [key, value] : merged) {
     std::string allowed;
-    if (!putKey(env, key, value, allowed)) {
+    if (!putKey(settings, key, value, allowed)) {
       fault = {from[key], key, allowed};
       return false;
     }
   }
-  const std::string whole = env.envFile.empty() ? "flags" : env.envFile;
+  const std::string whole = settings.settingsFile.empty() ? "flags" : settings.settingsFile;
   auto need = [&](bool present, const char* key, const char* allowed) {
     if (present) return true;
     fault = {whole, key, allowed};
     return false;
   };
-  if (!need(!env.signal.empty(), "signal", "must be given")) return false;
-  if (!need(!env.http.empty(), "http", "must be given")) return false;
-  if (!need(env.http != env.signal, "http", "an address other than signal")) return false;
-  if (!need(!env.cell.empty(), "cell", "must be given")) return false;
-  if (!need(env.seeds.size() == 3, "seeds", "must be given: three addresses of quays")) return false;
-  if (role == Role::quay && !need(!env.dataFolder.empty(), "data-folder", "must be given to a quay")) return false;
-  if (role == Role::tender && !need(!env.worker.empty(), "worker", "must be given to a tender: the worker's name")) return false;
+  if (!need(!settings.peerAddress.empty(), "signal", "must be given")) return false;
+  if (!need(!settings.http.empty(), "http", "must be given")) return false;
+  if (!need(settings.http != settings.peerAddress, "http", "an address other than signal")) return false;
+  if (!need(!settings.zone.empty(), "cell", "must be given")) return false;
+  if (!need(settings.seeds.size() == 3, "seeds", "must be given: three addresses of replicas")) return false;
+  if (role == Role::replica && !need(!settings.dataFolder.empty(), "data-folder", "must be given to a replica")) return false;
+  if (role == Role::agent && !need(!settings.worker.empty(), "worker", "must be given to a agent: the worker's name")) return false;
   return true;
 }
 
-std::string faultLine(const EnvFault& fault) {
+std::string faultLine(const SettingsFault& fault) {
   return fault.source + ": " + fault.key + ": allowed is " + fault.allowed;
 }
 
--- a/src/bearing/types.hpp
+++ b/src/base/types.hpp
@@ -19,16 +19,16 @@
 };
 
 using DaemonId = Name<struct DaemonTag>;
-using CellName = Name<struct CellTag>;
+using ZoneName = Name<struct ZoneTag>;
 using WorkerId = Name<struct WorkerTag>;
 using JobId = Name<struct JobTag>;
-using RunId = Name<struct RunTag>;
+using AttemptId = Name<struct AttemptTag>;
 using PoolName = Name<struct PoolTag>;
-using PendingName = Name<struct PendingTag>;
+using QueueName = Name<struct QueueTag>;
 using Address = Name<struct AddressTag>;
 
 using Millis = std::int64_t;
-using Revision = std::uint64_t;
+using Version = std::uint64_t;
 
 struct Ballot {
   std::uint64_t number = 0;
@@ -37,7 +37,7 @@
   MSGPACK_DEFINE(number, owner)
 };
 
-enum class Role : std::uint8_t { quay, pilot, tender };
+enum class Role : std::uint8_t { replica, scheduler, agent };
 std::string_view roleName(Role role);
 
 }  // namespace tulip
--- a/src/roles/helm.cpp
+++ b/src/commands/ctl.cpp
@@ -7,30 +7,31 @@
 #include <sstream>
 #include <thread>
 
-#include "bearing/env.hpp"
-#include "drydock/load.hpp"
-#include "bearing/json.hpp"
-#include "gangway/http.hpp"
-#include "lookout/lookout.hpp"
-#include "roles/daemon.hpp"
+#include "base/settings.hpp"
+#include "simulator/load.hpp"
+#include "base/json.hpp"
+#include "http/http.hpp"
+#include "query/query.hpp"
+#include "commands/commands.hpp"
+#include "daemon/daemon.hpp"
 
-namespace tulip::roles {
+namespace tulip::commands {
 namespace {
 
-struct Helm {
+struct Ctl {
   std::vector<Address> at;
   std::string journal;
-  Millis cutoffMs = 15000;
+  Millis deadlineMs = 15000;
   bool json = false;
-  std::string transaction;
+  std::string requestId;
 };
 
 Millis steadyMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
-void journal(const Helm& helm, const std::string& line) {
-  if (!helm.journal.empty()) std::ofstream(helm.journal, std::ios::app) << steadyMs() << " " << line << std::endl;
+void journal(const Ctl& ctl, const std::string& line) {
+  if (!ctl.journal.empty()) std::ofstream(ctl.journal, std::ios::app) << steadyMs() << " " << line << std::endl;
 }
 
 struct Task {
@@ -44,21 +45,21 @@
   return status == 0 ? 6 : status >= 500 ? 6 : 3;
 }
 
-gangway::CallReply ask(const Helm& helm, const Task& task) {
-  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(helm.cutoffMs);
-  gangway::CallReply reply;
+http::CallReply ask(const Ctl& ctl, const Task& task) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ctl.deadlineMs);
+  http::CallReply reply;
   for (std::size_t tries = 0;; ++tries) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now()).count();
     if (left <= 0) return reply;
-    gangway::CallOut out;
-    out.to = helm.at[tries % helm.at.size()];
+    http::CallOut out;
+    out.to = ctl.at[tries % ctl.at.size()];
     out.method = task.method;
     out.target = task.target;
     out.body = task.body;
-    out.cutoffMs = left;
-    out.headers["X-Tulippitch-Transaction"] = helm.transaction;
+    out.deadlineMs = left;
+    out.headers["X-Tulippitch-Transaction"] = ctl.requestId;
     out.headers["X-Tulippitch-Cutoff-Ms"] = std::to_string(std::min<Millis>(left, 10000));
-    auto got = gangway::callNow(std::move(out));
+    auto got = http::callNow(std::move(out));
     if (got.status > 0 || reply.status == 0) reply = got;
     if (got.status > 0 && got.status != 503 && got.status != 504) return reply;
     const Millis waitMs = got.retryAfterMs > 0 ? got.retryAfterMs : 100;
@@ -79,7 +80,7 @@
   std::cout << "\n";
 }
 
-int show(const Helm& helm, const gangway::CallReply& reply) {
+int show(const Ctl& ctl, const http::CallReply& reply) {
   Json root = parseJson(reply.body);
   const std::string error = root ? textAt(root.get(), "error") : "";
   const int code = exitCodeOf(reply.status, error);
@@ -87,7 +88,7 @@
     std::cerr << "no daemon answered" << std::endl;
     return code;
   }
-  if (helm.json || !root) {
+  if (ctl.json || !root) {
     (code ? std::cerr : std::cout) << reply.body << std::endl;
     return code;
   }
@@ -136,60 +137,60 @@
   return dumpJson(root.get());
 }
 
-int waitFor(const Helm& helm, const std::string& job) {
-  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(helm.cutoffMs);
+int waitFor(const Ctl& ctl, const std::string& job) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ctl.deadlineMs);
   while (true) {
-    const auto reply = ask(helm, {"GET", "/jobs/" + job, ""});
+    const auto reply = ask(ctl, {"GET", "/jobs/" + job, ""});
     Json root = parseJson(reply.body);
     const auto state = root ? textAt(root.get(), "state") : "";
     const bool over = state == "finished" || state == "failed" || state == "cancelled" || state == "expired";
     if (over || reply.status != 200 || std::chrono::steady_clock::now() >= until) {
-      const int code = show(helm, reply);
+      const int code = show(ctl, reply);
       return code ? code : state == "finished" ? 0 : over ? 9 : 7;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
   }
 }
 
-int runQuery(const Helm& helm, const std::string& sql) {
-  const auto reply = ask(helm, {"GET", "/snapshot", ""});
-  if (reply.status != 200) return show(helm, reply);
+int runQuery(const Ctl& ctl, const std::string& sql) {
+  const auto reply = ask(ctl, {"GET", "/snapshot", ""});
+  if (reply.status != 200) return show(ctl, reply);
   Json snapshot = parseJson(reply.body);
-  lookout::Table table;
+  query::Table table;
   std::string detail;
-  if (const auto failed = lookout::query(snapshot.get(), sql, table, detail)) {
+  if (const auto failed = query::query(snapshot.get(), sql, table, detail)) {
     const auto& row = rowOf(static_cast<Kind>(failed.value()));
     std::cerr << row.name << ": " << detail << std::endl;
     return row.exitCode;
   }
   if (!flagAt(snapshot.get(), "complete")) std::cerr << "only open jobs and the newest ended ones are in this snapshot" << std::endl;
-  if (helm.json) {
+  if (ctl.json) {
     Json list(json_array());
-    for (const auto& cells : table.rows) {
+    for (const auto& zones : table.rows) {
       json_t* item = json_object();
-      for (std::size_t i = 0; i < cells.size(); ++i) json_object_set_new(item, table.columns[i].c_str(), jsonText(cells[i]));
+      for (std::size_t i = 0; i < zones.size(); ++i) json_object_set_new(item, table.columns[i].c_str(), jsonText(zones[i]));
       json_array_append_new(list.get(), item);
     }
     std::cout << dumpJson(list.get()) << "\n";
     return 0;
   }
-  auto print = [](const std::vector<std::string>& cells) {
-    for (std::size_t i = 0; i < cells.size(); ++i) std::cout << (i ? "\t" : "") << cells[i];
+  auto print = [](const std::vector<std::string>& zones) {
+    for (std::size_t i = 0; i < zones.size(); ++i) std::cout << (i ? "\t" : "") << zones[i];
     std::cout << "\n";
   };
   print(table.columns);
-  for (const auto& cells : table.rows) print(cells);
+  for (const auto& zones : table.rows) print(zones);
   return 0;
 }
 
 struct LoadRun {
-  const Helm& helm;
+  const Ctl& ctl;
   boost::asio::io_context context;
   std::mt19937_64 random;
   std::map<std::string, std::chrono::steady_clock::time_point> since;
   std::map<std::string, Millis> acceptedMs, startedMs, finishedMs;
   std::map<std::string, int> ends;
-  std::size_t asked = 0, denied = 0, tries = 0, lost = 0;
+  std::size_t asked = 0, rejected = 0, tries = 0, lost = 0;
   std::chrono::steady_clock::time_point until, hard;
   std::set<std::string> seen;
   bool limitsKnown = false;
@@ -202,27 +203,27 @@
     auto pulse = std::make_shared<boost::asio::steady_timer>(context, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
     pulse->async_wait([pulse, act](boost::system::error_code) { act(); });
   }
-  void call(Task task, std::function<void(gangway::CallReply)> done) {
-    gangway::CallOut out;
-    out.to = helm.at[random() % helm.at.size()];
+  void call(Task task, std::function<void(http::CallReply)> done) {
+    http::CallOut out;
+    out.to = ctl.at[random() % ctl.at.size()];
     out.method = task.method;
     out.target = task.target;
     out.body = task.body;
-    gangway::callHttp(context, std::move(out), std::move(done));
+    http::callHttp(context, std::move(out), std::move(done));
   }
   void submit(const std::string& id, const std::string& body) {
     ++tries;
-    if (seen.insert(id).second) journal(helm, "submit " + body);
-    call({"POST", "/jobs", body}, [this, id, body](gangway::CallReply reply) {
+    if (seen.insert(id).second) journal(ctl, "submit " + body);
+    call({"POST", "/jobs", body}, [this, id, body](http::CallReply reply) {
       if (reply.status == 200 || reply.status == 201) {
         acceptedMs[id] = sinceMs(id);
-        journal(helm, "accepted " + id);
-        if (!helm.journal.empty() && dice() < 0.05) after(0.1 + dice(), [this, id] { cancel(id); });
+        journal(ctl, "accepted " + id);
+        if (!ctl.journal.empty() && dice() < 0.05) after(0.1 + dice(), [this, id] { cancel(id); });
         return poll(id);
       }
       if (reply.status >= 400 && reply.status < 500) {
-        ++denied;
-        journal(helm, "denied " + id);
+        ++rejected;
+        journal(ctl, "denied " + id);
         since.erase(id);
         return;
       }
@@ -231,36 +232,36 @@
     });
   }
   void cancel(const std::string& id) {
-    call({"DELETE", "/jobs/" + id, ""}, [this, id](gangway::CallReply reply) {
-      if (reply.status == 200) journal(helm, "cancelled " + id);
+    call({"DELETE", "/jobs/" + id, ""}, [this, id](http::CallReply reply) {
+      if (reply.status == 200) journal(ctl, "cancelled " + id);
       else if (reply.status >= 500 || reply.status == 0) after(0.2, [this, id] { cancel(id); });
     });
   }
-  void readChart() {
+  void readConfig() {
     const auto askedMs = steadyMs();
-    call({"GET", "/configuration", ""}, [this, askedMs](gangway::CallReply reply) {
+    call({"GET", "/configuration", ""}, [this, askedMs](http::CallReply reply) {
       Json view = parseJson(reply.body);
-      const auto revision = view ? numberAt(view.get(), "revision") : 0;
-      if (reply.status == 200 && revision > 0) journal(helm, "read " + std::to_string(revision) + " " + std::to_string(askedMs));
+      const auto version = view ? numberAt(view.get(), "revision") : 0;
+      if (reply.status == 200 && version > 0) journal(ctl, "read " + std::to_string(version) + " " + std::to_string(askedMs));
       const char* line;
       json_t* pending;
       if (!std::exchange(limitsKnown, reply.status == 200 || limitsKnown))
         json_object_foreach(json_object_get(json_object_get(view.get(), "configuration"), "pendings"), line, pending)
-          journal(helm, "limit " + std::string(line) + " " + std::to_string(numberAt(pending, "failureLimit", 3)));
-      if (std::chrono::steady_clock::now() < until) after(0.2 + 0.2 * dice(), [this] { readChart(); });
+          journal(ctl, "limit " + std::string(line) + " " + std::to_string(numberAt(pending, "failureLimit", 3)));
+      if (std::chrono::steady_clock::now() < until) after(0.2 + 0.2 * dice(), [this] { readConfig(); });
     });
   }
   void poll(const std::string& id) {
-    call({"GET", "/jobs/" + id, ""}, [this, id](gangway::CallReply reply) {
+    call({"GET", "/jobs/" + id, ""}, [this, id](http::CallReply reply) {
       Json view = parseJson(reply.body);
       if (reply.status == 404) {
         ++lost;
-        journal(helm, "unknown " + id);
+        journal(ctl, "unknown " + id);
       }
       const auto state = view ? textAt(view.get(), "state") : "";
       if (state == "finished" || state == "failed" || state == "cancelled" || state == "expired") {
         ++ends[state];
-        journal(helm, "shown " + id + " " + state);
+        journal(ctl, "shown " + id + " " + state);
         const auto accepted = numberAt(view.get(), "acceptedMs");
         startedMs[id] = numberAt(view.get(), "firstStartMs") - accepted;
         finishedMs[id] = numberAt(view.get(), "finishedMs") - accepted;
@@ -269,12 +270,12 @@
       if (std::chrono::steady_clock::now() < hard) after(0.1 + 0.1 * dice(), [this, id] { poll(id); });
     });
   }
-  void arrive(const drydock::LineLoad& line, double factor) {
-    after(drydock::gapSeconds(line, factor, [this] { return dice(); }), [this, line, factor] {
+  void arrive(const simulator::LineLoad& line, double factor) {
+    after(simulator::gapSeconds(line, factor, [this] { return dice(); }), [this, line, factor] {
       if (std::chrono::steady_clock::now() >= until) return;
-      const auto id = line.line + "-" + helm.transaction + "-" + std::to_string(++asked);
+      const auto id = line.line + "-" + ctl.requestId + "-" + std::to_string(++asked);
       since[id] = std::chrono::steady_clock::now();
-      submit(id, drydock::jobBody(drydock::sketchJob(line, id, [this] { return dice(); })));
+      submit(id, simulator::jobBody(simulator::sketchJob(line, id, [this] { return dice(); })));
       arrive(line, factor);
     });
   }
@@ -291,21 +292,21 @@
   return item;
 }
 
-int runLoad(const Helm& helm, const std::string& scenario, double seconds, double factor) {
-  std::vector<drydock::LineLoad> lines;
-  chart::Fault fault;
-  if (!drydock::readLoad(scenario, lines, fault)) throw TCLAP::ArgException(fault.path + ": allowed is " + fault.allowed, "scenario");
-  LoadRun run{helm, {}, std::mt19937_64(std::hash<std::string>{}(helm.transaction)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}, {}, false};
+int runLoad(const Ctl& ctl, const std::string& scenario, double seconds, double factor) {
+  std::vector<simulator::LineLoad> lines;
+  config::Fault fault;
+  if (!simulator::readLoad(scenario, lines, fault)) throw TCLAP::ArgException(fault.path + ": allowed is " + fault.allowed, "scenario");
+  LoadRun run{ctl, {}, std::mt19937_64(std::hash<std::string>{}(ctl.requestId)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}, {}, false};
   run.until = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(seconds * 1000));
-  run.hard = run.until + std::chrono::milliseconds(helm.cutoffMs);
+  run.hard = run.until + std::chrono::milliseconds(ctl.deadlineMs);
   for (const auto& line : lines) run.arrive(line, factor);
-  if (!helm.journal.empty()) run.readChart();
+  if (!ctl.journal.empty()) run.readConfig();
   run.context.run();
   Json root(json_object());
   json_object_set_new(root.get(), "jobs", json_integer(static_cast<json_int_t>(run.asked)));
   json_object_set_new(root.get(), "accepted", json_integer(static_cast<json_int_t>(run.acceptedMs.size())));
   json_object_set_new(root.get(), "ended", json_integer(static_cast<json_int_t>(run.finishedMs.size())));
-  json_object_set_new(root.get(), "denied", json_integer(static_cast<json_int_t>(run.denied)));
+  json_object_set_new(root.get(), "denied", json_integer(static_cast<json_int_t>(run.rejected)));
   json_object_set_new(root.get(), "forgotten", json_integer(static_cast<json_int_t>(run.lost)));
   json_object_set_new(root.get(), "submitTries", json_integer(static_cast<json_int_t>(run.tries)));
   for (const auto& [state, count] : run.ends) json_object_set_new(root.get(), state.c_str(), json_integer(count));
@@ -313,12 +314,12 @@
   json_object_set_new(root.get(), "acceptToStartMs", quantiles(run.startedMs));
   json_object_set_new(root.get(), "acceptToFinishMs", quantiles(run.finishedMs));
   std::cout << dumpJson(root.get(), JSON_INDENT(1) | JSON_PRESERVE_ORDER) << "\n";
-  return run.finishedMs.size() == run.acceptedMs.size() && run.acceptedMs.size() + run.denied == run.asked && run.lost == 0 ? 0 : 9;
+  return run.finishedMs.size() == run.acceptedMs.size() && run.acceptedMs.size() + run.rejected == run.asked && run.lost == 0 ? 0 : 9;
 }
 
 }  // namespace
 
-int runHelm(int argc, char** argv) {
+int runCtl(int argc, char** argv) {
   try {
     TCLAP::CmdLine line(
         "commands: submit FILE | get JOB | list [STATE] | cancel JOB | wait JOB | config get | config put FILE | config patch FILE | "
@@ -326,42 +327,42 @@
         ' ', "0.1.0");
     TCLAP::ValueArg<std::string> at("a", "at", "http addresses of daemons, joined by commas", true, "", "IP:PORT,...", line);
     TCLAP::SwitchArg json("j", "json", "print the answer as it came", line);
-    TCLAP::ValueArg<long> cutoff("", "cutoff-ms", "how long to go on trying", false, 15000, "MS", line);
+    TCLAP::ValueArg<long> deadline("", "cutoff-ms", "how long to go on trying", false, 15000, "MS", line);
     TCLAP::ValueArg<std::string> expected("", "expected", "the revision a change builds on", false, "", "REVISION", line);
-    TCLAP::ValueArg<std::string> transaction("", "transaction", "the transaction's id, to send it again", false, "", "ID", line);
+    TCLAP::ValueArg<std::string> requestId("", "transaction", "the transaction's id, to send it again", false, "", "ID", line);
     TCLAP::ValueArg<std::string> after("", "after", "list from behind this job", false, "", "JOB", line);
     TCLAP::ValueArg<double> seconds("", "seconds", "how long 'load' submits", false, 30, "S", line);
     TCLAP::ValueArg<double> factor("", "load-factor", "times the scenario's rates", false, 1, "X", line);
-    TCLAP::ValueArg<std::string> journalArg("", "journal", "file for what a load or an operator saw, for 'drydock --journals'", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> journalArg("", "journal", "file for what a load or an operator saw, for 'simulate --journals'", false, "", "FILE", line);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
-    Helm helm;
+    Ctl ctl;
     std::stringstream parts(at.getValue());
     for (std::string part; std::getline(parts, part, ',');) {
       if (!validAddress(part)) throw TCLAP::ArgException("allowed is an IP number and a port", "at");
-      helm.at.emplace_back(part);
+      ctl.at.emplace_back(part);
     }
-    helm.json = json.getValue();
-    helm.cutoffMs = cutoff.getValue();
-    helm.journal = journalArg.getValue();
-    if (!helm.journal.empty() && !std::ofstream(helm.journal, std::ios::app)) throw TCLAP::ArgException("allowed is a file that can be written", "journal");
-    helm.transaction = transaction.getValue().empty() ? freshName() : transaction.getValue();
+    ctl.json = json.getValue();
+    ctl.deadlineMs = deadline.getValue();
+    ctl.journal = journalArg.getValue();
+    if (!ctl.journal.empty() && !std::ofstream(ctl.journal, std::ios::app)) throw TCLAP::ArgException("allowed is a file that can be written", "journal");
+    ctl.requestId = requestId.getValue().empty() ? daemon::freshName() : requestId.getValue();
     const auto& all = words.getValue();
     const auto word = [&](std::size_t i) { return i < all.size() ? all[i] : std::string(); };
     const auto suffix = expected.getValue().empty() ? "" : "?expected=" + expected.getValue();
     const auto does = [&](Task task) {
-      const auto reply = ask(helm, task);
+      const auto reply = ask(ctl, task);
       Json root = parseJson(reply.body);
       if (reply.status == 200 && task.method.starts_with("P") && numberAt(root.get(), "revision") > 0)
-        journal(helm, "confirmed " + std::to_string(numberAt(root.get(), "revision")));
-      return show(helm, reply);
+        journal(ctl, "confirmed " + std::to_string(numberAt(root.get(), "revision")));
+      return show(ctl, reply);
     };
     const bool two = all.size() == 2, one = all.size() == 1;
     if (word(0) == "submit" && two) return does({"POST", "/jobs", readInput(word(1))});
     if (word(0) == "get" && two) return does({"GET", "/jobs/" + word(1), ""});
     if (word(0) == "cancel" && two) return does({"DELETE", "/jobs/" + word(1), ""});
-    if (word(0) == "wait" && two) return waitFor(helm, word(1));
+    if (word(0) == "wait" && two) return waitFor(ctl, word(1));
     if (word(0) == "list" && all.size() <= 2) {
       std::string query = "?limit=1000";
       if (two) query += "&state=" + word(1);
@@ -376,14 +377,14 @@
     if (word(0) == "leader" && one) return does({"GET", "/leader", ""});
     if (word(0) == "counters" && one) return does({"GET", "/counters", ""});
     if (word(0) == "trace" && one) {
-      const auto reply = ask(helm, {"GET", "/trace", ""});
-      if (reply.status != 200) return show(helm, reply);
+      const auto reply = ask(ctl, {"GET", "/trace", ""});
+      if (reply.status != 200) return show(ctl, reply);
       std::cout << reply.body;
       return 0;
     }
     if (word(0) == "log" && one) return does({"GET", "/log", ""});
-    if (word(0) == "query" && two) return runQuery(helm, word(1));
-    if (word(0) == "load" && two) return runLoad(helm, readInput(word(1)), seconds.getValue(), factor.getValue());
+    if (word(0) == "query" && two) return runQuery(ctl, word(1));
+    if (word(0) == "load" && two) return runLoad(ctl, readInput(word(1)), seconds.getValue(), factor.getValue());
     if (word(0) == "status" && one) {
       const int leader = does({"GET", "/leader", ""});
       const int members = does({"GET", "/members", ""});
@@ -391,9 +392,9 @@
       return leader ? leader : members ? members : workers;
     }
     const auto flags = [&](const char* flag, bool on, Task task) {
-      if (!on) journal(helm, std::string("un") + flag + " " + word(1));
+      if (!on) journal(ctl, std::string("un") + flag + " " + word(1));
       const int code = does(std::move(task));
-      if (on && code == 0) journal(helm, std::string(flag) + " " + word(1));
+      if (on && code == 0) journal(ctl, std::string(flag) + " " + word(1));
       return code;
     };
     if ((word(0) == "drain" || word(0) == "undrain") && two)
@@ -402,9 +403,9 @@
       return flags("emptied", word(0) == "empty", {"PATCH", "/configuration" + suffix, flagPatch("cells", word(1), "emptied", word(0) == "empty")});
     throw TCLAP::ArgException("not a command; --help lists them", word(0));
   } catch (const TCLAP::ArgException& failed) {
-    std::cerr << "helm: " << failed.argId() << ": " << failed.error() << std::endl;
-    return rowOf(Kind::badEnv).exitCode;
+    std::cerr << "ctl: " << failed.argId() << ": " << failed.error() << std::endl;
+    return rowOf(Kind::badSettings).exitCode;
   }
 }
 
-}  // namespace tulip::roles
+}  // namespace
--- a/src/roles/roadstead.cpp
+++ b/src/commands/local_cluster.cpp
@@ -13,12 +13,13 @@
 #include <random>
 #include <thread>
 
-#include "bearing/env.hpp"
-#include "bearing/errors.hpp"
-#include "bearing/json.hpp"
-#include "roles/daemon.hpp"
+#include "base/settings.hpp"
+#include "base/errors.hpp"
+#include "base/json.hpp"
+#include "commands/commands.hpp"
+#include "daemon/daemon.hpp"
 
-namespace tulip::roles {
+namespace tulip::commands {
 namespace {
 
 namespace fs = std::filesystem;
@@ -78,10 +79,10 @@
 
 }  // namespace
 
-int runRoadstead(int argc, char** argv) {
+int runLocalCluster(int argc, char** argv) {
   std::string folder;
-  int base = 0, cells = 0, pilots = 0, workers = 0, slots = 0;
-  long termMs = 0, workerTermMs = 0;
+  int base = 0, zones = 0, schedulers = 0, workers = 0, slots = 0;
+  long leaseMs = 0, workerLeaseMs = 0;
   bool respawn = false;
   std::uint64_t stir = 0;
   long stirEveryMs = 0;
@@ -89,9 +90,9 @@
     TCLAP::CmdLine line("a whole fleet on one machine, for trying and testing", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> folderArg("", "folder", "where data, logs and fleet.json go", false, "fleet", "FOLDER", line);
     TCLAP::ValueArg<int> baseArg("", "base-port", "first port; 0 picks free ones", false, 7100, "PORT", line);
-    TCLAP::ValueArg<int> cellsArg("", "cells", "how many cells", false, 3, "N", line);
-    TCLAP::ValueArg<int> pilotsArg("", "pilots", "how many pilots", false, 4, "N", line);
-    TCLAP::ValueArg<int> workersArg("", "workers", "how many tenders and workers", false, 11, "N", line);
+    TCLAP::ValueArg<int> zonesArg("", "cells", "how many cells", false, 3, "N", line);
+    TCLAP::ValueArg<int> schedulersArg("", "schedulers", "how many schedulers", false, 4, "N", line);
+    TCLAP::ValueArg<int> workersArg("", "workers", "how many agents and workers", false, 11, "N", line);
     TCLAP::ValueArg<int> slotsArg("", "slots", "slots of each worker", false, 8, "N", line);
     TCLAP::ValueArg<long> termArg("", "term-ms", "term of sessions and of the leader", false, 1500, "MS", line);
     TCLAP::ValueArg<long> workerTermArg("", "worker-term-ms", "term of workers", false, 2000, "MS", line);
@@ -104,42 +105,42 @@
     stirEveryMs = std::max(10L, stirEveryArg.getValue());
     folder = folderArg.getValue();
     base = baseArg.getValue();
-    cells = cellsArg.getValue();
-    pilots = pilotsArg.getValue();
+    zones = zonesArg.getValue();
+    schedulers = schedulersArg.getValue();
     workers = workersArg.getValue();
     slots = slotsArg.getValue();
-    termMs = termArg.getValue();
-    workerTermMs = workerTermArg.getValue();
+    leaseMs = termArg.getValue();
+    workerLeaseMs = workerTermArg.getValue();
     respawn = respawnArg.getValue() || stir != 0;
-    if (cells < 1 || cells > 26 || pilots < 1 || workers < 0 || slots < 1 || base < 0 || base > 60000)
-      throw TCLAP::ArgException("allowed is 1 to 26 cells, 1 pilot or more, 1 slot or more, a port up to 60000", "flags");
+    if (zones < 1 || zones > 26 || schedulers < 1 || workers < 0 || slots < 1 || base < 0 || base > 60000)
+      throw TCLAP::ArgException("allowed is 1 to 26 cells, 1 scheduler or more, 1 slot or more, a port up to 60000", "flags");
   } catch (const TCLAP::ArgException& failed) {
-    std::cerr << "roadstead: " << failed.argId() << ": " << failed.error() << std::endl;
-    return rowOf(Kind::badEnv).exitCode;
+    std::cerr << "local-cluster: " << failed.argId() << ": " << failed.error() << std::endl;
+    return rowOf(Kind::badSettings).exitCode;
   }
   fs::create_directories(folder);
   Ports ports;
   ports.next = base;
   std::vector<Hand> hands;
-  auto cellOf = [&](int i) { return std::string(1, static_cast<char>('a' + i % cells)); };
+  auto zoneOf = [&](int i) { return std::string(1, static_cast<char>('a' + i % zones)); };
   std::vector<std::string> seeds{ports.take(), ports.take(), ports.take()};
   const auto joined = seeds[0] + "," + seeds[1] + "," + seeds[2];
-  auto daemon = [&](const std::string& role, int i, const std::string& signal, std::vector<std::string> more) {
+  auto daemon = [&](const std::string& role, int i, const std::string& peerAddress, std::vector<std::string> more) {
     const auto name = role + "-" + std::to_string(i + 1);
     const auto http = ports.take();
-    std::vector<std::string> words{"tulippitch", role, "--name", name, "--signal", signal, "--http", http, "--cell", cellOf(i), "--seeds", joined,
-                                   "--term-ms", std::to_string(termMs), "--worker-term-ms", std::to_string(workerTermMs)};
+    std::vector<std::string> words{"tulippitch", role, "--name", name, "--signal", peerAddress, "--http", http, "--cell", zoneOf(i), "--seeds", joined,
+                                   "--term-ms", std::to_string(leaseMs), "--worker-term-ms", std::to_string(workerLeaseMs)};
     words.insert(words.end(), more.begin(), more.end());
     hands.push_back({name, words, -1, http, {}});
     return http;
   };
-  for (int i = 0; i < 3; ++i) daemon("quay", i, seeds[static_cast<std::size_t>(i)], {"--data-folder", folder + "/quay-" + std::to_string(i + 1)});
-  for (int i = 0; i < pilots; ++i) daemon("pilot", i, ports.take(), {});
+  for (int i = 0; i < 3; ++i) daemon("replica", i, seeds[static_cast<std::size_t>(i)], {"--data-folder", folder + "/replica-" + std::to_string(i + 1)});
+  for (int i = 0; i < schedulers; ++i) daemon("scheduler", i, ports.take(), {});
   for (int i = 0; i < workers; ++i) {
     const auto name = "worker-" + std::to_string(i + 1);
-    const auto http = daemon("tender", i, ports.take(), {"--worker", name});
+    const auto http = daemon("agent", i, ports.take(), {"--worker", name});
     hands.push_back({name,
-                     {"tulippitch", "stevedore", "--tender", http, "--worker", name, "--pool", "side", "--slots", std::to_string(slots), "--journal",
+                     {"tulippitch", "stub-worker", "--agent", http, "--worker", name, "--pool", "side", "--slots", std::to_string(slots), "--journal",
                       folder + "/" + name + ".journal"},
                      -1,
                      "",
@@ -155,19 +156,19 @@
   writeFleet(folder, hands);
   std::cout << "fleet of " << hands.size() << " processes; ask any of";
   for (const auto& hand : hands)
-    if (hand.name.starts_with("pilot")) std::cout << " " << hand.http;
+    if (hand.name.starts_with("scheduler")) std::cout << " " << hand.http;
   std::cout << std::endl;
   std::mt19937_64 random(stir);
   auto nextBlow = std::chrono::steady_clock::now() + std::chrono::seconds(4);
   std::vector<std::pair<std::chrono::steady_clock::time_point, pid_t>> frozen;
-  std::chrono::steady_clock::time_point quaySafeAt;
+  std::chrono::steady_clock::time_point replicaSafeAt;
   auto below = [&](long bound) { return static_cast<long>(random() % static_cast<std::uint64_t>(bound)); };
   const auto isFrozen = [&](pid_t pid) { return std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == pid; }); };
-  const auto quayDown = [&] {
+  const auto replicaDown = [&] {
     for (const auto& hand : hands) {
-      if (hand.name.starts_with("quay") && (hand.pid < 0 || isFrozen(hand.pid))) return true;
+      if (hand.name.starts_with("replica") && (hand.pid < 0 || isFrozen(hand.pid))) return true;
     }
-    return std::chrono::steady_clock::now() < quaySafeAt;
+    return std::chrono::steady_clock::now() < replicaSafeAt;
   };
   while (!stopAsked) {
     const auto now = std::chrono::steady_clock::now();
@@ -180,10 +181,10 @@
     if (stir != 0 && now >= nextBlow) {
       nextBlow = now + std::chrono::milliseconds(stirEveryMs / 2 + below(stirEveryMs));
       auto& hand = hands[static_cast<std::size_t>(below(static_cast<long>(hands.size())))];
-      const bool quay = hand.name.starts_with("quay");
-      if (hand.pid > 0 && !isFrozen(hand.pid) && !(quay && quayDown())) {
+      const bool replica = hand.name.starts_with("replica");
+      if (hand.pid > 0 && !isFrozen(hand.pid) && !(replica && replicaDown())) {
         const long spanMs = 200 + below(4000);
-        if (quay) quaySafeAt = now + std::chrono::milliseconds(spanMs + 3 * termMs);
+        if (replica) replicaSafeAt = now + std::chrono::milliseconds(spanMs + 3 * leaseMs);
         if (below(2)) {
           kill(hand.pid, SIGKILL);
           hand.startAt = now + std::chrono::milliseconds(spanMs);
@@ -222,4 +223,4 @@
   return 0;
 }
 
-}  // namespace tulip::roles
+}  // namespace
--- a/src/roles/drydock.cpp
+++ b/src/commands/simulate.cpp
@@ -6,58 +6,59 @@
 #include <mutex>
 #include <sstream>
 
-#include "bearing/errors.hpp"
-#include "drydock/journals.hpp"
-#include "drydock/scale.hpp"
-#include "drydock/whatif.hpp"
-#include "roles/daemon.hpp"
+#include "base/errors.hpp"
+#include "simulator/journals.hpp"
+#include "simulator/scale.hpp"
+#include "simulator/whatif.hpp"
+#include "commands/commands.hpp"
+#include "daemon/daemon.hpp"
 
-namespace tulip::roles {
+namespace tulip::commands {
 
 namespace {
 
-std::vector<drydock::LineLoad> loadFrom(const std::string& name) {
-  const auto& names = drydock::loadNames();
-  if (std::find(names.begin(), names.end(), name) != names.end()) return drydock::builtInLoad(name);
+std::vector<simulator::LineLoad> loadFrom(const std::string& name) {
+  const auto& names = simulator::loadNames();
+  if (std::find(names.begin(), names.end(), name) != names.end()) return simulator::builtInLoad(name);
   std::ifstream in(name);
   std::stringstream text;
   text << in.rdbuf();
-  std::vector<drydock::LineLoad> lines;
-  chart::Fault fault;
-  if (!in || !drydock::readLoad(text.str(), lines, fault))
+  std::vector<simulator::LineLoad> lines;
+  config::Fault fault;
+  if (!in || !simulator::readLoad(text.str(), lines, fault))
     throw TCLAP::ArgException(in ? fault.path + ": allowed is " + fault.allowed : "cannot be read", name);
   return lines;
 }
 
 int runPlaces(const std::string& where, int most, std::uint64_t seed, int threads, bool verbose) {
   const auto operation = where.substr(0, where.find('@'));
-  const auto names = drydock::operationNames();
+  const auto names = simulator::operationNames();
   if (where == "list") {
     for (const auto& name : names) std::cout << name << "\n";
     return 0;
   }
   if (std::find(names.begin(), names.end(), operation) == names.end()) throw TCLAP::ArgException("allowed is an operation that 'list' prints", "place");
-  const auto plan = drydock::operationDay(operation, seed);
-  std::vector<drydock::Place> places(1);
+  const auto plan = simulator::operationDay(operation, seed);
+  std::vector<simulator::Place> places(1);
   if (operation != where) {
-    if (!drydock::readPlace(where.substr(operation.size() + 1), places.front()))
+    if (!simulator::readPlace(where.substr(operation.size() + 1), places.front()))
       throw TCLAP::ArgException("allowed is POINT:NTH:SIDE:BLOW, as a broken day prints it", "place");
   } else {
-    const auto quiet = drydock::runDay(plan);
+    const auto quiet = simulator::runDay(plan);
     if (!quiet.broken.empty()) std::cout << "broken without a blow: " << quiet.broken.front().rule << ": " << quiet.broken.front().what << "\n";
-    places = drydock::allPlaces(quiet.points, most, operation != "cohort-change");
+    places = simulator::allPlaces(quiet.points, most, operation != "cohort-change");
   }
   std::mutex guard;
   std::size_t broken = 0, struck = 0;
   std::map<std::string, std::size_t> perRule;
-  drydock::inThreads(threads, places.size(), [&](std::size_t at) {
+  simulator::inThreads(threads, places.size(), [&](std::size_t at) {
     auto mine = plan;
     mine.place = places[at];
-    const auto result = drydock::runDay(mine);
+    const auto result = simulator::runDay(mine);
     std::lock_guard lock(guard);
     struck += result.placed;
     broken += !result.broken.empty();
-    if (!result.broken.empty()) std::cout << operation << "@" << drydock::placeText(places[at]) << " seed " << seed << "\n";
+    if (!result.broken.empty()) std::cout << operation << "@" << simulator::placeText(places[at]) << " seed " << seed << "\n";
     for (std::size_t k = 0; k < result.broken.size() && k < 3; ++k)
       std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
     for (const auto& each : result.broken) ++perRule[each.rule];
@@ -69,7 +70,7 @@
   return broken ? 1 : 0;
 }
 
-int runDays(const std::vector<drydock::DayPlan>& plans, int threads, bool verbose, const std::string& untilRule) {
+int runDays(const std::vector<simulator::DayPlan>& plans, int threads, bool verbose, const std::string& untilRule) {
   std::size_t ran = 0;
   std::size_t firstBroken = plans.size();
   std::string firstRule;
@@ -79,9 +80,9 @@
   std::uint64_t checks = 0;
   std::map<std::string, std::size_t> perRule;
   std::vector<Millis> recovered;
-  drydock::inThreads(threads, plans.size(), [&](std::size_t at) {
+  simulator::inThreads(threads, plans.size(), [&](std::size_t at) {
     if (enough) return;
-    const auto result = drydock::runDay(plans[at]);
+    const auto result = simulator::runDay(plans[at]);
     std::lock_guard lock(guard);
     ++ran;
     const auto hit = std::find_if(result.broken.begin(), result.broken.end(),
@@ -94,7 +95,7 @@
     checks += static_cast<std::uint64_t>(result.checks);
     recovered.push_back(result.recoveredMs);
     if (!result.broken.empty()) ++broken;
-    if (verbose || !result.broken.empty()) std::cout << drydock::summary(result) << "\n";
+    if (verbose || !result.broken.empty()) std::cout << simulator::summary(result) << "\n";
     for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
       std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
     for (const auto& each : result.broken) ++perRule[each.rule];
@@ -103,37 +104,37 @@
       for (const auto& [id, job] : result.truth)
         if (job.firstStartMs >= 0) startOf[job.line].push_back(job.firstStartMs - job.submittedMs - job.notBeforeMs);
       for (const auto& [line, values] : startOf)
-        std::cout << "    " << line << ": " << values.size() << " started, p50/p99/longest " << drydock::quantile(values, 0.5) << "/"
-                  << drydock::quantile(values, 0.99) << "/" << drydock::quantile(values, 1.0) << " ms\n";
+        std::cout << "    " << line << ": " << values.size() << " started, p50/p99/longest " << simulator::quantile(values, 0.5) << "/"
+                  << simulator::quantile(values, 0.99) << "/" << simulator::quantile(values, 1.0) << " ms\n";
       for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
     }
     std::cout.flush();
   });
   if (firstBroken < plans.size())
     std::cout << "first broken: day " << firstBroken + 1 << " seed " << plans[firstBroken].seed << " rule " << firstRule << "\n";
-  std::cout << ran << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << drydock::quantile(recovered, 0.5) << " p99 "
-            << drydock::quantile(recovered, 0.99) << " ms\n";
+  std::cout << ran << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << simulator::quantile(recovered, 0.5) << " p99 "
+            << simulator::quantile(recovered, 0.99) << " ms\n";
   for (const auto& [rule, count] : perRule) std::cout << "  " << rule << ": " << count << "\n";
   return broken ? 1 : 0;
 }
 
-int runWhatIf(drydock::DayPlan plan, const std::vector<drydock::Variant>& variants, int threads) {
-  std::vector<drydock::DayResult> results(variants.size());
-  drydock::inThreads(threads, variants.size(), [&](std::size_t at) {
+int runWhatIf(simulator::DayPlan plan, const std::vector<simulator::Variant>& variants, int threads) {
+  std::vector<simulator::DayResult> results(variants.size());
+  simulator::inThreads(threads, variants.size(), [&](std::size_t at) {
     auto mine = plan;
-    mine.chartPatch = variants[at].patch;
-    results[at] = drydock::runDay(mine);
+    mine.configPatch = variants[at].patch;
+    results[at] = simulator::runDay(mine);
   });
-  std::vector<std::pair<std::string, std::vector<drydock::Figure>>> columns;
+  std::vector<std::pair<std::string, std::vector<simulator::Figure>>> columns;
   bool broken = false;
   for (std::size_t i = 0; i < variants.size(); ++i) {
-    columns.emplace_back(variants[i].name, drydock::figuresOf(results[i], plan.arrivals));
+    columns.emplace_back(variants[i].name, simulator::figuresOf(results[i], plan.arrivals));
     for (const auto& each : results[i].broken) {
       std::cout << variants[i].name << " at " << each.atMs << " ms, " << each.rule << ": " << each.what << "\n";
       broken = true;
     }
   }
-  std::cout << "seed " << plan.seed << ", " << plan.arrivals.size() << " jobs\n" << drydock::sideBySide(columns);
+  std::cout << "seed " << plan.seed << ", " << plan.arrivals.size() << " jobs\n" << simulator::sideBySide(columns);
   return broken ? 1 : 0;
 }
 
@@ -145,7 +146,7 @@
 
 int runScaleTable(const TCLAP::ValueArg<int>& workers, const TCLAP::ValueArg<int>& running, const TCLAP::ValueArg<double>& jobs, const TCLAP::ValueArg<int>& lines,
                   const TCLAP::ValueArg<double>& seconds, const TCLAP::ValueArg<std::uint64_t>& seed) {
-  drydock::ScalePlan plan;
+  simulator::ScalePlan plan;
   plan.workers = within(workers, 1, 10000, "1 to 10000");
   plan.running = within(running, 0, 200000, "0 to 200000");
   if (plan.running == 0) plan.running = 12LL * plan.workers;
@@ -153,14 +154,14 @@
   plan.lines = within(lines, 1, 10000, "1 to 10000");
   plan.seconds = within(seconds, 0.5, 600.0, "0.5 to 600");
   plan.seed = seed.getValue();
-  const auto result = drydock::runScale(plan);
-  std::cout << drydock::table(result);
+  const auto result = simulator::runScale(plan);
+  std::cout << simulator::table(result);
   return result.cutShort ? 1 : 0;
 }
 
 }  // namespace
 
-int runDrydock(int argc, char** argv) {
+int runSimulate(int argc, char** argv) {
   try {
     TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala or heavy, either of the first two with -steps or -grown, or a scenario file", false, "leatherwood", "NAME", line);
@@ -179,10 +180,10 @@
     TCLAP::ValueArg<int> placeMost("", "place-most", "how many of each kind of step to strike at", false, 8, "N", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
     TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
-    TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'helm trace' wrote, instead of a load", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'ctl trace' wrote, instead of a load", false, "", "FILE", line);
     TCLAP::ValueArg<std::string> journals("", "journals", "judge the journals of a real fleet's workers in this folder", false, "", "FOLDER", line);
     TCLAP::SwitchArg scale("", "scale", "measure a large fleet: messages, bytes and processor time by role and kind", line);
-    TCLAP::ValueArg<int> scaleWorkers("", "scale-workers", "simulated workers, each with its tender", false, 100, "N", line);
+    TCLAP::ValueArg<int> scaleWorkers("", "scale-workers", "simulated workers, each with its agent", false, 100, "N", line);
     TCLAP::ValueArg<int> scaleRunning("", "scale-running", "tasks at work at any time; 0: 12 a worker", false, 0, "N", line);
     TCLAP::ValueArg<double> scaleJobs("", "scale-jobs-per-s", "jobs of 16 tasks a second; 0: such that a task takes 8 s", false, 0, "X", line);
     TCLAP::ValueArg<int> scaleLines("", "scale-lines", "lines of the configuration, each with a quota", false, 10, "N", line);
@@ -191,10 +192,10 @@
     line.parse(argc, argv);
     if (scale.getValue()) return runScaleTable(scaleWorkers, scaleRunning, scaleJobs, scaleLines, scaleSeconds, seed);
     if (!variant.getValue().empty()) {
-      drydock::DayPlan plan;
+      simulator::DayPlan plan;
       plan.seed = seed.getValue();
       plan.fleet.tickUs = 25000;
-      std::vector<drydock::Variant> variants;
+      std::vector<simulator::Variant> variants;
       for (const auto& text : variant.getValue()) {
         const auto equals = text.find('=');
         Json patch = equals == std::string::npos ? nullptr : parseJson(std::string_view(text).substr(equals + 1));
@@ -202,14 +203,14 @@
         variants.push_back({text.substr(0, equals), text.substr(equals + 1)});
       }
       if (replay.getValue().empty()) {
-        plan.arrivals = drydock::drawArrivals(loadFrom(load.getValue()), seconds.getValue(), factor.getValue(), seed.getValue());
+        plan.arrivals = simulator::drawArrivals(loadFrom(load.getValue()), seconds.getValue(), factor.getValue(), seed.getValue());
       } else {
         std::ifstream in(replay.getValue());
         std::stringstream text;
         text << in.rdbuf();
         std::size_t badLine = 0;
         std::string allowed;
-        if (!in || !drydock::readTrace(text.str(), plan.arrivals, badLine, allowed))
+        if (!in || !simulator::readTrace(text.str(), plan.arrivals, badLine, allowed))
           throw TCLAP::ArgException(in ? "line " + std::to_string(badLine) + ": allowed is " + allowed : "cannot be read", replay.getValue());
       }
       plan.seconds = 8 + static_cast<double>(plan.arrivals.empty() ? 0 : plan.arrivals.back().atMs) / 1000;
@@ -217,35 +218,35 @@
       return runWhatIf(std::move(plan), variants, std::max(1, threads.getValue()));
     }
     if (!journals.getValue().empty()) {
-      const auto verdict = drydock::judgeJournals(journals.getValue());
+      const auto verdict = simulator::judgeJournals(journals.getValue());
       for (const auto& fault : verdict.broken) std::cout << fault << "\n";
       std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, " << verdict.broken.size() << " broken, "
                 << verdict.unacknowledgedReruns << " run again after an end that died unacknowledged; callers saw " << verdict.accepted << " accepted, "
                 << verdict.ended << " ended, " << verdict.reads << " readings of the configuration; " << verdict.torn << " torn lines\n";
       return verdict.broken.empty() && verdict.starts > 0 ? 0 : 1;
     }
-    const auto names = drydock::faultNames();
+    const auto names = simulator::faultNames();
     if (fault.getValue() == "list") {
       for (const auto& name : names) std::cout << name << "\n";
       return 0;
     }
     if (!place.getValue().empty()) return runPlaces(place.getValue(), placeMost.getValue(), seed.getValue(), std::max(1, threads.getValue()), verbose.getValue());
-    const auto& rules = drydock::ruleNames();
+    const auto& rules = simulator::ruleNames();
     if (const auto& until = untilRule.getValue(); !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
       throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists", "until-rule");
-    std::vector<drydock::DayPlan> plans;
+    std::vector<simulator::DayPlan> plans;
     for (std::uint64_t i = 0; i < count.getValue(); ++i) {
-      drydock::DayPlan plan;
+      simulator::DayPlan plan;
       plan.seed = seed.getValue() + i;
       plan.load = loadFrom(load.getValue());
-      plan.fleet = drydock::fleetOf(load.getValue());
+      plan.fleet = simulator::fleetOf(load.getValue());
       plan.seconds = seconds.getValue();
       plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
       if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; })) plan.tailSeconds = 400;
       plan.fleet.selfStop = !stays.getValue();
       if (fault.getValue() == "pairs") {
-        plan.faults = drydock::drawFaults(plan.seed);
+        plan.faults = simulator::drawFaults(plan.seed);
       } else {
         std::stringstream parts(fault.getValue());
         for (std::string part; std::getline(parts, part, ',');) {
@@ -262,9 +263,9 @@
     }
     return runDays(plans, std::max(1, threads.getValue()), verbose.getValue(), untilRule.getValue());
   } catch (const TCLAP::ArgException& failed) {
-    std::cerr << "drydock: " << failed.argId() << ": " << failed.error() << std::endl;
-    return rowOf(Kind::badEnv).exitCode;
+    std::cerr << "simulate: " << failed.argId() << ": " << failed.error() << std::endl;
+    return rowOf(Kind::badSettings).exitCode;
   }
 }
 
-}  // namespace tulip::roles
+}  // namespace
--- a/src/roles/worker.hpp
+++ b/src/commands/stub_worker.hpp
@@ -4,9 +4,9 @@
 #include <string_view>
 #include <vector>
 
-#include "signal/core.hpp"
+#include "transport/core.hpp"
 
-namespace tulip::roles {
+namespace tulip::commands {
 
 // A stand-in worker: it guards nothing and does what it is told, at the pace and with the faults of its traits. All times are its own
 // steady clock's.
@@ -15,7 +15,7 @@
   std::string pool;
   std::int64_t slots = 8;
   std::map<std::string, std::string> labels;
-  std::map<std::string, std::int64_t> room;
+  std::map<std::string, std::int64_t> capacity;
   bool selfStop = true;
   double slowFactor = 1.0;     // work takes this many times as long
   int failEvery = 0;           // every Nth run fails; 0: none
@@ -30,9 +30,9 @@
   double farFactor = 1.5;      // away from the rack that a run names as near
 };
 
-struct GoingRun {
+struct RunningAttempt {
   std::int64_t slots = 1;
-  std::map<std::string, std::int64_t> room;
+  std::map<std::string, std::int64_t> capacity;
   std::string gang;            // what its members have in common; empty: it works by itself
   std::int64_t members = 1;
   bool oneRack = false;
@@ -51,7 +51,7 @@
   std::string saved;
 };
 
-struct EndedRun {
+struct EndedAttempt {
   std::string outcome;
   std::string detail;
   std::string saved;
@@ -64,8 +64,8 @@
   std::uint64_t fence = 0;
   Millis goOnUntilMs = -1000000;
   Millis callAtMs = 0;  // when the answer wants the next report
-  std::map<std::string, GoingRun> going;
-  std::map<std::string, EndedRun> ended;
+  std::map<std::string, RunningAttempt> running;
+  std::map<std::string, EndedAttempt> ended;
   std::map<std::string, std::int64_t> passed;  // task -> highest attempt that was stopped or ended here
   bool leaving = false;
   Millis leavesAtMs = -1;
@@ -87,4 +87,4 @@
 std::string gangOf(std::string_view run);  // what the members of one gang's attempt have in common
 std::int64_t attemptOf(std::string_view run);
 
-}  // namespace tulip::roles
+}  // namespace
--- a/src/roles/stevedore.cpp
+++ b/src/commands/stub_worker_command.cpp
@@ -4,12 +4,13 @@
 #include <fstream>
 #include <iostream>
 
-#include "bearing/env.hpp"
-#include "gangway/http.hpp"
-#include "roles/daemon.hpp"
-#include "roles/worker.hpp"
+#include "base/settings.hpp"
+#include "http/http.hpp"
+#include "commands/commands.hpp"
+#include "daemon/daemon.hpp"
+#include "commands/stub_worker.hpp"
 
-namespace tulip::roles {
+namespace tulip::commands {
 namespace asio = boost::asio;
 
 namespace {
@@ -22,7 +23,7 @@
   asio::io_context context;
   asio::steady_timer pulse{context};
   Worker worker;
-  Address tender;
+  Address agent;
   bool calling = false;
   Millis callAgainMs = 0;
   bool leaveWhenIdle = false;
@@ -39,10 +40,10 @@
   // A process can't see the other members of a gang: each works and ends by itself.
   bool gangsByThemselves() {
     std::vector<std::string> done;
-    for (const auto& [run, going] : worker.going) {
-      if (going.gang.empty() || going.stopping) continue;
-      if (going.waits) gangWhole(worker, run, 1.0, steadyMs());
-      else if (going.workDone && !going.fails) done.push_back(run);
+    for (const auto& [run, running] : worker.running) {
+      if (running.gang.empty() || running.stopping) continue;
+      if (running.waits) gangWhole(worker, run, 1.0, steadyMs());
+      else if (running.workDone && !running.fails) done.push_back(run);
     }
     for (const auto& run : done) gangDone(worker, run, steadyMs());
     return !done.empty();
@@ -50,14 +51,14 @@
 
   void call() {
     calling = true;
-    gangway::CallOut out;
-    out.to = tender;
+    http::CallOut out;
+    out.to = agent;
     out.method = "POST";
     out.target = "/worker/report";
     const auto sentMs = steadyMs();
     out.body = nextReport(worker, sentMs);
-    out.cutoffMs = 2000;
-    gangway::callHttp(context, std::move(out), [this, sentMs, number = worker.report](gangway::CallReply reply) {
+    out.deadlineMs = 2000;
+    http::callHttp(context, std::move(out), [this, sentMs, number = worker.report](http::CallReply reply) {
       if (number != worker.report) {
         if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
         return;
@@ -72,30 +73,30 @@
     });
   }
 
-  void beat() {
+  void heartbeat() {
     pulse.expires_after(std::chrono::milliseconds(5));
     pulse.async_wait([this](boost::system::error_code) {
       bool news = workerTick(worker, steadyMs());
       news = gangsByThemselves() || news;
       writeJournal();
       if ((!calling && steadyMs() >= callAgainMs) || news) call();
-      if (worker.leaving && ((leaveWhenIdle && worker.going.empty() && worker.ended.empty()) || steadyMs() >= leaveByMs)) return context.stop();
-      beat();
+      if (worker.leaving && ((leaveWhenIdle && worker.running.empty() && worker.ended.empty()) || steadyMs() >= leaveByMs)) return context.stop();
+      heartbeat();
     });
   }
 };
 
 }  // namespace
 
-int runStevedore(int argc, char** argv) {
+int runStubWorker(int argc, char** argv) {
   Quayside side;
   try {
     TCLAP::CmdLine line("stand-in worker", ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> tender("", "tender", "the tender's http address", true, "", "IP:PORT", line);
+    TCLAP::ValueArg<std::string> agent("", "agent", "the agent's http address", true, "", "IP:PORT", line);
     TCLAP::ValueArg<std::string> worker("", "worker", "this worker's name", true, "", "NAME", line);
     TCLAP::ValueArg<std::string> pool("", "pool", "the pool it belongs to", false, "side", "NAME", line);
     TCLAP::ValueArg<int> slots("", "slots", "how many slots it has", false, 8, "N", line);
-    TCLAP::MultiArg<std::string> room("", "room", "further room it has", false, "KIND=AMOUNT", line);
+    TCLAP::MultiArg<std::string> capacity("", "room", "further room it has", false, "KIND=AMOUNT", line);
     TCLAP::MultiArg<std::string> label("", "label", "a label, such as rack or kind", false, "NAME=VALUE", line);
     TCLAP::ValueArg<double> slow("", "slow", "how many times longer its runs take", false, 1.0, "FACTOR", line);
     TCLAP::ValueArg<int> failEvery("", "fail-every", "every Nth run fails", false, 0, "N", line);
@@ -103,11 +104,11 @@
     TCLAP::SwitchArg stays("", "no-self-stop", "goes on when unheard past its term", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
-    if (!validAddress(tender.getValue()) || slots.getValue() < 1) {
-      std::cerr << "flags: tender, slots: allowed is an IP number and a port, and at least 1 slot" << std::endl;
-      return rowOf(Kind::badEnv).exitCode;
+    if (!validAddress(agent.getValue()) || slots.getValue() < 1) {
+      std::cerr << "flags: agent, slots: allowed is an IP number and a port, and at least 1 slot" << std::endl;
+      return rowOf(Kind::badSettings).exitCode;
     }
-    side.tender = Address(tender.getValue());
+    side.agent = Address(agent.getValue());
     auto& traits = side.worker.traits;
     traits.name = worker.getValue();
     traits.pool = pool.getValue();
@@ -120,17 +121,17 @@
       if (equals == 0 || equals == std::string::npos) throw TCLAP::ArgException("allowed is NAME=VALUE", "label");
       traits.labels[text.substr(0, equals)] = text.substr(equals + 1);
     }
-    for (const auto& text : room.getValue()) {
+    for (const auto& text : capacity.getValue()) {
       const auto equals = text.find('=');
       const auto amount = equals == std::string::npos ? 0 : std::atoll(text.c_str() + equals + 1);
       if (equals == 0 || amount < 1) throw TCLAP::ArgException("allowed is KIND=AMOUNT, an amount of 1 or more", "room");
-      traits.room[text.substr(0, equals)] = amount;
+      traits.capacity[text.substr(0, equals)] = amount;
     }
-    side.worker.incarnation = freshName();
+    side.worker.incarnation = daemon::freshName();
     if (!journal.getValue().empty()) side.journal.open(journal.getValue(), std::ios::app);
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "flags: " << failed.argId() << ": " << failed.error() << std::endl;
-    return rowOf(Kind::badEnv).exitCode;
+    return rowOf(Kind::badSettings).exitCode;
   }
   asio::signal_set polite(side.context, SIGTERM, SIGINT);
   polite.async_wait([&](boost::system::error_code failed, int) {
@@ -140,10 +141,10 @@
     side.leaveByMs = steadyMs() + 3000;
     side.worker.leavesAtMs = side.leaveByMs;
   });
-  side.beat();
+  side.heartbeat();
   side.call();
   side.context.run();
   return 0;
 }
 
-}  // namespace tulip::roles
+}  // namespace
--- a/src/chart/chart.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "chart/chart.hpp"
+#include "config/config.hpp"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -7,7 +7,7 @@
 #include <span>
 #include <utility>
 
-namespace tulip::chart {
+namespace tulip::config {
 namespace {
 
 constexpr std::size_t kMostNames = 10000;
@@ -101,24 +101,24 @@
   reader.number(value, -(1LL << 50), 1LL << 50, place);
 }
 
-constexpr std::array pendingFields{
-    Fields<Pending>{"rank", readNumber<&Pending::rank, -1000, 1000, Pending>},
-    Fields<Pending>{"failureLimit", readNumber<&Pending::failureLimit, 1, 1000, Pending>},
-    Fields<Pending>{"backoffMs", readNumber<&Pending::backoffMs, 0, 3600000, Pending>},
-    Fields<Pending>{"quotaSlots", readNumber<&Pending::quotaSlots, 0, 1000000, Pending>},
-    Fields<Pending>{"mostJobs", readNumber<&Pending::mostJobs, 1, 1000000, Pending>},
-    Fields<Pending>{"host", [](Reader& reader, const json_t* value, Pending& into) { reader.text(value, 256, into.host); }},
-    Fields<Pending>{"prefix", [](Reader& reader, const json_t* value, Pending& into) { reader.text(value, 4096, into.prefix); }},
-    Fields<Pending>{"pool", [](Reader& reader, const json_t* value, Pending& into) { reader.text(value, 64, into.pool.value); }},
-    Fields<Pending>{"aimMs", readNumber<&Pending::aimMs, 0, 1LL << 50, Pending>},
-    Fields<Pending>{"stretch",
-                    [](Reader& reader, const json_t* value, Pending& into) {
+constexpr std::array queueFields{
+    Fields<Queue>{"rank", readNumber<&Queue::rank, -1000, 1000, Queue>},
+    Fields<Queue>{"failureLimit", readNumber<&Queue::failureLimit, 1, 1000, Queue>},
+    Fields<Queue>{"backoffMs", readNumber<&Queue::backoffMs, 0, 3600000, Queue>},
+    Fields<Queue>{"quotaSlots", readNumber<&Queue::quotaSlots, 0, 1000000, Queue>},
+    Fields<Queue>{"mostJobs", readNumber<&Queue::mostJobs, 1, 1000000, Queue>},
+    Fields<Queue>{"host", [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 256, into.host); }},
+    Fields<Queue>{"prefix", [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 4096, into.prefix); }},
+    Fields<Queue>{"pool", [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 64, into.pool.value); }},
+    Fields<Queue>{"aimMs", readNumber<&Queue::aimMs, 0, 1LL << 50, Queue>},
+    Fields<Queue>{"stretch",
+                    [](Reader& reader, const json_t* value, Queue& into) {
                       if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e9)
                         into.stretch = json_number_value(value);
                       else reader.fault("a number from 0 to 1000000000");
                     }},
-    Fields<Pending>{"place", readPlace<Pending>},
-    Fields<Pending>{"asSent", readOpaque<Pending>},
+    Fields<Queue>{"place", readPlace<Queue>},
+    Fields<Queue>{"asSent", readOpaque<Queue>},
 };
 
 constexpr std::array poolFields{
@@ -133,19 +133,19 @@
     Fields<Pool>{"workers", readNumber<&Pool::workers, 1, 100000, Pool>},
     Fields<Pool>{"room",
                  [](Reader& reader, const json_t* value, Pool& into) {
-                   reader.each(value, "an object of whole numbers", [&](const char* key, const json_t* item) { reader.number(item, 0, 1LL << 50, into.room[key]); });
+                   reader.each(value, "an object of whole numbers", [&](const char* key, const json_t* item) { reader.number(item, 0, 1LL << 50, into.capacity[key]); });
                  }},
-    Fields<Pool>{"lostAfterTerms", readNumber<&Pool::lostAfterTerms, 1, 1000, Pool>},
+    Fields<Pool>{"lostAfterTerms", readNumber<&Pool::lostAfterLeases, 1, 1000, Pool>},
     Fields<Pool>{"selfStop", readFlag<&Pool::selfStop, Pool>},
     Fields<Pool>{"guards", readFlag<&Pool::guards, Pool>},
     Fields<Pool>{"place", readPlace<Pool>},
     Fields<Pool>{"asSent", readOpaque<Pool>},
 };
 
-struct CellEntry {
+struct ZoneEntry {
   bool emptied = false;
 };
-constexpr std::array cellFields{Fields<CellEntry>{"emptied", readFlag<&CellEntry::emptied, CellEntry>}};
+constexpr std::array zoneFields{Fields<ZoneEntry>{"emptied", readFlag<&ZoneEntry::emptied, ZoneEntry>}};
 
 struct WorkerEntry {
   bool drained = false, gone = false;
@@ -153,10 +153,10 @@
 constexpr std::array workerFields{Fields<WorkerEntry>{"drained", readFlag<&WorkerEntry::drained, WorkerEntry>},
                                   Fields<WorkerEntry>{"gone", readFlag<&WorkerEntry::gone, WorkerEntry>}};
 
-constexpr std::array gangwayFields{
-    Fields<Gangway>{"maxBodyBytes", readNumber<&Gangway::maxBodyBytes, 1024, 1 << 24, Gangway>},
-    Fields<Gangway>{"mostTasks", readNumber<&Gangway::mostTasks, 1, 10000, Gangway>},
-    Fields<Gangway>{"mostOpenJobs", readNumber<&Gangway::mostOpenJobs, 1, 1000000, Gangway>},
+constexpr std::array httpFields{
+    Fields<Http>{"maxBodyBytes", readNumber<&Http::maxBodyBytes, 1024, 1 << 24, Http>},
+    Fields<Http>{"mostTasks", readNumber<&Http::mostTasks, 1, 10000, Http>},
+    Fields<Http>{"mostOpenJobs", readNumber<&Http::mostOpenJobs, 1, 1000000, Http>},
 };
 
 constexpr std::array keepFields{
@@ -218,44 +218,44 @@
     Fields<Admission>{"gangStartMs", readNumber<&Admission::gangStartMs, 100, 600000, Admission>},
 };
 
-void readPendings(Reader& reader, const json_t* value, Chart& chart) {
+void readQueues(Reader& reader, const json_t* value, Config& config) {
   reader.named(value, [&](std::string_view name, const json_t* item) {
-    Pending made;
-    made.name = PendingName(name);
-    reader.object(item, pendingFields, made);
-    chart.pendings.insert_or_assign(std::string(name), std::move(made));
+    Queue made;
+    made.name = QueueName(name);
+    reader.object(item, queueFields, made);
+    config.queues.insert_or_assign(std::string(name), std::move(made));
   });
 }
 
-void readPools(Reader& reader, const json_t* value, Chart& chart) {
+void readPools(Reader& reader, const json_t* value, Config& config) {
   reader.named(value, [&](std::string_view name, const json_t* item) {
     Pool made;
     made.name = PoolName(name);
     reader.object(item, poolFields, made);
-    chart.pools.insert_or_assign(std::string(name), std::move(made));
+    config.pools.insert_or_assign(std::string(name), std::move(made));
   });
 }
 
-void readCells(Reader& reader, const json_t* value, Chart& chart) {
+void readZones(Reader& reader, const json_t* value, Config& config) {
   reader.named(value, [&](std::string_view name, const json_t* item) {
-    CellEntry cell;
-    reader.object(item, cellFields, cell);
-    chart.emptied[std::string(name)] = cell.emptied;
+    ZoneEntry zone;
+    reader.object(item, zoneFields, zone);
+    config.emptied[std::string(name)] = zone.emptied;
   });
 }
 
-void readWorkers(Reader& reader, const json_t* value, Chart& chart) {
+void readWorkers(Reader& reader, const json_t* value, Config& config) {
   reader.named(value, [&](std::string_view name, const json_t* item) {
     WorkerEntry worker;
     reader.object(item, workerFields, worker);
-    chart.drained[std::string(name)] = worker.drained || worker.gone;
-    chart.gone[std::string(name)] = worker.gone;
+    config.drained[std::string(name)] = worker.drained || worker.gone;
+    config.gone[std::string(name)] = worker.gone;
   });
 }
 
-void readAdmission(Reader& reader, const json_t* value, Chart& chart) {
-  auto& rules = chart.admission;
-  chart.admissionGiven = true;
+void readAdmission(Reader& reader, const json_t* value, Config& config) {
+  auto& rules = config.admission;
+  config.admissionGiven = true;
   reader.object(value, admissionFields, rules);
   if (!json_object_get(value, "thresholdsMs")) {
     rules.thresholdsMs.clear();
@@ -265,25 +265,25 @@
     reader.within("thresholdsMs", [&] { reader.fault("one entry fewer than lanes"); });
 }
 
-constexpr std::array chartFields{
-    Fields<Chart>{"edition", readNumber<&Chart::edition, 0, 1LL << 62, Chart>},
-    Fields<Chart>{"origin", readOpaque<Chart>},
-    Fields<Chart>{"pendings", readPendings},
-    Fields<Chart>{"pools", readPools},
-    Fields<Chart>{"cells", readCells},
-    Fields<Chart>{"workers", readWorkers},
-    Fields<Chart>{"gangway", [](Reader& reader, const json_t* value, Chart& into) { reader.object(value, gangwayFields, into.gangway); }},
-    Fields<Chart>{"admission", readAdmission},
-    Fields<Chart>{"keep", [](Reader& reader, const json_t* value, Chart& into) { reader.object(value, keepFields, into.keep); }},
+constexpr std::array configFields{
+    Fields<Config>{"edition", readNumber<&Config::operatorVersion, 0, 1LL << 62, Config>},
+    Fields<Config>{"origin", readOpaque<Config>},
+    Fields<Config>{"pendings", readQueues},
+    Fields<Config>{"pools", readPools},
+    Fields<Config>{"cells", readZones},
+    Fields<Config>{"workers", readWorkers},
+    Fields<Config>{"gangway", [](Reader& reader, const json_t* value, Config& into) { reader.object(value, httpFields, into.http); }},
+    Fields<Config>{"admission", readAdmission},
+    Fields<Config>{"keep", [](Reader& reader, const json_t* value, Config& into) { reader.object(value, keepFields, into.keep); }},
 };
 
-void checkLines(Reader& reader, const Chart& chart) {
+void checkLines(Reader& reader, const Config& config) {
   absl::flat_hash_set<std::pair<std::string_view, std::string_view>> taken;
-  for (const auto& [name, line] : chart.pendings) {
+  for (const auto& [name, line] : config.queues) {
     const auto at = [&](std::string_view field, const char* allowed) {
       reader.within("pendings", [&] { reader.within(name, [&] { reader.within(field, [&] { reader.fault(allowed); }); }); });
     };
-    if (!line.pool.empty() && !chart.pools.contains(line.pool.value)) at("pool", "a pool of this configuration");
+    if (!line.pool.empty() && !config.pools.contains(line.pool.value)) at("pool", "a pool of this configuration");
     if (!line.prefix.empty() && !taken.emplace(line.host, line.prefix).second) at("prefix", "a prefix that no other line of the host has");
   }
 }
@@ -294,22 +294,22 @@
   return rule == Rule::las ? "las" : rule == Rule::gittins ? "gittins" : "fifo";
 }
 
-bool readChart(const json_t* root, Chart& chart, std::vector<Fault>& faults) {
-  chart = Chart{};
+bool readConfig(const json_t* root, Config& config, std::vector<Fault>& faults) {
+  config = Config{};
   Reader reader{faults};
   const std::size_t before = faults.size();
-  reader.object(root, chartFields, chart);
-  checkLines(reader, chart);
+  reader.object(root, configFields, config);
+  checkLines(reader, config);
   return faults.size() == before;
 }
 
-bool readChartText(std::string_view text, Chart& chart, std::vector<Fault>& faults) {
+bool readConfigText(std::string_view text, Config& config, std::vector<Fault>& faults) {
   Json root = parseJson(text);
   if (!root) {
     faults.push_back({"/", "one JSON object without repeated keys"});
     return false;
   }
-  return readChart(root.get(), chart, faults);
+  return readConfig(root.get(), config, faults);
 }
 
 void mergeInto(json_t* target, const json_t* patch) {
@@ -372,4 +372,4 @@
   return std::string(buffer.data(), buffer.size());
 }
 
-}  // namespace tulip::chart
+}  // namespace
--- a/src/chart/chart.hpp
+++ b/src/config/config.hpp
@@ -4,14 +4,14 @@
 #include <string>
 #include <vector>
 
-#include "bearing/errors.hpp"
-#include "bearing/json.hpp"
-#include "bearing/types.hpp"
+#include "base/errors.hpp"
+#include "base/json.hpp"
+#include "base/types.hpp"
 
-namespace tulip::chart {
+namespace tulip::config {
 
-struct Pending {
-  PendingName name;
+struct Queue {
+  QueueName name;
   std::int64_t rank = 0;
   std::int64_t failureLimit = 3;
   Millis backoffMs = 200;
@@ -30,10 +30,10 @@
   std::map<std::string, std::string> labels;
   std::int64_t slots = 1;    // 0: as many as each worker says
   std::int64_t workers = 1;
-  std::map<std::string, std::int64_t> room;
+  std::map<std::string, std::int64_t> capacity;
   bool selfStop = true;
-  std::int64_t lostAfterTerms = 5;
-  bool guards = false;       // its workers deny what doesn't fit
+  std::int64_t lostAfterLeases = 5;
+  bool guards = false;       // its workers reject what doesn't fit
 };
 
 enum class Rule { las, gittins, fifo };
@@ -58,15 +58,15 @@
   std::int64_t finishedMost = 100000;
 };
 
-struct Gangway {
+struct Http {
   std::int64_t maxBodyBytes = 1 << 18;
   std::int64_t mostTasks = 256;
   std::int64_t mostOpenJobs = 20000;
 };
 
-struct Chart {
-  Revision edition = 0;      // the operator's own number, rising; 0: none given
-  std::map<std::string, Pending> pendings;
+struct Config {
+  Version operatorVersion = 0;      // the operator's own number, rising; 0: none given
+  std::map<std::string, Queue> queues;
   std::map<std::string, Pool> pools;
   std::map<std::string, bool> emptied;
   std::map<std::string, bool> drained;
@@ -74,7 +74,7 @@
   Admission admission;
   bool admissionGiven = false;  // otherwise a daemon's settings may bring usual rules of their own
   Keep keep;
-  Gangway gangway;
+  Http http;
 };
 
 struct Fault {
@@ -82,8 +82,8 @@
   std::string allowed;
 };
 
-bool readChart(const json_t* root, Chart& chart, std::vector<Fault>& faults);
-bool readChartText(std::string_view text, Chart& chart, std::vector<Fault>& faults);
+bool readConfig(const json_t* root, Config& config, std::vector<Fault>& faults);
+bool readConfigText(std::string_view text, Config& config, std::vector<Fault>& faults);
 // RFC 7396. mergeInto changes target, an object that shares no part with another owner; patch is an object.
 void mergeInto(json_t* target, const json_t* patch);
 Json mergePatch(const json_t* target, const json_t* patch);
@@ -92,10 +92,10 @@
 
 // What the register keeps; reading it back doesn't touch the JSON.
 struct Stored {
-  Revision revision = 0;
+  Version version = 0;
   std::string text;
-  std::vector<std::pair<std::string, Revision>> transactions;
-  MSGPACK_DEFINE(revision, text, transactions)
+  std::vector<std::pair<std::string, Version>> requests;
+  MSGPACK_DEFINE(version, text, requests)
 };
 Stored readStored(std::string_view value);
 std::string writeStored(const Stored& stored);
@@ -105,4 +105,4 @@
 // Empty when the delta was made for another base.
 std::string applyDelta(std::string_view base, std::string_view delta);
 
-}  // namespace tulip::chart
+}  // namespace
--- a/src/chart/delta.cpp
+++ b/src/config/delta.cpp
@@ -2,9 +2,9 @@
 
 #include <boost/crc.hpp>
 
-#include "chart/chart.hpp"
+#include "config/config.hpp"
 
-namespace tulip::chart {
+namespace tulip::config {
 namespace {
 
 struct Piece {
@@ -76,4 +76,4 @@
   }
 }
 
-}  // namespace tulip::chart
+}  // namespace
--- /dev/null
+++ b/src/control/replica.hpp
@@ -0,0 +1,91 @@
+#pragma once
+#include "storage/image.hpp"
+#include "control/client.hpp"
+
+namespace tulip::control {
+
+struct PeerReplica {
+  transport::ReplicaHeartbeat last;
+  Millis heardMs = -1000000;
+  Millis soundMs = -1000000;
+  Millis acknowledgedMs = -1000000;
+  Millis repliedMs = -1000000;
+  std::vector<transport::Member> sessions;
+  std::uint64_t sessionsDigest = 0;
+};
+
+struct Unsynced {
+  Millis sinceMs = 0;
+  std::vector<transport::Send> sends;
+  Version learned = 0;  // the configuration's revision that is then kept as learned
+};
+
+struct SessionRow {
+  transport::Member member;
+  Millis heardMs = 0;
+  std::uint64_t heartbeat = 0;
+  Millis sentMs = 0;
+  std::uint64_t membersDigest = 0;  // of the list that the daemon said it has
+  Millis membersSentMs = -1000000;
+  Version textVersion = 0;        // the configuration last sent to it
+  Millis textSentMs = -1000000;
+};
+
+struct Bootstrap {
+  std::size_t candidates = 0;
+  Millis grownMs = 0;
+  transport::BootstrapProposal wanted;
+};
+
+struct ReplicaState {
+  ControlClient client;
+  storage::Image image;
+  bool diskless = false;
+  transport::Membership known;  // the newest membership heard of while holding none
+  transport::BootstrapProposal joined;   // image.joined once it is synced
+  std::uint64_t joinedTicket = 0;
+  Bootstrap bootstrap;
+  bool diskFailed = false;
+  std::uint64_t ticket = 0;
+  std::map<std::uint64_t, Unsynced> waiting;
+  Millis stepMs = 0;
+  bool ailed = false;
+  std::map<Address, PeerReplica> others;
+  std::map<DaemonId, SessionRow> sessions;
+  Ballot learnedBallot;
+  std::string learnedValue;
+  config::Stored learned;
+  Millis learnedMs = -1000000;
+  std::vector<std::pair<Version, std::string>> olderTexts;
+  std::map<Version, std::string> deltas;  // from an older revision to the learned one
+  std::vector<transport::Member> members;
+  std::uint64_t membersDigest = 0;
+  std::uint64_t rosterDigest = 0;   // of the members without what they acknowledged
+  Version keptVersion = 0;  // learned, and synced as learned
+  bool configKnown = false;
+  std::map<DaemonId, Millis> formerUntilMs;  // voters no longer in the membership: when none of their sessions can be left
+  bool fenced = false;
+  transport::LeaderHint leader;
+  Millis leaseUntilMs = 0;
+  std::pair<Ballot, Millis> fleetFrom;
+  Millis hintUntilMs = 0;
+  Millis bornMs = 0;
+  Millis heartbeatSentMs = -1000000;
+  Millis seedsMs = -1000000;
+  Version remembered = 0;
+  Millis rememberedMs = -1000000;
+  bool refusesBootstrap = false;
+  Millis completeAtMs = 0;
+  Millis openSinceMs = -1;
+  Millis stepSinceMs = -1;
+  Millis askedMs = -1000000;
+  std::map<DaemonId, transport::CatchUpGive> catchUp;
+  std::uint64_t jobLogAccepts = 0, jobLogRejected = 0, grants = 0, grantsRejected = 0, catchUps = 0;
+};
+
+ReplicaState makeReplica(const Settings& settings, storage::Image image, std::string incarnation, transport::Now now);
+bool hasQuorumLease(const ReplicaState& replica, transport::Now now);
+bool ailing(const ReplicaState& replica);
+void replicaStep(ReplicaState& replica, const transport::Event& event, transport::Now now, transport::Outbox& out);
+
+}  // namespace
--- a/src/roles/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,4 +1,4 @@
-#include "roles/daemon.hpp"
+#include "daemon/daemon.hpp"
 
 #include <malloc.h>
 #include <sys/stat.h>
@@ -8,17 +8,17 @@
 #include <random>
 #include <thread>
 
-#include "bearing/ledger.hpp"
-#include "bearing/ring.hpp"
-#include "gangway/http.hpp"
-#include "hold/disk.hpp"
-#include "roles/dialects.hpp"
-#include "roles/node.hpp"
-#include "signal/wire.hpp"
+#include "base/log.hpp"
+#include "base/ring.hpp"
+#include "http/http.hpp"
+#include "storage/disk.hpp"
+#include "daemon/protocol_adapters.hpp"
+#include "daemon/node.hpp"
+#include "transport/wire.hpp"
 
-namespace tulip::roles {
+namespace tulip::daemon {
 namespace asio = boost::asio;
-using namespace signal;
+using namespace transport;
 
 namespace {
 
@@ -34,9 +34,9 @@
 std::chrono::steady_clock::time_point steadyAt(Millis ms) { return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms)); }
 
 struct Berthed {
-  Env env;
+  Settings settings;
   DaemonId id;
-  hold::Disk disk;
+  storage::Disk disk;
   Node node;
   Millis wakeMs = -1;
   bool done = false;
@@ -61,13 +61,13 @@
 struct Wants {
   std::vector<AimedSend> sends;
   std::vector<Answer> answers;
-  std::vector<Proxy> proxies;
-  bool empty() const { return sends.empty() && answers.empty() && proxies.empty(); }
+  std::vector<ForwardRequest> forwards;
+  bool empty() const { return sends.empty() && answers.empty() && forwards.empty(); }
 };
 
-using ReadEnvs = std::function<bool(std::vector<Env>&, EnvFault&)>;
+using ReadEnvs = std::function<bool(std::vector<Settings>&, SettingsFault&)>;
 
-// One process: its nodes, the core thread that steps them all, the io thread, and a disk thread beside a quay.
+// One process: its nodes, the core thread that steps them all, the io thread, and a disk thread beside a replica.
 struct Host {
   std::vector<Berthed> berthed;
   std::map<Address, std::size_t> local;
@@ -77,17 +77,17 @@
   Ring<Aimed> events;
   Ring<AimedPersist> writes;
   std::unique_ptr<Wire> wire;
-  std::unique_ptr<gangway::HttpServer> server;
+  std::unique_ptr<http::HttpServer> server;
   std::atomic<bool> over{false}, readAgain{false};
   std::function<void()> onDone;  // on the io thread, once every node has left
 
-  const Env& env() const { return berthed.front().env; }
+  const Settings& settings() const { return berthed.front().settings; }
   explicit Host(std::size_t ringItems) : events(ringItems), writes(ringItems) {}
 };
 
 void diskDuty(Host& host) {
   while (!host.writes.closed()) {
-    auto batch = host.writes.take(host.env().ringItems);
+    auto batch = host.writes.take(host.settings().ringItems);
     for (std::size_t node = 0; node < host.berthed.size(); ++node) {
       std::vector<DiskEntry> entries;
       for (auto& [aim, persist] : batch)
@@ -96,11 +96,11 @@
       if (entries.empty()) continue;
       auto& disk = host.berthed[node].disk;
       std::string said;
-      while (auto failed = hold::writeDelta(disk, entries)) {
+      while (auto failed = storage::writeDelta(disk, entries)) {
         const auto text = "disk: " + failed.message() + " " + disk.detail;
         if (text != said) alarm(text);
         said = text;
-        if (host.writes.closedWithin(std::chrono::milliseconds(host.env().bounds.beatMs()))) return;
+        if (host.writes.closedWithin(std::chrono::milliseconds(host.settings().bounds.heartbeatMs()))) return;
       }
     }
     for (const auto& [node, persist] : batch) host.events.push({node, Persisted{persist.ticket, true}});
@@ -146,7 +146,7 @@
         step(node, Tick{}, wants);
       }
     }
-    if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.env().bounds.termMs / kTicksPerTerm);
+    if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.settings().bounds.leaseMs / kTicksPerTerm);
   }
 
   void step(std::size_t node, const Event& event, Wants& wants) {
@@ -162,10 +162,10 @@
     for (auto& send : out.sends) {
       auto near = host_.local.find(send.to);
       if (near == host_.local.end()) wants.sends.push_back({node, std::move(send)});
-      else inside_.push_back({near->second, Heard{one.id, one.env.signal, std::move(send.message), send.to}});
+      else inside_.push_back({near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to}});
     }
     std::move(out.answers.begin(), out.answers.end(), std::back_inserter(wants.answers));
-    std::move(out.proxies.begin(), out.proxies.end(), std::back_inserter(wants.proxies));
+    std::move(out.forwards.begin(), out.forwards.end(), std::back_inserter(wants.forwards));
     if (!out.done || one.done) return;
     one.done = true;
     if (std::ranges::all_of(host_.berthed, &Berthed::done)) asio::post(host_.context, [this] { host_.onDone(); });
@@ -176,10 +176,10 @@
     asio::post(host_.context, [this, wants = std::move(wants)]() mutable {
       for (auto& [node, send] : wants.sends) {
         const auto& from = host_.berthed[node];
-        host_.wire->send(from.id, from.env.signal, send.to, std::move(send.message));
+        host_.wire->send(from.id, from.settings.peerAddress, send.to, std::move(send.message));
       }
       for (const auto& answer : wants.answers) host_.server->answer(answer);
-      for (const auto& proxy : wants.proxies) host_.server->proxy(proxy);
+      for (const auto& forward : wants.forwards) host_.server->forward(forward);
       host_.wire->flush();
     });
   }
@@ -188,7 +188,7 @@
     const auto nowMs = clockNow().steadyMs;
     if (host_.settingsFile.empty() || nowMs < lookAtMs_) return false;
     const bool first = lookAtMs_ < 0;
-    lookAtMs_ = nowMs + host_.env().bounds.termMs;
+    lookAtMs_ = nowMs + host_.settings().bounds.leaseMs;
     struct stat seen {};
     if (::stat(host_.settingsFile.c_str(), &seen) != 0) return false;
     const bool same = seen.st_mtim.tv_sec == seen_.st_mtim.tv_sec && seen.st_mtim.tv_nsec == seen_.st_mtim.tv_nsec && seen.st_size == seen_.st_size &&
@@ -198,8 +198,8 @@
   }
 
   void readAgain() {
-    std::vector<Env> next;
-    EnvFault fault;
+    std::vector<Settings> next;
+    SettingsFault fault;
     if (!host_.readEnvs(next, fault)) return alarm("settings kept as they were: " + faultLine(fault));
     std::string fixed;
     auto differs = [&](bool same, const char* key) {
@@ -208,32 +208,32 @@
     differs(next.size() == host_.berthed.size(), "roles");
     for (std::size_t node = 0; node < std::min(next.size(), host_.berthed.size()); ++node) {
       auto& one = host_.berthed[node];
-      const auto& then = one.env;
+      const auto& then = one.settings;
       const auto& read = next[node];
       differs(read.role == then.role, "role");
-      differs(read.signal == then.signal, "signal");
+      differs(read.peerAddress == then.peerAddress, "signal");
       differs(read.http == then.http, "http");
       differs(std::ranges::equal(read.faces, then.faces, [](const Face& a, const Face& b) { return a.kind == b.kind && a.at == b.at; }), "faces");
-      differs(read.cell == then.cell, "cell");
+      differs(read.zone == then.zone, "cell");
       differs(read.worker == then.worker, "worker");
       differs(read.dataFolder == then.dataFolder, "data-folder");
-      differs(read.bounds.termMs == then.bounds.termMs, "term-ms");
-      differs(read.bounds.workerTermMs == then.bounds.workerTermMs, "worker-term-ms");
+      differs(read.bounds.leaseMs == then.bounds.leaseMs, "term-ms");
+      differs(read.bounds.workerLeaseMs == then.bounds.workerLeaseMs, "worker-term-ms");
       differs(read.ringItems == then.ringItems, "ring-items");
       differs(read.maxBodyBytes == then.maxBodyBytes, "max-body-bytes");
-      if (then.role == Role::quay) differs(read.seeds == then.seeds, "seeds");
+      if (then.role == Role::replica) differs(read.seeds == then.seeds, "seeds");
       auto bounds = read.bounds;
-      bounds.termMs = then.bounds.termMs;
-      bounds.workerTermMs = then.bounds.workerTermMs;
-      one.env.bounds = bounds;
-      auto& crew = crewOf(one.node);
-      crew.env.bounds = bounds;
-      if (then.role == Role::quay) continue;
-      one.env.seeds = read.seeds;
-      crew.env.seeds = read.seeds;
+      bounds.leaseMs = then.bounds.leaseMs;
+      bounds.workerLeaseMs = then.bounds.workerLeaseMs;
+      one.settings.bounds = bounds;
+      auto& client = clientOf(one.node);
+      client.settings.bounds = bounds;
+      if (then.role == Role::replica) continue;
+      one.settings.seeds = read.seeds;
+      client.settings.seeds = read.seeds;
     }
     if (!fixed.empty()) alarm("settings that need a restart to change: " + fixed);
-    asio::post(host_.context, [this, bounds = host_.env().bounds] { host_.server->rebound(bounds); });
+    asio::post(host_.context, [this, bounds = host_.settings().bounds] { host_.server->rebound(bounds); });
     note("settings read again");
   }
 
@@ -249,7 +249,7 @@
  public:
   Ending(Host& host) : host_(host), polite_(host.context, SIGTERM, SIGINT), again_(host.context, SIGHUP), hard_(host.context), soft_(host.context) {
     for (const auto& one : host.berthed)
-      for (const auto& face : one.env.faces) lingers_ = lingers_ || face.kind == FaceKind::callers;
+      for (const auto& face : one.settings.faces) lingers_ = lingers_ || face.kind == FaceKind::callers;
     host.onDone = [this] {
       left_ = true;
       tryEnd();
@@ -266,7 +266,7 @@
       asked_ = true;
       host_.server->leave();
       for (std::size_t node = 0; node < host_.berthed.size(); ++node) host_.events.offer({node, PoliteStop{}});
-      const std::chrono::milliseconds stop(host_.env().bounds.stopMs);
+      const std::chrono::milliseconds stop(host_.settings().bounds.stopMs);
       hard_.expires_after(stop);
       hard_.async_wait([this](boost::system::error_code cancelled) {
         if (!cancelled) end();
@@ -295,7 +295,7 @@
     if (!left_ || lingers_) return;
     host_.server->stopListening();
     if (host_.server->answered()) return end();
-    soft_.expires_after(std::chrono::milliseconds(std::max<Millis>(1, host_.env().bounds.stopMs / 200)));
+    soft_.expires_after(std::chrono::milliseconds(std::max<Millis>(1, host_.settings().bounds.stopMs / 200)));
     soft_.async_wait([this](boost::system::error_code cancelled) {
       if (!cancelled) tryEnd();
     });
@@ -316,10 +316,10 @@
   std::string at;
   try {
     for (std::size_t node = 0; node < host.berthed.size(); ++node) {
-      const auto& env = host.berthed[node].env;
-      host.wire->listen(Address(at = env.signal.value));
-      if (!env.http.empty()) host.server->listen(Address(at = env.http.value), FaceKind::own, node);
-      for (const auto& face : env.faces) host.server->listen(Address(at = face.at.value), face.kind, node);
+      const auto& settings = host.berthed[node].settings;
+      host.wire->listen(Address(at = settings.peerAddress.value));
+      if (!settings.http.empty()) host.server->listen(Address(at = settings.http.value), FaceKind::own, node);
+      for (const auto& face : settings.faces) host.server->listen(Address(at = face.at.value), face.kind, node);
     }
     return true;
   } catch (const std::exception& failed) {
@@ -331,53 +331,53 @@
 int runHost(const ReadEnvs& readEnvs, const std::string& settingsFile) {
   ::mallopt(M_ARENA_MAX, 1);
   std::signal(SIGPIPE, SIG_IGN);
-  std::vector<Env> envs;
-  EnvFault fault;
-  if (!readEnvs(envs, fault)) {
+  std::vector<Settings> nodes;
+  SettingsFault fault;
+  if (!readEnvs(nodes, fault)) {
     std::cerr << faultLine(fault) << std::endl;
-    return rowOf(Kind::badEnv).exitCode;
+    return rowOf(Kind::badSettings).exitCode;
   }
-  Host host(envs.front().ringItems);
+  Host host(nodes.front().ringItems);
   host.readEnvs = readEnvs;
   host.settingsFile = settingsFile;
-  std::shared_ptr<const gangway::Dialect> dialect;
+  std::shared_ptr<const http::ProtocolAdapter> adapter;
   bool keeps = false;
   std::size_t maxBodyBytes = 0;
-  host.berthed.resize(envs.size());
-  for (std::size_t node = 0; node < envs.size(); ++node) {
+  host.berthed.resize(nodes.size());
+  for (std::size_t node = 0; node < nodes.size(); ++node) {
     auto& one = host.berthed[node];
-    one.env = std::move(envs[node]);
-    const auto& env = one.env;
-    maxBodyBytes = std::max(maxBodyBytes, env.maxBodyBytes);
+    one.settings = std::move(nodes[node]);
+    const auto& settings = one.settings;
+    maxBodyBytes = std::max(maxBodyBytes, settings.maxBodyBytes);
     const std::string incarnation = freshName();
-    one.id = DaemonId(std::string(roleName(env.role)) + "-" + (env.name.empty() ? "" : env.name + "-") + incarnation);
-    if (env.role == Role::quay && !env.dataFolder.empty()) {
+    one.id = DaemonId(std::string(roleName(settings.role)) + "-" + (settings.name.empty() ? "" : settings.name + "-") + incarnation);
+    if (settings.role == Role::replica && !settings.dataFolder.empty()) {
       keeps = true;
-      if (auto failed = hold::openDisk(one.disk, env.dataFolder, one.id)) {
-        std::cerr << env.dataFolder << ": " << failed.message() << ": " << one.disk.detail << "; empty the folder to rejoin as a new quay"
+      if (auto failed = storage::openDisk(one.disk, settings.dataFolder, one.id)) {
+        std::cerr << settings.dataFolder << ": " << failed.message() << ": " << one.disk.detail << "; empty the folder to rejoin as a new replica"
                   << std::endl;
         return rowOf(Kind::tornFile).exitCode;
       }
       one.id = one.disk.image.id;
     }
-    if (!dialect && !env.dialect.empty()) dialect = std::shared_ptr<const gangway::Dialect>(dialectNamed(env.dialect)->make());
-    one.node = makeNode(env, one.id, incarnation, one.disk.image, clockNow());
-    one.node.dialect = dialect;
-    host.local[env.signal] = node;
+    if (!adapter && !settings.adapter.empty()) adapter = std::shared_ptr<const http::ProtocolAdapter>(adapterNamed(settings.adapter)->make());
+    one.node = makeNode(settings, one.id, incarnation, one.disk.image, clockNow());
+    one.node.adapter = adapter;
+    host.local[settings.peerAddress] = node;
   }
-  openLedger(std::string(roleName(host.env().role)) + (host.env().name.empty() ? "" : " " + host.env().name));
+  openLedger(std::string(roleName(host.settings().role)) + (host.settings().name.empty() ? "" : " " + host.settings().name));
   host.wire = std::make_unique<Wire>(
-      host.context, host.env().bounds.termMs,
+      host.context, host.settings().bounds.leaseMs,
       [&host](Frame&& frame) {
         const auto found = host.local.find(frame.to);
         if (found == host.local.end()) return;
         host.events.offer({found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message), std::move(frame.to)}});
       },
       [](std::string text) { alarm(std::move(text)); });
-  host.server = std::make_unique<gangway::HttpServer>(
-      host.context, host.env().bounds, maxBodyBytes,
-      [&host](std::size_t node, Ask&& ask) { return host.events.offerWithin({node, std::move(ask)}, host.env().ringItems / 4); }, dialect);
-  if (!listenAll(host)) return rowOf(Kind::badEnv).exitCode;
+  host.server = std::make_unique<http::HttpServer>(
+      host.context, host.settings().bounds, maxBodyBytes,
+      [&host](std::size_t node, Ask&& ask) { return host.events.offerWithin({node, std::move(ask)}, host.settings().ringItems / 4); }, adapter);
+  if (!listenAll(host)) return rowOf(Kind::badSettings).exitCode;
   Ending ending(host);
   Core core(host);
   std::thread coreThread([&] { core.run(); });
@@ -396,22 +396,22 @@
   return 0;
 }
 
-std::map<std::string, DialectEntry, std::less<>>& dialects() {
-  static std::map<std::string, DialectEntry, std::less<>> all;
+std::map<std::string, ProtocolAdapterEntry, std::less<>>& adapters() {
+  static std::map<std::string, ProtocolAdapterEntry, std::less<>> all;
   return all;
 }
 
 }  // namespace
 
-bool registerDialect(std::string_view name, DialectEntry entry) { return dialects().emplace(name, entry).second; }
+bool registerAdapter(std::string_view name, ProtocolAdapterEntry entry) { return adapters().emplace(name, entry).second; }
 
-const DialectEntry* dialectNamed(std::string_view name) {
-  const auto found = dialects().find(name);
-  return found == dialects().end() ? nullptr : &found->second;
+const ProtocolAdapterEntry* adapterNamed(std::string_view name) {
+  const auto found = adapters().find(name);
+  return found == adapters().end() ? nullptr : &found->second;
 }
 
-const DialectEntry* dialectWithSettings() {
-  for (const auto& [name, entry] : dialects())
+const ProtocolAdapterEntry* adapterWithSettings() {
+  for (const auto& [name, entry] : adapters())
     if (!entry.settingsFile().empty()) return &entry;
   return nullptr;
 }
@@ -423,18 +423,18 @@
   return text;
 }
 
-int runDaemon(Role role, const EnvFlags& flags) {
-  if (const auto* dialect = flags.empty() ? dialectWithSettings() : nullptr) {
-    const auto file = dialect->settingsFile();
-    return runHost([dialect, file, role](std::vector<Env>& envs, EnvFault& fault) { return dialect->readSettings(file, role, envs, fault); }, file);
+int runDaemon(Role role, const SettingsFlags& flags) {
+  if (const auto* adapter = flags.empty() ? adapterWithSettings() : nullptr) {
+    const auto file = adapter->settingsFile();
+    return runHost([adapter, file, role](std::vector<Settings>& nodes, SettingsFault& fault) { return adapter->readSettings(file, role, nodes, fault); }, file);
   }
   const auto file = flags.find("env-file");
   return runHost(
-      [role, flags](std::vector<Env>& envs, EnvFault& fault) {
-        envs.resize(1);
-        return readEnv(role, flags, envs.front(), fault);
+      [role, flags](std::vector<Settings>& nodes, SettingsFault& fault) {
+        nodes.resize(1);
+        return readSettings(role, flags, nodes.front(), fault);
       },
       file == flags.end() ? "" : file->second);
 }
 
-}  // namespace tulip::roles
+}  // namespace
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,276 @@
+#include "daemon/node.hpp"
+
+#include "base/log.hpp"
+
+namespace tulip::daemon {
+
+using namespace transport;
+using http::Call;
+
+namespace {
+
+Json membersView(const control::ControlClient& client) {
+  Json root(json_object());
+  json_t* list = json_array();
+  for (const auto& member : client.members) {
+    json_t* item = json_object();
+    json_object_set_new(item, "id", jsonText(member.id.view()));
+    json_object_set_new(item, "role", jsonText(roleName(member.role)));
+    json_object_set_new(item, "cell", jsonText(member.zone.view()));
+    json_object_set_new(item, "http", jsonText(member.http.view()));
+    json_object_set_new(item, "signal", jsonText(member.peerAddress.view()));
+    json_object_set_new(item, "revision", json_integer(static_cast<json_int_t>(member.acked)));
+    json_object_set_new(item, "ready", json_boolean(member.ready));
+    json_object_set_new(item, "ageMs", json_integer(member.ageMs));
+    json_array_append_new(list, item);
+  }
+  json_object_set_new(root.get(), "members", list);
+  json_t* membership = json_object();
+  json_object_set_new(membership, "revision", json_integer(static_cast<json_int_t>(client.membership.version)));
+  json_t* voters = json_array();
+  for (const auto& voter : client.membership.voters) json_array_append_new(voters, jsonText(voter.id.value + "@" + voter.peerAddress.value));
+  json_object_set_new(membership, "seats", voters);
+  json_object_set_new(root.get(), "cohort", membership);
+  return root;
+}
+
+void answerLeader(Node& node, std::uint64_t requestId, Now now, Outbox& out) {
+  const auto& client = clientOf(node);
+  const bool here = node.scheduler && scheduler::leads(*node.scheduler, now);
+  const LeaderHint hint = here ? LeaderHint{node.scheduler->term, client.settings.peerAddress, client.settings.http} : client.leader;
+  if (hint.http.empty()) return control::answerKind(out, requestId, Kind::noLeader, client.settings.bounds);
+  Json root(json_object());
+  json_object_set_new(root.get(), "http", jsonText(hint.http.view()));
+  json_object_set_new(root.get(), "term", json_integer(static_cast<json_int_t>(hint.term.number)));
+  json_object_set_new(root.get(), "here", json_boolean(here));
+  out.answer(requestId, 200, dumpJson(root.get()));
+}
+
+void answerCounters(Node& node, std::uint64_t requestId, Now now, Outbox& out) {
+  const auto& client = clientOf(node);
+  Json root(json_object());
+  json_object_set_new(root.get(), "role", jsonText(roleName(client.settings.role)));
+  json_object_set_new(root.get(), "id", jsonText(client.id.view()));
+  json_object_set_new(root.get(), "cell", jsonText(client.settings.zone.view()));
+  json_object_set_new(root.get(), "revision", json_integer(static_cast<json_int_t>(client.configVersion)));
+  json_object_set_new(root.get(), "fleetMs", json_integer(control::fleetNow(client, now)));
+  json_object_set_new(root.get(), "asks", json_integer(static_cast<json_int_t>(node.asks)));
+  json_object_set_new(root.get(), "deniedAsks", json_integer(static_cast<json_int_t>(node.rejectedAsks)));
+  json_object_set_new(root.get(), "proxiedAsks", json_integer(static_cast<json_int_t>(node.proxiedAsks)));
+  json_object_set_new(root.get(), "contended", json_integer(static_cast<json_int_t>(client.contended)));
+  if (node.scheduler) json_object_set_new(root.get(), "scheduler", parseJson(scheduler::countersJson(*node.scheduler)).release());
+  if (node.agent) json_object_set_new(root.get(), "agent", parseJson(agent::countersJson(*node.agent)).release());
+  if (node.replica) {
+    const auto& replica = *node.replica;
+    json_t* item = json_object();
+    json_object_set_new(item, "voting", json_boolean(replica.image.voting && !control::ailing(replica)));
+    json_object_set_new(item, "ailing", json_boolean(control::ailing(replica)));
+    json_object_set_new(item, "standing", json_boolean(control::hasQuorumLease(replica, now)));
+    json_object_set_new(item, "jobs", json_integer(static_cast<json_int_t>(replica.image.jobs.size())));
+    json_object_set_new(item, "sessions", json_integer(static_cast<json_int_t>(replica.sessions.size())));
+    json_object_set_new(item, "persists", json_integer(static_cast<json_int_t>(replica.ticket)));
+    json_object_set_new(item, "rangeAccepts", json_integer(static_cast<json_int_t>(replica.jobLogAccepts)));
+    json_object_set_new(item, "rangeDenied", json_integer(static_cast<json_int_t>(replica.jobLogRejected)));
+    json_object_set_new(item, "grants", json_integer(static_cast<json_int_t>(replica.grants)));
+    json_object_set_new(item, "grantsDenied", json_integer(static_cast<json_int_t>(replica.grantsRejected)));
+    json_object_set_new(item, "catchUps", json_integer(static_cast<json_int_t>(replica.catchUps)));
+    json_object_set_new(item, "cohortRevision", json_integer(static_cast<json_int_t>(replica.image.membership.version)));
+    json_object_set_new(root.get(), "replica", item);
+  }
+  out.answer(requestId, 200, dumpJson(root.get()));
+}
+
+void answerConfig(const control::ControlClient& client, std::uint64_t requestId, Outbox& out) {
+  Json root(json_object());
+  json_object_set_new(root.get(), "revision", json_integer(static_cast<json_int_t>(client.configVersion)));
+  Json config = parseJson(client.configText);
+  json_object_set_new(root.get(), "configuration", config ? config.release() : json_object());
+  out.answer(requestId, 200, dumpJson(root.get()));
+}
+
+void changeConfig(Node& node, const Ask& ask, bool whole, Now now, Outbox& out) {
+  auto& client = clientOf(node);
+  control::Edit edit;
+  edit.whole = whole;
+  edit.body = ask.body;
+  edit.name = ask.requestName;
+  for (const auto& [key, value] : http::queryOf(ask.query)) {
+    const bool number = !value.empty() && value.size() < 19 && value.find_first_not_of("0123456789") == std::string::npos;
+    if (key != "expected" || !number) {
+      ++node.rejectedAsks;
+      return out.answer(ask.requestId, 422, config::faultsJson(Kind::badValue, {{"?" + key, "expected=REVISION"}}));
+    }
+    edit.expected = std::stoull(value);
+  }
+  Json body = parseJson(edit.body);
+  if (!body || !json_is_object(body.get())) return control::answerKind(out, ask.requestId, Kind::malformed, client.settings.bounds);
+  config::Config checked;
+  std::vector<config::Fault> faults;
+  if (whole && !config::readConfig(body.get(), checked, faults))
+    return out.answer(ask.requestId, rowOf(Kind::invalidConfig).status, config::faultsJson(Kind::invalidConfig, faults));
+  control::proposeConfig(client, ask.requestId, std::move(edit), ask.deadlineMs * 9 / 10, now, out);
+}
+
+void askLeader(Node& node, const Ask& ask, http::Wanted& wanted, CallKind kind, Now now, Outbox& out) {
+  CallAsk call;
+  call.requestId = ask.requestId;
+  call.call = kind;
+  call.pending = wanted.pending;
+  call.job = wanted.job;
+  if (kind == CallKind::submit) call.spec = jobs::packSpec(wanted.spec);
+  scheduler::callLeader(*node.scheduler, std::move(call), ask.deadlineMs, now, out);
+}
+
+void onAdapter(Node& node, const Ask& ask, Now now, Outbox& out) {
+  auto& client = clientOf(node);
+  auto wanted = node.adapter->read(ask, *client.config);
+  node.adapterCalls[ask.requestId] = wanted.call;
+  auto reject = [&](Kind kind, std::string_view detail = {}) {
+    ++node.rejectedAsks;
+    control::answerKind(out, ask.requestId, kind, client.settings.bounds, detail);
+  };
+  if (wanted.rejection != Kind::ok) return reject(wanted.rejection);
+  switch (wanted.call) {
+    case Call::ready: return client.ready ? out.tell(ask.requestId, Kind::ok, {}) : reject(Kind::notReady);
+    case Call::submit:
+      if (!node.scheduler) return reject(Kind::noSuchRoute);
+      if (!control::sessionLive(client, now)) return reject(Kind::notReady);
+      if (const auto verdict = jobs::checkSpec(wanted.spec, *client.config); verdict.kind != Kind::ok) return reject(verdict.kind, verdict.field);
+      return askLeader(node, ask, wanted, CallKind::submit, now, out);
+    case Call::getJob:
+    case Call::cancelJob:
+    case Call::countPending:
+      if (!node.scheduler) return reject(Kind::noSuchRoute);
+      return askLeader(node, ask, wanted,
+                       wanted.call == Call::getJob      ? CallKind::getJob
+                       : wanted.call == Call::cancelJob ? CallKind::cancelJob
+                                                        : CallKind::countPending,
+                       now, out);
+    case Call::putConfig:
+    case Call::patchConfig:
+    case Call::emptyZone:
+    case Call::takeBackZone:
+      if (!control::sessionLive(client, now)) return reject(Kind::notReady);
+      return control::proposeConfig(client, ask.requestId, std::move(wanted.edit), ask.deadlineMs * 9 / 10, now, out);
+    case Call::getConfig: {
+      if (!control::sessionLive(client, now) || client.configVersion == 0) return reject(Kind::notReady);
+      CallResult brief;
+      brief.text = client.configText;
+      return out.tell(ask.requestId, Kind::ok, std::move(brief));
+    }
+    case Call::report:
+      if (!node.agent) return reject(Kind::noSuchRoute);
+      return agent::workerReport(*node.agent, ask.requestId, wanted.report, now, out);
+    case Call::workerLeaves:
+      if (!node.agent) return reject(Kind::noSuchRoute);
+      return agent::workerLeaves(*node.agent, ask.requestId, wanted.report.incarnation, now, out);
+    default: return reject(Kind::noSuchRoute);
+  }
+}
+
+void onAsk(Node& node, const Ask& ask, Now now, Outbox& out) {
+  ++node.asks;
+  auto& client = clientOf(node);
+  if (ask.face != FaceKind::own && node.adapter) return onAdapter(node, ask, now, out);
+  if (node.rules.empty() || node.compiledFor != client.configVersion) {
+    node.rules = http::compile(*client.config, client.settings.role);
+    node.compiledFor = client.configVersion;
+  }
+  const bool leading = node.scheduler && scheduler::leads(*node.scheduler, now);
+  const http::Scene scene{control::sessionLive(client, now), leading, client.leader.http, client.settings.http, 2};
+  const auto outcome = http::interpret(node.rules, ask, scene);
+  if (outcome.course == http::Course::reject) {
+    ++node.rejectedAsks;
+    return control::answerKind(out, ask.requestId, outcome.kind, client.settings.bounds, ask.method + " " + ask.path);
+  }
+  if (outcome.course == http::Course::forward) {
+    ++node.proxiedAsks;
+    out.forwards.push_back({ask.requestId, client.leader.http});
+    return;
+  }
+  switch (outcome.call) {
+    case Call::none: return;
+    case Call::live: return out.answer(ask.requestId, 200, "{\"live\":true}");
+    case Call::ready:
+      if (client.ready) return out.answer(ask.requestId, 200, "{\"ready\":true}");
+      return control::answerKind(out, ask.requestId, Kind::notReady, client.settings.bounds);
+    case Call::counters: return answerCounters(node, ask.requestId, now, out);
+    case Call::log: {
+      Json list(json_array());
+      for (const auto& line : ledgerLines()) json_array_append_new(list.get(), jsonText(line));
+      return out.answer(ask.requestId, 200, dumpJson(list.get()));
+    }
+    case Call::leader: return answerLeader(node, ask.requestId, now, out);
+    case Call::members: return out.answer(ask.requestId, 200, dumpJson(membersView(client).get()));
+    case Call::snapshot: return scheduler::snapshotJobs(*node.scheduler, ask.requestId, membersView(client), now, out);
+    case Call::getConfig: return answerConfig(client, ask.requestId, out);
+    case Call::putConfig: return changeConfig(node, ask, true, now, out);
+    case Call::patchConfig: return changeConfig(node, ask, false, now, out);
+    case Call::submit: return scheduler::submitJob(*node.scheduler, ask.requestId, ask.body, now, out);
+    case Call::listJobs: return scheduler::listJobs(*node.scheduler, ask.requestId, http::queryOf(ask.query), out);
+    case Call::getJob: return scheduler::getJob(*node.scheduler, {ask.requestId, false, {}}, JobId(outcome.names.at("job")), out);
+    case Call::cancelJob: return scheduler::cancelJob(*node.scheduler, {ask.requestId, false, {}}, JobId(outcome.names.at("job")), now, out);
+    case Call::workers: return scheduler::listWorkers(*node.scheduler, ask.requestId, now, out);
+    case Call::trace: return scheduler::traceJobs(*node.scheduler, ask.requestId, out);
+    case Call::report: return agent::workerReport(*node.agent, ask.requestId, ask.body, now, out);
+    case Call::countPending: return scheduler::countPending(*node.scheduler, {ask.requestId, false, {}}, QueueName(outcome.names.at("pending")), out);
+    case Call::emptyZone:
+    case Call::takeBackZone:
+    case Call::workerLeaves: return control::answerKind(out, ask.requestId, Kind::noSuchRoute, client.settings.bounds);
+  }
+}
+
+}  // namespace
+
+control::ControlClient& clientOf(Node& node) { return node.replica ? node.replica->client : node.scheduler ? node.scheduler->client : node.agent->client; }
+
+Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image, Now now) {
+  Node node;
+  if (settings.role == Role::replica) node.replica = control::makeReplica(settings, std::move(image), incarnation, now);
+  if (settings.role == Role::scheduler) node.scheduler = scheduler::makeScheduler(settings, id, incarnation);
+  if (settings.role == Role::agent) node.agent = agent::makeAgent(settings, id, incarnation);
+  return node;
+}
+
+namespace {
+
+void step(Node& node, const Event& event, Now now, Outbox& out) {
+  if (const auto* ask = std::get_if<Ask>(&event)) return onAsk(node, *ask, now, out);
+  auto& client = clientOf(node);
+  if (std::holds_alternative<PoliteStop>(event)) {
+    if (node.leavingSinceMs < 0) node.leavingSinceMs = now.steadyMs;
+    client.leaving = true;
+    client.ready = false;
+    if (node.scheduler) scheduler::schedulerResign(*node.scheduler, now, out);
+    control::heartbeatNow(client, now, out);
+    return;
+  }
+  if (const auto* heard = std::get_if<Heard>(&event)) {
+    if (node.replica) control::replicaStep(*node.replica, event, now, out);
+    if (node.scheduler) scheduler::schedulerHeard(*node.scheduler, *heard, now, out);
+    if (node.agent) agent::agentHeard(*node.agent, *heard, now, out);
+    return;
+  }
+  if (node.replica) control::replicaStep(*node.replica, event, now, out);
+  if (!std::holds_alternative<Tick>(event)) return;
+  if (!node.replica) control::clientTick(client, now, out);
+  if (node.scheduler) scheduler::schedulerTick(*node.scheduler, now, out);
+  if (node.agent) agent::agentTick(*node.agent, now, out);
+  if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs()) out.done = true;
+}
+
+}  // namespace
+
+void nodeStep(Node& node, const Event& event, Now now, Outbox& out) {
+  const auto before = out.answers.size();
+  step(node, event, now, out);
+  if (node.adapterCalls.empty()) return;
+  for (std::size_t i = before; i < out.answers.size(); ++i)
+    if (auto found = node.adapterCalls.find(out.answers[i].requestId); found != node.adapterCalls.end()) {
+      const auto call = found->second;
+      node.adapterCalls.erase(found);
+      out.answers[i] = node.adapter->write(call, std::move(out.answers[i]));
+    }
+}
+
+}  // namespace
--- /dev/null
+++ b/src/daemon/node.hpp
@@ -0,0 +1,28 @@
+#pragma once
+#include <optional>
+
+#include "http/protocol_adapter.hpp"
+#include "http/front.hpp"
+#include "scheduler/scheduler.hpp"
+#include "agent/agent.hpp"
+#include "control/replica.hpp"
+
+namespace tulip::daemon {
+
+struct Node {
+  std::optional<control::ReplicaState> replica;
+  std::optional<scheduler::SchedulerState> scheduler;
+  std::optional<agent::AgentState> agent;
+  std::vector<http::Rule> rules;
+  Version compiledFor = 0;
+  Millis leavingSinceMs = -1;
+  std::shared_ptr<const http::ProtocolAdapter> adapter;  // for the faces beside the own interface
+  std::map<std::uint64_t, http::Call> adapterCalls;
+  std::uint64_t asks = 0, rejectedAsks = 0, proxiedAsks = 0;
+};
+
+Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image, transport::Now now);
+control::ControlClient& clientOf(Node& node);
+void nodeStep(Node& node, const transport::Event& event, transport::Now now, transport::Outbox& out);
+
+}  // namespace
--- a/src/gangway/front.cpp
+++ b/src/http/front.cpp
@@ -1,6 +1,6 @@
-#include "gangway/front.hpp"
+#include "http/front.hpp"
 
-namespace tulip::gangway {
+namespace tulip::http {
 namespace {
 
 std::vector<std::string> split(std::string_view path) {
@@ -41,13 +41,13 @@
 
 }  // namespace
 
-std::vector<Rule> compile(const chart::Chart& chart, Role role) {
+std::vector<Rule> compile(const config::Config& config, Role role) {
   std::vector<Rule> rules;
   auto add = [&](const char* method, std::string_view path, std::vector<Step> steps, Call call) {
     steps.push_back({Op::call, 0, call});
     rules.push_back({method, split(path), std::move(steps)});
   };
-  const Step body{Op::limitBody, chart.gangway.maxBodyBytes, {}}, chartBody{Op::limitBody, 1 << 20, {}};
+  const Step body{Op::limitBody, config.http.maxBodyBytes, {}}, configBody{Op::limitBody, 1 << 20, {}};
   const Step some{Op::needBody, 0, {}}, session{Op::needSession, 0, {}}, lead{Op::needLead, 0, {}};
   add("GET", "/live", {}, Call::live);
   add("GET", "/ready", {}, Call::ready);
@@ -55,9 +55,9 @@
   add("GET", "/log", {}, Call::log);
   add("GET", "/leader", {}, Call::leader);
   add("GET", "/members", {session}, Call::members);
-  add("GET", "/configuration", {session}, Call::getChart);
-  add("PUT", "/configuration", {chartBody, some, session}, Call::putChart);
-  add("PATCH", "/configuration", {chartBody, some, session}, Call::patchChart);
+  add("GET", "/configuration", {session}, Call::getConfig);
+  add("PUT", "/configuration", {configBody, some, session}, Call::putConfig);
+  add("PATCH", "/configuration", {configBody, some, session}, Call::patchConfig);
   add("POST", "/jobs", {body, some, lead}, Call::submit);
   add("GET", "/jobs", {lead}, Call::listJobs);
   add("GET", "/jobs/:job", {lead}, Call::getJob);
@@ -67,11 +67,11 @@
   add("GET", "/workers", {lead}, Call::workers);
   add("GET", "/trace", {lead}, Call::trace);
   add("GET", "/snapshot", {lead}, Call::snapshot);
-  if (role == Role::tender) add("POST", "/worker/report", {body, some}, Call::report);
+  if (role == Role::agent) add("POST", "/worker/report", {body, some}, Call::report);
   return rules;
 }
 
-Outcome interpret(std::span<const Rule> rules, const signal::Ask& ask, const Scene& scene) {
+Outcome interpret(std::span<const Rule> rules, const transport::Ask& ask, const Scene& scene) {
   Outcome outcome;
   const auto path = split(ask.path);
   const Rule* chosen = nullptr;
@@ -85,27 +85,27 @@
     break;
   }
   if (!chosen) return outcome;
-  auto deny = [&](Kind kind) {
-    outcome.course = Course::deny;
+  auto reject = [&](Kind kind) {
+    outcome.course = Course::reject;
     outcome.kind = kind;
     return outcome;
   };
   for (const auto& step : chosen->steps) {
     switch (step.op) {
       case Op::limitBody:
-        if (static_cast<std::int64_t>(ask.body.size()) > step.bound) return deny(Kind::tooLarge);
+        if (static_cast<std::int64_t>(ask.body.size()) > step.bound) return reject(Kind::tooLarge);
         break;
       case Op::needBody:
-        if (ask.body.empty()) return deny(Kind::malformed);
+        if (ask.body.empty()) return reject(Kind::malformed);
         break;
       case Op::needSession:
-        if (!scene.sessionLive) return deny(Kind::notReady);
+        if (!scene.sessionLive) return reject(Kind::notReady);
         break;
       case Op::needLead:
         if (scene.leads) break;
-        if (ask.hops >= scene.mostHops) return deny(Kind::proxyLoop);
-        if (scene.leaderHttp.empty() || scene.leaderHttp == scene.selfHttp) return deny(Kind::noLeader);
-        outcome.course = Course::proxy;
+        if (ask.hops >= scene.mostHops) return reject(Kind::forwardLoop);
+        if (scene.leaderHttp.empty() || scene.leaderHttp == scene.selfHttp) return reject(Kind::noLeader);
+        outcome.course = Course::forward;
         return outcome;
       case Op::call:
         outcome.course = Course::call;
@@ -130,4 +130,4 @@
   return all;
 }
 
-}  // namespace tulip::gangway
+}  // namespace
--- a/src/gangway/front.hpp
+++ b/src/http/front.hpp
@@ -4,15 +4,15 @@
 #include <string>
 #include <vector>
 
-#include "chart/chart.hpp"
-#include "signal/core.hpp"
+#include "config/config.hpp"
+#include "transport/core.hpp"
 
-namespace tulip::gangway {
+namespace tulip::http {
 
 enum class Op : std::uint8_t { limitBody, needBody, needSession, needLead, call };
 enum class Call : std::uint8_t {
-  none, live, ready, counters, log, leader, members, getChart, putChart, patchChart, submit, listJobs, getJob, cancelJob, workers, trace, snapshot, report,
-  countPending, emptyCell, takeBackCell, workerLeaves
+  none, live, ready, counters, log, leader, members, getConfig, putConfig, patchConfig, submit, listJobs, getJob, cancelJob, workers, trace, snapshot, report,
+  countPending, emptyZone, takeBackZone, workerLeaves
 };
 
 struct Step {
@@ -27,7 +27,7 @@
   std::vector<Step> steps;
 };
 
-std::vector<Rule> compile(const chart::Chart& chart, Role role);
+std::vector<Rule> compile(const config::Config& config, Role role);
 
 struct Scene {
   bool sessionLive = false;
@@ -37,15 +37,15 @@
   std::int64_t mostHops = 2;
 };
 
-enum class Course : std::uint8_t { call, proxy, deny };
+enum class Course : std::uint8_t { call, forward, reject };
 struct Outcome {
-  Course course = Course::deny;
+  Course course = Course::reject;
   Call call = Call::none;
   Kind kind = Kind::noSuchRoute;
   std::map<std::string, std::string> names;
 };
 
-Outcome interpret(std::span<const Rule> rules, const signal::Ask& ask, const Scene& scene);
+Outcome interpret(std::span<const Rule> rules, const transport::Ask& ask, const Scene& scene);
 std::map<std::string, std::string> queryOf(std::string_view text);
 
-}  // namespace tulip::gangway
+}  // namespace
