--- a/src/gangway/http.cpp
+++ b/src/http/http.cpp
@@ -1,14 +1,14 @@
-#include "gangway/http.hpp"
+#include "http/http.hpp"
 
 #include <boost/beast/core.hpp>
 #include <optional>
 
-#include "signal/wire.hpp"
+#include "transport/wire.hpp"
 
-namespace tulip::gangway {
+namespace tulip::http {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
+namespace beast_http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using Steady = std::chrono::steady_clock;
 
@@ -25,22 +25,22 @@
       : stream(context), call(std::move(out)), done(std::move(finished)) {}
 
   void run() {
-    stream.expires_after(std::chrono::milliseconds(std::max<Millis>(1, call.cutoffMs)));
-    stream.async_connect(signal::endpointOf(call.to), [self = shared_from_this()](beast::error_code failed) {
+    stream.expires_after(std::chrono::milliseconds(std::max<Millis>(1, call.deadlineMs)));
+    stream.async_connect(transport::endpointOf(call.to), [self = shared_from_this()](beast::error_code failed) {
       if (failed) return self->finish();
       self->reply.reached = true;
-      self->request = {http::string_to_verb(self->call.method), self->call.target, 11};
-      self->request.set(http::field::host, self->call.to.value);
-      self->request.set(http::field::content_type, "application/json");
+      self->request = {beast_http::string_to_verb(self->call.method), self->call.target, 11};
+      self->request.set(beast_http::field::host, self->call.to.value);
+      self->request.set(beast_http::field::content_type, "application/json");
       self->request.keep_alive(false);
       for (const auto& [name, value] : self->call.headers) self->request.set(name, value);
       self->request.body() = std::move(self->call.body);
       self->request.prepare_payload();
       self->reply.sent = true;
-      http::async_write(self->stream, self->request, [self](beast::error_code lost, std::size_t) {
+      beast_http::async_write(self->stream, self->request, [self](beast::error_code lost, std::size_t) {
         if (lost) return self->finish();
         self->parser.body_limit(64u << 20);
-        http::async_read(self->stream, self->buffer, self->parser, [self](beast::error_code gone, std::size_t) {
+        beast_http::async_read(self->stream, self->buffer, self->parser, [self](beast::error_code gone, std::size_t) {
           if (!gone) {
             auto& got = self->parser.get();
             self->reply.status = static_cast<int>(got.result_int());
@@ -65,8 +65,8 @@
   beast::tcp_stream stream;
   CallOut call;
   std::function<void(CallReply)> done;
-  http::request<http::string_body> request;
-  http::response_parser<http::string_body> parser;
+  beast_http::request<beast_http::string_body> request;
+  beast_http::response_parser<beast_http::string_body> parser;
   beast::flat_buffer buffer;
   CallReply reply;
 };
@@ -110,18 +110,18 @@
     parser.emplace();
     parser->body_limit(server.maxBodyBytes_);
     parser->header_limit(kHeaderBytes);
-    http::async_read(socket, buffer, *parser, [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onRead(failed); });
+    beast_http::async_read(socket, buffer, *parser, [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onRead(failed); });
   }
 
   void onRead(beast::error_code failed) {
     if (orphan || gone) return;
-    if (failed == http::error::body_limit) return denyUnread(Kind::tooLarge);
-    if (failed == http::error::header_limit) return denyUnread(Kind::tooLarge);
-    if (failed && failed != http::error::end_of_stream && failed != http::error::partial_message && failed.category() == http::make_error_code(http::error::bad_method).category())
-      return denyUnread(Kind::malformed);
+    if (failed == beast_http::error::body_limit) return rejectUnread(Kind::tooLarge);
+    if (failed == beast_http::error::header_limit) return rejectUnread(Kind::tooLarge);
+    if (failed && failed != beast_http::error::end_of_stream && failed != beast_http::error::partial_message && failed.category() == beast_http::make_error_code(beast_http::error::bad_method).category())
+      return rejectUnread(Kind::malformed);
     if (failed) return shut();
     auto& request = parser->get();
-    signal::Ask ask;
+    transport::Ask ask;
     ask.face = face;
     ask.method = std::string(request.method_string());
     const std::string_view target(request.target().data(), request.target().size());
@@ -134,38 +134,38 @@
     };
     if (face == FaceKind::own) {
       ask.body = request.body();
-      ask.transactionName = header("X-Tulippitch-Transaction");
+      ask.requestName = header("X-Tulippitch-Transaction");
       ask.hops = std::atoi(header("X-Tulippitch-Hops").c_str());
     } else {
       ask.body = std::move(request.body());
       ask.basedOn = header(server.headers_.basedOn);
     }
-    ask.host = std::string(request[http::field::host]);
-    const auto asked = std::atoll(header(face == FaceKind::own ? "X-Tulippitch-Cutoff-Ms" : std::string_view(server.headers_.cutoffMs)).c_str());
+    ask.host = std::string(request[beast_http::field::host]);
+    const auto asked = std::atoll(header(face == FaceKind::own ? "X-Tulippitch-Cutoff-Ms" : std::string_view(server.headers_.deadlineMs)).c_str());
     const auto mostMs = server.bounds_.callMs * (face == FaceKind::own ? kMostCalls : 1);
-    ask.cutoffMs = asked > 0 ? std::min<Millis>(asked, mostMs) : server.bounds_.callMs;
-    ask.transaction = transaction = ++server.next_;
+    ask.deadlineMs = asked > 0 ? std::min<Millis>(asked, mostMs) : server.bounds_.callMs;
+    ask.requestId = requestId = ++server.next_;
     method = ask.method;
     hops = ask.hops;
-    until = Steady::now() + std::chrono::milliseconds(ask.cutoffMs);
-    server.asking_[transaction] = shared_from_this();
+    until = Steady::now() + std::chrono::milliseconds(ask.deadlineMs);
+    server.asking_[requestId] = shared_from_this();
     server.arm(until);
     ++server.counts_->asks;
     if (!server.give_(node, std::move(ask))) {
       ++server.counts_->overloaded;
-      server.answerKind(transaction, Kind::overloaded);
+      server.answerKind(requestId, Kind::overloaded);
     }
   }
 
   // What the peer still sends is read and dropped, so that the answer is not lost in a reset.
-  void denyUnread(Kind kind) {
+  void rejectUnread(Kind kind) {
     closing = true;
     write(rowOf(kind).status, "{\"error\":\"" + std::string(rowOf(kind).name) + "\"}", 0);
   }
 
   void write(int status, const std::string& body, Millis retryMs) {
     const bool keep = !closing && !server.leaving_ && parser->get().keep_alive();
-    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    const auto reason = beast_http::obsolete_reason(static_cast<beast_http::status>(status));
     out.clear();
     out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size());
     out.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size()));
@@ -213,10 +213,10 @@
   std::shared_ptr<HttpCounts> counts;
   tcp::socket socket;
   beast::flat_buffer buffer;
-  std::optional<http::request_parser<http::string_body>> parser;
+  std::optional<beast_http::request_parser<beast_http::string_body>> parser;
   std::string out;
   std::array<char, 512> scrap;
-  std::uint64_t transaction = 0;
+  std::uint64_t requestId = 0;
   std::string method;
   int hops = 0;
   Steady::time_point until, since;
@@ -228,16 +228,16 @@
   bool orphan = false;  // its server is closed
 };
 
-HttpServer::HttpServer(asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give, std::shared_ptr<const Dialect> dialect)
-    : context_(context), timer_(context), bounds_(bounds), maxBodyBytes_(maxBodyBytes), give_(std::move(give)), dialect_(std::move(dialect)) {
-  if (dialect_) headers_ = dialect_->headers();
+HttpServer::HttpServer(asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give, std::shared_ptr<const ProtocolAdapter> adapter)
+    : context_(context), timer_(context), bounds_(bounds), maxBodyBytes_(maxBodyBytes), give_(std::move(give)), adapter_(std::move(adapter)) {
+  if (adapter_) headers_ = adapter_->headers();
 }
 
 HttpServer::~HttpServer() { close(); }
 
 void HttpServer::listen(const Address& at, FaceKind face, std::size_t node) {
   auto door = std::make_unique<Door>(context_, face, node);
-  const auto endpoint = signal::endpointOf(at);
+  const auto endpoint = transport::endpointOf(at);
   door->acceptor.open(endpoint.protocol());
   door->acceptor.set_option(tcp::acceptor::reuse_address(true));
   door->acceptor.bind(endpoint);
@@ -278,25 +278,25 @@
   std::vector<std::shared_ptr<Session>> idle;
   std::optional<Steady::time_point> next;
   auto wanted = [&](Steady::time_point at) { next = next ? std::min(*next, at) : at; };
-  for (const auto& [transaction, session] : asking_) {
-    if (session->until <= now) passed.push_back(transaction);
+  for (const auto& [requestId, session] : asking_) {
+    if (session->until <= now) passed.push_back(requestId);
     else wanted(session->until);
   }
   for (auto* session : sessions_) {
-    if (session->gone || asking_.contains(session->transaction)) continue;
+    if (session->gone || asking_.contains(session->requestId)) continue;
     if (session->idleUntil() > now) wanted(session->idleUntil());
     else if (auto held = session->weak_from_this().lock()) idle.push_back(std::move(held));
   }
-  for (const auto transaction : passed) {
-    ++counts_->cutoffs;
-    answerKind(transaction, asking_.at(transaction)->method == "GET" ? Kind::cutoffPassed : Kind::unknownOutcome);
+  for (const auto requestId : passed) {
+    ++counts_->deadlines;
+    answerKind(requestId, asking_.at(requestId)->method == "GET" ? Kind::deadlinePassed : Kind::unknownOutcome);
   }
   for (const auto& session : idle) session->shut();
   if (next) arm(std::max(*next, now + std::chrono::milliseconds(bounds_.callMs / 150 + 1)));
 }
 
-void HttpServer::answer(const signal::Answer& answer) {
-  auto found = asking_.find(answer.transaction);
+void HttpServer::answer(const transport::Answer& answer) {
+  auto found = asking_.find(answer.requestId);
   if (found == asking_.end()) return;
   auto session = std::move(found->second);
   asking_.erase(found);
@@ -304,41 +304,41 @@
   if (!session->gone) session->write(answer.status, answer.body, answer.retryMs);
 }
 
-void HttpServer::answerKind(std::uint64_t transaction, Kind kind) {
-  const auto found = asking_.find(transaction);
+void HttpServer::answerKind(std::uint64_t requestId, Kind kind) {
+  const auto found = asking_.find(requestId);
   if (found == asking_.end()) return;
   const auto& row = rowOf(kind);
-  signal::Answer made;
-  made.transaction = transaction;
+  transport::Answer made;
+  made.requestId = requestId;
   made.status = row.status;
-  made.retryMs = static_cast<Millis>(row.retryTerms * static_cast<double>(bounds_.termMs));
+  made.retryMs = static_cast<Millis>(row.retryLeases * static_cast<double>(bounds_.leaseMs));
   made.body = "{\"error\":\"" + std::string(row.name) + "\",\"meaning\":\"" + std::string(row.meaning) + "\"}";
   made.kind = kind;
-  if (dialect_ && found->second->face != FaceKind::own) made = dialect_->write(Call::none, std::move(made));
+  if (adapter_ && found->second->face != FaceKind::own) made = adapter_->write(Call::none, std::move(made));
   answer(made);
 }
 
-void HttpServer::proxy(const signal::Proxy& proxy) {
-  auto found = asking_.find(proxy.transaction);
+void HttpServer::forward(const transport::ForwardRequest& forward) {
+  auto found = asking_.find(forward.requestId);
   if (found == asking_.end()) return;
   const auto& session = *found->second;
   const auto& request = session.parser->get();
   ++counts_->proxied;
   CallOut call;
-  call.to = proxy.http;
+  call.to = forward.http;
   call.method = session.method;
   call.target = std::string(request.target());
   call.body = request.body();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(session.until - Steady::now()).count();
-  call.cutoffMs = std::max<Millis>(1, left);
-  call.headers["X-Tulippitch-Cutoff-Ms"] = std::to_string(call.cutoffMs);
+  call.deadlineMs = std::max<Millis>(1, left);
+  call.headers["X-Tulippitch-Cutoff-Ms"] = std::to_string(call.deadlineMs);
   call.headers["X-Tulippitch-Hops"] = std::to_string(session.hops + 1);
   if (auto name = request.find("X-Tulippitch-Transaction"); name != request.end())
     call.headers["X-Tulippitch-Transaction"] = std::string(name->value());
-  callHttp(context_, std::move(call), [this, transaction = proxy.transaction, method = session.method](CallReply reply) {
+  callHttp(context_, std::move(call), [this, requestId = forward.requestId, method = session.method](CallReply reply) {
     if (closed_) return;
-    if (reply.status > 0) return answer({transaction, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), Kind::ok, {}});
-    answerKind(transaction, reply.sent && method != "GET" ? Kind::unknownOutcome : Kind::noLeader);
+    if (reply.status > 0) return answer({requestId, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), Kind::ok, {}});
+    answerKind(requestId, reply.sent && method != "GET" ? Kind::unknownOutcome : Kind::noLeader);
   });
 }
 
@@ -362,4 +362,4 @@
   asking_.clear();
 }
 
-}  // namespace tulip::gangway
+}  // namespace
--- a/src/gangway/http.hpp
+++ b/src/http/http.hpp
@@ -10,11 +10,11 @@
 #include <string>
 #include <vector>
 
-#include "bearing/env.hpp"
-#include "gangway/dialect.hpp"
-#include "signal/core.hpp"
+#include "base/settings.hpp"
+#include "http/protocol_adapter.hpp"
+#include "transport/core.hpp"
 
-namespace tulip::gangway {
+namespace tulip::http {
 
 struct CallReply {
   bool reached = false;
@@ -30,26 +30,26 @@
   std::string target = "/";
   std::string body;
   std::map<std::string, std::string> headers;
-  Millis cutoffMs = 5000;
+  Millis deadlineMs = 5000;
 };
 
 void callHttp(boost::asio::io_context& context, CallOut call, std::function<void(CallReply)> done);
 CallReply callNow(CallOut call);
 
 struct HttpCounts {
-  std::atomic<std::uint64_t> asks{0}, answers{0}, cutoffs{0}, proxied{0}, overloaded{0}, open{0};
+  std::atomic<std::uint64_t> asks{0}, answers{0}, deadlines{0}, proxied{0}, overloaded{0}, open{0};
 };
 
-// Serves the own interface and the faces of a dialect, for every node of its process.
+// Serves the own interface and the faces of a protocol adapter, for every node of its process.
 class HttpServer {
  public:
-  using Give = std::function<bool(std::size_t node, signal::Ask&&)>;
+  using Give = std::function<bool(std::size_t node, transport::Ask&&)>;
   HttpServer(boost::asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give,
-             std::shared_ptr<const Dialect> dialect = nullptr);
+             std::shared_ptr<const ProtocolAdapter> adapter = nullptr);
   ~HttpServer();
   void listen(const Address& at, FaceKind face, std::size_t node);
-  void answer(const signal::Answer& answer);
-  void proxy(const signal::Proxy& proxy);
+  void answer(const transport::Answer& answer);
+  void forward(const transport::ForwardRequest& forward);
   void leave();           // every connection ends after its next answer
   void stopListening();
   bool answered() const { return asking_.empty() && writing_ == 0; }
@@ -61,7 +61,7 @@
   struct Session;
   struct Door;
   void accept(Door& door);
-  void answerKind(std::uint64_t transaction, Kind kind);
+  void answerKind(std::uint64_t requestId, Kind kind);
   void arm(std::chrono::steady_clock::time_point at);
   void sweep();
   boost::asio::io_context& context_;
@@ -70,7 +70,7 @@
   Bounds bounds_;
   std::size_t maxBodyBytes_;
   Give give_;
-  std::shared_ptr<const Dialect> dialect_;
+  std::shared_ptr<const ProtocolAdapter> adapter_;
   HeaderNames headers_;
   std::uint64_t next_ = 0;
   std::map<std::uint64_t, std::shared_ptr<Session>> asking_;
@@ -83,4 +83,4 @@
   bool closed_ = false;
 };
 
-}  // namespace tulip::gangway
+}  // namespace
--- a/src/manifest/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,20 +1,20 @@
-#include "manifest/job.hpp"
+#include "jobs/job.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
 #include <numeric>
 
-namespace tulip::manifest {
+namespace tulip::jobs {
 
-using signal::RunOutcome;
+using transport::AttemptOutcome;
 
 namespace {
 
 struct SpecReader {
   Verdict verdict;
 
-  bool deny(Kind kind, std::string field, std::string allowed) {
+  bool reject(Kind kind, std::string field, std::string allowed) {
     if (verdict.kind == Kind::ok) verdict = {kind, std::move(field), std::move(allowed)};
     return false;
   }
@@ -22,7 +22,7 @@
   bool count(const json_t* value, const std::string& field, std::int64_t low, std::int64_t high, std::int64_t& into) {
     if (!value) return true;
     if (!json_is_integer(value) || json_integer_value(value) < low || json_integer_value(value) > high)
-      return deny(Kind::badValue, field, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+      return reject(Kind::badValue, field, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
     into = json_integer_value(value);
     return true;
   }
@@ -34,7 +34,7 @@
       if (std::find(keys.begin(), keys.end(), key) != keys.end()) continue;
       std::string all;
       for (auto each : keys) all += (all.empty() ? "" : ", ") + std::string(each);
-      return deny(Kind::unknownField, at + key, "one of: " + all);
+      return reject(Kind::unknownField, at + key, "one of: " + all);
     }
     return true;
   }
@@ -43,7 +43,7 @@
     const std::string text = json_is_string(value) ? json_string_value(value) : "";
     bool good = !text.empty() && text.size() <= 128;
     for (char c : text) good = good && (isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.');
-    if (!good) return deny(Kind::badValue, field, "1 to 128 letters, digits, '-', '_' or '.'");
+    if (!good) return reject(Kind::badValue, field, "1 to 128 letters, digits, '-', '_' or '.'");
     into = text;
     return true;
   }
@@ -83,31 +83,31 @@
 
 namespace {
 
-bool readLabels(SpecReader& reader, const json_t* labels, berth::Labels& into) {
+bool readLabels(SpecReader& reader, const json_t* labels, placement::Labels& into) {
   if (!labels) return true;
-  if (!json_is_object(labels)) return reader.deny(Kind::badValue, "/labels", "an object of texts");
+  if (!json_is_object(labels)) return reader.reject(Kind::badValue, "/labels", "an object of texts");
   const char* key;
   json_t* value;
   json_object_foreach(const_cast<json_t*>(labels), key, value) {
-    if (!json_is_string(value)) return reader.deny(Kind::badValue, std::string("/labels/") + key, "a text");
+    if (!json_is_string(value)) return reader.reject(Kind::badValue, std::string("/labels/") + key, "a text");
     into[key] = json_string_value(value);
   }
   return true;
 }
 
 bool readStep(SpecReader& reader, const json_t* item, const std::string& at, bool whole, Step& step) {
-  if (!json_is_object(item)) return reader.deny(Kind::badValue, at, "an object");
+  if (!json_is_object(item)) return reader.reject(Kind::badValue, at, "an object");
   const bool known = whole ? reader.known(item, at + "/", {"name", "count", "slots", "room", "after", "payload", "estimateMs", "together",
                                                            "oneRack", "repeats", "standing", "saves", "needs", "near", "apart"})
                            : reader.known(item, at + "/", {"name", "slots", "room", "after", "payload"});
   if (!known || !reader.plain(json_object_get(item, "name"), at + "/name", step.name)) return false;
   step.need.slots = whole && json_object_get(item, "room") ? 0 : 1;
   if (!reader.count(json_object_get(item, "slots"), at + "/slots", whole ? 0 : 1, 100000, step.need.slots)) return false;
-  if (const json_t* room = json_object_get(item, "room")) {
-    if (!json_is_object(room)) return reader.deny(Kind::badValue, at + "/room", "an object of whole numbers");
+  if (const json_t* capacity = json_object_get(item, "room")) {
+    if (!json_is_object(capacity)) return reader.reject(Kind::badValue, at + "/room", "an object of whole numbers");
     const char* key;
     json_t* value;
-    json_object_foreach(const_cast<json_t*>(room), key, value) {
+    json_object_foreach(const_cast<json_t*>(capacity), key, value) {
       std::int64_t amount = 0;
       if (!reader.count(value, at + "/room/" + key, 0, 1LL << 50, amount)) return false;
       step.need.more[key] = amount;
@@ -124,19 +124,19 @@
       {"together", &step.together}, {"oneRack", &step.oneRack}, {"repeats", &step.repeats}, {"standing", &step.standing}, {"saves", &step.saves}};
   for (const auto& [key, into] : flags)
     if (const json_t* value = json_object_get(item, key)) {
-      if (!json_is_boolean(value)) return reader.deny(Kind::badValue, at + "/" + key, "true or false");
+      if (!json_is_boolean(value)) return reader.reject(Kind::badValue, at + "/" + key, "true or false");
       *into = json_is_true(value);
     }
   const std::pair<const char*, std::string*> texts[] = {{"needs", &step.needs}, {"near", &step.near}};
   for (const auto& [key, into] : texts)
     if (const json_t* value = json_object_get(item, key)) {
-      if (!json_is_string(value)) return reader.deny(Kind::badValue, at + "/" + key, "a text");
+      if (!json_is_string(value)) return reader.reject(Kind::badValue, at + "/" + key, "a text");
       *into = json_string_value(value);
     }
   return true;
 }
 
-admission::Unit unitOf(const Spec& spec, const Step& step, berth::Kinds& kinds) {
+admission::Unit unitOf(const Spec& spec, const Step& step, placement::Kinds& kinds) {
   admission::Unit unit;
   unit.tasks.resize(step.together ? step.count : 1);
   std::iota(unit.tasks.begin(), unit.tasks.end(), 0u);
@@ -151,9 +151,9 @@
 
 }  // namespace
 
-Verdict checkSpec(const Spec& spec, const chart::Chart& chart) {
+Verdict checkSpec(const Spec& spec, const config::Config& config) {
   const auto count = spec.steps.size();
-  const auto most = chart.gangway.mostTasks;
+  const auto most = config.http.mostTasks;
   std::int64_t tasks = 0;
   for (const auto& step : spec.steps) tasks += step.count;
   if (count < 1 || tasks < 1 || tasks > most || (spec.times > 0 && spec.times > most / tasks))
@@ -161,7 +161,7 @@
   for (std::size_t i = 0; i < count; ++i)
     for (auto dep : spec.steps[i].after)
       if (dep >= count) return {Kind::badValue, "/steps/" + std::to_string(i) + "/after", "the number of another step of the job"};
-  berth::Kinds kinds;
+  placement::Kinds kinds;
   std::size_t settled = 0;
   std::vector<bool> done(count, false);
   while (settled < count) {
@@ -180,7 +180,7 @@
       ++settled;
       const auto& step = spec.steps[i];
       const auto unit = unitOf(spec, step, kinds);
-      if (!admission::couldEverFit(unit, chart, kinds))
+      if (!admission::couldEverFit(unit, config, kinds))
         return {Kind::neverFits, (spec.plainNames ? "/tasks/" : "/steps/") + std::to_string(i),
                 "no more room and labels than one worker of a configured pool has"};
       for (std::uint32_t k = 0; k < step.count; ++k) {
@@ -190,17 +190,17 @@
       slots += step.need.slots * step.count;
       widest = std::max(widest, step.need.slots);
     }
-    if (spec.gang && !admission::couldEverFit(together, chart, kinds))
+    if (spec.gang && !admission::couldEverFit(together, config, kinds))
       return {Kind::neverFits, "/tasks", "a gang that the configured pools could hold whole"};
-    const auto line = chart.pendings.find(spec.pending.value);
-    if (line != chart.pendings.end() && line->second.quotaSlots > 0 && (spec.gang ? slots : widest) > line->second.quotaSlots)
+    const auto line = config.queues.find(spec.pending.value);
+    if (line != config.queues.end() && line->second.quotaSlots > 0 && (spec.gang ? slots : widest) > line->second.quotaSlots)
       return {Kind::neverFits, "/tasks", "no more slots at once than the pending line's quota"};
   }
-  if (!chart.pendings.contains(spec.pending.value)) return {Kind::noSuchPending, "/pending", "the name of a configured pending line"};
+  if (!config.queues.contains(spec.pending.value)) return {Kind::noSuchQueue, "/pending", "the name of a configured pending line"};
   return {};
 }
 
-Verdict readSpec(std::string_view body, const chart::Chart& chart, Spec& spec) {
+Verdict readSpec(std::string_view body, const config::Config& config, Spec& spec) {
   SpecReader reader;
   spec = Spec{};
   Json root = parseJson(body);
@@ -214,13 +214,13 @@
   spec.id = JobId(id);
   const json_t* line = json_object_get(root.get(), "pending");
   if (!json_is_string(line)) return {Kind::badValue, "/pending", "the name of a configured pending line"};
-  spec.pending = PendingName(json_string_value(line));
+  spec.pending = QueueName(json_string_value(line));
   if (const json_t* gang = json_object_get(root.get(), "gang")) {
     if (!json_is_boolean(gang)) return {Kind::badValue, "/gang", "true or false"};
     spec.gang = json_is_true(gang);
   }
   if (!reader.count(json_object_get(root.get(), "notBeforeMs"), "/notBeforeMs", 0, longestMs, spec.notBeforeMs)) return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "cutoffMs"), "/cutoffMs", 1, longestMs, spec.cutoffMs)) return reader.verdict;
+  if (!reader.count(json_object_get(root.get(), "cutoffMs"), "/cutoffMs", 1, longestMs, spec.deadlineMs)) return reader.verdict;
   if (!reader.count(json_object_get(root.get(), "times"), "/times", 0, 10000, spec.times)) return reader.verdict;
   if (!reader.count(json_object_get(root.get(), "firstAtMs"), "/firstAtMs", 0, 1LL << 50, spec.firstWallMs)) return reader.verdict;
   if (!reader.count(json_object_get(root.get(), "everyMs"), "/everyMs", 0, longestMs, spec.everyMs)) return reader.verdict;
@@ -232,8 +232,8 @@
   const json_t* items = whole ? steps : json_object_get(root.get(), "tasks");
   if (whole && json_object_get(root.get(), "tasks")) return {Kind::badValue, "/tasks", "either tasks or steps"};
   const auto count = json_array_size(items);
-  if (!json_is_array(items) || count < 1 || static_cast<std::int64_t>(count) > chart.gangway.mostTasks)
-    return {Kind::badValue, list, "a list of 1 to " + std::to_string(chart.gangway.mostTasks) + " tasks"};
+  if (!json_is_array(items) || count < 1 || static_cast<std::int64_t>(count) > config.http.mostTasks)
+    return {Kind::badValue, list, "a list of 1 to " + std::to_string(config.http.mostTasks) + " tasks"};
   spec.plainNames = !whole;
   absl::flat_hash_map<std::string, std::uint32_t> byName;
   for (std::size_t i = 0; i < count; ++i) {
@@ -255,11 +255,11 @@
     }
   }
   spec.digest = digestOf(dumpJson(root.get()));
-  if (auto found = chart.pendings.find(spec.pending.value); found != chart.pendings.end()) {
+  if (auto found = config.queues.find(spec.pending.value); found != config.queues.end()) {
     spec.line = found->second;
     spec.pool = found->second.pool;
   }
-  return checkSpec(spec, chart);
+  return checkSpec(spec, config);
 }
 
 Job makeJob(std::shared_ptr<const Spec> spec) {
@@ -604,8 +604,8 @@
 
 bool hasRuns(const Job& job) { return job.holding > 0; }
 
-signal::JobPhase phaseOf(const Job& job) {
-  using signal::JobPhase;
+transport::JobPhase phaseOf(const Job& job) {
+  using transport::JobPhase;
   const auto shown = job.state != JobState::open ? job.state : job.ending;
   switch (shown) {
     case JobState::finished: return JobPhase::finished;
@@ -684,8 +684,8 @@
   job.accountedMs = std::max(job.accountedMs, fleetMs);
 }
 
-RunId runIdOf(const Job& job, std::size_t task) {
-  return RunId(job.id.value + ":" + taskName(job, task) + ":" + std::to_string(job.tasks[task].attempts));
+AttemptId runIdOf(const Job& job, std::size_t task) {
+  return AttemptId(job.id.value + ":" + taskName(job, task) + ":" + std::to_string(job.tasks[task].attempts));
 }
 
 namespace {
@@ -703,7 +703,7 @@
   job.doneTasks += state == TaskState::done;
 }
 
-void freeRoom(Job& job, std::size_t at) {
+void freeCapacity(Job& job, std::size_t at) {
   auto& task = job.tasks[at];
   if (task.holds()) {
     --job.holding;
@@ -734,9 +734,9 @@
   task.orderedMs = fleetMs;
   task.confirmed = false;
   task.stopping = false;
-  task.percent = task.goingPercent = 0;
+  task.percent = task.runningPercent = 0;
   task.movedMs = fleetMs;
-  task.goingMs = -1;
+  task.runningMs = -1;
   if (!task.seenSaved.empty()) task.saved = task.seenSaved;
   task.seenSaved.clear();
   if (job.counters.firstStartMs < 0) job.counters.firstStartMs = fleetMs;
@@ -761,24 +761,24 @@
     if (task.state == TaskState::placed) task.stopping = true;
 }
 
-void endRun(Job& job, std::size_t at, RunOutcome outcome, const std::string& detail, const chart::Pending& line, Millis fleetMs) {
+void endRun(Job& job, std::size_t at, AttemptOutcome outcome, const std::string& detail, const config::Queue& line, Millis fleetMs) {
   accrueTo(job, fleetMs);
   auto& task = job.tasks[at];
   const auto& step = job.stepOf(at);
   if (task.state == TaskState::done) {
-    freeRoom(job, at);
+    freeCapacity(job, at);
     closeIfOver(job, fleetMs);
     return;
   }
-  const bool failed = outcome == RunOutcome::failed && !step.standing;
+  const bool failed = outcome == AttemptOutcome::failed && !step.standing;
   if (failed) task.failedOn = task.worker;
-  if (outcome != RunOutcome::clean && !task.seenSaved.empty()) task.saved = task.seenSaved;
+  if (outcome != AttemptOutcome::clean && !task.seenSaved.empty()) task.saved = task.seenSaved;
   task.seenSaved.clear();
-  freeRoom(job, at);
-  task.detail = outcome == RunOutcome::clean ? std::string() : detail.substr(0, 256);
+  freeCapacity(job, at);
+  task.detail = outcome == AttemptOutcome::clean ? std::string() : detail.substr(0, 256);
   if (job.spec->plainNames) task.detail = detail.substr(0, 256);
   const auto begin = gangBegin(job, at), end = begin + step.count;
-  if (outcome == RunOutcome::clean && !step.standing) {
+  if (outcome == AttemptOutcome::clean && !step.standing) {
     setState(job, at, TaskState::done);
     task.ranMs = fleetMs - task.orderedMs;
     task.saved.clear();
@@ -855,4 +855,4 @@
   return {};
 }
 
-}  // namespace tulip::manifest
+}  // namespace
--- a/src/manifest/job.hpp
+++ b/src/jobs/job.hpp
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "admission/admission.hpp"
-#include "signal/core.hpp"
+#include "transport/core.hpp"
 
-namespace tulip::manifest {
+namespace tulip::jobs {
 
 enum class JobState : std::uint8_t { open, finished, failed, cancelled, expired };
 enum class TaskState : std::uint8_t { pending, placed, done };
@@ -17,7 +17,7 @@
 struct Step {
   std::string name;
   std::uint32_t count = 1;
-  berth::Room need;
+  placement::Capacity need;
   std::vector<std::uint32_t> after;  // earlier or later steps whose tasks must all be done first
   std::string payload;               // empty: the job's
   Millis estimateMs = 0;
@@ -36,20 +36,20 @@
 struct Spec {
   JobId id;
   std::string digest;
-  PendingName pending;
+  QueueName pending;
   PoolName pool;
   bool gang = false;  // all ready tasks of the job start together
   bool plainNames = true;  // steps of one task are named by the step alone; otherwise INSTANCE.STEP.INDEX
-  berth::Labels labels;
+  placement::Labels labels;
   Millis notBeforeMs = 0;
-  Millis cutoffMs = 0;
+  Millis deadlineMs = 0;
   std::int64_t times = 0;  // how often the steps run; 0: once, at once
   Millis firstWallMs = 0;
   Millis everyMs = 0;
   std::string payload;
   std::vector<Step> steps;
-  chart::Pending line;  // the line as it was at acceptance, for when the configuration no longer has it
-  MSGPACK_DEFINE(id, digest, pending, pool, gang, plainNames, labels, notBeforeMs, cutoffMs, times, firstWallMs, everyMs, payload, steps, line)
+  config::Queue line;  // the line as it was at acceptance, for when the configuration no longer has it
+  MSGPACK_DEFINE(id, digest, pending, pool, gang, plainNames, labels, notBeforeMs, deadlineMs, times, firstWallMs, everyMs, payload, steps, line)
 
   std::size_t perInstance() const;
   std::size_t instances() const { return times > 0 ? static_cast<std::size_t>(times) : 1; }
@@ -74,8 +74,8 @@
   std::int64_t weight = 0;  // its part of W_J while it holds room, in thousandths
   std::int64_t percent = 0;  // as last reported; not kept
   Millis movedMs = 0;        // when percent last moved; not kept
-  Millis goingMs = -1;       // when it was first seen at work under this leader, and how far it was; not kept
-  std::int64_t goingPercent = 0;
+  Millis runningMs = -1;       // when it was first seen at work under this leader, and how far it was; not kept
+  std::int64_t runningPercent = 0;
   std::string seenSaved;     // as last reported; kept once it is used
 
   bool holds() const { return !worker.empty(); }
@@ -104,9 +104,9 @@
   std::int64_t held = 0;       // sum of the weights of what holds room
   std::int64_t holding = 0;    // tasks that hold room
   std::int64_t doneTasks = 0;
-  std::vector<berth::Load> loads;  // step by step, in the leader's kinds; not kept
+  std::vector<placement::Load> loads;  // step by step, in the leader's kinds; not kept
 
-  const PendingName& pending() const { return spec->pending; }
+  const QueueName& pending() const { return spec->pending; }
   const Step& stepOf(std::size_t task) const { return spec->steps[tasks[task].step]; }
   const Tally& tallyOf(std::size_t task) const { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
   Tally& tallyOf(std::size_t task) { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
@@ -118,8 +118,8 @@
   std::string allowed;
 };
 
-Verdict readSpec(std::string_view body, const chart::Chart& chart, Spec& spec);
-Verdict checkSpec(const Spec& spec, const chart::Chart& chart);
+Verdict readSpec(std::string_view body, const config::Config& config, Spec& spec);
+Verdict checkSpec(const Spec& spec, const config::Config& config);
 std::string digestOf(std::string_view text);
 Job makeJob(std::shared_ptr<const Spec> spec);
 
@@ -130,10 +130,10 @@
 
 std::string taskName(const Job& job, std::size_t task);
 std::optional<std::size_t> taskAt(const Job& job, std::string_view name);
-RunId runIdOf(const Job& job, std::size_t task);
+AttemptId runIdOf(const Job& job, std::size_t task);
 json_t* viewJob(const Job& job, bool brief);
 std::string traceLine(const Job& job);
-signal::JobPhase phaseOf(const Job& job);
+transport::JobPhase phaseOf(const Job& job);
 
 std::int64_t heldSlots(const Job& job);
 std::size_t gangBegin(const Job& job, std::size_t task);  // first task of its step and instance
@@ -150,13 +150,13 @@
 void startRun(Job& job, std::size_t task, const WorkerId& worker, const std::string& incarnation, Millis fleetMs, std::int64_t weight = 0);
 void stopRun(Job& job, std::size_t task, Millis fleetMs);
 void stopRuns(Job& job, Millis fleetMs);
-void endRun(Job& job, std::size_t task, signal::RunOutcome outcome, const std::string& detail, const chart::Pending& line, Millis fleetMs);
+void endRun(Job& job, std::size_t task, transport::AttemptOutcome outcome, const std::string& detail, const config::Queue& line, Millis fleetMs);
 void endJob(Job& job, JobState ending, std::string reason, Millis fleetMs);
 bool closeIfOver(Job& job, Millis fleetMs);
 
 std::string checkJob(const Job& job);
 std::string_view stateName(JobState state);
 
-}  // namespace tulip::manifest
-MSGPACK_ADD_ENUM(tulip::manifest::JobState)
-MSGPACK_ADD_ENUM(tulip::manifest::TaskState)
+}  // namespace
+MSGPACK_ADD_ENUM(tulip::jobs::JobState)
+MSGPACK_ADD_ENUM(tulip::jobs::TaskState)
--- a/src/berth/berth.cpp
+++ b/src/placement/capacity.cpp
@@ -1,8 +1,8 @@
-#include "berth/berth.hpp"
+#include "placement/capacity.hpp"
 
 #include <algorithm>
 
-namespace tulip::berth {
+namespace tulip::placement {
 
 namespace {
 
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-bool fits(const Room& need, const Room& free) {
+bool fits(const Capacity& need, const Capacity& free) {
   if (need.slots > free.slots) return false;
   for (const auto& [name, amount] : need.more) {
     auto found = free.more.find(name);
@@ -19,20 +19,20 @@
   return true;
 }
 
-void add(Room& into, const Room& room) {
-  into.slots += room.slots;
-  for (const auto& [name, amount] : room.more) into.more[name] += amount;
+void add(Capacity& into, const Capacity& capacity) {
+  into.slots += capacity.slots;
+  for (const auto& [name, amount] : capacity.more) into.more[name] += amount;
 }
 
-void take(Room& from, const Room& room) {
-  from.slots -= room.slots;
-  for (const auto& [name, amount] : room.more) from.more[name] -= amount;
+void take(Capacity& from, const Capacity& capacity) {
+  from.slots -= capacity.slots;
+  for (const auto& [name, amount] : capacity.more) from.more[name] -= amount;
 }
 
-Load Kinds::load(const Room& room) {
+Load Kinds::load(const Capacity& capacity) {
   Load made{};
-  made[0] = room.slots;
-  for (const auto& [name, amount] : room.more) {
+  made[0] = capacity.slots;
+  for (const auto& [name, amount] : capacity.more) {
     if (amount == 0) continue;
     auto place = static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
     if (place == names.size() && place + 1 < kTooMany) names.push_back(name);
@@ -63,4 +63,4 @@
   return std::min(share, 1.0);
 }
 
-}  // namespace tulip::berth
+}  // namespace
--- a/src/berth/berth.hpp
+++ b/src/placement/capacity.hpp
@@ -6,21 +6,21 @@
 #include <string>
 #include <vector>
 
-#include "bearing/types.hpp"
-#include "chart/chart.hpp"
+#include "base/types.hpp"
+#include "config/config.hpp"
 
-namespace tulip::berth {
+namespace tulip::placement {
 
-struct Room {
+struct Capacity {
   std::int64_t slots = 0;
   std::map<std::string, std::int64_t> more;
-  bool operator==(const Room&) const = default;
+  bool operator==(const Capacity&) const = default;
   MSGPACK_DEFINE(slots, more)
 };
 
-bool fits(const Room& need, const Room& free);
-void add(Room& into, const Room& room);
-void take(Room& from, const Room& room);
+bool fits(const Capacity& need, const Capacity& free);
+void add(Capacity& into, const Capacity& capacity);
+void take(Capacity& from, const Capacity& capacity);
 
 using Labels = std::map<std::string, std::string>;
 
@@ -30,7 +30,7 @@
 
 struct Kinds {
   std::vector<std::string> names;  // names[i] is place i + 1 of a Load, but for the last place, which marks kinds too many
-  Load load(const Room& room);     // what asks for a kind too many fits nowhere
+  Load load(const Capacity& capacity);     // what asks for a kind too many fits nowhere
 };
 
 bool fits(const Load& need, const Load& free);
@@ -39,9 +39,9 @@
 // The largest share of total that need takes in any kind, 0 to 1; kinds that total lacks don't count.
 double dominantShare(const Load& need, const Load& total);
 
-struct Berth {
+struct WorkerCapacity {
   WorkerId worker;
-  CellName cell;
+  ZoneName zone;
   PoolName pool;
   Labels labels;
   std::string rack;
@@ -52,4 +52,4 @@
   Millis leavesInMs = -1;    // what starts here and can neither end nor save by then is lost; -1: it stays
 };
 
-}  // namespace tulip::berth
+}  // namespace
--- a/src/lookout/lookout.cpp
+++ b/src/query/query.cpp
@@ -1,10 +1,10 @@
-#include "lookout/lookout.hpp"
+#include "query/query.hpp"
 
 #include <sqlite3.h>
 
 #include <memory>
 
-namespace tulip::lookout {
+namespace tulip::query {
 namespace {
 
 struct Column {
@@ -143,10 +143,10 @@
     }
     auto& row = table.rows.emplace_back();
     for (int i = 0; i < width; ++i) {
-      const auto* cell = sqlite3_column_text(raw, i);
-      row.emplace_back(cell ? reinterpret_cast<const char*>(cell) : "");
+      const auto* zone = sqlite3_column_text(raw, i);
+      row.emplace_back(zone ? reinterpret_cast<const char*>(zone) : "");
     }
   }
 }
 
-}  // namespace tulip::lookout
+}  // namespace
--- a/src/lookout/lookout.hpp
+++ b/src/query/query.hpp
@@ -3,10 +3,10 @@
 #include <string_view>
 #include <vector>
 
-#include "bearing/errors.hpp"
-#include "bearing/json.hpp"
+#include "base/errors.hpp"
+#include "base/json.hpp"
 
-namespace tulip::lookout {
+namespace tulip::query {
 
 struct Table {
   std::vector<std::string> columns;
@@ -20,4 +20,4 @@
 
 std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail, Bounds bounds = {});
 
-}  // namespace tulip::lookout
+}  // namespace
--- /dev/null
+++ b/src/scheduler/epoch.cpp
@@ -0,0 +1,364 @@
+#include <algorithm>
+#include <cmath>
+
+#include "scheduler/internal.hpp"
+
+namespace tulip::scheduler {
+
+using namespace transport;
+
+placement::Load totalOf(SchedulerState& scheduler, const WorkerRow& row) {
+  placement::Capacity capacity;
+  capacity.slots = row.last.slots;
+  if (auto pool = scheduler.client.config->pools.find(row.last.pool.value); pool != scheduler.client.config->pools.end()) {
+    if (pool->second.slots == 0) {
+      capacity.more = row.last.capacity;
+    } else {
+      capacity = {std::min(pool->second.slots, row.last.slots), pool->second.capacity};
+      for (auto& [name, amount] : capacity.more)
+        if (auto own = row.last.capacity.find(name); own != row.last.capacity.end()) amount = std::min(amount, own->second);
+    }
+  }
+  return scheduler.kinds.load(capacity);
+}
+
+// What is left of a run by its progress, or else by its step's estimate; 0: not known.
+Millis leftMs(const Job& job, std::size_t at, Millis fleetMs, double pace) {
+  const auto& task = job.tasks[at];
+  const auto& step = job.stepOf(at);
+  if (step.standing || step.estimateMs <= 0) return 0;
+  const auto ranMs = std::max<Millis>(0, fleetMs - task.orderedMs);
+  if (task.percent >= 10) return std::max<Millis>(1, ranMs * (100 - task.percent) / task.percent);
+  return std::max<Millis>(1, static_cast<Millis>(static_cast<double>(step.estimateMs) * pace) - ranMs);
+}
+
+namespace {
+
+struct Scene {
+  std::vector<admission::Candidate> candidates;
+  std::vector<JobId> ids;
+  std::vector<WorkerId> workers;
+  std::vector<std::string> incarnations;
+  admission::Field field;
+};
+
+void loadSteps(SchedulerState& scheduler, Job& job) {
+  if (job.loads.size() == job.spec->steps.size()) return;
+  job.loads.clear();
+  for (const auto& step : job.spec->steps) job.loads.push_back(scheduler.kinds.load(step.need));
+}
+
+Millis lossOf(const Job& job, std::size_t at, Millis fleetMs, Millis checkpointMs) {
+  const auto& task = job.tasks[at];
+  const auto ranMs = std::max<Millis>(0, fleetMs - task.orderedMs);
+  return job.stepOf(at).saves ? std::min(ranMs, checkpointMs / 2) : ranMs;
+}
+
+Scene makeScene(SchedulerState& scheduler, Now now) {
+  Scene scene;
+  const auto& config = *scheduler.client.config;
+  const bool waitsLong = std::any_of(scheduler.open.begin(), scheduler.open.end(), [&](const JobId& id) {
+    const auto& job = scheduler.jobs.at(id);
+    return job.holding == 0 && job.counters.waitMs > 2 * bounds(scheduler).leaseMs;
+  });
+  std::vector<std::string_view> all;
+  for (const auto& [id, row] : scheduler.workers) all.push_back(id.view());
+  for (const auto& [id, runs] : scheduler.held)
+    if (!runs.empty() && !scheduler.workers.contains(id)) all.push_back(id.view());
+  std::sort(all.begin(), all.end());
+  absl::flat_hash_map<std::string_view, std::size_t> at;
+  at.reserve(all.size());
+  std::vector<double> paces;
+  for (const auto name : all) {
+    const WorkerId id(name);
+    placement::WorkerCapacity worker;
+    worker.worker = id;
+    worker.usable = false;
+    std::string incarnation;
+    double pace = 1;
+    if (auto found = scheduler.workers.find(id); found != scheduler.workers.end()) {
+      const auto& row = found->second;
+      worker.zone = row.last.zone;
+      worker.pool = row.last.pool;
+      worker.labels = row.last.labels;
+      if (auto pool = config.pools.find(worker.pool.value); pool != config.pools.end())
+        for (const auto& [name, value] : pool->second.labels) worker.labels[name] = value;
+      if (auto rack = worker.labels.find("rack"); rack != worker.labels.end()) worker.rack = rack->second;
+      worker.total = totalOf(scheduler, row);
+      worker.usable = usableWorker(scheduler, row, now, waitsLong);
+      worker.doubt = row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
+      if (now.steadyMs < row.standing.shunnedUntilMs) worker.doubt += 40;
+      worker.leavesInMs = row.last.leavesMs;
+      incarnation = row.last.workerIncarnation;
+      pace = std::max(1.0, row.standing.pace);
+    }
+    worker.free = worker.total;
+    at[name] = scene.workers.size();
+    paces.push_back(pace);
+    scene.workers.push_back(id);
+    scene.incarnations.push_back(incarnation);
+    scene.field.workers.push_back(std::move(worker));
+  }
+  scene.field.farFactor = bounds(scheduler).farFactor;
+  for (const auto& [name, line] : config.queues)
+    if (line.quotaSlots > 0) scene.field.quotaSlots[QueueName(name)] = line.quotaSlots;
+  const auto fleetMs = fleet(scheduler, now);
+  for (const auto& id : scheduler.open) {
+    auto& job = scheduler.jobs.at(id);
+    loadSteps(scheduler, job);
+    admission::Candidate candidate;
+    const auto groups = readyGroups(job, fleetMs);
+    if (groups.empty() && job.holding == 0) continue;
+    std::map<std::size_t, std::size_t> gangs;
+    std::map<std::size_t, std::vector<std::pair<std::size_t, std::int64_t>>> beside;
+    if (job.holding > 0)
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (!task.holds()) continue;
+        const auto where = at.at(task.worker.view());
+        const auto& step = job.stepOf(i);
+        const auto& load = job.loads[task.step];
+        placement::take(scene.field.workers[where].free, load);
+        const bool over = task.stopping || task.state == TaskState::done;
+        std::size_t gang = 0;
+        if (job.spec->gang) gang = 1;
+        else if (step.together) gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
+        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(scheduler).checkpointMs), step.standing,
+                                  leftMs(job, i, fleetMs, paces[where])});
+        if (step.apart > 0) {
+          auto& rows = beside[gangBegin(job, i)];
+          auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == where; });
+          if (found == rows.end()) rows.emplace_back(where, 1);
+          else ++found->second;
+        }
+        scene.field.heldSlots[job.pending()] += step.need.slots;
+      }
+    for (const auto& group : groups) {
+      const auto& first = job.tasks[group.front()];
+      const auto& step = job.spec->steps[first.step];
+      admission::Unit unit;
+      unit.tasks = group;
+      if (job.spec->gang)
+        for (const auto i : group) unit.loads.push_back(job.loads[job.tasks[i].step]);
+      else unit.loads.push_back(job.loads[first.step]);
+      unit.whole = job.spec->gang || step.together;
+      unit.oneRack = step.oneRack;
+      unit.saves = step.saves;
+      unit.pool = job.spec->pool;
+      unit.labels = job.spec->labels;
+      unit.needs = step.needs;
+      unit.near = step.near;
+      unit.apart = step.apart;
+      unit.estimateMs = step.estimateMs;
+      unit.standing = step.standing;
+      if (auto found = beside.find(gangBegin(job, group.front())); found != beside.end()) unit.beside = found->second;
+      bool failed = false;
+      for (const auto i : group) failed = failed || !job.tasks[i].failedOn.empty();
+      if (failed)
+        for (const auto i : group) unit.avoid.push_back(job.tasks[i].failedOn);
+      candidate.ready.push_back(std::move(unit));
+    }
+    candidate.id = id;
+    candidate.pending = job.pending();
+    candidate.counters = job.counters;
+    const auto& line = queueOf(scheduler, job);
+    candidate.rank = line.rank;
+    candidate.acceptedMs = job.acceptedMs;
+    candidate.gang = job.spec->gang;
+    if (line.aimMs > 0) {
+      const auto instance = groups.empty() ? 0 : job.tasks[groups.front().front()].instance;
+      const auto aimMs = line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs(job, instance, true)));
+      candidate.dueInMs = dueMs(job, instance) + aimMs - chainMs(job, instance, false) - fleetMs;
+    }
+    if (!candidate.ready.empty() && candidate.runs.empty()) candidate.readyForMs = job.counters.waitMs;
+    scene.candidates.push_back(std::move(candidate));
+    scene.ids.push_back(id);
+  }
+  return scene;
+}
+
+}  // namespace
+
+// A job that could start and doesn't for ten terms is worth a line, once.
+void tellLongWaits(SchedulerState& scheduler, Now now, Outbox& out) {
+  const auto fleetMs = fleet(scheduler, now);
+  for (const auto& id : scheduler.open) {
+    const auto& job = scheduler.jobs.at(id);
+    if (scheduler.longWaits.contains(id)) continue;
+    if (job.holding > 0) {
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (!task.holds() || (task.confirmed && !task.stopping) || fleetMs - std::max(task.orderedMs, task.movedMs) < 8 * bounds(scheduler).leaseMs) continue;
+        auto row = scheduler.workers.find(task.worker);
+        scheduler.longWaits.insert(id);
+        out.alarms.push_back("run " + runIdOf(job, i).value + " at " + task.worker.value + " is " + (task.stopping ? "not stopped" : "not confirmed") + " after " +
+                             std::to_string(fleetMs - task.orderedMs) + " ms; its worker was heard " +
+                             (row == scheduler.workers.end() ? std::string("never") : std::to_string(now.steadyMs - row->second.heardMs) + " ms ago, by its agent " + std::to_string(row->second.last.workerHeard) + ", lists it " + std::to_string(row->second.listed.contains(runIdOf(job, i).value)) + ", life " + row->second.last.workerIncarnation + " for " + task.workerIncarnation));
+        break;
+      }
+      continue;
+    }
+    if (job.counters.waitMs < 10 * bounds(scheduler).leaseMs) continue;
+    scheduler.longWaits.insert(id);
+    const auto groups = readyGroups(job, fleetMs);
+    std::string text = "job " + id.value + " waits for " + std::to_string(job.counters.waitMs) + " ms in lane " + std::to_string(job.counters.lane + 1);
+    if (groups.empty()) text += ", nothing of it ready, due in " + std::to_string(dueMs(job, 0) - fleetMs) + " ms";
+    for (const auto& group : groups) {
+      const auto& step = job.stepOf(group.front());
+      text += ", step " + std::to_string(job.tasks[group.front()].step) + ": " + std::to_string(group.size()) + " of " + std::to_string(step.count);
+      for (const auto& [name, amount] : step.need.more) text += " " + name + " " + std::to_string(amount);
+      if (step.together) text += " together";
+      if (step.oneRack) text += " on one rack";
+      if (!step.needs.empty()) text += " needs " + step.needs;
+      if (!step.near.empty()) text += " near " + step.near;
+      if (step.apart > 0) text += " apart " + std::to_string(step.apart);
+    }
+    std::size_t usable = 0, shunned = 0, behind = 0, quiet = 0;
+    for (const auto& [worker, row] : scheduler.workers) {
+      usable += usableWorker(scheduler, row, now);
+      shunned += now.steadyMs < row.standing.shunnedUntilMs;
+      behind += row.last.acked < scheduler.client.configVersion;
+      quiet += now.steadyMs - row.heardMs > bounds(scheduler).freshMs() || !row.last.workerHeard || row.last.workerAgeMs > bounds(scheduler).freshMs();
+    }
+    text += "; workers " + std::to_string(scheduler.workers.size()) + ", usable " + std::to_string(usable) + ", shunned " + std::to_string(shunned) +
+            ", behind the configuration " + std::to_string(behind) + ", quiet " + std::to_string(quiet);
+    out.alarms.push_back(std::move(text));
+  }
+}
+
+void keepHouse(SchedulerState& scheduler, Now now) {
+  const auto fleetMs = fleet(scheduler, now);
+  scheduler.houseMs = now.steadyMs;
+  judgeProgress(scheduler, now);
+  const auto& rules = rulesOf(scheduler);
+  const auto openNow = std::vector<JobId>(scheduler.open.begin(), scheduler.open.end());
+  for (const auto& id : openNow) {
+    auto& job = scheduler.jobs.at(id);
+    accrueTo(job, fleetMs);
+    const auto promotions = job.counters.promotions;
+    if (admission::settle(job.counters, rules, hasRuns(job))) scheduler.dirty.insert(id);
+    scheduler.counts.promotions += static_cast<std::uint64_t>(job.counters.promotions - promotions);
+    if (job.spec->deadlineMs > 0 && job.ending == JobState::open && fleetMs >= job.acceptedMs + job.spec->deadlineMs)
+      change(scheduler, id, [&](Job& each) {
+        endJob(each, JobState::expired, "its cutoff passed", fleetMs);
+        closeIfOver(each, fleetMs);
+      });
+    if (job.ending == JobState::open && job.holding > 0) {
+      std::vector<std::size_t> late;
+      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto& task = job.tasks[i];
+        if (task.state != TaskState::placed || task.confirmed || task.stopping || !(job.spec->gang || job.stepOf(i).together)) continue;
+        if (fleetMs - std::max(task.orderedMs, task.movedMs) >= rules.gangStartMs) late.push_back(i);
+      }
+      if (!late.empty()) {
+        ++scheduler.counts.gangRetries;
+        change(scheduler, id, [&](Job& each) {
+          for (const auto i : late) stopRun(each, i, fleetMs);
+        });
+      }
+    }
+  }
+  std::vector<std::pair<JobId, std::size_t>> lost;
+  for (const auto& [worker, runs] : scheduler.held) {
+    if (runs.empty()) continue;
+    const auto mark = scheduler.client.config->gone.find(worker.value);
+    const bool gone = mark != scheduler.client.config->gone.end() && mark->second;
+    auto row = scheduler.workers.find(worker);
+    const Millis heardMs = row == scheduler.workers.end() ? scheduler.leadSinceMs : std::max(row->second.heardMs, scheduler.leadSinceMs);
+    if (!gone && now.steadyMs - heardMs < bounds(scheduler).sureMs(1)) continue;
+    const auto& pools = scheduler.client.config->pools;
+    std::int64_t leases = 1;
+    bool selfStop = true;
+    for (const auto& [name, pool] : pools) {
+      if (row != scheduler.workers.end() && row->second.last.pool.value != name) continue;
+      leases = std::max(leases, pool.lostAfterLeases);
+      selfStop = selfStop && pool.selfStop;
+    }
+    if (row != scheduler.workers.end() && !pools.contains(row->second.last.pool.value)) selfStop = false;
+    if (!gone && (!selfStop || now.steadyMs - heardMs < bounds(scheduler).sureMs(leases))) continue;
+    for (const auto& [run, where] : runs) lost.push_back(where);
+  }
+  for (const auto& [id, at] : lost) finishRun(scheduler, id, at, AttemptOutcome::lost, "worker silent past its term", now);
+  const auto& keep = scheduler.client.config->keep;
+  const Millis keepMs = bounds(scheduler).statusMs > 0 ? bounds(scheduler).statusMs + bounds(scheduler).statusMs / 10 : keep.finishedMs;
+  const bool inStep = std::all_of(scheduler.voters.begin(), scheduler.voters.end(), [&](const auto& voter) {
+    return voter.second.promised && voter.second.ackedSeq >= scheduler.committed && scheduler.committed > 0;
+  });
+  if (inStep) {
+    std::uint64_t least = scheduler.seq;
+    for (const auto& [id, voter] : scheduler.voters) least = std::min(least, voter.ackedSeq);
+    while (!scheduler.tombs.empty() && scheduler.tombs.front().first <= least) {
+      auto found = scheduler.current.find(scheduler.tombs.front().second);
+      if (found != scheduler.current.end() && found->second.value.empty()) scheduler.current.erase(found);
+      scheduler.tombs.pop_front();
+    }
+  }
+  std::size_t budget = 64;
+  while (inStep && budget-- && !scheduler.ended.empty() &&
+         (static_cast<std::int64_t>(scheduler.ended.size()) > keep.finishedMost || fleetMs - scheduler.ended.front().first > keepMs)) {
+    const auto id = scheduler.ended.front().second;
+    if (scheduler.dirty.contains(id)) break;
+    scheduler.ended.pop_front();
+    scheduler.jobs.erase(id);
+    scheduler.dirty.insert(id);
+    ++scheduler.counts.dropped;
+  }
+}
+
+void runEpoch(SchedulerState& scheduler, Now now) {
+  ++scheduler.counts.epochs;
+  const auto fleetMs = fleet(scheduler, now);
+  auto scene = makeScene(scheduler, now);
+  const std::vector<std::int64_t> sizes(scheduler.sizes.begin(), scheduler.sizes.end());
+  const auto plan = admission::plan(scene.candidates, scene.field, rulesOf(scheduler), sizes);
+  scheduler.counts.passedOver += plan.passedOver;
+  scheduler.counts.reservations += plan.reservedFor.has_value();
+  std::set<std::size_t> pushed;
+  for (const auto& stop : plan.stops) {
+    ++scheduler.counts.stops;
+    const bool first = pushed.insert(stop.job).second;
+    change(scheduler, scene.ids[stop.job], [&](Job& job) {
+      accrueTo(job, fleetMs);
+      stopRun(job, stop.task, fleetMs);
+      job.counters.preemptions += first;
+    });
+    scheduler.counts.preempted += first;
+  }
+  std::map<std::size_t, std::vector<const admission::Start*>> startsOf;
+  for (const auto& start : plan.starts) {
+    ++scheduler.counts.starts;
+    startsOf[start.job].push_back(&start);
+  }
+  for (const auto& [at, starts] : startsOf)
+    change(scheduler, scene.ids[at], [&](Job& job) {
+      for (const auto* start : starts) {
+        const auto& worker = scene.field.workers[start->worker];
+        const auto& step = job.stepOf(start->task);
+        const auto weight = step.need.slots > 0 ? 0 : std::max<std::int64_t>(1, std::llround(1000 * placement::dominantShare(job.loads[job.tasks[start->task].step], worker.total)));
+        startRun(job, start->task, scene.workers[start->worker], scene.incarnations[start->worker], fleetMs, weight);
+      }
+    });
+  if (!plan.starts.empty())
+    if (auto fault = checkCapacity(scheduler); !fault.empty() && scheduler.broken.empty()) scheduler.broken = fault;
+}
+
+std::string checkCapacity(const SchedulerState& scheduler) {
+  auto kinds = scheduler.kinds;
+  for (const auto& [worker, runs] : scheduler.held) {
+    auto row = scheduler.workers.find(worker);
+    if (row == scheduler.workers.end() || runs.empty()) continue;
+    auto pool = scheduler.client.config->pools.find(row->second.last.pool.value);
+    if (pool == scheduler.client.config->pools.end()) continue;
+    const bool fresh = std::any_of(runs.begin(), runs.end(), [&](const auto& each) { return !scheduler.jobs.at(each.second.first).tasks[each.second.second].confirmed; });
+    if (!fresh) continue;
+    placement::Load sum{};
+    for (const auto& [run, where] : runs) placement::add(sum, kinds.load(scheduler.jobs.at(where.first).stepOf(where.second).need));
+    placement::Capacity capacity{std::max(pool->second.slots, row->second.last.slots), {}};
+    for (const auto& [name, amount] : row->second.last.capacity) capacity.more[name] = amount;
+    for (const auto& [name, amount] : pool->second.capacity) capacity.more[name] = std::max(capacity.more[name], amount);
+    if (!placement::fits(sum, kinds.load(capacity))) return worker.value + " holds more than its room";
+  }
+  return {};
+}
+
+}  // namespace
--- /dev/null
+++ b/src/scheduler/orders.cpp
@@ -0,0 +1,174 @@
+#include <algorithm>
+
+#include "scheduler/internal.hpp"
+
+namespace tulip::scheduler {
+
+using namespace transport;
+
+const config::Queue& queueOf(const SchedulerState& scheduler, const Job& job) {
+  auto found = scheduler.client.config->queues.find(job.pending().value);
+  return found == scheduler.client.config->queues.end() ? job.spec->line : found->second;
+}
+
+void indexRuns(HeldAttempts& held, const Job& job, bool in) {
+  if (job.holding == 0) return;
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    const auto& task = job.tasks[i];
+    if (!task.holds()) continue;
+    if (in) held[task.worker].insert_or_assign(runIdOf(job, i), std::pair(job.id, i));
+    else held[task.worker].erase(runIdOf(job, i));
+  }
+}
+
+void noteEnded(SchedulerState& scheduler, const Job& job) {
+  scheduler.open.erase(job.id);
+  --scheduler.openPer[job.pending()];
+  scheduler.ended.emplace_back(job.finishedMs, job.id);
+  if (job.state == JobState::finished) {
+    scheduler.sizes.push_back(job.counters.totalServedMs);
+    constexpr std::size_t kMostSizes = 512;
+    if (scheduler.sizes.size() > kMostSizes) scheduler.sizes.pop_front();
+  }
+}
+
+void finishRun(SchedulerState& scheduler, const JobId& id, std::size_t at, AttemptOutcome outcome, const std::string& detail, Now now) {
+  if (outcome == AttemptOutcome::lost) ++scheduler.counts.lost;
+  if (outcome == AttemptOutcome::failed) ++scheduler.counts.failures;
+  if (outcome == AttemptOutcome::clean) ++scheduler.counts.cleans;
+  change(scheduler, id, [&](Job& job) { endRun(job, at, outcome, detail, queueOf(scheduler, job), fleet(scheduler, now)); });
+}
+
+void sendOrders(SchedulerState& scheduler, WorkerRow& row, Now now, Outbox& out) {
+  if (row.heardMs < 0 || !leads(scheduler, now)) return;
+  Orders orders;
+  orders.term = scheduler.term;
+  orders.seq = ++row.ordersSeq;
+  orders.agent = row.last.agent;
+  orders.acknowledgedSeq = row.last.seq;
+  orders.acknowledgedMs = row.last.sentMs;
+  orders.configVersion = scheduler.client.configVersion;
+  orders.fleetMs = fleet(scheduler, now);
+  absl::flat_hash_map<std::string, std::uint64_t> ordered;
+  for (const auto& [run, where] : scheduler.committedHeld[row.id]) {
+    const auto& job = *scheduler.committedJobs.at(where.first);
+    const auto& task = job.tasks[where.second];
+    auto first = row.firstOrdered.find(run.value);
+    ordered[run.value] = first == row.firstOrdered.end() ? orders.seq : first->second;
+    WantedAttempt wanted{run, task.stopping, {}, task.workerIncarnation, {}, false};
+    if (!task.stopping && !row.listed.contains(run.value)) {
+      const auto& step = job.stepOf(where.second);
+      wanted.whole = true;
+      wanted.saved = task.saved;
+      if (job.spec->plainNames || scheduler.client.settings.adapter.empty()) {
+        Json spec(json_object());
+        json_object_set_new(spec.get(), "job", jsonText(job.id.view()));
+        json_object_set_new(spec.get(), "task", jsonText(taskName(job, where.second)));
+        json_object_set_new(spec.get(), "slots", json_integer(step.need.slots));
+        const auto& payload = step.payload.empty() ? job.spec->payload : step.payload;
+        if (Json own = parseJson(payload)) json_object_set_new(spec.get(), "payload", own.release());
+        wanted.spec = dumpJson(spec.get());
+      } else {
+        wanted.spec = step.payload.empty() ? job.spec->payload : step.payload;
+      }
+    }
+    orders.wanted.push_back(std::move(wanted));
+  }
+  row.firstOrdered = std::move(ordered);
+  out.send(row.agent, std::move(orders));
+}
+
+namespace {
+
+void takeLateEnd(SchedulerState& scheduler, const AttemptId& run, const AttemptReport& seen, Now now) {
+  const std::string_view text = run.value;
+  const auto first = text.find(':'), last = text.rfind(':');
+  if (first == std::string_view::npos || last <= first) return;
+  auto found = scheduler.jobs.find(JobId(text.substr(0, first)));
+  if (found == scheduler.jobs.end() || found->second.state != JobState::open) return;
+  const auto& job = found->second;
+  const auto at = taskAt(job, text.substr(first + 1, last - first - 1));
+  if (!at || job.tasks[*at].state != TaskState::pending || job.tasks[*at].holds() || runIdOf(job, *at) != run) return;
+  ++scheduler.counts.lateEnds;
+  finishRun(scheduler, job.id, *at, AttemptOutcome::clean, seen.detail, now);
+}
+
+}  // namespace
+
+void onReport(SchedulerState& scheduler, const Heard& heard, const AgentReport& report, Now now, Outbox& out) {
+  if (!leads(scheduler, now)) return;
+  ++scheduler.counts.reports;
+  auto& row = scheduler.workers[report.worker];
+  row.id = report.worker;
+  if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
+  if (row.last.agent != report.agent) {
+    row.firstOrdered.clear();
+    row.ordersSeq = 0;
+  }
+  const bool news = row.heardMs < 0 || row.last.workerIncarnation != report.workerIncarnation || row.last.leaving != report.leaving ||
+                    row.last.workerHeard != report.workerHeard;
+  if (row.last.workerIncarnation != report.workerIncarnation) row.standing.pace = 1;
+  scheduler.planDue = scheduler.planDue || news;
+  row.last = report;
+  row.agent = heard.from;
+  row.heardMs = now.steadyMs;
+  if (report.wallMs > 0) {
+    row.wallOffsetMs = report.wallMs - now.steadyMs;
+    row.wallKnown = true;
+  }
+  const auto fleetMs = fleet(scheduler, now);
+  std::map<std::string_view, const AttemptReport*> listed;
+  row.listed.clear();
+  for (const auto& run : report.runs) {
+    listed[run.id.view()] = &run;
+    row.listed.insert(run.id.value);
+  }
+  struct Over {
+    JobId job;
+    std::size_t task;
+    AttemptOutcome outcome;
+    std::string detail;
+  };
+  std::vector<Over> over;
+  std::vector<double> paces;
+  absl::flat_hash_set<std::string_view> known;
+  for (const auto& [run, where] : scheduler.held[report.worker]) {
+    auto& job = scheduler.jobs.at(where.first);
+    auto& task = job.tasks[where.second];
+    auto found = listed.find(run.view());
+    if (found != listed.end()) {
+      const auto& seen = *found->second;
+      known.insert(found->first);
+      if (seen.state != AttemptState::ordered && !seen.saved.empty()) task.seenSaved = seen.saved;
+      if (seen.state == AttemptState::running) {
+        if (!task.confirmed || task.percent != seen.percent) task.movedMs = fleetMs;
+        task.confirmed = true;
+        task.percent = seen.percent;
+        const bool whole = !job.stepOf(where.second).together || job.tallyOf(where.second).placed == job.stepOf(where.second).count;
+        if (task.runningMs < 0 && whole) {
+          task.runningMs = fleetMs;
+          task.runningPercent = seen.percent;
+        }
+        if (const auto pace = paceOf(scheduler, job, where.second, fleetMs); pace > 0) paces.push_back(pace);
+      }
+      if (seen.state == AttemptState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
+      continue;
+    }
+    if (!report.workerHeard) continue;
+    const bool reborn = !task.workerIncarnation.empty() && task.workerIncarnation != report.workerIncarnation;
+    auto first = row.firstOrdered.find(run.value);
+    const bool processed = first != row.firstOrdered.end() && report.ordersTerm == scheduler.term && report.ordersSeq >= first->second;
+    if (reborn || processed) over.push_back({where.first, where.second, AttemptOutcome::lost, reborn ? "worker restarted" : "run is gone"});
+  }
+  observeRuns(scheduler, row, std::move(paces), now);
+  for (const auto& each : over) {
+    if (each.outcome != AttemptOutcome::lost || listed.contains(runIdOf(scheduler.jobs.at(each.job), each.task).view()))
+      judgeWorker(scheduler, row, scheduler.jobs.at(each.job), each.task, each.outcome, now);
+    finishRun(scheduler, each.job, each.task, each.outcome, each.detail, now);
+  }
+  for (const auto& [run, seen] : listed)
+    if (seen->state == AttemptState::ended && seen->outcome == AttemptOutcome::clean && !known.contains(run)) takeLateEnd(scheduler, seen->id, *seen, now);
+  sendOrders(scheduler, row, now, out);
+}
+
+}  // namespace
--- /dev/null
+++ b/src/scheduler/scheduler.hpp
@@ -0,0 +1,166 @@
+#pragma once
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <deque>
+#include <memory>
+
+#include "jobs/job.hpp"
+#include "control/client.hpp"
+
+namespace tulip::scheduler {
+
+using namespace jobs;
+
+struct WorkerHealth {
+  std::int64_t clean = 0, failed = 0;
+  double failRate = 0;
+  double pace = 1;
+  Millis shunnedUntilMs = 0;
+  std::int64_t shuns = 0;
+  std::int64_t sinceShun = 0;  // clean ends since the last shun
+};
+
+struct LinePace {
+  double meanMs = 0;
+  std::int64_t ends = 0;
+};
+
+struct WorkerRow {
+  WorkerId id;
+  transport::AgentReport last;
+  Address agent;
+  Millis heardMs = -1;
+  std::uint64_t ordersSeq = 0;
+  absl::flat_hash_map<std::string, std::uint64_t> firstOrdered;
+  absl::flat_hash_set<std::string> listed;
+  Millis wallOffsetMs = 0;
+  bool wallKnown = false;
+  Millis pacedMs = -1000000;
+  WorkerHealth standing;
+};
+
+struct VoterRow {
+  Address peerAddress;
+  bool promised = false;
+  std::uint64_t ackedSeq = 0;
+  std::uint64_t sentSeq = 0;
+  absl::btree_set<std::string> owed;
+  std::optional<transport::JobLogAccept> inflight;
+  Millis sentMs = -1000000;
+  Millis heartbeatMs = -1000000;
+  Millis leaseAcknowledgedMs = -1000000;
+  Millis aheadSinceMs = -1;  // since when it rejects this term for a newer one that it promised
+};
+
+enum class HeldAnswer : std::uint8_t { submitted, cancelled };
+
+// Who is told: a caller here, through the own interface or a protocol adapter, or a daemon that passed its call on.
+struct Caller {
+  std::uint64_t requestId = 0;
+  bool brief = false;
+  Address remote;
+};
+
+struct Waiting {
+  Caller caller;
+  JobId job;
+  HeldAnswer kind = HeldAnswer::submitted;
+};
+
+struct Batch {
+  std::vector<std::shared_ptr<const Job>> jobs;
+  std::vector<JobId> dropped;
+  std::vector<Waiting> answers;
+};
+
+// A call of this daemon's caller that only the leader can answer.
+struct Forward {
+  transport::CallAsk ask;
+  Millis sinceMs = 0;
+  Millis sentMs = -1000000;
+  Millis deadlineMs = 0;
+  Address sentTo;
+  bool sent = false;
+  bool repeated = false;
+};
+
+enum class Course : std::uint8_t { following, preparing, leading };
+
+struct SchedulerCounts {
+  std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0, cleans = 0,
+                submitted = 0, rejected = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0, rewritten = 0, steppedDown = 0,
+                gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0, forwarded = 0;
+};
+
+using HeldAttempts = std::map<WorkerId, std::map<AttemptId, std::pair<JobId, std::size_t>>>;
+
+struct SchedulerState {
+  control::ControlClient client;
+  Course course = Course::following;
+  Ballot term;
+  std::uint64_t highestSeen = 0;
+  Millis prepareSentMs = -1000000;
+  Millis tryAtMs = 0;
+  Millis prepareStartMs = 0;
+  std::map<DaemonId, transport::JobLogPromise> promises;
+
+  absl::btree_map<JobId, Job> jobs;
+  absl::btree_map<JobId, std::shared_ptr<const Job>> committedJobs;
+  absl::btree_set<JobId> open;
+  absl::btree_set<JobId> dirty;
+  absl::btree_set<JobId> fresh;  // whose spec is still to be written
+  HeldAttempts held;
+  HeldAttempts committedHeld;
+  std::vector<Waiting> waiting;
+  absl::btree_map<std::string, transport::Entry> current;
+  std::deque<std::pair<std::uint64_t, std::string>> tombs;
+  std::map<DaemonId, VoterRow> voters;
+  std::uint64_t seq = 0;
+  std::uint64_t committed = 0;
+  std::map<std::uint64_t, Batch> batches;
+  Millis leaseUntilMs = -1000000;
+  Millis leadSinceMs = 0;
+  Millis epochMs = -1000000;
+  Millis plannedMs = -1000000;
+  Millis houseMs = -1000000;
+  Millis fencedMs = -1000000;
+  bool planDue = false;
+  placement::Kinds kinds;
+  std::optional<config::Admission> usual;  // rules that the settings bring, for a configuration without any
+  std::map<WorkerId, WorkerRow> workers;
+  std::set<WorkerId> ordersDue;
+  std::map<QueueName, LinePace> paces;
+  std::set<JobId> longWaits;  // told of in the log, once each
+  std::deque<std::int64_t> sizes;
+  std::deque<std::pair<Millis, JobId>> ended;
+  std::map<QueueName, std::int64_t> openPer;
+  std::map<std::uint64_t, Forward> forwards;
+  SchedulerCounts counts;
+  std::string broken;
+};
+
+SchedulerState makeScheduler(const Settings& settings, const DaemonId& id, std::string incarnation);
+bool leads(const SchedulerState& scheduler, transport::Now now);
+void schedulerHeard(SchedulerState& scheduler, const transport::Heard& heard, transport::Now now, transport::Outbox& out);
+void schedulerTick(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
+void schedulerResign(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
+
+void submitJob(SchedulerState& scheduler, std::uint64_t requestId, std::string_view body, transport::Now now, transport::Outbox& out);
+void submitSpec(SchedulerState& scheduler, const Caller& caller, Spec spec, transport::Now now, transport::Outbox& out);
+void cancelJob(SchedulerState& scheduler, const Caller& caller, const JobId& id, transport::Now now, transport::Outbox& out);
+void getJob(const SchedulerState& scheduler, const Caller& caller, const JobId& id, transport::Outbox& out);
+void countPending(const SchedulerState& scheduler, const Caller& caller, const QueueName& line, transport::Outbox& out);
+// Answers here when this scheduler leads, otherwise by the leader, asked again until it answers or the cutoff passes.
+void callLeader(SchedulerState& scheduler, transport::CallAsk ask, Millis deadlineMs, transport::Now now, transport::Outbox& out);
+void listJobs(const SchedulerState& scheduler, std::uint64_t requestId, const std::map<std::string, std::string>& query, transport::Outbox& out);
+void traceJobs(const SchedulerState& scheduler, std::uint64_t requestId, transport::Outbox& out);
+json_t* workersView(const SchedulerState& scheduler, transport::Now now);
+void snapshotJobs(const SchedulerState& scheduler, std::uint64_t requestId, Json members, transport::Now now, transport::Outbox& out);
+void listWorkers(const SchedulerState& scheduler, std::uint64_t requestId, transport::Now now, transport::Outbox& out);
+std::string countersJson(const SchedulerState& scheduler);
+std::string checkCapacity(const SchedulerState& scheduler);
+
+}  // namespace
--- a/src/drydock/audit.cpp
+++ b/src/simulator/audit.cpp
@@ -1,16 +1,16 @@
-#include "drydock/audit.hpp"
+#include "simulator/audit.hpp"
 
 #include <algorithm>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
-using signal::Ask;
+using transport::Ask;
 
 void audit(World& world) {
   auto& sim = world.sim;
   auto& result = world.result;
   for (auto& [id, job] : world.judge.jobs)
-    if (!job.denied && !job.turnedAway) world.poll(id);
+    if (!job.rejected && !job.turnedAway) world.poll(id);
   std::size_t reads = 0;
   for (const auto& host : sim.all()) {
     if (!host->up) continue;
@@ -20,13 +20,13 @@
     sim.ask(*host, ask, [&world, &reads](Reply reply) {
       if (reply.lost || reply.status != 200) return;
       ++reads;
-      world.readChart(reply.body, world.sim.nowMs(), true);
+      world.readConfig(reply.body, world.sim.nowMs(), true);
     });
   }
   sim.runUntil(sim.nowUs() + 5 * kSecond);
   world.judge.close();
   if (reads < 3) world.judge.broken.push_back({sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
-  if (world.awaitsWhole) world.judge.broken.push_back({sim.nowMs(), "inside", "the seat of a lost quay is never taken"});
+  if (world.awaitsWhole) world.judge.broken.push_back({sim.nowMs(), "inside", "the seat of a lost replica is never taken"});
   result.seed = world.plan.seed;
   result.faults = world.plan.faults;
   result.broken = world.judge.broken;
@@ -44,12 +44,12 @@
   }
   for (const auto& host : sim.all()) {
     result.syncs += host->syncs;
-    result.mostQuayKeys = std::max(result.mostQuayKeys, host->disk.jobs.size());
+    result.mostReplicaKeys = std::max(result.mostReplicaKeys, host->disk.jobs.size());
   }
   if (auto* leader = sim.leader()) {
-    result.dropped = leader->node->pilot->counts.dropped;
-    result.leaderKeys = leader->node->pilot->current.size();
-    result.leaderJobs = leader->node->pilot->told.size();
+    result.dropped = leader->node->scheduler->counts.dropped;
+    result.leaderKeys = leader->node->scheduler->current.size();
+    result.leaderJobs = leader->node->scheduler->committedJobs.size();
   }
   result.outcomes = world.judge.outcomes;
   result.points = sim.points;
@@ -80,4 +80,4 @@
   return text;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/audit.hpp
+++ b/src/simulator/audit.hpp
@@ -1,9 +1,9 @@
 #pragma once
-#include "drydock/world.hpp"
+#include "simulator/world.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 // Asks for everything a last time, closes the judge's books and fills the day's result.
 void audit(World& world);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/day.cpp
+++ b/src/simulator/day.cpp
@@ -1,28 +1,28 @@
-#include "drydock/day.hpp"
+#include "simulator/day.hpp"
 
 #include <algorithm>
 #include <atomic>
 #include <thread>
 
-#include "drydock/audit.hpp"
-#include "drydock/faults.hpp"
+#include "simulator/audit.hpp"
+#include "simulator/faults.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 void inThreads(int threads, std::size_t count, const std::function<void(std::size_t)>& act) {
   std::atomic<std::size_t> next{0};
-  std::vector<std::thread> crew;
+  std::vector<std::thread> client;
   for (int i = 0; i < threads; ++i)
-    crew.emplace_back([&] {
+    client.emplace_back([&] {
       for (std::size_t at = next++; at < count; at = next++) act(at);
     });
-  for (auto& thread : crew) thread.join();
+  for (auto& thread : client) thread.join();
 }
 
 DayResult runDay(const DayPlan& plan) {
   World world(plan);
   auto& sim = world.sim;
-  world.judge.stalls = plan.rule != "fifo" && plan.chartPatch.empty();
+  world.judge.stalls = plan.rule != "fifo" && plan.configPatch.empty();
   world.judge.forgetsEnded = plan.forgetsEnded;
   world.judge.failureLimit = {{"checkout", 3}, {"gate", 3}, {"rebuild", 4}, {"probe", 3}};
   sim.onAlarm = [&](Host& host, const std::string& text) {
@@ -35,7 +35,7 @@
   for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
   for (const auto& hand : sim.hands()) sim.at(sim.below(400000), [&sim, each = hand.get()] { sim.startWorker(*each); });
   sim.at(kSecond, [&world] {
-    world.changeChart("PUT", world.firstChart(), "checkout", "t-base", "", [&world](bool) {
+    world.changeConfig("PUT", world.firstConfig(), "checkout", "t-base", "", [&world](bool) {
       if (!world.plan.arrivals.empty()) {
         for (const auto& arrival : world.plan.arrivals)
           world.sim.after(arrival.atMs * 1000, [&world, &job = arrival.job] { world.submit(job.id, world.enter(job)); });
@@ -43,7 +43,7 @@
       }
       for (const auto& load : world.plan.load) world.arrivals(load);
       world.marks(3 * kSecond);
-      world.readCharts();
+      world.readConfigs();
     });
   });
   world.sweeps();
@@ -70,11 +70,11 @@
     const auto& job = world.judge.jobs.at(probe);
     if (world.result.recoveredMs < 0 && !job.shown.empty()) world.result.recoveredMs = (sim.nowUs() - probeUs) / 1000;
     const bool over = std::all_of(world.judge.jobs.begin(), world.judge.jobs.end(),
-                                  [](const auto& row) { return row.second.denied || row.second.turnedAway || (row.second.acceptedMs >= 0 && !row.second.shown.empty()); });
+                                  [](const auto& row) { return row.second.rejected || row.second.turnedAway || (row.second.acceptedMs >= 0 && !row.second.shown.empty()); });
     if (over && sim.nowUs() > world.endUs + 8 * kSecond) break;
   }
   audit(world);
   return std::move(world.result);
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/day.hpp
+++ b/src/simulator/day.hpp
@@ -2,10 +2,10 @@
 #include <functional>
 #include <ostream>
 
-#include "drydock/judge.hpp"
-#include "drydock/load.hpp"
+#include "simulator/judge.hpp"
+#include "simulator/load.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 struct DayPlan {
   std::uint64_t seed = 1;
@@ -17,7 +17,7 @@
   FleetPlan fleet;
   std::ostream* trace = nullptr;
   std::vector<Arrival> arrivals;
-  std::string chartPatch;
+  std::string configPatch;
   double tailSeconds = 90;
   bool forgetsEnded = false;
   std::string operation;
@@ -37,7 +37,7 @@
   std::vector<Millis> submitMs, startMs, finishMs;
   std::uint64_t syncs = 0;
   std::uint64_t dropped = 0;
-  std::size_t leaderKeys = 0, leaderJobs = 0, mostQuayKeys = 0;
+  std::size_t leaderKeys = 0, leaderJobs = 0, mostReplicaKeys = 0;
   std::map<std::string, JobTruth> truth;
   std::map<std::string, std::int64_t> outcomes;
   std::vector<std::string> alarms;
@@ -54,4 +54,4 @@
 Millis quantile(std::vector<Millis> values, double at);
 std::string summary(const DayResult& result);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/faults.cpp
+++ b/src/simulator/faults.cpp
@@ -1,8 +1,8 @@
-#include "drydock/faults.hpp"
+#include "simulator/faults.hpp"
 
 #include <algorithm>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 const std::map<std::string, Fault>& faults() {
   static const std::map<std::string, Fault> all{
@@ -21,7 +21,7 @@
            world.sim.at(world.faultTime(), [&world] {
              world.submitThen(LineLoad{"checkout"}, [&world](const std::string&) {
                if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
-               world.crashFor(world.pick(Role::quay), kSecond);
+               world.crashFor(world.pick(Role::replica), kSecond);
              });
            });
        }},
@@ -35,34 +35,34 @@
            }
          });
        }},
-      {"quay-kill", [](World& world) {
-         world.sim.at(world.faultTime(), [&world] { world.crashFor(world.pick(Role::quay), kSecond / 2 + world.sim.below(3 * kSecond)); });
+      {"replica-kill", [](World& world) {
+         world.sim.at(world.faultTime(), [&world] { world.crashFor(world.pick(Role::replica), kSecond / 2 + world.sim.below(3 * kSecond)); });
        }},
-      {"quay-freeze", [](World& world) {
-         world.sim.at(world.faultTime(), [&world] { world.sim.freeze(world.pick(Role::quay), kSecond / 2 + world.sim.below(4 * kSecond)); });
+      {"replica-freeze", [](World& world) {
+         world.sim.at(world.faultTime(), [&world] { world.sim.freeze(world.pick(Role::replica), kSecond / 2 + world.sim.below(4 * kSecond)); });
        }},
-      {"quay-disk-lost", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.replaceQuay(world.pick(Role::quay), true); }); }},
-      {"quay-replaced-elsewhere", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.replaceQuay(world.pick(Role::quay), false); }); }},
-      {"quays-replaced-twice", [](World& world) {
-         world.sim.at(world.fromUs, [&world] { world.replaceQuay(world.pick(Role::quay), false); });
-         world.sim.at(world.fromUs + 14 * kSecond, [&world] { world.whenWhole([&world] { world.replaceQuay(world.pick(Role::quay), false); }); });
+      {"replica-disk-lost", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.replaceReplica(world.pick(Role::replica), true); }); }},
+      {"replica-replaced-elsewhere", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.replaceReplica(world.pick(Role::replica), false); }); }},
+      {"replicas-replaced-twice", [](World& world) {
+         world.sim.at(world.fromUs, [&world] { world.replaceReplica(world.pick(Role::replica), false); });
+         world.sim.at(world.fromUs + 14 * kSecond, [&world] { world.whenWhole([&world] { world.replaceReplica(world.pick(Role::replica), false); }); });
        }},
-      {"pilot-exchanged", [](World& world) {
+      {"scheduler-exchanged", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
-           auto& old = world.pick(Role::pilot);
+           auto& old = world.pick(Role::scheduler);
            world.sim.stopPolitely(old);
            world.sim.after(400000, [&world, &old] { world.sim.crash(old); });
            world.retire(old);
-           world.sim.start(world.sim.addHost(Role::pilot, old.name + "x", old.env.cell.value));
+           world.sim.start(world.sim.addHost(Role::scheduler, old.name + "x", old.settings.zone.value));
          });
        }},
-      {"tender-kill", [](World& world) {
+      {"agent-kill", [](World& world) {
          for (int i = 0; i < 3; ++i)
-           world.sim.at(world.faultTime(), [&world] { world.crashFor(world.pick(Role::tender), kSecond / 4 + world.sim.below(4 * kSecond)); });
+           world.sim.at(world.faultTime(), [&world] { world.crashFor(world.pick(Role::agent), kSecond / 4 + world.sim.below(4 * kSecond)); });
        }},
-      {"tender-freeze", [](World& world) {
+      {"agent-freeze", [](World& world) {
          for (int i = 0; i < 3; ++i)
-           world.sim.at(world.faultTime(), [&world] { world.sim.freeze(world.pick(Role::tender), kSecond / 4 + world.sim.below(5 * kSecond)); });
+           world.sim.at(world.faultTime(), [&world] { world.sim.freeze(world.pick(Role::agent), kSecond / 4 + world.sim.below(5 * kSecond)); });
        }},
       {"worker-crash", [](World& world) {
          for (int i = 0; i < 4; ++i)
@@ -76,8 +76,8 @@
          world.sim.at(world.faultTime(), [&world] {
            auto& hand = world.pickHand();
            world.sim.crashWorker(hand);
-           world.sim.crash(*hand.tender);
-           world.retire(*hand.tender);
+           world.sim.crash(*hand.agent);
+           world.retire(*hand.agent);
            if (world.plan.fleet.selfStop) return;
            world.setFlag("workers", hand.worker.traits.name, "gone", true, {});
          });
@@ -132,38 +132,38 @@
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& x : world.sim.all())
              for (const auto& y : world.sim.all())
-               if ((x->env.cell.value == "a") != (y->env.cell.value == "a")) world.sim.cut(*x, *y);
+               if ((x->settings.zone.value == "a") != (y->settings.zone.value == "a")) world.sim.cut(*x, *y);
            world.sim.after(kSecond + world.sim.below(6 * kSecond), [&world] { world.sim.heal(); });
          });
        }},
       {"cell-lost", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
-           const auto cell = std::string(1, static_cast<char>('a' + world.sim.below(3)));
+           const auto zone = std::string(1, static_cast<char>('a' + world.sim.below(3)));
            for (const auto& host : world.sim.all())
-             if (host->env.cell.value == cell) world.sim.crash(*host);
+             if (host->settings.zone.value == zone) world.sim.crash(*host);
            for (const auto& hand : world.sim.hands())
-             if (hand->tender->env.cell.value == cell) world.sim.crashWorker(*hand);
+             if (hand->agent->settings.zone.value == zone) world.sim.crashWorker(*hand);
          });
        }},
-      {"slow-disk", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::quay).syncUs = 400000; }); }},
-      {"disk-dies-quay-lives", [](World& world) {
+      {"slow-disk", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::replica).syncUs = 400000; }); }},
+      {"disk-dies-replica-lives", [](World& world) {
          world.sim.at(world.fromUs, [&world] {
-           auto& old = world.pick(Role::quay);
+           auto& old = world.pick(Role::replica);
            old.diskFails = true;
            world.deadDisks.insert(old.name);
-           world.sim.start(world.sim.addHost(Role::quay, old.name + "x", old.env.cell.value));
+           world.sim.start(world.sim.addHost(Role::replica, old.name + "x", old.settings.zone.value));
            world.sim.after(14 * kSecond, [&world, &old] {
              world.whenWhole([&world, &old] {
-               for (auto* quay : world.sim.hosts(Role::quay)) {
-                 if (quay == &old || quay->name == old.name + "x") continue;
-                 world.retire(*quay);
-                 return world.sim.crash(*quay);
+               for (auto* replica : world.sim.hosts(Role::replica)) {
+                 if (replica == &old || replica->name == old.name + "x") continue;
+                 world.retire(*replica);
+                 return world.sim.crash(*replica);
                }
              });
            });
          });
        }},
-      {"full-disk", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::quay).diskFails = true; }); }},
+      {"full-disk", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::replica).diskFails = true; }); }},
       {"all-restart", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& host : world.sim.all()) world.crashFor(*host, 200000 + world.sim.below(kSecond));
@@ -175,9 +175,9 @@
              }
          });
        }},
-      {"quays-power-lost", [](World& world) {
+      {"replicas-power-lost", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
-           for (auto* quay : world.sim.hosts(Role::quay)) world.crashFor(*quay, 100000 + world.sim.below(kSecond));
+           for (auto* replica : world.sim.hosts(Role::replica)) world.crashFor(*replica, 100000 + world.sim.below(kSecond));
          });
        }},
       {"lossy-sea", [](World& world) {
@@ -201,8 +201,8 @@
        }},
       {"cell-emptied", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
-           const auto cell = std::string(1, static_cast<char>('a' + world.sim.below(3)));
-           world.setCell(cell, true, [&world, cell] { world.sim.after(6 * kSecond, [&world, cell] { world.setCell(cell, false, {}); }); });
+           const auto zone = std::string(1, static_cast<char>('a' + world.sim.below(3)));
+           world.setZone(zone, true, [&world, zone] { world.sim.after(6 * kSecond, [&world, zone] { world.setZone(zone, false, {}); }); });
          });
        }},
       {"worker-drained", [](World& world) {
@@ -222,25 +222,25 @@
       {"never-succeed", [](World& world) {
          for (int i = 0; i < 8; ++i) world.sim.at(world.faultTime(), [&world] { world.newJob(LineLoad{"gate"}, true); });
        }},
-      {"all-quays-emptied", [](World& world) {
+      {"all-replicas-emptied", [](World& world) {
          world.judge.stalls = false;
          world.sim.at(world.faultTime(), [&world] {
-           for (auto* quay : world.sim.hosts(Role::quay)) world.replaceQuay(*quay, true);
+           for (auto* replica : world.sim.hosts(Role::replica)) world.replaceReplica(*replica, true);
          });
        }},
-      {"two-quays-emptied", [](World& world) {
+      {"two-replicas-emptied", [](World& world) {
          world.judge.stalls = false;
          world.sim.at(world.faultTime(), [&world] {
-           auto quays = world.sim.hosts(Role::quay);
-           for (std::size_t i = 0; i < 2; ++i) world.replaceQuay(*quays[i], true);
+           auto replicas = world.sim.hosts(Role::replica);
+           for (std::size_t i = 0; i < 2; ++i) world.replaceReplica(*replicas[i], true);
          });
        }},
       {"power-lost-after-yes", [](World& world) {
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] {
-             for (auto* quay : world.sim.hosts(Role::quay)) quay->syncUs = 15000;
+             for (auto* replica : world.sim.hosts(Role::replica)) replica->syncUs = 15000;
              world.submitThen(LineLoad{"checkout"}, [&world](const std::string&) {
-               for (auto* quay : world.sim.hosts(Role::quay)) world.crashFor(*quay, 100000 + world.sim.below(kSecond));
+               for (auto* replica : world.sim.hosts(Role::replica)) world.crashFor(*replica, 100000 + world.sim.below(kSecond));
                if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
              });
            });
@@ -262,34 +262,34 @@
                                                R"("rule":"las","lanes":2,"thresholdsMs":[4000])", R"("rule":"las","lanes":1,"thresholdsMs":[])"};
            if (world.sim.nowUs() >= world.quietUs) return;
            const auto mark = "mark-" + std::to_string(++world.nextMark);
-           world.changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"admission\":{" + rules[turn % 4] + "}}", mark, "t-" + mark, "", {});
+           world.changeConfig("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"admission\":{" + rules[turn % 4] + "}}", mark, "t-" + mark, "", {});
            world.sim.after(250000 + world.sim.below(kSecond / 2), [again, turn] { again(again, turn + 1); });
          };
          world.sim.at(world.fromUs, [swap] { swap(swap, 0); });
        }},
-      {"quay-lags-then-emptied", [](World& world) {
+      {"replica-lags-then-emptied", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            auto* leader = world.sim.leader();
            if (!leader) return;
-           auto quays = world.sim.hosts(Role::quay);
+           auto replicas = world.sim.hosts(Role::replica);
            const auto first = static_cast<std::size_t>(world.sim.below(3));
-           auto &lags = *quays[first], &emptied = *quays[(first + 1) % 3];
+           auto &lags = *replicas[first], &emptied = *replicas[(first + 1) % 3];
            world.sim.cut(*leader, lags);
            world.sim.cut(lags, *leader);
            world.sim.after(kSecond / 2 + world.sim.below(kSecond), [&world, leader, &emptied] {
              world.crashFor(*leader, 2 * kSecond);
-             world.replaceQuay(emptied, true);
+             world.replaceReplica(emptied, true);
              world.sim.heal();
            });
          });
        }},
-      {"tender-cut-from-quays", [](World& world) {
+      {"agent-cut-from-replicas", [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
-             auto& tender = world.pick(Role::tender);
-             for (auto* quay : world.sim.hosts(Role::quay)) {
-               world.sim.cut(tender, *quay);
-               world.sim.cut(*quay, tender);
+             auto& agent = world.pick(Role::agent);
+             for (auto* replica : world.sim.hosts(Role::replica)) {
+               world.sim.cut(agent, *replica);
+               world.sim.cut(*replica, agent);
              }
              world.sim.after(2 * kSecond + world.sim.below(5 * kSecond), [&world] { world.sim.heal(); });
            });
@@ -311,13 +311,13 @@
              world.submit(id, world.enter(sketch));
            });
        }},
-      {"quays-restart-behind-a-cut", [](World& world) {
+      {"replicas-restart-behind-a-cut", [](World& world) {
          world.sim.at(world.fromUs + world.sim.below(kSecond), [&world] {
-           auto quays = world.sim.hosts(Role::quay);
+           auto replicas = world.sim.hosts(Role::replica);
            const auto alone = static_cast<std::size_t>(world.sim.below(3));
-           world.sim.cutOff(*quays[alone]);
+           world.sim.cutOff(*replicas[alone]);
            for (std::size_t i = 0; i < 3; ++i)
-             if (i != alone) world.crashFor(*quays[i], kSecond + world.sim.below(kSecond));
+             if (i != alone) world.crashFor(*replicas[i], kSecond + world.sim.below(kSecond));
            world.sim.after(3 * kSecond + world.sim.below(2 * kSecond), [&world] {
              world.sim.heal();
              if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
@@ -342,7 +342,7 @@
       {"worker-machine-cut", [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
-             world.sim.cutOff(world.pick(Role::tender));
+             world.sim.cutOff(world.pick(Role::agent));
              world.sim.after(3 * kSecond + world.sim.below(5 * kSecond), [&world] { world.sim.heal(); });
            });
        }},
@@ -398,17 +398,17 @@
        }},
       {"burst-of-large", [](World& world) {
          const auto when = world.faultTime();
-         for (int i = 0; i < 12; ++i) world.sim.at(when + i * 20000, [&world] { world.newJob(world.lineOf("rebuild")); });
+         for (int i = 0; i < 12; ++i) world.sim.at(when + i * 20000, [&world] { world.newJob(world.queueOf("rebuild")); });
        }},
       {"burst-of-urgent", [](World& world) {
          const auto when = world.faultTime();
-         for (int i = 0; i < 60; ++i) world.sim.at(when + i * 10000, [&world] { world.newJob(world.lineOf("checkout")); });
+         for (int i = 0; i < 60; ++i) world.sim.at(when + i * 10000, [&world] { world.newJob(world.queueOf("checkout")); });
        }},
       {"poison", [](World& world) {
          for (int i = 0; i < 20; ++i)
            world.sim.at(world.faultTime(), [&world] {
              static const char* const lines[] = {"checkout", "gate", "rebuild"};
-             world.newJob(world.lineOf(lines[world.sim.below(3)]), true);
+             world.newJob(world.queueOf(lines[world.sim.below(3)]), true);
            });
        }},
       {"clock-steps", [](World& world) {
@@ -424,7 +424,7 @@
       {"core-killed", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& host : world.sim.all())
-             if (host->env.role != Role::tender) world.crashFor(*host, 100000 + world.sim.below(9 * kSecond / 10));
+             if (host->settings.role != Role::agent) world.crashFor(*host, 100000 + world.sim.below(9 * kSecond / 10));
          });
        }},
       {"all-power-lost", [](World& world) {
@@ -439,26 +439,26 @@
        }},
       {"core-machine-replaced", [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
-           auto& quay = world.pick(Role::quay);
-           for (auto* pilot : world.sim.hosts(Role::pilot)) {
-             if (pilot->env.cell != quay.env.cell || world.retired.contains(pilot->name)) continue;
-             world.sim.crash(*pilot);
-             world.retire(*pilot);
-             auto& fresh = world.sim.addHost(Role::pilot, pilot->name + "x", pilot->env.cell.value);
+           auto& replica = world.pick(Role::replica);
+           for (auto* scheduler : world.sim.hosts(Role::scheduler)) {
+             if (scheduler->settings.zone != replica.settings.zone || world.retired.contains(scheduler->name)) continue;
+             world.sim.crash(*scheduler);
+             world.retire(*scheduler);
+             auto& fresh = world.sim.addHost(Role::scheduler, scheduler->name + "x", scheduler->settings.zone.value);
              world.sim.after(300000 + world.sim.below(kSecond), [&world, &fresh] { world.sim.start(fresh); });
              break;
            }
-           world.replaceQuay(quay, false);
+           world.replaceReplica(replica, false);
          });
        }},
       {"disk-stalls", [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
-             auto& quay = world.pick(Role::quay);
-             quay.diskFails = true;
-             world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond), [&world, &quay] {
+             auto& replica = world.pick(Role::replica);
+             replica.diskFails = true;
+             world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond), [&world, &replica] {
                world.sim.trouble();
-               quay.diskFails = world.deadDisks.contains(quay.name);
+               replica.diskFails = world.deadDisks.contains(replica.name);
              });
            });
        }},
@@ -468,9 +468,9 @@
              world.retire(*leader);
              world.sim.crash(*leader);
            }
-           auto& quay = world.pick(Role::quay);
-           world.retire(quay);
-           world.sim.crash(quay);
+           auto& replica = world.pick(Role::replica);
+           world.retire(replica);
+           world.sim.crash(replica);
          });
        }},
   };
@@ -490,7 +490,7 @@
       {"configuration", [](World& world) {
          world.conditionalOnce(true);
          world.conditionalOnce(false);
-         world.setCell("b", true, {});
+         world.setZone("b", true, {});
          world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 200, 500, 0, 0.5, 0}, [](const std::string&) {});
        }},
       {"takeover", [](World& world) {
@@ -506,7 +506,7 @@
        }},
       {"cohort-change", [](World& world) {
          world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 500, 900, 0, 0.5, 0}, [](const std::string&) {});
-         world.replaceQuay(world.pick(Role::quay), false);
+         world.replaceReplica(world.pick(Role::replica), false);
          world.sim.after(11 * kSecond / 2, [&world] {
            world.sim.points.clear();
            for (int i = 0; i < 12; ++i) world.sim.after(i * 150000, [&world] { world.markOnce(false); });
@@ -521,10 +521,10 @@
   switch (world.plan.place->blow) {
     case Blow::crash: return world.crashFor(host, kSecond);
     case Blow::power:
-      for (auto* quay : world.sim.hosts(Role::quay))
-        if (quay != &host && !world.retired.contains(quay->name)) world.crashFor(*quay, kSecond / 2 + world.sim.below(kSecond));
+      for (auto* replica : world.sim.hosts(Role::replica))
+        if (replica != &host && !world.retired.contains(replica->name)) world.crashFor(*replica, kSecond / 2 + world.sim.below(kSecond));
       return world.crashFor(host, kSecond);
-    case Blow::disk: return world.replaceQuay(host, true);
+    case Blow::disk: return world.replaceReplica(host, true);
     case Blow::freeze: return world.sim.freeze(host, 4 * kSecond);
     case Blow::cut:
       world.sim.cutOff(host);
@@ -555,19 +555,19 @@
 }
 
 std::vector<std::string> drawFaults(std::uint64_t seed) {
-  static const std::set<std::string> takesAQuay{"quay-disk-lost", "quay-replaced-elsewhere", "quays-replaced-twice",
-                                                "last-fault",     "full-disk",               "cell-lost",           "quay-lags-then-emptied",
-                                                "disk-dies-quay-lives",  "core-machine-replaced"};
+  static const std::set<std::string> takesAReplica{"replica-disk-lost", "replica-replaced-elsewhere", "replicas-replaced-twice",
+                                                "last-fault",     "full-disk",               "cell-lost",           "replica-lags-then-emptied",
+                                                "disk-dies-replica-lives",  "core-machine-replaced"};
   auto names = faultNames();
-  std::erase(names, "two-quays-emptied");
-  std::erase(names, "all-quays-emptied");
+  std::erase(names, "two-replicas-emptied");
+  std::erase(names, "all-replicas-emptied");
   std::mt19937_64 random(seed * 7919);
   std::vector<std::string> drawn{names[random() % names.size()]};
   if (random() % 3 == 0) return drawn;
   auto second = names[random() % names.size()];
-  while (takesAQuay.contains(drawn[0]) && takesAQuay.contains(second)) second = names[random() % names.size()];
+  while (takesAReplica.contains(drawn[0]) && takesAReplica.contains(second)) second = names[random() % names.size()];
   drawn.push_back(std::move(second));
   return drawn;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/faults.hpp
+++ b/src/simulator/faults.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "drydock/world.hpp"
+#include "simulator/world.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 using Fault = void (*)(World&);
 
@@ -10,4 +10,4 @@
 const std::map<std::string, Fault>& operations();
 void strike(World& world, Host& host);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/journals.cpp
+++ b/src/simulator/journals.cpp
@@ -1,4 +1,4 @@
-#include "drydock/journals.hpp"
+#include "simulator/journals.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -8,10 +8,10 @@
 #include <set>
 #include <sstream>
 
-#include "bearing/json.hpp"
-#include "drydock/grace.hpp"
+#include "base/json.hpp"
+#include "simulator/grace.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 namespace {
 
 struct Line {
@@ -25,7 +25,7 @@
 };
 
 struct Call {
-  std::int64_t submittedMs = 0, acceptedMs = -1, deniedMs = -1, cancelledMs = -1, endedMs = -1, notBeforeMs = 0;
+  std::int64_t submittedMs = 0, acceptedMs = -1, rejectedMs = -1, cancelledMs = -1, endedMs = -1, notBeforeMs = 0;
   std::string line, shown;
   std::map<std::string, std::vector<std::string>> after;
   std::map<std::string, std::vector<std::string>> gang;  // task -> the members, where one clean end stands for all
@@ -101,7 +101,7 @@
     } else if (kind == "accepted") {
       auto& call = shore.calls[name];
       if (call.acceptedMs < 0) ++verdict.accepted, call.acceptedMs = atMs;
-    } else if (kind == "denied") shore.calls[name].deniedMs = atMs;
+    } else if (kind == "denied") shore.calls[name].rejectedMs = atMs;
     else if (kind == "cancelled") shore.calls[name].cancelledMs = atMs;
     else if (kind == "unknown" && shore.calls[name].acceptedMs >= 0) verdict.broken.push_back("forgotten: " + name + " is unknown after it was accepted");
     else if (kind == "shown") {
@@ -117,10 +117,10 @@
     } else if (kind == "confirmed") confirmedMs.try_emplace(std::atoll(name.c_str()), atMs);
     else if (kind == "read") {
       ++verdict.reads;
-      for (const auto& [revision, whenMs] : confirmedMs)
-        if (revision > std::atoll(name.c_str()) && std::atoll(more.c_str()) > whenMs + kChartGraceMs)
+      for (const auto& [version, whenMs] : confirmedMs)
+        if (version > std::atoll(name.c_str()) && std::atoll(more.c_str()) > whenMs + kConfigGraceMs)
           verdict.broken.push_back("chart: revision " + name + " is answered " + std::to_string(std::atoll(more.c_str()) - whenMs) + " ms after " +
-                                   std::to_string(revision) + " was confirmed");
+                                   std::to_string(version) + " was confirmed");
     }
   }
 }
@@ -146,7 +146,7 @@
         continue;
       }
       const auto& call = found->second;
-      if (call.deniedMs >= 0) fault("asked-for: " + span.run + " runs though its job was denied");
+      if (call.rejectedMs >= 0) fault("asked-for: " + span.run + " runs though its job was denied");
       if (call.endedMs >= 0 && span.fromMs > call.endedMs) fault("asked-for: " + span.run + " starts after its job was shown " + call.shown);
       if (call.cancelledMs >= 0 && span.fromMs > call.cancelledMs + kCancelGraceMs) fault("cancelled: " + span.run + " starts after its cancel was confirmed");
       if (span.fromMs + kEarlyGraceMs < call.submittedMs + call.notBeforeMs) fault("early: " + span.run);
@@ -244,4 +244,4 @@
   return verdict;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/journals.hpp
+++ b/src/simulator/journals.hpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 struct JournalVerdict {
   std::vector<std::string> broken;
@@ -13,4 +13,4 @@
 
 JournalVerdict judgeJournals(const std::string& folder, std::int64_t slotsEach = 8);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/judge.cpp
+++ b/src/simulator/judge.cpp
@@ -1,8 +1,8 @@
-#include "drydock/judge.hpp"
+#include "simulator/judge.hpp"
 
 #include <algorithm>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 const std::vector<std::string>& ruleNames() {
   static const std::vector<std::string> all{"apart",   "asked-for", "cancelled", "chart", "counters", "denied", "denied-chart", "draining",
@@ -48,7 +48,7 @@
     auto& truth = job.tasks.emplace_back();
     truth.slots = task.slots;
     truth.after = task.after;
-    truth.payload = roles::digestOf(payloadOf(task));
+    truth.payload = commands::digestOf(payloadOf(task));
   }
   for (std::int64_t k = 0; !sketch.steps.empty() && k < sketch.instances(); ++k) {
     std::vector<std::size_t> firstOf;
@@ -62,7 +62,7 @@
       job.neverSucceeds = job.neverSucceeds || step.fails;
       TaskTruth truth;
       truth.slots = step.slots;
-      truth.room = step.room;
+      truth.capacity = step.capacity;
       truth.step = s;
       truth.instance = k;
       if (sketch.times > 0) truth.dueMs = sim_.nowMs() + sketch.firstInMs + k * sketch.everyMs;
@@ -70,7 +70,7 @@
       truth.standing = step.standing;
       truth.needs = step.needs;
       truth.apart = step.apart;
-      truth.payload = roles::digestOf(payloadOf(step));
+      truth.payload = commands::digestOf(payloadOf(step));
       if (step.together) {
         truth.lead = firstOf[s];
         truth.members = step.count;
@@ -88,7 +88,7 @@
 
 std::int64_t JobTruth::failures(std::size_t at) const {
   std::set<std::int64_t> attempts;
-  for (const auto& run : lead(at).failed) attempts.insert(roles::attemptOf(run));
+  for (const auto& run : lead(at).failed) attempts.insert(commands::attemptOf(run));
   return static_cast<std::int64_t>(attempts.size());
 }
 
@@ -101,14 +101,14 @@
 void Judge::accepted(const std::string& id) {
   auto& job = jobs.at(id);
   if (job.acceptedMs < 0) job.acceptedMs = sim_.nowMs();
-  if (job.mustBeDenied) fault("denied", id + " was accepted though it can never be served");
+  if (job.mustBeRejected) fault("denied", id + " was accepted though it can never be served");
 }
 
-void Judge::denied(const std::string& id, int status, const std::string& answer) {
+void Judge::rejected(const std::string& id, int status, const std::string& answer) {
   auto& job = jobs.at(id);
   ++checks;
-  job.denied = true;
-  if (!job.mustBeDenied) fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it " + answer);
+  job.rejected = true;
+  if (!job.mustBeRejected) fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it " + answer);
   if (job.acceptedMs >= 0) fault("denied", id + " was denied after it had been accepted");
 }
 
@@ -154,7 +154,7 @@
   if (!job) return fault("asked-for", "a run nobody asked for: " + run);
   auto& task = job->tasks[at];
   auto& lead = job->lead(at);
-  if (job->denied) fault("asked-for", "a run of a job that was denied: " + run);
+  if (job->rejected) fault("asked-for", "a run of a job that was denied: " + run);
   if (job->turnedAway) fault("turned-away", run + " starts though every try to hand its job in was turned away");
   const bool lateCopy = task.repeats && now <= job->shownEndedMs + kNotedMs;
   if (!job->shown.empty() && !lateCopy) fault("asked-for", run + " starts after its job was shown " + job->shown);
@@ -162,13 +162,13 @@
   if (const auto saved = word("saved"); !saved.empty() && !lead.issued.contains(saved))
     fault("asked-for", run + " is started from a checkpoint that is not its own: " + saved);
   if (task.members > 1) {
-    const auto [first, fresh] = lead.resumed.try_emplace(roles::attemptOf(run), word("saved"));
+    const auto [first, fresh] = lead.resumed.try_emplace(commands::attemptOf(run), word("saved"));
     if (!fresh && first->second != word("saved")) fault("gang", run + " is started from another checkpoint than its gang");
   }
   ++task.starts;
   if (job->firstStartMs < 0) job->firstStartMs = now;
   checks += 12;
-  for (const auto& [other, where] : task.going) {
+  for (const auto& [other, where] : task.running) {
     if (task.repeats) break;
     if (where->up && sim_.nowUs() < where->frozenUntilUs) task.superseded.insert(other);
     else fault("once", run + " starts on " + hand.worker.traits.name + " while " + other + " runs on " + where->worker.traits.name);
@@ -183,18 +183,18 @@
   if (auto limit = failureLimit.find(job->line); counted && limit != failureLimit.end() && job->failures(at) >= limit->second)
     fault("failures", run + " starts after " + std::to_string(job->failures(at)) + " failures");
   if (job->cancelledMs >= 0 && now > job->cancelledMs + kCancelGraceMs) fault("cancelled", run + " starts after its cancel was confirmed");
-  task.going[run] = &hand;
+  task.running[run] = &hand;
   judgePlace(hand, *job, at, run);
-  judgeRoom(hand);
+  judgeCapacity(hand);
 }
 
 void Judge::judgePlace(Hand& hand, const JobTruth& job, std::size_t at, const std::string& run) {
   const Millis now = sim_.nowMs();
   const auto& task = job.tasks[at];
   const auto& traits = hand.worker.traits;
-  const auto& cell = hand.tender->env.cell.value;
-  if (auto since = emptiedSinceMs_.find(cell); since != emptiedSinceMs_.end() && now > since->second + kEmptyGraceMs)
-    fault("emptied", run + " starts in emptied cell " + cell);
+  const auto& zone = hand.agent->settings.zone.value;
+  if (auto since = emptiedSinceMs_.find(zone); since != emptiedSinceMs_.end() && now > since->second + kEmptyGraceMs)
+    fault("emptied", run + " starts in emptied cell " + zone);
   if (auto since = drainedSinceMs_.find(traits.name); since != drainedSinceMs_.end() && now > since->second + kDrainGraceMs)
     fault("draining", run + " starts on drained " + traits.name);
   if (auto since = leavingSinceMs_.find(traits.name); since != leavingSinceMs_.end() && now > since->second + kDrainGraceMs)
@@ -205,23 +205,23 @@
     std::int64_t beside = 0;
     for (const auto& other : job.tasks)
       if (other.step == task.step && other.instance == task.instance)
-        for (const auto& [name, where] : other.going) beside += where == &hand;
+        for (const auto& [name, where] : other.running) beside += where == &hand;
     if (beside > task.apart) fault("apart", traits.name + " runs " + std::to_string(beside) + " tasks of the step of " + run);
   }
 }
 
-void Judge::judgeRoom(Hand& hand) {
+void Judge::judgeCapacity(Hand& hand) {
   const auto& traits = hand.worker.traits;
   std::int64_t slots = 0;
   std::map<std::string, std::int64_t> held;
-  for (const auto& [run, going] : hand.worker.going) {
-    slots += going.slots;
-    for (const auto& [kind, amount] : going.room) held[kind] += amount;
+  for (const auto& [run, running] : hand.worker.running) {
+    slots += running.slots;
+    for (const auto& [kind, amount] : running.capacity) held[kind] += amount;
   }
   if (slots > traits.slots) fault("room", traits.name + " runs " + std::to_string(slots) + " slots");
   for (const auto& [kind, amount] : held) {
-    const auto total = traits.room.find(kind);
-    if (amount > (total == traits.room.end() ? 0 : total->second)) fault("room", traits.name + " runs " + std::to_string(amount) + " of " + kind);
+    const auto total = traits.capacity.find(kind);
+    if (amount > (total == traits.capacity.end() ? 0 : total->second)) fault("room", traits.name + " runs " + std::to_string(amount) + " of " + kind);
   }
 }
 
@@ -231,7 +231,7 @@
   auto [job, at] = find(run);
   if (!job) return;
   auto& task = job->tasks[at];
-  task.going.erase(run);
+  task.running.erase(run);
   if (outcome == "clean") {
     ++job->lead(at).cleanEnds;
     if (task.superseded.contains(run)) fault("once", run + " ended cleanly after it was started elsewhere");
@@ -296,53 +296,53 @@
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     const auto& task = job.tasks[i];
     if (state == "finished" && !job.clean(i)) fault("finished", id + " is shown finished but " + job.names[i] + " never ended cleanly");
-    for (const auto& [run, where] : task.going)
+    for (const auto& [run, where] : task.running)
       if (!task.repeats && !task.superseded.contains(run) && !(where->up && sim_.nowUs() < where->frozenUntilUs))
         fault("finished", id + " is shown " + state + " while " + run + " runs");
   }
   if (state == "finished" && job.neverSucceeds) fault("finished", id + " can not succeed but is shown finished");
 }
 
-void Judge::chartProposed(const std::string& mark) { markRevision_.try_emplace(mark, 0); }
+void Judge::configProposed(const std::string& mark) { markVersion_.try_emplace(mark, 0); }
 
-void Judge::chartConfirmed(const std::string& mark, Revision revision) {
-  auto& known = markRevision_[mark];
-  if (known && known != revision) fault("chart", mark + " was confirmed as two revisions");
-  known = revision;
-  newestConfirmed_ = std::max(newestConfirmed_, revision);
-  confirmedMs_.try_emplace(revision, sim_.nowMs());
+void Judge::configConfirmed(const std::string& mark, Version version) {
+  auto& known = markVersion_[mark];
+  if (known && known != version) fault("chart", mark + " was confirmed as two revisions");
+  known = version;
+  newestConfirmed_ = std::max(newestConfirmed_, version);
+  confirmedMs_.try_emplace(version, sim_.nowMs());
 }
 
-void Judge::chartDenied(const std::string& mark) { denied_.insert(mark); }
+void Judge::configRejected(const std::string& mark) { rejected_.insert(mark); }
 
-void Judge::chartRead(Revision revision, const std::string& text, Millis askedMs, bool final) {
+void Judge::configRead(Version version, const std::string& text, Millis askedMs, bool final) {
   ++checks;
-  auto [slot, fresh] = textOf_.try_emplace(revision, text);
-  if (!fresh && slot->second != text) fault("chart", "revision " + std::to_string(revision) + " has two contents");
-  for (const auto& mark : denied_)
-    if (text.find("\"" + mark + "\"") != std::string::npos) fault("denied-chart", mark + " was denied and is in revision " + std::to_string(revision));
+  auto [slot, fresh] = textOf_.try_emplace(version, text);
+  if (!fresh && slot->second != text) fault("chart", "revision " + std::to_string(version) + " has two contents");
+  for (const auto& mark : rejected_)
+    if (text.find("\"" + mark + "\"") != std::string::npos) fault("denied-chart", mark + " was denied and is in revision " + std::to_string(version));
   for (const auto& [each, whenMs] : confirmedMs_)
-    if (each > revision && (final || askedMs > whenMs + kChartGraceMs))
-      fault("chart", "revision " + std::to_string(each) + " was confirmed, " + std::to_string(revision) + " is still answered " +
+    if (each > version && (final || askedMs > whenMs + kConfigGraceMs))
+      fault("chart", "revision " + std::to_string(each) + " was confirmed, " + std::to_string(version) + " is still answered " +
                          std::to_string(askedMs - whenMs) + " ms later");
-  for (const auto& [mark, at] : markRevision_)
-    if (at == revision && at != 0 && text.find("\"" + mark + "\"") == std::string::npos)
+  for (const auto& [mark, at] : markVersion_)
+    if (at == version && at != 0 && text.find("\"" + mark + "\"") == std::string::npos)
       fault("chart", mark + " is missing from its revision");
 }
 
-void Judge::wholeChart(bool begins) {
-  wholeCharts_ += begins ? 1 : -1;
+void Judge::wholeConfig(bool begins) {
+  wholeConfigs_ += begins ? 1 : -1;
   emptiedSinceMs_.clear();
   drainedSinceMs_.clear();
 }
 
-void Judge::cellEmptied(const std::string& cell, bool emptied, bool confirmed) {
-  if (emptied && confirmed && wholeCharts_ == 0) emptiedSinceMs_.try_emplace(cell, sim_.nowMs());
-  if (!emptied) emptiedSinceMs_.erase(cell);
+void Judge::zoneEmptied(const std::string& zone, bool emptied, bool confirmed) {
+  if (emptied && confirmed && wholeConfigs_ == 0) emptiedSinceMs_.try_emplace(zone, sim_.nowMs());
+  if (!emptied) emptiedSinceMs_.erase(zone);
 }
 
 void Judge::drained(const std::string& worker, bool drained, bool confirmed) {
-  if (drained && confirmed && wholeCharts_ == 0) drainedSinceMs_.try_emplace(worker, sim_.nowMs());
+  if (drained && confirmed && wholeConfigs_ == 0) drainedSinceMs_.try_emplace(worker, sim_.nowMs());
   if (!drained) drainedSinceMs_.erase(worker);
 }
 
@@ -364,19 +364,19 @@
 
 void Judge::sweepLonely() {
   const auto& bounds = sim_.plan.bounds;
-  const Millis lonelyMs = 5000 + 3 * bounds.workerTermMs;
+  const Millis lonelyMs = 5000 + 3 * bounds.workerLeaseMs;
   for (auto& [id, job] : jobs) {
     if (!job.gang) continue;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
       auto& task = job.tasks[i];
       ++checks;
       bool alone = false;
-      if (!task.going.empty()) {
+      if (!task.running.empty()) {
         for (std::size_t k = 0; k < job.tasks.size(); ++k) {
           const auto& other = job.tasks[k];
           const bool ready = std::all_of(other.after.begin(), other.after.end(), [&](auto dep) { return job.clean(dep); });
           const bool sameWave = other.after == task.after;
-          if (k != i && ready && sameWave && other.going.empty() && other.cleanEnds == 0) alone = true;
+          if (k != i && ready && sameWave && other.running.empty() && other.cleanEnds == 0) alone = true;
         }
       }
       if (!alone) task.lonelySinceMs = -1;
@@ -395,15 +395,15 @@
     if (job.cancelledMs < 0 || sim_.nowMs() <= job.cancelledMs + lastMs || !job.shown.empty()) continue;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
       ++checks;
-      if (!job.tasks[i].going.empty() && !sim_.troubled(lastMs + kInTouchMs)) fault("cancelled", id + ": " + job.names[i] + " still runs after its cancel was confirmed");
+      if (!job.tasks[i].running.empty() && !sim_.troubled(lastMs + kInTouchMs)) fault("cancelled", id + ": " + job.names[i] + " still runs after its cancel was confirmed");
     }
   }
 }
 
 bool Judge::usable(const Hand& hand) const {
   const auto& name = hand.worker.traits.name;
-  return hand.up && hand.tender->up && !hand.cut && !hand.worker.leaving && sim_.nowUs() >= hand.frozenUntilUs && !drainedSinceMs_.contains(name) &&
-         !emptiedSinceMs_.contains(hand.tender->env.cell.value);
+  return hand.up && hand.agent->up && !hand.cut && !hand.worker.leaving && sim_.nowUs() >= hand.frozenUntilUs && !drainedSinceMs_.contains(name) &&
+         !emptiedSinceMs_.contains(hand.agent->settings.zone.value);
 }
 
 void Judge::sweepStalled() {
@@ -411,27 +411,27 @@
     for (auto& [id, job] : jobs) job.stalledSinceMs = -1;
     return;
   }
-  using Room = std::map<std::string, std::int64_t>;
+  using Capacity = std::map<std::string, std::int64_t>;
   struct Free {
     const Hand* hand;
-    Room room;
+    Capacity capacity;
   };
   std::vector<Free> free;
-  Room total, used;
+  Capacity total, used;
   for (const auto& hand : sim_.hands()) {
     if (!usable(*hand)) continue;
-    Room room = hand->worker.traits.room;
-    room[""] = hand->worker.traits.slots;
-    for (const auto& [kind, amount] : room) total[kind] += amount;
-    for (const auto& [run, going] : hand->worker.going) {
-      room[""] -= going.slots;
-      used[""] += going.slots;
-      for (const auto& [kind, amount] : going.room) {
-        room[kind] -= amount;
+    Capacity capacity = hand->worker.traits.capacity;
+    capacity[""] = hand->worker.traits.slots;
+    for (const auto& [kind, amount] : capacity) total[kind] += amount;
+    for (const auto& [run, running] : hand->worker.running) {
+      capacity[""] -= running.slots;
+      used[""] += running.slots;
+      for (const auto& [kind, amount] : running.capacity) {
+        capacity[kind] -= amount;
         used[kind] += amount;
       }
     }
-    free.push_back({hand.get(), std::move(room)});
+    free.push_back({hand.get(), std::move(capacity)});
   }
   const bool roomy = !free.empty() && std::all_of(total.begin(), total.end(), [&](const auto& each) { return used[each.first] * 2 < each.second; });
   const auto fitsTwice = [&](const JobTruth& job, const std::vector<std::size_t>& unit) {
@@ -440,17 +440,17 @@
       std::map<const Hand*, std::int64_t> beside;
       for (auto at : unit) {
         const auto& task = job.tasks[at];
-        Room need = task.room;
+        Capacity need = task.capacity;
         need[""] = task.slots;
         const auto found = std::find_if(left.begin(), left.end(), [&](Free& each) {
           const auto& labels = each.hand->worker.traits.labels;
           return (task.needs.empty() || std::any_of(labels.begin(), labels.end(), [&](const auto& label) { return label.second == task.needs; })) &&
                  (task.apart == 0 || beside[each.hand] < task.apart) &&
-                 std::all_of(need.begin(), need.end(), [&](const auto& kind) { return kind.second <= each.room[kind.first]; });
+                 std::all_of(need.begin(), need.end(), [&](const auto& kind) { return kind.second <= each.capacity[kind.first]; });
         });
         if (found == left.end()) return false;
         ++beside[found->hand];
-        for (const auto& [kind, amount] : need) found->room[kind] -= amount;
+        for (const auto& [kind, amount] : need) found->capacity[kind] -= amount;
       }
     }
     return true;
@@ -458,7 +458,7 @@
   for (auto& [id, job] : jobs) {
     if (job.acceptedMs < 0 || !job.shown.empty() || job.cancelAskedMs >= 0) continue;
     ++checks;
-    const bool runs = std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return !task.going.empty(); });
+    const bool runs = std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return !task.running.empty(); });
     std::vector<std::size_t> unit;
     if (roomy && !runs)
       for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -491,4 +491,4 @@
   }
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/judge.hpp
+++ b/src/simulator/judge.hpp
@@ -1,19 +1,19 @@
 #pragma once
-#include "drydock/grace.hpp"
-#include "drydock/load.hpp"
+#include "simulator/grace.hpp"
+#include "simulator/load.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 struct TaskTruth {
   std::int64_t slots = 1;
   std::vector<std::size_t> after;
-  std::map<std::string, Hand*> going;
+  std::map<std::string, Hand*> running;
   std::set<std::string> superseded;
   std::int64_t starts = 0, cleanEnds = 0;
   std::set<std::string> failed, delivered;  // runs that failed; runs whose clean end was reported
   Millis deliveredMs = -1, failedMs = -1;
   Millis lonelySinceMs = -1;
-  std::map<std::string, std::int64_t> room;
+  std::map<std::string, std::int64_t> capacity;
   std::size_t lead = kItself;   // the first member, which keeps the ends of its whole gang
   std::size_t step = 0;
   std::int64_t instance = 0, members = 1;
@@ -32,8 +32,8 @@
   std::string line;
   bool gang = false;
   bool neverSucceeds = false;
-  bool mustBeDenied = false;
-  bool denied = false;
+  bool mustBeRejected = false;
+  bool rejected = false;
   bool turnedAway = false;  // its caller gave up, and each answer had said that it was not taken
   Millis notBeforeMs = 0;
   Millis submittedMs = 0;
@@ -71,20 +71,20 @@
   JobTruth& submitted(const std::string& id);
   JobTruth& submitted(const JobSketch& sketch);
   void accepted(const std::string& id);
-  void denied(const std::string& id, int status, const std::string& answer = {});
+  void rejected(const std::string& id, int status, const std::string& answer = {});
   void turnedAway(const std::string& id);
   void cancelled(const std::string& id);
   void shown(const std::string& id, int status, const json_t* view, Millis askedMs = -1);
-  void chartProposed(const std::string& mark);
-  void chartConfirmed(const std::string& mark, Revision revision);
-  void chartDenied(const std::string& mark);
-  void chartRead(Revision revision, const std::string& text, Millis askedMs, bool final);
-  void wholeChart(bool begins);
-  void cellEmptied(const std::string& cell, bool emptied, bool confirmed);
+  void configProposed(const std::string& mark);
+  void configConfirmed(const std::string& mark, Version version);
+  void configRejected(const std::string& mark);
+  void configRead(Version version, const std::string& text, Millis askedMs, bool final);
+  void wholeConfig(bool begins);
+  void zoneEmptied(const std::string& zone, bool emptied, bool confirmed);
   void drained(const std::string& worker, bool drained, bool confirmed);
   void sweep();
   void close();
-  Revision newestConfirmed() const { return newestConfirmed_; }
+  Version newestConfirmed() const { return newestConfirmed_; }
 
   std::map<std::string, JobTruth> jobs;
   std::map<std::string, std::int64_t> failureLimit;
@@ -100,7 +100,7 @@
   void reported(Hand& hand, const std::string& body, int status);
   void started(Hand& hand, const std::string& text);
   void runEnded(Hand& hand, const std::string& run, const std::string& outcome);
-  void judgeRoom(Hand& hand);
+  void judgeCapacity(Hand& hand);
   void judgePlace(Hand& hand, const JobTruth& job, std::size_t at, const std::string& run);
   void sweepLonely();
   void sweepCancelled();
@@ -112,13 +112,13 @@
 
   Sim& sim_;
   std::uint64_t sweeps_ = 0;
-  int wholeCharts_ = 0;
-  std::map<Revision, std::string> textOf_;
-  std::set<std::string> denied_;
-  std::map<std::string, Revision> markRevision_;
-  Revision newestConfirmed_ = 0;
-  std::map<Revision, Millis> confirmedMs_;
+  int wholeConfigs_ = 0;
+  std::map<Version, std::string> textOf_;
+  std::set<std::string> rejected_;
+  std::map<std::string, Version> markVersion_;
+  Version newestConfirmed_ = 0;
+  std::map<Version, Millis> confirmedMs_;
   std::map<std::string, Millis> emptiedSinceMs_, drainedSinceMs_, leavingSinceMs_;
 };
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/load.cpp
+++ b/src/simulator/load.cpp
@@ -1,11 +1,11 @@
-#include "drydock/load.hpp"
+#include "simulator/load.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <random>
 #include <set>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 namespace {
 
 std::int64_t between(std::int64_t low, std::int64_t high, const Dice& dice) {
@@ -22,8 +22,8 @@
     StepSketch step;
     step.name = "s" + std::to_string(i);
     step.count = std::max<std::int64_t>(1, between(load.count / 2, load.count * 3 / 2, dice));
-    if (load.cpu) step.room["cpu"] = around(load.cpu);
-    if (load.memMb) step.room["mem_mb"] = around(load.memMb);
+    if (load.cpu) step.capacity["cpu"] = around(load.cpu);
+    if (load.memMb) step.capacity["mem_mb"] = around(load.memMb);
     step.runMs = around(load.runMs);
     step.estimateMs = around(step.runMs);
     if (i > 0) step.after.push_back(static_cast<std::size_t>(between(0, i - 1, dice)));
@@ -58,9 +58,9 @@
   return payload;
 }
 
-json_t* roomJson(const std::map<std::string, std::int64_t>& room) {
+json_t* capacityJson(const std::map<std::string, std::int64_t>& capacity) {
   json_t* made = json_object();
-  for (const auto& [kind, amount] : room) json_object_set_new(made, kind.c_str(), json_integer(amount));
+  for (const auto& [kind, amount] : capacity) json_object_set_new(made, kind.c_str(), json_integer(amount));
   return made;
 }
 
@@ -71,7 +71,7 @@
     json_object_set_new(item, "name", jsonText(step.name));
     json_object_set_new(item, "count", json_integer(step.count));
     json_object_set_new(item, "slots", json_integer(step.slots));
-    if (!step.room.empty()) json_object_set_new(item, "room", roomJson(step.room));
+    if (!step.capacity.empty()) json_object_set_new(item, "room", capacityJson(step.capacity));
     if (!step.after.empty()) {
       json_t* after = json_array();
       for (auto k : step.after) json_array_append_new(after, jsonText(job.steps[k].name));
@@ -134,7 +134,7 @@
 std::string payloadOf(const StepSketch& step) {
   Json payload = payloadJson(step.runMs, step.fails, step.failAttempts);
   json_object_set_new(payload.get(), "slots", json_integer(step.slots));
-  if (!step.room.empty()) json_object_set_new(payload.get(), "room", roomJson(step.room));
+  if (!step.capacity.empty()) json_object_set_new(payload.get(), "room", capacityJson(step.capacity));
   if (step.together) json_object_set_new(payload.get(), "together", json_integer(step.count));
   const std::pair<const char*, bool> flags[] = {{"oneRack", step.oneRack}, {"standing", step.standing}, {"saves", step.saves}};
   for (const auto& [name, on] : flags)
@@ -232,12 +232,12 @@
   if (!load.ends_with("-steps") && !load.ends_with("-grown")) return fleet;
   const bool kerala = load.starts_with("kerala"), grown = load.ends_with("-grown");
   const std::int64_t cores = kerala ? 64 : 16, memMb = !kerala ? 65536 : grown ? 262144 : 131072;
-  fleet.room = {{"cpu", cores * 1000}, {"mem_mb", memMb}};
+  fleet.capacity = {{"cpu", cores * 1000}, {"mem_mb", memMb}};
   fleet.slots = cores * 4;
   fleet.rackSize = grown ? 9 : 3;
   fleet.kinds = 2;
   fleet.sizedPool = !kerala;
-  fleet.pilots = grown ? (kerala ? 11 : 8) : kerala ? 3 : 4;
+  fleet.schedulers = grown ? (kerala ? 11 : 8) : kerala ? 3 : 4;
   fleet.sea.mostUs = kerala ? 1400 : 1900;
   fleet.sea.leastUs = kerala ? 900 : 1400;
   auto& bounds = fleet.bounds;
@@ -248,36 +248,36 @@
   bounds.farFactor = grown && !kerala ? 3 : 1.5;
   fleet.holdMostMs = kerala ? 10000 : 6000;
   if (grown) {
-    fleet.quays = kerala ? 8 : 6;
+    fleet.replicas = kerala ? 8 : 6;
     fleet.losses = 2;
-    fleet.cells = kerala ? 4 : 3;
+    fleet.zones = kerala ? 4 : 3;
     fleet.workers = kerala ? 74 : 58;
   }
   return fleet;
 }
 
-bool readLoad(std::string_view text, std::vector<LineLoad>& lines, chart::Fault& fault) {
+bool readLoad(std::string_view text, std::vector<LineLoad>& lines, config::Fault& fault) {
   Json root = parseJson(text);
   const json_t* list = json_object_get(root.get(), "lines");
-  auto deny = [&](std::string path, std::string allowed) {
+  auto reject = [&](std::string path, std::string allowed) {
     fault = {std::move(path), std::move(allowed)};
     return false;
   };
-  if (!json_is_array(list) || json_array_size(list) == 0) return deny("/lines", "a list of at least one line");
+  if (!json_is_array(list) || json_array_size(list) == 0) return reject("/lines", "a list of at least one line");
   lines.clear();
   for (std::size_t i = 0; i < json_array_size(list); ++i) {
     const json_t* item = json_array_get(list, i);
     const auto at = "/lines/" + std::to_string(i);
     LineLoad line;
     line.line = textAt(item, "pending");
-    if (line.line.empty()) return deny(at + "/pending", "the name of a pending line");
+    if (line.line.empty()) return reject(at + "/pending", "the name of a pending line");
     line.perSecond = json_number_value(json_object_get(item, "perSecond"));
-    if (!(line.perSecond > 0)) return deny(at + "/perSecond", "a number above 0");
+    if (!(line.perSecond > 0)) return reject(at + "/perSecond", "a number above 0");
     auto range = [&](const char* key, std::int64_t& low, std::int64_t& high) {
       const json_t* pair = json_object_get(item, key);
       low = json_integer_value(json_array_get(pair, 0));
       high = json_integer_value(json_array_get(pair, 1));
-      return (json_array_size(pair) == 2 && low >= 1 && low <= high) || deny(at + "/" + key, "[least, most], each 1 or more");
+      return (json_array_size(pair) == 2 && low >= 1 && low <= high) || reject(at + "/" + key, "[least, most], each 1 or more");
     };
     if (!range("tasks", line.leastTasks, line.mostTasks) || !range("slots", line.leastSlots, line.mostSlots) ||
         !range("runMs", line.leastRunMs, line.mostRunMs))
@@ -296,7 +296,7 @@
         {"needs", &line.needs},       {"repeats", &line.repeats}, {"timed", &line.timed}, {"standing", &line.standing}};
     for (const auto& [key, share] : shares) {
       *share = json_number_value(json_object_get(item, key));
-      if (*share < 0 || *share > 1) return deny(at + "/" + key, "a number from 0 to 1");
+      if (*share < 0 || *share > 1) return reject(at + "/" + key, "a number from 0 to 1");
     }
     lines.push_back(std::move(line));
   }
@@ -326,39 +326,39 @@
     const auto line = text.substr(0, text.find('\n'));
     text.remove_prefix(std::min(text.size(), line.size() + 1));
     if (line.empty()) continue;
-    auto deny = [&](const char* what) {
+    auto reject = [&](const char* what) {
       allowed = what;
       return false;
     };
     Json root = parseJson(line);
-    if (!json_is_object(root.get())) return deny("one JSON object");
+    if (!json_is_object(root.get())) return reject("one JSON object");
     Arrival made;
     made.atMs = numberAt(root.get(), "atMs", -1);
-    if (made.atMs < 0 || made.atMs < lastMs) return deny("an atMs of 0 or more, not below the line before");
+    if (made.atMs < 0 || made.atMs < lastMs) return reject("an atMs of 0 or more, not below the line before");
     if (firstMs < 0) firstMs = made.atMs;
     lastMs = made.atMs;
     made.atMs -= firstMs;
     made.job.id = textAt(root.get(), "id");
     if (made.job.id.empty() || made.job.id.find(':') != std::string::npos || !ids.insert(made.job.id).second)
-      return deny("an id of its own, without ':'");
+      return reject("an id of its own, without ':'");
     made.job.line = textAt(root.get(), "pending");
-    if (made.job.line.empty()) return deny("a pending line's name");
+    if (made.job.line.empty()) return reject("a pending line's name");
     made.job.gang = flagAt(root.get(), "gang");
     made.job.notBeforeMs = numberAt(root.get(), "notBeforeMs");
     const json_t* tasks = json_object_get(root.get(), "tasks");
-    if (json_array_size(tasks) == 0 || json_array_size(tasks) > 256) return deny("1 to 256 tasks");
+    if (json_array_size(tasks) == 0 || json_array_size(tasks) > 256) return reject("1 to 256 tasks");
     for (std::size_t i = 0; i < json_array_size(tasks); ++i) {
       const json_t* item = json_array_get(tasks, i);
       TaskSketch task;
       task.name = "t" + std::to_string(i);
       task.slots = numberAt(item, "slots");
       task.runMs = numberAt(item, "runMs");
-      if (task.slots < 1 || task.runMs < 1) return deny("slots and runMs of 1 or more");
+      if (task.slots < 1 || task.runMs < 1) return reject("slots and runMs of 1 or more");
       const json_t* after = json_object_get(item, "after");
       for (std::size_t k = 0; k < json_array_size(after); ++k) {
         const auto dep = json_integer_value(json_array_get(after, k));
         if (dep < 0 || dep >= static_cast<json_int_t>(json_array_size(tasks)) || dep == static_cast<json_int_t>(i))
-          return deny("after: numbers of other tasks, from 0");
+          return reject("after: numbers of other tasks, from 0");
         task.after.push_back(static_cast<std::size_t>(dep));
       }
       made.job.tasks.push_back(std::move(task));
@@ -393,4 +393,4 @@
 
 double gapSeconds(const LineLoad& load, double factor, const Dice& dice) { return -std::log(1.0 - dice()) / (load.perSecond * factor); }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/load.hpp
+++ b/src/simulator/load.hpp
@@ -3,10 +3,10 @@
 #include <string>
 #include <vector>
 
-#include "chart/chart.hpp"
-#include "drydock/sim.hpp"
+#include "config/config.hpp"
+#include "simulator/sim.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 struct LineLoad {
   std::string line;
@@ -42,7 +42,7 @@
   std::string name;
   std::int64_t count = 1;
   std::int64_t slots = 1;
-  std::map<std::string, std::int64_t> room;
+  std::map<std::string, std::int64_t> capacity;
   std::vector<std::size_t> after;  // places of other steps
   Millis runMs = 100;
   Millis estimateMs = 0;
@@ -83,7 +83,7 @@
 const std::vector<std::string>& loadNames();
 std::vector<LineLoad> builtInLoad(const std::string& name);
 FleetPlan fleetOf(const std::string& load);
-bool readLoad(std::string_view text, std::vector<LineLoad>& lines, chart::Fault& fault);
+bool readLoad(std::string_view text, std::vector<LineLoad>& lines, config::Fault& fault);
 struct Arrival {
   Millis atMs = 0;
   JobSketch job;
@@ -95,4 +95,4 @@
 std::int64_t workMs(const JobSketch& job);
 double gapSeconds(const LineLoad& load, double factor, const Dice& dice);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/place.cpp
+++ b/src/simulator/place.cpp
@@ -1,19 +1,19 @@
-#include "drydock/place.hpp"
+#include "simulator/place.hpp"
 
 #include <algorithm>
 #include <array>
 #include <sstream>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 namespace {
 
 constexpr std::array<std::string_view, 23> kMessages{
     "SessionBeat", "SessionGrant", "RegisterPrepare", "RegisterPromise", "RegisterAccept", "RegisterAccepted", "RegisterChosen",
     "AckQuery",    "AckState",     "RangePrepare",    "RangePromise",    "RangeAccept",    "RangeAccepted",    "Resign",
-    "QuayBeat",    "Form",         "CatchUpAsk",      "CatchUpGive",     "TenderReport",   "Orders",          "CallAsk",
+    "ReplicaBeat",    "Form",         "CatchUpAsk",      "CatchUpGive",     "AgentReport",   "Orders",          "CallAsk",
     "CallAnswer",  "Referral"};
-static_assert(kMessages.size() == std::variant_size_v<signal::Message>);
+static_assert(kMessages.size() == std::variant_size_v<transport::Message>);
 constexpr std::array<std::string_view, 3> kSides{"before", "unsent", "sent"};
 constexpr std::array<std::string_view, 5> kBlows{"crash", "power", "disk", "freeze", "cut"};
 
@@ -25,11 +25,11 @@
 
 }  // namespace
 
-std::string pointOf(Role role, const signal::Event& event) {
+std::string pointOf(Role role, const transport::Event& event) {
   const std::string who(roleName(role));
-  if (const auto* heard = std::get_if<signal::Heard>(&event)) return who + "." + std::string(kMessages[heard->message.index()]);
-  if (std::holds_alternative<signal::Ask>(event)) return who + ".Ask";
-  if (std::holds_alternative<signal::Persisted>(event)) return who + ".Persisted";
+  if (const auto* heard = std::get_if<transport::Heard>(&event)) return who + "." + std::string(kMessages[heard->message.index()]);
+  if (std::holds_alternative<transport::Ask>(event)) return who + ".Ask";
+  if (std::holds_alternative<transport::Persisted>(event)) return who + ".Persisted";
   return {};
 }
 
@@ -53,10 +53,10 @@
       for (const auto side : {Side::before, Side::unsent, Side::sent})
         for (const auto blow : {Blow::crash, Blow::power, Blow::disk, Blow::freeze, Blow::cut}) {
           if (side == Side::unsent && (blow == Blow::freeze || blow == Blow::cut)) continue;
-          if (blow == Blow::disk && (!disks || !point.starts_with("quay."))) continue;
+          if (blow == Blow::disk && (!disks || !point.starts_with("replica."))) continue;
           all.push_back({point, nth, side, blow});
         }
   return all;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/place.hpp
+++ b/src/simulator/place.hpp
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "signal/core.hpp"
+#include "transport/core.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 enum class Side { before, unsent, sent };
 enum class Blow { crash, power, disk, freeze, cut };
@@ -18,9 +18,9 @@
   Blow blow = Blow::crash;
 };
 
-std::string pointOf(Role role, const signal::Event& event);
+std::string pointOf(Role role, const transport::Event& event);
 std::string placeText(const Place& place);
 bool readPlace(const std::string& text, Place& place);
 std::vector<Place> allPlaces(const std::map<std::string, int>& points, int most, bool disks);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/scale.cpp
+++ b/src/simulator/scale.cpp
@@ -1,4 +1,4 @@
-#include "drydock/scale.hpp"
+#include "simulator/scale.hpp"
 
 #include <malloc.h>
 #include <time.h>
@@ -7,10 +7,10 @@
 #include <cstdio>
 #include <fstream>
 
-#include "drydock/day.hpp"
-#include "drydock/load.hpp"
+#include "simulator/day.hpp"
+#include "simulator/load.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 std::uint64_t threadNs() {
   timespec at{};
@@ -49,7 +49,7 @@
 
 FleetPlan fleetFor(const ScalePlan& plan) {
   FleetPlan fleet;
-  fleet.cells = 7;
+  fleet.zones = 7;
   fleet.workers = plan.workers;
   fleet.slots = plan.running * 5 / 4 / plan.workers + 2;
   fleet.sea.drop = fleet.sea.twice = fleet.sea.late = 0;
@@ -57,8 +57,8 @@
   return fleet;
 }
 
-std::string chartFor(const ScalePlan& plan, const FleetPlan& fleet) {
-  Json chart(json_object());
+std::string configFor(const ScalePlan& plan, const FleetPlan& fleet) {
+  Json config(json_object());
   json_t* lines = json_object();
   for (int i = 0; i < plan.lines; ++i) {
     json_t* line = json_object();
@@ -66,13 +66,13 @@
     json_object_set_new(line, "quotaSlots", json_integer(fleet.slots * fleet.workers));
     json_object_set_new(lines, ("team-" + std::to_string(i + 1)).c_str(), line);
   }
-  json_object_set_new(chart.get(), "pendings", lines);
+  json_object_set_new(config.get(), "pendings", lines);
   json_t *pool = json_object(), *pools = json_object();
   json_object_set_new(pool, "slots", json_integer(fleet.slots));
   json_object_set_new(pool, "workers", json_integer(fleet.workers));
   json_object_set_new(pools, "side", pool);
-  json_object_set_new(chart.get(), "pools", pools);
-  return dumpJson(chart.get());
+  json_object_set_new(config.get(), "pools", pools);
+  return dumpJson(config.get());
 }
 
 class Scale {
@@ -94,9 +94,9 @@
     for (const auto& host : sim_.all()) sim_.start(*host);
     for (const auto& hand : sim_.hands()) sim_.startWorker(*hand);
     if (!until(60 * kSecond, [this] { return sim_.leader() != nullptr; })) return cutShort();
-    change("PUT", chartFor(plan_, sim_.plan));
+    change("PUT", configFor(plan_, sim_.plan));
     if (!until(60 * kSecond, [this] { return inForce(); }) || !until(60 * kSecond, [this] { return allKnown(); })) return cutShort();
-    result_.chartMs = result_.chartAnswerMs = -1;
+    result_.configMs = result_.configAnswerMs = -1;
     fill();
     sim_.runUntil(sim_.nowUs() + 3 * kSecond);
     arrivals();
@@ -129,35 +129,35 @@
   }
 
   bool inForce() const {
-    if (revision_ == 0) return false;
-    return std::all_of(sim_.all().begin(), sim_.all().end(), [&](const auto& host) { return !host->up || roles::crewOf(*host->node).chartRevision >= revision_; });
+    if (version_ == 0) return false;
+    return std::all_of(sim_.all().begin(), sim_.all().end(), [&](const auto& host) { return !host->up || daemon::clientOf(*host->node).configVersion >= version_; });
   }
 
   bool allKnown() {
     auto* leader = sim_.leader();
     if (!leader) return false;
-    const auto& workers = leader->node->pilot->workers;
+    const auto& workers = leader->node->scheduler->workers;
     result_.known = static_cast<int>(std::count_if(workers.begin(), workers.end(), [](const auto& each) { return each.second.heardMs >= 0 && each.second.last.workerHeard; }));
     return result_.known == plan_.workers;
   }
 
   void change(const std::string& method, std::string body) {
-    revision_ = 0;
+    version_ = 0;
     ask(method, "/configuration", std::move(body), [this](const std::string& text) {
       Json root = parseJson(text);
-      revision_ = static_cast<Revision>(numberAt(root.get(), "revision"));
+      version_ = static_cast<Version>(numberAt(root.get(), "revision"));
     });
   }
 
-  // Resent until it is answered, each time to another pilot.
+  // Resent until it is answered, each time to another scheduler.
   void ask(const std::string& method, const std::string& path, std::string body, std::function<void(const std::string&)> done) {
-    signal::Ask text;
+    transport::Ask text;
     text.method = method;
     text.path = path;
     text.body = body;
-    if (path == "/configuration") text.transactionName = "t-" + std::to_string(std::hash<std::string>{}(body));
-    const auto pilots = sim_.hosts(Role::pilot);
-    auto& host = *pilots[static_cast<std::size_t>(++asked_) % pilots.size()];
+    if (path == "/configuration") text.requestName = "t-" + std::to_string(std::hash<std::string>{}(body));
+    const auto schedulers = sim_.hosts(Role::scheduler);
+    auto& host = *schedulers[static_cast<std::size_t>(++asked_) % schedulers.size()];
     sim_.ask(host, text, [this, method, path, body, done](Reply reply) {
       if (!reply.lost && reply.status < 400) return done(reply.body);
       if (!reply.lost && reply.status < 500) {
@@ -210,7 +210,7 @@
     const auto changedMs = sim_.nowMs();
     change("PATCH", R"({"pendings":{"team-1":{"rank":4}}})");
     const bool forced = until(20 * kSecond, [this] { return inForce(); });
-    if (forced) result_.chartMs = sim_.nowMs() - changedMs;
+    if (forced) result_.configMs = sim_.nowMs() - changedMs;
     while (sim_.nowUs() < endUs && !spent()) sim_.runUntil(std::min(endUs, sim_.nowUs() + 50 * kMilli));
     result_.cutShort = result_.cutShort || spent();
     result_.seconds = static_cast<double>(sim_.nowUs() - startUs) / kSecond;
@@ -220,8 +220,8 @@
     sim_.meter = nullptr;
     result_.resident = residentBytes();
     if (auto* leader = sim_.leader()) {
-      result_.chartBytes = roles::crewOf(*leader->node).chartText.size();
-      for (const auto& [key, entry] : leader->node->pilot->current) {
+      result_.configBytes = daemon::clientOf(*leader->node).configText.size();
+      for (const auto& [key, entry] : leader->node->scheduler->current) {
         ++result_.stored;
         result_.storedBytes += key.size() + entry.value.size();
       }
@@ -265,9 +265,9 @@
       bytes = before - std::min(before, heap());
       host->up = false;
     };
-    lose(Role::pilot, result_.pilotBytes);
-    lose(Role::quay, result_.quayBytes);
-    lose(Role::tender, result_.tenderBytes);
+    lose(Role::scheduler, result_.schedulerBytes);
+    lose(Role::replica, result_.replicaBytes);
+    lose(Role::agent, result_.agentBytes);
   }
 
   void noted(const std::string& line) {
@@ -300,7 +300,7 @@
   std::uint64_t fromNs_ = 0;
   double rate_ = 1;
   Millis runMs_ = 1000;
-  Revision revision_ = 0;
+  Version version_ = 0;
   std::uint64_t asked_ = 0;
   bool stopped_ = false, killed_ = false;
   std::string gangJob_;
@@ -323,7 +323,7 @@
 std::string table(const ScaleResult& result) {
   std::string text;
   const auto seconds = std::max(0.001, result.seconds);
-  std::map<std::string, double> daemons{{"leader", 1}, {"pilot", 3}, {"quay", 3}, {"tender", std::max(1, result.workers)}};
+  std::map<std::string, double> daemons{{"leader", 1}, {"scheduler", 3}, {"replica", 3}, {"agent", std::max(1, result.workers)}};
   put(text, "%-7s %-17s %11s %12s %11s %12s %11s %11s %11s\n", "role", "kind", "sent/s", "sent B/s", "received/s", "received B/s", "core us", "codec us", "most us");
   std::map<std::string, Meter::Row> sums;
   for (const auto& [key, row] : result.meter.rows) {
@@ -355,13 +355,13 @@
   span("batches", result.meter.batches);
   put(text, "takeover: another leads after %lld ms, its step %.1f us; work starts again after %lld ms\n", static_cast<long long>(result.takeoverMs),
       static_cast<double>(result.takeoverNs) / 1000.0, static_cast<long long>(result.planAgainMs));
-  put(text, "configuration of %zu bytes changed: in force everywhere after %lld ms\n", result.chartBytes, static_cast<long long>(result.chartMs));
+  put(text, "configuration of %zu bytes changed: in force everywhere after %lld ms\n", result.configBytes, static_cast<long long>(result.configMs));
   put(text, "start latency of a job: p50 %lld ms, p99 %lld ms over %zu; a gang of %lld whole after %lld ms\n", static_cast<long long>(quantile(result.startMs, 0.5)),
       static_cast<long long>(quantile(result.startMs, 0.99)), result.startMs.size(), static_cast<long long>(result.gang), static_cast<long long>(result.gangMs));
-  put(text, "resident %.1f MB, %.1f KB a worker; heap of one: leader %.1f KB, pilot %.1f KB, quay %.1f KB, tender %.1f KB; stored %zu entries of %zu bytes\n",
+  put(text, "resident %.1f MB, %.1f KB a worker; heap of one: leader %.1f KB, scheduler %.1f KB, replica %.1f KB, agent %.1f KB; stored %zu entries of %zu bytes\n",
       static_cast<double>(result.resident) / 1e6, static_cast<double>(result.resident - std::min(result.resident, result.residentBefore)) / 1e3 / std::max(1, result.workers),
-      static_cast<double>(result.leaderBytes) / 1e3, static_cast<double>(result.pilotBytes) / 1e3, static_cast<double>(result.quayBytes) / 1e3,
-      static_cast<double>(result.tenderBytes) / 1e3, result.stored, result.storedBytes);
+      static_cast<double>(result.leaderBytes) / 1e3, static_cast<double>(result.schedulerBytes) / 1e3, static_cast<double>(result.replicaBytes) / 1e3,
+      static_cast<double>(result.agentBytes) / 1e3, result.stored, result.storedBytes);
   put(text, "%d workers, %d known; %lld running; %.1f s; jobs %lld handed in, %lld accepted, %lld finished; tasks %lld, starts %lld (%lld twice), ends %lld (%lld twice, %lld unclean, %lld of them after the kill)%s\n",
       result.workers, result.known, static_cast<long long>(result.running), result.seconds, static_cast<long long>(result.jobs), static_cast<long long>(result.accepted),
       static_cast<long long>(result.finished), static_cast<long long>(result.tasks), static_cast<long long>(result.starts), static_cast<long long>(result.startedTwice),
@@ -370,4 +370,4 @@
   return text;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/sim.cpp
+++ b/src/simulator/sim.cpp
@@ -1,51 +1,51 @@
-#include "drydock/sim.hpp"
+#include "simulator/sim.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
-using namespace signal;
+using namespace transport;
 
 namespace {
 
 std::string_view messageName(const Message& message) {
   constexpr std::string_view kNames[] = {"SessionBeat",   "SessionGrant", "RegisterPrepare", "RegisterPromise", "RegisterAccept", "RegisterAccepted", "RegisterChosen", "AckQuery",
-                                         "AckState",      "RangePrepare", "RangePromise",    "RangeAccept",     "RangeAccepted",  "Resign",           "QuayBeat",       "Form",
-                                         "CatchUpAsk",    "CatchUpGive",  "TenderReport",    "Orders",          "CallAsk",        "CallAnswer",       "Referral"};
+                                         "AckState",      "RangePrepare", "RangePromise",    "RangeAccept",     "RangeAccepted",  "Resign",           "ReplicaBeat",       "Form",
+                                         "CatchUpAsk",    "CatchUpGive",  "AgentReport",    "Orders",          "CallAsk",        "CallAnswer",       "Referral"};
   static_assert(std::size(kNames) == std::variant_size_v<Message>);
   return kNames[message.index()];
 }
 
 }  // namespace
 
-std::string cellOf(const FleetPlan& fleet, int worker) { return std::string(1, static_cast<char>('a' + worker % fleet.cells)); }
+std::string zoneOf(const FleetPlan& fleet, int worker) { return std::string(1, static_cast<char>('a' + worker % fleet.zones)); }
 std::string rackOf(const FleetPlan& fleet, int worker) {
-  return "r" + cellOf(fleet, worker) + "-" + std::to_string(worker / fleet.cells / fleet.rackSize + 1);
+  return "r" + zoneOf(fleet, worker) + "-" + std::to_string(worker / fleet.zones / fleet.rackSize + 1);
 }
 std::string kindOf(const FleetPlan& fleet, int worker) { return "kind-" + std::to_string(worker % fleet.kinds + 1); }
 std::string poolOf(const FleetPlan& fleet, int worker) { return fleet.sizedPool && fleet.kinds > 0 ? kindOf(fleet, worker) : "side"; }
 
 Sim::Sim(std::uint64_t seed, FleetPlan given) : plan(std::move(given)), seed_(seed), random_(seed) {
   for (int i = 0; i < 3; ++i) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
-  auto cell = [&](int i) { return cellOf(plan, i); };
-  for (int i = 0; i < plan.quays; ++i) addHost(Role::quay, "quay-" + std::to_string(i + 1), cell(i));
-  for (int i = 0; i < plan.pilots; ++i) addHost(Role::pilot, "pilot-" + std::to_string(i + 1), cell(i));
+  auto zone = [&](int i) { return zoneOf(plan, i); };
+  for (int i = 0; i < plan.replicas; ++i) addHost(Role::replica, "replica-" + std::to_string(i + 1), zone(i));
+  for (int i = 0; i < plan.schedulers; ++i) addHost(Role::scheduler, "scheduler-" + std::to_string(i + 1), zone(i));
   for (int i = 0; i < plan.workers; ++i) {
     const auto number = std::to_string(i + 1);
-    auto& tender = addHost(Role::tender, "tender-" + number, cell(i), "worker-" + number);
+    auto& agent = addHost(Role::agent, "agent-" + number, zone(i), "worker-" + number);
     hands_.push_back(std::make_unique<Hand>());
     auto& hand = *hands_.back();
-    hand.tender = &tender;
+    hand.agent = &agent;
     hand.worker.traits.name = "worker-" + number;
     hand.worker.traits.pool = poolOf(plan, i);
     hand.worker.traits.slots = plan.slots;
     hand.worker.traits.selfStop = plan.selfStop;
-    hand.worker.traits.room = plan.room;
+    hand.worker.traits.capacity = plan.capacity;
     hand.worker.traits.holdMostMs = plan.holdMostMs;
     hand.worker.traits.gangWaitMs = plan.bounds.gangWaitMs;
     hand.worker.traits.checkpointMs = plan.bounds.checkpointMs;
     hand.worker.traits.farFactor = plan.bounds.farFactor;
     if (plan.rackSize > 0) hand.worker.traits.labels["rack"] = rackOf(plan, i);
     if (plan.kinds > 0) hand.worker.traits.labels["kind"] = kindOf(plan, i);
-    hand.clockRate = 1.0 - 0.0001 * static_cast<double>(std::stoul(roles::digestOf(std::to_string(seed) + number), nullptr, 16) % 200);
+    hand.clockRate = 1.0 - 0.0001 * static_cast<double>(std::stoul(commands::digestOf(std::to_string(seed) + number), nullptr, 16) % 200);
   }
   after(plan.handUs, [this] { gangTick(); });
 }
@@ -87,7 +87,7 @@
     if ((!host->up && !host->gone) || host->frozenUntilUs > since || host->diskFails || host->syncUs > 5000) return true;
   for (const auto& hand : hands_) {
     const auto& traits = hand->worker.traits;
-    if ((!hand->up && !hand->tender->gone) || hand->cut || hand->frozenUntilUs > since || traits.mute || traits.standsStill || traits.slowFactor > 1 || traits.failEvery > 0 ||
+    if ((!hand->up && !hand->agent->gone) || hand->cut || hand->frozenUntilUs > since || traits.mute || traits.standsStill || traits.slowFactor > 1 || traits.failEvery > 0 ||
         traits.failShare > 0)
       return true;
   }
@@ -96,27 +96,27 @@
 
 Micros Sim::voyage() { return plan.sea.leastUs + below(plan.sea.mostUs - plan.sea.leastUs); }
 
-Host& Sim::addHost(Role role, const std::string& name, const std::string& cell, const std::string& workerName) {
+Host& Sim::addHost(Role role, const std::string& name, const std::string& zone, const std::string& workerName) {
   hosts_.push_back(std::make_unique<Host>());
   auto& host = *hosts_.back();
   host.name = name;
-  host.env.role = role;
-  host.env.name = name;
-  host.env.cell = CellName(cell);
-  host.env.seeds = seeds_;
-  host.env.bounds = plan.bounds;
-  host.env.losses = plan.losses;
-  host.env.worker = workerName;
-  host.env.dataFolder = role == Role::quay ? "simulated" : "";
+  host.settings.role = role;
+  host.settings.name = name;
+  host.settings.zone = ZoneName(zone);
+  host.settings.seeds = seeds_;
+  host.settings.bounds = plan.bounds;
+  host.settings.losses = plan.losses;
+  host.settings.worker = workerName;
+  host.settings.dataFolder = role == Role::replica ? "simulated" : "";
   const auto ip = "10.0." + std::to_string(addresses_ / 250) + "." + std::to_string(addresses_ % 250 + 1);
   ++addresses_;
-  host.env.signal = Address(ip + ":7000");
-  host.env.http = Address(ip + ":8000");
+  host.settings.peerAddress = Address(ip + ":7000");
+  host.settings.http = Address(ip + ":8000");
   host.clockOffsetUs = below(3600LL * 1000000);
   host.clockRate = 1.0 + (unit() - 0.5) * 0.0004;
   byName_[name] = &host;
-  bySignal_[host.env.signal] = &host;
-  byHttp_[host.env.http] = &host;
+  bySignal_[host.settings.peerAddress] = &host;
+  byHttp_[host.settings.http] = &host;
   return host;
 }
 
@@ -130,13 +130,13 @@
   host.unsynced.clear();
   host.syncing = false;
   const auto incarnation = "i" + std::to_string(++names_);
-  if (host.env.role == Role::quay) {
+  if (host.settings.role == Role::replica) {
     if (host.disk.id.empty()) host.disk.id = DaemonId(host.name + "-" + incarnation);
     host.id = host.disk.id;
   } else {
     host.id = DaemonId(host.name + "-" + incarnation);
   }
-  host.node = roles::makeNode(host.env, host.id, incarnation, host.disk, clock(host));
+  host.node = daemon::makeNode(host.settings, host.id, incarnation, host.disk, clock(host));
   mark("start " + host.name);
   const int life = host.lives;
   after(below(plan.tickUs), [this, &host, life] { tick(host, life); });
@@ -155,9 +155,9 @@
   host.asking.clear();
   host.askText.clear();
   std::vector<std::uint64_t> order;
-  for (const auto& [transaction, done] : asking) order.push_back(transaction);
+  for (const auto& [requestId, done] : asking) order.push_back(requestId);
   std::sort(order.begin(), order.end());
-  for (const auto transaction : order) after(voyage(), [done = asking[transaction]] { done({true, 0, 0, {}}); });
+  for (const auto requestId : order) after(voyage(), [done = asking[requestId]] { done({true, 0, 0, {}}); });
 }
 
 void Sim::freeze(Host& host, Micros spanUs) {
@@ -176,7 +176,7 @@
 void Sim::loseDisk(Host& host) {
   mark("lose disk " + host.name);
   trouble();
-  host.disk = hold::Image{};
+  host.disk = storage::Image{};
 }
 
 void Sim::stopPolitely(Host& host) {
@@ -223,7 +223,7 @@
       });
     return;
   }
-  const auto point = counting ? pointOf(host.env.role, event) : std::string();
+  const auto point = counting ? pointOf(host.settings.role, event) : std::string();
   const bool here = !point.empty() && ++points[point] > 0 && place && place->point == point && points[point] == place->nth;
   const auto struck = [&](Side side) {
     if (!here || place->side != side) return false;
@@ -236,15 +236,15 @@
   if (now_ < host.frozenUntilUs) return give(host, std::move(event));
   Outbox out;
   if (meter) metered(host, event, out);
-  else roles::nodeStep(*host.node, event, clock(host), out);
+  else daemon::nodeStep(*host.node, event, clock(host), out);
   if (struck(Side::unsent)) return;
   settle(host, std::move(out));
   struck(Side::sent);
 }
 
 std::string Sim::roleAt(const Host& host) const {
-  const bool leading = host.up && host.node->pilot && manifest::leads(*host.node->pilot, clock(host));
-  return leading ? "leader" : std::string(roleName(host.env.role));
+  const bool leading = host.up && host.node->scheduler && scheduler::leads(*host.node->scheduler, clock(host));
+  return leading ? "leader" : std::string(roleName(host.settings.role));
 }
 
 void Sim::metered(Host& host, const Event& event, Outbox& out) {
@@ -254,16 +254,16 @@
                            : std::holds_alternative<Ask>(event)  ? "call " + std::get<Ask>(event).method
                            : std::holds_alternative<Tick>(event) ? "tick"
                                                                  : "synced";
-  const auto before = host.node->pilot ? host.node->pilot->counts : manifest::PilotCounts{};
+  const auto before = host.node->scheduler ? host.node->scheduler->counts : scheduler::SchedulerCounts{};
   const auto fromNs = threadNs();
-  roles::nodeStep(*host.node, event, clock(host), out);
+  daemon::nodeStep(*host.node, event, clock(host), out);
   const auto spanNs = meter->since(fromNs);
   auto& row = meter->rows[{role, kind}];
   ++row.received;
   row.stepNs += spanNs;
   row.mostStepNs = std::max(row.mostStepNs, spanNs);
-  if (!host.node->pilot) return;
-  const auto& counts = host.node->pilot->counts;
+  if (!host.node->scheduler) return;
+  const auto& counts = host.node->scheduler->counts;
   if (counts.takeovers > before.takeovers) meter->takeovers.add(spanNs);
   else if (counts.epochs > before.epochs) meter->plans.add(spanNs);
   else if (counts.batches > before.batches) meter->batches.add(spanNs);
@@ -278,22 +278,22 @@
   for (auto& persist : out.persists) host.unsynced.push_back(std::move(persist));
   if (!host.unsynced.empty()) sync(host);
   for (const auto& send : out.sends) carry(host, send);
-  for (auto& answer : out.answers) reply(host, answer.transaction, {false, answer.status, answer.retryMs, std::move(answer.body)});
-  for (const auto& proxy : out.proxies) {
-    auto text = host.askText.find(proxy.transaction);
-    auto to = byHttp_.find(proxy.http);
+  for (auto& answer : out.answers) reply(host, answer.requestId, {false, answer.status, answer.retryMs, std::move(answer.body)});
+  for (const auto& forward : out.forwards) {
+    auto text = host.askText.find(forward.requestId);
+    auto to = byHttp_.find(forward.http);
     if (text == host.askText.end()) continue;
     auto onward = text->second;
     ++onward.hops;
-    const auto transaction = proxy.transaction;
+    const auto requestId = forward.requestId;
     const int life = host.lives;
-    auto back = [this, &host, life, transaction, method = onward.method](Reply got) {
+    auto back = [this, &host, life, requestId, method = onward.method](Reply got) {
       if (!host.up || host.lives != life) return;
       if (got.lost) {
         const auto& row = rowOf(method == "GET" ? Kind::noLeader : Kind::unknownOutcome);
-        got = {false, row.status, plan.bounds.termMs / 2, "{\"error\":\"" + std::string(row.name) + "\"}"};
+        got = {false, row.status, plan.bounds.leaseMs / 2, "{\"error\":\"" + std::string(row.name) + "\"}"};
       }
-      reply(host, transaction, std::move(got));
+      reply(host, requestId, std::move(got));
     };
     if (to == byHttp_.end() || isCut(host, *to->second) || isCut(*to->second, host)) {
       after(100000, [back] { back({true, 0, 0, {}}); });
@@ -311,13 +311,13 @@
   ++frames_;
   const bool self = &to == &from;
   if (!self && (isCut(from, to) || chance(plan.sea.drop))) return;
-  Heard heard{from.id, from.env.signal, send.message, send.to};
+  Heard heard{from.id, from.settings.peerAddress, send.message, send.to};
   constexpr std::uint64_t kCodecEvery = 16;
   if (meter) {
     const std::string kind(messageName(send.message));
     auto& out = meter->rows[{roleAt(from), kind}];
     auto fromNs = threadNs();
-    const auto bytes = encode(Frame{kRevision, from.id, from.env.signal, send.to, send.message});
+    const auto bytes = encode(Frame{kProtocolVersion, from.id, from.settings.peerAddress, send.to, send.message});
     out.encodeNs += meter->since(fromNs);
     ++out.sent;
     out.sentBytes += bytes.size();
@@ -330,7 +330,7 @@
     heard.message = std::move(frame.message);
   } else if (frames_ % kCodecEvery == 0) {
     Frame frame;
-    if (decode(encode(Frame{kRevision, from.id, from.env.signal, send.to, send.message}), frame) != Decoded::ok) std::abort();
+    if (decode(encode(Frame{kProtocolVersion, from.id, from.settings.peerAddress, send.to, send.message}), frame) != Decoded::ok) std::abort();
     heard.message = std::move(frame.message);
   }
   const int copies = !self && chance(plan.sea.twice) ? 2 : 1;
@@ -360,7 +360,7 @@
       return sync(host);
     }
     for (const auto& persist : batch) {
-      for (const auto& entry : persist.entries) hold::apply(host.disk, entry);
+      for (const auto& entry : persist.entries) storage::apply(host.disk, entry);
       give(host, Persisted{persist.ticket, true});
       if (!host.up || host.lives != life) return;
     }
@@ -374,35 +374,35 @@
       after(voyage(), [done] { done({true, 0, 0, {}}); });
       return;
     }
-    const auto transaction = ++host.nextTransaction;
-    text.transaction = transaction;
-    if (text.cutoffMs == 0) text.cutoffMs = plan.bounds.callMs;
+    const auto requestId = ++host.nextRequest;
+    text.requestId = requestId;
+    if (text.deadlineMs == 0) text.deadlineMs = plan.bounds.callMs;
     const int life = host.lives;
-    host.asking[transaction] = std::move(done);
-    host.askText[transaction] = text;
-    const auto cutoffUs = text.cutoffMs * 1000;
-    after(cutoffUs, [this, &host, life, transaction, method = text.method] {
-      if (!host.up || host.lives != life || !host.asking.contains(transaction)) return;
+    host.asking[requestId] = std::move(done);
+    host.askText[requestId] = text;
+    const auto deadlineUs = text.deadlineMs * 1000;
+    after(deadlineUs, [this, &host, life, requestId, method = text.method] {
+      if (!host.up || host.lives != life || !host.asking.contains(requestId)) return;
       if (now_ < host.frozenUntilUs) {
-        auto lost = std::move(host.asking[transaction]);
-        host.asking.erase(transaction);
-        host.askText.erase(transaction);
+        auto lost = std::move(host.asking[requestId]);
+        host.asking.erase(requestId);
+        host.askText.erase(requestId);
         lost({true, 0, 0, {}});
         return;
       }
-      const auto& row = rowOf(method == "GET" ? Kind::cutoffPassed : Kind::unknownOutcome);
-      reply(host, transaction, {false, row.status, plan.bounds.termMs / 2, "{\"error\":\"" + std::string(row.name) + "\"}"});
+      const auto& row = rowOf(method == "GET" ? Kind::deadlinePassed : Kind::unknownOutcome);
+      reply(host, requestId, {false, row.status, plan.bounds.leaseMs / 2, "{\"error\":\"" + std::string(row.name) + "\"}"});
     });
     give(host, text);
   });
 }
 
-void Sim::reply(Host& host, std::uint64_t transaction, Reply reply) {
-  auto found = host.asking.find(transaction);
+void Sim::reply(Host& host, std::uint64_t requestId, Reply reply) {
+  auto found = host.asking.find(requestId);
   if (found == host.asking.end()) return;
   auto done = std::move(found->second);
   host.asking.erase(found);
-  host.askText.erase(transaction);
+  host.askText.erase(requestId);
   after(voyage(), [done = std::move(done), reply = std::move(reply)] { done(reply); });
 }
 
@@ -411,7 +411,7 @@
   hand.up = true;
   ++hand.lives;
   const auto traits = hand.worker.traits;
-  hand.worker = roles::Worker{};
+  hand.worker = commands::Worker{};
   hand.worker.traits = traits;
   hand.worker.incarnation = "w" + std::to_string(++names_);
   hand.news = false;
@@ -429,8 +429,8 @@
   if (onWorkerCrash) onWorkerCrash(hand);
   hand.up = false;
   ++hand.lives;
-  for (const auto& [run, going] : hand.worker.going) hand.worker.journal.push_back("end " + run + " crashed");
-  hand.worker.going.clear();
+  for (const auto& [run, running] : hand.worker.running) hand.worker.journal.push_back("end " + run + " crashed");
+  hand.worker.running.clear();
   drainJournal(hand);
 }
 
@@ -449,13 +449,13 @@
 void Sim::noteGang(Hand& hand, const std::string& line) {
   if (line.starts_with("start ")) {
     const auto run = line.substr(6, line.find(' ', 6) - 6);
-    const auto found = hand.worker.going.find(run);
-    if (found == hand.worker.going.end() || found->second.gang.empty()) return;
+    const auto found = hand.worker.running.find(run);
+    if (found == hand.worker.running.end() || found->second.gang.empty()) return;
     gangs_[found->second.gang];
     gangRuns_.insert(run);
   } else if (line.starts_with("end ")) {
     const auto run = line.substr(4, line.rfind(' ') - 4);
-    if (gangRuns_.erase(run) && !line.ends_with(" clean")) gangs_[roles::gangOf(run)].broken = true;
+    if (gangRuns_.erase(run) && !line.ends_with(" clean")) gangs_[commands::gangOf(run)].broken = true;
   }
 }
 
@@ -465,37 +465,37 @@
   struct Member {
     Hand* hand;
     std::string run;
-    const roles::GoingRun* going;
+    const commands::RunningAttempt* running;
   };
   std::map<std::string, std::vector<Member>> present;
   for (const auto& hand : hands_)
-    for (const auto& [run, going] : hand->worker.going)
-      if (!going.gang.empty()) present[going.gang].push_back({hand.get(), run, &going});
+    for (const auto& [run, running] : hand->worker.running)
+      if (!running.gang.empty()) present[running.gang].push_back({hand.get(), run, &running});
   std::set<Hand*> touched;
   for (auto& [key, members] : present) {
     auto& gang = gangs_[key];
     if (gang.broken) {
       for (const auto& member : members) {
-        if (member.going->stopping || now_ < member.hand->frozenUntilUs) continue;
-        roles::gangBroken(member.hand->worker, member.run, clockOf(*member.hand));
+        if (member.running->stopping || now_ < member.hand->frozenUntilUs) continue;
+        commands::gangBroken(member.hand->worker, member.run, clockOf(*member.hand));
         touched.insert(member.hand);
       }
       continue;
     }
     const bool frozen = std::any_of(members.begin(), members.end(), [&](const auto& member) { return now_ < member.hand->frozenUntilUs; });
-    if (frozen || static_cast<std::int64_t>(members.size()) < members.front().going->members) continue;
+    if (frozen || static_cast<std::int64_t>(members.size()) < members.front().running->members) continue;
     if (!gang.whole) {
       gang.whole = true;
       std::set<std::string> racks;
       for (const auto& member : members) racks.insert(member.hand->worker.traits.labels["rack"]);
-      const double factor = members.front().going->oneRack && racks.size() > 1 ? plan.bounds.farFactor : 1.0;
-      for (const auto& member : members) roles::gangWhole(member.hand->worker, member.run, factor, clockOf(*member.hand));
+      const double factor = members.front().running->oneRack && racks.size() > 1 ? plan.bounds.farFactor : 1.0;
+      for (const auto& member : members) commands::gangWhole(member.hand->worker, member.run, factor, clockOf(*member.hand));
       continue;
     }
-    if (!std::all_of(members.begin(), members.end(), [](const auto& member) { return member.going->workDone && !member.going->stopping && !member.going->fails; }))
+    if (!std::all_of(members.begin(), members.end(), [](const auto& member) { return member.running->workDone && !member.running->stopping && !member.running->fails; }))
       continue;
     for (const auto& member : members) {
-      roles::gangDone(member.hand->worker, member.run, clockOf(*member.hand));
+      commands::gangDone(member.hand->worker, member.run, clockOf(*member.hand));
       touched.insert(member.hand);
     }
   }
@@ -509,7 +509,7 @@
 void Sim::workerTick(Hand& hand, int life) {
   if (!hand.up || hand.lives != life) return;
   if (now_ >= hand.frozenUntilUs) {
-    const bool news = roles::workerTick(hand.worker, clockOf(hand)) || hand.news;
+    const bool news = commands::workerTick(hand.worker, clockOf(hand)) || hand.news;
     hand.news = false;
     drainJournal(hand);
     if (!hand.worker.traits.mute && (news || (!hand.calling && clockOf(hand) >= hand.worker.callAtMs))) workerCall(hand);
@@ -524,19 +524,19 @@
   Ask text;
   text.method = "POST";
   text.path = "/worker/report";
-  text.body = roles::nextReport(hand.worker, sentMs);
+  text.body = commands::nextReport(hand.worker, sentMs);
   const auto number = hand.worker.report;
   auto finish = [this, &hand, life, sentMs, number, body = text.body](Reply got) {
     if (!hand.up || hand.lives != life) return;
     auto act = [this, &hand, life, sentMs, number, got, body] {
       if (!hand.up || hand.lives != life) return;
       if (hand.worker.report != number || !hand.calling) {
-        if (!got.lost && got.status == 200) roles::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
+        if (!got.lost && got.status == 200) commands::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
         return;
       }
-      roles::workerTick(hand.worker, clockOf(hand));
+      commands::workerTick(hand.worker, clockOf(hand));
       if (!got.lost && got.status == 200) {
-        roles::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
+        commands::heardAnswer(hand.worker, got.body, sentMs, clockOf(hand));
       }
       if (onReported) onReported(hand, body, got.lost ? 0 : got.status);
       drainJournal(hand);
@@ -550,7 +550,7 @@
     after(500000, [finish] { finish({true, 0, 0, {}}); });
     return;
   }
-  ask(*hand.tender, text, [this, &hand, finish](Reply got) {
+  ask(*hand.agent, text, [this, &hand, finish](Reply got) {
     if (hand.cut) got = {true, 0, 0, {}};
     if (got.lost) after(50000, [finish, got] { finish(got); });
     else finish(std::move(got));
@@ -561,14 +561,14 @@
 std::vector<Host*> Sim::hosts(Role role) const {
   std::vector<Host*> found;
   for (const auto& host : hosts_)
-    if (host->env.role == role) found.push_back(host.get());
+    if (host->settings.role == role) found.push_back(host.get());
   return found;
 }
 
 Host* Sim::leader() {
   for (const auto& host : hosts_)
-    if (host->up && host->node->pilot && manifest::leads(*host->node->pilot, clock(*host))) return host.get();
+    if (host->up && host->node->scheduler && scheduler::leads(*host->node->scheduler, clock(*host))) return host.get();
   return nullptr;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/sim.hpp
+++ b/src/simulator/sim.hpp
@@ -9,12 +9,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "drydock/meter.hpp"
-#include "drydock/place.hpp"
-#include "roles/node.hpp"
-#include "roles/worker.hpp"
+#include "simulator/meter.hpp"
+#include "simulator/place.hpp"
+#include "daemon/node.hpp"
+#include "commands/stub_worker.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 using Micros = std::int64_t;
 
@@ -28,25 +28,25 @@
 };
 
 struct FleetPlan {
-  int cells = 3;
-  int pilots = 4;
+  int zones = 3;
+  int schedulers = 4;
   int workers = 11;
   std::int64_t slots = 8;
   Bounds bounds;
   Micros tickUs = 10000;
   bool selfStop = true;
   Sea sea;
-  int quays = 3;
+  int replicas = 3;
   std::int64_t losses = 1;
-  std::map<std::string, std::int64_t> room;  // each worker's, beside its slots
-  int rackSize = 0;                          // workers a rack, within one cell; 0: no racks
+  std::map<std::string, std::int64_t> capacity;  // each worker's, beside its slots
+  int rackSize = 0;                          // workers a rack, within one zone; 0: no racks
   int kinds = 0;                             // of workers, told by a label; 0: none
   bool sizedPool = true;                     // the configuration says how large the pool's workers are
   Millis holdMostMs = 0;                     // a worker cuts a longer hold to this; 0: any
   Micros handUs = 5000;                      // between two steps of a simulated worker
 };
 
-std::string cellOf(const FleetPlan& fleet, int worker);
+std::string zoneOf(const FleetPlan& fleet, int worker);
 std::string rackOf(const FleetPlan& fleet, int worker);
 std::string kindOf(const FleetPlan& fleet, int worker);
 std::string poolOf(const FleetPlan& fleet, int worker);  // by kind where pools are sized, as a pool has the labels of all its workers
@@ -62,7 +62,7 @@
 
 struct Host {
   std::string name;
-  Env env;
+  Settings settings;
   DaemonId id;
   int lives = 0;
   bool up = false;
@@ -72,23 +72,23 @@
   double clockRate = 1.0;
   Millis wallOffsetMs = 0;
   Micros wakeUs = -1;  // when it wants its next tick; -1: with the others
-  std::optional<roles::Node> node;
-  hold::Image disk;
+  std::optional<daemon::Node> node;
+  storage::Image disk;
   bool diskFails = false;
   Micros syncUs = 800;
   Micros diskFreeUs = 0;
-  std::vector<signal::Persist> unsynced;
+  std::vector<transport::Persist> unsynced;
   bool syncing = false;
-  std::uint64_t nextTransaction = 0;
+  std::uint64_t nextRequest = 0;
   std::unordered_map<std::uint64_t, std::function<void(Reply)>> asking;
-  std::unordered_map<std::uint64_t, signal::Ask> askText;
+  std::unordered_map<std::uint64_t, transport::Ask> askText;
   std::vector<std::function<void()>> held;
   std::uint64_t syncs = 0;
 };
 
 struct Hand {
-  roles::Worker worker;
-  Host* tender = nullptr;
+  commands::Worker worker;
+  Host* agent = nullptr;
   bool up = false;
   bool cut = false;
   Micros frozenUntilUs = 0;
@@ -113,13 +113,13 @@
   bool chance(double odds);
   double unit();
 
-  Host& addHost(Role role, const std::string& name, const std::string& cell, const std::string& workerName = {});
+  Host& addHost(Role role, const std::string& name, const std::string& zone, const std::string& workerName = {});
   void start(Host& host);
   void crash(Host& host);
   void freeze(Host& host, Micros spanUs);
   void loseDisk(Host& host);
   void stopPolitely(Host& host);
-  void ask(Host& host, signal::Ask ask, std::function<void(Reply)> done);
+  void ask(Host& host, transport::Ask ask, std::function<void(Reply)> done);
   void cut(const Host& from, const Host& to) {
     cuts_.insert({from.name, to.name});
     trouble();
@@ -167,16 +167,16 @@
     std::function<void()> act;
     bool operator<(const Due& other) const { return std::tie(whenUs, serial) > std::tie(other.whenUs, other.serial); }
   };
-  signal::Now clock(const Host& host) const;
-  void give(Host& host, signal::Event event);
-  void settle(Host& host, signal::Outbox&& out);
-  void metered(Host& host, const signal::Event& event, signal::Outbox& out);
+  transport::Now clock(const Host& host) const;
+  void give(Host& host, transport::Event event);
+  void settle(Host& host, transport::Outbox&& out);
+  void metered(Host& host, const transport::Event& event, transport::Outbox& out);
   std::string roleAt(const Host& host) const;
-  void carry(Host& from, const signal::Send& send);
+  void carry(Host& from, const transport::Send& send);
   void tick(Host& host, int life);
   void wake(Host& host, Millis steadyMs);
   void sync(Host& host);
-  void reply(Host& host, std::uint64_t transaction, Reply reply);
+  void reply(Host& host, std::uint64_t requestId, Reply reply);
   void workerTick(Hand& hand, int life);
   void gangTick();
   void noteGang(Hand& hand, const std::string& line);
@@ -206,4 +206,4 @@
   Micros troubleUs_ = -1000000000;
 };
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/whatif.cpp
+++ b/src/simulator/whatif.cpp
@@ -1,8 +1,8 @@
-#include "drydock/whatif.hpp"
+#include "simulator/whatif.hpp"
 
 #include <algorithm>
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 std::vector<Figure> figuresOf(const DayResult& result, const std::vector<Arrival>& arrivals) {
   std::vector<Millis> toEnd, toStart;
@@ -55,25 +55,25 @@
 
 std::string sideBySide(const std::vector<std::pair<std::string, std::vector<Figure>>>& columns) {
   std::string text;
-  char cell[64];
-  std::snprintf(cell, sizeof cell, "%-26s", "");
-  text += cell;
+  char zone[64];
+  std::snprintf(zone, sizeof zone, "%-26s", "");
+  text += zone;
   for (const auto& [name, figures] : columns) {
-    std::snprintf(cell, sizeof cell, " %14s", name.substr(0, 14).c_str());
-    text += cell;
+    std::snprintf(zone, sizeof zone, " %14s", name.substr(0, 14).c_str());
+    text += zone;
   }
   text += "\n";
   for (std::size_t row = 0; !columns.empty() && row < columns[0].second.size(); ++row) {
-    std::snprintf(cell, sizeof cell, "%-26s", columns[0].second[row].name.c_str());
-    text += cell;
+    std::snprintf(zone, sizeof zone, "%-26s", columns[0].second[row].name.c_str());
+    text += zone;
     for (const auto& [name, figures] : columns) {
       const double value = figures[row].value;
-      std::snprintf(cell, sizeof cell, value >= 100 || value == static_cast<double>(static_cast<std::int64_t>(value)) ? " %14.0f" : " %14.3f", value);
-      text += cell;
+      std::snprintf(zone, sizeof zone, value >= 100 || value == static_cast<double>(static_cast<std::int64_t>(value)) ? " %14.0f" : " %14.3f", value);
+      text += zone;
     }
     text += "\n";
   }
   return text;
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/whatif.hpp
+++ b/src/simulator/whatif.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "drydock/day.hpp"
+#include "simulator/day.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
 struct Variant {
   std::string name;
@@ -16,4 +16,4 @@
 std::vector<Figure> figuresOf(const DayResult& result, const std::vector<Arrival>& arrivals);
 std::string sideBySide(const std::vector<std::pair<std::string, std::vector<Figure>>>& columns);
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
--- a/src/drydock/world.cpp
+++ b/src/simulator/world.cpp
@@ -1,12 +1,12 @@
-#include "drydock/world.hpp"
+#include "simulator/world.hpp"
 
 #include <algorithm>
 
-#include "bearing/errors.hpp"
+#include "base/errors.hpp"
 
-namespace tulip::drydock {
+namespace tulip::simulator {
 
-using signal::Ask;
+using transport::Ask;
 
 namespace {
 
@@ -23,9 +23,9 @@
   return names;
 }
 
-std::string stepChart(const DayPlan& plan) {
-  Json chart(json_object());
-  json_t *lines = json_object(), *pools = json_object(), *cells = json_object();
+std::string stepConfig(const DayPlan& plan) {
+  Json config(json_object());
+  json_t *lines = json_object(), *pools = json_object(), *zones = json_object();
   json_object_set_new(lines, "probe", parseJson(R"({"rank":20})").release());
   for (const auto& line : plan.load) {
     Json made = parseJson(R"({"backoffMs":100})");
@@ -44,23 +44,23 @@
     json_object_set_new(pool, "workers", json_integer(workers));
     json_object_set_new(pool, "selfStop", json_boolean(fleet.selfStop));
     if (fleet.sizedPool) {
-      json_t *room = json_object(), *labels = json_object();
-      for (const auto& [kind, amount] : fleet.room) json_object_set_new(room, kind.c_str(), json_integer(amount));
+      json_t *capacity = json_object(), *labels = json_object();
+      for (const auto& [kind, amount] : fleet.capacity) json_object_set_new(capacity, kind.c_str(), json_integer(amount));
       json_object_set_new(labels, "kind", jsonText(name));
-      json_object_set_new(pool, "room", room);
+      json_object_set_new(pool, "room", capacity);
       json_object_set_new(pool, "labels", labels);
     }
     json_object_set_new(pools, name.c_str(), pool);
   }
-  for (int i = 0; i < fleet.cells; ++i) json_object_set_new(cells, cellOf(fleet, i).c_str(), parseJson(R"({"emptied":false})").release());
-  json_object_set_new(chart.get(), "pendings", lines);
-  json_object_set_new(chart.get(), "pools", pools);
-  json_object_set_new(chart.get(), "cells", cells);
+  for (int i = 0; i < fleet.zones; ++i) json_object_set_new(zones, zoneOf(fleet, i).c_str(), parseJson(R"({"emptied":false})").release());
+  json_object_set_new(config.get(), "pendings", lines);
+  json_object_set_new(config.get(), "pools", pools);
+  json_object_set_new(config.get(), "cells", zones);
   Json admission = parseJson(R"({"lanes":2,"thresholdsMs":[4000],"promoteKnob":4,"reserveAfterMs":2000,"gangStartMs":3000})");
   json_object_set_new(admission.get(), "rule", jsonText(plan.rule));
-  json_object_set_new(chart.get(), "admission", admission.release());
-  json_object_set_new(chart.get(), "gangway", parseJson(R"({"mostTasks":1000})").release());
-  return dumpJson(chart.get());
+  json_object_set_new(config.get(), "admission", admission.release());
+  json_object_set_new(config.get(), "gangway", parseJson(R"({"mostTasks":1000})").release());
+  return dumpJson(config.get());
 }
 
 }  // namespace
@@ -110,7 +110,7 @@
       judge.shown(id, 200, view.get(), askedMs);
       return;
     }
-    if (!reply.lost && reply.status < 500) return judge.denied(id, reply.status, reply.body);
+    if (!reply.lost && reply.status < 500) return judge.rejected(id, reply.status, reply.body);
     sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000 + sim.below(50000), [this, id, body] { submit(id, body); });
   });
 }
@@ -191,7 +191,7 @@
 
 void World::endStanding(const std::string& id) {
   const auto& job = judge.jobs.at(id);
-  if (job.denied || job.turnedAway || !job.shown.empty()) return;
+  if (job.rejected || job.turnedAway || !job.shown.empty()) return;
   if (job.acceptedMs >= 0) return cancel(id);
   sim.after(kSecond / 5, [this, id] { endStanding(id); });
 }
@@ -203,14 +203,14 @@
   const bool wide = kind == 2;
   JobSketch sketch{id, kind == 0 ? "no-such-line" : "gate", wide, 0, {}};
   const auto& fleet = plan.fleet;
-  const auto slots = wide && !fleet.room.empty() ? fleet.slots : 1;
-  const auto count = !wide ? 2 : fleet.room.empty() ? 99 : fleet.workers + 1;
+  const auto slots = wide && !fleet.capacity.empty() ? fleet.slots : 1;
+  const auto count = !wide ? 2 : fleet.capacity.empty() ? 99 : fleet.workers + 1;
   for (int i = 0; i < count; ++i) {
     sketch.tasks.push_back({"t" + std::to_string(i), slots, {}, 100, false, 0});
     if (kind == 1) sketch.tasks.back().slots = 1000;
   }
   auto body = enter(sketch);
-  judge.jobs.at(id).mustBeDenied = true;
+  judge.jobs.at(id).mustBeRejected = true;
   submit(id, std::move(body));
 }
 
@@ -257,8 +257,8 @@
   });
 }
 
-std::string World::baseChart() const {
-  if (!plan.fleet.room.empty()) return stepChart(plan);
+std::string World::baseConfig() const {
+  if (!plan.fleet.capacity.empty()) return stepConfig(plan);
   return R"({"pendings":{"checkout":{"rank":10,"failureLimit":3,"backoffMs":100},"gate":{"rank":5,"failureLimit":3,"backoffMs":150},)"
          R"("rebuild":{"rank":0,"failureLimit":4,"backoffMs":200},"probe":{"rank":20}},"pools":{"side":{"slots":)" +
          std::to_string(plan.fleet.slots) + R"(,"workers":)" + std::to_string(plan.fleet.workers) + R"(,"selfStop":)" +
@@ -266,39 +266,39 @@
          R"("admission":{"rule":")" + plan.rule + R"(","lanes":2,"thresholdsMs":[4000],"promoteKnob":4,"reserveAfterMs":2000,"gangStartMs":3000}})";
 }
 
-std::string World::firstChart() const {
-  Json chart = parseJson(baseChart());
-  json_t* lines = json_object_get(chart.get(), "pendings");
+std::string World::firstConfig() const {
+  Json config = parseJson(baseConfig());
+  json_t* lines = json_object_get(config.get(), "pendings");
   for (const auto& arrival : plan.arrivals)
     if (!json_object_get(lines, arrival.job.line.c_str())) json_object_set_new(lines, arrival.job.line.c_str(), json_object());
-  if (Json patch = parseJson(plan.chartPatch)) chart = chart::mergePatch(chart.get(), patch.get());
-  return dumpJson(chart.get());
+  if (Json patch = parseJson(plan.configPatch)) config = config::mergePatch(config.get(), patch.get());
+  return dumpJson(config.get());
 }
 
-void World::changeChart(const std::string& method, std::string body, std::string mark, std::string name, std::string query,
+void World::changeConfig(const std::string& method, std::string body, std::string mark, std::string name, std::string query,
                         std::function<void(bool)> done, int tries) {
-  if (tries == 0) judge.chartProposed(mark);
+  if (tries == 0) judge.configProposed(mark);
   Ask ask;
   ask.method = method;
   ask.path = "/configuration";
   ask.query = query;
   ask.body = body;
-  ask.transactionName = name;
+  ask.requestName = name;
   call(std::move(ask), [=, this](Reply reply) {
     if (!reply.lost && reply.status == 200) {
       Json root = parseJson(reply.body);
-      judge.chartConfirmed(mark, static_cast<Revision>(numberAt(root.get(), "revision")));
+      judge.configConfirmed(mark, static_cast<Version>(numberAt(root.get(), "revision")));
       if (done) done(true);
       return;
     }
     if (!reply.lost && reply.status >= 400 && reply.status < 500) {
       if (name == "t-base") judge.broken.push_back({sim.nowMs(), "chart", "the day's first configuration is denied: " + reply.body});
-      judge.chartDenied(mark);
+      judge.configRejected(mark);
       if (done) done(false);
       return;
     }
     if (tries > 60 || name.empty()) return;
-    sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000, [=, this] { changeChart(method, body, mark, name, query, done, tries + 1); });
+    sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000, [=, this] { changeConfig(method, body, mark, name, query, done, tries + 1); });
   });
 }
 
@@ -306,24 +306,24 @@
   const auto mark = "mark-" + std::to_string(++nextMark);
   std::string body = "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}";
   if (whole) {
-    Json base = parseJson(baseChart());
+    Json base = parseJson(baseConfig());
     Json patch = parseJson(body);
-    body = dumpJson(chart::mergePatch(base.get(), patch.get()).get());
+    body = dumpJson(config::mergePatch(base.get(), patch.get()).get());
   }
-  if (whole) judge.wholeChart(true);
-  changeChart(whole ? "PUT" : "PATCH", body, mark, "t-" + mark, query, [this, whole](bool) {
-    if (whole) judge.wholeChart(false);
+  if (whole) judge.wholeConfig(true);
+  changeConfig(whole ? "PUT" : "PATCH", body, mark, "t-" + mark, query, [this, whole](bool) {
+    if (whole) judge.wholeConfig(false);
   });
 }
 
 void World::invalidOnce() {
   const auto mark = "mark-" + std::to_string(++nextMark);
-  changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"failureLimit\":0}}}", mark, "t-" + mark, "", {});
+  changeConfig("PATCH", "{\"pendings\":{\"" + mark + "\":{\"failureLimit\":0}}}", mark, "t-" + mark, "", {});
 }
 
 void World::conditionalOnce(bool named) {
   const auto mark = "mark-" + std::to_string(++nextMark);
-  changeChart("PATCH", "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}", mark, named ? "t-" + mark : "",
+  changeConfig("PATCH", "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}", mark, named ? "t-" + mark : "",
               "expected=" + std::to_string(judge.newestConfirmed()), {});
 }
 
@@ -337,22 +337,22 @@
   sim.after(everyUs / 2 + sim.below(everyUs), [this, everyUs] { marks(everyUs); });
 }
 
-void World::readCharts() {
+void World::readConfigs() {
   if (sim.nowUs() >= endUs) return;
   Ask ask;
   ask.method = "GET";
   ask.path = "/configuration";
   const auto askedMs = sim.nowMs();
   call(std::move(ask), [this, askedMs](Reply reply) {
-    if (!reply.lost && reply.status == 200) readChart(reply.body, askedMs, false);
+    if (!reply.lost && reply.status == 200) readConfig(reply.body, askedMs, false);
   });
-  sim.after(150000 + sim.below(100000), [this] { readCharts(); });
+  sim.after(150000 + sim.below(100000), [this] { readConfigs(); });
 }
 
-void World::readChart(const std::string& body, Millis askedMs, bool final) {
+void World::readConfig(const std::string& body, Millis askedMs, bool final) {
   Json root = parseJson(body);
-  const auto revision = static_cast<Revision>(numberAt(root.get(), "revision"));
-  if (revision) judge.chartRead(revision, dumpJson(json_object_get(root.get(), "configuration")), askedMs, final);
+  const auto version = static_cast<Version>(numberAt(root.get(), "revision"));
+  if (version) judge.configRead(version, dumpJson(json_object_get(root.get(), "configuration")), askedMs, final);
 }
 
 void World::sweeps() {
@@ -368,15 +368,15 @@
 
 void World::setFlag(const std::string& group, const std::string& name, const std::string& flag, bool on, std::function<void(bool)> done) {
   const auto mark = "mark-" + std::to_string(++nextMark);
-  changeChart("PATCH",
+  changeConfig("PATCH",
               "{\"pendings\":{\"" + mark + "\":{}},\"" + group + "\":{\"" + name + "\":{\"" + flag + "\":" + (on ? "true" : "false") + "}}}", mark,
               "t-" + mark, "", std::move(done));
 }
 
-void World::setCell(const std::string& cell, bool emptied, std::function<void()> then) {
-  if (!emptied) judge.cellEmptied(cell, false, false);
-  setFlag("cells", cell, "emptied", emptied, [=, this](bool done) {
-    if (done && emptied) judge.cellEmptied(cell, true, true);
+void World::setZone(const std::string& zone, bool emptied, std::function<void()> then) {
+  if (!emptied) judge.zoneEmptied(zone, false, false);
+  setFlag("cells", zone, "emptied", emptied, [=, this](bool done) {
+    if (done && emptied) judge.zoneEmptied(zone, true, true);
     if (then) then();
   });
 }
@@ -403,7 +403,7 @@
   });
 }
 
-void World::replaceQuay(Host& old, bool sameAddress) {
+void World::replaceReplica(Host& old, bool sameAddress) {
   sim.crash(old);
   if (sameAddress) {
     sim.loseDisk(old);
@@ -411,27 +411,27 @@
     return;
   }
   retire(old);
-  auto& fresh = sim.addHost(Role::quay, old.name + "x", old.env.cell.value);
+  auto& fresh = sim.addHost(Role::replica, old.name + "x", old.settings.zone.value);
   sim.after(300000 + sim.below(kSecond), [this, &fresh] { sim.start(fresh); });
 }
 
-bool World::cohortWhole() {
+bool World::membershipWhole() {
   std::map<DaemonId, Host*> byId;
-  signal::Cohort newest;
-  for (auto* quay : sim.hosts(Role::quay)) {
-    if (!quay->up) continue;
-    byId[quay->id] = quay;
-    if (newest.revision < quay->disk.cohort.revision) newest = quay->disk.cohort;
+  transport::Membership newest;
+  for (auto* replica : sim.hosts(Role::replica)) {
+    if (!replica->up) continue;
+    byId[replica->id] = replica;
+    if (newest.version < replica->disk.membership.version) newest = replica->disk.membership;
   }
-  return newest.revision > 0 && std::all_of(newest.seats.begin(), newest.seats.end(), [&](const auto& seat) {
-           auto found = byId.find(seat.id);
-           return found != byId.end() && !deadDisks.contains(found->second->name) && found->second->disk.voting && found->second->disk.cohort == newest;
+  return newest.version > 0 && std::all_of(newest.voters.begin(), newest.voters.end(), [&](const auto& voter) {
+           auto found = byId.find(voter.id);
+           return found != byId.end() && !deadDisks.contains(found->second->name) && found->second->disk.voting && found->second->disk.membership == newest;
          });
 }
 
 void World::whenWhole(std::function<void()> act) {
   awaitsWhole = true;
-  if (cohortWhole()) {
+  if (membershipWhole()) {
     awaitsWhole = false;
     return act();
   }
@@ -453,7 +453,7 @@
   });
 }
 
-const LineLoad& World::lineOf(const std::string& name) const {
+const LineLoad& World::queueOf(const std::string& name) const {
   const auto found = std::find_if(plan.load.begin(), plan.load.end(), [&](const auto& line) { return line.line == name; });
   static const auto usual = builtInLoad("leatherwood");
   if (found != plan.load.end()) return *found;
@@ -482,4 +482,4 @@
   }
 }
 
-}  // namespace tulip::drydock
+}  // namespace tulip::simulate
