--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -26,7 +26,8 @@
 
 std::int64_t slotsOf(const Unit& unit) {
   std::int64_t sum = 0;
-  for (std::size_t i = 0; i < unit.tasks.size() && !unit.loads.empty(); ++i) sum += unit.loads[unit.loads.size() == 1 ? 0 : i][0];
+  for (std::size_t i = 0; i < unit.tasks.size() && !unit.loads.empty(); ++i)
+    sum += unit.loads[unit.loads.size() == 1 ? 0 : i][0];
   return sum;
 }
 
@@ -56,7 +57,8 @@
   bool operator==(const ScopeKey& other) const {
     return pool == other.pool && needs == other.needs && leave == other.leave && *labels == *other.labels;
   }
-  template <class H> friend H AbslHashValue(H state, const ScopeKey& key) {
+  template <class H>
+  friend H AbslHashValue(H state, const ScopeKey& key) {
     state = H::combine(std::move(state), key.pool, key.needs, key.leave);
     for (const auto& [name, value] : *key.labels) state = H::combine(std::move(state), name, value);
     return state;
@@ -138,7 +140,8 @@
     soon = free;
     for (const auto& job : jobs)
       for (const auto& run : job.runs)
-        if (run.stopping && run.worker < workers.size()) deck.add(soon, static_cast<std::uint32_t>(run.worker), run.load);
+        if (run.stopping && run.worker < workers.size())
+          deck.add(soon, static_cast<std::uint32_t>(run.worker), run.load);
     scratch = free;
     kept.resize(workers.size());
     placed.resize(workers.size());
@@ -146,11 +149,11 @@
   }
 
   Scope& scopeOf(const Unit& unit) {
-    const Millis stayMs = unit.saves ? 0
-                          : unit.standing || unit.estimateMs <= 0
-                              ? std::numeric_limits<Millis>::max()
-                              : unit.estimateMs + unit.estimateMs / 2;
-    const auto leave = static_cast<std::size_t>(std::lower_bound(leaves.begin(), leaves.end(), stayMs) - leaves.begin());
+    const Millis stayMs = unit.saves                              ? 0
+                          : unit.standing || unit.estimateMs <= 0 ? std::numeric_limits<Millis>::max()
+                                                                  : unit.estimateMs + unit.estimateMs / 2;
+    const auto leave =
+        static_cast<std::size_t>(std::lower_bound(leaves.begin(), leaves.end(), stayMs) - leaves.begin());
     const ScopeKey key{unit.pool.view(), unit.needs, leave, &unit.labels};
     auto [found, fresh] = scopeAt.try_emplace(key, scopes.size());
     if (!fresh) return scopes[found->second];
@@ -160,8 +163,8 @@
       const auto& worker = field.workers[i];
       if (!worker.usable || (!unit.pool.empty() && worker.pool != unit.pool)) continue;
       if (worker.leavesInMs >= 0 && worker.leavesInMs < stayMs) continue;
-      if (!unit.needs.empty() &&
-          std::none_of(worker.labels.begin(), worker.labels.end(), [&](const auto& label) { return label.second == unit.needs; }))
+      if (!unit.needs.empty() && std::none_of(worker.labels.begin(), worker.labels.end(),
+                                              [&](const auto& label) { return label.second == unit.needs; }))
         continue;
       if (!std::all_of(unit.labels.begin(), unit.labels.end(), [&](const auto& label) {
             auto own = worker.labels.find(label.first);
@@ -245,14 +248,15 @@
       std::sort(each.begin(), each.end(), [](const auto& a, const auto& b) { return a.endsInMs < b.endsInMs; });
   }
 
-  // Whether the tasks would fit once what is thought to end by then has ended; if they are to be by their data or on one
-  // rack, then there and on workers that are worth the wait.
+  // Whether the tasks would fit once what is thought to end by then has ended; if they are to be by their data or on
+  // one rack, then there and on workers that are worth the wait.
   bool fitsBy(const Demand& demand, std::size_t task, bool whole, const Scope& scope, Millis horizonMs, bool nearOnly) {
     if (horizonMs <= 0 || ++forecasts > kMostForecasts) return false;
     findEndings();
     std::vector<std::uint32_t> among;
     for (const auto at : scope.workers) {
-      if (nearOnly && (deck.doubt[at] >= deck.farDoubt || (demand.near != kNowhere && deck.rack[at] != demand.near))) continue;
+      if (nearOnly && (deck.doubt[at] >= deck.farDoubt || (demand.near != kNowhere && deck.rack[at] != demand.near)))
+        continue;
       among.push_back(at);
       scratch.load[at] = soon.load[at];
       for (const auto& ending : endings[at]) {
@@ -273,7 +277,8 @@
   }
 
   // Whether work that would start away from its rack does better to wait a little for room there.
-  bool waitsForRack(const Candidate& job, const Unit& unit, const Demand& demand, std::size_t task, bool whole, const Scope& scope) {
+  bool waitsForRack(const Candidate& job, const Unit& unit, const Demand& demand, std::size_t task, bool whole,
+                    const Scope& scope) {
     const auto extraMs = static_cast<Millis>((field.farFactor - 1) * static_cast<double>(unit.estimateMs)) / 2;
     if (!job.runs.empty() || job.readyForMs >= std::min(extraMs, rules.reserveAfterMs / 10)) return false;
     return fitsBy(demand, task, whole, scope, extraMs, true);
@@ -291,7 +296,8 @@
         const auto& run = job.runs[r];
         if (run.stopping || run.worker >= field.workers.size()) continue;
         const auto gang = job.gang ? std::numeric_limits<std::size_t>::max() : run.gang;
-        auto known = std::find_if(gangs.begin(), gangs.end(), [&](const auto& each) { return gang > 0 && each.first == gang; });
+        auto known =
+            std::find_if(gangs.begin(), gangs.end(), [&](const auto& each) { return gang > 0 && each.first == gang; });
         std::size_t at = victims.size();
         if (known != gangs.end()) {
           at = known->second;
@@ -308,22 +314,27 @@
         victim.standing = victim.standing || run.standing;
         const auto delayMs = job.dueInMs > 0 ? std::max<Millis>(0, run.endsInMs) : 0;
         victim.lost += (run.lossMs + delayMs + 1) * thousandths(run.load, field.workers[run.worker].total);
-        auto part = std::find_if(victim.parts.begin(), victim.parts.end(), [&](const auto& each) { return each.worker == run.worker; });
-        if (part == victim.parts.end()) victim.parts.push_back({static_cast<std::uint32_t>(run.worker), run.load});
-        else placement::add(part->load, run.load);
+        auto part = std::find_if(victim.parts.begin(), victim.parts.end(),
+                                 [&](const auto& each) { return each.worker == run.worker; });
+        if (part == victim.parts.end())
+          victim.parts.push_back({static_cast<std::uint32_t>(run.worker), run.load});
+        else
+          placement::add(part->load, run.load);
         lowestRank = lowestLane < 0 ? job.rank : std::min(lowestRank, job.rank);
         lowestLane = std::max(lowestLane, victim.lane);
       }
     }
     for (std::size_t v = 0; v < victims.size(); ++v)
-      for (std::size_t p = 0; p < victims[v].parts.size(); ++p) victimsOn[victims[v].parts[p].worker].emplace_back(v, p);
+      for (std::size_t p = 0; p < victims[v].parts.size(); ++p)
+        victimsOn[victims[v].parts[p].worker].emplace_back(v, p);
     for (std::size_t at = 0; at < victimsOn.size(); ++at) {
       auto price = [&](const std::pair<std::size_t, std::size_t>& entry) {
         const auto& victim = victims[entry.first];
         return std::pair(victim.lost / thousandths(victim.parts[entry.second].load, field.workers[at].total),
                          -static_cast<std::int64_t>(victim.place));
       };
-      std::stable_sort(victimsOn[at].begin(), victimsOn[at].end(), [&](const auto& a, const auto& b) { return price(a) < price(b); });
+      std::stable_sort(victimsOn[at].begin(), victimsOn[at].end(),
+                       [&](const auto& a, const auto& b) { return price(a) < price(b); });
     }
   }
 
@@ -340,7 +351,8 @@
   };
 
   // The cheapest stops found by which the need would fit at the berth, beside what was chosen before.
-  bool priceAt(const Candidate& job, std::int64_t lane, const placement::Load& need, std::uint32_t at, Price& price) const {
+  bool priceAt(const Candidate& job, std::int64_t lane, const placement::Load& need, std::uint32_t at,
+               Price& price) const {
     price.lost = 0;
     price.place = std::numeric_limits<std::size_t>::max();
     price.picks.clear();
@@ -382,7 +394,8 @@
             const placement::Load& low, const placement::Load& high) {
     const auto& job = jobs[at];
     const auto lane = laneOf(job.counters, rules);
-    if (rules.rule == config::Rule::fifo || pushes >= kMostPushTries || scope.workers.empty() || !deck.offered(high)) return false;
+    if (rules.rule == config::Rule::fifo || pushes >= kMostPushTries || scope.workers.empty() || !deck.offered(high))
+      return false;
     findVictims();
     if (lowestLane <= lane && !(rules.rankFirst && lowestRank < job.rank)) return false;
     if (std::any_of(scope.pushless.begin(), scope.pushless.end(), [&](const auto& each) {
@@ -409,7 +422,8 @@
       for (const auto worker : scope.workers) {
         if (demand.apart > 0 && tally.count[worker] >= demand.apart) continue;
         if (!priceAt(job, lane, need, worker, price)) continue;
-        const std::tuple key(price.lost, burden(deck, demand, task, worker), std::numeric_limits<std::size_t>::max() - price.place);
+        const std::tuple key(price.lost, burden(deck, demand, task, worker),
+                             std::numeric_limits<std::size_t>::max() - price.place);
         if (found != kNowhere && key >= bestKey) continue;
         found = worker;
         bestKey = key;
@@ -445,7 +459,8 @@
     for (const auto& [task, worker] : where)
       gain += static_cast<double>(thousandths(demand.load(task), field.workers[worker].total) * unit.estimateMs);
     if (!all) {
-      if (demand.apart == 0 && scope.pushless.size() < kMostKnown) scope.pushless.push_back({{count, high}, lane, job.rank});
+      if (demand.apart == 0 && scope.pushless.size() < kMostKnown)
+        scope.pushless.push_back({{count, high}, lane, job.rank});
       return false;
     }
     if (rules.mostLoss > 0 && unit.estimateMs > 0 && static_cast<double>(lost) > rules.mostLoss * gain) return false;
@@ -524,14 +539,16 @@
     return placedNow;
   }
 
-  bool placeTogether(std::size_t at, const Unit& unit, const Demand& demand, Scope& scope, const placement::Load& low, const placement::Load& high) {
+  bool placeTogether(std::size_t at, const Unit& unit, const Demand& demand, Scope& scope, const placement::Load& low,
+                     const placement::Load& high) {
     if (deck.offered(high) && !knownMissing(scope, low, demand.count) && !knownMissing(scope, high, 1)) {
       ++out.tries;
       if (matcher.together(deck, demand, scope.workers, free, tally)) {
         const auto chosen = matcher.chosen;
-        const bool far = matcher.spread || (demand.near != kNowhere && std::any_of(chosen.begin(), chosen.end(), [&](auto worker) {
-                                              return deck.rack[worker] != demand.near;
-                                            }));
+        const bool far =
+            matcher.spread || (demand.near != kNowhere && std::any_of(chosen.begin(), chosen.end(), [&](auto worker) {
+                                 return deck.rack[worker] != demand.near;
+                               }));
         if (far && waitsForRack(jobs[at], unit, demand, 0, true, scope)) {
           ++out.passedOver;
           return false;
@@ -629,7 +646,8 @@
     for (std::size_t i = 0; i < field.workers.size(); ++i) whole.load[i] = field.workers[i].total;
     for (const auto& job : jobs)
       for (const auto& run : job.runs)
-        if (run.standing && !run.stopping && run.worker < field.workers.size()) placement::take(whole.load[run.worker], run.load);
+        if (run.standing && !run.stopping && run.worker < field.workers.size())
+          placement::take(whole.load[run.worker], run.load);
     auto doubt = deck.doubt;
     for (std::size_t i = 0; i < field.workers.size(); ++i) {
       whole.score[i] = deck.score(whole.load[i]);
@@ -688,7 +706,8 @@
 bool settle(Counters& counters, const config::Admission& rules, bool holds) {
   const auto before = counters.lane;
   counters.lane = std::min(counters.lane, rules.lanes - 1);
-  while (counters.lane < rules.lanes - 1 && counters.servedMs >= rules.thresholdsMs[static_cast<std::size_t>(counters.lane)])
+  while (counters.lane < rules.lanes - 1 &&
+         counters.servedMs >= rules.thresholdsMs[static_cast<std::size_t>(counters.lane)])
     ++counters.lane;
   if (rules.promoteKnob && counters.lane > 0 && !holds && counters.ranMs > 0 &&
       static_cast<double>(counters.waitMs) >= *rules.promoteKnob * static_cast<double>(counters.ranMs)) {
@@ -710,7 +729,8 @@
   return spent > 0 ? done / spent : 0;
 }
 
-std::vector<std::size_t> order(std::span<const Candidate> jobs, const config::Admission& rules, std::span<const std::int64_t> sizes) {
+std::vector<std::size_t> order(std::span<const Candidate> jobs, const config::Admission& rules,
+                               std::span<const std::int64_t> sizes) {
   std::vector<std::size_t> ranking(jobs.size());
   std::iota(ranking.begin(), ranking.end(), 0);
   const bool byIndex = rules.rule == config::Rule::gittins && sizes.size() >= kFewestSizes;
@@ -744,7 +764,8 @@
   }
   std::sort(ranking.begin(), ranking.end(), [&](std::size_t a, std::size_t b) {
     auto tie = [](const Key& key) {
-      return std::tie(key.rank, key.lane, key.index, key.firstStartMs, key.standing, key.passed, key.dueInMs, key.acceptedMs);
+      return std::tie(key.rank, key.lane, key.index, key.firstStartMs, key.standing, key.passed, key.dueInMs,
+                      key.acceptedMs);
     };
     const auto x = tie(keys[a]), y = tie(keys[b]);
     return x != y ? x < y : jobs[a].id != jobs[b].id ? jobs[a].id < jobs[b].id : a < b;
@@ -752,7 +773,8 @@
   return ranking;
 }
 
-Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& given, std::span<const std::int64_t> sizes) {
+Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& given,
+          std::span<const std::int64_t> sizes) {
   auto rules = given;
   rules.rankFirst = rules.rankFirst || field.rankFirst;
   if (field.mostLoss > 0) rules.mostLoss = field.mostLoss;
@@ -768,7 +790,9 @@
   for (const auto at : ranking) {
     const auto& job = jobs[at];
     if (job.readyForMs < rules.reserveAfterMs) continue;
-    auto key = [&](const Candidate& each) { return std::tuple(rules.rankFirst ? -each.rank : 0, -each.readyForMs, each.id.view()); };
+    auto key = [&](const Candidate& each) {
+      return std::tuple(rules.rankFirst ? -each.rank : 0, -each.readyForMs, each.id.view());
+    };
     if (longest && key(job) >= key(jobs[*longest])) continue;
     for (std::size_t u = 0; u < job.ready.size(); ++u)
       if (planner.wide(job, job.ready[u]) && slotsOf(job.ready[u]) <= planner.quotaLeft(job)) {
@@ -784,7 +808,8 @@
       reserved = true;
       const auto& unit = jobs[*longest].ready[longestUnit];
       const auto count = jobs[*longest].gang || unit.whole ? unit.tasks.size() : 1;
-      if (!unit.tasks.empty() && !place(*longest, unit) && planner.reserve(unit, count)) planner.out.reservedFor = longest;
+      if (!unit.tasks.empty() && !place(*longest, unit) && planner.reserve(unit, count))
+        planner.out.reservedFor = longest;
     }
     for (std::size_t u = 0; u < job.ready.size(); ++u) {
       if (longest && *longest == at && longestUnit == u) continue;
@@ -807,8 +832,8 @@
           return own != pool.labels.end() && own->second == label.second;
         }))
       continue;
-    if (!unit.needs.empty() &&
-        std::none_of(pool.labels.begin(), pool.labels.end(), [&](const auto& label) { return label.second == unit.needs; }))
+    if (!unit.needs.empty() && std::none_of(pool.labels.begin(), pool.labels.end(),
+                                            [&](const auto& label) { return label.second == unit.needs; }))
       continue;
     placement::WorkerCapacity made;
     made.total = made.free = kinds.load({pool.slots, pool.capacity});
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -27,19 +27,19 @@
 
 // Tasks that are alike and ready: a step's, or a whole gang's.
 struct Unit {
-  std::vector<std::uint32_t> tasks;  // places in the job's tasks, in the order they are to start
-  std::vector<placement::Load> loads;    // one for each task, or a single one for all
-  bool whole = false;                // all start together or none
-  bool oneRack = false;              // takes farFactor times as long on more than one rack
-  bool saves = false;                // keeps checkpoints
-  bool standing = false;             // long running
-  PoolName pool;                     // empty: any
-  placement::Labels labels;              // each must stand on the worker with this value
-  std::string needs;                 // a value that one of the worker's labels must have; empty: none
-  std::string near;                  // the rack where its data lies; empty: anywhere
-  std::int64_t apart = 0;            // at most this many of the step's tasks on one worker; 0: no bound
+  std::vector<std::uint32_t> tasks;    // places in the job's tasks, in the order they are to start
+  std::vector<placement::Load> loads;  // one for each task, or a single one for all
+  bool whole = false;                  // all start together or none
+  bool oneRack = false;                // takes farFactor times as long on more than one rack
+  bool saves = false;                  // keeps checkpoints
+  bool standing = false;               // long running
+  PoolName pool;                       // empty: any
+  placement::Labels labels;            // each must stand on the worker with this value
+  std::string needs;                   // a value that one of the worker's labels must have; empty: none
+  std::string near;                    // the rack where its data lies; empty: anywhere
+  std::int64_t apart = 0;              // at most this many of the step's tasks on one worker; 0: no bound
   std::vector<std::pair<std::size_t, std::int64_t>> beside;  // berth, tasks of the step that are there
-  std::vector<WorkerId> avoid;       // one for each task or none: where it failed last
+  std::vector<WorkerId> avoid;                               // one for each task or none: where it failed last
   Millis estimateMs = 0;
 };
 
@@ -58,17 +58,19 @@
   JobId id;
   QueueName pending;
   Counters counters;
-  std::int64_t rank = 0;   // higher goes first
+  std::int64_t rank = 0;  // higher goes first
   Millis acceptedMs = 0;
   Millis readyForMs = 0;
-  Millis dueInMs = 0;      // until what is left must start for the line's aim, by its estimates; negative: passed. 0 with no aim
+  Millis dueInMs =
+      0;  // until what is left must start for the line's aim, by its estimates; negative: passed. 0 with no aim
   bool gang = false;
   std::vector<Unit> ready;
   std::vector<HeldRun> runs;
 };
 
 double gittinsIndex(std::int64_t servedMs, std::span<const std::int64_t> sizes, std::int64_t quantumMs);
-std::vector<std::size_t> order(std::span<const Candidate> jobs, const config::Admission& rules, std::span<const std::int64_t> sizes);
+std::vector<std::size_t> order(std::span<const Candidate> jobs, const config::Admission& rules,
+                               std::span<const std::int64_t> sizes);
 
 struct Start {
   std::size_t job = 0;
@@ -100,7 +102,8 @@
   double mostLoss = 0;     // as the option of that name, where above 0
 };
 
-Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& rules, std::span<const std::int64_t> sizes);
+Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& rules,
+          std::span<const std::int64_t> sizes);
 
 // Whether the pools, as configured, could hold the unit on empty workers; pools without a size hold anything.
 bool couldEverFit(const Unit& unit, const config::Config& config, placement::Kinds& kinds);
--- a/src/admission/placement.cpp
+++ b/src/admission/placement.cpp
@@ -31,7 +31,8 @@
     deck.doubt.push_back(worker.doubt + (worker.leavesInMs >= 0 ? kLeaving : 0));
     deck.rack.push_back(racks.try_emplace(worker.rack, static_cast<std::uint32_t>(racks.size())).first->second);
   }
-  for (std::size_t i = 0; i < deck.kinds; ++i) deck.weight[i] = most[i] > 0 ? kWorker / static_cast<double>(most[i]) : 0;
+  for (std::size_t i = 0; i < deck.kinds; ++i)
+    deck.weight[i] = most[i] > 0 ? kWorker / static_cast<double>(most[i]) : 0;
   return deck;
 }
 
@@ -40,8 +41,8 @@
          (demand.avoided(task) == at ? kAvoided : 0);
 }
 
-std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Capacities& capacities,
-                   Tally& tally) {
+std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among,
+                   const Capacities& capacities, Tally& tally) {
   tally.looks += among.size();
   const auto& need = demand.load(task);
   std::uint32_t best = kNowhere;
@@ -52,7 +53,7 @@
     if (demand.apart > 0 && mine >= demand.apart) continue;
     const int heavy = burden(deck, demand, task, at);
     const auto key = deck.layout == config::Layout::pack ? std::tuple(heavy, capacities.score[at] / kSameFit, mine)
-                                                        : std::tuple(heavy, mine, -capacities.score[at]);
+                                                         : std::tuple(heavy, mine, -capacities.score[at]);
     if (best != kNowhere && key >= bestKey) continue;
     best = at;
     bestKey = key;
@@ -64,12 +65,14 @@
   order.resize(demand.count);
   std::iota(order.begin(), order.end(), 0);
   if (!demand.alike())
-    std::stable_sort(order.begin(), order.end(),
-                     [&](std::size_t a, std::size_t b) { return deck.score(demand.load(a)) > deck.score(demand.load(b)); });
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+      return deck.score(demand.load(a)) > deck.score(demand.load(b));
+    });
   return order;
 }
 
-bool Matcher::greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Capacities& capacities, Tally& tally) {
+bool Matcher::greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among,
+                     const Capacities& capacities, Tally& tally) {
   for (const auto at : among) {
     scratch.load[at] = capacities.load[at];
     scratch.score[at] = capacities.score[at];
@@ -93,7 +96,8 @@
   return whole;
 }
 
-bool Matcher::together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Capacities& capacities, Tally& tally) {
+bool Matcher::together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among,
+                       const Capacities& capacities, Tally& tally) {
   scratch.load.resize(capacities.load.size());
   scratch.score.resize(capacities.score.size());
   bySize(deck, demand);
--- a/src/admission/placement.hpp
+++ b/src/admission/placement.hpp
@@ -89,14 +89,15 @@
 };
 
 int burden(const Deck& deck, const Demand& demand, std::size_t task, std::uint32_t at);
-std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among, const Capacities& capacities,
-                   Tally& tally);
+std::uint32_t pick(const Deck& deck, const Demand& demand, std::size_t task, std::span<const std::uint32_t> among,
+                   const Capacities& capacities, Tally& tally);
 
 // Places tasks together and reuses its memory from call to call.
 struct Matcher {
   std::vector<std::uint32_t> chosen;  // the result: a berth for each task
   bool spread = false;                // the result is on more than one rack
-  bool together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Capacities& capacities, Tally& tally);
+  bool together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among,
+                const Capacities& capacities, Tally& tally);
 
   const std::vector<std::size_t>& bySize(const Deck& deck, const Demand& demand);
 
@@ -105,7 +106,8 @@
   std::vector<std::size_t> order;
   std::vector<std::uint32_t> racks, part, best;
   int heaviest = 0;
-  bool greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among, const Capacities& capacities, Tally& tally);
+  bool greedy(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among,
+              const Capacities& capacities, Tally& tally);
 };
 
 }  // namespace tulip::admission
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -19,8 +19,8 @@
 }
 
 bool mayStart(const AgentState& agent, Now now) {
-  return control::sessionLive(agent.client, now) && agent.client.configVersion >= agent.orderedVersion && !drained(agent) &&
-         now.steadyMs - agent.acknowledgedMs <= bounds(agent).freshMs();
+  return control::sessionLive(agent.client, now) && agent.client.configVersion >= agent.orderedVersion &&
+         !drained(agent) && now.steadyMs - agent.acknowledgedMs <= bounds(agent).freshMs();
 }
 
 Millis goOnMs(const AgentState& agent, Now now) {
@@ -101,7 +101,9 @@
   for (const auto& ended : poll.ended) {
     if (ended.number <= agent.lastSeen) continue;
     auto found = agent.runs.find(ended.run);
-    if (ended.number != agent.lastSeen + 1 || (found != agent.runs.end() && !released(agent, found->second)) || agent.ordersSeq == 0) break;
+    if (ended.number != agent.lastSeen + 1 || (found != agent.runs.end() && !released(agent, found->second)) ||
+        agent.ordersSeq == 0)
+      break;
     agent.lastSeen = ended.number;
   }
   answer.lastSeen = agent.lastSeen;
@@ -116,8 +118,8 @@
 
 void onOrders(AgentState& agent, const Orders& orders, Now now, Outbox& out) {
   const auto newest = std::max(agent.term, agent.client.leader.term);
-  if (orders.agent != agent.client.id || orders.term < newest || orders.acknowledgedSeq > agent.reportSeq || orders.acknowledgedMs > now.steadyMs ||
-      (orders.term == agent.term && orders.seq <= agent.ordersSeq)) {
+  if (orders.agent != agent.client.id || orders.term < newest || orders.acknowledgedSeq > agent.reportSeq ||
+      orders.acknowledgedMs > now.steadyMs || (orders.term == agent.term && orders.seq <= agent.ordersSeq)) {
     ++agent.counts.rejectedOrders;
     return;
   }
@@ -144,8 +146,10 @@
       run.saved = wanted.saved;
       run.workerIncarnation = wanted.workerIncarnation;
       if (wanted.stop) {
-        if (agent.heard) end(agent, run, AttemptOutcome::lost, "never started");
-        else run.state = AttemptState::stopping;
+        if (agent.heard)
+          end(agent, run, AttemptOutcome::lost, "never started");
+        else
+          run.state = AttemptState::stopping;
       }
     }
   }
@@ -158,11 +162,13 @@
     }
     if (unhanded && agent.heard && run.workerIncarnation != agent.incarnation)
       end(agent, run, AttemptOutcome::lost, "ordered for another life of the worker");
-    else if (unhanded && agent.heard && run.stop) end(agent, run, AttemptOutcome::stopped, "stopped before its start");
+    else if (unhanded && agent.heard && run.stop)
+      end(agent, run, AttemptOutcome::stopped, "stopped before its start");
     else if (unhanded && agent.heard && drained(agent)) {
       ++agent.counts.rejectedStarts;
       end(agent, run, AttemptOutcome::lost, "denied: draining");
-    } else if ((run.stop || !run.wanted) && run.state != AttemptState::ended) run.state = AttemptState::stopping;
+    } else if ((run.stop || !run.wanted) && run.state != AttemptState::ended)
+      run.state = AttemptState::stopping;
     ++at;
   }
   if (agent.poll && anythingNew(agent, now)) answerPoll(agent, now, out);
@@ -195,7 +201,8 @@
   for (const auto& [id, run] : agent.runs) {
     const bool seen = run.state == AttemptState::stopping && !run.listed;
     const bool there = run.listed || run.state == AttemptState::ended;
-    report.runs.push_back({id, seen ? AttemptState::ordered : run.state, run.outcome, run.detail, there ? run.saved : std::string(), run.percent});
+    report.runs.push_back({id, seen ? AttemptState::ordered : run.state, run.outcome, run.detail,
+                           there ? run.saved : std::string(), run.percent});
   }
   ++agent.counts.reports;
   out.send(agent.client.leader.peerAddress, std::move(report));
@@ -220,14 +227,18 @@
 }
 
 void workerReport(AgentState& agent, std::uint64_t requestId, std::string_view body, Now now, Outbox& out) {
-  auto reject = [&](Kind kind, const char* field, const char* allowed) { out.reject(requestId, kind, config::faultsJson(kind, {{field, allowed}})); };
+  auto reject = [&](Kind kind, const char* field, const char* allowed) {
+    out.reject(requestId, kind, config::faultsJson(kind, {{field, allowed}}));
+  };
   Json root = parseJson(body);
   if (!root || !json_is_object(root.get())) return reject(Kind::malformed, "/", "one JSON object");
-  if (textAt(root.get(), "worker") != agent.worker.value) return reject(Kind::badValue, "/worker", "the name of this agent's worker");
+  if (textAt(root.get(), "worker") != agent.worker.value)
+    return reject(Kind::badValue, "/worker", "the name of this agent's worker");
   WorkerReport report;
   report.incarnation = textAt(root.get(), "incarnation");
   const auto number = numberAt(root.get(), "report");
-  if (report.incarnation.empty()) return reject(Kind::badValue, "/incarnation", "a text, new at each start of the worker");
+  if (report.incarnation.empty())
+    return reject(Kind::badValue, "/incarnation", "a text, new at each start of the worker");
   if (number < 1) return reject(Kind::badValue, "/report", "a number that grows with each report");
   report.slots = numberAt(root.get(), "slots");
   if (report.slots < 1) return reject(Kind::badValue, "/slots", "a whole number of at least 1");
@@ -246,14 +257,17 @@
   const json_t* running = json_object_get(root.get(), "going");
   for (std::size_t i = 0; i < json_array_size(running); ++i) {
     const json_t* item = json_array_get(running, i);
-    if (json_is_string(item)) report.running.push_back({AttemptId(json_string_value(item)), {}, 0});
-    else if (auto run = textAt(item, "run"); !run.empty()) report.running.push_back({AttemptId(run), textAt(item, "saved"), numberAt(item, "percent")});
+    if (json_is_string(item))
+      report.running.push_back({AttemptId(json_string_value(item)), {}, 0});
+    else if (auto run = textAt(item, "run"); !run.empty())
+      report.running.push_back({AttemptId(run), textAt(item, "saved"), numberAt(item, "percent")});
   }
   const json_t* ended = json_object_get(root.get(), "ended");
   for (std::size_t i = 0; i < json_array_size(ended); ++i) {
     const json_t* item = json_array_get(ended, i);
     if (auto run = textAt(item, "run"); !run.empty())
-      report.ended.push_back({0, AttemptId(run), outcomeOf(textAt(item, "outcome")), textAt(item, "saved"), textAt(item, "detail")});
+      report.ended.push_back(
+          {0, AttemptId(run), outcomeOf(textAt(item, "outcome")), textAt(item, "saved"), textAt(item, "detail")});
   }
   const bool same = agent.heard && report.incarnation == agent.incarnation;
   if (same && report.number <= agent.lastReport) {
@@ -273,7 +287,8 @@
   if (agent.poll) answerPoll(agent, now, out);
   if (agent.heard && !same)
     for (auto& [id, run] : agent.runs)
-      if (run.state != AttemptState::ended && (run.state != AttemptState::ordered || run.handedReport)) end(agent, run, AttemptOutcome::lost, "worker restarted");
+      if (run.state != AttemptState::ended && (run.state != AttemptState::ordered || run.handedReport))
+        end(agent, run, AttemptOutcome::lost, "worker restarted");
   if (!same || !agent.heard) agent.reportDue = true;
   if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
   if (report.incarnation != agent.incarnation) agent.lastSeen = 0;
@@ -322,18 +337,24 @@
       if (run.wanted && !run.stop && mayStart(agent, now)) {
         run.handedReport = 0;
         ++agent.counts.rehanded;
-      } else end(agent, run, AttemptOutcome::lost, "never started");
-    } else if (!run.listed && vanished) end(agent, run, run.stop ? AttemptOutcome::stopped : AttemptOutcome::lost, "gone from the worker");
-    if (!run.listed && run.state == AttemptState::ended && !run.wanted && agent.ordersSeq > 0) at = agent.runs.erase(at);
-    else ++at;
+      } else
+        end(agent, run, AttemptOutcome::lost, "never started");
+    } else if (!run.listed && vanished)
+      end(agent, run, run.stop ? AttemptOutcome::stopped : AttemptOutcome::lost, "gone from the worker");
+    if (!run.listed && run.state == AttemptState::ended && !run.wanted && agent.ordersSeq > 0)
+      at = agent.runs.erase(at);
+    else
+      ++at;
   }
   agent.poll = Poll{requestId, report.number, now.steadyMs, bounds(agent).longPollMs(), numbered, {}};
   if (numbered) {
     agent.poll->ended = report.ended;
     agent.poll->holdMs = news ? bounds(agent).newsHoldMs() : busy ? 0 : bounds(agent).idleHoldMs();
   }
-  if (anythingNew(agent, now) || agent.poll->holdMs == 0) answerPoll(agent, now, out);
-  else out.wakeBy(now.steadyMs + agent.poll->holdMs);
+  if (anythingNew(agent, now) || agent.poll->holdMs == 0)
+    answerPoll(agent, now, out);
+  else
+    out.wakeBy(now.steadyMs + agent.poll->holdMs);
   if (agent.reportDue) sendReport(agent, now, out);
 }
 
@@ -359,14 +380,17 @@
   auto pool = agent.client.config->pools.find(agent.pool.value);
   const bool selfStop = pool != agent.client.config->pools.end() && pool->second.selfStop;
   const auto& pools = agent.client.config->pools;
-  const bool allStop = agent.heard ? selfStop : std::all_of(pools.begin(), pools.end(), [](const auto& each) { return each.second.selfStop; });
+  const bool allStop =
+      agent.heard ? selfStop
+                  : std::all_of(pools.begin(), pools.end(), [](const auto& each) { return each.second.selfStop; });
   std::int64_t leases = 1;
   for (const auto& [name, each] : pools)
     if (!agent.heard || name == agent.pool.value) leases = std::max(leases, each.lostAfterLeases);
   if (allStop && !agent.poll)
     for (auto& [id, run] : agent.runs) {
       if (run.state != AttemptState::ordered || run.handedReport > 0) continue;
-      if (now.steadyMs - std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) <= bounds(agent).sureMs(leases)) continue;
+      if (now.steadyMs - std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) <= bounds(agent).sureMs(leases))
+        continue;
       ++agent.counts.silences;
       end(agent, run, AttemptOutcome::lost, "its worker is silent");
     }
@@ -384,22 +408,31 @@
   const bool scarce = goOnMs(agent, now) < bounds(agent).workerLeaseMs / 2;
   if (agent.poll) {
     const Millis holdMs = scarce ? agent.poll->holdMs / 8 : agent.poll->holdMs;
-    if (anythingNew(agent, now) || now.steadyMs - agent.poll->sinceMs >= holdMs) answerPoll(agent, now, out);
-    else out.wakeBy(agent.poll->sinceMs + holdMs);
+    if (anythingNew(agent, now) || now.steadyMs - agent.poll->sinceMs >= holdMs)
+      answerPoll(agent, now, out);
+    else
+      out.wakeBy(agent.poll->sinceMs + holdMs);
   }
   if (agent.reportDue || now.steadyMs - agent.reportedMs >= bounds(agent).reportMs()) sendReport(agent, now, out);
-  agent.client.ready = control::sessionLive(agent.client, now) && !agent.client.leader.http.empty() && !agent.client.leaving;
+  agent.client.ready =
+      control::sessionLive(agent.client, now) && !agent.client.leader.http.empty() && !agent.client.leaving;
 }
 
 std::string countersJson(const AgentState& agent) {
   Json root(json_object());
   const auto& c = agent.counts;
-  const std::pair<const char*, std::uint64_t> rows[] = {
-      {"reports", c.reports},           {"orders", c.orders},           {"deniedOrders", c.rejectedOrders}, {"handed", c.handed},
-      {"rehanded", c.rehanded},         {"deniedStarts", c.rejectedStarts}, {"staleReports", c.staleReports}, {"silences", c.silences},
-      {"runs", agent.runs.size()}};
-  for (const auto& [name, value] : rows) json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
+  const std::pair<const char*, std::uint64_t> rows[] = {{"reports", c.reports},
+                                                        {"orders", c.orders},
+                                                        {"deniedOrders", c.rejectedOrders},
+                                                        {"handed", c.handed},
+                                                        {"rehanded", c.rehanded},
+                                                        {"deniedStarts", c.rejectedStarts},
+                                                        {"staleReports", c.staleReports},
+                                                        {"silences", c.silences},
+                                                        {"runs", agent.runs.size()}};
+  for (const auto& [name, value] : rows)
+    json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
   return dumpJson(root.get());
 }
 
-}  // namespace
+}  // namespace tulip::agent
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -30,7 +30,8 @@
 };
 
 struct AgentCounts {
-  std::uint64_t reports = 0, orders = 0, rejectedOrders = 0, handed = 0, rehanded = 0, rejectedStarts = 0, staleReports = 0, silences = 0;
+  std::uint64_t reports = 0, orders = 0, rejectedOrders = 0, handed = 0, rehanded = 0, rejectedStarts = 0,
+                staleReports = 0, silences = 0;
 };
 
 struct AgentState {
@@ -64,10 +65,13 @@
 
 AgentState makeAgent(const Settings& settings, const DaemonId& id, std::string incarnation);
 void agentHeard(AgentState& agent, const transport::Heard& heard, transport::Now now, transport::Outbox& out);
-void workerReport(AgentState& agent, std::uint64_t requestId, std::string_view body, transport::Now now, transport::Outbox& out);
-void workerReport(AgentState& agent, std::uint64_t requestId, const transport::WorkerReport& report, transport::Now now, transport::Outbox& out);
-void workerLeaves(AgentState& agent, std::uint64_t requestId, std::string_view incarnation, transport::Now now, transport::Outbox& out);
+void workerReport(AgentState& agent, std::uint64_t requestId, std::string_view body, transport::Now now,
+                  transport::Outbox& out);
+void workerReport(AgentState& agent, std::uint64_t requestId, const transport::WorkerReport& report, transport::Now now,
+                  transport::Outbox& out);
+void workerLeaves(AgentState& agent, std::uint64_t requestId, std::string_view incarnation, transport::Now now,
+                  transport::Outbox& out);
 void agentTick(AgentState& agent, transport::Now now, transport::Outbox& out);
 std::string countersJson(const AgentState& agent);
 
-}  // namespace
+}  // namespace tulip::agent
--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -26,9 +26,11 @@
     Row{Kind::noLeader, "no-leader", 503, 6, 0.3, "no scheduler leads at the moment"},
     Row{Kind::noMajority, "no-majority", 503, 6, 1.0, "too few replicas answer"},
     Row{Kind::overloaded, "overloaded", 503, 6, 0.5, "more is pending than is taken"},
-    Row{Kind::unknownOutcome, "unknown-outcome", 503, 7, 0.5, "it may or may not have taken effect; resend under the same id"},
+    Row{Kind::unknownOutcome, "unknown-outcome", 503, 7, 0.5,
+        "it may or may not have taken effect; resend under the same id"},
     Row{Kind::notReady, "not-ready", 503, 6, 0.5, "this daemon can not serve yet"},
-    Row{Kind::deadlinePassed, "cutoff-passed", 504, 7, 0.5, "the caller's cutoff passed first; resend under the same id"},
+    Row{Kind::deadlinePassed, "cutoff-passed", 504, 7, 0.5,
+        "the caller's cutoff passed first; resend under the same id"},
     Row{Kind::forwardLoop, "proxy-loop", 503, 6, 0.5, "the daemons do not agree yet on who leads"},
     Row{Kind::staleTerm, "stale-term", 409, 5, 0, "sent under a term that has ended"},
     Row{Kind::tornFile, "torn-file", 500, 8, 0, "a stored version does not match its checksum"},
@@ -60,9 +62,12 @@
 
 std::string_view roleName(Role role) {
   switch (role) {
-    case Role::replica: return "replica";
-    case Role::scheduler: return "scheduler";
-    case Role::agent: return "agent";
+    case Role::replica:
+      return "replica";
+    case Role::scheduler:
+      return "scheduler";
+    case Role::agent:
+      return "agent";
   }
   return "?";
 }
--- a/src/base/errors.hpp
+++ b/src/base/errors.hpp
@@ -48,4 +48,5 @@
 std::error_code make_error_code(Kind kind);
 
 }  // namespace tulip
-template <> struct std::is_error_code_enum<tulip::Kind> : std::true_type {};
+template <>
+struct std::is_error_code_enum<tulip::Kind> : std::true_type {};
--- a/src/base/json.hpp
+++ b/src/base/json.hpp
@@ -35,15 +35,18 @@
   into.push_back('"');
   for (const unsigned char c : text) {
     if (c == '"' || c == '\\') into.push_back('\\');
-    if (c >= 0x20) into.push_back(static_cast<char>(c));
-    else into.append("\\u00").append(1, kHex[c >> 4]).append(1, kHex[c & 15]);
+    if (c >= 0x20)
+      into.push_back(static_cast<char>(c));
+    else
+      into.append("\\u00").append(1, kHex[c >> 4]).append(1, kHex[c & 15]);
   }
   into.push_back('"');
 }
 
 inline std::string textAt(const json_t* object, const char* key, std::string_view fallback = {}) {
   const json_t* found = json_object_get(object, key);
-  return json_is_string(found) ? std::string(json_string_value(found), json_string_length(found)) : std::string(fallback);
+  return json_is_string(found) ? std::string(json_string_value(found), json_string_length(found))
+                               : std::string(fallback);
 }
 
 inline std::int64_t numberAt(const json_t* object, const char* key, std::int64_t fallback = 0) {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -17,7 +17,7 @@
   std::size_t unwritten = 0;
   std::string who;
   bool open = false;
-  bool wanted = false;  // something went wrong
+  bool wanted = false;        // something went wrong
   log4cxx::LoggerPtr logger;  // made when first written to, since most processes never do
 };
 
@@ -27,7 +27,9 @@
 }
 
 std::string stamped(const std::string& text) {
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+          .count();
   return std::to_string(ms) + " " + text;
 }
 
@@ -38,7 +40,8 @@
 }
 
 void makeLogger(LogRing& book) {
-  auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d ") + log4cxx::LogString(book.who.begin(), book.who.end()) + LOG4CXX_STR(" %m%n"));
+  auto layout = std::make_shared<log4cxx::PatternLayout>(
+      LOG4CXX_STR("%d ") + log4cxx::LogString(book.who.begin(), book.who.end()) + LOG4CXX_STR(" %m%n"));
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
   book.logger = log4cxx::Logger::getRootLogger();
   book.logger->removeAllAppenders();
--- a/src/base/ring.hpp
+++ b/src/base/ring.hpp
@@ -9,7 +9,8 @@
 
 namespace tulip {
 
-template <class Item> struct Ring {
+template <class Item>
+struct Ring {
   explicit Ring(std::size_t bound) : bound_(bound) {}
 
   bool offer(Item item) { return offerWithin(std::move(item), bound_); }
@@ -58,7 +59,8 @@
     closing_.notify_all();
   }
 
-  template <class Span> bool closedWithin(const Span& span) {
+  template <class Span>
+  bool closedWithin(const Span& span) {
     std::unique_lock lock(guard_);
     return closing_.wait_for(lock, span, [&] { return closed_; });
   }
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -36,7 +36,8 @@
     {"stop-ms", 100, 600000, [](Settings& e, std::int64_t v) { e.bounds.stopMs = v; }},
     {"call-ms", 100, 600000, [](Settings& e, std::int64_t v) { e.bounds.callMs = v; }},
     {"ring-items", 64, 1048576, [](Settings& e, std::int64_t v) { e.ringItems = static_cast<std::size_t>(v); }},
-    {"max-body-bytes", 1024, 67108864, [](Settings& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
+    {"max-body-bytes", 1024, 67108864,
+     [](Settings& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
 };
 
 bool putKey(Settings& settings, const std::string& key, const std::string& value, std::string& allowed) {
@@ -124,8 +125,10 @@
     json_t* value;
     json_object_foreach(root.get(), key, value) {
       std::string text;
-      if (json_is_string(value)) text = json_string_value(value);
-      else if (json_is_integer(value)) text = std::to_string(json_integer_value(value));
+      if (json_is_string(value))
+        text = json_string_value(value);
+      else if (json_is_integer(value))
+        text = std::to_string(json_integer_value(value));
       else if (json_is_array(value)) {
         for (std::size_t i = 0; i < json_array_size(value); ++i) {
           const char* part = json_string_value(json_array_get(value, i));
@@ -162,8 +165,10 @@
   if (!need(settings.http != settings.peerAddress, "http", "an address other than signal")) return false;
   if (!need(!settings.zone.empty(), "cell", "must be given")) return false;
   if (!need(settings.seeds.size() == 3, "seeds", "must be given: three addresses of replicas")) return false;
-  if (role == Role::replica && !need(!settings.dataFolder.empty(), "data-folder", "must be given to a replica")) return false;
-  if (role == Role::agent && !need(!settings.worker.empty(), "worker", "must be given to a agent: the worker's name")) return false;
+  if (role == Role::replica && !need(!settings.dataFolder.empty(), "data-folder", "must be given to a replica"))
+    return false;
+  if (role == Role::agent && !need(!settings.worker.empty(), "worker", "must be given to a agent: the worker's name"))
+    return false;
   return true;
 }
 
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -24,9 +24,11 @@
   Millis heartbeatMs() const { return leaseMs / 5; }
   Millis reportMs() const { return workerLeaseMs / 8; }
   Millis longPollMs() const { return workerLeaseMs / 4; }
-  Millis nextHeartbeatMs() const { return std::max<Millis>(20, workerLeaseMs / 40); }   // between heartbeats of a busy worker
-  Millis newsHoldMs() const { return workerLeaseMs / 50; }   // a heartbeat that brings ends waits this long for new work
-  Millis idleHoldMs() const { return workerLeaseMs / 10; }   // one of an idle worker waits this long
+  Millis nextHeartbeatMs() const {
+    return std::max<Millis>(20, workerLeaseMs / 40);
+  }                                                         // between heartbeats of a busy worker
+  Millis newsHoldMs() const { return workerLeaseMs / 50; }  // a heartbeat that brings ends waits this long for new work
+  Millis idleHoldMs() const { return workerLeaseMs / 10; }  // one of an idle worker waits this long
   Millis freshMs() const { return workerLeaseMs / 2; }
   Millis sureMs(std::int64_t leases) const { return leases * (workerLeaseMs + workerLeaseMs / 10); }
   Millis lapseMs() const { return 2 * leaseMs + leaseMs / 10; }
@@ -45,12 +47,12 @@
   Address peerAddress;
   Address http;
   ZoneName zone;
-  std::vector<Address> seeds;          // signal addresses of replicas or of daemons beside them
-  std::vector<Face> faces;             // listeners beside the own interface, spoken to in the protocol adapter
-  std::string adapter;                 // empty: the own interface only
-  bool firstBoot = true;               // a new fleet may be formed
-  std::int64_t losses = 1;             // replicas that may be lost at once; the membership has twice as many voters and one
-  Millis firstThresholdMs = 0;         // usual first demotion threshold, in worker milliseconds; 0: as configured
+  std::vector<Address> seeds;   // signal addresses of replicas or of daemons beside them
+  std::vector<Face> faces;      // listeners beside the own interface, spoken to in the protocol adapter
+  std::string adapter;          // empty: the own interface only
+  bool firstBoot = true;        // a new fleet may be formed
+  std::int64_t losses = 1;      // replicas that may be lost at once; the membership has twice as many voters and one
+  Millis firstThresholdMs = 0;  // usual first demotion threshold, in worker milliseconds; 0: as configured
   std::string dataFolder;
   std::string settingsFile;
   std::string worker;
--- a/src/base/types.hpp
+++ b/src/base/types.hpp
@@ -7,14 +7,18 @@
 
 namespace tulip {
 
-template <class Tag> struct Name {
+template <class Tag>
+struct Name {
   std::string value;
   Name() = default;
   explicit Name(std::string_view text) : value(text) {}
   auto operator<=>(const Name&) const = default;
   bool empty() const { return value.empty(); }
   std::string_view view() const { return value; }
-  template <class Packer> void msgpack_pack(Packer& packer) const { packer.pack(value); }
+  template <class Packer>
+  void msgpack_pack(Packer& packer) const {
+    packer.pack(value);
+  }
   void msgpack_unpack(const msgpack::object& object) { object.convert(value); }
 };
 
--- a/src/commands/ctl.cpp
+++ b/src/commands/ctl.cpp
@@ -1,19 +1,19 @@
 #include <tclap/CmdLine.h>
 
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <set>
-#include <iostream>
 #include <sstream>
 #include <thread>
 
-#include "base/settings.hpp"
-#include "simulator/load.hpp"
 #include "base/json.hpp"
-#include "http/http.hpp"
-#include "query/query.hpp"
+#include "base/settings.hpp"
 #include "commands/commands.hpp"
 #include "daemon/daemon.hpp"
+#include "http/http.hpp"
+#include "query/query.hpp"
+#include "simulator/load.hpp"
 
 namespace tulip::commands {
 namespace {
@@ -27,7 +27,8 @@
 };
 
 Millis steadyMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 void journal(const Ctl& ctl, const std::string& line) {
@@ -49,7 +50,8 @@
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ctl.deadlineMs);
   http::CallReply reply;
   for (std::size_t tries = 0;; ++tries) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now()).count();
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now()).count();
     if (left <= 0) return reply;
     http::CallOut out;
     out.to = ctl.at[tries % ctl.at.size()];
@@ -74,8 +76,10 @@
     const json_t* value = json_object_get(item, field);
     if (!first) std::cout << "  ";
     first = false;
-    if (json_is_string(value)) std::cout << json_string_value(value);
-    else std::cout << field << "=" << (value ? dumpJson(value) : "-");
+    if (json_is_string(value))
+      std::cout << json_string_value(value);
+    else
+      std::cout << field << "=" << (value ? dumpJson(value) : "-");
   }
   std::cout << "\n";
 }
@@ -96,8 +100,10 @@
     std::cerr << error << ": " << textAt(root.get(), "meaning") << " " << textAt(root.get(), "detail") << std::endl;
     const json_t* faults = json_object_get(root.get(), "faults");
     for (std::size_t i = 0; i < json_array_size(faults); ++i)
-      std::cerr << "  " << textAt(json_array_get(faults, i), "path") << ": allowed is " << textAt(json_array_get(faults, i), "allowed") << "\n";
-    if (json_object_get(root.get(), "revision")) std::cerr << "  current revision: " << numberAt(root.get(), "revision") << "\n";
+      std::cerr << "  " << textAt(json_array_get(faults, i), "path") << ": allowed is "
+                << textAt(json_array_get(faults, i), "allowed") << "\n";
+    if (json_object_get(root.get(), "revision"))
+      std::cerr << "  current revision: " << numberAt(root.get(), "revision") << "\n";
     return code;
   }
   if (const json_t* jobs = json_object_get(root.get(), "jobs")) {
@@ -106,7 +112,8 @@
     if (json_object_get(root.get(), "after")) std::cout << "more after " << textAt(root.get(), "after") << "\n";
   } else if (const json_t* workers = json_object_get(root.get(), "workers")) {
     for (std::size_t i = 0; i < json_array_size(workers); ++i)
-      printRow(json_array_get(workers, i), {"worker", "cell", "pool", "usable", "slots", "slotsHeld", "runs", "leaving", "shunned", "failed"});
+      printRow(json_array_get(workers, i),
+               {"worker", "cell", "pool", "usable", "slots", "slotsHeld", "runs", "leaving", "shunned", "failed"});
   } else if (const json_t* members = json_object_get(root.get(), "members")) {
     for (std::size_t i = 0; i < json_array_size(members); ++i)
       printRow(json_array_get(members, i), {"id", "role", "cell", "http", "revision", "ready", "ageMs"});
@@ -119,7 +126,8 @@
 
 std::string readInput(const std::string& path) {
   std::stringstream text;
-  if (path == "-") text << std::cin.rdbuf();
+  if (path == "-")
+    text << std::cin.rdbuf();
   else {
     std::ifstream in(path);
     if (!in) throw TCLAP::ArgException("cannot be read", path);
@@ -163,12 +171,14 @@
     std::cerr << row.name << ": " << detail << std::endl;
     return row.exitCode;
   }
-  if (!flagAt(snapshot.get(), "complete")) std::cerr << "only open jobs and the newest ended ones are in this snapshot" << std::endl;
+  if (!flagAt(snapshot.get(), "complete"))
+    std::cerr << "only open jobs and the newest ended ones are in this snapshot" << std::endl;
   if (ctl.json) {
     Json list(json_array());
     for (const auto& zones : table.rows) {
       json_t* item = json_object();
-      for (std::size_t i = 0; i < zones.size(); ++i) json_object_set_new(item, table.columns[i].c_str(), jsonText(zones[i]));
+      for (std::size_t i = 0; i < zones.size(); ++i)
+        json_object_set_new(item, table.columns[i].c_str(), jsonText(zones[i]));
       json_array_append_new(list.get(), item);
     }
     std::cout << dumpJson(list.get()) << "\n";
@@ -197,10 +207,12 @@
 
   double dice() { return static_cast<double>(random() >> 11) / 9007199254740992.0; }
   Millis sinceMs(const std::string& id) const {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - since.at(id)).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - since.at(id))
+        .count();
   }
   void after(double seconds, std::function<void()> act) {
-    auto pulse = std::make_shared<boost::asio::steady_timer>(context, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
+    auto pulse = std::make_shared<boost::asio::steady_timer>(
+        context, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
     pulse->async_wait([pulse, act](boost::system::error_code) { act(); });
   }
   void call(Task task, std::function<void(http::CallReply)> done) {
@@ -228,13 +240,16 @@
         return;
       }
       if (std::chrono::steady_clock::now() < hard)
-        after(reply.retryAfterMs > 0 ? static_cast<double>(reply.retryAfterMs) / 1000 : 0.1, [this, id, body] { submit(id, body); });
+        after(reply.retryAfterMs > 0 ? static_cast<double>(reply.retryAfterMs) / 1000 : 0.1,
+              [this, id, body] { submit(id, body); });
     });
   }
   void cancel(const std::string& id) {
     call({"DELETE", "/jobs/" + id, ""}, [this, id](http::CallReply reply) {
-      if (reply.status == 200) journal(ctl, "cancelled " + id);
-      else if (reply.status >= 500 || reply.status == 0) after(0.2, [this, id] { cancel(id); });
+      if (reply.status == 200)
+        journal(ctl, "cancelled " + id);
+      else if (reply.status >= 500 || reply.status == 0)
+        after(0.2, [this, id] { cancel(id); });
     });
   }
   void readConfig() {
@@ -242,12 +257,13 @@
     call({"GET", "/configuration", ""}, [this, askedMs](http::CallReply reply) {
       Json view = parseJson(reply.body);
       const auto version = view ? numberAt(view.get(), "revision") : 0;
-      if (reply.status == 200 && version > 0) journal(ctl, "read " + std::to_string(version) + " " + std::to_string(askedMs));
+      if (reply.status == 200 && version > 0)
+        journal(ctl, "read " + std::to_string(version) + " " + std::to_string(askedMs));
       const char* line;
       json_t* pending;
       if (!std::exchange(limitsKnown, reply.status == 200 || limitsKnown))
         json_object_foreach(json_object_get(json_object_get(view.get(), "configuration"), "pendings"), line, pending)
-          journal(ctl, "limit " + std::string(line) + " " + std::to_string(numberAt(pending, "failureLimit", 3)));
+            journal(ctl, "limit " + std::string(line) + " " + std::to_string(numberAt(pending, "failureLimit", 3)));
       if (std::chrono::steady_clock::now() < until) after(0.2 + 0.2 * dice(), [this] { readConfig(); });
     });
   }
@@ -288,15 +304,21 @@
   json_t* item = json_object();
   for (const auto& [name, share] : {std::pair{"p50", 0.5}, {"p95", 0.95}, {"p99", 0.99}, {"max", 1.0}})
     if (!values.empty())
-      json_object_set_new(item, name, json_integer(values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))]));
+      json_object_set_new(
+          item, name,
+          json_integer(values[std::min(values.size() - 1,
+                                       static_cast<std::size_t>(share * static_cast<double>(values.size())))]));
   return item;
 }
 
 int runLoad(const Ctl& ctl, const std::string& scenario, double seconds, double factor) {
   std::vector<simulator::LineLoad> lines;
   config::Fault fault;
-  if (!simulator::readLoad(scenario, lines, fault)) throw TCLAP::ArgException(fault.path + ": allowed is " + fault.allowed, "scenario");
-  LoadRun run{ctl, {}, std::mt19937_64(std::hash<std::string>{}(ctl.requestId)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}, {}, false};
+  if (!simulator::readLoad(scenario, lines, fault))
+    throw TCLAP::ArgException(fault.path + ": allowed is " + fault.allowed, "scenario");
+  LoadRun run{
+      ctl, {},   std::mt19937_64(std::hash<std::string>{}(ctl.requestId)), {}, {}, {}, {}, {}, 0, 0, 0, 0, {}, {},
+      {},  false};
   run.until = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(seconds * 1000));
   run.hard = run.until + std::chrono::milliseconds(ctl.deadlineMs);
   for (const auto& line : lines) run.arrive(line, factor);
@@ -314,7 +336,10 @@
   json_object_set_new(root.get(), "acceptToStartMs", quantiles(run.startedMs));
   json_object_set_new(root.get(), "acceptToFinishMs", quantiles(run.finishedMs));
   std::cout << dumpJson(root.get(), JSON_INDENT(1) | JSON_PRESERVE_ORDER) << "\n";
-  return run.finishedMs.size() == run.acceptedMs.size() && run.acceptedMs.size() + run.rejected == run.asked && run.lost == 0 ? 0 : 9;
+  return run.finishedMs.size() == run.acceptedMs.size() && run.acceptedMs.size() + run.rejected == run.asked &&
+                 run.lost == 0
+             ? 0
+             : 9;
 }
 
 }  // namespace
@@ -322,18 +347,24 @@
 int runCtl(int argc, char** argv) {
   try {
     TCLAP::CmdLine line(
-        "commands: submit FILE | get JOB | list [STATE] | cancel JOB | wait JOB | config get | config put FILE | config patch FILE | "
-        "workers | members | leader | status | counters | log | trace | drain WORKER | undrain WORKER | empty CELL | fill CELL | load SCENARIO | query SQL",
+        "commands: submit FILE | get JOB | list [STATE] | cancel JOB | wait JOB | config get | config put FILE | "
+        "config patch FILE | "
+        "workers | members | leader | status | counters | log | trace | drain WORKER | undrain WORKER | empty CELL | "
+        "fill CELL | load SCENARIO | query SQL",
         ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> at("a", "at", "http addresses of daemons, joined by commas", true, "", "IP:PORT,...", line);
+    TCLAP::ValueArg<std::string> at("a", "at", "http addresses of daemons, joined by commas", true, "", "IP:PORT,...",
+                                    line);
     TCLAP::SwitchArg json("j", "json", "print the answer as it came", line);
     TCLAP::ValueArg<long> deadline("", "cutoff-ms", "how long to go on trying", false, 15000, "MS", line);
-    TCLAP::ValueArg<std::string> expected("", "expected", "the revision a change builds on", false, "", "REVISION", line);
-    TCLAP::ValueArg<std::string> requestId("", "transaction", "the transaction's id, to send it again", false, "", "ID", line);
+    TCLAP::ValueArg<std::string> expected("", "expected", "the revision a change builds on", false, "", "REVISION",
+                                          line);
+    TCLAP::ValueArg<std::string> requestId("", "transaction", "the transaction's id, to send it again", false, "", "ID",
+                                           line);
     TCLAP::ValueArg<std::string> after("", "after", "list from behind this job", false, "", "JOB", line);
     TCLAP::ValueArg<double> seconds("", "seconds", "how long 'load' submits", false, 30, "S", line);
     TCLAP::ValueArg<double> factor("", "load-factor", "times the scenario's rates", false, 1, "X", line);
-    TCLAP::ValueArg<std::string> journalArg("", "journal", "file for what a load or an operator saw, for 'simulate --journals'", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> journalArg(
+        "", "journal", "file for what a load or an operator saw, for 'simulate --journals'", false, "", "FILE", line);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "COMMAND", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
@@ -346,7 +377,8 @@
     ctl.json = json.getValue();
     ctl.deadlineMs = deadline.getValue();
     ctl.journal = journalArg.getValue();
-    if (!ctl.journal.empty() && !std::ofstream(ctl.journal, std::ios::app)) throw TCLAP::ArgException("allowed is a file that can be written", "journal");
+    if (!ctl.journal.empty() && !std::ofstream(ctl.journal, std::ios::app))
+      throw TCLAP::ArgException("allowed is a file that can be written", "journal");
     ctl.requestId = requestId.getValue().empty() ? daemon::freshName() : requestId.getValue();
     const auto& all = words.getValue();
     const auto word = [&](std::size_t i) { return i < all.size() ? all[i] : std::string(); };
@@ -370,8 +402,10 @@
       return does({"GET", "/jobs" + query, ""});
     }
     if (word(0) == "config" && word(1) == "get" && two) return does({"GET", "/configuration", ""});
-    if (word(0) == "config" && word(1) == "put" && all.size() == 3) return does({"PUT", "/configuration" + suffix, readInput(word(2))});
-    if (word(0) == "config" && word(1) == "patch" && all.size() == 3) return does({"PATCH", "/configuration" + suffix, readInput(word(2))});
+    if (word(0) == "config" && word(1) == "put" && all.size() == 3)
+      return does({"PUT", "/configuration" + suffix, readInput(word(2))});
+    if (word(0) == "config" && word(1) == "patch" && all.size() == 3)
+      return does({"PATCH", "/configuration" + suffix, readInput(word(2))});
     if (word(0) == "workers" && one) return does({"GET", "/workers", ""});
     if (word(0) == "members" && one) return does({"GET", "/members", ""});
     if (word(0) == "leader" && one) return does({"GET", "/leader", ""});
@@ -398,9 +432,11 @@
       return code;
     };
     if ((word(0) == "drain" || word(0) == "undrain") && two)
-      return flags("drained", word(0) == "drain", {"PATCH", "/configuration" + suffix, flagPatch("workers", word(1), "drained", word(0) == "drain")});
+      return flags("drained", word(0) == "drain",
+                   {"PATCH", "/configuration" + suffix, flagPatch("workers", word(1), "drained", word(0) == "drain")});
     if ((word(0) == "empty" || word(0) == "fill") && two)
-      return flags("emptied", word(0) == "empty", {"PATCH", "/configuration" + suffix, flagPatch("cells", word(1), "emptied", word(0) == "empty")});
+      return flags("emptied", word(0) == "empty",
+                   {"PATCH", "/configuration" + suffix, flagPatch("cells", word(1), "emptied", word(0) == "empty")});
     throw TCLAP::ArgException("not a command; --help lists them", word(0));
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "ctl: " << failed.argId() << ": " << failed.error() << std::endl;
@@ -408,4 +444,4 @@
   }
 }
 
-}  // namespace
+}  // namespace tulip::commands
--- a/src/commands/local_cluster.cpp
+++ b/src/commands/local_cluster.cpp
@@ -1,11 +1,13 @@
+// Boost.Asio 1.74 uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio.hpp>
+
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
-#include <utility>
-
-#include <boost/asio.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -13,9 +15,9 @@
 #include <random>
 #include <thread>
 
-#include "base/settings.hpp"
 #include "base/errors.hpp"
 #include "base/json.hpp"
+#include "base/settings.hpp"
 #include "commands/commands.hpp"
 #include "daemon/daemon.hpp"
 
@@ -88,7 +90,8 @@
   long stirEveryMs = 0;
   try {
     TCLAP::CmdLine line("a whole fleet on one machine, for trying and testing", ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> folderArg("", "folder", "where data, logs and fleet.json go", false, "fleet", "FOLDER", line);
+    TCLAP::ValueArg<std::string> folderArg("", "folder", "where data, logs and fleet.json go", false, "fleet", "FOLDER",
+                                           line);
     TCLAP::ValueArg<int> baseArg("", "base-port", "first port; 0 picks free ones", false, 7100, "PORT", line);
     TCLAP::ValueArg<int> zonesArg("", "cells", "how many cells", false, 3, "N", line);
     TCLAP::ValueArg<int> schedulersArg("", "schedulers", "how many schedulers", false, 4, "N", line);
@@ -97,7 +100,8 @@
     TCLAP::ValueArg<long> termArg("", "term-ms", "term of sessions and of the leader", false, 1500, "MS", line);
     TCLAP::ValueArg<long> workerTermArg("", "worker-term-ms", "term of workers", false, 2000, "MS", line);
     TCLAP::SwitchArg respawnArg("", "respawn", "start a daemon again when it ends", line);
-    TCLAP::ValueArg<std::uint64_t> stirArg("", "stir", "seed for killing, freezing and starting again; 0 for none", false, 0, "SEED", line);
+    TCLAP::ValueArg<std::uint64_t> stirArg("", "stir", "seed for killing, freezing and starting again; 0 for none",
+                                           false, 0, "SEED", line);
     TCLAP::ValueArg<long> stirEveryArg("", "stir-every-ms", "mean gap between two such blows", false, 2000, "MS", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
@@ -113,7 +117,8 @@
     workerLeaseMs = workerTermArg.getValue();
     respawn = respawnArg.getValue() || stir != 0;
     if (zones < 1 || zones > 26 || schedulers < 1 || workers < 0 || slots < 1 || base < 0 || base > 60000)
-      throw TCLAP::ArgException("allowed is 1 to 26 cells, 1 scheduler or more, 1 slot or more, a port up to 60000", "flags");
+      throw TCLAP::ArgException("allowed is 1 to 26 cells, 1 scheduler or more, 1 slot or more, a port up to 60000",
+                                "flags");
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "local-cluster: " << failed.argId() << ": " << failed.error() << std::endl;
     return rowOf(Kind::badSettings).exitCode;
@@ -128,20 +133,28 @@
   auto daemon = [&](const std::string& role, int i, const std::string& peerAddress, std::vector<std::string> more) {
     const auto name = role + "-" + std::to_string(i + 1);
     const auto http = ports.take();
-    std::vector<std::string> words{"tulippitch", role, "--name", name, "--signal", peerAddress, "--http", http, "--cell", zoneOf(i), "--seeds", joined,
-                                   "--term-ms", std::to_string(leaseMs), "--worker-term-ms", std::to_string(workerLeaseMs)};
+    std::vector<std::string> words{"tulippitch",       role,
+                                   "--name",           name,
+                                   "--signal",         peerAddress,
+                                   "--http",           http,
+                                   "--cell",           zoneOf(i),
+                                   "--seeds",          joined,
+                                   "--term-ms",        std::to_string(leaseMs),
+                                   "--worker-term-ms", std::to_string(workerLeaseMs)};
     words.insert(words.end(), more.begin(), more.end());
     hands.push_back({name, words, -1, http, {}});
     return http;
   };
-  for (int i = 0; i < 3; ++i) daemon("replica", i, seeds[static_cast<std::size_t>(i)], {"--data-folder", folder + "/replica-" + std::to_string(i + 1)});
+  for (int i = 0; i < 3; ++i)
+    daemon("replica", i, seeds[static_cast<std::size_t>(i)],
+           {"--data-folder", folder + "/replica-" + std::to_string(i + 1)});
   for (int i = 0; i < schedulers; ++i) daemon("scheduler", i, ports.take(), {});
   for (int i = 0; i < workers; ++i) {
     const auto name = "worker-" + std::to_string(i + 1);
     const auto http = daemon("agent", i, ports.take(), {"--worker", name});
     hands.push_back({name,
-                     {"tulippitch", "stub-worker", "--agent", http, "--worker", name, "--pool", "side", "--slots", std::to_string(slots), "--journal",
-                      folder + "/" + name + ".journal"},
+                     {"tulippitch", "stub-worker", "--agent", http, "--worker", name, "--pool", "side", "--slots",
+                      std::to_string(slots), "--journal", folder + "/" + name + ".journal"},
                      -1,
                      "",
                      {}});
@@ -163,7 +176,9 @@
   std::vector<std::pair<std::chrono::steady_clock::time_point, pid_t>> frozen;
   std::chrono::steady_clock::time_point replicaSafeAt;
   auto below = [&](long bound) { return static_cast<long>(random() % static_cast<std::uint64_t>(bound)); };
-  const auto isFrozen = [&](pid_t pid) { return std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == pid; }); };
+  const auto isFrozen = [&](pid_t pid) {
+    return std::any_of(frozen.begin(), frozen.end(), [&](const auto& row) { return row.second == pid; });
+  };
   const auto replicaDown = [&] {
     for (const auto& hand : hands) {
       if (hand.name.starts_with("replica") && (hand.pid < 0 || isFrozen(hand.pid))) return true;
@@ -204,7 +219,9 @@
     }
     for (auto& hand : hands)
       if (hand.pid == gone) {
-        std::cout << hand.name << " ended (" << (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "exit " + std::to_string(WEXITSTATUS(status)))
+        std::cout << hand.name << " ended ("
+                  << (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                          : "exit " + std::to_string(WEXITSTATUS(status)))
                   << ")" << std::endl;
         hand.pid = -1;
         writeFleet(folder, hands);
@@ -223,4 +240,4 @@
   return 0;
 }
 
-}  // namespace
+}  // namespace tulip::commands
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -29,14 +29,15 @@
 };
 
 // The role words of the releases before, accepted for one release more.
-constexpr RoleAlias kRoleAliases[] = {{"quay", "replica"},       {"pilot", "scheduler"},          {"tender", "agent"},
-                                      {"helm", "ctl"},           {"stevedore", "stub-worker"},    {"drydock", "simulate"},
-                                      {"roadstead", "local-cluster"}};
+constexpr RoleAlias kRoleAliases[] = {
+    {"quay", "replica"},          {"pilot", "scheduler"},  {"tender", "agent"},           {"helm", "ctl"},
+    {"stevedore", "stub-worker"}, {"drydock", "simulate"}, {"roadstead", "local-cluster"}};
 
 std::string currentRole(const std::string& role) {
   for (const auto& alias : kRoleAliases) {
     if (role != alias.old) continue;
-    std::cerr << "'" << alias.old << "' is now called '" << alias.current << "'; the old word goes with the next release" << std::endl;
+    std::cerr << "'" << alias.old << "' is now called '" << alias.current
+              << "'; the old word goes with the next release" << std::endl;
     return std::string(alias.current);
   }
   return role;
@@ -46,10 +47,12 @@
   SettingsFlags flags;
   if (argc < 2) return daemon::runDaemon(role, flags);
   try {
-    TCLAP::CmdLine line(std::string(roleName(role)) + " of tulippitch; a settings file takes the same names, flags win", ' ', "0.1.0");
+    TCLAP::CmdLine line(std::string(roleName(role)) + " of tulippitch; a settings file takes the same names, flags win",
+                        ' ', "0.1.0");
     std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> args;
     auto add = [&](const std::string& key) {
-      args.push_back(std::make_unique<TCLAP::ValueArg<std::string>>("", key, "see docs/operators.md", false, "", "VALUE", line));
+      args.push_back(
+          std::make_unique<TCLAP::ValueArg<std::string>>("", key, "see docs/operators.md", false, "", "VALUE", line));
     };
     add("env-file");
     for (const auto& key : settingsKeys()) add(key);
--- a/src/commands/simulate.cpp
+++ b/src/commands/simulate.cpp
@@ -7,11 +7,11 @@
 #include <sstream>
 
 #include "base/errors.hpp"
+#include "commands/commands.hpp"
+#include "daemon/daemon.hpp"
 #include "simulator/journals.hpp"
 #include "simulator/scale.hpp"
 #include "simulator/whatif.hpp"
-#include "commands/commands.hpp"
-#include "daemon/daemon.hpp"
 
 namespace tulip::commands {
 
@@ -37,7 +37,8 @@
     for (const auto& name : names) std::cout << name << "\n";
     return 0;
   }
-  if (std::find(names.begin(), names.end(), operation) == names.end()) throw TCLAP::ArgException("allowed is an operation that 'list' prints", "place");
+  if (std::find(names.begin(), names.end(), operation) == names.end())
+    throw TCLAP::ArgException("allowed is an operation that 'list' prints", "place");
   const auto plan = simulator::operationDay(operation, seed);
   std::vector<simulator::Place> places(1);
   if (operation != where) {
@@ -45,7 +46,8 @@
       throw TCLAP::ArgException("allowed is POINT:NTH:SIDE:BLOW, as a broken day prints it", "place");
   } else {
     const auto quiet = simulator::runDay(plan);
-    if (!quiet.broken.empty()) std::cout << "broken without a blow: " << quiet.broken.front().rule << ": " << quiet.broken.front().what << "\n";
+    if (!quiet.broken.empty())
+      std::cout << "broken without a blow: " << quiet.broken.front().rule << ": " << quiet.broken.front().what << "\n";
     places = simulator::allPlaces(quiet.points, most, operation != "cohort-change");
   }
   std::mutex guard;
@@ -58,9 +60,11 @@
     std::lock_guard lock(guard);
     struck += result.placed;
     broken += !result.broken.empty();
-    if (!result.broken.empty()) std::cout << operation << "@" << simulator::placeText(places[at]) << " seed " << seed << "\n";
+    if (!result.broken.empty())
+      std::cout << operation << "@" << simulator::placeText(places[at]) << " seed " << seed << "\n";
     for (std::size_t k = 0; k < result.broken.size() && k < 3; ++k)
-      std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
+      std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": "
+                << result.broken[k].what << "\n";
     for (const auto& each : result.broken) ++perRule[each.rule];
     if (verbose)
       for (const auto& text : result.alarms) std::cout << "    " << text << "\n";
@@ -97,23 +101,26 @@
     if (!result.broken.empty()) ++broken;
     if (verbose || !result.broken.empty()) std::cout << simulator::summary(result) << "\n";
     for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
-      std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": " << result.broken[k].what << "\n";
+      std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": "
+                << result.broken[k].what << "\n";
     for (const auto& each : result.broken) ++perRule[each.rule];
     if (verbose) {
       std::map<std::string, std::vector<Millis>> startOf;
       for (const auto& [id, job] : result.truth)
         if (job.firstStartMs >= 0) startOf[job.line].push_back(job.firstStartMs - job.submittedMs - job.notBeforeMs);
       for (const auto& [line, values] : startOf)
-        std::cout << "    " << line << ": " << values.size() << " started, p50/p99/longest " << simulator::quantile(values, 0.5) << "/"
-                  << simulator::quantile(values, 0.99) << "/" << simulator::quantile(values, 1.0) << " ms\n";
+        std::cout << "    " << line << ": " << values.size() << " started, p50/p99/longest "
+                  << simulator::quantile(values, 0.5) << "/" << simulator::quantile(values, 0.99) << "/"
+                  << simulator::quantile(values, 1.0) << " ms\n";
       for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
     }
     std::cout.flush();
   });
   if (firstBroken < plans.size())
-    std::cout << "first broken: day " << firstBroken + 1 << " seed " << plans[firstBroken].seed << " rule " << firstRule << "\n";
-  std::cout << ran << " days, " << broken << " broken, " << checks << " checks; recovery p50 " << simulator::quantile(recovered, 0.5) << " p99 "
-            << simulator::quantile(recovered, 0.99) << " ms\n";
+    std::cout << "first broken: day " << firstBroken + 1 << " seed " << plans[firstBroken].seed << " rule " << firstRule
+              << "\n";
+  std::cout << ran << " days, " << broken << " broken, " << checks << " checks; recovery p50 "
+            << simulator::quantile(recovered, 0.5) << " p99 " << simulator::quantile(recovered, 0.99) << " ms\n";
   for (const auto& [rule, count] : perRule) std::cout << "  " << rule << ": " << count << "\n";
   return broken ? 1 : 0;
 }
@@ -138,13 +145,16 @@
   return broken ? 1 : 0;
 }
 
-template <class Value> Value within(const TCLAP::ValueArg<Value>& arg, Value least, Value most, const char* allowed) {
+template <class Value>
+Value within(const TCLAP::ValueArg<Value>& arg, Value least, Value most, const char* allowed) {
   const auto value = arg.getValue();
-  if (!(value >= least && value <= most)) throw TCLAP::ArgException(std::string("allowed is ") + allowed, arg.getName());
+  if (!(value >= least && value <= most))
+    throw TCLAP::ArgException(std::string("allowed is ") + allowed, arg.getName());
   return value;
 }
 
-int runScaleTable(const TCLAP::ValueArg<int>& workers, const TCLAP::ValueArg<int>& running, const TCLAP::ValueArg<double>& jobs, const TCLAP::ValueArg<int>& lines,
+int runScaleTable(const TCLAP::ValueArg<int>& workers, const TCLAP::ValueArg<int>& running,
+                  const TCLAP::ValueArg<double>& jobs, const TCLAP::ValueArg<int>& lines,
                   const TCLAP::ValueArg<double>& seconds, const TCLAP::ValueArg<std::uint64_t>& seed) {
   simulator::ScalePlan plan;
   plan.workers = within(workers, 1, 10000, "1 to 10000");
@@ -163,9 +173,14 @@
 
 int runSimulate(int argc, char** argv) {
   try {
-    TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> load("", "load", "leatherwood, kerala or heavy, either of the first two with -steps or -grown, or a scenario file", false, "leatherwood", "NAME", line);
-    TCLAP::ValueArg<std::string> fault("", "faults", "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false, "", "NAMES", line);
+    TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ',
+                        "0.1.0");
+    TCLAP::ValueArg<std::string> load(
+        "", "load", "leatherwood, kerala or heavy, either of the first two with -steps or -grown, or a scenario file",
+        false, "leatherwood", "NAME", line);
+    TCLAP::ValueArg<std::string> fault("", "faults",
+                                       "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false,
+                                       "", "NAMES", line);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
     TCLAP::ValueArg<std::uint64_t> count("", "days", "how many seeds", false, 1, "N", line);
     TCLAP::ValueArg<double> seconds("", "seconds", "length of a day", false, 16, "S", line);
@@ -174,19 +189,32 @@
     TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
     TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
     TCLAP::SwitchArg stays("", "no-self-stop", "workers go on when unheard past their term", line);
-    TCLAP::ValueArg<std::string> untilRule("", "until-rule", "stop at the first day that breaks this rule, or 'any', and name its seed", false, "", "RULE", line);
-    TCLAP::ValueArg<std::string> place("", "place", "OPERATION, or OPERATION@POINT:NTH:SIDE:BLOW: a blow at every step of one operation; 'list' names them", false, "",
-                                       "WHERE", line);
+    TCLAP::ValueArg<std::string> untilRule("", "until-rule",
+                                           "stop at the first day that breaks this rule, or 'any', and name its seed",
+                                           false, "", "RULE", line);
+    TCLAP::ValueArg<std::string> place(
+        "", "place",
+        "OPERATION, or OPERATION@POINT:NTH:SIDE:BLOW: a blow at every step of one operation; 'list' names them", false,
+        "", "WHERE", line);
     TCLAP::ValueArg<int> placeMost("", "place-most", "how many of each kind of step to strike at", false, 8, "N", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
-    TCLAP::MultiArg<std::string> variant("", "variant", "what-if: NAME=PATCH, a merge patch of the configuration; give two or more", false, "NAME=PATCH", line);
-    TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'ctl trace' wrote, instead of a load", false, "", "FILE", line);
-    TCLAP::ValueArg<std::string> journals("", "journals", "judge the journals of a real fleet's workers in this folder", false, "", "FOLDER", line);
-    TCLAP::SwitchArg scale("", "scale", "measure a large fleet: messages, bytes and processor time by role and kind", line);
-    TCLAP::ValueArg<int> scaleWorkers("", "scale-workers", "simulated workers, each with its agent", false, 100, "N", line);
-    TCLAP::ValueArg<int> scaleRunning("", "scale-running", "tasks at work at any time; 0: 12 a worker", false, 0, "N", line);
-    TCLAP::ValueArg<double> scaleJobs("", "scale-jobs-per-s", "jobs of 16 tasks a second; 0: such that a task takes 8 s", false, 0, "X", line);
-    TCLAP::ValueArg<int> scaleLines("", "scale-lines", "lines of the configuration, each with a quota", false, 10, "N", line);
+    TCLAP::MultiArg<std::string> variant("", "variant",
+                                         "what-if: NAME=PATCH, a merge patch of the configuration; give two or more",
+                                         false, "NAME=PATCH", line);
+    TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'ctl trace' wrote, instead of a load",
+                                        false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> journals("", "journals", "judge the journals of a real fleet's workers in this folder",
+                                          false, "", "FOLDER", line);
+    TCLAP::SwitchArg scale("", "scale", "measure a large fleet: messages, bytes and processor time by role and kind",
+                           line);
+    TCLAP::ValueArg<int> scaleWorkers("", "scale-workers", "simulated workers, each with its agent", false, 100, "N",
+                                      line);
+    TCLAP::ValueArg<int> scaleRunning("", "scale-running", "tasks at work at any time; 0: 12 a worker", false, 0, "N",
+                                      line);
+    TCLAP::ValueArg<double> scaleJobs("", "scale-jobs-per-s",
+                                      "jobs of 16 tasks a second; 0: such that a task takes 8 s", false, 0, "X", line);
+    TCLAP::ValueArg<int> scaleLines("", "scale-lines", "lines of the configuration, each with a quota", false, 10, "N",
+                                    line);
     TCLAP::ValueArg<double> scaleSeconds("", "scale-seconds", "simulated seconds to measure", false, 5, "S", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
@@ -199,11 +227,13 @@
       for (const auto& text : variant.getValue()) {
         const auto equals = text.find('=');
         Json patch = equals == std::string::npos ? nullptr : parseJson(std::string_view(text).substr(equals + 1));
-        if (!json_is_object(patch.get())) throw TCLAP::ArgException("allowed is NAME=PATCH with a JSON object", "variant");
+        if (!json_is_object(patch.get()))
+          throw TCLAP::ArgException("allowed is NAME=PATCH with a JSON object", "variant");
         variants.push_back({text.substr(0, equals), text.substr(equals + 1)});
       }
       if (replay.getValue().empty()) {
-        plan.arrivals = simulator::drawArrivals(loadFrom(load.getValue()), seconds.getValue(), factor.getValue(), seed.getValue());
+        plan.arrivals =
+            simulator::drawArrivals(loadFrom(load.getValue()), seconds.getValue(), factor.getValue(), seed.getValue());
       } else {
         std::ifstream in(replay.getValue());
         std::stringstream text;
@@ -211,7 +241,8 @@
         std::size_t badLine = 0;
         std::string allowed;
         if (!in || !simulator::readTrace(text.str(), plan.arrivals, badLine, allowed))
-          throw TCLAP::ArgException(in ? "line " + std::to_string(badLine) + ": allowed is " + allowed : "cannot be read", replay.getValue());
+          throw TCLAP::ArgException(
+              in ? "line " + std::to_string(badLine) + ": allowed is " + allowed : "cannot be read", replay.getValue());
       }
       plan.seconds = 8 + static_cast<double>(plan.arrivals.empty() ? 0 : plan.arrivals.back().atMs) / 1000;
       plan.tailSeconds = 1800;
@@ -220,9 +251,11 @@
     if (!journals.getValue().empty()) {
       const auto verdict = simulator::judgeJournals(journals.getValue());
       for (const auto& fault : verdict.broken) std::cout << fault << "\n";
-      std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, " << verdict.broken.size() << " broken, "
-                << verdict.unacknowledgedReruns << " run again after an end that died unacknowledged; callers saw " << verdict.accepted << " accepted, "
-                << verdict.ended << " ended, " << verdict.reads << " readings of the configuration; " << verdict.torn << " torn lines\n";
+      std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, "
+                << verdict.broken.size() << " broken, " << verdict.unacknowledgedReruns
+                << " run again after an end that died unacknowledged; callers saw " << verdict.accepted << " accepted, "
+                << verdict.ended << " ended, " << verdict.reads << " readings of the configuration; " << verdict.torn
+                << " torn lines\n";
       return verdict.broken.empty() && verdict.starts > 0 ? 0 : 1;
     }
     const auto names = simulator::faultNames();
@@ -230,10 +263,14 @@
       for (const auto& name : names) std::cout << name << "\n";
       return 0;
     }
-    if (!place.getValue().empty()) return runPlaces(place.getValue(), placeMost.getValue(), seed.getValue(), std::max(1, threads.getValue()), verbose.getValue());
+    if (!place.getValue().empty())
+      return runPlaces(place.getValue(), placeMost.getValue(), seed.getValue(), std::max(1, threads.getValue()),
+                       verbose.getValue());
     const auto& rules = simulator::ruleNames();
-    if (const auto& until = untilRule.getValue(); !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
-      throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists", "until-rule");
+    if (const auto& until = untilRule.getValue();
+        !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
+      throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists",
+                                "until-rule");
     std::vector<simulator::DayPlan> plans;
     for (std::uint64_t i = 0; i < count.getValue(); ++i) {
       simulator::DayPlan plan;
@@ -243,14 +280,16 @@
       plan.seconds = seconds.getValue();
       plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
-      if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; })) plan.tailSeconds = 400;
+      if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; }))
+        plan.tailSeconds = 400;
       plan.fleet.selfStop = !stays.getValue();
       if (fault.getValue() == "pairs") {
         plan.faults = simulator::drawFaults(plan.seed);
       } else {
         std::stringstream parts(fault.getValue());
         for (std::string part; std::getline(parts, part, ',');) {
-          if (std::find(names.begin(), names.end(), part) == names.end()) throw TCLAP::ArgException("allowed is a name that 'list' prints", part);
+          if (std::find(names.begin(), names.end(), part) == names.end())
+            throw TCLAP::ArgException("allowed is a name that 'list' prints", part);
           plan.faults.push_back(part);
         }
       }
@@ -268,4 +307,4 @@
   }
 }
 
-}  // namespace
+}  // namespace tulip::commands
--- a/src/commands/stub_worker.cpp
+++ b/src/commands/stub_worker.cpp
@@ -54,12 +54,14 @@
   running.doneMs += static_cast<double>(span) / (worker.traits.slowFactor * running.farFactor);
   running.workDone = running.doneMs >= static_cast<double>(running.workMs);
   const auto each = static_cast<double>(std::max<Millis>(1, worker.traits.checkpointMs));
-  if (running.saves && !running.workDone && static_cast<std::int64_t>(before / each) != static_cast<std::int64_t>(running.doneMs / each))
+  if (running.saves && !running.workDone &&
+      static_cast<std::int64_t>(before / each) != static_cast<std::int64_t>(running.doneMs / each))
     save(worker, run, running);
 }
 
 bool drawnToFail(const Worker& worker, const std::string& run) {
-  return worker.traits.failShare > 0 && fnv(run + worker.incarnation) % 1000 < static_cast<std::uint32_t>(worker.traits.failShare * 1000);
+  return worker.traits.failShare > 0 &&
+         fnv(run + worker.incarnation) % 1000 < static_cast<std::uint32_t>(worker.traits.failShare * 1000);
 }
 
 RunningAttempt readRun(const Worker& worker, const std::string& run, const json_t* item, Millis nowMs) {
@@ -82,7 +84,8 @@
     if (rack == worker.traits.labels.end() || rack->second != near) running.farFactor = worker.traits.farFactor;
   }
   running.fails = attemptOf(run) <= numberAt(payload, "failAttempts") || flagAt(payload, "fails") ||
-                (worker.traits.failEvery > 0 && worker.started % worker.traits.failEvery == 0) || drawnToFail(worker, run);
+                  (worker.traits.failEvery > 0 && worker.started % worker.traits.failEvery == 0) ||
+                  drawnToFail(worker, run);
   running.waits = running.members > 1;
   running.waitsSinceMs = nowMs;
   running.movedMs = nowMs;
@@ -104,7 +107,8 @@
   if (slots > worker.traits.slots) worker.journal.push_back("over " + run + " slots");
   for (const auto& [kind, amount] : held) {
     const auto total = worker.traits.capacity.find(kind);
-    if (amount > 0 && (total == worker.traits.capacity.end() || amount > total->second)) worker.journal.push_back("over " + run + " " + kind);
+    if (amount > 0 && (total == worker.traits.capacity.end() || amount > total->second))
+      worker.journal.push_back("over " + run + " " + kind);
   }
 }
 
@@ -132,10 +136,12 @@
   json_object_set_new(root.get(), "pool", jsonText(worker.traits.pool));
   json_object_set_new(root.get(), "slots", json_integer(worker.traits.slots));
   json_object_set_new(root.get(), "leaving", json_boolean(worker.leaving));
-  if (worker.leaving && worker.leavesAtMs >= 0) json_object_set_new(root.get(), "leavesMs", json_integer(std::max<Millis>(0, worker.leavesAtMs - nowMs)));
+  if (worker.leaving && worker.leavesAtMs >= 0)
+    json_object_set_new(root.get(), "leavesMs", json_integer(std::max<Millis>(0, worker.leavesAtMs - nowMs)));
   json_t *labels = json_object(), *capacity = json_object(), *running = json_array(), *ended = json_array();
   for (const auto& [name, value] : worker.traits.labels) json_object_set_new(labels, name.c_str(), jsonText(value));
-  for (const auto& [name, amount] : worker.traits.capacity) json_object_set_new(capacity, name.c_str(), json_integer(amount));
+  for (const auto& [name, amount] : worker.traits.capacity)
+    json_object_set_new(capacity, name.c_str(), json_integer(amount));
   for (const auto& [run, state] : worker.running) {
     json_t* item = json_object();
     json_object_set_new(item, "run", jsonText(run));
@@ -168,10 +174,12 @@
   auto holdMs = numberAt(root.get(), "goOnMs");
   if (worker.traits.holdMostMs > 0) holdMs = std::min(holdMs, worker.traits.holdMostMs);
   worker.goOnUntilMs = std::max(worker.goOnUntilMs, sentMs + holdMs);
-  // An answer to a report that another has followed holds on; what it orders was given up when the later one came without it.
+  // An answer to a report that another has followed holds on; what it orders was given up when the later one came
+  // without it.
   if (numberAt(root.get(), "report") < static_cast<std::int64_t>(worker.report)) return;
   worker.callAtMs = nowMs + numberAt(root.get(), "nextMs");
-  const bool fresh = nowMs - sentMs <= numberAt(root.get(), "startWithinMs") && (nowMs < worker.goOnUntilMs || !worker.traits.selfStop);
+  const bool fresh = nowMs - sentMs <= numberAt(root.get(), "startWithinMs") &&
+                     (nowMs < worker.goOnUntilMs || !worker.traits.selfStop);
   const json_t* stop = json_object_get(root.get(), "stop");
   for (std::size_t i = 0; i < json_array_size(stop); ++i) {
     const char* run = json_string_value(json_array_get(stop, i));
@@ -180,7 +188,9 @@
     if (auto found = worker.running.find(run); found != worker.running.end() && !found->second.stopping) {
       workOn(worker, run, found->second, nowMs);
       found->second.stopping = true;
-      found->second.stoppedMs = nowMs + 1 + static_cast<Millis>(fnv(run) % static_cast<std::uint32_t>(std::max<Millis>(1, worker.traits.stopTakesMs)));
+      found->second.stoppedMs =
+          nowMs + 1 +
+          static_cast<Millis>(fnv(run) % static_cast<std::uint32_t>(std::max<Millis>(1, worker.traits.stopTakesMs)));
     }
   }
   const json_t* ack = json_object_get(root.get(), "ack");
@@ -192,7 +202,8 @@
     const json_t* item = json_array_get(start, i);
     const auto run = textAt(item, "run");
     if (run.empty() || !fresh || worker.running.contains(run) || worker.ended.contains(run)) continue;
-    if (auto passed = worker.passed.find(taskOf(run)); passed != worker.passed.end() && attemptOf(run) <= passed->second) {
+    if (auto passed = worker.passed.find(taskOf(run));
+        passed != worker.passed.end() && attemptOf(run) <= passed->second) {
       worker.ended[run] = {"refused", "not above one that was stopped or ended here", ""};
       worker.journal.push_back("refused " + run);
       continue;
@@ -225,9 +236,12 @@
       if (running.saves && !running.waits) save(worker, run, running);
       over.push_back({run, "stopped", ""});
     } else if (running.waits) {
-      if (nowMs - running.waitsSinceMs >= worker.traits.gangWaitMs) over.push_back({run, "alone", "the others did not come"});
-    } else if (running.workDone && running.fails) over.push_back({run, "failed", ""});
-    else if (running.workDone && running.gang.empty() && !running.standing) over.push_back({run, "clean", ""});
+      if (nowMs - running.waitsSinceMs >= worker.traits.gangWaitMs)
+        over.push_back({run, "alone", "the others did not come"});
+    } else if (running.workDone && running.fails)
+      over.push_back({run, "failed", ""});
+    else if (running.workDone && running.gang.empty() && !running.standing)
+      over.push_back({run, "clean", ""});
   }
   for (const auto& each : over) finish(worker, each.run, each.outcome, each.detail);
   return !over.empty();
@@ -242,8 +256,10 @@
   running.movedMs = std::max(running.movedMs, nowMs);
 }
 
-void gangBroken(Worker& worker, const std::string& run, Millis) { finish(worker, run, "broken", "another member ended"); }
+void gangBroken(Worker& worker, const std::string& run, Millis) {
+  finish(worker, run, "broken", "another member ended");
+}
 
 void gangDone(Worker& worker, const std::string& run, Millis) { finish(worker, run, "clean", ""); }
 
-}  // namespace
+}  // namespace tulip::commands
--- a/src/commands/stub_worker.hpp
+++ b/src/commands/stub_worker.hpp
@@ -8,8 +8,8 @@
 
 namespace tulip::commands {
 
-// A stand-in worker: it guards nothing and does what it is told, at the pace and with the faults of its traits. All times are its own
-// steady clock's.
+// A stand-in worker: it guards nothing and does what it is told, at the pace and with the faults of its traits. All
+// times are its own steady clock's.
 struct WorkerTraits {
   std::string name;
   std::string pool;
@@ -17,12 +17,12 @@
   std::map<std::string, std::string> labels;
   std::map<std::string, std::int64_t> capacity;
   bool selfStop = true;
-  double slowFactor = 1.0;     // work takes this many times as long
-  int failEvery = 0;           // every Nth run fails; 0: none
-  Millis stopTakesMs = 20;     // a stop takes this long at most
-  double failShare = 0;        // 0 to 1, drawn from the run's name
-  bool standsStill = false;    // work and percent do not move
-  bool mute = false;           // sends no reports
+  double slowFactor = 1.0;   // work takes this many times as long
+  int failEvery = 0;         // every Nth run fails; 0: none
+  Millis stopTakesMs = 20;   // a stop takes this long at most
+  double failShare = 0;      // 0 to 1, drawn from the run's name
+  bool standsStill = false;  // work and percent do not move
+  bool mute = false;         // sends no reports
   Millis gangWaitMs = 5000;
   Millis checkpointMs = 1000;  // work between two checkpoints
   Millis restoreMs = 250;      // to resume from a checkpoint
@@ -33,7 +33,7 @@
 struct RunningAttempt {
   std::int64_t slots = 1;
   std::map<std::string, std::int64_t> capacity;
-  std::string gang;            // what its members have in common; empty: it works by itself
+  std::string gang;  // what its members have in common; empty: it works by itself
   std::int64_t members = 1;
   bool oneRack = false;
   bool standing = false;
@@ -43,11 +43,11 @@
   Millis workMs = 0;
   double doneMs = 0;
   bool workDone = false;
-  bool waits = false;          // for the other members
+  bool waits = false;  // for the other members
   Millis waitsSinceMs = 0;
-  Millis movedMs = 0;          // until when doneMs is counted
+  Millis movedMs = 0;  // until when doneMs is counted
   bool stopping = false;
-  Millis stoppedMs = 0;        // when the stop will be over
+  Millis stoppedMs = 0;  // when the stop will be over
   std::string saved;
 };
 
@@ -77,7 +77,8 @@
 void heardAnswer(Worker& worker, std::string_view body, Millis sentMs, Millis nowMs);
 bool workerTick(Worker& worker, Millis nowMs);
 
-// What only the world knows of a gang: that all members are there, that one ended otherwise than cleanly, that all are done.
+// What only the world knows of a gang: that all members are there, that one ended otherwise than cleanly, that all are
+// done.
 void gangWhole(Worker& worker, const std::string& run, double farFactor, Millis nowMs);
 void gangBroken(Worker& worker, const std::string& run, Millis nowMs);
 void gangDone(Worker& worker, const std::string& run, Millis nowMs);
@@ -87,4 +88,4 @@
 std::string gangOf(std::string_view run);  // what the members of one gang's attempt have in common
 std::int64_t attemptOf(std::string_view run);
 
-}  // namespace
+}  // namespace tulip::commands
--- a/src/commands/stub_worker_command.cpp
+++ b/src/commands/stub_worker_command.cpp
@@ -5,10 +5,10 @@
 #include <iostream>
 
 #include "base/settings.hpp"
-#include "http/http.hpp"
 #include "commands/commands.hpp"
-#include "daemon/daemon.hpp"
 #include "commands/stub_worker.hpp"
+#include "daemon/daemon.hpp"
+#include "http/http.hpp"
 
 namespace tulip::commands {
 namespace asio = boost::asio;
@@ -16,7 +16,8 @@
 namespace {
 
 Millis steadyMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 struct Quayside {
@@ -32,7 +33,8 @@
 
   void writeJournal() {
     for (const auto& line : worker.journal)
-      if (journal) journal << steadyMs() << " " << worker.traits.name << " " << worker.incarnation << " " << line << "\n";
+      if (journal)
+        journal << steadyMs() << " " << worker.traits.name << " " << worker.incarnation << " " << line << "\n";
     journal.flush();
     worker.journal.clear();
   }
@@ -42,8 +44,10 @@
     std::vector<std::string> done;
     for (const auto& [run, running] : worker.running) {
       if (running.gang.empty() || running.stopping) continue;
-      if (running.waits) gangWhole(worker, run, 1.0, steadyMs());
-      else if (running.workDone && !running.fails) done.push_back(run);
+      if (running.waits)
+        gangWhole(worker, run, 1.0, steadyMs());
+      else if (running.workDone && !running.fails)
+        done.push_back(run);
     }
     for (const auto& run : done) gangDone(worker, run, steadyMs());
     return !done.empty();
@@ -67,9 +71,12 @@
       if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
       writeJournal();
       calling = false;
-      if (reply.status != 200) callAgainMs = steadyMs() + 50;
-      else if (steadyMs() >= worker.callAtMs) call();
-      else callAgainMs = worker.callAtMs;
+      if (reply.status != 200)
+        callAgainMs = steadyMs() + 50;
+      else if (steadyMs() >= worker.callAtMs)
+        call();
+      else
+        callAgainMs = worker.callAtMs;
     });
   }
 
@@ -80,7 +87,9 @@
       news = gangsByThemselves() || news;
       writeJournal();
       if ((!calling && steadyMs() >= callAgainMs) || news) call();
-      if (worker.leaving && ((leaveWhenIdle && worker.running.empty() && worker.ended.empty()) || steadyMs() >= leaveByMs)) return context.stop();
+      if (worker.leaving &&
+          ((leaveWhenIdle && worker.running.empty() && worker.ended.empty()) || steadyMs() >= leaveByMs))
+        return context.stop();
       heartbeat();
     });
   }
@@ -100,7 +109,8 @@
     TCLAP::MultiArg<std::string> label("", "label", "a label, such as rack or kind", false, "NAME=VALUE", line);
     TCLAP::ValueArg<double> slow("", "slow", "how many times longer its runs take", false, 1.0, "FACTOR", line);
     TCLAP::ValueArg<int> failEvery("", "fail-every", "every Nth run fails", false, 0, "N", line);
-    TCLAP::ValueArg<std::string> journal("", "journal", "file for its own history of starts and ends", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> journal("", "journal", "file for its own history of starts and ends", false, "",
+                                         "FILE", line);
     TCLAP::SwitchArg stays("", "no-self-stop", "goes on when unheard past its term", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
@@ -124,7 +134,8 @@
     for (const auto& text : capacity.getValue()) {
       const auto equals = text.find('=');
       const auto amount = equals == std::string::npos ? 0 : std::atoll(text.c_str() + equals + 1);
-      if (equals == 0 || amount < 1) throw TCLAP::ArgException("allowed is KIND=AMOUNT, an amount of 1 or more", "room");
+      if (equals == 0 || amount < 1)
+        throw TCLAP::ArgException("allowed is KIND=AMOUNT, an amount of 1 or more", "room");
       traits.capacity[text.substr(0, equals)] = amount;
     }
     side.worker.incarnation = daemon::freshName();
@@ -147,4 +158,4 @@
   return 0;
 }
 
-}  // namespace
+}  // namespace tulip::commands
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -22,44 +22,54 @@
     faults_.push_back({path.empty() ? "/" : path, std::move(allowed)});
   }
 
-  template <class Act> void within(std::string_view step, Act act) {
+  template <class Act>
+  void within(std::string_view step, Act act) {
     steps_.push_back(step);
     act();
     steps_.pop_back();
   }
 
   void number(const json_t* value, std::int64_t low, std::int64_t high, std::int64_t& into) {
-    if (json_is_integer(value) && json_integer_value(value) >= low && json_integer_value(value) <= high) into = json_integer_value(value);
-    else fault("a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+    if (json_is_integer(value) && json_integer_value(value) >= low && json_integer_value(value) <= high)
+      into = json_integer_value(value);
+    else
+      fault("a whole number from " + std::to_string(low) + " to " + std::to_string(high));
   }
 
   void flag(const json_t* value, bool& into) {
-    if (json_is_boolean(value)) into = json_is_true(value);
-    else fault("true or false");
+    if (json_is_boolean(value))
+      into = json_is_true(value);
+    else
+      fault("true or false");
   }
 
   void text(const json_t* value, std::size_t most, std::string& into) {
-    if (json_is_string(value) && json_string_length(value) <= most) into.assign(json_string_value(value), json_string_length(value));
-    else fault("a text of at most " + std::to_string(most) + " bytes");
+    if (json_is_string(value) && json_string_length(value) <= most)
+      into.assign(json_string_value(value), json_string_length(value));
+    else
+      fault("a text of at most " + std::to_string(most) + " bytes");
   }
 
   void opaque(const json_t* value) {
     if (!json_is_object(value)) fault("an object");
   }
 
-  template <class Act> void each(const json_t* value, const char* allowed, Act act) {
+  template <class Act>
+  void each(const json_t* value, const char* allowed, Act act) {
     if (!json_is_object(value)) return fault(allowed);
     const char* key;
     json_t* item;
     json_object_foreach(const_cast<json_t*>(value), key, item) within(key, [&] { act(key, item); });
   }
 
-  template <class Into> struct Field {
+  template <class Into>
+  struct Field {
     std::string_view key;
     void (*read)(Reader&, const json_t*, Into&);
   };
 
-  template <class Into, std::size_t Count> void object(const json_t* value, const std::array<Field<Into>, Count>& fields, Into& into) {
+  template <class Into, std::size_t Count>
+  void object(const json_t* value, const std::array<Field<Into>, Count>& fields, Into& into) {
     each(value, "an object", [&](std::string_view key, const json_t* item) {
       for (const auto& field : fields)
         if (field.key == key) return field.read(*this, item, into);
@@ -69,13 +79,16 @@
     });
   }
 
-  template <class Act> void named(const json_t* value, Act act) {
+  template <class Act>
+  void named(const json_t* value, Act act) {
     if (json_object_size(value) > kMostNames) return fault("at most " + std::to_string(kMostNames) + " names");
     each(value, "an object keyed by name", [&](std::string_view name, const json_t* item) {
       bool plain = !name.empty() && name.size() <= 64;
       for (char c : name) plain = plain && (isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.');
-      if (!plain) fault("a name of 1 to 64 letters, digits, '-', '_' or '.'");
-      else act(name, item);
+      if (!plain)
+        fault("a name of 1 to 64 letters, digits, '-', '_' or '.'");
+      else
+        act(name, item);
     });
   }
 
@@ -84,19 +97,28 @@
   std::vector<std::string_view> steps_;
 };
 
-template <class Into> using Fields = Reader::Field<Into>;
+template <class Into>
+using Fields = Reader::Field<Into>;
 
-template <auto Member, std::int64_t Low, std::int64_t High, class Into> void readNumber(Reader& reader, const json_t* value, Into& into) {
+template <auto Member, std::int64_t Low, std::int64_t High, class Into>
+void readNumber(Reader& reader, const json_t* value, Into& into) {
   std::int64_t number = static_cast<std::int64_t>(into.*Member);
   reader.number(value, Low, High, number);
   into.*Member = static_cast<std::remove_reference_t<decltype(into.*Member)>>(number);
 }
 
-template <auto Member, class Into> void readFlag(Reader& reader, const json_t* value, Into& into) { reader.flag(value, into.*Member); }
+template <auto Member, class Into>
+void readFlag(Reader& reader, const json_t* value, Into& into) {
+  reader.flag(value, into.*Member);
+}
 
-template <class Into> void readOpaque(Reader& reader, const json_t* value, Into&) { reader.opaque(value); }
+template <class Into>
+void readOpaque(Reader& reader, const json_t* value, Into&) {
+  reader.opaque(value);
+}
 
-template <class Into> void readPlace(Reader& reader, const json_t* value, Into&) {
+template <class Into>
+void readPlace(Reader& reader, const json_t* value, Into&) {
   std::int64_t place = 0;
   reader.number(value, -(1LL << 50), 1LL << 50, place);
 }
@@ -108,15 +130,18 @@
     Fields<Queue>{"quotaSlots", readNumber<&Queue::quotaSlots, 0, 1000000, Queue>},
     Fields<Queue>{"mostJobs", readNumber<&Queue::mostJobs, 1, 1000000, Queue>},
     Fields<Queue>{"host", [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 256, into.host); }},
-    Fields<Queue>{"prefix", [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 4096, into.prefix); }},
-    Fields<Queue>{"pool", [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 64, into.pool.value); }},
+    Fields<Queue>{"prefix",
+                  [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 4096, into.prefix); }},
+    Fields<Queue>{"pool",
+                  [](Reader& reader, const json_t* value, Queue& into) { reader.text(value, 64, into.pool.value); }},
     Fields<Queue>{"aimMs", readNumber<&Queue::aimMs, 0, 1LL << 50, Queue>},
     Fields<Queue>{"stretch",
-                    [](Reader& reader, const json_t* value, Queue& into) {
-                      if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e9)
-                        into.stretch = json_number_value(value);
-                      else reader.fault("a number from 0 to 1000000000");
-                    }},
+                  [](Reader& reader, const json_t* value, Queue& into) {
+                    if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e9)
+                      into.stretch = json_number_value(value);
+                    else
+                      reader.fault("a number from 0 to 1000000000");
+                  }},
     Fields<Queue>{"place", readPlace<Queue>},
     Fields<Queue>{"asSent", readOpaque<Queue>},
 };
@@ -125,15 +150,19 @@
     Fields<Pool>{"labels",
                  [](Reader& reader, const json_t* value, Pool& into) {
                    reader.each(value, "an object of texts", [&](const char* key, const json_t* item) {
-                     if (json_is_string(item)) into.labels[key] = json_string_value(item);
-                     else reader.fault("a text");
+                     if (json_is_string(item))
+                       into.labels[key] = json_string_value(item);
+                     else
+                       reader.fault("a text");
                    });
                  }},
     Fields<Pool>{"slots", readNumber<&Pool::slots, 0, 100000, Pool>},
     Fields<Pool>{"workers", readNumber<&Pool::workers, 1, 100000, Pool>},
     Fields<Pool>{"room",
                  [](Reader& reader, const json_t* value, Pool& into) {
-                   reader.each(value, "an object of whole numbers", [&](const char* key, const json_t* item) { reader.number(item, 0, 1LL << 50, into.capacity[key]); });
+                   reader.each(value, "an object of whole numbers", [&](const char* key, const json_t* item) {
+                     reader.number(item, 0, 1LL << 50, into.capacity[key]);
+                   });
                  }},
     Fields<Pool>{"lostAfterTerms", readNumber<&Pool::lostAfterLeases, 1, 1000, Pool>},
     Fields<Pool>{"selfStop", readFlag<&Pool::selfStop, Pool>},
@@ -166,42 +195,56 @@
 
 void readRule(Reader& reader, const json_t* value, Admission& into) {
   const std::string_view text = json_is_string(value) ? json_string_value(value) : "";
-  if (text == "las") into.rule = Rule::las;
-  else if (text == "gittins") into.rule = Rule::gittins;
-  else if (text == "fifo") into.rule = Rule::fifo;
-  else reader.fault("\"las\", \"gittins\" or \"fifo\"");
+  if (text == "las")
+    into.rule = Rule::las;
+  else if (text == "gittins")
+    into.rule = Rule::gittins;
+  else if (text == "fifo")
+    into.rule = Rule::fifo;
+  else
+    reader.fault("\"las\", \"gittins\" or \"fifo\"");
 }
 
 void readLayout(Reader& reader, const json_t* value, Admission& into) {
   const std::string_view text = json_is_string(value) ? json_string_value(value) : "";
-  if (text == "pack") into.layout = Layout::pack;
-  else if (text == "spread") into.layout = Layout::spread;
-  else reader.fault("\"pack\" or \"spread\"");
+  if (text == "pack")
+    into.layout = Layout::pack;
+  else if (text == "spread")
+    into.layout = Layout::spread;
+  else
+    reader.fault("\"pack\" or \"spread\"");
 }
 
 void readThresholds(Reader& reader, const json_t* value, Admission& into) {
   into.thresholdsMs.clear();
-  if (!json_is_array(value) || json_array_size(value) > 15) return reader.fault("a rising list of at most 15 slot milliseconds");
+  if (!json_is_array(value) || json_array_size(value) > 15)
+    return reader.fault("a rising list of at most 15 slot milliseconds");
   for (std::size_t i = 0; i < json_array_size(value); ++i) {
     const auto place = std::to_string(i);
     reader.within(place, [&] {
       Millis threshold = 0;
       reader.number(json_array_get(value, i), 1, 1LL << 50, threshold);
-      if (!into.thresholdsMs.empty() && threshold <= into.thresholdsMs.back()) reader.fault("more than the threshold before it");
+      if (!into.thresholdsMs.empty() && threshold <= into.thresholdsMs.back())
+        reader.fault("more than the threshold before it");
       into.thresholdsMs.push_back(threshold);
     });
   }
 }
 
 void readKnob(Reader& reader, const json_t* value, Admission& into) {
-  if (json_is_null(value) || (json_is_string(value) && std::string_view(json_string_value(value)) == "infinity")) into.promoteKnob.reset();
-  else if (json_is_number(value) && json_number_value(value) > 0 && json_number_value(value) <= 1e9) into.promoteKnob = json_number_value(value);
-  else reader.fault("a number above 0, or \"infinity\"");
+  if (json_is_null(value) || (json_is_string(value) && std::string_view(json_string_value(value)) == "infinity"))
+    into.promoteKnob.reset();
+  else if (json_is_number(value) && json_number_value(value) > 0 && json_number_value(value) <= 1e9)
+    into.promoteKnob = json_number_value(value);
+  else
+    reader.fault("a number above 0, or \"infinity\"");
 }
 
 void readMostLoss(Reader& reader, const json_t* value, Admission& into) {
-  if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e6) into.mostLoss = json_number_value(value);
-  else reader.fault("a number from 0 to 1000000");
+  if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e6)
+    into.mostLoss = json_number_value(value);
+  else
+    reader.fault("a number from 0 to 1000000");
 }
 
 constexpr std::array admissionFields{
@@ -272,27 +315,29 @@
     Fields<Config>{"pools", readPools},
     Fields<Config>{"cells", readZones},
     Fields<Config>{"workers", readWorkers},
-    Fields<Config>{"gangway", [](Reader& reader, const json_t* value, Config& into) { reader.object(value, httpFields, into.http); }},
+    Fields<Config>{"gangway", [](Reader& reader, const json_t* value,
+                                 Config& into) { reader.object(value, httpFields, into.http); }},
     Fields<Config>{"admission", readAdmission},
-    Fields<Config>{"keep", [](Reader& reader, const json_t* value, Config& into) { reader.object(value, keepFields, into.keep); }},
+    Fields<Config>{
+        "keep", [](Reader& reader, const json_t* value, Config& into) { reader.object(value, keepFields, into.keep); }},
 };
 
 void checkLines(Reader& reader, const Config& config) {
   absl::flat_hash_set<std::pair<std::string_view, std::string_view>> taken;
   for (const auto& [name, line] : config.queues) {
     const auto at = [&](std::string_view field, const char* allowed) {
-      reader.within("pendings", [&] { reader.within(name, [&] { reader.within(field, [&] { reader.fault(allowed); }); }); });
+      reader.within("pendings",
+                    [&] { reader.within(name, [&] { reader.within(field, [&] { reader.fault(allowed); }); }); });
     };
     if (!line.pool.empty() && !config.pools.contains(line.pool.value)) at("pool", "a pool of this configuration");
-    if (!line.prefix.empty() && !taken.emplace(line.host, line.prefix).second) at("prefix", "a prefix that no other line of the host has");
+    if (!line.prefix.empty() && !taken.emplace(line.host, line.prefix).second)
+      at("prefix", "a prefix that no other line of the host has");
   }
 }
 
 }  // namespace
 
-std::string_view ruleName(Rule rule) {
-  return rule == Rule::las ? "las" : rule == Rule::gittins ? "gittins" : "fifo";
-}
+std::string_view ruleName(Rule rule) { return rule == Rule::las ? "las" : rule == Rule::gittins ? "gittins" : "fifo"; }
 
 bool readConfig(const json_t* root, Config& config, std::vector<Fault>& faults) {
   config = Config{};
@@ -372,4 +417,4 @@
   return std::string(buffer.data(), buffer.size());
 }
 
-}  // namespace
+}  // namespace tulip::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -17,10 +17,10 @@
   Millis backoffMs = 200;
   std::int64_t quotaSlots = 0;
   std::int64_t mostJobs = 10000;
-  std::string host;          // with prefix: callers reach this line by host and longest prefix
+  std::string host;  // with prefix: callers reach this line by host and longest prefix
   std::string prefix;
-  PoolName pool;             // empty: any pool
-  Millis aimMs = 0;          // wanted from hand-in to end beyond stretch times the work; 0: none
+  PoolName pool;     // empty: any pool
+  Millis aimMs = 0;  // wanted from hand-in to end beyond stretch times the work; 0: none
   double stretch = 0;
   MSGPACK_DEFINE(name, rank, failureLimit, backoffMs, quotaSlots, mostJobs, host, prefix, pool, aimMs, stretch)
 };
@@ -28,12 +28,12 @@
 struct Pool {
   PoolName name;
   std::map<std::string, std::string> labels;
-  std::int64_t slots = 1;    // 0: as many as each worker says
+  std::int64_t slots = 1;  // 0: as many as each worker says
   std::int64_t workers = 1;
   std::map<std::string, std::int64_t> capacity;
   bool selfStop = true;
   std::int64_t lostAfterLeases = 5;
-  bool guards = false;       // its workers reject what doesn't fit
+  bool guards = false;  // its workers reject what doesn't fit
 };
 
 enum class Rule { las, gittins, fifo };
@@ -49,8 +49,8 @@
   Millis epochMs = 50;
   Millis gangStartMs = 5000;
   std::int64_t mostPushes = 3;
-  bool rankFirst = false;    // rank goes before the lane, and higher rank may push lower out
-  double mostLoss = 0;       // work a push may lose, as a multiple of the work it lets start; 0: no bound
+  bool rankFirst = false;  // rank goes before the lane, and higher rank may push lower out
+  double mostLoss = 0;     // work a push may lose, as a multiple of the work it lets start; 0: no bound
 };
 
 struct Keep {
@@ -65,7 +65,7 @@
 };
 
 struct Config {
-  Version operatorVersion = 0;      // the operator's own number, rising; 0: none given
+  Version operatorVersion = 0;  // the operator's own number, rising; 0: none given
   std::map<std::string, Queue> queues;
   std::map<std::string, Pool> pools;
   std::map<std::string, bool> emptied;
@@ -105,4 +105,4 @@
 // Empty when the delta was made for another base.
 std::string applyDelta(std::string_view base, std::string_view delta);
 
-}  // namespace
+}  // namespace tulip::config
--- a/src/config/delta.cpp
+++ b/src/config/delta.cpp
@@ -50,9 +50,12 @@
       last->size += chunk.size();
       continue;
     }
-    if (const auto found = places.find(chunk); found != places.end()) delta.pieces.push_back({found->second, chunk.size(), {}});
-    else if (last && last->size == 0) last->text += chunk;
-    else delta.pieces.push_back({0, 0, std::string(chunk)});
+    if (const auto found = places.find(chunk); found != places.end())
+      delta.pieces.push_back({found->second, chunk.size(), {}});
+    else if (last && last->size == 0)
+      last->text += chunk;
+    else
+      delta.pieces.push_back({0, 0, std::string(chunk)});
   }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, delta);
@@ -66,9 +69,12 @@
     if (delta.baseSum != sumOf(base)) return {};
     std::string next;
     for (const auto& piece : delta.pieces) {
-      if (piece.size == 0) next += piece.text;
-      else if (piece.from > base.size() || piece.size > base.size() - piece.from) return {};
-      else next += base.substr(piece.from, piece.size);
+      if (piece.size == 0)
+        next += piece.text;
+      else if (piece.from > base.size() || piece.size > base.size() - piece.from)
+        return {};
+      else
+        next += base.substr(piece.from, piece.size);
     }
     return sumOf(next) == delta.nextSum ? next : std::string();
   } catch (const std::exception&) {
@@ -76,4 +82,4 @@
   }
 }
 
-}  // namespace
+}  // namespace tulip::config
--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 Millis resendMs(Phase phase, const Bounds& bounds) {
-  return phase == Phase::learn ? bounds.heartbeatMs() / 5 : phase == Phase::accept ? bounds.heartbeatMs() : bounds.heartbeatMs() / 2;
+  return phase == Phase::learn    ? bounds.heartbeatMs() / 5
+         : phase == Phase::accept ? bounds.heartbeatMs()
+                                  : bounds.heartbeatMs() / 2;
 }
 
 std::string versionBody(Version version) { return "{\"revision\":" + std::to_string(version) + "}"; }
@@ -47,7 +49,8 @@
   if (!json_is_object(body.get())) return nullptr;
   if (edit.whole && !edit.sections) {
     const json_t* operatorVersion = json_object_get(base.get(), "edition");
-    if (operatorVersion && !json_object_get(body.get(), "edition")) json_object_set(body.get(), "edition", const_cast<json_t*>(operatorVersion));
+    if (operatorVersion && !json_object_get(body.get(), "edition"))
+      json_object_set(body.get(), "edition", const_cast<json_t*>(operatorVersion));
     base = std::move(body);
   } else if (!edit.sections) {
     config::mergeInto(base.get(), body.get());
@@ -56,9 +59,12 @@
     json_t* part;
     json_object_foreach(body.get(), section, part) {
       const std::string_view name = section;
-      if (json_is_null(part)) json_object_del(base.get(), section);
-      else if (edit.whole || !json_is_object(part)) json_object_set(base.get(), section, part);
-      else if (name == "pendings" || name == "pools") replaceEntries(base.get(), section, part);
+      if (json_is_null(part))
+        json_object_del(base.get(), section);
+      else if (edit.whole || !json_is_object(part))
+        json_object_set(base.get(), section, part);
+      else if (name == "pendings" || name == "pools")
+        replaceEntries(base.get(), section, part);
       else {
         Json one(json_object());
         json_object_set(one.get(), section, part);
@@ -66,7 +72,8 @@
       }
     }
   }
-  if (edit.operatorVersion > 0) json_object_set_new(base.get(), "edition", json_integer(static_cast<json_int_t>(edit.operatorVersion)));
+  if (edit.operatorVersion > 0)
+    json_object_set_new(base.get(), "edition", json_integer(static_cast<json_int_t>(edit.operatorVersion)));
   return base;
 }
 
@@ -83,16 +90,20 @@
     }
   if (edit.expected && *edit.expected != stored.version)
     return reject(proposal, Kind::raced,
-                "{\"error\":\"raced\",\"expected\":" + std::to_string(*edit.expected) + ",\"revision\":" + std::to_string(stored.version) + "}");
+                  "{\"error\":\"raced\",\"expected\":" + std::to_string(*edit.expected) +
+                      ",\"revision\":" + std::to_string(stored.version) + "}");
   Json base = stored.text.empty() ? Json(json_object()) : parseJson(stored.text);
   const auto operatorVersion = static_cast<Version>(numberAt(base.get(), "edition"));
   if (edit.basedOn && *edit.basedOn != operatorVersion)
-    return reject(proposal, Kind::raced, "{\"error\":\"raced\",\"basedOn\":" + std::to_string(*edit.basedOn) + ",\"edition\":" + std::to_string(operatorVersion) + "}");
+    return reject(proposal, Kind::raced,
+                  "{\"error\":\"raced\",\"basedOn\":" + std::to_string(*edit.basedOn) +
+                      ",\"edition\":" + std::to_string(operatorVersion) + "}");
   Json next = edited(edit, std::move(base));
   config::Config checked;
   std::vector<config::Fault> faults;
   bool good = next && config::readConfig(next.get(), checked, faults);
-  if (good && (checked.operatorVersion < operatorVersion || (edit.operatorVersion > 0 && checked.operatorVersion == operatorVersion))) {
+  if (good && (checked.operatorVersion < operatorVersion ||
+               (edit.operatorVersion > 0 && checked.operatorVersion == operatorVersion))) {
     faults.push_back({"/edition", "above the current one, " + std::to_string(operatorVersion)});
     good = false;
   }
@@ -115,8 +126,10 @@
   proposal.value = current;
   proposal.changes = false;
   proposal.kind = Kind::ok;
-  if (proposal.edit) judgeEdit(proposal, current);
-  else if (current.empty()) proposal.value = proposal.fixedValue;
+  if (proposal.edit)
+    judgeEdit(proposal, current);
+  else if (current.empty())
+    proposal.value = proposal.fixedValue;
 }
 
 void sendPhase(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
@@ -125,7 +138,8 @@
   const bool config = proposal.key == kConfigKey;
   for (const auto& voter : voterAddresses(client)) {
     if (proposal.phase == Phase::prepare && !proposal.promises.contains(voter))
-      out.send(voter, RegisterPrepare{client.membership.version, proposal.key, proposal.ballot, config ? client.knownBallot : Ballot{}});
+      out.send(voter, RegisterPrepare{client.membership.version, proposal.key, proposal.ballot,
+                                      config ? client.knownBallot : Ballot{}});
     if (proposal.phase == Phase::accept && !proposal.accepts.contains(voter))
       out.send(voter, RegisterAccept{client.membership.version, proposal.key, proposal.ballot, proposal.value});
     if (proposal.phase != Phase::learn) continue;
@@ -133,13 +147,16 @@
     const bool learned = state != proposal.states.end() && state->second.learned;
     if (!learned) {
       auto [committedJobs, first] = proposal.committedMs.emplace(voter, now.steadyMs);
-      if (first) out.send(voter, RegisterChosen{proposal.key, proposal.ballot, proposal.accepts.contains(voter) ? std::string() : proposal.value});
+      if (first)
+        out.send(voter, RegisterChosen{proposal.key, proposal.ballot,
+                                       proposal.accepts.contains(voter) ? std::string() : proposal.value});
       else if (now.steadyMs - committedJobs->second >= client.settings.bounds.heartbeatMs()) {
         committedJobs->second = now.steadyMs;
         out.send(voter, RegisterChosen{proposal.key, proposal.ballot, proposal.value});
       }
     }
-    if (proposal.changes && !(learned && state->second.waiting.empty())) out.send(voter, AckQuery{proposal.version, proposal.query});
+    if (proposal.changes && !(learned && state->second.waiting.empty()))
+      out.send(voter, AckQuery{proposal.version, proposal.query});
   }
 }
 
@@ -168,7 +185,8 @@
   if (proposal.retryAtMs) return;
   ++client.contended;
   const Millis span = std::max<Millis>(1, client.settings.bounds.heartbeatMs() / 8);
-  const auto spread = mix(client.id.value + std::to_string(proposal.ballot.number)) % (1 + std::min(proposal.attempts, 6));
+  const auto spread =
+      mix(client.id.value + std::to_string(proposal.ballot.number)) % (1 + std::min(proposal.attempts, 6));
   proposal.retryAtMs = now.steadyMs + span * static_cast<Millis>(1 + spread);
   out.wakeBy(proposal.retryAtMs);
 }
@@ -263,7 +281,8 @@
     proposal.promises.clear();
     proposal.accepts.clear();
     proposal.states.clear();
-    if (proposal.phase != Phase::queued && proposal.phase != Phase::done && !proposal.retryAtMs) sendPhase(client, proposal, now, out);
+    if (proposal.phase != Phase::queued && proposal.phase != Phase::done && !proposal.retryAtMs)
+      sendPhase(client, proposal, now, out);
   }
 }
 
@@ -284,7 +303,8 @@
   if (text.empty()) return false;
   auto made = std::make_shared<config::Config>();
   std::vector<config::Fault> faults;
-  if (!config::readConfigText(text, *made, faults)) out.alarms.push_back("a confirmed configuration does not read here");
+  if (!config::readConfigText(text, *made, faults))
+    out.alarms.push_back("a confirmed configuration does not read here");
   client.config = made;
   client.configText = std::move(text);
   client.configVersion = grant.configVersion;
@@ -302,8 +322,11 @@
 std::uint64_t digestOf(const std::vector<Member>& members, Millis leaseMs, bool withAcked) {
   std::uint64_t digest = mix("members");
   for (const auto& member : members) {
-    for (const std::string_view text : {member.id.view(), member.zone.view(), member.peerAddress.view(), member.http.view()}) digest = mix("/", mix(text, digest));
-    const char flags[] = {static_cast<char>(member.role), member.ready ? 'r' : '-', member.leaving ? 'l' : '-', member.ageMs > leaseMs ? 's' : '-'};
+    for (const std::string_view text :
+         {member.id.view(), member.zone.view(), member.peerAddress.view(), member.http.view()})
+      digest = mix("/", mix(text, digest));
+    const char flags[] = {static_cast<char>(member.role), member.ready ? 'r' : '-', member.leaving ? 'l' : '-',
+                          member.ageMs > leaseMs ? 's' : '-'};
     digest = mix({flags, sizeof flags}, digest);
     if (withAcked) digest = mix(std::to_string(member.acked), digest);
   }
@@ -369,17 +392,28 @@
     client.home = replicas[mix(client.id.view()) % std::min(first, replicas.size())];
   }
   client.heartbeatSentMs = now.steadyMs;
-  Member me{client.id,    client.settings.role, client.settings.zone, client.settings.peerAddress, client.settings.http, client.configVersion,
-            client.ready, client.leaving,  0,             {}};
-  out.send(client.home, SessionHeartbeat{std::move(me), ++client.heartbeat, now.steadyMs, client.membership.version, client.membersDigest});
+  Member me{client.id,
+            client.settings.role,
+            client.settings.zone,
+            client.settings.peerAddress,
+            client.settings.http,
+            client.configVersion,
+            client.ready,
+            client.leaving,
+            0,
+            {}};
+  out.send(client.home, SessionHeartbeat{std::move(me), ++client.heartbeat, now.steadyMs, client.membership.version,
+                                         client.membersDigest});
 }
 
 bool clientHeard(ControlClient& client, const Heard& heard, Now now, Outbox& out) {
   if (const auto* grant = std::get_if<SessionGrant>(&heard.message)) {
     if (grant->sentMs > now.steadyMs || grant->sentMs + grant->leaseMs <= now.steadyMs) return true;
-    const bool foreign = grant->membership.version == client.membership.version && grant->membership != client.membership;
+    const bool foreign =
+        grant->membership.version == client.membership.version && grant->membership != client.membership;
     if (client.settings.role != Role::replica && (foreign || grant->membership.version < client.membership.version)) {
-      if (!std::exchange(client.strange, true)) out.alarms.push_back("a replica of another cohort than the one known here is not listened to");
+      if (!std::exchange(client.strange, true))
+        out.alarms.push_back("a replica of another cohort than the one known here is not listened to");
       return true;
     }
     client.strange = false;
@@ -395,10 +429,14 @@
     raiseFleet(client, grant->fleetMs, now);
     return true;
   }
-  if (const auto* referral = std::get_if<Referral>(&heard.message)) return hearReferral(client, heard.from, *referral), true;
-  if (const auto* promise = std::get_if<RegisterPromise>(&heard.message)) return heardPromise(client, heard.from, *promise, now, out), true;
-  if (const auto* accepted = std::get_if<RegisterAccepted>(&heard.message)) return heardAccepted(client, heard.from, *accepted, now, out), true;
-  if (const auto* acks = std::get_if<AckState>(&heard.message)) return heardAcks(client, heard.from, *acks, now, out), true;
+  if (const auto* referral = std::get_if<Referral>(&heard.message))
+    return hearReferral(client, heard.from, *referral), true;
+  if (const auto* promise = std::get_if<RegisterPromise>(&heard.message))
+    return heardPromise(client, heard.from, *promise, now, out), true;
+  if (const auto* accepted = std::get_if<RegisterAccepted>(&heard.message))
+    return heardAccepted(client, heard.from, *accepted, now, out), true;
+  if (const auto* acks = std::get_if<AckState>(&heard.message))
+    return heardAcks(client, heard.from, *acks, now, out), true;
   return false;
 }
 
@@ -424,13 +462,16 @@
       proposal.phase = Phase::done;
       continue;
     }
-    if (proposal.phase == Phase::learn && proposal.learnedMs >= 0 && now.steadyMs - proposal.learnedMs >= bounds.lapseMs()) {
+    if (proposal.phase == Phase::learn && proposal.learnedMs >= 0 &&
+        now.steadyMs - proposal.learnedMs >= bounds.lapseMs()) {
       finish(proposal, out);
       continue;
     }
     if (proposal.phase == Phase::queued) continue;
-    if (proposal.retryAtMs && now.steadyMs >= proposal.retryAtMs) restart(client, proposal, now, out);
-    else if (!proposal.retryAtMs && now.steadyMs - proposal.sentMs >= std::max<Millis>(5, resendMs(proposal.phase, bounds)))
+    if (proposal.retryAtMs && now.steadyMs >= proposal.retryAtMs)
+      restart(client, proposal, now, out);
+    else if (!proposal.retryAtMs &&
+             now.steadyMs - proposal.sentMs >= std::max<Millis>(5, resendMs(proposal.phase, bounds)))
       sendPhase(client, proposal, now, out);
   }
   startQueued(client, now, out);
@@ -444,8 +485,10 @@
 void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
   constexpr std::size_t kMostProposals = 64;
   if (client.membership.voters.empty()) return answerKind(out, requestId, Kind::noMajority, client.settings.bounds);
-  if (client.proposals.size() >= kMostProposals) return answerKind(out, requestId, Kind::overloaded, client.settings.bounds);
-  if (edit.name.empty()) edit.name = client.id.value + "/" + client.incarnation + "/" + std::to_string(client.ballotNumber + 1);
+  if (client.proposals.size() >= kMostProposals)
+    return answerKind(out, requestId, Kind::overloaded, client.settings.bounds);
+  if (edit.name.empty())
+    edit.name = client.id.value + "/" + client.incarnation + "/" + std::to_string(client.ballotNumber + 1);
   Proposal proposal;
   proposal.requestId = requestId;
   proposal.key = kConfigKey;
@@ -466,4 +509,4 @@
   startQueued(client, now, out);
 }
 
-}  // namespace
+}  // namespace tulip::control
--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -17,9 +17,9 @@
   std::string body;
   std::optional<Version> expected;
   std::string name;
-  bool sections = false;              // only the top-level sections that body names are replaced, each whole
-  Version operatorVersion = 0;               // the operator's own number: must rise; 0: none given
-  std::optional<Version> basedOn;    // the edition that must be current
+  bool sections = false;           // only the top-level sections that body names are replaced, each whole
+  Version operatorVersion = 0;     // the operator's own number: must rise; 0: none given
+  std::optional<Version> basedOn;  // the edition that must be current
 };
 
 enum class Phase { queued, prepare, accept, learn, done };
@@ -75,7 +75,7 @@
   bool strange = false;
   std::vector<Proposal> proposals;
   std::uint64_t ballotNumber = 0;
-  Ballot knownBallot;      // a ballot of the configuration's register and its value
+  Ballot knownBallot;  // a ballot of the configuration's register and its value
   std::string knownValue;
   std::uint64_t proposed = 0, chosen = 0, contended = 0;
 };
@@ -92,13 +92,16 @@
 bool clientHeard(ControlClient& client, const transport::Heard& heard, transport::Now now, transport::Outbox& out);
 void clientTick(ControlClient& client, transport::Now now, transport::Outbox& out);
 void heartbeatNow(ControlClient& client, transport::Now now, transport::Outbox& out);
-void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, transport::Now now, transport::Outbox& out);
-void proposeFixed(ControlClient& client, std::string key, std::string value, transport::Now now, transport::Outbox& out);
+void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, transport::Now now,
+                   transport::Outbox& out);
+void proposeFixed(ControlClient& client, std::string key, std::string value, transport::Now now,
+                  transport::Outbox& out);
 bool proposing(const ControlClient& client, std::string_view key);
 std::uint64_t mix(std::string_view text, std::uint64_t hash = 1469598103934665603ull);
 // Of what matters of the members; ages only as silent for a term or not. Never 0.
 std::uint64_t digestOf(const std::vector<transport::Member>& members, Millis leaseMs, bool withAcked = true);
 
-void answerKind(transport::Outbox& out, std::uint64_t requestId, Kind kind, const Bounds& bounds, std::string_view detail = {});
+void answerKind(transport::Outbox& out, std::uint64_t requestId, Kind kind, const Bounds& bounds,
+                std::string_view detail = {});
 
-}  // namespace
+}  // namespace tulip::control
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -15,7 +15,8 @@
 bool mayVote(const ReplicaState& replica) { return replica.image.voting && !ailing(replica); }
 
 bool isVoter(const Membership& membership, const DaemonId& id) {
-  return std::any_of(membership.voters.begin(), membership.voters.end(), [&](const Voter& voter) { return voter.id == id; });
+  return std::any_of(membership.voters.begin(), membership.voters.end(),
+                     [&](const Voter& voter) { return voter.id == id; });
 }
 
 void persist(ReplicaState& replica, std::vector<DiskEntry> entries, std::vector<Send> after, Outbox& out) {
@@ -28,7 +29,9 @@
   out.persists.push_back({replica.ticket, std::move(entries)});
 }
 
-std::string nextMembershipKey(const ReplicaState& replica) { return "cohort/" + std::to_string(replica.image.membership.version + 1); }
+std::string nextMembershipKey(const ReplicaState& replica) {
+  return "cohort/" + std::to_string(replica.image.membership.version + 1);
+}
 
 // ROLE-NAME of a daemon with a name; empty for one without.
 std::string_view hostOf(std::string_view id) {
@@ -38,7 +41,8 @@
   return id.substr(0, life);
 }
 
-// Whoever was promised the jobs last is the only one whose lease can stand here; a later life of the same daemon says that it is over.
+// Whoever was promised the jobs last is the only one whose lease can stand here; a later life of the same daemon says
+// that it is over.
 void endLeaseOfEarlierLife(ReplicaState& replica, const DaemonId& heard, Now now) {
   const std::string_view owner = replica.image.jobLogPromised.owner;
   const auto host = hostOf(owner);
@@ -48,7 +52,9 @@
 
 bool leaseLive(const ReplicaState& replica, Now now) { return now.steadyMs < replica.leaseUntilMs; }
 
-const Membership& knownMembership(const ReplicaState& replica) { return replica.image.empty() ? replica.known : replica.image.membership; }
+const Membership& knownMembership(const ReplicaState& replica) {
+  return replica.image.empty() ? replica.known : replica.image.membership;
+}
 
 std::vector<Member> allMembers(const ReplicaState& replica, Now now) {
   std::map<DaemonId, Member> all;
@@ -61,7 +67,8 @@
   };
   for (const auto& [id, row] : replica.sessions) put(row.member, now.steadyMs - row.heardMs, replica.image.id);
   for (const auto& [address, other] : replica.others)
-    for (const auto& member : other.sessions) put(member, member.ageMs + now.steadyMs - other.heardMs, other.last.voter.id);
+    for (const auto& member : other.sessions)
+      put(member, member.ageMs + now.steadyMs - other.heardMs, other.last.voter.id);
   std::vector<Member> list;
   for (auto& [id, member] : all) list.push_back(std::move(member));
   return list;
@@ -134,7 +141,8 @@
   const bool newer = stored.version > replica.learned.version;
   if (newer) {
     constexpr std::size_t kOlderTexts = 3;
-    if (replica.learned.version > 0) replica.olderTexts.emplace_back(replica.learned.version, std::move(replica.learned.text));
+    if (replica.learned.version > 0)
+      replica.olderTexts.emplace_back(replica.learned.version, std::move(replica.learned.text));
     if (replica.olderTexts.size() > kOlderTexts) replica.olderTexts.erase(replica.olderTexts.begin());
     replica.deltas.clear();
   }
@@ -149,7 +157,8 @@
   replica.configKnown = replica.configKnown || !(ballot < replica.image.learned);
   if (!newer || !hasQuorumLease(replica, now)) return;
   for (auto& [id, row] : replica.sessions)
-    if (now.steadyMs - row.heardMs <= bounds(replica).leaseMs) out.send(row.member.peerAddress, makeGrant(replica, row, now));
+    if (now.steadyMs - row.heardMs <= bounds(replica).leaseMs)
+      out.send(row.member.peerAddress, makeGrant(replica, row, now));
 }
 
 void refer(const ReplicaState& replica, const Address& to, Outbox& out) {
@@ -159,7 +168,8 @@
   if (!referral.replicas.empty()) out.send(to, std::move(referral));
 }
 
-void onSessionHeartbeat(ReplicaState& replica, const Heard& heard, const SessionHeartbeat& heartbeat, Now now, Outbox& out) {
+void onSessionHeartbeat(ReplicaState& replica, const Heard& heard, const SessionHeartbeat& heartbeat, Now now,
+                        Outbox& out) {
   endLeaseOfEarlierLife(replica, heartbeat.me.id, now);
   if (!hasQuorumLease(replica, now) || !replica.configKnown || !mayVote(replica) || replica.fenced) {
     if (replica.image.empty() && heartbeat.me.role != Role::replica && heartbeat.membership > 0) {
@@ -210,21 +220,23 @@
   return heartbeat;
 }
 
-// Others stand by this echo. So none is given by a replica that may have forgotten what it had learned, that has no vote in
-// the membership yet, or that has voted for the next one.
+// Others stand by this echo. So none is given by a replica that may have forgotten what it had learned, that has no
+// vote in the membership yet, or that has voted for the next one.
 bool mayAcknowledge(const ReplicaState& replica) {
   if (replica.image.empty() || !isVoter(replica.image.membership, replica.image.id)) return true;
   return replica.image.voting && !replica.fenced && !(replica.learnedBallot < replica.image.learned);
 }
 
-void sendReplicaHeartbeat(ReplicaState& replica, const Address& target, ReplicaHeartbeat heartbeat, Now now, Outbox& out) {
+void sendReplicaHeartbeat(ReplicaState& replica, const Address& target, ReplicaHeartbeat heartbeat, Now now,
+                          Outbox& out) {
   heartbeat.acknowledgedMs = -1000000;
   if (auto found = replica.others.find(target); found != replica.others.end()) {
     auto& other = found->second;
     other.repliedMs = now.steadyMs;
     heartbeat.acknowledgedDigest = other.sessionsDigest;
     heartbeat.sameSessions = heartbeat.sessionsDigest != 0 && other.last.acknowledgedDigest == heartbeat.sessionsDigest;
-    // No echo lets a replica stand that was not given what is chosen: it comes with the value, or after the replica has it.
+    // No echo lets a replica stand that was not given what is chosen: it comes with the value, or after the replica has
+    // it.
     const bool behind = other.last.configBallot < replica.learnedBallot && !other.last.diskless;
     const bool give = behind && now.steadyMs - replica.learnedMs >= bounds(replica).heartbeatMs();
     if (give) heartbeat.configValue = replica.learnedValue;
@@ -263,7 +275,8 @@
   if (now.steadyMs - replica.askedMs < bounds(replica).leaseMs / 2) return;
   replica.askedMs = now.steadyMs;
   for (const auto& voter : replica.image.membership.voters)
-    if (voter.id != replica.image.id && !replica.catchUp.contains(voter.id)) out.send(voter.peerAddress, CatchUpAsk{replica.image.membership.version, replica.image.id});
+    if (voter.id != replica.image.id && !replica.catchUp.contains(voter.id))
+      out.send(voter.peerAddress, CatchUpAsk{replica.image.membership.version, replica.image.id});
 }
 
 void installMembership(ReplicaState& replica, const Membership& membership, Now now, Outbox& out) {
@@ -291,7 +304,8 @@
   askCatchUp(replica, now, out);
   if (!votes || !hasQuorumLease(replica, now) || !replica.configKnown) return;
   for (auto& [id, row] : replica.sessions)
-    if (row.member.role == Role::scheduler && now.steadyMs - row.heardMs <= bounds(replica).leaseMs) out.send(row.member.peerAddress, makeGrant(replica, row, now));
+    if (row.member.role == Role::scheduler && now.steadyMs - row.heardMs <= bounds(replica).leaseMs)
+      out.send(row.member.peerAddress, makeGrant(replica, row, now));
 }
 
 // Once every member of the first membership is seen to have promised itself to it, none can be in another.
@@ -300,14 +314,18 @@
   for (const auto& voter : replica.joined.membership.voters) {
     if (voter.id == replica.image.id) continue;
     auto found = replica.others.find(voter.peerAddress);
-    if (found == replica.others.end() || found->second.last.voter.id != voter.id || found->second.last.joined != replica.joined) return;
+    if (found == replica.others.end() || found->second.last.voter.id != voter.id ||
+        found->second.last.joined != replica.joined)
+      return;
   }
   const Membership membership = replica.joined.membership;
   installMembership(replica, membership, now, out);
 }
 
 void onBootstrapProposal(ReplicaState& replica, const BootstrapProposal& form, Now now, Outbox& out) {
-  if (replica.diskless || !replica.image.empty() || !replica.client.settings.firstBoot || !replica.known.voters.empty() || ailing(replica)) return;
+  if (replica.diskless || !replica.image.empty() || !replica.client.settings.firstBoot ||
+      !replica.known.voters.empty() || ailing(replica))
+    return;
   if (now.steadyMs - replica.rememberedMs < 4 * bounds(replica).leaseMs) return;
   if (!isVoter(form.membership, replica.image.id) || form.number <= replica.image.joined.number) return;
   replica.joined = {};
@@ -331,7 +349,9 @@
   return voters;
 }
 
-std::size_t wantedVoters(const ReplicaState& replica) { return static_cast<std::size_t>(2 * std::max<std::int64_t>(0, replica.client.settings.losses) + 1); }
+std::size_t wantedVoters(const ReplicaState& replica) {
+  return static_cast<std::size_t>(2 * std::max<std::int64_t>(0, replica.client.settings.losses) + 1);
+}
 
 bool sameSeeds(std::vector<Address> one, std::vector<Address> other) {
   std::sort(one.begin(), one.end());
@@ -357,11 +377,13 @@
   if (remembered > 0) {
     if (!std::exchange(replica.refusesBootstrap, true))
       out.alarms.push_back("daemons remember cohort " + std::to_string(remembered) +
-                           ": no new fleet is formed here; bring back its data folders, or stop every scheduler and agent to begin anew");
+                           ": no new fleet is formed here; bring back its data folders, or stop every scheduler and "
+                           "agent to begin anew");
     return;
   }
   const auto fit = [&](const PeerReplica& other) {
-    return inTouch(replica, other, now) && other.last.empty && other.last.membership.voters.empty() && other.last.firstBoot && sameSeeds(other.last.seeds, settings.seeds);
+    return inTouch(replica, other, now) && other.last.empty && other.last.membership.voters.empty() &&
+           other.last.firstBoot && sameSeeds(other.last.seeds, settings.seeds);
   };
   for (const auto& seed : settings.seeds) {
     if (seed == self(replica)) continue;
@@ -379,20 +401,26 @@
   auto& bootstrap = replica.bootstrap;
   if (joined.number > bootstrap.wanted.number) bootstrap.wanted = joined;
   // A member whose address has another identity now is gone with its disk, and its promise with it.
-  const bool gone = std::any_of(bootstrap.wanted.membership.voters.begin(), bootstrap.wanted.membership.voters.end(), [&](const Voter& voter) {
-    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& each) { return each.voter.peerAddress == voter.peerAddress && each.voter.id != voter.id; });
-  });
+  const bool gone = std::any_of(bootstrap.wanted.membership.voters.begin(), bootstrap.wanted.membership.voters.end(),
+                                [&](const Voter& voter) {
+                                  return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& each) {
+                                    return each.voter.peerAddress == voter.peerAddress && each.voter.id != voter.id;
+                                  });
+                                });
   if (bootstrap.wanted.membership.voters.empty() || gone) {
     if (std::exchange(bootstrap.candidates, candidates.size()) != candidates.size()) bootstrap.grownMs = now.steadyMs;
     const auto most = wantedVoters(replica);
-    if (candidates.empty() || now.steadyMs - bootstrap.grownMs < (candidates.size() < most ? 2 * leaseMs : leaseMs / 3)) return;
+    if (candidates.empty() || now.steadyMs - bootstrap.grownMs < (candidates.size() < most ? 2 * leaseMs : leaseMs / 3))
+      return;
     auto count = std::min(most, candidates.size());
     if (count % 2 == 0) --count;
     bootstrap.wanted = {Membership{1, pickVoters(candidates, count)}, bootstrap.wanted.number + 1};
   }
   for (const auto& voter : bootstrap.wanted.membership.voters) {
-    if (voter.id == replica.image.id) onBootstrapProposal(replica, bootstrap.wanted, now, out);
-    else if (auto found = replica.others.find(voter.peerAddress); found == replica.others.end() || found->second.last.joined != bootstrap.wanted)
+    if (voter.id == replica.image.id)
+      onBootstrapProposal(replica, bootstrap.wanted, now, out);
+    else if (auto found = replica.others.find(voter.peerAddress);
+             found == replica.others.end() || found->second.last.joined != bootstrap.wanted)
       out.send(voter.peerAddress, bootstrap.wanted);
   }
 }
@@ -424,7 +452,8 @@
   if (!proposer || proposer->id != replica.image.id) return {};
   std::vector<const ReplicaHeartbeat*> spares;
   for (const auto& [address, other] : replica.others)
-    if (!other.last.diskless && inTouch(replica, other, now) && !isVoter(replica.image.membership, other.last.voter.id) &&
+    if (!other.last.diskless && inTouch(replica, other, now) &&
+        !isVoter(replica.image.membership, other.last.voter.id) &&
         other.last.membership.version <= replica.image.membership.version)
       spares.push_back(&other.last);
   if (spares.empty()) return {};
@@ -435,9 +464,11 @@
     });
   };
   const auto best = [&](const DaemonId& without) {
-    return *std::min_element(spares.begin(), spares.end(), [&](const ReplicaHeartbeat* one, const ReplicaHeartbeat* other) {
-      return std::pair(inZone(one->zone, without), one->voter.id) < std::pair(inZone(other->zone, without), other->voter.id);
-    });
+    return *std::min_element(spares.begin(), spares.end(),
+                             [&](const ReplicaHeartbeat* one, const ReplicaHeartbeat* other) {
+                               return std::pair(inZone(one->zone, without), one->voter.id) <
+                                      std::pair(inZone(other->zone, without), other->voter.id);
+                             });
   };
   const auto replaced = [&](std::size_t place, const Voter& by) {
     Change change{voters, 0};
@@ -446,9 +477,11 @@
   };
   for (std::size_t i = 0; i < voters.size(); ++i)
     for (const auto* spare : spares)
-      if (spare->voter.peerAddress == voters[i].peerAddress && voters[i].id != replica.image.id) return replaced(i, spare->voter);
+      if (spare->voter.peerAddress == voters[i].peerAddress && voters[i].id != replica.image.id)
+        return replaced(i, spare->voter);
   const Millis patientMs = 4 * leaseMs;
-  const Millis silentMs = bounds(replica).catchUpMs > 0 ? std::min(patientMs, bounds(replica).catchUpMs / 3) : patientMs;
+  const Millis silentMs =
+      bounds(replica).catchUpMs > 0 ? std::min(patientMs, bounds(replica).catchUpMs / 3) : patientMs;
   if (now.steadyMs >= replica.bornMs + silentMs)
     for (std::size_t i = 0; i < voters.size(); ++i) {
       if (voters[i].id == replica.image.id) continue;
@@ -473,12 +506,18 @@
 }
 
 void tryReconfigure(ReplicaState& replica, Now now, Outbox& out) {
-  if (replica.image.empty() || !mayVote(replica) || !hasQuorumLease(replica, now) || proposing(replica.client, nextMembershipKey(replica))) return;
+  if (replica.image.empty() || !mayVote(replica) || !hasQuorumLease(replica, now) ||
+      proposing(replica.client, nextMembershipKey(replica)))
+    return;
   if (auto change = nextVoters(replica, now))
-    proposeFixed(replica.client, nextMembershipKey(replica), storage::packMembership(Membership{replica.image.membership.version + 1, std::move(change->voters), change->givers}), now, out);
+    proposeFixed(replica.client, nextMembershipKey(replica),
+                 storage::packMembership(
+                     Membership{replica.image.membership.version + 1, std::move(change->voters), change->givers}),
+                 now, out);
 }
 
-void onReplicaHeartbeat(ReplicaState& replica, const Heard& heard, const ReplicaHeartbeat& heartbeat, Now now, Outbox& out) {
+void onReplicaHeartbeat(ReplicaState& replica, const Heard& heard, const ReplicaHeartbeat& heartbeat, Now now,
+                        Outbox& out) {
   auto& other = replica.others[heard.from];
   if (other.last.voter.id == heartbeat.voter.id && heartbeat.sentMs < other.last.sentMs) return;
   const bool sameLife = other.last.voter.id == heartbeat.voter.id;
@@ -488,7 +527,8 @@
   other.heardMs = now.steadyMs;
   if (!heartbeat.ailing) other.soundMs = now.steadyMs;
   if (!sameLife) other.acknowledgedMs = -1000000;
-  if (heartbeat.acknowledgedMs <= now.steadyMs) other.acknowledgedMs = std::max(other.acknowledgedMs, heartbeat.acknowledgedMs);
+  if (heartbeat.acknowledgedMs <= now.steadyMs)
+    other.acknowledgedMs = std::max(other.acknowledgedMs, heartbeat.acknowledgedMs);
   if (!heartbeat.sameSessions) {
     other.sessions = heartbeat.sessions;
     other.sessionsDigest = heartbeat.sessionsDigest;
@@ -496,7 +536,8 @@
     other.sessionsDigest = 0;
   }
   if (!replica.diskless) learnConfig(replica, heartbeat.configBallot, heartbeat.configValue, now, out);
-  if (heartbeat.membership.version > replica.image.membership.version && (!replica.image.empty() || isVoter(heartbeat.membership, replica.image.id))) {
+  if (heartbeat.membership.version > replica.image.membership.version &&
+      (!replica.image.empty() || isVoter(heartbeat.membership, replica.image.id))) {
     installMembership(replica, heartbeat.membership, now, out);
   } else if (replica.image.empty() && heartbeat.membership.version > replica.known.version) {
     replica.known = heartbeat.membership;
@@ -505,21 +546,26 @@
   tryActivateBootstrap(replica, now, out);
   const bool lost = heartbeat.acknowledgedMs < now.steadyMs - bounds(replica).leaseMs && !replica.diskless;
   const bool behind = heartbeat.membership.version < knownMembership(replica).version;
-  if ((lost || behind || (heartbeat.diskless && !replica.diskless)) && now.steadyMs - other.repliedMs >= bounds(replica).heartbeatMs() / 4)
+  if ((lost || behind || (heartbeat.diskless && !replica.diskless)) &&
+      now.steadyMs - other.repliedMs >= bounds(replica).heartbeatMs() / 4)
     sendReplicaHeartbeat(replica, heard.from, makeReplicaHeartbeat(replica, now), now, out);
-  if (!heartbeat.leader.term.owner.empty() && replica.leader.term <= heartbeat.leader.term && heartbeat.leaseLeftMs > 0) {
+  if (!heartbeat.leader.term.owner.empty() && replica.leader.term <= heartbeat.leader.term &&
+      heartbeat.leaseLeftMs > 0) {
     replica.leader = heartbeat.leader;
     replica.hintUntilMs = std::max(replica.hintUntilMs, now.steadyMs + heartbeat.leaseLeftMs);
   }
 }
 
 bool membershipMatches(const ReplicaState& replica, Version version) {
-  return version == replica.image.membership.version && !replica.fenced && mayVote(replica) && isVoter(replica.image.membership, replica.image.id);
+  return version == replica.image.membership.version && !replica.fenced && mayVote(replica) &&
+         isVoter(replica.image.membership, replica.image.id);
 }
 
 void onRegisterPrepare(ReplicaState& replica, const Heard& heard, const RegisterPrepare& ask, Outbox& out) {
   const bool membershipKey = ask.key == nextMembershipKey(replica);
-  if (!mayVote(replica) || ask.membership != replica.image.membership.version || (!membershipKey && !membershipMatches(replica, ask.membership))) return;
+  if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
+      (!membershipKey && !membershipMatches(replica, ask.membership)))
+    return;
   std::vector<DiskEntry> writes;
   auto reply = storage::promise(replica.image, ask, writes);
   persist(replica, std::move(writes), {{heard.from, reply}}, out);
@@ -527,7 +573,9 @@
 
 void onRegisterAccept(ReplicaState& replica, const Heard& heard, const RegisterAccept& ask, Outbox& out) {
   const bool membershipKey = ask.key == nextMembershipKey(replica);
-  if (!mayVote(replica) || ask.membership != replica.image.membership.version || (!membershipKey && !membershipMatches(replica, ask.membership))) return;
+  if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
+      (!membershipKey && !membershipMatches(replica, ask.membership)))
+    return;
   std::vector<DiskEntry> writes;
   auto reply = storage::accept(replica.image, ask, writes);
   if (membershipKey && reply.ok) replica.fenced = true;
@@ -543,23 +591,27 @@
   if (chosen.key != nextMembershipKey(replica) || replica.image.empty()) return;
   const auto found = replica.image.registers.find(chosen.key);
   const bool held = found != replica.image.registers.end() && found->second.accepted == chosen.ballot;
-  installMembership(replica, storage::unpackMembership(chosen.value.empty() && held ? found->second.value : chosen.value), now, out);
+  installMembership(
+      replica, storage::unpackMembership(chosen.value.empty() && held ? found->second.value : chosen.value), now, out);
 }
 
 void onAckQuery(ReplicaState& replica, const Heard& heard, const AckQuery& ask, Now now, Outbox& out) {
   AckState state{ask.configVersion, ask.query, replica.keptVersion >= ask.configVersion, {}};
   for (const auto& [id, row] : replica.sessions)
-    if (row.member.acked < ask.configVersion && now.steadyMs - row.heardMs <= bounds(replica).leaseMs + bounds(replica).heartbeatMs())
+    if (row.member.acked < ask.configVersion &&
+        now.steadyMs - row.heardMs <= bounds(replica).leaseMs + bounds(replica).heartbeatMs())
       state.waiting.push_back(id);
   // A life before this one may have granted sessions that it no longer knows of.
-  if (now.steadyMs < replica.bornMs + bounds(replica).leaseMs + bounds(replica).heartbeatMs()) state.waiting.push_back(replica.image.id);
+  if (now.steadyMs < replica.bornMs + bounds(replica).leaseMs + bounds(replica).heartbeatMs())
+    state.waiting.push_back(replica.image.id);
   for (const auto& [id, untilMs] : replica.formerUntilMs)
     if (now.steadyMs < untilMs) state.waiting.push_back(id);
   const auto lapseMs = bounds(replica).lapseMs();
   for (const auto& voter : replica.image.membership.voters) {
     if (voter.id == replica.image.id || now.steadyMs - replica.bornMs < lapseMs) continue;
     auto found = replica.others.find(voter.peerAddress);
-    if (found == replica.others.end() || now.steadyMs - found->second.heardMs >= lapseMs) state.silent.push_back(voter.id);
+    if (found == replica.others.end() || now.steadyMs - found->second.heardMs >= lapseMs)
+      state.silent.push_back(voter.id);
   }
   out.send(heard.from, std::move(state));
 }
@@ -613,8 +665,18 @@
 }
 
 void onCatchUpAsk(ReplicaState& replica, const Heard& heard, const CatchUpAsk& ask, Now now, Outbox& out) {
-  if (!mayVote(replica) || ask.membership != replica.image.membership.version || !isVoter(replica.image.membership, ask.id)) return;
-  CatchUpGive give{ask.membership, replica.image.id, replica.image.jobLogPromised, fleetNow(replica.client, now), {}, {}, replica.image.jobLogBase, {}, replica.image.learned};
+  if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
+      !isVoter(replica.image.membership, ask.id))
+    return;
+  CatchUpGive give{ask.membership,
+                   replica.image.id,
+                   replica.image.jobLogPromised,
+                   fleetNow(replica.client, now),
+                   {},
+                   {},
+                   replica.image.jobLogBase,
+                   {},
+                   replica.image.learned};
   for (const auto& [key, entry] : replica.image.jobs) give.entries.push_back(entry);
   for (const auto& [key, slot] : replica.image.registers) {
     give.registers.push_back({key, {slot.accepted, 0}, slot.value});
@@ -624,7 +686,9 @@
 }
 
 void onCatchUpGive(ReplicaState& replica, const CatchUpGive& give, Now now, Outbox& out) {
-  if (replica.image.voting || give.membership != replica.image.membership.version || !isVoter(replica.image.membership, give.id)) return;
+  if (replica.image.voting || give.membership != replica.image.membership.version ||
+      !isVoter(replica.image.membership, give.id))
+    return;
   replica.catchUp[give.id] = give;
   const auto& membership = replica.image.membership;
   if (replica.catchUp.size() < (membership.givers > 0 ? membership.givers : majority(membership.voters.size()))) return;
@@ -650,7 +714,8 @@
         storage::apply(replica.image, writes.back());
       }
     }
-    for (const auto& entry : each.promises) writes.push_back(storage::entry::registerPromise(entry.key, entry.version.ballot));
+    for (const auto& entry : each.promises)
+      writes.push_back(storage::entry::registerPromise(entry.key, entry.version.ballot));
   }
   writes.push_back(storage::entry::voting(true));
   ++replica.catchUps;
@@ -666,23 +731,31 @@
     sendReplicaHeartbeats(replica, now, out);
     askCatchUp(replica, now, out);
     tryReconfigure(replica, now, out);
-    std::erase_if(replica.sessions, [&](const auto& row) { return now.steadyMs - row.second.heardMs > 4 * bounds(replica).leaseMs; });
+    std::erase_if(replica.sessions,
+                  [&](const auto& row) { return now.steadyMs - row.second.heardMs > 4 * bounds(replica).leaseMs; });
   }
   if (!mayVote(replica) || replica.image.empty()) return;
   auto found = replica.image.registers.find(kConfigKey);
   const bool open = found != replica.image.registers.end() && replica.learnedBallot < found->second.accepted;
-  if (!open) replica.openSinceMs = -1;
-  else if (replica.openSinceMs < 0) replica.openSinceMs = now.steadyMs;
+  if (!open)
+    replica.openSinceMs = -1;
+  else if (replica.openSinceMs < 0)
+    replica.openSinceMs = now.steadyMs;
   // Reading the register waits for no one to stand: replicas that forgot what they had learned let none stand before.
-  const bool abandoned = open && hasQuorumLease(replica, now) && now.steadyMs - replica.openSinceMs >= bounds(replica).leaseMs / 2;
-  if ((!replica.configKnown || abandoned) && now.steadyMs >= replica.completeAtMs && !proposing(replica.client, kConfigKey)) {
+  const bool abandoned =
+      open && hasQuorumLease(replica, now) && now.steadyMs - replica.openSinceMs >= bounds(replica).leaseMs / 2;
+  if ((!replica.configKnown || abandoned) && now.steadyMs >= replica.completeAtMs &&
+      !proposing(replica.client, kConfigKey)) {
     replica.completeAtMs = now.steadyMs + bounds(replica).leaseMs;
     proposeFixed(replica.client, kConfigKey, "", now, out);
   }
   auto step = replica.image.registers.find(nextMembershipKey(replica));
-  if (step == replica.image.registers.end() || step->second.value.empty()) replica.stepSinceMs = -1;
-  else if (replica.stepSinceMs < 0) replica.stepSinceMs = now.steadyMs;
-  else if (now.steadyMs - replica.stepSinceMs >= bounds(replica).heartbeatMs() && !proposing(replica.client, step->first))
+  if (step == replica.image.registers.end() || step->second.value.empty())
+    replica.stepSinceMs = -1;
+  else if (replica.stepSinceMs < 0)
+    replica.stepSinceMs = now.steadyMs;
+  else if (now.steadyMs - replica.stepSinceMs >= bounds(replica).heartbeatMs() &&
+           !proposing(replica.client, step->first))
     proposeFixed(replica.client, step->first, "", now, out);
 }
 
@@ -700,8 +773,9 @@
     replica.client.ballotNumber = std::max(replica.client.ballotNumber, slot.promised.number);
   replica.image = std::move(image);
   replica.joined = replica.image.joined;
-  if (auto found = replica.image.registers.find(kConfigKey);
-      found != replica.image.registers.end() && found->second.accepted == replica.image.learned && !found->second.value.empty()) {
+  if (auto found = replica.image.registers.find(kConfigKey); found != replica.image.registers.end() &&
+                                                             found->second.accepted == replica.image.learned &&
+                                                             !found->second.value.empty()) {
     replica.learnedBallot = found->second.accepted;
     replica.learnedValue = found->second.value;
     replica.learned = config::readStored(replica.learnedValue);
@@ -712,7 +786,9 @@
     replica.fenced = !found->second.value.empty();
   if (!replica.image.empty()) replica.leaseUntilMs = now.steadyMs + settings.bounds.leaseMs;
   const auto& voters = replica.image.membership.voters;
-  const auto place = std::find_if(voters.begin(), voters.end(), [&](const Voter& voter) { return voter.id == replica.image.id; }) - voters.begin();
+  const auto place =
+      std::find_if(voters.begin(), voters.end(), [&](const Voter& voter) { return voter.id == replica.image.id; }) -
+      voters.begin();
   replica.completeAtMs = now.steadyMs + place * settings.bounds.heartbeatMs() / 4;
   return replica;
 }
@@ -730,11 +806,13 @@
         found->second.acknowledgedMs >= now.steadyMs - bounds(replica).leaseMs)
       ++count;
   }
-  return isVoter(replica.image.membership, replica.image.id) && count >= majority(replica.image.membership.voters.size());
+  return isVoter(replica.image.membership, replica.image.id) &&
+         count >= majority(replica.image.membership.voters.size());
 }
 
 bool ailing(const ReplicaState& replica) {
-  return replica.diskFailed || (!replica.waiting.empty() && replica.stepMs - replica.waiting.begin()->second.sinceMs > bounds(replica).leaseMs);
+  return replica.diskFailed || (!replica.waiting.empty() &&
+                                replica.stepMs - replica.waiting.begin()->second.sinceMs > bounds(replica).leaseMs);
 }
 
 void replicaStep(ReplicaState& replica, const Event& event, Now now, Outbox& out) {
@@ -742,24 +820,36 @@
   if (const auto* heard = std::get_if<Heard>(&event)) {
     if (clientHeard(replica.client, *heard, now, out)) {
       for (auto& proposal : replica.client.proposals)
-        if (proposal.phase == Phase::done && !proposal.edit && proposal.key == kConfigKey && proposal.value.empty() && replica.image.learned == Ballot{})
+        if (proposal.phase == Phase::done && !proposal.edit && proposal.key == kConfigKey && proposal.value.empty() &&
+            replica.image.learned == Ballot{})
           replica.configKnown = true;
       return;
     }
     std::visit(
         [&](const auto& body) {
           using Body = std::decay_t<decltype(body)>;
-          if constexpr (std::is_same_v<Body, SessionHeartbeat>) onSessionHeartbeat(replica, *heard, body, now, out);
-          else if constexpr (std::is_same_v<Body, ReplicaHeartbeat>) onReplicaHeartbeat(replica, *heard, body, now, out);
-          else if constexpr (std::is_same_v<Body, RegisterPrepare>) onRegisterPrepare(replica, *heard, body, out);
-          else if constexpr (std::is_same_v<Body, RegisterAccept>) onRegisterAccept(replica, *heard, body, out);
-          else if constexpr (std::is_same_v<Body, RegisterChosen>) onRegisterChosen(replica, body, now, out);
-          else if constexpr (std::is_same_v<Body, AckQuery>) onAckQuery(replica, *heard, body, now, out);
-          else if constexpr (std::is_same_v<Body, JobLogPrepare>) onJobLogPrepare(replica, *heard, body, now, out);
-          else if constexpr (std::is_same_v<Body, JobLogAccept>) onJobLogAccept(replica, *heard, body, now, out);
-          else if constexpr (std::is_same_v<Body, CatchUpAsk>) onCatchUpAsk(replica, *heard, body, now, out);
-          else if constexpr (std::is_same_v<Body, CatchUpGive>) onCatchUpGive(replica, body, now, out);
-          else if constexpr (std::is_same_v<Body, BootstrapProposal>) onBootstrapProposal(replica, body, now, out);
+          if constexpr (std::is_same_v<Body, SessionHeartbeat>)
+            onSessionHeartbeat(replica, *heard, body, now, out);
+          else if constexpr (std::is_same_v<Body, ReplicaHeartbeat>)
+            onReplicaHeartbeat(replica, *heard, body, now, out);
+          else if constexpr (std::is_same_v<Body, RegisterPrepare>)
+            onRegisterPrepare(replica, *heard, body, out);
+          else if constexpr (std::is_same_v<Body, RegisterAccept>)
+            onRegisterAccept(replica, *heard, body, out);
+          else if constexpr (std::is_same_v<Body, RegisterChosen>)
+            onRegisterChosen(replica, body, now, out);
+          else if constexpr (std::is_same_v<Body, AckQuery>)
+            onAckQuery(replica, *heard, body, now, out);
+          else if constexpr (std::is_same_v<Body, JobLogPrepare>)
+            onJobLogPrepare(replica, *heard, body, now, out);
+          else if constexpr (std::is_same_v<Body, JobLogAccept>)
+            onJobLogAccept(replica, *heard, body, now, out);
+          else if constexpr (std::is_same_v<Body, CatchUpAsk>)
+            onCatchUpAsk(replica, *heard, body, now, out);
+          else if constexpr (std::is_same_v<Body, CatchUpGive>)
+            onCatchUpGive(replica, body, now, out);
+          else if constexpr (std::is_same_v<Body, BootstrapProposal>)
+            onBootstrapProposal(replica, body, now, out);
           else if constexpr (std::is_same_v<Body, Resign>) {
             if (replica.leader.term == body.term) replica.leaseUntilMs = replica.hintUntilMs = now.steadyMs;
           }
@@ -784,12 +874,14 @@
   } else if (std::holds_alternative<Tick>(event)) {
     if (ailing(replica) != replica.ailed) {
       replica.ailed = !replica.ailed;
-      out.alarms.push_back(replica.ailed ? "the disk takes no writes: this replica no longer votes" : "the disk takes writes again: this replica votes");
+      out.alarms.push_back(replica.ailed ? "the disk takes no writes: this replica no longer votes"
+                                         : "the disk takes writes again: this replica votes");
     }
     onTick(replica, now, out);
     clientTick(replica.client, now, out);
-    replica.client.ready = mayVote(replica) && hasQuorumLease(replica, now) && sessionLive(replica.client, now) && !replica.client.leader.http.empty() && !replica.client.leaving;
+    replica.client.ready = mayVote(replica) && hasQuorumLease(replica, now) && sessionLive(replica.client, now) &&
+                           !replica.client.leader.http.empty() && !replica.client.leaving;
   }
 }
 
-}  // namespace
+}  // namespace tulip::control
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "storage/image.hpp"
 #include "control/client.hpp"
+#include "storage/image.hpp"
 
 namespace tulip::control {
 
@@ -27,7 +27,7 @@
   Millis sentMs = 0;
   std::uint64_t membersDigest = 0;  // of the list that the daemon said it has
   Millis membersSentMs = -1000000;
-  Version textVersion = 0;        // the configuration last sent to it
+  Version textVersion = 0;  // the configuration last sent to it
   Millis textSentMs = -1000000;
 };
 
@@ -41,8 +41,8 @@
   ControlClient client;
   storage::Image image;
   bool diskless = false;
-  transport::Membership known;  // the newest membership heard of while holding none
-  transport::BootstrapProposal joined;   // image.joined once it is synced
+  transport::Membership known;          // the newest membership heard of while holding none
+  transport::BootstrapProposal joined;  // image.joined once it is synced
   std::uint64_t joinedTicket = 0;
   Bootstrap bootstrap;
   bool diskFailed = false;
@@ -60,10 +60,11 @@
   std::map<Version, std::string> deltas;  // from an older revision to the learned one
   std::vector<transport::Member> members;
   std::uint64_t membersDigest = 0;
-  std::uint64_t rosterDigest = 0;   // of the members without what they acknowledged
-  Version keptVersion = 0;  // learned, and synced as learned
+  std::uint64_t rosterDigest = 0;  // of the members without what they acknowledged
+  Version keptVersion = 0;         // learned, and synced as learned
   bool configKnown = false;
-  std::map<DaemonId, Millis> formerUntilMs;  // voters no longer in the membership: when none of their sessions can be left
+  std::map<DaemonId, Millis>
+      formerUntilMs;  // voters no longer in the membership: when none of their sessions can be left
   bool fenced = false;
   transport::LeaderHint leader;
   Millis leaseUntilMs = 0;
@@ -88,4 +89,4 @@
 bool ailing(const ReplicaState& replica);
 void replicaStep(ReplicaState& replica, const transport::Event& event, transport::Now now, transport::Outbox& out);
 
-}  // namespace
+}  // namespace tulip::control
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,10 +10,10 @@
 
 #include "base/log.hpp"
 #include "base/ring.hpp"
+#include "daemon/node.hpp"
+#include "daemon/protocol_adapters.hpp"
 #include "http/http.hpp"
 #include "storage/disk.hpp"
-#include "daemon/protocol_adapters.hpp"
-#include "daemon/node.hpp"
 #include "transport/wire.hpp"
 
 namespace tulip::daemon {
@@ -31,7 +31,9 @@
           duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()};
 }
 
-std::chrono::steady_clock::time_point steadyAt(Millis ms) { return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms)); }
+std::chrono::steady_clock::time_point steadyAt(Millis ms) {
+  return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms));
+}
 
 struct Berthed {
   Settings settings;
@@ -92,7 +94,8 @@
       std::vector<DiskEntry> entries;
       for (auto& [aim, persist] : batch)
         if (aim == node)
-          entries.insert(entries.end(), std::make_move_iterator(persist.entries.begin()), std::make_move_iterator(persist.entries.end()));
+          entries.insert(entries.end(), std::make_move_iterator(persist.entries.begin()),
+                         std::make_move_iterator(persist.entries.end()));
       if (entries.empty()) continue;
       auto& disk = host.berthed[node].disk;
       std::string said;
@@ -161,8 +164,10 @@
     for (auto& text : out.alarms) alarm(std::move(text));
     for (auto& send : out.sends) {
       auto near = host_.local.find(send.to);
-      if (near == host_.local.end()) wants.sends.push_back({node, std::move(send)});
-      else inside_.push_back({near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to}});
+      if (near == host_.local.end())
+        wants.sends.push_back({node, std::move(send)});
+      else
+        inside_.push_back({near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to}});
     }
     std::move(out.answers.begin(), out.answers.end(), std::back_inserter(wants.answers));
     std::move(out.forwards.begin(), out.forwards.end(), std::back_inserter(wants.forwards));
@@ -191,8 +196,8 @@
     lookAtMs_ = nowMs + host_.settings().bounds.leaseMs;
     struct stat seen {};
     if (::stat(host_.settingsFile.c_str(), &seen) != 0) return false;
-    const bool same = seen.st_mtim.tv_sec == seen_.st_mtim.tv_sec && seen.st_mtim.tv_nsec == seen_.st_mtim.tv_nsec && seen.st_size == seen_.st_size &&
-                      seen.st_ino == seen_.st_ino;
+    const bool same = seen.st_mtim.tv_sec == seen_.st_mtim.tv_sec && seen.st_mtim.tv_nsec == seen_.st_mtim.tv_nsec &&
+                      seen.st_size == seen_.st_size && seen.st_ino == seen_.st_ino;
     seen_ = seen;
     return !first && !same;
   }
@@ -213,7 +218,9 @@
       differs(read.role == then.role, "role");
       differs(read.peerAddress == then.peerAddress, "signal");
       differs(read.http == then.http, "http");
-      differs(std::ranges::equal(read.faces, then.faces, [](const Face& a, const Face& b) { return a.kind == b.kind && a.at == b.at; }), "faces");
+      differs(std::ranges::equal(read.faces, then.faces,
+                                 [](const Face& a, const Face& b) { return a.kind == b.kind && a.at == b.at; }),
+              "faces");
       differs(read.zone == then.zone, "cell");
       differs(read.worker == then.worker, "worker");
       differs(read.dataFolder == then.dataFolder, "data-folder");
@@ -247,7 +254,12 @@
 // From the first polite signal: leave, answer callers until new ones are sent elsewhere, then end.
 class Ending {
  public:
-  Ending(Host& host) : host_(host), polite_(host.context, SIGTERM, SIGINT), again_(host.context, SIGHUP), hard_(host.context), soft_(host.context) {
+  Ending(Host& host)
+      : host_(host),
+        polite_(host.context, SIGTERM, SIGINT),
+        again_(host.context, SIGHUP),
+        hard_(host.context),
+        soft_(host.context) {
     for (const auto& one : host.berthed)
       for (const auto& face : one.settings.faces) lingers_ = lingers_ || face.kind == FaceKind::callers;
     host.onDone = [this] {
@@ -350,33 +362,40 @@
     const auto& settings = one.settings;
     maxBodyBytes = std::max(maxBodyBytes, settings.maxBodyBytes);
     const std::string incarnation = freshName();
-    one.id = DaemonId(std::string(roleName(settings.role)) + "-" + (settings.name.empty() ? "" : settings.name + "-") + incarnation);
+    one.id = DaemonId(std::string(roleName(settings.role)) + "-" + (settings.name.empty() ? "" : settings.name + "-") +
+                      incarnation);
     if (settings.role == Role::replica && !settings.dataFolder.empty()) {
       keeps = true;
       if (auto failed = storage::openDisk(one.disk, settings.dataFolder, one.id)) {
-        std::cerr << settings.dataFolder << ": " << failed.message() << ": " << one.disk.detail << "; empty the folder to rejoin as a new replica"
-                  << std::endl;
+        std::cerr << settings.dataFolder << ": " << failed.message() << ": " << one.disk.detail
+                  << "; empty the folder to rejoin as a new replica" << std::endl;
         return rowOf(Kind::tornFile).exitCode;
       }
       one.id = one.disk.image.id;
     }
-    if (!adapter && !settings.adapter.empty()) adapter = std::shared_ptr<const http::ProtocolAdapter>(adapterNamed(settings.adapter)->make());
+    if (!adapter && !settings.adapter.empty())
+      adapter = std::shared_ptr<const http::ProtocolAdapter>(adapterNamed(settings.adapter)->make());
     one.node = makeNode(settings, one.id, incarnation, one.disk.image, clockNow());
     one.node.adapter = adapter;
     host.local[settings.peerAddress] = node;
   }
-  openLedger(std::string(roleName(host.settings().role)) + (host.settings().name.empty() ? "" : " " + host.settings().name));
+  openLedger(std::string(roleName(host.settings().role)) +
+             (host.settings().name.empty() ? "" : " " + host.settings().name));
   host.wire = std::make_unique<Wire>(
       host.context, host.settings().bounds.leaseMs,
       [&host](Frame&& frame) {
         const auto found = host.local.find(frame.to);
         if (found == host.local.end()) return;
-        host.events.offer({found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message), std::move(frame.to)}});
+        host.events.offer({found->second, Heard{std::move(frame.fromId), std::move(frame.from),
+                                                std::move(frame.message), std::move(frame.to)}});
       },
       [](std::string text) { alarm(std::move(text)); });
   host.server = std::make_unique<http::HttpServer>(
       host.context, host.settings().bounds, maxBodyBytes,
-      [&host](std::size_t node, Ask&& ask) { return host.events.offerWithin({node, std::move(ask)}, host.settings().ringItems / 4); }, adapter);
+      [&host](std::size_t node, Ask&& ask) {
+        return host.events.offerWithin({node, std::move(ask)}, host.settings().ringItems / 4);
+      },
+      adapter);
   if (!listenAll(host)) return rowOf(Kind::badSettings).exitCode;
   Ending ending(host);
   Core core(host);
@@ -403,7 +422,9 @@
 
 }  // namespace
 
-bool registerAdapter(std::string_view name, ProtocolAdapterEntry entry) { return adapters().emplace(name, entry).second; }
+bool registerAdapter(std::string_view name, ProtocolAdapterEntry entry) {
+  return adapters().emplace(name, entry).second;
+}
 
 const ProtocolAdapterEntry* adapterNamed(std::string_view name) {
   const auto found = adapters().find(name);
@@ -426,7 +447,11 @@
 int runDaemon(Role role, const SettingsFlags& flags) {
   if (const auto* adapter = flags.empty() ? adapterWithSettings() : nullptr) {
     const auto file = adapter->settingsFile();
-    return runHost([adapter, file, role](std::vector<Settings>& nodes, SettingsFault& fault) { return adapter->readSettings(file, role, nodes, fault); }, file);
+    return runHost(
+        [adapter, file, role](std::vector<Settings>& nodes, SettingsFault& fault) {
+          return adapter->readSettings(file, role, nodes, fault);
+        },
+        file);
   }
   const auto file = flags.find("env-file");
   return runHost(
@@ -437,4 +462,4 @@
       file == flags.end() ? "" : file->second);
 }
 
-}  // namespace
+}  // namespace tulip::daemon
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -28,7 +28,8 @@
   json_t* membership = json_object();
   json_object_set_new(membership, "revision", json_integer(static_cast<json_int_t>(client.membership.version)));
   json_t* voters = json_array();
-  for (const auto& voter : client.membership.voters) json_array_append_new(voters, jsonText(voter.id.value + "@" + voter.peerAddress.value));
+  for (const auto& voter : client.membership.voters)
+    json_array_append_new(voters, jsonText(voter.id.value + "@" + voter.peerAddress.value));
   json_object_set_new(membership, "seats", voters);
   json_object_set_new(root.get(), "cohort", membership);
   return root;
@@ -37,7 +38,8 @@
 void answerLeader(Node& node, std::uint64_t requestId, Now now, Outbox& out) {
   const auto& client = clientOf(node);
   const bool here = node.scheduler && scheduler::leads(*node.scheduler, now);
-  const LeaderHint hint = here ? LeaderHint{node.scheduler->term, client.settings.peerAddress, client.settings.http} : client.leader;
+  const LeaderHint hint =
+      here ? LeaderHint{node.scheduler->term, client.settings.peerAddress, client.settings.http} : client.leader;
   if (hint.http.empty()) return control::answerKind(out, requestId, Kind::noLeader, client.settings.bounds);
   Json root(json_object());
   json_object_set_new(root.get(), "http", jsonText(hint.http.view()));
@@ -58,7 +60,8 @@
   json_object_set_new(root.get(), "deniedAsks", json_integer(static_cast<json_int_t>(node.rejectedAsks)));
   json_object_set_new(root.get(), "proxiedAsks", json_integer(static_cast<json_int_t>(node.proxiedAsks)));
   json_object_set_new(root.get(), "contended", json_integer(static_cast<json_int_t>(client.contended)));
-  if (node.scheduler) json_object_set_new(root.get(), "scheduler", parseJson(scheduler::countersJson(*node.scheduler)).release());
+  if (node.scheduler)
+    json_object_set_new(root.get(), "scheduler", parseJson(scheduler::countersJson(*node.scheduler)).release());
   if (node.agent) json_object_set_new(root.get(), "agent", parseJson(agent::countersJson(*node.agent)).release());
   if (node.replica) {
     const auto& replica = *node.replica;
@@ -74,7 +77,8 @@
     json_object_set_new(item, "grants", json_integer(static_cast<json_int_t>(replica.grants)));
     json_object_set_new(item, "grantsDenied", json_integer(static_cast<json_int_t>(replica.grantsRejected)));
     json_object_set_new(item, "catchUps", json_integer(static_cast<json_int_t>(replica.catchUps)));
-    json_object_set_new(item, "cohortRevision", json_integer(static_cast<json_int_t>(replica.image.membership.version)));
+    json_object_set_new(item, "cohortRevision",
+                        json_integer(static_cast<json_int_t>(replica.image.membership.version)));
     json_object_set_new(root.get(), "replica", item);
   }
   out.answer(requestId, 200, dumpJson(root.get()));
@@ -95,7 +99,8 @@
   edit.body = ask.body;
   edit.name = ask.requestName;
   for (const auto& [key, value] : http::queryOf(ask.query)) {
-    const bool number = !value.empty() && value.size() < 19 && value.find_first_not_of("0123456789") == std::string::npos;
+    const bool number =
+        !value.empty() && value.size() < 19 && value.find_first_not_of("0123456789") == std::string::npos;
     if (key != "expected" || !number) {
       ++node.rejectedAsks;
       return out.answer(ask.requestId, 422, config::faultsJson(Kind::badValue, {{"?" + key, "expected=REVISION"}}));
@@ -103,11 +108,13 @@
     edit.expected = std::stoull(value);
   }
   Json body = parseJson(edit.body);
-  if (!body || !json_is_object(body.get())) return control::answerKind(out, ask.requestId, Kind::malformed, client.settings.bounds);
+  if (!body || !json_is_object(body.get()))
+    return control::answerKind(out, ask.requestId, Kind::malformed, client.settings.bounds);
   config::Config checked;
   std::vector<config::Fault> faults;
   if (whole && !config::readConfig(body.get(), checked, faults))
-    return out.answer(ask.requestId, rowOf(Kind::invalidConfig).status, config::faultsJson(Kind::invalidConfig, faults));
+    return out.answer(ask.requestId, rowOf(Kind::invalidConfig).status,
+                      config::faultsJson(Kind::invalidConfig, faults));
   control::proposeConfig(client, ask.requestId, std::move(edit), ask.deadlineMs * 9 / 10, now, out);
 }
 
@@ -131,11 +138,13 @@
   };
   if (wanted.rejection != Kind::ok) return reject(wanted.rejection);
   switch (wanted.call) {
-    case Call::ready: return client.ready ? out.tell(ask.requestId, Kind::ok, {}) : reject(Kind::notReady);
+    case Call::ready:
+      return client.ready ? out.tell(ask.requestId, Kind::ok, {}) : reject(Kind::notReady);
     case Call::submit:
       if (!node.scheduler) return reject(Kind::noSuchRoute);
       if (!control::sessionLive(client, now)) return reject(Kind::notReady);
-      if (const auto verdict = jobs::checkSpec(wanted.spec, *client.config); verdict.kind != Kind::ok) return reject(verdict.kind, verdict.field);
+      if (const auto verdict = jobs::checkSpec(wanted.spec, *client.config); verdict.kind != Kind::ok)
+        return reject(verdict.kind, verdict.field);
       return askLeader(node, ask, wanted, CallKind::submit, now, out);
     case Call::getJob:
     case Call::cancelJob:
@@ -164,7 +173,8 @@
     case Call::workerLeaves:
       if (!node.agent) return reject(Kind::noSuchRoute);
       return agent::workerLeaves(*node.agent, ask.requestId, wanted.report.incarnation, now, out);
-    default: return reject(Kind::noSuchRoute);
+    default:
+      return reject(Kind::noSuchRoute);
   }
 }
 
@@ -189,42 +199,65 @@
     return;
   }
   switch (outcome.call) {
-    case Call::none: return;
-    case Call::live: return out.answer(ask.requestId, 200, "{\"live\":true}");
+    case Call::none:
+      return;
+    case Call::live:
+      return out.answer(ask.requestId, 200, "{\"live\":true}");
     case Call::ready:
       if (client.ready) return out.answer(ask.requestId, 200, "{\"ready\":true}");
       return control::answerKind(out, ask.requestId, Kind::notReady, client.settings.bounds);
-    case Call::counters: return answerCounters(node, ask.requestId, now, out);
+    case Call::counters:
+      return answerCounters(node, ask.requestId, now, out);
     case Call::log: {
       Json list(json_array());
       for (const auto& line : ledgerLines()) json_array_append_new(list.get(), jsonText(line));
       return out.answer(ask.requestId, 200, dumpJson(list.get()));
     }
-    case Call::leader: return answerLeader(node, ask.requestId, now, out);
-    case Call::members: return out.answer(ask.requestId, 200, dumpJson(membersView(client).get()));
-    case Call::snapshot: return scheduler::snapshotJobs(*node.scheduler, ask.requestId, membersView(client), now, out);
-    case Call::getConfig: return answerConfig(client, ask.requestId, out);
-    case Call::putConfig: return changeConfig(node, ask, true, now, out);
-    case Call::patchConfig: return changeConfig(node, ask, false, now, out);
-    case Call::submit: return scheduler::submitJob(*node.scheduler, ask.requestId, ask.body, now, out);
-    case Call::listJobs: return scheduler::listJobs(*node.scheduler, ask.requestId, http::queryOf(ask.query), out);
-    case Call::getJob: return scheduler::getJob(*node.scheduler, {ask.requestId, false, {}}, JobId(outcome.names.at("job")), out);
-    case Call::cancelJob: return scheduler::cancelJob(*node.scheduler, {ask.requestId, false, {}}, JobId(outcome.names.at("job")), now, out);
-    case Call::workers: return scheduler::listWorkers(*node.scheduler, ask.requestId, now, out);
-    case Call::trace: return scheduler::traceJobs(*node.scheduler, ask.requestId, out);
-    case Call::report: return agent::workerReport(*node.agent, ask.requestId, ask.body, now, out);
-    case Call::countPending: return scheduler::countPending(*node.scheduler, {ask.requestId, false, {}}, QueueName(outcome.names.at("pending")), out);
+    case Call::leader:
+      return answerLeader(node, ask.requestId, now, out);
+    case Call::members:
+      return out.answer(ask.requestId, 200, dumpJson(membersView(client).get()));
+    case Call::snapshot:
+      return scheduler::snapshotJobs(*node.scheduler, ask.requestId, membersView(client), now, out);
+    case Call::getConfig:
+      return answerConfig(client, ask.requestId, out);
+    case Call::putConfig:
+      return changeConfig(node, ask, true, now, out);
+    case Call::patchConfig:
+      return changeConfig(node, ask, false, now, out);
+    case Call::submit:
+      return scheduler::submitJob(*node.scheduler, ask.requestId, ask.body, now, out);
+    case Call::listJobs:
+      return scheduler::listJobs(*node.scheduler, ask.requestId, http::queryOf(ask.query), out);
+    case Call::getJob:
+      return scheduler::getJob(*node.scheduler, {ask.requestId, false, {}}, JobId(outcome.names.at("job")), out);
+    case Call::cancelJob:
+      return scheduler::cancelJob(*node.scheduler, {ask.requestId, false, {}}, JobId(outcome.names.at("job")), now,
+                                  out);
+    case Call::workers:
+      return scheduler::listWorkers(*node.scheduler, ask.requestId, now, out);
+    case Call::trace:
+      return scheduler::traceJobs(*node.scheduler, ask.requestId, out);
+    case Call::report:
+      return agent::workerReport(*node.agent, ask.requestId, ask.body, now, out);
+    case Call::countPending:
+      return scheduler::countPending(*node.scheduler, {ask.requestId, false, {}},
+                                     QueueName(outcome.names.at("pending")), out);
     case Call::emptyZone:
     case Call::takeBackZone:
-    case Call::workerLeaves: return control::answerKind(out, ask.requestId, Kind::noSuchRoute, client.settings.bounds);
+    case Call::workerLeaves:
+      return control::answerKind(out, ask.requestId, Kind::noSuchRoute, client.settings.bounds);
   }
 }
 
 }  // namespace
 
-control::ControlClient& clientOf(Node& node) { return node.replica ? node.replica->client : node.scheduler ? node.scheduler->client : node.agent->client; }
+control::ControlClient& clientOf(Node& node) {
+  return node.replica ? node.replica->client : node.scheduler ? node.scheduler->client : node.agent->client;
+}
 
-Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image, Now now) {
+Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image,
+              Now now) {
   Node node;
   if (settings.role == Role::replica) node.replica = control::makeReplica(settings, std::move(image), incarnation, now);
   if (settings.role == Role::scheduler) node.scheduler = scheduler::makeScheduler(settings, id, incarnation);
@@ -256,7 +289,8 @@
   if (!node.replica) control::clientTick(client, now, out);
   if (node.scheduler) scheduler::schedulerTick(*node.scheduler, now, out);
   if (node.agent) agent::agentTick(*node.agent, now, out);
-  if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs()) out.done = true;
+  if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs())
+    out.done = true;
 }
 
 }  // namespace
@@ -273,4 +307,4 @@
     }
 }
 
-}  // namespace
+}  // namespace tulip::daemon
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -1,11 +1,11 @@
 #pragma once
 #include <optional>
 
-#include "http/protocol_adapter.hpp"
-#include "http/front.hpp"
-#include "scheduler/scheduler.hpp"
 #include "agent/agent.hpp"
 #include "control/replica.hpp"
+#include "http/front.hpp"
+#include "http/protocol_adapter.hpp"
+#include "scheduler/scheduler.hpp"
 
 namespace tulip::daemon {
 
@@ -21,8 +21,9 @@
   std::uint64_t asks = 0, rejectedAsks = 0, proxiedAsks = 0;
 };
 
-Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image, transport::Now now);
+Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image,
+              transport::Now now);
 control::ControlClient& clientOf(Node& node);
 void nodeStep(Node& node, const transport::Event& event, transport::Now now, transport::Outbox& out);
 
-}  // namespace
+}  // namespace tulip::daemon
--- a/src/daemon/protocol_adapters.hpp
+++ b/src/daemon/protocol_adapters.hpp
@@ -12,7 +12,8 @@
 struct ProtocolAdapterEntry {
   std::string (*settingsFile)() = nullptr;  // empty: none is there
   // The settings of every node that one process of the role hosts; a fault names the field and what is allowed.
-  bool (*readSettings)(const std::string& file, Role role, std::vector<Settings>& nodes, SettingsFault& fault) = nullptr;
+  bool (*readSettings)(const std::string& file, Role role, std::vector<Settings>& nodes,
+                       SettingsFault& fault) = nullptr;
   http::MakeAdapter make = nullptr;
 };
 
@@ -21,4 +22,4 @@
 const ProtocolAdapterEntry* adapterNamed(std::string_view name);
 const ProtocolAdapterEntry* adapterWithSettings();
 
-}  // namespace
+}  // namespace tulip::daemon
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -33,8 +33,10 @@
   if (rule.path.size() != path.size()) return false;
   names.clear();
   for (std::size_t i = 0; i < path.size(); ++i) {
-    if (rule.path[i].front() == ':') names[rule.path[i].substr(1)] = unescape(path[i]);
-    else if (rule.path[i] != path[i]) return false;
+    if (rule.path[i].front() == ':')
+      names[rule.path[i].substr(1)] = unescape(path[i]);
+    else if (rule.path[i] != path[i])
+      return false;
   }
   return true;
 }
@@ -130,4 +132,4 @@
   return all;
 }
 
-}  // namespace
+}  // namespace tulip::http
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -11,8 +11,28 @@
 
 enum class Op : std::uint8_t { limitBody, needBody, needSession, needLead, call };
 enum class Call : std::uint8_t {
-  none, live, ready, counters, log, leader, members, getConfig, putConfig, patchConfig, submit, listJobs, getJob, cancelJob, workers, trace, snapshot, report,
-  countPending, emptyZone, takeBackZone, workerLeaves
+  none,
+  live,
+  ready,
+  counters,
+  log,
+  leader,
+  members,
+  getConfig,
+  putConfig,
+  patchConfig,
+  submit,
+  listJobs,
+  getJob,
+  cancelJob,
+  workers,
+  trace,
+  snapshot,
+  report,
+  countPending,
+  emptyZone,
+  takeBackZone,
+  workerLeaves
 };
 
 struct Step {
@@ -48,4 +68,4 @@
 Outcome interpret(std::span<const Rule> rules, const transport::Ask& ask, const Scene& scene);
 std::map<std::string, std::string> queryOf(std::string_view text);
 
-}  // namespace
+}  // namespace tulip::http
