--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -103,21 +103,26 @@
     if (!orphan) server.sessions_.erase(this);
   }
 
-  Steady::time_point idleUntil() const { return since + std::chrono::milliseconds(server.bounds_.callMs * (draining ? 1 : kIdleCalls)); }
+  Steady::time_point idleUntil() const {
+    return since + std::chrono::milliseconds(server.bounds_.callMs * (draining ? 1 : kIdleCalls));
+  }
 
   void read() {
     since = Steady::now();
     parser.emplace();
     parser->body_limit(server.maxBodyBytes_);
     parser->header_limit(kHeaderBytes);
-    beast_http::async_read(socket, buffer, *parser, [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onRead(failed); });
+    beast_http::async_read(socket, buffer, *parser, [self = shared_from_this()](beast::error_code failed, std::size_t) {
+      self->onRead(failed);
+    });
   }
 
   void onRead(beast::error_code failed) {
     if (orphan || gone) return;
     if (failed == beast_http::error::body_limit) return rejectUnread(Kind::tooLarge);
     if (failed == beast_http::error::header_limit) return rejectUnread(Kind::tooLarge);
-    if (failed && failed != beast_http::error::end_of_stream && failed != beast_http::error::partial_message && failed.category() == beast_http::make_error_code(beast_http::error::bad_method).category())
+    if (failed && failed != beast_http::error::end_of_stream && failed != beast_http::error::partial_message &&
+        failed.category() == beast_http::make_error_code(beast_http::error::bad_method).category())
       return rejectUnread(Kind::malformed);
     if (failed) return shut();
     auto& request = parser->get();
@@ -141,7 +146,9 @@
       ask.basedOn = header(server.headers_.basedOn);
     }
     ask.host = std::string(request[beast_http::field::host]);
-    const auto asked = std::atoll(header(face == FaceKind::own ? "X-Tulippitch-Cutoff-Ms" : std::string_view(server.headers_.deadlineMs)).c_str());
+    const auto asked = std::atoll(
+        header(face == FaceKind::own ? "X-Tulippitch-Cutoff-Ms" : std::string_view(server.headers_.deadlineMs))
+            .c_str());
     const auto mostMs = server.bounds_.callMs * (face == FaceKind::own ? kMostCalls : 1);
     ask.deadlineMs = asked > 0 ? std::min<Millis>(asked, mostMs) : server.bounds_.callMs;
     ask.requestId = requestId = ++server.next_;
@@ -177,20 +184,21 @@
     out.append("\r\n\r\n").append(body);
     since = Steady::now();
     ++server.writing_;
-    asio::async_write(socket, asio::buffer(out), [self = shared_from_this(), keep](beast::error_code failed, std::size_t) {
-      if (self->orphan) return;
-      --self->server.writing_;
-      if (self->gone) return;
-      if (failed) return self->shut();
-      if (self->out.capacity() > kKeptBytes) std::string().swap(self->out);
-      if (keep) return self->read();
-      beast::error_code ignored;
-      self->socket.shutdown(tcp::socket::shutdown_send, ignored);
-      self->draining = true;
-      self->since = Steady::now();
-      self->server.arm(self->idleUntil());
-      self->drain();
-    });
+    asio::async_write(socket, asio::buffer(out),
+                      [self = shared_from_this(), keep](beast::error_code failed, std::size_t) {
+                        if (self->orphan) return;
+                        --self->server.writing_;
+                        if (self->gone) return;
+                        if (failed) return self->shut();
+                        if (self->out.capacity() > kKeptBytes) std::string().swap(self->out);
+                        if (keep) return self->read();
+                        beast::error_code ignored;
+                        self->socket.shutdown(tcp::socket::shutdown_send, ignored);
+                        self->draining = true;
+                        self->since = Steady::now();
+                        self->server.arm(self->idleUntil());
+                        self->drain();
+                      });
   }
 
   void drain() {
@@ -228,8 +236,14 @@
   bool orphan = false;  // its server is closed
 };
 
-HttpServer::HttpServer(asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give, std::shared_ptr<const ProtocolAdapter> adapter)
-    : context_(context), timer_(context), bounds_(bounds), maxBodyBytes_(maxBodyBytes), give_(std::move(give)), adapter_(std::move(adapter)) {
+HttpServer::HttpServer(asio::io_context& context, Bounds bounds, std::size_t maxBodyBytes, Give give,
+                       std::shared_ptr<const ProtocolAdapter> adapter)
+    : context_(context),
+      timer_(context),
+      bounds_(bounds),
+      maxBodyBytes_(maxBodyBytes),
+      give_(std::move(give)),
+      adapter_(std::move(adapter)) {
   if (adapter_) headers_ = adapter_->headers();
 }
 
@@ -279,13 +293,17 @@
   std::optional<Steady::time_point> next;
   auto wanted = [&](Steady::time_point at) { next = next ? std::min(*next, at) : at; };
   for (const auto& [requestId, session] : asking_) {
-    if (session->until <= now) passed.push_back(requestId);
-    else wanted(session->until);
+    if (session->until <= now)
+      passed.push_back(requestId);
+    else
+      wanted(session->until);
   }
   for (auto* session : sessions_) {
     if (session->gone || asking_.contains(session->requestId)) continue;
-    if (session->idleUntil() > now) wanted(session->idleUntil());
-    else if (auto held = session->weak_from_this().lock()) idle.push_back(std::move(held));
+    if (session->idleUntil() > now)
+      wanted(session->idleUntil());
+    else if (auto held = session->weak_from_this().lock())
+      idle.push_back(std::move(held));
   }
   for (const auto requestId : passed) {
     ++counts_->deadlines;
@@ -337,7 +355,9 @@
     call.headers["X-Tulippitch-Transaction"] = std::string(name->value());
   callHttp(context_, std::move(call), [this, requestId = forward.requestId, method = session.method](CallReply reply) {
     if (closed_) return;
-    if (reply.status > 0) return answer({requestId, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), Kind::ok, {}});
+    if (reply.status > 0)
+      return answer(
+          {requestId, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), Kind::ok, {}});
     answerKind(requestId, reply.sent && method != "GET" ? Kind::unknownOutcome : Kind::noLeader);
   });
 }
@@ -362,4 +382,4 @@
   asking_.clear();
 }
 
-}  // namespace
+}  // namespace tulip::http
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -1,7 +1,10 @@
 #pragma once
-#include <atomic>
+// Boost.Asio 1.74 uses std::exchange without including it.
 #include <utility>
+
 #include <boost/asio.hpp>
+
+#include <atomic>
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <map>
@@ -50,7 +53,7 @@
   void listen(const Address& at, FaceKind face, std::size_t node);
   void answer(const transport::Answer& answer);
   void forward(const transport::ForwardRequest& forward);
-  void leave();           // every connection ends after its next answer
+  void leave();  // every connection ends after its next answer
   void stopListening();
   bool answered() const { return asking_.empty() && writing_ == 0; }
   void close();
@@ -83,4 +86,4 @@
   bool closed_ = false;
 };
 
-}  // namespace
+}  // namespace tulip::http
--- a/src/http/protocol_adapter.hpp
+++ b/src/http/protocol_adapter.hpp
@@ -3,10 +3,10 @@
 #include <string>
 
 #include "config/config.hpp"
+#include "control/client.hpp"
 #include "http/front.hpp"
 #include "jobs/job.hpp"
 #include "transport/core.hpp"
-#include "control/client.hpp"
 
 namespace tulip::http {
 
@@ -37,4 +37,4 @@
 
 using MakeAdapter = std::unique_ptr<ProtocolAdapter> (*)();
 
-}  // namespace
+}  // namespace tulip::http
--- a/src/http/routes.cpp
+++ b/src/http/routes.cpp
@@ -30,7 +30,8 @@
 }
 
 const config::Queue* Routes::find(const config::Config& config, std::string_view host, std::string_view path) {
-  if (seen_ != &config || operatorVersion_ != config.operatorVersion || count_ != config.queues.size()) readAgain(config);
+  if (seen_ != &config || operatorVersion_ != config.operatorVersion || count_ != config.queues.size())
+    readAgain(config);
   const auto plain = plainHost(host);
   if (const auto routes = byHost_.find(plain); routes != byHost_.end())
     for (const auto& route : routes->second) {
@@ -47,4 +48,4 @@
   return longest;
 }
 
-}  // namespace
+}  // namespace tulip::http
--- a/src/http/routes.hpp
+++ b/src/http/routes.hpp
@@ -9,7 +9,8 @@
 
 namespace tulip::http {
 
-// The pending line that a host and a path lead to: the longest prefix goes first. Read again whenever the chart is another one.
+// The pending line that a host and a path lead to: the longest prefix goes first. Read again whenever the chart is
+// another one.
 class Routes {
  public:
   const config::Queue* find(const config::Config& config, std::string_view host, std::string_view path);
@@ -28,4 +29,4 @@
 
 std::string plainHost(std::string_view host);  // without its port, in small letters
 
-}  // namespace
+}  // namespace tulip::http
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -22,7 +22,8 @@
   bool count(const json_t* value, const std::string& field, std::int64_t low, std::int64_t high, std::int64_t& into) {
     if (!value) return true;
     if (!json_is_integer(value) || json_integer_value(value) < low || json_integer_value(value) > high)
-      return reject(Kind::badValue, field, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+      return reject(Kind::badValue, field,
+                    "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
     into = json_integer_value(value);
     return true;
   }
@@ -53,16 +54,20 @@
 
 std::string_view stateName(JobState state) {
   switch (state) {
-    case JobState::open: return "open";
-    case JobState::finished: return "finished";
-    case JobState::failed: return "failed";
-    case JobState::cancelled: return "cancelled";
-    case JobState::expired: return "expired";
+    case JobState::open:
+      return "open";
+    case JobState::finished:
+      return "finished";
+    case JobState::failed:
+      return "failed";
+    case JobState::cancelled:
+      return "cancelled";
+    case JobState::expired:
+      return "expired";
   }
   return "?";
 }
 
-
 std::string digestOf(std::string_view text) {
   std::uint64_t a = 1469598103934665603ull, b = 0x9e3779b97f4a7c15ull;
   for (unsigned char c : text) {
@@ -71,7 +76,8 @@
     b ^= b >> 29;
   }
   char out[40];
-  std::snprintf(out, sizeof out, "%016llx%016llx", static_cast<unsigned long long>(a), static_cast<unsigned long long>(b));
+  std::snprintf(out, sizeof out, "%016llx%016llx", static_cast<unsigned long long>(a),
+                static_cast<unsigned long long>(b));
   return out;
 }
 
@@ -97,12 +103,15 @@
 
 bool readStep(SpecReader& reader, const json_t* item, const std::string& at, bool whole, Step& step) {
   if (!json_is_object(item)) return reader.reject(Kind::badValue, at, "an object");
-  const bool known = whole ? reader.known(item, at + "/", {"name", "count", "slots", "room", "after", "payload", "estimateMs", "together",
-                                                           "oneRack", "repeats", "standing", "saves", "needs", "near", "apart"})
-                           : reader.known(item, at + "/", {"name", "slots", "room", "after", "payload"});
+  const bool known = whole
+                         ? reader.known(item, at + "/",
+                                        {"name", "count", "slots", "room", "after", "payload", "estimateMs", "together",
+                                         "oneRack", "repeats", "standing", "saves", "needs", "near", "apart"})
+                         : reader.known(item, at + "/", {"name", "slots", "room", "after", "payload"});
   if (!known || !reader.plain(json_object_get(item, "name"), at + "/name", step.name)) return false;
   step.need.slots = whole && json_object_get(item, "room") ? 0 : 1;
-  if (!reader.count(json_object_get(item, "slots"), at + "/slots", whole ? 0 : 1, 100000, step.need.slots)) return false;
+  if (!reader.count(json_object_get(item, "slots"), at + "/slots", whole ? 0 : 1, 100000, step.need.slots))
+    return false;
   if (const json_t* capacity = json_object_get(item, "room")) {
     if (!json_is_object(capacity)) return reader.reject(Kind::badValue, at + "/room", "an object of whole numbers");
     const char* key;
@@ -118,10 +127,14 @@
   std::int64_t count = 1;
   if (!reader.count(json_object_get(item, "count"), at + "/count", 1, 10000, count)) return false;
   step.count = static_cast<std::uint32_t>(count);
-  if (!reader.count(json_object_get(item, "estimateMs"), at + "/estimateMs", 0, 366LL * 86400000, step.estimateMs)) return false;
+  if (!reader.count(json_object_get(item, "estimateMs"), at + "/estimateMs", 0, 366LL * 86400000, step.estimateMs))
+    return false;
   if (!reader.count(json_object_get(item, "apart"), at + "/apart", 0, 10000, step.apart)) return false;
-  const std::pair<const char*, bool*> flags[] = {
-      {"together", &step.together}, {"oneRack", &step.oneRack}, {"repeats", &step.repeats}, {"standing", &step.standing}, {"saves", &step.saves}};
+  const std::pair<const char*, bool*> flags[] = {{"together", &step.together},
+                                                 {"oneRack", &step.oneRack},
+                                                 {"repeats", &step.repeats},
+                                                 {"standing", &step.standing},
+                                                 {"saves", &step.saves}};
   for (const auto& [key, into] : flags)
     if (const json_t* value = json_object_get(item, key)) {
       if (!json_is_boolean(value)) return reader.reject(Kind::badValue, at + "/" + key, "true or false");
@@ -160,16 +173,19 @@
     return {Kind::badValue, spec.plainNames ? "/tasks" : "/steps", "1 to " + std::to_string(most) + " tasks"};
   for (std::size_t i = 0; i < count; ++i)
     for (auto dep : spec.steps[i].after)
-      if (dep >= count) return {Kind::badValue, "/steps/" + std::to_string(i) + "/after", "the number of another step of the job"};
+      if (dep >= count)
+        return {Kind::badValue, "/steps/" + std::to_string(i) + "/after", "the number of another step of the job"};
   placement::Kinds kinds;
   std::size_t settled = 0;
   std::vector<bool> done(count, false);
   while (settled < count) {
     std::vector<std::size_t> wave;
     for (std::size_t i = 0; i < count; ++i)
-      if (!done[i] && std::all_of(spec.steps[i].after.begin(), spec.steps[i].after.end(), [&](auto dep) { return done[dep]; }))
+      if (!done[i] &&
+          std::all_of(spec.steps[i].after.begin(), spec.steps[i].after.end(), [&](auto dep) { return done[dep]; }))
         wave.push_back(i);
-    if (wave.empty()) return {Kind::cycle, spec.plainNames ? "/tasks" : "/steps", "tasks whose 'after' lists make no ring"};
+    if (wave.empty())
+      return {Kind::cycle, spec.plainNames ? "/tasks" : "/steps", "tasks whose 'after' lists make no ring"};
     admission::Unit together;
     together.whole = true;
     together.labels = spec.labels;
@@ -193,10 +209,12 @@
     if (spec.gang && !admission::couldEverFit(together, config, kinds))
       return {Kind::neverFits, "/tasks", "a gang that the configured pools could hold whole"};
     const auto line = config.queues.find(spec.pending.value);
-    if (line != config.queues.end() && line->second.quotaSlots > 0 && (spec.gang ? slots : widest) > line->second.quotaSlots)
+    if (line != config.queues.end() && line->second.quotaSlots > 0 &&
+        (spec.gang ? slots : widest) > line->second.quotaSlots)
       return {Kind::neverFits, "/tasks", "no more slots at once than the pending line's quota"};
   }
-  if (!config.queues.contains(spec.pending.value)) return {Kind::noSuchQueue, "/pending", "the name of a configured pending line"};
+  if (!config.queues.contains(spec.pending.value))
+    return {Kind::noSuchQueue, "/pending", "the name of a configured pending line"};
   return {};
 }
 
@@ -206,8 +224,9 @@
   Json root = parseJson(body);
   if (!root || !json_is_object(root.get())) return {Kind::malformed, "/", "one JSON object without repeated keys"};
   constexpr Millis longestMs = 366LL * 86400000;
-  if (!reader.known(root.get(), "/", {"id", "pending", "gang", "labels", "notBeforeMs", "cutoffMs", "tasks", "steps", "times", "firstAtMs",
-                                      "everyMs", "payload"}))
+  if (!reader.known(root.get(), "/",
+                    {"id", "pending", "gang", "labels", "notBeforeMs", "cutoffMs", "tasks", "steps", "times",
+                     "firstAtMs", "everyMs", "payload"}))
     return reader.verdict;
   std::string id;
   if (!reader.plain(json_object_get(root.get(), "id"), "/id", id)) return reader.verdict;
@@ -219,11 +238,15 @@
     if (!json_is_boolean(gang)) return {Kind::badValue, "/gang", "true or false"};
     spec.gang = json_is_true(gang);
   }
-  if (!reader.count(json_object_get(root.get(), "notBeforeMs"), "/notBeforeMs", 0, longestMs, spec.notBeforeMs)) return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "cutoffMs"), "/cutoffMs", 1, longestMs, spec.deadlineMs)) return reader.verdict;
+  if (!reader.count(json_object_get(root.get(), "notBeforeMs"), "/notBeforeMs", 0, longestMs, spec.notBeforeMs))
+    return reader.verdict;
+  if (!reader.count(json_object_get(root.get(), "cutoffMs"), "/cutoffMs", 1, longestMs, spec.deadlineMs))
+    return reader.verdict;
   if (!reader.count(json_object_get(root.get(), "times"), "/times", 0, 10000, spec.times)) return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "firstAtMs"), "/firstAtMs", 0, 1LL << 50, spec.firstWallMs)) return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "everyMs"), "/everyMs", 0, longestMs, spec.everyMs)) return reader.verdict;
+  if (!reader.count(json_object_get(root.get(), "firstAtMs"), "/firstAtMs", 0, 1LL << 50, spec.firstWallMs))
+    return reader.verdict;
+  if (!reader.count(json_object_get(root.get(), "everyMs"), "/everyMs", 0, longestMs, spec.everyMs))
+    return reader.verdict;
   if (!readLabels(reader, json_object_get(root.get(), "labels"), spec.labels)) return reader.verdict;
   if (const json_t* payload = json_object_get(root.get(), "payload")) spec.payload = dumpJson(payload);
   const json_t* steps = json_object_get(root.get(), "steps");
@@ -240,7 +263,8 @@
     const auto at = std::string(list) + "/" + std::to_string(i);
     Step step;
     if (!readStep(reader, json_array_get(items, i), at, whole, step)) return reader.verdict;
-    if (!byName.emplace(step.name, i).second) return {Kind::badValue, at + "/name", "a name no other task of the job has"};
+    if (!byName.emplace(step.name, i).second)
+      return {Kind::badValue, at + "/name", "a name no other task of the job has"};
     spec.steps.push_back(std::move(step));
   }
   for (std::size_t i = 0; i < count; ++i) {
@@ -250,7 +274,8 @@
     for (std::size_t k = 0; k < json_array_size(after); ++k) {
       const char* name = json_string_value(json_array_get(after, k));
       auto found = byName.find(name ? name : "");
-      if (found == byName.end()) return {Kind::badValue, at + "/" + std::to_string(k), "the name of another task of the job"};
+      if (found == byName.end())
+        return {Kind::badValue, at + "/" + std::to_string(k), "the name of another task of the job"};
       spec.steps[i].after.push_back(found->second);
     }
   }
@@ -353,9 +378,10 @@
 enum Mark : std::uint8_t { kStopping = 4, kHolds = 8, kStory = 16 };
 
 void packTask(std::string& into, const Job& job, const Task& task, std::size_t place) {
-  const bool story = task.failures || task.notBeforeMs || !task.saved.empty() || !task.detail.empty() || !task.failedOn.empty();
-  into.push_back(static_cast<char>(static_cast<std::uint8_t>(task.state) | (task.stopping ? kStopping : 0) | (task.holds() ? kHolds : 0) |
-                                   (story ? kStory : 0)));
+  const bool story =
+      task.failures || task.notBeforeMs || !task.saved.empty() || !task.detail.empty() || !task.failedOn.empty();
+  into.push_back(static_cast<char>(static_cast<std::uint8_t>(task.state) | (task.stopping ? kStopping : 0) |
+                                   (task.holds() ? kHolds : 0) | (story ? kStory : 0)));
   putCount(into, static_cast<std::uint64_t>(task.attempts));
   if (task.holds()) {
     putCount(into, place);
@@ -384,11 +410,13 @@
   putCount(bytes, static_cast<std::uint64_t>(job.ending));
   putText(bytes, job.reason);
   const auto& c = job.counters;
-  for (const auto number : {c.lane, c.servedMs, c.ranMs, c.waitMs, c.firstStartMs, c.totalServedMs, c.promotions, c.preemptions})
+  for (const auto number :
+       {c.lane, c.servedMs, c.ranMs, c.waitMs, c.firstStartMs, c.totalServedMs, c.promotions, c.preemptions})
     putSigned(bytes, number);
   std::map<std::pair<std::string_view, std::string_view>, std::size_t> places;
   for (const auto& task : job.tasks)
-    if (task.holds()) places.emplace(std::pair<std::string_view, std::string_view>(task.worker.view(), task.workerIncarnation), 0);
+    if (task.holds())
+      places.emplace(std::pair<std::string_view, std::string_view>(task.worker.view(), task.workerIncarnation), 0);
   putCount(bytes, places.size());
   std::size_t next = 0;
   for (auto& [where, place] : places) {
@@ -435,7 +463,8 @@
   job.ending = static_cast<JobState>(taker.count());
   job.reason = taker.text();
   auto& c = job.counters;
-  for (auto* number : {&c.lane, &c.servedMs, &c.ranMs, &c.waitMs, &c.firstStartMs, &c.totalServedMs, &c.promotions, &c.preemptions})
+  for (auto* number :
+       {&c.lane, &c.servedMs, &c.ranMs, &c.waitMs, &c.firstStartMs, &c.totalServedMs, &c.promotions, &c.preemptions})
     *number = taker.number();
   std::vector<std::pair<std::string, std::string>> places(std::min<std::uint64_t>(taker.count(), bytes.size()));
   for (auto& [worker, incarnation] : places) {
@@ -485,7 +514,9 @@
       each.step = step;
       each.instance = instance;
       auto& tally = job.tallyOf(i);
-      ++(each.state == TaskState::pending ? tally.pending : each.state == TaskState::placed ? tally.placed : tally.done);
+      ++(each.state == TaskState::pending  ? tally.pending
+         : each.state == TaskState::placed ? tally.placed
+                                           : tally.done);
       job.doneTasks += each.state == TaskState::done;
       job.holding += each.holds();
       if (each.holds()) job.held += each.weight;
@@ -497,7 +528,8 @@
 std::string taskName(const Job& job, std::size_t at) {
   const auto& task = job.tasks[at];
   if (job.spec->plainNames) return job.stepOf(at).name;
-  return std::to_string(task.instance) + "." + std::to_string(task.step) + "." + std::to_string(at - gangBegin(job, at));
+  return std::to_string(task.instance) + "." + std::to_string(task.step) + "." +
+         std::to_string(at - gangBegin(job, at));
 }
 
 std::optional<std::size_t> taskAt(const Job& job, std::string_view name) {
@@ -509,7 +541,8 @@
   unsigned instance = 0, step = 0, index = 0;
   char more = 0;
   if (std::sscanf(std::string(name).c_str(), "%u.%u.%u%c", &instance, &step, &index, &more) != 3) return std::nullopt;
-  if (instance >= job.spec->instances() || step >= job.spec->steps.size() || index >= job.spec->steps[step].count) return std::nullopt;
+  if (instance >= job.spec->instances() || step >= job.spec->steps.size() || index >= job.spec->steps[step].count)
+    return std::nullopt;
   std::size_t at = instance * job.spec->perInstance() + index;
   for (unsigned i = 0; i < step; ++i) at += job.spec->steps[i].count;
   return at;
@@ -549,11 +582,11 @@
     const auto& task = job.tasks[i];
     json_t* item = json_object();
     json_object_set_new(item, "name", jsonText(taskName(job, i)));
-    const char* state = task.state == TaskState::done ? "done"
+    const char* state = task.state == TaskState::done      ? "done"
                         : task.state == TaskState::pending ? "pending"
-                        : task.stopping ? "stopping"
-                        : task.confirmed ? "running"
-                                         : "starting";
+                        : task.stopping                    ? "stopping"
+                        : task.confirmed                   ? "running"
+                                                           : "starting";
     json_object_set_new(item, "state", json_string(state));
     json_object_set_new(item, "slots", json_integer(job.stepOf(i).need.slots));
     json_object_set_new(item, "attempts", json_integer(task.attempts));
@@ -583,7 +616,8 @@
     for (auto dep : job.stepOf(i).after) {
       std::size_t first = task.instance * job.spec->perInstance();
       for (std::uint32_t k = 0; k < dep; ++k) first += job.spec->steps[k].count;
-      for (std::uint32_t k = 0; k < job.spec->steps[dep].count; ++k) json_array_append_new(after, json_integer(static_cast<json_int_t>(first + k)));
+      for (std::uint32_t k = 0; k < job.spec->steps[dep].count; ++k)
+        json_array_append_new(after, json_integer(static_cast<json_int_t>(first + k)));
     }
     json_object_set_new(item, "slots", json_integer(std::max<std::int64_t>(1, job.stepOf(i).need.slots)));
     json_object_set_new(item, "runMs", json_integer(std::max<Millis>(1, task.ranMs)));
@@ -608,11 +642,15 @@
   using transport::JobPhase;
   const auto shown = job.state != JobState::open ? job.state : job.ending;
   switch (shown) {
-    case JobState::finished: return JobPhase::finished;
-    case JobState::failed: return JobPhase::failed;
+    case JobState::finished:
+      return JobPhase::finished;
+    case JobState::failed:
+      return JobPhase::failed;
     case JobState::cancelled:
-    case JobState::expired: return JobPhase::cancelled;
-    case JobState::open: break;
+    case JobState::expired:
+      return JobPhase::cancelled;
+    case JobState::open:
+      break;
   }
   return hasRuns(job) ? JobPhase::running : JobPhase::waiting;
 }
@@ -627,7 +665,8 @@
 
 Millis dueMs(const Job& job, std::uint32_t instance) {
   if (job.spec->times <= 0) return job.acceptedMs + job.spec->notBeforeMs;
-  return std::max(job.acceptedMs + job.spec->notBeforeMs, job.firstDueMs + static_cast<Millis>(instance) * job.spec->everyMs);
+  return std::max(job.acceptedMs + job.spec->notBeforeMs,
+                  job.firstDueMs + static_cast<Millis>(instance) * job.spec->everyMs);
 }
 
 Millis chainMs(const Job& job, std::uint32_t instance, bool whole) {
@@ -648,7 +687,8 @@
 
 std::vector<std::vector<std::uint32_t>> readyGroups(const Job& job, Millis fleetMs) {
   std::vector<std::vector<std::uint32_t>> groups;
-  if (job.state != JobState::open || job.ending != JobState::open || fleetMs < job.acceptedMs + job.spec->notBeforeMs) return groups;
+  if (job.state != JobState::open || job.ending != JobState::open || fleetMs < job.acceptedMs + job.spec->notBeforeMs)
+    return groups;
   const bool gang = job.spec->gang;
   if (gang && hasRuns(job)) return groups;
   const auto& steps = job.spec->steps;
@@ -665,12 +705,16 @@
         const auto& task = job.tasks[i];
         if (steps[s].together && task.holds()) wait = true;
         if (task.state != TaskState::pending || task.holds()) continue;
-        if (task.notBeforeMs > fleetMs) wait = wait || steps[s].together, early = true;
-        else group.push_back(static_cast<std::uint32_t>(i));
+        if (task.notBeforeMs > fleetMs)
+          wait = wait || steps[s].together, early = true;
+        else
+          group.push_back(static_cast<std::uint32_t>(i));
       }
       if (wait || group.empty()) continue;
-      if (gang && !groups.empty()) groups.front().insert(groups.front().end(), group.begin(), group.end());
-      else groups.push_back(std::move(group));
+      if (gang && !groups.empty())
+        groups.front().insert(groups.front().end(), group.begin(), group.end());
+      else
+        groups.push_back(std::move(group));
     }
   }
   if (gang && early) groups.clear();
@@ -717,7 +761,8 @@
 
 }  // namespace
 
-void startRun(Job& job, std::size_t at, const WorkerId& worker, const std::string& incarnation, Millis fleetMs, std::int64_t weight) {
+void startRun(Job& job, std::size_t at, const WorkerId& worker, const std::string& incarnation, Millis fleetMs,
+              std::int64_t weight) {
   accrueTo(job, fleetMs);
   auto& task = job.tasks[at];
   std::int64_t attempt = task.attempts + 1;
@@ -761,7 +806,8 @@
     if (task.state == TaskState::placed) task.stopping = true;
 }
 
-void endRun(Job& job, std::size_t at, AttemptOutcome outcome, const std::string& detail, const config::Queue& line, Millis fleetMs) {
+void endRun(Job& job, std::size_t at, AttemptOutcome outcome, const std::string& detail, const config::Queue& line,
+            Millis fleetMs) {
   accrueTo(job, fleetMs);
   auto& task = job.tasks[at];
   const auto& step = job.stepOf(at);
@@ -805,11 +851,13 @@
       const auto doublings = std::min<std::int64_t>(failures - 1, 6);
       task.notBeforeMs = fleetMs + line.backoffMs * (1LL << doublings);
       if (failures >= line.failureLimit && job.ending == JobState::open)
-        endJob(job, JobState::failed, "task " + taskName(job, at) + " failed " + std::to_string(failures) + " times", fleetMs);
+        endJob(job, JobState::failed, "task " + taskName(job, at) + " failed " + std::to_string(failures) + " times",
+               fleetMs);
     } else if (step.standing) {
       task.notBeforeMs = fleetMs + line.backoffMs;
     }
-    if (job.spec->gang) stopRuns(job, fleetMs);
+    if (job.spec->gang)
+      stopRuns(job, fleetMs);
     else if (step.together)
       for (auto i = begin; i < end; ++i)
         if (job.tasks[i].state == TaskState::placed) job.tasks[i].stopping = true;
@@ -843,7 +891,8 @@
     const auto& task = job.tasks[i];
     holding += task.holds();
     done += task.state == TaskState::done;
-    if (task.state == TaskState::pending && job.state == JobState::finished) return "a finished job with an unfinished task";
+    if (task.state == TaskState::pending && job.state == JobState::finished)
+      return "a finished job with an unfinished task";
     if (task.state == TaskState::pending && task.holds()) return "a pending task holds room";
     if (task.state != TaskState::placed) continue;
     if (!task.holds()) return "a placed task without a worker";
@@ -855,4 +904,4 @@
   return {};
 }
 
-}  // namespace
+}  // namespace tulip::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -29,7 +29,8 @@
   std::string needs;
   std::string near;
   std::int64_t apart = 0;
-  MSGPACK_DEFINE(name, count, need, after, payload, estimateMs, together, oneRack, repeats, standing, saves, needs, near, apart)
+  MSGPACK_DEFINE(name, count, need, after, payload, estimateMs, together, oneRack, repeats, standing, saves, needs,
+                 near, apart)
 };
 
 // What the caller sent: written once, never changed.
@@ -38,7 +39,7 @@
   std::string digest;
   QueueName pending;
   PoolName pool;
-  bool gang = false;  // all ready tasks of the job start together
+  bool gang = false;       // all ready tasks of the job start together
   bool plainNames = true;  // steps of one task are named by the step alone; otherwise INSTANCE.STEP.INDEX
   placement::Labels labels;
   Millis notBeforeMs = 0;
@@ -49,7 +50,8 @@
   std::string payload;
   std::vector<Step> steps;
   config::Queue line;  // the line as it was at acceptance, for when the configuration no longer has it
-  MSGPACK_DEFINE(id, digest, pending, pool, gang, plainNames, labels, notBeforeMs, deadlineMs, times, firstWallMs, everyMs, payload, steps, line)
+  MSGPACK_DEFINE(id, digest, pending, pool, gang, plainNames, labels, notBeforeMs, deadlineMs, times, firstWallMs,
+                 everyMs, payload, steps, line)
 
   std::size_t perInstance() const;
   std::size_t instances() const { return times > 0 ? static_cast<std::size_t>(times) : 1; }
@@ -71,12 +73,12 @@
   std::string detail;
   Millis ranMs = 0;
   WorkerId failedOn;
-  std::int64_t weight = 0;  // its part of W_J while it holds room, in thousandths
+  std::int64_t weight = 0;   // its part of W_J while it holds room, in thousandths
   std::int64_t percent = 0;  // as last reported; not kept
   Millis movedMs = 0;        // when percent last moved; not kept
-  Millis runningMs = -1;       // when it was first seen at work under this leader, and how far it was; not kept
+  Millis runningMs = -1;     // when it was first seen at work under this leader, and how far it was; not kept
   std::int64_t runningPercent = 0;
-  std::string seenSaved;     // as last reported; kept once it is used
+  std::string seenSaved;  // as last reported; kept once it is used
 
   bool holds() const { return !worker.empty(); }
 };
@@ -108,7 +110,9 @@
 
   const QueueName& pending() const { return spec->pending; }
   const Step& stepOf(std::size_t task) const { return spec->steps[tasks[task].step]; }
-  const Tally& tallyOf(std::size_t task) const { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
+  const Tally& tallyOf(std::size_t task) const {
+    return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step];
+  }
   Tally& tallyOf(std::size_t task) { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
 };
 
@@ -147,16 +151,18 @@
 void accrueTo(Job& job, Millis fleetMs);
 
 // weight: the task's part of W_J there, in thousandths; 0: its slots.
-void startRun(Job& job, std::size_t task, const WorkerId& worker, const std::string& incarnation, Millis fleetMs, std::int64_t weight = 0);
+void startRun(Job& job, std::size_t task, const WorkerId& worker, const std::string& incarnation, Millis fleetMs,
+              std::int64_t weight = 0);
 void stopRun(Job& job, std::size_t task, Millis fleetMs);
 void stopRuns(Job& job, Millis fleetMs);
-void endRun(Job& job, std::size_t task, transport::AttemptOutcome outcome, const std::string& detail, const config::Queue& line, Millis fleetMs);
+void endRun(Job& job, std::size_t task, transport::AttemptOutcome outcome, const std::string& detail,
+            const config::Queue& line, Millis fleetMs);
 void endJob(Job& job, JobState ending, std::string reason, Millis fleetMs);
 bool closeIfOver(Job& job, Millis fleetMs);
 
 std::string checkJob(const Job& job);
 std::string_view stateName(JobState state);
 
-}  // namespace
+}  // namespace tulip::jobs
 MSGPACK_ADD_ENUM(tulip::jobs::JobState)
 MSGPACK_ADD_ENUM(tulip::jobs::TaskState)
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -36,8 +36,10 @@
     if (amount == 0) continue;
     auto place = static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
     if (place == names.size() && place + 1 < kTooMany) names.push_back(name);
-    if (place + 1 < kTooMany) made[place + 1] = amount;
-    else made[kTooMany] = 1;
+    if (place + 1 < kTooMany)
+      made[place + 1] = amount;
+    else
+      made[kTooMany] = 1;
   }
   return made;
 }
@@ -63,4 +65,4 @@
   return std::min(share, 1.0);
 }
 
-}  // namespace
+}  // namespace tulip::placement
--- a/src/placement/capacity.hpp
+++ b/src/placement/capacity.hpp
@@ -29,8 +29,9 @@
 using Load = std::array<std::int64_t, kMostKinds>;
 
 struct Kinds {
-  std::vector<std::string> names;  // names[i] is place i + 1 of a Load, but for the last place, which marks kinds too many
-  Load load(const Capacity& capacity);     // what asks for a kind too many fits nowhere
+  std::vector<std::string>
+      names;  // names[i] is place i + 1 of a Load, but for the last place, which marks kinds too many
+  Load load(const Capacity& capacity);  // what asks for a kind too many fits nowhere
 };
 
 bool fits(const Load& need, const Load& free);
@@ -48,8 +49,8 @@
   Load total{};
   Load free{};
   bool usable = true;
-  int doubt = 0;             // tenths by which work is thought to take longer here; lower goes first
-  Millis leavesInMs = -1;    // what starts here and can neither end nor save by then is lost; -1: it stays
+  int doubt = 0;           // tenths by which work is thought to take longer here; lower goes first
+  Millis leavesInMs = -1;  // what starts here and can neither end nor save by then is lost; -1: it stays
 };
 
-}  // namespace
+}  // namespace tulip::placement
--- a/src/query/query.cpp
+++ b/src/query/query.cpp
@@ -20,17 +20,51 @@
 const std::vector<Shape>& shapes() {
   static const std::vector<Shape> all{
       {"jobs",
-       {{"id", "TEXT"}, {"pending", "TEXT"}, {"state", "TEXT"}, {"reason", "TEXT"}, {"gang", "INTEGER"}, {"lane", "INTEGER"},
-        {"acceptedMs", "INTEGER"}, {"firstStartMs", "INTEGER"}, {"finishedMs", "INTEGER"}, {"servedSlotMs", "INTEGER"},
-        {"preemptions", "INTEGER"}, {"promotions", "INTEGER"}, {"tasksDone", "INTEGER"}, {"taskCount", "INTEGER"}}},
+       {{"id", "TEXT"},
+        {"pending", "TEXT"},
+        {"state", "TEXT"},
+        {"reason", "TEXT"},
+        {"gang", "INTEGER"},
+        {"lane", "INTEGER"},
+        {"acceptedMs", "INTEGER"},
+        {"firstStartMs", "INTEGER"},
+        {"finishedMs", "INTEGER"},
+        {"servedSlotMs", "INTEGER"},
+        {"preemptions", "INTEGER"},
+        {"promotions", "INTEGER"},
+        {"tasksDone", "INTEGER"},
+        {"taskCount", "INTEGER"}}},
       {"tasks",
-       {{"job", "TEXT"}, {"name", "TEXT"}, {"state", "TEXT"}, {"slots", "INTEGER"}, {"attempts", "INTEGER"}, {"failures", "INTEGER"},
-        {"worker", "TEXT"}, {"run", "TEXT"}, {"detail", "TEXT"}}},
+       {{"job", "TEXT"},
+        {"name", "TEXT"},
+        {"state", "TEXT"},
+        {"slots", "INTEGER"},
+        {"attempts", "INTEGER"},
+        {"failures", "INTEGER"},
+        {"worker", "TEXT"},
+        {"run", "TEXT"},
+        {"detail", "TEXT"}}},
       {"workers",
-       {{"worker", "TEXT"}, {"cell", "TEXT"}, {"pool", "TEXT"}, {"slots", "INTEGER"}, {"slotsHeld", "INTEGER"}, {"runs", "INTEGER"},
-        {"leaving", "INTEGER"}, {"usable", "INTEGER"}, {"shunned", "INTEGER"}, {"clean", "INTEGER"}, {"failed", "INTEGER"}, {"pace", "REAL"}}},
+       {{"worker", "TEXT"},
+        {"cell", "TEXT"},
+        {"pool", "TEXT"},
+        {"slots", "INTEGER"},
+        {"slotsHeld", "INTEGER"},
+        {"runs", "INTEGER"},
+        {"leaving", "INTEGER"},
+        {"usable", "INTEGER"},
+        {"shunned", "INTEGER"},
+        {"clean", "INTEGER"},
+        {"failed", "INTEGER"},
+        {"pace", "REAL"}}},
       {"members",
-       {{"id", "TEXT"}, {"role", "TEXT"}, {"cell", "TEXT"}, {"http", "TEXT"}, {"signal", "TEXT"}, {"revision", "INTEGER"}, {"ready", "INTEGER"},
+       {{"id", "TEXT"},
+        {"role", "TEXT"},
+        {"cell", "TEXT"},
+        {"http", "TEXT"},
+        {"signal", "TEXT"},
+        {"revision", "INTEGER"},
+        {"ready", "INTEGER"},
         {"ageMs", "INTEGER"}}},
       {"configuration", {{"path", "TEXT"}, {"value", "TEXT"}}},
   };
@@ -53,18 +87,24 @@
 int stepBound(void* left) { return --*static_cast<std::int64_t*>(left) <= 0; }
 
 void bind(sqlite3_stmt* statement, int at, const json_t* value) {
-  if (json_is_string(value)) sqlite3_bind_text(statement, at, json_string_value(value), -1, SQLITE_TRANSIENT);
-  else if (json_is_integer(value)) sqlite3_bind_int64(statement, at, json_integer_value(value));
-  else if (json_is_real(value)) sqlite3_bind_double(statement, at, json_real_value(value));
-  else if (json_is_boolean(value)) sqlite3_bind_int(statement, at, json_is_true(value));
-  else sqlite3_bind_null(statement, at);
+  if (json_is_string(value))
+    sqlite3_bind_text(statement, at, json_string_value(value), -1, SQLITE_TRANSIENT);
+  else if (json_is_integer(value))
+    sqlite3_bind_int64(statement, at, json_integer_value(value));
+  else if (json_is_real(value))
+    sqlite3_bind_double(statement, at, json_real_value(value));
+  else if (json_is_boolean(value))
+    sqlite3_bind_int(statement, at, json_is_true(value));
+  else
+    sqlite3_bind_null(statement, at);
 }
 
 void fill(sqlite3* base, const Shape& shape, const json_t* list) {
   std::string marks;
   for (std::size_t i = 0; i < shape.columns.size(); ++i) marks += i ? ",?" : "?";
   sqlite3_stmt* raw = nullptr;
-  sqlite3_prepare_v2(base, ("INSERT INTO " + std::string(shape.name) + " VALUES(" + marks + ")").c_str(), -1, &raw, nullptr);
+  sqlite3_prepare_v2(base, ("INSERT INTO " + std::string(shape.name) + " VALUES(" + marks + ")").c_str(), -1, &raw,
+                     nullptr);
   Statement insert(raw);
   for (std::size_t i = 0; i < json_array_size(list); ++i) {
     const json_t* item = json_array_get(list, i);
@@ -92,7 +132,8 @@
 
 std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail, Bounds bounds) {
   sqlite3* rawBase = nullptr;
-  if (sqlite3_open_v2(":memory:", &rawBase, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_MEMORY, nullptr) != SQLITE_OK) {
+  if (sqlite3_open_v2(":memory:", &rawBase, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_MEMORY, nullptr) !=
+      SQLITE_OK) {
     sqlite3_close(rawBase);
     return Kind::overloaded;
   }
@@ -102,9 +143,12 @@
   flatten(json_object_get(snapshot, "configuration"), "", flat.get());
   for (const auto& shape : shapes()) {
     std::string columns;
-    for (const auto& column : shape.columns) columns += (columns.empty() ? "" : ",") + std::string(column.name) + " " + column.type;
-    sqlite3_exec(base.get(), ("CREATE TABLE " + std::string(shape.name) + "(" + columns + ")").c_str(), nullptr, nullptr, nullptr);
-    fill(base.get(), shape, std::string_view(shape.name) == "configuration" ? flat.get() : json_object_get(snapshot, shape.name));
+    for (const auto& column : shape.columns)
+      columns += (columns.empty() ? "" : ",") + std::string(column.name) + " " + column.type;
+    sqlite3_exec(base.get(), ("CREATE TABLE " + std::string(shape.name) + "(" + columns + ")").c_str(), nullptr,
+                 nullptr, nullptr);
+    fill(base.get(), shape,
+         std::string_view(shape.name) == "configuration" ? flat.get() : json_object_get(snapshot, shape.name));
   }
   sqlite3_exec(base.get(), "COMMIT", nullptr, nullptr, nullptr);
 
@@ -149,4 +193,4 @@
   }
 }
 
-}  // namespace
+}  // namespace tulip::query
--- a/src/query/query.hpp
+++ b/src/query/query.hpp
@@ -18,6 +18,7 @@
   std::size_t mostRows = 10000;
 };
 
-std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail, Bounds bounds = {});
+std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail,
+                      Bounds bounds = {});
 
-}  // namespace
+}  // namespace tulip::query
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -17,7 +17,8 @@
   return now.steadyMs + *middle;
 }
 
-void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, Outbox& out, std::string_view detail) {
+void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, Outbox& out,
+          std::string_view detail) {
   const auto retryMs = static_cast<Millis>(rowOf(kind).retryLeases * static_cast<double>(bounds(scheduler).leaseMs));
   if (!caller.remote.empty()) {
     CallAnswer answer;
@@ -51,7 +52,8 @@
 void submitSpec(SchedulerState& scheduler, const Caller& caller, Spec spec, Now now, Outbox& out) {
   const auto& config = *scheduler.client.config;
   if (auto known = scheduler.jobs.find(spec.id); known != scheduler.jobs.end()) {
-    if (spec.digest != known->second.spec->digest) return tell(scheduler, caller, Kind::idTaken, nullptr, out, spec.id.view());
+    if (spec.digest != known->second.spec->digest)
+      return tell(scheduler, caller, Kind::idTaken, nullptr, out, spec.id.view());
     scheduler.waiting.push_back({caller, spec.id, HeldAnswer::submitted});
     scheduler.planDue = true;
     return;
@@ -77,7 +79,8 @@
   job.acceptedMs = job.accountedMs = fleet(scheduler, now);
   if (job.spec->times > 0) {
     const auto wallMs = wallNow(scheduler, now);
-    job.firstDueMs = wallMs > 0 && job.spec->firstWallMs > 0 ? job.acceptedMs + job.spec->firstWallMs - wallMs : job.acceptedMs;
+    job.firstDueMs =
+        wallMs > 0 && job.spec->firstWallMs > 0 ? job.acceptedMs + job.spec->firstWallMs - wallMs : job.acceptedMs;
   }
   const auto id = job.id;
   scheduler.open.insert(id);
@@ -95,7 +98,8 @@
   const auto& job = found->second;
   const bool cancelled = job.state == JobState::cancelled || job.ending == JobState::cancelled;
   if (!cancelled && (job.state != JobState::open || job.ending != JobState::open))
-    return tell(scheduler, caller, Kind::jobEnded, nullptr, out, stateName(job.state != JobState::open ? job.state : job.ending));
+    return tell(scheduler, caller, Kind::jobEnded, nullptr, out,
+                stateName(job.state != JobState::open ? job.state : job.ending));
   if (!cancelled)
     change(scheduler, id, [&](Job& each) {
       endJob(each, JobState::cancelled, "cancelled by its caller", fleet(scheduler, now));
@@ -106,8 +110,10 @@
 
 void getJob(const SchedulerState& scheduler, const Caller& caller, const JobId& id, Outbox& out) {
   auto found = scheduler.committedJobs.find(id);
-  tell(const_cast<SchedulerState&>(scheduler), caller, found == scheduler.committedJobs.end() ? Kind::noSuchJob : Kind::ok,
-       found == scheduler.committedJobs.end() ? nullptr : found->second.get(), out, found == scheduler.committedJobs.end() ? id.view() : std::string_view());
+  tell(const_cast<SchedulerState&>(scheduler), caller,
+       found == scheduler.committedJobs.end() ? Kind::noSuchJob : Kind::ok,
+       found == scheduler.committedJobs.end() ? nullptr : found->second.get(), out,
+       found == scheduler.committedJobs.end() ? id.view() : std::string_view());
 }
 
 void countPending(const SchedulerState& scheduler, const Caller& caller, const QueueName& line, Outbox& out) {
@@ -134,9 +140,12 @@
       if (!unpackSpec(ask.spec, spec)) return tell(scheduler, caller, Kind::malformed, nullptr, out);
       return submitSpec(scheduler, caller, std::move(spec), now, out);
     }
-    case CallKind::getJob: return getJob(scheduler, caller, ask.job, out);
-    case CallKind::cancelJob: return cancelJob(scheduler, caller, ask.job, now, out);
-    case CallKind::countPending: return countPending(scheduler, caller, ask.pending, out);
+    case CallKind::getJob:
+      return getJob(scheduler, caller, ask.job, out);
+    case CallKind::cancelJob:
+      return cancelJob(scheduler, caller, ask.job, now, out);
+    case CallKind::countPending:
+      return countPending(scheduler, caller, ask.pending, out);
   }
 }
 
@@ -165,7 +174,8 @@
 void callLeader(SchedulerState& scheduler, CallAsk ask, Millis deadlineMs, Now now, Outbox& out) {
   if (leads(scheduler, now)) return serve(scheduler, {ask.requestId, true, {}}, ask, now, out);
   constexpr std::size_t kMostForwards = 1024;
-  if (scheduler.forwards.size() >= kMostForwards || scheduler.client.leaving) return tell(scheduler, {ask.requestId, true, {}}, Kind::overloaded, nullptr, out);
+  if (scheduler.forwards.size() >= kMostForwards || scheduler.client.leaving)
+    return tell(scheduler, {ask.requestId, true, {}}, Kind::overloaded, nullptr, out);
   ++scheduler.counts.forwarded;
   Forward forward;
   ask.configVersion = scheduler.client.configVersion;
@@ -187,19 +197,24 @@
       const bool repeated = forward.sent;
       auto ask = std::move(forward.ask);
       at = scheduler.forwards.erase(at);
-      if (repeated && ask.call == CallKind::submit && !scheduler.client.config->queues.contains(ask.pending.value)) tell(scheduler, caller, Kind::unknownOutcome, nullptr, out);
-      else serve(scheduler, caller, ask, now, out);
+      if (repeated && ask.call == CallKind::submit && !scheduler.client.config->queues.contains(ask.pending.value))
+        tell(scheduler, caller, Kind::unknownOutcome, nullptr, out);
+      else
+        serve(scheduler, caller, ask, now, out);
       continue;
     }
     const bool late = now.steadyMs >= forward.deadlineMs;
     const bool nobody = !forward.sent && now.steadyMs - forward.sinceMs >= bounds(scheduler).leaseMs / 2;
     if (late || nobody) {
-      tell(scheduler, caller, forward.sent ? (changes(forward.ask) ? Kind::unknownOutcome : Kind::deadlinePassed) : Kind::noLeader, nullptr, out);
+      tell(scheduler, caller,
+           forward.sent ? (changes(forward.ask) ? Kind::unknownOutcome : Kind::deadlinePassed) : Kind::noLeader,
+           nullptr, out);
       at = scheduler.forwards.erase(at);
       continue;
     }
     const bool moved = forward.sentTo != leader.peerAddress;
-    if (!leader.peerAddress.empty() && leader.peerAddress != scheduler.client.settings.peerAddress && (moved || now.steadyMs - forward.sentMs >= againMs)) {
+    if (!leader.peerAddress.empty() && leader.peerAddress != scheduler.client.settings.peerAddress &&
+        (moved || now.steadyMs - forward.sentMs >= againMs)) {
       forward.repeated = forward.sent;
       forward.sent = true;
       forward.sentTo = leader.peerAddress;
@@ -210,18 +225,25 @@
   }
 }
 
-void listJobs(const SchedulerState& scheduler, std::uint64_t requestId, const std::map<std::string, std::string>& query, Outbox& out) {
+void listJobs(const SchedulerState& scheduler, std::uint64_t requestId, const std::map<std::string, std::string>& query,
+              Outbox& out) {
   std::size_t most = 100;
   std::string after, state, line;
   for (const auto& [key, value] : query) {
     if (key == "limit") {
       const auto asked = std::atol(value.c_str());
-      if (asked < 1 || asked > 1000) return out.answer(requestId, 422, config::faultsJson(Kind::badValue, {{"limit", "1 to 1000"}}));
+      if (asked < 1 || asked > 1000)
+        return out.answer(requestId, 422, config::faultsJson(Kind::badValue, {{"limit", "1 to 1000"}}));
       most = static_cast<std::size_t>(asked);
-    } else if (key == "after") after = value;
-    else if (key == "state") state = value;
-    else if (key == "pending") line = value;
-    else return out.answer(requestId, 422, config::faultsJson(Kind::unknownField, {{key, "limit, after, state, pending"}}));
+    } else if (key == "after")
+      after = value;
+    else if (key == "state")
+      state = value;
+    else if (key == "pending")
+      line = value;
+    else
+      return out.answer(requestId, 422,
+                        config::faultsJson(Kind::unknownField, {{key, "limit, after, state, pending"}}));
   }
   Json root(json_object());
   json_t* list = json_array();
@@ -245,7 +267,8 @@
   std::vector<const Job*> all;
   for (const auto& [id, job] : scheduler.committedJobs)
     if (job->state == JobState::finished) all.push_back(job.get());
-  std::sort(all.begin(), all.end(), [](const Job* a, const Job* b) { return std::tie(a->acceptedMs, a->id) < std::tie(b->acceptedMs, b->id); });
+  std::sort(all.begin(), all.end(),
+            [](const Job* a, const Job* b) { return std::tie(a->acceptedMs, a->id) < std::tie(b->acceptedMs, b->id); });
   std::string text;
   for (const auto* job : all) text += traceLine(*job) + "\n";
   out.answer(requestId, 200, std::move(text));
@@ -289,9 +312,12 @@
   constexpr std::size_t kMostJobs = 5000;
   std::vector<const Job*> chosen;
   for (const auto& id : scheduler.open)
-    if (auto found = scheduler.committedJobs.find(id); found != scheduler.committedJobs.end() && chosen.size() < kMostJobs) chosen.push_back(found->second.get());
+    if (auto found = scheduler.committedJobs.find(id);
+        found != scheduler.committedJobs.end() && chosen.size() < kMostJobs)
+      chosen.push_back(found->second.get());
   for (auto at = scheduler.ended.rbegin(); at != scheduler.ended.rend() && chosen.size() < kMostJobs; ++at)
-    if (auto found = scheduler.committedJobs.find(at->second); found != scheduler.committedJobs.end()) chosen.push_back(found->second.get());
+    if (auto found = scheduler.committedJobs.find(at->second); found != scheduler.committedJobs.end())
+      chosen.push_back(found->second.get());
   json_t *jobs = json_array(), *tasks = json_array();
   for (const auto* job : chosen) {
     json_t* view = viewJob(*job, false);
@@ -308,22 +334,42 @@
   json_object_set_new(members.get(), "tasks", tasks);
   json_object_set_new(members.get(), "workers", workersView(scheduler, now));
   json_object_set_new(members.get(), "complete", json_boolean(chosen.size() == scheduler.committedJobs.size()));
-  if (Json config = parseJson(scheduler.client.configText)) json_object_set_new(members.get(), "configuration", config.release());
+  if (Json config = parseJson(scheduler.client.configText))
+    json_object_set_new(members.get(), "configuration", config.release());
   out.answer(requestId, 200, dumpJson(members.get()));
 }
 
 std::string countersJson(const SchedulerState& scheduler) {
   Json root(json_object());
   const auto& c = scheduler.counts;
-  const std::pair<const char*, std::uint64_t> rows[] = {
-      {"takeovers", c.takeovers},   {"epochs", c.epochs},         {"batches", c.batches},       {"starts", c.starts},
-      {"stops", c.stops},           {"preempted", c.preempted},   {"lostRuns", c.lost},         {"failedRuns", c.failures},
-      {"cleanRuns", c.cleans},      {"submitted", c.submitted},   {"denied", c.rejected},         {"passedOver", c.passedOver},
-      {"reservations", c.reservations}, {"reports", c.reports},   {"shuns", c.shuns},           {"rewritten", c.rewritten},
-      {"steppedDown", c.steppedDown}, {"gangRetries", c.gangRetries}, {"lateEnds", c.lateEnds}, {"stalls", c.stalls}, {"forwarded", c.forwarded}, {"promotions", c.promotions}, {"dropped", c.dropped},
-      {"openJobs", scheduler.open.size()}, {"knownJobs", scheduler.committedJobs.size()}};
-  for (const auto& [name, value] : rows) json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
+  const std::pair<const char*, std::uint64_t> rows[] = {{"takeovers", c.takeovers},
+                                                        {"epochs", c.epochs},
+                                                        {"batches", c.batches},
+                                                        {"starts", c.starts},
+                                                        {"stops", c.stops},
+                                                        {"preempted", c.preempted},
+                                                        {"lostRuns", c.lost},
+                                                        {"failedRuns", c.failures},
+                                                        {"cleanRuns", c.cleans},
+                                                        {"submitted", c.submitted},
+                                                        {"denied", c.rejected},
+                                                        {"passedOver", c.passedOver},
+                                                        {"reservations", c.reservations},
+                                                        {"reports", c.reports},
+                                                        {"shuns", c.shuns},
+                                                        {"rewritten", c.rewritten},
+                                                        {"steppedDown", c.steppedDown},
+                                                        {"gangRetries", c.gangRetries},
+                                                        {"lateEnds", c.lateEnds},
+                                                        {"stalls", c.stalls},
+                                                        {"forwarded", c.forwarded},
+                                                        {"promotions", c.promotions},
+                                                        {"dropped", c.dropped},
+                                                        {"openJobs", scheduler.open.size()},
+                                                        {"knownJobs", scheduler.committedJobs.size()}};
+  for (const auto& [name, value] : rows)
+    json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
   return dumpJson(root.get());
 }
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -10,13 +10,15 @@
 placement::Load totalOf(SchedulerState& scheduler, const WorkerRow& row) {
   placement::Capacity capacity;
   capacity.slots = row.last.slots;
-  if (auto pool = scheduler.client.config->pools.find(row.last.pool.value); pool != scheduler.client.config->pools.end()) {
+  if (auto pool = scheduler.client.config->pools.find(row.last.pool.value);
+      pool != scheduler.client.config->pools.end()) {
     if (pool->second.slots == 0) {
       capacity.more = row.last.capacity;
     } else {
       capacity = {std::min(pool->second.slots, row.last.slots), pool->second.capacity};
       for (auto& [name, amount] : capacity.more)
-        if (auto own = row.last.capacity.find(name); own != row.last.capacity.end()) amount = std::min(amount, own->second);
+        if (auto own = row.last.capacity.find(name); own != row.last.capacity.end())
+          amount = std::min(amount, own->second);
     }
   }
   return scheduler.kinds.load(capacity);
@@ -86,7 +88,8 @@
       if (auto rack = worker.labels.find("rack"); rack != worker.labels.end()) worker.rack = rack->second;
       worker.total = totalOf(scheduler, row);
       worker.usable = usableWorker(scheduler, row, now, waitsLong);
-      worker.doubt = row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
+      worker.doubt =
+          row.standing.failRate > 0.3 ? 20 : std::max(0, static_cast<int>(std::lround(10 * (row.standing.pace - 1))));
       if (now.steadyMs < row.standing.shunnedUntilMs) worker.doubt += 40;
       worker.leavesInMs = row.last.leavesMs;
       incarnation = row.last.workerIncarnation;
@@ -121,15 +124,19 @@
         placement::take(scene.field.workers[where].free, load);
         const bool over = task.stopping || task.state == TaskState::done;
         std::size_t gang = 0;
-        if (job.spec->gang) gang = 1;
-        else if (step.together) gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
-        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(scheduler).checkpointMs), step.standing,
-                                  leftMs(job, i, fleetMs, paces[where])});
+        if (job.spec->gang)
+          gang = 1;
+        else if (step.together)
+          gang = gangs.emplace(gangBegin(job, i), gangs.size() + 2).first->second;
+        candidate.runs.push_back({i, where, load, over, gang, lossOf(job, i, fleetMs, bounds(scheduler).checkpointMs),
+                                  step.standing, leftMs(job, i, fleetMs, paces[where])});
         if (step.apart > 0) {
           auto& rows = beside[gangBegin(job, i)];
           auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == where; });
-          if (found == rows.end()) rows.emplace_back(where, 1);
-          else ++found->second;
+          if (found == rows.end())
+            rows.emplace_back(where, 1);
+          else
+            ++found->second;
         }
         scene.field.heldSlots[job.pending()] += step.need.slots;
       }
@@ -140,7 +147,8 @@
       unit.tasks = group;
       if (job.spec->gang)
         for (const auto i : group) unit.loads.push_back(job.loads[job.tasks[i].step]);
-      else unit.loads.push_back(job.loads[first.step]);
+      else
+        unit.loads.push_back(job.loads[first.step]);
       unit.whole = job.spec->gang || step.together;
       unit.oneRack = step.oneRack;
       unit.saves = step.saves;
@@ -167,7 +175,8 @@
     candidate.gang = job.spec->gang;
     if (line.aimMs > 0) {
       const auto instance = groups.empty() ? 0 : job.tasks[groups.front().front()].instance;
-      const auto aimMs = line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs(job, instance, true)));
+      const auto aimMs =
+          line.aimMs + static_cast<Millis>(line.stretch * static_cast<double>(chainMs(job, instance, true)));
       candidate.dueInMs = dueMs(job, instance) + aimMs - chainMs(job, instance, false) - fleetMs;
     }
     if (!candidate.ready.empty() && candidate.runs.empty()) candidate.readyForMs = job.counters.waitMs;
@@ -188,12 +197,20 @@
     if (job.holding > 0) {
       for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto& task = job.tasks[i];
-        if (!task.holds() || (task.confirmed && !task.stopping) || fleetMs - std::max(task.orderedMs, task.movedMs) < 8 * bounds(scheduler).leaseMs) continue;
+        if (!task.holds() || (task.confirmed && !task.stopping) ||
+            fleetMs - std::max(task.orderedMs, task.movedMs) < 8 * bounds(scheduler).leaseMs)
+          continue;
         auto row = scheduler.workers.find(task.worker);
         scheduler.longWaits.insert(id);
-        out.alarms.push_back("run " + runIdOf(job, i).value + " at " + task.worker.value + " is " + (task.stopping ? "not stopped" : "not confirmed") + " after " +
+        out.alarms.push_back("run " + runIdOf(job, i).value + " at " + task.worker.value + " is " +
+                             (task.stopping ? "not stopped" : "not confirmed") + " after " +
                              std::to_string(fleetMs - task.orderedMs) + " ms; its worker was heard " +
-                             (row == scheduler.workers.end() ? std::string("never") : std::to_string(now.steadyMs - row->second.heardMs) + " ms ago, by its agent " + std::to_string(row->second.last.workerHeard) + ", lists it " + std::to_string(row->second.listed.contains(runIdOf(job, i).value)) + ", life " + row->second.last.workerIncarnation + " for " + task.workerIncarnation));
+                             (row == scheduler.workers.end()
+                                  ? std::string("never")
+                                  : std::to_string(now.steadyMs - row->second.heardMs) + " ms ago, by its agent " +
+                                        std::to_string(row->second.last.workerHeard) + ", lists it " +
+                                        std::to_string(row->second.listed.contains(runIdOf(job, i).value)) + ", life " +
+                                        row->second.last.workerIncarnation + " for " + task.workerIncarnation));
         break;
       }
       continue;
@@ -201,11 +218,13 @@
     if (job.counters.waitMs < 10 * bounds(scheduler).leaseMs) continue;
     scheduler.longWaits.insert(id);
     const auto groups = readyGroups(job, fleetMs);
-    std::string text = "job " + id.value + " waits for " + std::to_string(job.counters.waitMs) + " ms in lane " + std::to_string(job.counters.lane + 1);
+    std::string text = "job " + id.value + " waits for " + std::to_string(job.counters.waitMs) + " ms in lane " +
+                       std::to_string(job.counters.lane + 1);
     if (groups.empty()) text += ", nothing of it ready, due in " + std::to_string(dueMs(job, 0) - fleetMs) + " ms";
     for (const auto& group : groups) {
       const auto& step = job.stepOf(group.front());
-      text += ", step " + std::to_string(job.tasks[group.front()].step) + ": " + std::to_string(group.size()) + " of " + std::to_string(step.count);
+      text += ", step " + std::to_string(job.tasks[group.front()].step) + ": " + std::to_string(group.size()) + " of " +
+              std::to_string(step.count);
       for (const auto& [name, amount] : step.need.more) text += " " + name + " " + std::to_string(amount);
       if (step.together) text += " together";
       if (step.oneRack) text += " on one rack";
@@ -218,10 +237,12 @@
       usable += usableWorker(scheduler, row, now);
       shunned += now.steadyMs < row.standing.shunnedUntilMs;
       behind += row.last.acked < scheduler.client.configVersion;
-      quiet += now.steadyMs - row.heardMs > bounds(scheduler).freshMs() || !row.last.workerHeard || row.last.workerAgeMs > bounds(scheduler).freshMs();
+      quiet += now.steadyMs - row.heardMs > bounds(scheduler).freshMs() || !row.last.workerHeard ||
+               row.last.workerAgeMs > bounds(scheduler).freshMs();
     }
-    text += "; workers " + std::to_string(scheduler.workers.size()) + ", usable " + std::to_string(usable) + ", shunned " + std::to_string(shunned) +
-            ", behind the configuration " + std::to_string(behind) + ", quiet " + std::to_string(quiet);
+    text += "; workers " + std::to_string(scheduler.workers.size()) + ", usable " + std::to_string(usable) +
+            ", shunned " + std::to_string(shunned) + ", behind the configuration " + std::to_string(behind) +
+            ", quiet " + std::to_string(quiet);
     out.alarms.push_back(std::move(text));
   }
 }
@@ -247,7 +268,9 @@
       std::vector<std::size_t> late;
       for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto& task = job.tasks[i];
-        if (task.state != TaskState::placed || task.confirmed || task.stopping || !(job.spec->gang || job.stepOf(i).together)) continue;
+        if (task.state != TaskState::placed || task.confirmed || task.stopping ||
+            !(job.spec->gang || job.stepOf(i).together))
+          continue;
         if (fleetMs - std::max(task.orderedMs, task.movedMs) >= rules.gangStartMs) late.push_back(i);
       }
       if (!late.empty()) {
@@ -264,7 +287,8 @@
     const auto mark = scheduler.client.config->gone.find(worker.value);
     const bool gone = mark != scheduler.client.config->gone.end() && mark->second;
     auto row = scheduler.workers.find(worker);
-    const Millis heardMs = row == scheduler.workers.end() ? scheduler.leadSinceMs : std::max(row->second.heardMs, scheduler.leadSinceMs);
+    const Millis heardMs =
+        row == scheduler.workers.end() ? scheduler.leadSinceMs : std::max(row->second.heardMs, scheduler.leadSinceMs);
     if (!gone && now.steadyMs - heardMs < bounds(scheduler).sureMs(1)) continue;
     const auto& pools = scheduler.client.config->pools;
     std::int64_t leases = 1;
@@ -278,9 +302,11 @@
     if (!gone && (!selfStop || now.steadyMs - heardMs < bounds(scheduler).sureMs(leases))) continue;
     for (const auto& [run, where] : runs) lost.push_back(where);
   }
-  for (const auto& [id, at] : lost) finishRun(scheduler, id, at, AttemptOutcome::lost, "worker silent past its term", now);
+  for (const auto& [id, at] : lost)
+    finishRun(scheduler, id, at, AttemptOutcome::lost, "worker silent past its term", now);
   const auto& keep = scheduler.client.config->keep;
-  const Millis keepMs = bounds(scheduler).statusMs > 0 ? bounds(scheduler).statusMs + bounds(scheduler).statusMs / 10 : keep.finishedMs;
+  const Millis keepMs =
+      bounds(scheduler).statusMs > 0 ? bounds(scheduler).statusMs + bounds(scheduler).statusMs / 10 : keep.finishedMs;
   const bool inStep = std::all_of(scheduler.voters.begin(), scheduler.voters.end(), [&](const auto& voter) {
     return voter.second.promised && voter.second.ackedSeq >= scheduler.committed && scheduler.committed > 0;
   });
@@ -295,7 +321,8 @@
   }
   std::size_t budget = 64;
   while (inStep && budget-- && !scheduler.ended.empty() &&
-         (static_cast<std::int64_t>(scheduler.ended.size()) > keep.finishedMost || fleetMs - scheduler.ended.front().first > keepMs)) {
+         (static_cast<std::int64_t>(scheduler.ended.size()) > keep.finishedMost ||
+          fleetMs - scheduler.ended.front().first > keepMs)) {
     const auto id = scheduler.ended.front().second;
     if (scheduler.dirty.contains(id)) break;
     scheduler.ended.pop_front();
@@ -334,7 +361,12 @@
       for (const auto* start : starts) {
         const auto& worker = scene.field.workers[start->worker];
         const auto& step = job.stepOf(start->task);
-        const auto weight = step.need.slots > 0 ? 0 : std::max<std::int64_t>(1, std::llround(1000 * placement::dominantShare(job.loads[job.tasks[start->task].step], worker.total)));
+        const auto weight =
+            step.need.slots > 0
+                ? 0
+                : std::max<std::int64_t>(
+                      1, std::llround(1000 *
+                                      placement::dominantShare(job.loads[job.tasks[start->task].step], worker.total)));
         startRun(job, start->task, scene.workers[start->worker], scene.incarnations[start->worker], fleetMs, weight);
       }
     });
@@ -349,16 +381,20 @@
     if (row == scheduler.workers.end() || runs.empty()) continue;
     auto pool = scheduler.client.config->pools.find(row->second.last.pool.value);
     if (pool == scheduler.client.config->pools.end()) continue;
-    const bool fresh = std::any_of(runs.begin(), runs.end(), [&](const auto& each) { return !scheduler.jobs.at(each.second.first).tasks[each.second.second].confirmed; });
+    const bool fresh = std::any_of(runs.begin(), runs.end(), [&](const auto& each) {
+      return !scheduler.jobs.at(each.second.first).tasks[each.second.second].confirmed;
+    });
     if (!fresh) continue;
     placement::Load sum{};
-    for (const auto& [run, where] : runs) placement::add(sum, kinds.load(scheduler.jobs.at(where.first).stepOf(where.second).need));
+    for (const auto& [run, where] : runs)
+      placement::add(sum, kinds.load(scheduler.jobs.at(where.first).stepOf(where.second).need));
     placement::Capacity capacity{std::max(pool->second.slots, row->second.last.slots), {}};
     for (const auto& [name, amount] : row->second.last.capacity) capacity.more[name] = amount;
-    for (const auto& [name, amount] : pool->second.capacity) capacity.more[name] = std::max(capacity.more[name], amount);
+    for (const auto& [name, amount] : pool->second.capacity)
+      capacity.more[name] = std::max(capacity.more[name], amount);
     if (!placement::fits(sum, kinds.load(capacity))) return worker.value + " holds more than its room";
   }
   return {};
 }
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -1,12 +1,14 @@
 #pragma once
 #include "scheduler/scheduler.hpp"
 
-// What the files of the leading scheduler share: succession (terms, voters, batches), orders (reports and what is wanted), standing (workers'
-// trust), epoch (house and plan), calls.
+// What the files of the leading scheduler share: succession (terms, voters, batches), orders (reports and what is
+// wanted), standing (workers' trust), epoch (house and plan), calls.
 namespace tulip::scheduler {
 
 inline const Bounds& bounds(const SchedulerState& scheduler) { return scheduler.client.settings.bounds; }
-inline Millis fleet(const SchedulerState& scheduler, transport::Now now) { return control::fleetNow(scheduler.client, now); }
+inline Millis fleet(const SchedulerState& scheduler, transport::Now now) {
+  return control::fleetNow(scheduler.client, now);
+}
 inline const config::Admission& rulesOf(const SchedulerState& scheduler) {
   const auto& config = *scheduler.client.config;
   return scheduler.usual && !config.admissionGiven ? *scheduler.usual : config.admission;
@@ -18,7 +20,8 @@
 void noteEnded(SchedulerState& scheduler, const Job& job);
 placement::Load totalOf(SchedulerState& scheduler, const WorkerRow& row);
 
-template <class Change> void change(SchedulerState& scheduler, const JobId& id, Change&& apply) {
+template <class Change>
+void change(SchedulerState& scheduler, const JobId& id, Change&& apply) {
   auto found = scheduler.jobs.find(id);
   if (found == scheduler.jobs.end()) return;
   auto& job = found->second;
@@ -27,23 +30,29 @@
   apply(job);
   indexRuns(scheduler.held, job, true);
   if (wasOpen && job.state != JobState::open) noteEnded(scheduler, job);
-  if (auto fault = checkJob(job); !fault.empty() && scheduler.broken.empty()) scheduler.broken = job.id.value + ": " + fault;
+  if (auto fault = checkJob(job); !fault.empty() && scheduler.broken.empty())
+    scheduler.broken = job.id.value + ": " + fault;
   scheduler.dirty.insert(id);
   scheduler.planDue = true;
 }
 
 void stepDown(SchedulerState& scheduler, transport::Now now, transport::Outbox& out, std::string_view why);
 void lead(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
-void onPromise(SchedulerState& scheduler, const transport::Heard& heard, const transport::JobLogPromise& promise, transport::Now now, transport::Outbox& out);
-void onAccepted(SchedulerState& scheduler, const transport::Heard& heard, const transport::JobLogAccepted& reply, transport::Now now, transport::Outbox& out);
+void onPromise(SchedulerState& scheduler, const transport::Heard& heard, const transport::JobLogPromise& promise,
+               transport::Now now, transport::Outbox& out);
+void onAccepted(SchedulerState& scheduler, const transport::Heard& heard, const transport::JobLogAccepted& reply,
+                transport::Now now, transport::Outbox& out);
 void follow(SchedulerState& scheduler, transport::Now now);
 void prepare(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 
-void onReport(SchedulerState& scheduler, const transport::Heard& heard, const transport::AgentReport& report, transport::Now now, transport::Outbox& out);
+void onReport(SchedulerState& scheduler, const transport::Heard& heard, const transport::AgentReport& report,
+              transport::Now now, transport::Outbox& out);
 void sendOrders(SchedulerState& scheduler, WorkerRow& row, transport::Now now, transport::Outbox& out);
-void finishRun(SchedulerState& scheduler, const JobId& id, std::size_t at, transport::AttemptOutcome outcome, const std::string& detail, transport::Now now);
+void finishRun(SchedulerState& scheduler, const JobId& id, std::size_t at, transport::AttemptOutcome outcome,
+               const std::string& detail, transport::Now now);
 
-void judgeWorker(SchedulerState& scheduler, WorkerRow& row, const Job& job, std::size_t task, transport::AttemptOutcome outcome, transport::Now now);
+void judgeWorker(SchedulerState& scheduler, WorkerRow& row, const Job& job, std::size_t task,
+                 transport::AttemptOutcome outcome, transport::Now now);
 void judgeProgress(SchedulerState& scheduler, transport::Now now);
 // How many times as long as estimated a run at work takes there; 0 while it can't be told.
 double paceOf(const SchedulerState& scheduler, const Job& job, std::size_t task, Millis fleetMs);
@@ -57,9 +66,11 @@
 void runEpoch(SchedulerState& scheduler, transport::Now now);
 
 Millis wallNow(const SchedulerState& scheduler, transport::Now now);
-void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, transport::Outbox& out, std::string_view detail = {});
-void onCallAsk(SchedulerState& scheduler, const transport::Heard& heard, const transport::CallAsk& ask, transport::Now now, transport::Outbox& out);
+void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, transport::Outbox& out,
+          std::string_view detail = {});
+void onCallAsk(SchedulerState& scheduler, const transport::Heard& heard, const transport::CallAsk& ask,
+               transport::Now now, transport::Outbox& out);
 void onCallAnswer(SchedulerState& scheduler, const transport::CallAnswer& answer, transport::Outbox& out);
 void tickForwards(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-LeaderHint hintOf(const SchedulerState& scheduler) { return {scheduler.term, scheduler.client.settings.peerAddress, scheduler.client.settings.http}; }
+LeaderHint hintOf(const SchedulerState& scheduler) {
+  return {scheduler.term, scheduler.client.settings.peerAddress, scheduler.client.settings.http};
+}
 
 EntryVersion versionNow(const SchedulerState& scheduler) { return {scheduler.term, scheduler.seq}; }
 
@@ -140,7 +142,8 @@
   std::map<std::string_view, std::size_t> agreeing;
   for (const auto& [id, promise] : scheduler.promises)
     for (const auto& entry : promise.entries)
-      if (auto found = newest.find(entry.key); found != newest.end()) agreeing[entry.key] += found->second.version == entry.version;
+      if (auto found = newest.find(entry.key); found != newest.end())
+        agreeing[entry.key] += found->second.version == entry.version;
   for (auto& [key, entry] : newest) {
     if (agreeing[key] == scheduler.promises.size()) continue;
     entry.version = versionNow(scheduler);
@@ -155,8 +158,10 @@
   std::map<std::string, std::shared_ptr<const Spec>> specs;
   for (auto at = scheduler.current.lower_bound("~"); at != scheduler.current.end() && at->first.front() == '~'; ++at) {
     Spec spec;
-    if (unpackSpec(at->second.value, spec)) specs[at->first.substr(1)] = std::make_shared<const Spec>(std::move(spec));
-    else if (!at->second.value.empty()) out.alarms.push_back("a stored job's spec does not read: " + at->first);
+    if (unpackSpec(at->second.value, spec))
+      specs[at->first.substr(1)] = std::make_shared<const Spec>(std::move(spec));
+    else if (!at->second.value.empty())
+      out.alarms.push_back("a stored job's spec does not read: " + at->first);
   }
   for (const auto& [key, entry] : scheduler.current) {
     if (key.front() == '~') break;
@@ -184,7 +189,8 @@
   for (const auto& [id, promise] : promises)
     if (scheduler.voters.contains(id)) mergePromise(scheduler, id, promise);
   for (auto& [id, voter] : scheduler.voters) sendVoter(scheduler, voter, now, out);
-  out.alarms.push_back("leads term " + std::to_string(scheduler.term.number) + " with " + std::to_string(scheduler.open.size()) + " open jobs");
+  out.alarms.push_back("leads term " + std::to_string(scheduler.term.number) + " with " +
+                       std::to_string(scheduler.open.size()) + " open jobs");
 }
 
 }  // namespace
@@ -193,7 +199,7 @@
   scheduler.highestSeen = std::max(scheduler.highestSeen, promise.promised.number);
   if (promise.term != scheduler.term) return;
   const bool isVoter = std::any_of(scheduler.client.membership.voters.begin(), scheduler.client.membership.voters.end(),
-                                  [&](const Voter& voter) { return voter.id == heard.fromId; });
+                                   [&](const Voter& voter) { return voter.id == heard.fromId; });
   if (!isVoter) return;
   if (!promise.ok) {
     if (scheduler.course == Course::leading && scheduler.term < promise.promised) {
@@ -211,7 +217,8 @@
   }
   if (scheduler.course == Course::preparing) {
     scheduler.promises[heard.fromId] = promise;
-    if (scheduler.promises.size() >= control::majority(scheduler.client.membership.voters.size())) takeOver(scheduler, now, out);
+    if (scheduler.promises.size() >= control::majority(scheduler.client.membership.voters.size()))
+      takeOver(scheduler, now, out);
   } else if (scheduler.course == Course::leading) {
     auto found = scheduler.voters.find(heard.fromId);
     if (found == scheduler.voters.end() || found->second.promised) return;
@@ -240,9 +247,11 @@
   }
   for (const auto& id : batch.dropped) scheduler.committedJobs.erase(id);
   for (const auto& each : batch.answers)
-    if (auto found = scheduler.committedJobs.find(each.job); found != scheduler.committedJobs.end()) tell(scheduler, each.caller, Kind::ok, found->second.get(), out, each.kind == HeldAnswer::submitted ? "new" : "");
+    if (auto found = scheduler.committedJobs.find(each.job); found != scheduler.committedJobs.end())
+      tell(scheduler, each.caller, Kind::ok, found->second.get(), out, each.kind == HeldAnswer::submitted ? "new" : "");
   for (const auto& worker : scheduler.ordersDue)
-    if (auto row = scheduler.workers.find(worker); row != scheduler.workers.end()) sendOrders(scheduler, row->second, now, out);
+    if (auto row = scheduler.workers.find(worker); row != scheduler.workers.end())
+      sendOrders(scheduler, row->second, now, out);
   scheduler.ordersDue.clear();
 }
 
@@ -330,7 +339,8 @@
     if (!voter.promised) {
       if (now.steadyMs - voter.sentMs >= againMs) {
         voter.sentMs = now.steadyMs;
-        out.send(voter.peerAddress, JobLogPrepare{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)});
+        out.send(voter.peerAddress,
+                 JobLogPrepare{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)});
       }
       continue;
     }
@@ -352,7 +362,8 @@
     }
     sendVoter(scheduler, voter, now, out);
   }
-  if (scheduler.committed > 0 && now.steadyMs >= scheduler.leaseUntilMs) return stepDown(scheduler, now, out, "its lease lapsed");
+  if (scheduler.committed > 0 && now.steadyMs >= scheduler.leaseUntilMs)
+    return stepDown(scheduler, now, out, "its lease lapsed");
   if (scheduler.committed == 0 && now.steadyMs - scheduler.leadSinceMs > 2 * bounds(scheduler).leaseMs)
     return stepDown(scheduler, now, out, "the first batch found no majority");
   if (!leads(scheduler, now)) return;
@@ -388,12 +399,14 @@
     Millis place = 0;
     const auto isVoter = [&](const Address& peerAddress) {
       const auto host = [](std::string_view text) { return text.substr(0, text.rfind(':')); };
-      return std::any_of(client.membership.voters.begin(), client.membership.voters.end(),
-                         [&](const Voter& voter) { return host(voter.peerAddress.view()) == host(peerAddress.view()); });
+      return std::any_of(client.membership.voters.begin(), client.membership.voters.end(), [&](const Voter& voter) {
+        return host(voter.peerAddress.view()) == host(peerAddress.view());
+      });
     };
     const auto mine = std::pair(!isVoter(client.settings.peerAddress), client.id);
     for (const auto& member : client.members)
-      place += member.role == Role::scheduler && member.ageMs < bounds(scheduler).leaseMs && std::pair(!isVoter(member.peerAddress), member.id) < mine;
+      place += member.role == Role::scheduler && member.ageMs < bounds(scheduler).leaseMs &&
+               std::pair(!isVoter(member.peerAddress), member.id) < mine;
     scheduler.tryAtMs = now.steadyMs + place * bounds(scheduler).heartbeatMs() / 2;
   }
   if (now.steadyMs < scheduler.tryAtMs) return;
@@ -406,7 +419,8 @@
 }
 
 void prepare(SchedulerState& scheduler, Now now, Outbox& out) {
-  if (now.steadyMs - scheduler.prepareStartMs > bounds(scheduler).leaseMs || !control::sessionLive(scheduler.client, now)) {
+  if (now.steadyMs - scheduler.prepareStartMs > bounds(scheduler).leaseMs ||
+      !control::sessionLive(scheduler.client, now)) {
     reset(scheduler, now, out);
     return;
   }
@@ -414,7 +428,8 @@
   scheduler.prepareSentMs = now.steadyMs;
   for (const auto& voter : scheduler.client.membership.voters)
     if (!scheduler.promises.contains(voter.id))
-      out.send(voter.peerAddress, JobLogPrepare{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)});
+      out.send(voter.peerAddress,
+               JobLogPrepare{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)});
 }
 
 SchedulerState makeScheduler(const Settings& settings, const DaemonId& id, std::string incarnation) {
@@ -442,16 +457,22 @@
 void schedulerHeard(SchedulerState& scheduler, const Heard& heard, Now now, Outbox& out) {
   const auto fleetMs = scheduler.client.fleetMs, fleetAtMs = scheduler.client.fleetAtMs;
   if (control::clientHeard(scheduler.client, heard, now, out)) {
-    if (scheduler.course == Course::leading) std::tie(scheduler.client.fleetMs, scheduler.client.fleetAtMs) = std::tie(fleetMs, fleetAtMs);
+    if (scheduler.course == Course::leading)
+      std::tie(scheduler.client.fleetMs, scheduler.client.fleetAtMs) = std::tie(fleetMs, fleetAtMs);
     return;
   }
   if (scheduler.course == Course::leading && scheduler.committed > 0 && now.steadyMs >= scheduler.leaseUntilMs)
     return stepDown(scheduler, now, out, "its lease lapsed");
-  if (const auto* promise = std::get_if<JobLogPromise>(&heard.message)) onPromise(scheduler, heard, *promise, now, out);
-  else if (const auto* accepted = std::get_if<JobLogAccepted>(&heard.message)) onAccepted(scheduler, heard, *accepted, now, out);
-  else if (const auto* report = std::get_if<AgentReport>(&heard.message)) onReport(scheduler, heard, *report, now, out);
-  else if (const auto* ask = std::get_if<CallAsk>(&heard.message)) onCallAsk(scheduler, heard, *ask, now, out);
-  else if (const auto* answer = std::get_if<CallAnswer>(&heard.message)) onCallAnswer(scheduler, *answer, out);
+  if (const auto* promise = std::get_if<JobLogPromise>(&heard.message))
+    onPromise(scheduler, heard, *promise, now, out);
+  else if (const auto* accepted = std::get_if<JobLogAccepted>(&heard.message))
+    onAccepted(scheduler, heard, *accepted, now, out);
+  else if (const auto* report = std::get_if<AgentReport>(&heard.message))
+    onReport(scheduler, heard, *report, now, out);
+  else if (const auto* ask = std::get_if<CallAsk>(&heard.message))
+    onCallAsk(scheduler, heard, *ask, now, out);
+  else if (const auto* answer = std::get_if<CallAnswer>(&heard.message))
+    onCallAnswer(scheduler, *answer, out);
 }
 
 void schedulerTick(SchedulerState& scheduler, Now now, Outbox& out) {
@@ -471,4 +492,4 @@
   }
 }
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -16,8 +16,10 @@
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     const auto& task = job.tasks[i];
     if (!task.holds()) continue;
-    if (in) held[task.worker].insert_or_assign(runIdOf(job, i), std::pair(job.id, i));
-    else held[task.worker].erase(runIdOf(job, i));
+    if (in)
+      held[task.worker].insert_or_assign(runIdOf(job, i), std::pair(job.id, i));
+    else
+      held[task.worker].erase(runIdOf(job, i));
   }
 }
 
@@ -32,11 +34,13 @@
   }
 }
 
-void finishRun(SchedulerState& scheduler, const JobId& id, std::size_t at, AttemptOutcome outcome, const std::string& detail, Now now) {
+void finishRun(SchedulerState& scheduler, const JobId& id, std::size_t at, AttemptOutcome outcome,
+               const std::string& detail, Now now) {
   if (outcome == AttemptOutcome::lost) ++scheduler.counts.lost;
   if (outcome == AttemptOutcome::failed) ++scheduler.counts.failures;
   if (outcome == AttemptOutcome::clean) ++scheduler.counts.cleans;
-  change(scheduler, id, [&](Job& job) { endRun(job, at, outcome, detail, queueOf(scheduler, job), fleet(scheduler, now)); });
+  change(scheduler, id,
+         [&](Job& job) { endRun(job, at, outcome, detail, queueOf(scheduler, job), fleet(scheduler, now)); });
 }
 
 void sendOrders(SchedulerState& scheduler, WorkerRow& row, Now now, Outbox& out) {
@@ -105,8 +109,8 @@
     row.firstOrdered.clear();
     row.ordersSeq = 0;
   }
-  const bool news = row.heardMs < 0 || row.last.workerIncarnation != report.workerIncarnation || row.last.leaving != report.leaving ||
-                    row.last.workerHeard != report.workerHeard;
+  const bool news = row.heardMs < 0 || row.last.workerIncarnation != report.workerIncarnation ||
+                    row.last.leaving != report.leaving || row.last.workerHeard != report.workerHeard;
   if (row.last.workerIncarnation != report.workerIncarnation) row.standing.pace = 1;
   scheduler.planDue = scheduler.planDue || news;
   row.last = report;
@@ -144,7 +148,8 @@
         if (!task.confirmed || task.percent != seen.percent) task.movedMs = fleetMs;
         task.confirmed = true;
         task.percent = seen.percent;
-        const bool whole = !job.stepOf(where.second).together || job.tallyOf(where.second).placed == job.stepOf(where.second).count;
+        const bool whole =
+            !job.stepOf(where.second).together || job.tallyOf(where.second).placed == job.stepOf(where.second).count;
         if (task.runningMs < 0 && whole) {
           task.runningMs = fleetMs;
           task.runningPercent = seen.percent;
@@ -157,8 +162,10 @@
     if (!report.workerHeard) continue;
     const bool reborn = !task.workerIncarnation.empty() && task.workerIncarnation != report.workerIncarnation;
     auto first = row.firstOrdered.find(run.value);
-    const bool processed = first != row.firstOrdered.end() && report.ordersTerm == scheduler.term && report.ordersSeq >= first->second;
-    if (reborn || processed) over.push_back({where.first, where.second, AttemptOutcome::lost, reborn ? "worker restarted" : "run is gone"});
+    const bool processed =
+        first != row.firstOrdered.end() && report.ordersTerm == scheduler.term && report.ordersSeq >= first->second;
+    if (reborn || processed)
+      over.push_back({where.first, where.second, AttemptOutcome::lost, reborn ? "worker restarted" : "run is gone"});
   }
   observeRuns(scheduler, row, std::move(paces), now);
   for (const auto& each : over) {
@@ -167,8 +174,9 @@
     finishRun(scheduler, each.job, each.task, each.outcome, each.detail, now);
   }
   for (const auto& [run, seen] : listed)
-    if (seen->state == AttemptState::ended && seen->outcome == AttemptOutcome::clean && !known.contains(run)) takeLateEnd(scheduler, seen->id, *seen, now);
+    if (seen->state == AttemptState::ended && seen->outcome == AttemptOutcome::clean && !known.contains(run))
+      takeLateEnd(scheduler, seen->id, *seen, now);
   sendOrders(scheduler, row, now, out);
 }
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -7,8 +7,8 @@
 #include <deque>
 #include <memory>
 
-#include "jobs/job.hpp"
 #include "control/client.hpp"
+#include "jobs/job.hpp"
 
 namespace tulip::scheduler {
 
@@ -90,9 +90,10 @@
 enum class Course : std::uint8_t { following, preparing, leading };
 
 struct SchedulerCounts {
-  std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0, cleans = 0,
-                submitted = 0, rejected = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0, rewritten = 0, steppedDown = 0,
-                gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0, forwarded = 0;
+  std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0,
+                cleans = 0, submitted = 0, rejected = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0,
+                rewritten = 0, steppedDown = 0, gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0,
+                forwarded = 0;
 };
 
 using HeldAttempts = std::map<WorkerId, std::map<AttemptId, std::pair<JobId, std::size_t>>>;
@@ -144,23 +145,29 @@
 
 SchedulerState makeScheduler(const Settings& settings, const DaemonId& id, std::string incarnation);
 bool leads(const SchedulerState& scheduler, transport::Now now);
-void schedulerHeard(SchedulerState& scheduler, const transport::Heard& heard, transport::Now now, transport::Outbox& out);
+void schedulerHeard(SchedulerState& scheduler, const transport::Heard& heard, transport::Now now,
+                    transport::Outbox& out);
 void schedulerTick(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 void schedulerResign(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 
-void submitJob(SchedulerState& scheduler, std::uint64_t requestId, std::string_view body, transport::Now now, transport::Outbox& out);
+void submitJob(SchedulerState& scheduler, std::uint64_t requestId, std::string_view body, transport::Now now,
+               transport::Outbox& out);
 void submitSpec(SchedulerState& scheduler, const Caller& caller, Spec spec, transport::Now now, transport::Outbox& out);
-void cancelJob(SchedulerState& scheduler, const Caller& caller, const JobId& id, transport::Now now, transport::Outbox& out);
+void cancelJob(SchedulerState& scheduler, const Caller& caller, const JobId& id, transport::Now now,
+               transport::Outbox& out);
 void getJob(const SchedulerState& scheduler, const Caller& caller, const JobId& id, transport::Outbox& out);
 void countPending(const SchedulerState& scheduler, const Caller& caller, const QueueName& line, transport::Outbox& out);
 // Answers here when this scheduler leads, otherwise by the leader, asked again until it answers or the cutoff passes.
-void callLeader(SchedulerState& scheduler, transport::CallAsk ask, Millis deadlineMs, transport::Now now, transport::Outbox& out);
-void listJobs(const SchedulerState& scheduler, std::uint64_t requestId, const std::map<std::string, std::string>& query, transport::Outbox& out);
+void callLeader(SchedulerState& scheduler, transport::CallAsk ask, Millis deadlineMs, transport::Now now,
+                transport::Outbox& out);
+void listJobs(const SchedulerState& scheduler, std::uint64_t requestId, const std::map<std::string, std::string>& query,
+              transport::Outbox& out);
 void traceJobs(const SchedulerState& scheduler, std::uint64_t requestId, transport::Outbox& out);
 json_t* workersView(const SchedulerState& scheduler, transport::Now now);
-void snapshotJobs(const SchedulerState& scheduler, std::uint64_t requestId, Json members, transport::Now now, transport::Outbox& out);
+void snapshotJobs(const SchedulerState& scheduler, std::uint64_t requestId, Json members, transport::Now now,
+                  transport::Outbox& out);
 void listWorkers(const SchedulerState& scheduler, std::uint64_t requestId, transport::Now now, transport::Outbox& out);
 std::string countersJson(const SchedulerState& scheduler);
 std::string checkCapacity(const SchedulerState& scheduler);
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/scheduler/worker_health.cpp
+++ b/src/scheduler/worker_health.cpp
@@ -10,8 +10,9 @@
 
 void shun(SchedulerState& scheduler, WorkerRow& row, Now now) {
   auto& standing = row.standing;
-  const auto already = std::count_if(scheduler.workers.begin(), scheduler.workers.end(),
-                                     [&](const auto& other) { return now.steadyMs < other.second.standing.shunnedUntilMs; });
+  const auto already = std::count_if(scheduler.workers.begin(), scheduler.workers.end(), [&](const auto& other) {
+    return now.steadyMs < other.second.standing.shunnedUntilMs;
+  });
   if (3 * (already + 1) > static_cast<std::ptrdiff_t>(scheduler.workers.size()) && scheduler.workers.size() > 1) return;
   const auto doublings = std::min<std::int64_t>(standing.shuns, 2);
   standing.shunnedUntilMs = now.steadyMs + bounds(scheduler).workerLeaseMs * 3 / 2 * (1LL << doublings);
@@ -30,7 +31,8 @@
   constexpr std::int64_t kFewestEnds = 16;
   auto& usual = scheduler.paces[line];
   ++usual.ends;
-  if (usual.ends > kFewestEnds && usual.meanMs > 0) notePace(scheduler, row, static_cast<double>(tookMs) / usual.meanMs, now);
+  if (usual.ends > kFewestEnds && usual.meanMs > 0)
+    notePace(scheduler, row, static_cast<double>(tookMs) / usual.meanMs, now);
   const double weight = usual.ends <= kFewestEnds ? 1.0 / static_cast<double>(usual.ends) : 0.02;
   if (usual.ends <= kFewestEnds || static_cast<double>(tookMs) < kSlow * usual.meanMs)
     usual.meanMs += weight * (static_cast<double>(tookMs) - usual.meanMs);
@@ -49,7 +51,8 @@
 
 }  // namespace
 
-void judgeWorker(SchedulerState& scheduler, WorkerRow& row, const Job& job, std::size_t at, AttemptOutcome outcome, Now now) {
+void judgeWorker(SchedulerState& scheduler, WorkerRow& row, const Job& job, std::size_t at, AttemptOutcome outcome,
+                 Now now) {
   const auto& task = job.tasks[at];
   auto& standing = row.standing;
   if (outcome == AttemptOutcome::failed) ++standing.failed;
@@ -59,9 +62,11 @@
   standing.failRate -= kWeight * standing.failRate;
   const auto& step = job.stepOf(at);
   const auto tookMs = fleet(scheduler, now) - task.orderedMs;
-  if (step.estimateMs <= 0) judgePace(scheduler, row, job.pending(), tookMs, now);
+  if (step.estimateMs <= 0)
+    judgePace(scheduler, row, job.pending(), tookMs, now);
   else if (task.runningMs >= 0 && task.runningPercent == 0 && !step.oneRack && step.near.empty())
-    notePace(scheduler, row, static_cast<double>(fleet(scheduler, now) - task.runningMs) / static_cast<double>(step.estimateMs), now);
+    notePace(scheduler, row,
+             static_cast<double>(fleet(scheduler, now) - task.runningMs) / static_cast<double>(step.estimateMs), now);
   if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
   const bool once = !step.together || at == gangBegin(job, at);
   if (once && !task.failedOn.empty() && task.failedOn != row.id) blame(scheduler, task.failedOn, now);
@@ -87,8 +92,8 @@
   notePace(scheduler, row, *middle, now);
 }
 
-// Runs are stopped, to start elsewhere, where they stand still while a sound one would have moved, where they would take far longer than
-// anew on a sound worker, and where their worker leaves before they can end.
+// Runs are stopped, to start elsewhere, where they stand still while a sound one would have moved, where they would
+// take far longer than anew on a sound worker, and where their worker leaves before they can end.
 void judgeProgress(SchedulerState& scheduler, Now now) {
   const auto fleetMs = fleet(scheduler, now);
   struct Moved {
@@ -120,15 +125,18 @@
         }
       }
       if (step.standing || step.estimateMs <= 0 || task.runningMs < 0) continue;
-      const Millis patienceMs = std::max<Millis>(bounds(scheduler).leaseMs * 3 / 5, step.estimateMs / 8) + bounds(scheduler).reportMs();
+      const Millis patienceMs =
+          std::max<Millis>(bounds(scheduler).leaseMs * 3 / 5, step.estimateMs / 8) + bounds(scheduler).reportMs();
       if (task.percent < 100 && fleetMs - task.movedMs >= patienceMs) {
         moved.push_back({worker, where.first, where.second, true});
         continue;
       }
       if (!slow || paceOf(scheduler, job, where.second, fleetMs) < kSlow) continue;
-      const auto leftHere = static_cast<double>(step.estimateMs) * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
+      const auto leftHere =
+          static_cast<double>(step.estimateMs) * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
       const auto kept = step.saves ? static_cast<double>(task.percent) / 200.0 : 0.0;
-      const auto anew = static_cast<double>(step.estimateMs) * (1.1 - kept) + static_cast<double>(bounds(scheduler).leaseMs) / 4;
+      const auto anew =
+          static_cast<double>(step.estimateMs) * (1.1 - kept) + static_cast<double>(bounds(scheduler).leaseMs) / 4;
       if (leftHere > (step.together ? 2.0 : 1.3) * anew) moved.push_back({worker, where.first, where.second, false});
     }
   }
@@ -157,4 +165,4 @@
   return lastResort || now.steadyMs >= row.standing.shunnedUntilMs;
 }
 
-}  // namespace
+}  // namespace tulip::scheduler
--- a/src/simulator/audit.cpp
+++ b/src/simulator/audit.cpp
@@ -25,8 +25,11 @@
   }
   sim.runUntil(sim.nowUs() + 5 * kSecond);
   world.judge.close();
-  if (reads < 3) world.judge.broken.push_back({sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
-  if (world.awaitsWhole) world.judge.broken.push_back({sim.nowMs(), "inside", "the seat of a lost replica is never taken"});
+  if (reads < 3)
+    world.judge.broken.push_back(
+        {sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
+  if (world.awaitsWhole)
+    world.judge.broken.push_back({sim.nowMs(), "inside", "the seat of a lost replica is never taken"});
   result.seed = world.plan.seed;
   result.faults = world.plan.faults;
   result.broken = world.judge.broken;
@@ -66,18 +69,21 @@
   std::string faults;
   for (const auto& name : result.faults) faults += (faults.empty() ? "" : "+") + name;
   char text[512];
-  std::snprintf(text, sizeof text,
-                "seed %llu %s: %s jobs %lld finished %lld failed %lld cancelled %lld; submit p50/p99 %lld/%lld start %lld/%lld finish %lld/%lld ms; "
-                "gap %lld recovered %lld ms; %llu events, trace %016llx",
-                static_cast<unsigned long long>(result.seed), faults.empty() ? "(no fault)" : faults.c_str(),
-                result.broken.empty() ? "kept" : "BROKEN", static_cast<long long>(result.jobs), static_cast<long long>(result.finished),
-                static_cast<long long>(result.failed), static_cast<long long>(result.cancelled), static_cast<long long>(quantile(result.submitMs, 0.5)),
-                static_cast<long long>(quantile(result.submitMs, 0.99)), static_cast<long long>(quantile(result.startMs, 0.5)),
-                static_cast<long long>(quantile(result.startMs, 0.99)), static_cast<long long>(quantile(result.finishMs, 0.5)),
-                static_cast<long long>(quantile(result.finishMs, 0.99)), static_cast<long long>(result.leaderGapMs),
-                static_cast<long long>(result.recoveredMs), static_cast<unsigned long long>(result.events),
-                static_cast<unsigned long long>(result.traceSum));
+  std::snprintf(
+      text, sizeof text,
+      "seed %llu %s: %s jobs %lld finished %lld failed %lld cancelled %lld; submit p50/p99 %lld/%lld start %lld/%lld "
+      "finish %lld/%lld ms; "
+      "gap %lld recovered %lld ms; %llu events, trace %016llx",
+      static_cast<unsigned long long>(result.seed), faults.empty() ? "(no fault)" : faults.c_str(),
+      result.broken.empty() ? "kept" : "BROKEN", static_cast<long long>(result.jobs),
+      static_cast<long long>(result.finished), static_cast<long long>(result.failed),
+      static_cast<long long>(result.cancelled), static_cast<long long>(quantile(result.submitMs, 0.5)),
+      static_cast<long long>(quantile(result.submitMs, 0.99)), static_cast<long long>(quantile(result.startMs, 0.5)),
+      static_cast<long long>(quantile(result.startMs, 0.99)), static_cast<long long>(quantile(result.finishMs, 0.5)),
+      static_cast<long long>(quantile(result.finishMs, 0.99)), static_cast<long long>(result.leaderGapMs),
+      static_cast<long long>(result.recoveredMs), static_cast<unsigned long long>(result.events),
+      static_cast<unsigned long long>(result.traceSum));
   return text;
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/audit.hpp
+++ b/src/simulator/audit.hpp
@@ -6,4 +6,4 @@
 // Asks for everything a last time, closes the judge's books and fills the day's result.
 void audit(World& world);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/day.cpp
+++ b/src/simulator/day.cpp
@@ -29,7 +29,8 @@
     constexpr std::size_t kMostAlarms = 200;
     if (world.result.alarms.size() < kMostAlarms)
       world.result.alarms.push_back(std::to_string(sim.nowMs()) + " " + host.name + ": " + text);
-    if (text.find("invariant") != std::string::npos) world.judge.broken.push_back({sim.nowMs(), "inside", host.name + ": " + text});
+    if (text.find("invariant") != std::string::npos)
+      world.judge.broken.push_back({sim.nowMs(), "inside", host.name + ": " + text});
   };
   if (plan.trace) sim.onMark = [&](std::string_view text) { *plan.trace << sim.nowUs() << " " << text << "\n"; };
   for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
@@ -38,7 +39,8 @@
     world.changeConfig("PUT", world.firstConfig(), "checkout", "t-base", "", [&world](bool) {
       if (!world.plan.arrivals.empty()) {
         for (const auto& arrival : world.plan.arrivals)
-          world.sim.after(arrival.atMs * 1000, [&world, &job = arrival.job] { world.submit(job.id, world.enter(job)); });
+          world.sim.after(arrival.atMs * 1000,
+                          [&world, &job = arrival.job] { world.submit(job.id, world.enter(job)); });
         return;
       }
       for (const auto& load : world.plan.load) world.arrivals(load);
@@ -69,12 +71,13 @@
     sim.runUntil(sim.nowUs() + 100000);
     const auto& job = world.judge.jobs.at(probe);
     if (world.result.recoveredMs < 0 && !job.shown.empty()) world.result.recoveredMs = (sim.nowUs() - probeUs) / 1000;
-    const bool over = std::all_of(world.judge.jobs.begin(), world.judge.jobs.end(),
-                                  [](const auto& row) { return row.second.rejected || row.second.turnedAway || (row.second.acceptedMs >= 0 && !row.second.shown.empty()); });
+    const bool over = std::all_of(world.judge.jobs.begin(), world.judge.jobs.end(), [](const auto& row) {
+      return row.second.rejected || row.second.turnedAway || (row.second.acceptedMs >= 0 && !row.second.shown.empty());
+    });
     if (over && sim.nowUs() > world.endUs + 8 * kSecond) break;
   }
   audit(world);
   return std::move(world.result);
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/day.hpp
+++ b/src/simulator/day.hpp
@@ -54,4 +54,4 @@
 Millis quantile(std::vector<Millis> values, double at);
 std::string summary(const DayResult& result);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/faults.cpp
+++ b/src/simulator/faults.cpp
@@ -6,17 +6,20 @@
 
 const std::map<std::string, Fault>& faults() {
   static const std::map<std::string, Fault> all{
-      {"leader-kill", [](World& world) {
+      {"leader-kill",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond + world.sim.below(3 * kSecond));
          });
        }},
-      {"leader-freeze", [](World& world) {
+      {"leader-freeze",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            if (auto* leader = world.sim.leader()) world.sim.freeze(*leader, kSecond / 2 + world.sim.below(5 * kSecond));
          });
        }},
-      {"leader-kill-after-yes", [](World& world) {
+      {"leader-kill-after-yes",
+       [](World& world) {
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] {
              world.submitThen(LineLoad{"checkout"}, [&world](const std::string&) {
@@ -25,7 +28,8 @@
              });
            });
        }},
-      {"leader-polite-stop", [](World& world) {
+      {"leader-polite-stop",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            if (auto* leader = world.sim.leader()) {
              world.sim.stopPolitely(*leader);
@@ -35,19 +39,35 @@
            }
          });
        }},
-      {"replica-kill", [](World& world) {
-         world.sim.at(world.faultTime(), [&world] { world.crashFor(world.pick(Role::replica), kSecond / 2 + world.sim.below(3 * kSecond)); });
+      {"replica-kill",
+       [](World& world) {
+         world.sim.at(world.faultTime(), [&world] {
+           world.crashFor(world.pick(Role::replica), kSecond / 2 + world.sim.below(3 * kSecond));
+         });
+       }},
+      {"replica-freeze",
+       [](World& world) {
+         world.sim.at(world.faultTime(), [&world] {
+           world.sim.freeze(world.pick(Role::replica), kSecond / 2 + world.sim.below(4 * kSecond));
+         });
+       }},
+      {"replica-disk-lost",
+       [](World& world) {
+         world.sim.at(world.faultTime(), [&world] { world.replaceReplica(world.pick(Role::replica), true); });
        }},
-      {"replica-freeze", [](World& world) {
-         world.sim.at(world.faultTime(), [&world] { world.sim.freeze(world.pick(Role::replica), kSecond / 2 + world.sim.below(4 * kSecond)); });
+      {"replica-replaced-elsewhere",
+       [](World& world) {
+         world.sim.at(world.faultTime(), [&world] { world.replaceReplica(world.pick(Role::replica), false); });
        }},
-      {"replica-disk-lost", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.replaceReplica(world.pick(Role::replica), true); }); }},
-      {"replica-replaced-elsewhere", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.replaceReplica(world.pick(Role::replica), false); }); }},
-      {"replicas-replaced-twice", [](World& world) {
+      {"replicas-replaced-twice",
+       [](World& world) {
          world.sim.at(world.fromUs, [&world] { world.replaceReplica(world.pick(Role::replica), false); });
-         world.sim.at(world.fromUs + 14 * kSecond, [&world] { world.whenWhole([&world] { world.replaceReplica(world.pick(Role::replica), false); }); });
+         world.sim.at(world.fromUs + 14 * kSecond, [&world] {
+           world.whenWhole([&world] { world.replaceReplica(world.pick(Role::replica), false); });
+         });
        }},
-      {"scheduler-exchanged", [](World& world) {
+      {"scheduler-exchanged",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            auto& old = world.pick(Role::scheduler);
            world.sim.stopPolitely(old);
@@ -56,15 +76,22 @@
            world.sim.start(world.sim.addHost(Role::scheduler, old.name + "x", old.settings.zone.value));
          });
        }},
-      {"agent-kill", [](World& world) {
+      {"agent-kill",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
-           world.sim.at(world.faultTime(), [&world] { world.crashFor(world.pick(Role::agent), kSecond / 4 + world.sim.below(4 * kSecond)); });
+           world.sim.at(world.faultTime(), [&world] {
+             world.crashFor(world.pick(Role::agent), kSecond / 4 + world.sim.below(4 * kSecond));
+           });
        }},
-      {"agent-freeze", [](World& world) {
+      {"agent-freeze",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
-           world.sim.at(world.faultTime(), [&world] { world.sim.freeze(world.pick(Role::agent), kSecond / 4 + world.sim.below(5 * kSecond)); });
+           world.sim.at(world.faultTime(), [&world] {
+             world.sim.freeze(world.pick(Role::agent), kSecond / 4 + world.sim.below(5 * kSecond));
+           });
        }},
-      {"worker-crash", [](World& world) {
+      {"worker-crash",
+       [](World& world) {
          for (int i = 0; i < 4; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& hand = world.pickHand();
@@ -72,7 +99,8 @@
              world.sim.after(200000 + world.sim.below(2 * kSecond), [&world, &hand] { world.sim.startWorker(hand); });
            });
        }},
-      {"worker-vanish", [](World& world) {
+      {"worker-vanish",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            auto& hand = world.pickHand();
            world.sim.crashWorker(hand);
@@ -82,13 +110,14 @@
            world.setFlag("workers", hand.worker.traits.name, "gone", true, {});
          });
        }},
-      {"worker-slow", [](World& world) {
+      {"worker-slow",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] { world.pickHand().worker.traits.slowFactor = 8; });
        }},
-      {"worker-fails", [](World& world) {
-         world.sim.at(world.fromUs, [&world] { world.pickHand().worker.traits.failEvery = 1; });
-       }},
-      {"worker-cut", [](World& world) {
+      {"worker-fails",
+       [](World& world) { world.sim.at(world.fromUs, [&world] { world.pickHand().worker.traits.failEvery = 1; }); }},
+      {"worker-cut",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& hand = world.pickHand();
@@ -96,11 +125,15 @@
              world.sim.after(kSecond / 2 + world.sim.below(6 * kSecond), [&hand] { hand.cut = false; });
            });
        }},
-      {"worker-freeze", [](World& world) {
+      {"worker-freeze",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
-           world.sim.at(world.faultTime(), [&world] { world.sim.freezeWorker(world.pickHand(), kSecond / 2 + world.sim.below(6 * kSecond)); });
+           world.sim.at(world.faultTime(), [&world] {
+             world.sim.freezeWorker(world.pickHand(), kSecond / 2 + world.sim.below(6 * kSecond));
+           });
        }},
-      {"worker-leaves", [](World& world) {
+      {"worker-leaves",
+       [](World& world) {
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& hand = world.pickHand();
@@ -111,14 +144,16 @@
              });
            });
        }},
-      {"cut-off-alone", [](World& world) {
+      {"cut-off-alone",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            world.sim.cutOff(world.anyHost());
            if (auto* leader = world.sim.leader(); leader && world.sim.chance(0.5)) world.sim.cutOff(*leader);
            world.sim.after(kSecond + world.sim.below(5 * kSecond), [&world] { world.sim.heal(); });
          });
        }},
-      {"one-way-cut", [](World& world) {
+      {"one-way-cut",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            auto* leader = world.sim.leader();
            auto& one = leader ? *leader : world.anyHost();
@@ -128,7 +163,8 @@
            world.sim.after(kSecond + world.sim.below(5 * kSecond), [&world] { world.sim.heal(); });
          });
        }},
-      {"split", [](World& world) {
+      {"split",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& x : world.sim.all())
              for (const auto& y : world.sim.all())
@@ -136,7 +172,8 @@
            world.sim.after(kSecond + world.sim.below(6 * kSecond), [&world] { world.sim.heal(); });
          });
        }},
-      {"cell-lost", [](World& world) {
+      {"cell-lost",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            const auto zone = std::string(1, static_cast<char>('a' + world.sim.below(3)));
            for (const auto& host : world.sim.all())
@@ -145,8 +182,10 @@
              if (hand->agent->settings.zone.value == zone) world.sim.crashWorker(*hand);
          });
        }},
-      {"slow-disk", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::replica).syncUs = 400000; }); }},
-      {"disk-dies-replica-lives", [](World& world) {
+      {"slow-disk",
+       [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::replica).syncUs = 400000; }); }},
+      {"disk-dies-replica-lives",
+       [](World& world) {
          world.sim.at(world.fromUs, [&world] {
            auto& old = world.pick(Role::replica);
            old.diskFails = true;
@@ -163,8 +202,10 @@
            });
          });
        }},
-      {"full-disk", [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::replica).diskFails = true; }); }},
-      {"all-restart", [](World& world) {
+      {"full-disk",
+       [](World& world) { world.sim.at(world.faultTime(), [&world] { world.pick(Role::replica).diskFails = true; }); }},
+      {"all-restart",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& host : world.sim.all()) world.crashFor(*host, 200000 + world.sim.below(kSecond));
            for (const auto& hand : world.sim.hands())
@@ -175,19 +216,23 @@
              }
          });
        }},
-      {"replicas-power-lost", [](World& world) {
+      {"replicas-power-lost",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
-           for (auto* replica : world.sim.hosts(Role::replica)) world.crashFor(*replica, 100000 + world.sim.below(kSecond));
+           for (auto* replica : world.sim.hosts(Role::replica))
+             world.crashFor(*replica, 100000 + world.sim.below(kSecond));
          });
        }},
-      {"lossy-sea", [](World& world) {
+      {"lossy-sea",
+       [](World& world) {
          world.sim.at(world.fromUs, [&world] {
            world.sim.plan.sea.drop = 0.05;
            world.sim.plan.sea.twice = 0.05;
            world.sim.plan.sea.late = 0.1;
          });
        }},
-      {"chart-race", [](World& world) {
+      {"chart-race",
+       [](World& world) {
          for (int i = 0; i < 4; ++i)
            world.sim.at(world.faultTime(), [&world] {
              world.markOnce(false);
@@ -195,79 +240,101 @@
              world.markOnce(false);
            });
        }},
-      {"chart-storm", [](World& world) {
+      {"chart-storm",
+       [](World& world) {
          const auto when = world.faultTime();
-         for (int i = 0; i < 40; ++i) world.sim.at(when + i * 50000, [&world] { world.markOnce(world.sim.chance(0.2)); });
+         for (int i = 0; i < 40; ++i)
+           world.sim.at(when + i * 50000, [&world] { world.markOnce(world.sim.chance(0.2)); });
        }},
-      {"cell-emptied", [](World& world) {
+      {"cell-emptied",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            const auto zone = std::string(1, static_cast<char>('a' + world.sim.below(3)));
-           world.setZone(zone, true, [&world, zone] { world.sim.after(6 * kSecond, [&world, zone] { world.setZone(zone, false, {}); }); });
+           world.setZone(zone, true, [&world, zone] {
+             world.sim.after(6 * kSecond, [&world, zone] { world.setZone(zone, false, {}); });
+           });
          });
        }},
-      {"worker-drained", [](World& world) {
+      {"worker-drained",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            const auto name = world.pickHand().worker.traits.name;
-           world.setDrain(name, true, [&world, name] { world.sim.after(4 * kSecond, [&world, name] { world.setDrain(name, false, {}); }); });
+           world.setDrain(name, true, [&world, name] {
+             world.sim.after(4 * kSecond, [&world, name] { world.setDrain(name, false, {}); });
+           });
          });
        }},
-      {"crowd", [](World& world) {
+      {"crowd",
+       [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 120; ++i)
            world.sim.at(when + i * 2000, [&world] {
              const auto load = builtInLoad("leatherwood");
-             world.newJob(load[static_cast<std::size_t>(world.sim.below(3))], world.sim.chance(0.1), world.sim.chance(0.05));
+             world.newJob(load[static_cast<std::size_t>(world.sim.below(3))], world.sim.chance(0.1),
+                          world.sim.chance(0.05));
            });
        }},
-      {"never-succeed", [](World& world) {
-         for (int i = 0; i < 8; ++i) world.sim.at(world.faultTime(), [&world] { world.newJob(LineLoad{"gate"}, true); });
+      {"never-succeed",
+       [](World& world) {
+         for (int i = 0; i < 8; ++i)
+           world.sim.at(world.faultTime(), [&world] { world.newJob(LineLoad{"gate"}, true); });
        }},
-      {"all-replicas-emptied", [](World& world) {
+      {"all-replicas-emptied",
+       [](World& world) {
          world.judge.stalls = false;
          world.sim.at(world.faultTime(), [&world] {
            for (auto* replica : world.sim.hosts(Role::replica)) world.replaceReplica(*replica, true);
          });
        }},
-      {"two-replicas-emptied", [](World& world) {
+      {"two-replicas-emptied",
+       [](World& world) {
          world.judge.stalls = false;
          world.sim.at(world.faultTime(), [&world] {
            auto replicas = world.sim.hosts(Role::replica);
            for (std::size_t i = 0; i < 2; ++i) world.replaceReplica(*replicas[i], true);
          });
        }},
-      {"power-lost-after-yes", [](World& world) {
+      {"power-lost-after-yes",
+       [](World& world) {
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] {
              for (auto* replica : world.sim.hosts(Role::replica)) replica->syncUs = 15000;
              world.submitThen(LineLoad{"checkout"}, [&world](const std::string&) {
-               for (auto* replica : world.sim.hosts(Role::replica)) world.crashFor(*replica, 100000 + world.sim.below(kSecond));
+               for (auto* replica : world.sim.hosts(Role::replica))
+                 world.crashFor(*replica, 100000 + world.sim.below(kSecond));
                if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
              });
            });
        }},
-      {"leader-kill-after-cancel", [](World& world) {
+      {"leader-kill-after-cancel",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
-             world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 4000, 6000, 0, 1.0, 0}, [&world](const std::string& id) {
-               world.cancel(id, [&world] {
-                 if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
-               });
-             });
+             world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 4000, 6000, 0, 1.0, 0},
+                              [&world](const std::string& id) {
+                                world.cancel(id, [&world] {
+                                  if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
+                                });
+                              });
            });
        }},
-      {"rule-swapped", [](World& world) {
+      {"rule-swapped",
+       [](World& world) {
          world.judge.stalls = false;
          const auto swap = [&world](auto again, int turn) -> void {
-           static const char* const rules[] = {R"("rule":"fifo")", R"("rule":"gittins","lanes":3,"thresholdsMs":[2000,8000])",
-                                               R"("rule":"las","lanes":2,"thresholdsMs":[4000])", R"("rule":"las","lanes":1,"thresholdsMs":[])"};
+           static const char* const rules[] = {
+               R"("rule":"fifo")", R"("rule":"gittins","lanes":3,"thresholdsMs":[2000,8000])",
+               R"("rule":"las","lanes":2,"thresholdsMs":[4000])", R"("rule":"las","lanes":1,"thresholdsMs":[])"};
            if (world.sim.nowUs() >= world.quietUs) return;
            const auto mark = "mark-" + std::to_string(++world.nextMark);
-           world.changeConfig("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"admission\":{" + rules[turn % 4] + "}}", mark, "t-" + mark, "", {});
+           world.changeConfig("PATCH", "{\"pendings\":{\"" + mark + "\":{}},\"admission\":{" + rules[turn % 4] + "}}",
+                              mark, "t-" + mark, "", {});
            world.sim.after(250000 + world.sim.below(kSecond / 2), [again, turn] { again(again, turn + 1); });
          };
          world.sim.at(world.fromUs, [swap] { swap(swap, 0); });
        }},
-      {"replica-lags-then-emptied", [](World& world) {
+      {"replica-lags-then-emptied",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            auto* leader = world.sim.leader();
            if (!leader) return;
@@ -283,7 +350,8 @@
            });
          });
        }},
-      {"agent-cut-from-replicas", [](World& world) {
+      {"agent-cut-from-replicas",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& agent = world.pick(Role::agent);
@@ -294,24 +362,30 @@
              world.sim.after(2 * kSecond + world.sim.below(5 * kSecond), [&world] { world.sim.heal(); });
            });
        }},
-      {"resend-storm", [](World& world) {
+      {"resend-storm",
+       [](World& world) {
          for (int i = 0; i < 30; ++i)
            world.sim.at(world.faultTime(), [&world] {
              const auto id = "again-" + std::to_string(++world.nextJob);
              auto body = world.makeJob(LineLoad{"checkout", 1, 1, 3, 1, 2, 50, 900, 0.3, 0.3, 0}, id, false, false);
-             for (int k = 0; k < 4; ++k) world.sim.after(k == 0 ? 0 : world.sim.below(4 * kSecond), [&world, id, body] { world.submit(id, body); });
+             for (int k = 0; k < 4; ++k)
+               world.sim.after(k == 0 ? 0 : world.sim.below(4 * kSecond),
+                               [&world, id, body] { world.submit(id, body); });
            });
        }},
-      {"far-off-jobs", [](World& world) {
+      {"far-off-jobs",
+       [](World& world) {
          for (int i = 0; i < 40; ++i)
            world.sim.at(world.fromUs + world.sim.below(world.quietUs - world.fromUs), [&world] {
-             auto sketch = sketchJob(LineLoad{"checkout", 1, 1, 2, 1, 1, 50, 300, 0, 0, 0}, "far-" + std::to_string(++world.nextJob), [&world] { return world.sim.unit(); });
+             auto sketch = sketchJob(LineLoad{"checkout", 1, 1, 2, 1, 1, 50, 300, 0, 0, 0},
+                                     "far-" + std::to_string(++world.nextJob), [&world] { return world.sim.unit(); });
              sketch.notBeforeMs = 300 + world.sim.below(6000);
              const auto id = sketch.id;
              world.submit(id, world.enter(sketch));
            });
        }},
-      {"replicas-restart-behind-a-cut", [](World& world) {
+      {"replicas-restart-behind-a-cut",
+       [](World& world) {
          world.sim.at(world.fromUs + world.sim.below(kSecond), [&world] {
            auto replicas = world.sim.hosts(Role::replica);
            const auto alone = static_cast<std::size_t>(world.sim.below(3));
@@ -324,33 +398,39 @@
            });
          });
        }},
-      {"long-gangs", [](World& world) {
+      {"long-gangs",
+       [](World& world) {
          for (int i = 0; i < 5; ++i)
            world.sim.at(world.fromUs, [&world] {
              world.submitThen(LineLoad{"rebuild", 1, 3, 4, 2, 4, 15000, 19000, 1.0, 0, 0}, [](const std::string&) {});
            });
        }},
-      {"cancel-storm", [](World& world) {
+      {"cancel-storm",
+       [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 40; ++i)
            world.sim.at(when + i * 40000, [&world] {
-             world.submitThen(LineLoad{"checkout", 1, 1, 4, 1, 3, 500, 4000, 0.3, 0.3, 0}, [&world](const std::string& id) {
-               world.sim.after(world.sim.below(600000), [&world, id] { world.cancel(id); });
-             });
+             world.submitThen(LineLoad{"checkout", 1, 1, 4, 1, 3, 500, 4000, 0.3, 0.3, 0},
+                              [&world](const std::string& id) {
+                                world.sim.after(world.sim.below(600000), [&world, id] { world.cancel(id); });
+                              });
            });
        }},
-      {"worker-machine-cut", [](World& world) {
+      {"worker-machine-cut",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
              world.sim.cutOff(world.pick(Role::agent));
              world.sim.after(3 * kSecond + world.sim.below(5 * kSecond), [&world] { world.sim.heal(); });
            });
        }},
-      {"worker-taken", [](World& world) {
+      {"worker-taken",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] { world.takeSoon(world.pickHand(), 500 + world.sim.below(3000)); });
        }},
-      {"worker-stands-still", [](World& world) {
+      {"worker-stands-still",
+       [](World& world) {
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& hand = world.pickHand();
@@ -361,11 +441,14 @@
              });
            });
        }},
-      {"workers-slow", [](World& world) {
+      {"workers-slow",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
-           world.sim.at(world.faultTime(), [&world] { world.pickHand().worker.traits.slowFactor = 2 + 3 * world.sim.unit(); });
+           world.sim.at(world.faultTime(),
+                        [&world] { world.pickHand().worker.traits.slowFactor = 2 + 3 * world.sim.unit(); });
        }},
-      {"worker-mute", [](World& world) {
+      {"worker-mute",
+       [](World& world) {
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& hand = world.pickHand();
@@ -376,42 +459,55 @@
              });
            });
        }},
-      {"worker-fails-some", [](World& world) {
+      {"worker-fails-some",
+       [](World& world) {
          for (int i = 0; i < 2; ++i)
-           world.sim.at(world.fromUs, [&world] { world.pickHand().worker.traits.failShare = 0.2 + 0.6 * world.sim.unit(); });
+           world.sim.at(world.fromUs,
+                        [&world] { world.pickHand().worker.traits.failShare = 0.2 + 0.6 * world.sim.unit(); });
        }},
-      {"worker-gone", [](World& world) {
-         for (int i = 0; i < 2; ++i) world.sim.at(world.faultTime(), [&world] { world.sim.crashWorker(world.pickHand()); });
+      {"worker-gone",
+       [](World& world) {
+         for (int i = 0; i < 2; ++i)
+           world.sim.at(world.faultTime(), [&world] { world.sim.crashWorker(world.pickHand()); });
        }},
-      {"workers-flap", [](World& world) {
+      {"workers-flap",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.fromUs, [&world] {
              auto& hand = world.pickHand();
              const auto flap = [&world, &hand](auto again) -> void {
                if (world.sim.nowUs() >= world.quietUs) return;
-               if (hand.up) world.sim.crashWorker(hand);
-               else world.sim.startWorker(hand);
+               if (hand.up)
+                 world.sim.crashWorker(hand);
+               else
+                 world.sim.startWorker(hand);
                world.sim.after(kSecond / 2 + world.sim.below(3 * kSecond / 2), [again] { again(again); });
              };
              flap(flap);
            });
        }},
-      {"burst-of-large", [](World& world) {
+      {"burst-of-large",
+       [](World& world) {
          const auto when = world.faultTime();
-         for (int i = 0; i < 12; ++i) world.sim.at(when + i * 20000, [&world] { world.newJob(world.queueOf("rebuild")); });
+         for (int i = 0; i < 12; ++i)
+           world.sim.at(when + i * 20000, [&world] { world.newJob(world.queueOf("rebuild")); });
        }},
-      {"burst-of-urgent", [](World& world) {
+      {"burst-of-urgent",
+       [](World& world) {
          const auto when = world.faultTime();
-         for (int i = 0; i < 60; ++i) world.sim.at(when + i * 10000, [&world] { world.newJob(world.queueOf("checkout")); });
+         for (int i = 0; i < 60; ++i)
+           world.sim.at(when + i * 10000, [&world] { world.newJob(world.queueOf("checkout")); });
        }},
-      {"poison", [](World& world) {
+      {"poison",
+       [](World& world) {
          for (int i = 0; i < 20; ++i)
            world.sim.at(world.faultTime(), [&world] {
              static const char* const lines[] = {"checkout", "gate", "rebuild"};
              world.newJob(world.queueOf(lines[world.sim.below(3)]), true);
            });
        }},
-      {"clock-steps", [](World& world) {
+      {"clock-steps",
+       [](World& world) {
          world.judge.clockStepped = true;
          for (int i = 0; i < 6; ++i)
            world.sim.at(world.faultTime(), [&world] {
@@ -421,23 +517,27 @@
              world.sim.trouble();
            });
        }},
-      {"core-killed", [](World& world) {
+      {"core-killed",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& host : world.sim.all())
              if (host->settings.role != Role::agent) world.crashFor(*host, 100000 + world.sim.below(9 * kSecond / 10));
          });
        }},
-      {"all-power-lost", [](World& world) {
+      {"all-power-lost",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            for (const auto& host : world.sim.all()) world.crashFor(*host, kSecond / 2 + world.sim.below(2 * kSecond));
            for (const auto& hand : world.sim.hands()) {
              auto& each = *hand;
              world.sim.crashWorker(each);
-             world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond), [&world, &each] { world.sim.startWorker(each); });
+             world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond),
+                             [&world, &each] { world.sim.startWorker(each); });
            }
          });
        }},
-      {"core-machine-replaced", [](World& world) {
+      {"core-machine-replaced",
+       [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
            auto& replica = world.pick(Role::replica);
            for (auto* scheduler : world.sim.hosts(Role::scheduler)) {
@@ -451,7 +551,8 @@
            world.replaceReplica(replica, false);
          });
        }},
-      {"disk-stalls", [](World& world) {
+      {"disk-stalls",
+       [](World& world) {
          for (int i = 0; i < 3; ++i)
            world.sim.at(world.faultTime(), [&world] {
              auto& replica = world.pick(Role::replica);
@@ -462,7 +563,8 @@
              });
            });
        }},
-      {"last-fault", [](World& world) {
+      {"last-fault",
+       [](World& world) {
          world.sim.at(world.endUs - 1000, [&world] {
            if (auto* leader = world.sim.leader()) {
              world.retire(*leader);
@@ -479,32 +581,42 @@
 
 const std::map<std::string, Fault>& operations() {
   static const std::map<std::string, Fault> all{
-      {"gang", [](World& world) {
+      {"gang",
+       [](World& world) {
          world.submitThen(LineLoad{"rebuild", 1, 4, 4, 2, 4, 200, 500, 1.0, 0.5, 0}, [](const std::string&) {});
        }},
-      {"cancel", [](World& world) {
-         world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 1500, 2500, 0, 0.5, 0},
-                        [&world](const std::string& id) { world.sim.after(100000, [&world, id] { world.cancel(id); }); });
+      {"cancel",
+       [](World& world) {
+         world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 1500, 2500, 0, 0.5, 0}, [&world](const std::string& id) {
+           world.sim.after(100000, [&world, id] { world.cancel(id); });
+         });
        }},
-      {"failing", [](World& world) { world.newJob(LineLoad{"gate", 1, 2, 2, 1, 1, 50, 100, 0.5, 0, 0}, true); }},
-      {"configuration", [](World& world) {
+      {"failing",
+       [](World& world) {
+         world.newJob(LineLoad{"gate", 1, 2, 2, 1, 1, 50, 100, 0.5, 0, 0}, true);
+       }},
+      {"configuration",
+       [](World& world) {
          world.conditionalOnce(true);
          world.conditionalOnce(false);
          world.setZone("b", true, {});
          world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 200, 500, 0, 0.5, 0}, [](const std::string&) {});
        }},
-      {"takeover", [](World& world) {
+      {"takeover",
+       [](World& world) {
          world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 500, 3500, 0.5, 0.5, 0}, [&world](const std::string&) {
            if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond);
          });
        }},
-      {"preemption", [](World& world) {
+      {"preemption",
+       [](World& world) {
          for (int i = 0; i < 3; ++i) world.newJob(LineLoad{"rebuild", 1, 4, 4, 8, 8, 5500, 6000, 0, 0, 0});
          world.sim.after(3 * kSecond / 2, [&world] {
            for (int i = 0; i < 6; ++i) world.newJob(LineLoad{"checkout", 1, 2, 2, 4, 4, 100, 300, 1.0, 0, 0});
          });
        }},
-      {"cohort-change", [](World& world) {
+      {"cohort-change",
+       [](World& world) {
          world.submitThen(LineLoad{"checkout", 1, 3, 3, 1, 1, 500, 900, 0, 0.5, 0}, [](const std::string&) {});
          world.replaceReplica(world.pick(Role::replica), false);
          world.sim.after(11 * kSecond / 2, [&world] {
@@ -519,13 +631,17 @@
 void strike(World& world, Host& host) {
   world.result.placed = true;
   switch (world.plan.place->blow) {
-    case Blow::crash: return world.crashFor(host, kSecond);
+    case Blow::crash:
+      return world.crashFor(host, kSecond);
     case Blow::power:
       for (auto* replica : world.sim.hosts(Role::replica))
-        if (replica != &host && !world.retired.contains(replica->name)) world.crashFor(*replica, kSecond / 2 + world.sim.below(kSecond));
+        if (replica != &host && !world.retired.contains(replica->name))
+          world.crashFor(*replica, kSecond / 2 + world.sim.below(kSecond));
       return world.crashFor(host, kSecond);
-    case Blow::disk: return world.replaceReplica(host, true);
-    case Blow::freeze: return world.sim.freeze(host, 4 * kSecond);
+    case Blow::disk:
+      return world.replaceReplica(host, true);
+    case Blow::freeze:
+      return world.sim.freeze(host, 4 * kSecond);
     case Blow::cut:
       world.sim.cutOff(host);
       return world.sim.after(4 * kSecond, [&world] { world.sim.heal(); });
@@ -555,9 +671,9 @@
 }
 
 std::vector<std::string> drawFaults(std::uint64_t seed) {
-  static const std::set<std::string> takesAReplica{"replica-disk-lost", "replica-replaced-elsewhere", "replicas-replaced-twice",
-                                                "last-fault",     "full-disk",               "cell-lost",           "replica-lags-then-emptied",
-                                                "disk-dies-replica-lives",  "core-machine-replaced"};
+  static const std::set<std::string> takesAReplica{
+      "replica-disk-lost", "replica-replaced-elsewhere", "replicas-replaced-twice", "last-fault",           "full-disk",
+      "cell-lost",         "replica-lags-then-emptied",  "disk-dies-replica-lives", "core-machine-replaced"};
   auto names = faultNames();
   std::erase(names, "two-replicas-emptied");
   std::erase(names, "all-replicas-emptied");
@@ -570,4 +686,4 @@
   return drawn;
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/faults.hpp
+++ b/src/simulator/faults.hpp
@@ -10,4 +10,4 @@
 const std::map<std::string, Fault>& operations();
 void strike(World& world, Host& host);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/journals.cpp
+++ b/src/simulator/journals.cpp
@@ -47,7 +47,8 @@
   for (std::int64_t k = 0; k < std::max<std::int64_t>(1, numberAt(body, "times")); ++k) {
     const auto membersOf = [&](std::size_t s) {
       std::vector<std::string> names;
-      for (std::int64_t i = 0; i < countOf(s); ++i) names.push_back(std::to_string(k) + "." + std::to_string(s) + "." + std::to_string(i));
+      for (std::int64_t i = 0; i < countOf(s); ++i)
+        names.push_back(std::to_string(k) + "." + std::to_string(s) + "." + std::to_string(i));
       return names;
     };
     for (std::size_t s = 0; s < json_array_size(steps); ++s) {
@@ -55,7 +56,8 @@
       std::vector<std::string> after;
       const json_t* named = json_object_get(step, "after");
       for (std::size_t n = 0; n < json_array_size(named); ++n)
-        for (auto& dep : membersOf(byName[json_string_value(json_array_get(named, n))])) after.push_back(std::move(dep));
+        for (auto& dep : membersOf(byName[json_string_value(json_array_get(named, n))]))
+          after.push_back(std::move(dep));
       const auto members = membersOf(s);
       for (const auto& name : members) {
         call.after[name] = after;
@@ -74,8 +76,10 @@
     std::ifstream in(item.path());
     for (std::string text; std::getline(in, text);) {
       const auto gap = text.find(' ');
-      if (in.eof() || gap == std::string::npos) ++verdict.torn;
-      else lines.emplace_back(std::atoll(text.c_str()), text.substr(gap + 1));
+      if (in.eof() || gap == std::string::npos)
+        ++verdict.torn;
+      else
+        lines.emplace_back(std::atoll(text.c_str()), text.substr(gap + 1));
     }
   }
   std::stable_sort(lines.begin(), lines.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -101,25 +105,32 @@
     } else if (kind == "accepted") {
       auto& call = shore.calls[name];
       if (call.acceptedMs < 0) ++verdict.accepted, call.acceptedMs = atMs;
-    } else if (kind == "denied") shore.calls[name].rejectedMs = atMs;
-    else if (kind == "cancelled") shore.calls[name].cancelledMs = atMs;
-    else if (kind == "unknown" && shore.calls[name].acceptedMs >= 0) verdict.broken.push_back("forgotten: " + name + " is unknown after it was accepted");
+    } else if (kind == "denied")
+      shore.calls[name].rejectedMs = atMs;
+    else if (kind == "cancelled")
+      shore.calls[name].cancelledMs = atMs;
+    else if (kind == "unknown" && shore.calls[name].acceptedMs >= 0)
+      verdict.broken.push_back("forgotten: " + name + " is unknown after it was accepted");
     else if (kind == "shown") {
       auto& call = shore.calls[name];
       ++verdict.ended;
       call.shown = more;
       call.endedMs = atMs;
-    } else if (kind == "limit") shore.limits[name] = std::atoll(more.c_str());
-    else if (kind == "drained" || kind == "emptied") shore.drained[kind + " " + name].emplace_back(atMs, INT64_MAX);
+    } else if (kind == "limit")
+      shore.limits[name] = std::atoll(more.c_str());
+    else if (kind == "drained" || kind == "emptied")
+      shore.drained[kind + " " + name].emplace_back(atMs, INT64_MAX);
     else if (kind == "undrained" || kind == "unemptied") {
       auto& spans = shore.drained[kind.substr(2) + " " + name];
       if (!spans.empty() && spans.back().second == INT64_MAX) spans.back().second = atMs;
-    } else if (kind == "confirmed") confirmedMs.try_emplace(std::atoll(name.c_str()), atMs);
+    } else if (kind == "confirmed")
+      confirmedMs.try_emplace(std::atoll(name.c_str()), atMs);
     else if (kind == "read") {
       ++verdict.reads;
       for (const auto& [version, whenMs] : confirmedMs)
         if (version > std::atoll(name.c_str()) && std::atoll(more.c_str()) > whenMs + kConfigGraceMs)
-          verdict.broken.push_back("chart: revision " + name + " is answered " + std::to_string(std::atoll(more.c_str()) - whenMs) + " ms after " +
+          verdict.broken.push_back("chart: revision " + name + " is answered " +
+                                   std::to_string(std::atoll(more.c_str()) - whenMs) + " ms after " +
                                    std::to_string(version) + " was confirmed");
     }
   }
@@ -147,23 +158,29 @@
       }
       const auto& call = found->second;
       if (call.rejectedMs >= 0) fault("asked-for: " + span.run + " runs though its job was denied");
-      if (call.endedMs >= 0 && span.fromMs > call.endedMs) fault("asked-for: " + span.run + " starts after its job was shown " + call.shown);
-      if (call.cancelledMs >= 0 && span.fromMs > call.cancelledMs + kCancelGraceMs) fault("cancelled: " + span.run + " starts after its cancel was confirmed");
+      if (call.endedMs >= 0 && span.fromMs > call.endedMs)
+        fault("asked-for: " + span.run + " starts after its job was shown " + call.shown);
+      if (call.cancelledMs >= 0 && span.fromMs > call.cancelledMs + kCancelGraceMs)
+        fault("cancelled: " + span.run + " starts after its cancel was confirmed");
       if (span.fromMs + kEarlyGraceMs < call.submittedMs + call.notBeforeMs) fault("early: " + span.run);
       for (const auto& step : call.after.at(task.substr(colon + 1)))
-        if (firstClean(found->first, call, step) > span.fromMs) fault("steps: " + span.run + " starts before " + step + " is done");
-      if (auto limit = shore.limits.find(call.line); limit != shore.limits.end() && failures >= limit->second && !call.standing.contains(task.substr(colon + 1)))
+        if (firstClean(found->first, call, step) > span.fromMs)
+          fault("steps: " + span.run + " starts before " + step + " is done");
+      if (auto limit = shore.limits.find(call.line);
+          limit != shore.limits.end() && failures >= limit->second && !call.standing.contains(task.substr(colon + 1)))
         fault("failures: " + span.run + " starts after " + std::to_string(failures) + " failures");
       if (auto drained = shore.drained.find("drained " + span.worker); drained != shore.drained.end())
         for (const auto& [fromMs, untilMs] : drained->second)
-          if (span.fromMs > fromMs + kDrainGraceMs && span.fromMs < untilMs) fault("draining: " + span.run + " starts on drained " + span.worker);
+          if (span.fromMs > fromMs + kDrainGraceMs && span.fromMs < untilMs)
+            fault("draining: " + span.run + " starts on drained " + span.worker);
       failures += span.outcome == "failed" && span.ackedMs >= 0;
     }
   }
   for (const auto& [id, call] : shore.calls) {
     if (call.acceptedMs >= 0 && call.endedMs < 0) fault("ends: " + id + " was accepted and not seen to end");
     for (const auto& [name, steps] : call.after)
-      if (call.shown == "finished" && firstClean(id, call, name) > call.endedMs) fault("finished: " + id + " is shown finished but " + name + " had not ended cleanly");
+      if (call.shown == "finished" && firstClean(id, call, name) > call.endedMs)
+        fault("finished: " + id + " is shown finished but " + name + " had not ended cleanly");
   }
 }
 
@@ -182,9 +199,12 @@
       Line line;
       if (words >> line.atMs >> line.worker >> line.life >> line.kind >> line.run) {
         words >> line.more;
-        if (in.eof()) ++verdict.torn;
-        else lines.push_back(std::move(line));
-      } else ++verdict.torn;
+        if (in.eof())
+          ++verdict.torn;
+        else
+          lines.push_back(std::move(line));
+      } else
+        ++verdict.torn;
     }
   }
   std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.atMs < b.atMs; });
@@ -195,7 +215,8 @@
     auto& life = lifeOf[line.worker];
     if (life != line.life) held[line.worker] = 0;
     life = line.life;
-    if (line.kind == "over" && line.more != "slots") verdict.broken.push_back("room: " + line.worker + " has too little " + line.more + " for " + line.run);
+    if (line.kind == "over" && line.more != "slots")
+      verdict.broken.push_back("room: " + line.worker + " has too little " + line.more + " for " + line.run);
     if (line.kind != "start" && line.kind != "end" && line.kind != "acked") continue;
     auto& spans = byTask[taskOf(line.run)];
     if (line.kind == "start") {
@@ -207,7 +228,8 @@
       span.life = line.life;
       span.slots = std::atoll(line.more.c_str());
       held[line.worker] += span.slots;
-      if (held[line.worker] > slotsEach) verdict.broken.push_back("room: " + line.worker + " runs " + std::to_string(held[line.worker]) + " slots");
+      if (held[line.worker] > slotsEach)
+        verdict.broken.push_back("room: " + line.worker + " runs " + std::to_string(held[line.worker]) + " slots");
       spans.push_back(std::move(span));
       continue;
     }
@@ -233,10 +255,14 @@
       for (const auto& other : spans) {
         if (&one == &other || other.fromMs < one.fromMs || repeats) continue;
         const bool completed = one.outcome == "clean" || one.outcome == "failed";
-        if (completed && other.fromMs < one.untilMs) verdict.broken.push_back("once: " + other.run + " starts while " + one.run + " runs");
+        if (completed && other.fromMs < one.untilMs)
+          verdict.broken.push_back("once: " + other.run + " starts while " + one.run + " runs");
         if (one.outcome != "clean" || other.fromMs < one.untilMs) continue;
-        if (one.ackedMs >= 0) verdict.broken.push_back("once: " + other.run + " starts after " + one.run + " ended cleanly and was acknowledged");
-        else ++verdict.unacknowledgedReruns;
+        if (one.ackedMs >= 0)
+          verdict.broken.push_back("once: " + other.run + " starts after " + one.run +
+                                   " ended cleanly and was acknowledged");
+        else
+          ++verdict.unacknowledgedReruns;
       }
     }
     verdict.cleanTasks += clean;
@@ -244,4 +270,4 @@
   return verdict;
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/journals.hpp
+++ b/src/simulator/journals.hpp
@@ -13,4 +13,4 @@
 
 JournalVerdict judgeJournals(const std::string& folder, std::int64_t slotsEach = 8);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/judge.cpp
+++ b/src/simulator/judge.cpp
@@ -5,9 +5,10 @@
 namespace tulip::simulator {
 
 const std::vector<std::string>& ruleNames() {
-  static const std::vector<std::string> all{"apart",   "asked-for", "cancelled", "chart", "counters", "denied", "denied-chart", "draining",
-                                            "early",   "emptied",   "ends",      "failures", "finished", "forgotten", "gang",       "inside",
-                                            "needs",   "once",      "room",      "shown", "stalled",  "steps",  "turned-away"};
+  static const std::vector<std::string> all{
+      "apart", "asked-for", "cancelled", "chart",    "counters", "denied",    "denied-chart", "draining",
+      "early", "emptied",   "ends",      "failures", "finished", "forgotten", "gang",         "inside",
+      "needs", "once",      "room",      "shown",    "stalled",  "steps",     "turned-away"};
   return all;
 }
 
@@ -76,7 +77,8 @@
         truth.members = step.count;
       }
       for (auto dep : step.after)
-        for (std::int64_t i = 0; i < sketch.steps[dep].count; ++i) truth.after.push_back(firstOf[dep] + static_cast<std::size_t>(i));
+        for (std::int64_t i = 0; i < sketch.steps[dep].count; ++i)
+          truth.after.push_back(firstOf[dep] + static_cast<std::size_t>(i));
       for (std::int64_t i = 0; i < step.count; ++i) {
         job.names.push_back(std::to_string(k) + "." + std::to_string(s) + "." + std::to_string(i));
         job.tasks.push_back(truth);
@@ -108,7 +110,8 @@
   auto& job = jobs.at(id);
   ++checks;
   job.rejected = true;
-  if (!job.mustBeRejected) fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it " + answer);
+  if (!job.mustBeRejected)
+    fault("denied", id + " was denied with " + std::to_string(status) + " though nothing is wrong with it " + answer);
   if (job.acceptedMs >= 0) fault("denied", id + " was denied after it had been accepted");
 }
 
@@ -146,7 +149,8 @@
   const auto run = text.substr(0, text.find(' '));
   const auto word = [&](const std::string& key) {
     const auto at = text.find(" " + key + "=");
-    return at == std::string::npos ? std::string() : text.substr(at + key.size() + 2, text.find(' ', at + 1) - at - key.size() - 2);
+    return at == std::string::npos ? std::string()
+                                   : text.substr(at + key.size() + 2, text.find(' ', at + 1) - at - key.size() - 2);
   };
   const Millis now = sim_.nowMs();
   ++starts;
@@ -158,31 +162,40 @@
   if (job->turnedAway) fault("turned-away", run + " starts though every try to hand its job in was turned away");
   const bool lateCopy = task.repeats && now <= job->shownEndedMs + kNotedMs;
   if (!job->shown.empty() && !lateCopy) fault("asked-for", run + " starts after its job was shown " + job->shown);
-  if (!task.payload.empty() && word("payload") != task.payload) fault("asked-for", run + " is started with a payload that is not its own");
+  if (!task.payload.empty() && word("payload") != task.payload)
+    fault("asked-for", run + " is started with a payload that is not its own");
   if (const auto saved = word("saved"); !saved.empty() && !lead.issued.contains(saved))
     fault("asked-for", run + " is started from a checkpoint that is not its own: " + saved);
   if (task.members > 1) {
     const auto [first, fresh] = lead.resumed.try_emplace(commands::attemptOf(run), word("saved"));
-    if (!fresh && first->second != word("saved")) fault("gang", run + " is started from another checkpoint than its gang");
+    if (!fresh && first->second != word("saved"))
+      fault("gang", run + " is started from another checkpoint than its gang");
   }
   ++task.starts;
   if (job->firstStartMs < 0) job->firstStartMs = now;
   checks += 12;
   for (const auto& [other, where] : task.running) {
     if (task.repeats) break;
-    if (where->up && sim_.nowUs() < where->frozenUntilUs) task.superseded.insert(other);
-    else fault("once", run + " starts on " + hand.worker.traits.name + " while " + other + " runs on " + where->worker.traits.name);
+    if (where->up && sim_.nowUs() < where->frozenUntilUs)
+      task.superseded.insert(other);
+    else
+      fault("once", run + " starts on " + hand.worker.traits.name + " while " + other + " runs on " +
+                        where->worker.traits.name);
   }
   const bool noted = !task.repeats || (now > lead.deliveredMs + kNotedMs && !sim_.troubled(kInTouchMs));
   if (!lead.delivered.empty() && noted) fault("once", run + " starts after the task ended cleanly");
   for (auto dep : task.after)
     if (!job->clean(dep)) fault("steps", run + " starts before " + job->names[dep] + " is done");
   const Millis earlyMs = std::max(kEarlyGraceMs, sim_.plan.bounds.earlyMs) + (clockStepped ? kClockStepMs : 0);
-  if (now + kEarlyGraceMs < job->submittedMs + job->notBeforeMs || now + earlyMs < task.dueMs) fault("early", run + " starts before its time");
-  const bool counted = !task.standing && (!task.repeats || (now > lead.failedMs + kNotedMs && !sim_.troubled(kInTouchMs)));
-  if (auto limit = failureLimit.find(job->line); counted && limit != failureLimit.end() && job->failures(at) >= limit->second)
+  if (now + kEarlyGraceMs < job->submittedMs + job->notBeforeMs || now + earlyMs < task.dueMs)
+    fault("early", run + " starts before its time");
+  const bool counted =
+      !task.standing && (!task.repeats || (now > lead.failedMs + kNotedMs && !sim_.troubled(kInTouchMs)));
+  if (auto limit = failureLimit.find(job->line);
+      counted && limit != failureLimit.end() && job->failures(at) >= limit->second)
     fault("failures", run + " starts after " + std::to_string(job->failures(at)) + " failures");
-  if (job->cancelledMs >= 0 && now > job->cancelledMs + kCancelGraceMs) fault("cancelled", run + " starts after its cancel was confirmed");
+  if (job->cancelledMs >= 0 && now > job->cancelledMs + kCancelGraceMs)
+    fault("cancelled", run + " starts after its cancel was confirmed");
   task.running[run] = &hand;
   judgePlace(hand, *job, at, run);
   judgeCapacity(hand);
@@ -195,18 +208,22 @@
   const auto& zone = hand.agent->settings.zone.value;
   if (auto since = emptiedSinceMs_.find(zone); since != emptiedSinceMs_.end() && now > since->second + kEmptyGraceMs)
     fault("emptied", run + " starts in emptied cell " + zone);
-  if (auto since = drainedSinceMs_.find(traits.name); since != drainedSinceMs_.end() && now > since->second + kDrainGraceMs)
+  if (auto since = drainedSinceMs_.find(traits.name);
+      since != drainedSinceMs_.end() && now > since->second + kDrainGraceMs)
     fault("draining", run + " starts on drained " + traits.name);
-  if (auto since = leavingSinceMs_.find(traits.name); since != leavingSinceMs_.end() && now > since->second + kDrainGraceMs)
+  if (auto since = leavingSinceMs_.find(traits.name);
+      since != leavingSinceMs_.end() && now > since->second + kDrainGraceMs)
     fault("draining", run + " starts on leaving " + traits.name);
-  if (!task.needs.empty() && std::none_of(traits.labels.begin(), traits.labels.end(), [&](const auto& label) { return label.second == task.needs; }))
+  if (!task.needs.empty() && std::none_of(traits.labels.begin(), traits.labels.end(),
+                                          [&](const auto& label) { return label.second == task.needs; }))
     fault("needs", run + " starts on " + traits.name + ", which has no label " + task.needs);
   if (task.apart > 0) {
     std::int64_t beside = 0;
     for (const auto& other : job.tasks)
       if (other.step == task.step && other.instance == task.instance)
         for (const auto& [name, where] : other.running) beside += where == &hand;
-    if (beside > task.apart) fault("apart", traits.name + " runs " + std::to_string(beside) + " tasks of the step of " + run);
+    if (beside > task.apart)
+      fault("apart", traits.name + " runs " + std::to_string(beside) + " tasks of the step of " + run);
   }
 }
 
@@ -221,7 +238,8 @@
   if (slots > traits.slots) fault("room", traits.name + " runs " + std::to_string(slots) + " slots");
   for (const auto& [kind, amount] : held) {
     const auto total = traits.capacity.find(kind);
-    if (amount > (total == traits.capacity.end() ? 0 : total->second)) fault("room", traits.name + " runs " + std::to_string(amount) + " of " + kind);
+    if (amount > (total == traits.capacity.end() ? 0 : total->second))
+      fault("room", traits.name + " runs " + std::to_string(amount) + " of " + kind);
   }
 }
 
@@ -248,8 +266,10 @@
   if (status != 200) return;
   Json root = parseJson(body);
   const auto& name = hand.worker.traits.name;
-  if (flagAt(root.get(), "leaving")) leavingSinceMs_.try_emplace(name, sim_.nowMs());
-  else leavingSinceMs_.erase(name);
+  if (flagAt(root.get(), "leaving"))
+    leavingSinceMs_.try_emplace(name, sim_.nowMs());
+  else
+    leavingSinceMs_.erase(name);
   const json_t* ended = json_object_get(root.get(), "ended");
   for (std::size_t i = 0; i < json_array_size(ended); ++i) {
     const json_t* item = json_array_get(ended, i);
@@ -265,7 +285,8 @@
   auto& job = jobs.at(id);
   ++checks;
   if (status == 404) {
-    if (job.acceptedMs >= 0 && !(forgetsEnded && !job.shown.empty())) fault("forgotten", id + " is answered as unknown after it was accepted");
+    if (job.acceptedMs >= 0 && !(forgetsEnded && !job.shown.empty()))
+      fault("forgotten", id + " is answered as unknown after it was accepted");
     return;
   }
   if (status != 200) return;
@@ -280,7 +301,8 @@
   const auto state = textAt(view, "state");
   const bool ended = state == "finished" || state == "failed" || state == "cancelled" || state == "expired";
   if (!ended) {
-    if (!job.shown.empty() && (askedMs < 0 || askedMs > job.shownEndedMs)) fault("shown", id + " is shown " + state + " after " + job.shown);
+    if (!job.shown.empty() && (askedMs < 0 || askedMs > job.shownEndedMs))
+      fault("shown", id + " is shown " + state + " after " + job.shown);
     return;
   }
   if (!job.shown.empty() && job.shown != state) fault("shown", id + " is shown " + state + " after " + job.shown);
@@ -295,7 +317,8 @@
   }
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     const auto& task = job.tasks[i];
-    if (state == "finished" && !job.clean(i)) fault("finished", id + " is shown finished but " + job.names[i] + " never ended cleanly");
+    if (state == "finished" && !job.clean(i))
+      fault("finished", id + " is shown finished but " + job.names[i] + " never ended cleanly");
     for (const auto& [run, where] : task.running)
       if (!task.repeats && !task.superseded.contains(run) && !(where->up && sim_.nowUs() < where->frozenUntilUs))
         fault("finished", id + " is shown " + state + " while " + run + " runs");
@@ -320,11 +343,12 @@
   auto [slot, fresh] = textOf_.try_emplace(version, text);
   if (!fresh && slot->second != text) fault("chart", "revision " + std::to_string(version) + " has two contents");
   for (const auto& mark : rejected_)
-    if (text.find("\"" + mark + "\"") != std::string::npos) fault("denied-chart", mark + " was denied and is in revision " + std::to_string(version));
+    if (text.find("\"" + mark + "\"") != std::string::npos)
+      fault("denied-chart", mark + " was denied and is in revision " + std::to_string(version));
   for (const auto& [each, whenMs] : confirmedMs_)
     if (each > version && (final || askedMs > whenMs + kConfigGraceMs))
-      fault("chart", "revision " + std::to_string(each) + " was confirmed, " + std::to_string(version) + " is still answered " +
-                         std::to_string(askedMs - whenMs) + " ms later");
+      fault("chart", "revision " + std::to_string(each) + " was confirmed, " + std::to_string(version) +
+                         " is still answered " + std::to_string(askedMs - whenMs) + " ms later");
   for (const auto& [mark, at] : markVersion_)
     if (at == version && at != 0 && text.find("\"" + mark + "\"") == std::string::npos)
       fault("chart", mark + " is missing from its revision");
@@ -348,7 +372,8 @@
 
 std::string Judge::described(const JobTruth& job, std::size_t at) const {
   const auto& task = job.tasks[at];
-  auto text = job.names[at] + " (" + std::to_string(task.starts) + " starts, " + std::to_string(job.failures(at)) + " failures";
+  auto text =
+      job.names[at] + " (" + std::to_string(task.starts) + " starts, " + std::to_string(job.failures(at)) + " failures";
   if (task.members > 1) text += ", one of " + std::to_string(task.members);
   if (task.apart > 0) text += ", " + std::to_string(task.apart) + " on a worker";
   if (!task.needs.empty()) text += ", needs " + task.needs;
@@ -374,15 +399,19 @@
       if (!task.running.empty()) {
         for (std::size_t k = 0; k < job.tasks.size(); ++k) {
           const auto& other = job.tasks[k];
-          const bool ready = std::all_of(other.after.begin(), other.after.end(), [&](auto dep) { return job.clean(dep); });
+          const bool ready =
+              std::all_of(other.after.begin(), other.after.end(), [&](auto dep) { return job.clean(dep); });
           const bool sameWave = other.after == task.after;
           if (k != i && ready && sameWave && other.running.empty() && other.cleanEnds == 0) alone = true;
         }
       }
-      if (!alone) task.lonelySinceMs = -1;
-      else if (task.lonelySinceMs < 0) task.lonelySinceMs = sim_.nowMs();
+      if (!alone)
+        task.lonelySinceMs = -1;
+      else if (task.lonelySinceMs < 0)
+        task.lonelySinceMs = sim_.nowMs();
       else if (sim_.nowMs() - task.lonelySinceMs > lonelyMs) {
-        fault("gang", id + ": " + job.names[i] + " waits alone for " + std::to_string(sim_.nowMs() - task.lonelySinceMs) + " ms");
+        fault("gang", id + ": " + job.names[i] + " waits alone for " +
+                          std::to_string(sim_.nowMs() - task.lonelySinceMs) + " ms");
         task.lonelySinceMs = sim_.nowMs();
       }
     }
@@ -395,15 +424,16 @@
     if (job.cancelledMs < 0 || sim_.nowMs() <= job.cancelledMs + lastMs || !job.shown.empty()) continue;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
       ++checks;
-      if (!job.tasks[i].running.empty() && !sim_.troubled(lastMs + kInTouchMs)) fault("cancelled", id + ": " + job.names[i] + " still runs after its cancel was confirmed");
+      if (!job.tasks[i].running.empty() && !sim_.troubled(lastMs + kInTouchMs))
+        fault("cancelled", id + ": " + job.names[i] + " still runs after its cancel was confirmed");
     }
   }
 }
 
 bool Judge::usable(const Hand& hand) const {
   const auto& name = hand.worker.traits.name;
-  return hand.up && hand.agent->up && !hand.cut && !hand.worker.leaving && sim_.nowUs() >= hand.frozenUntilUs && !drainedSinceMs_.contains(name) &&
-         !emptiedSinceMs_.contains(hand.agent->settings.zone.value);
+  return hand.up && hand.agent->up && !hand.cut && !hand.worker.leaving && sim_.nowUs() >= hand.frozenUntilUs &&
+         !drainedSinceMs_.contains(name) && !emptiedSinceMs_.contains(hand.agent->settings.zone.value);
 }
 
 void Judge::sweepStalled() {
@@ -433,7 +463,8 @@
     }
     free.push_back({hand.get(), std::move(capacity)});
   }
-  const bool roomy = !free.empty() && std::all_of(total.begin(), total.end(), [&](const auto& each) { return used[each.first] * 2 < each.second; });
+  const bool roomy = !free.empty() && std::all_of(total.begin(), total.end(),
+                                                  [&](const auto& each) { return used[each.first] * 2 < each.second; });
   const auto fitsTwice = [&](const JobTruth& job, const std::vector<std::size_t>& unit) {
     auto left = free;
     for (int copy = 0; copy < 2; ++copy) {
@@ -444,9 +475,11 @@
         need[""] = task.slots;
         const auto found = std::find_if(left.begin(), left.end(), [&](Free& each) {
           const auto& labels = each.hand->worker.traits.labels;
-          return (task.needs.empty() || std::any_of(labels.begin(), labels.end(), [&](const auto& label) { return label.second == task.needs; })) &&
+          return (task.needs.empty() || std::any_of(labels.begin(), labels.end(),
+                                                    [&](const auto& label) { return label.second == task.needs; })) &&
                  (task.apart == 0 || beside[each.hand] < task.apart) &&
-                 std::all_of(need.begin(), need.end(), [&](const auto& kind) { return kind.second <= each.capacity[kind.first]; });
+                 std::all_of(need.begin(), need.end(),
+                             [&](const auto& kind) { return kind.second <= each.capacity[kind.first]; });
         });
         if (found == left.end()) return false;
         ++beside[found->hand];
@@ -458,21 +491,26 @@
   for (auto& [id, job] : jobs) {
     if (job.acceptedMs < 0 || !job.shown.empty() || job.cancelAskedMs >= 0) continue;
     ++checks;
-    const bool runs = std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return !task.running.empty(); });
+    const bool runs =
+        std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return !task.running.empty(); });
     std::vector<std::size_t> unit;
     if (roomy && !runs)
       for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         if (!job.ready(i, sim_.nowMs())) continue;
         const auto limit = failureLimit.find(job.line);
         if (!job.tasks[i].standing && limit != failureLimit.end() && job.failures(i) >= limit->second) continue;
-        const bool sameGang = !unit.empty() && job.tasks[i].members > 1 && job.tasks[i].lead == job.tasks[unit.front()].lead;
+        const bool sameGang =
+            !unit.empty() && job.tasks[i].members > 1 && job.tasks[i].lead == job.tasks[unit.front()].lead;
         if (unit.empty() || job.gang || sameGang) unit.push_back(i);
       }
-    if (unit.empty() || !fitsTwice(job, unit)) job.stalledSinceMs = -1;
-    else if (job.stalledSinceMs < 0) job.stalledSinceMs = sim_.nowMs();
+    if (unit.empty() || !fitsTwice(job, unit))
+      job.stalledSinceMs = -1;
+    else if (job.stalledSinceMs < 0)
+      job.stalledSinceMs = sim_.nowMs();
     else if (sim_.nowMs() - job.stalledSinceMs > kStallMs) {
-      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) + " ms though there is room twice over for " +
-                           described(job, unit.front()) + ", " + std::to_string(unit.size()) + " at once");
+      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) +
+                           " ms though there is room twice over for " + described(job, unit.front()) + ", " +
+                           std::to_string(unit.size()) + " at once");
       job.stalledSinceMs = sim_.nowMs();
     }
   }
@@ -486,9 +524,10 @@
       while (open + 1 < job.tasks.size() && !job.ready(open, sim_.nowMs())) ++open;
       fault("ends", id + " was accepted and never ended" + (job.tasks.empty() ? "" : ": " + described(job, open)));
     }
-    if (job.cancelledMs < 0 && job.acceptedMs >= 0 && !job.neverSucceeds && job.cancelAskedMs < 0 && job.shown == "cancelled")
+    if (job.cancelledMs < 0 && job.acceptedMs >= 0 && !job.neverSucceeds && job.cancelAskedMs < 0 &&
+        job.shown == "cancelled")
       fault("shown", id + " is shown cancelled but nobody cancelled it");
   }
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/judge.hpp
+++ b/src/simulator/judge.hpp
@@ -14,15 +14,15 @@
   Millis deliveredMs = -1, failedMs = -1;
   Millis lonelySinceMs = -1;
   std::map<std::string, std::int64_t> capacity;
-  std::size_t lead = kItself;   // the first member, which keeps the ends of its whole gang
+  std::size_t lead = kItself;  // the first member, which keeps the ends of its whole gang
   std::size_t step = 0;
   std::int64_t instance = 0, members = 1;
   Millis dueMs = 0;
   bool repeats = false, standing = false;
-  std::string needs, payload;   // payload: its digest; empty: any
+  std::string needs, payload;  // payload: its digest; empty: any
   std::int64_t apart = 0;
-  std::set<std::string> issued;                // checkpoints of its runs
-  std::map<std::int64_t, std::string> resumed; // attempt -> checkpoint it was started from
+  std::set<std::string> issued;                 // checkpoints of its runs
+  std::map<std::int64_t, std::string> resumed;  // attempt -> checkpoint it was started from
 
   static constexpr std::size_t kItself = static_cast<std::size_t>(-1);
 };
@@ -51,7 +51,9 @@
   Millis stalledSinceMs = -1;
 
   TaskTruth& lead(std::size_t at) { return tasks[tasks[at].lead == TaskTruth::kItself ? at : tasks[at].lead]; }
-  const TaskTruth& lead(std::size_t at) const { return tasks[tasks[at].lead == TaskTruth::kItself ? at : tasks[at].lead]; }
+  const TaskTruth& lead(std::size_t at) const {
+    return tasks[tasks[at].lead == TaskTruth::kItself ? at : tasks[at].lead];
+  }
   bool clean(std::size_t at) const { return lead(at).cleanEnds > 0; }
   std::int64_t failures(std::size_t at) const;
   bool ready(std::size_t at, Millis nowMs) const;
@@ -121,4 +123,4 @@
   std::map<std::string, Millis> emptiedSinceMs_, drainedSinceMs_, leavingSinceMs_;
 };
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/load.cpp
+++ b/src/simulator/load.cpp
@@ -17,7 +17,9 @@
   const auto drawn = [&](double share) { return share > 0 && dice() < share; };
   const auto whole = static_cast<std::int64_t>(load.perJob);
   const auto count = std::max<std::int64_t>(1, whole + drawn(load.perJob - static_cast<double>(whole)));
-  const auto around = [&](std::int64_t mean) { return std::max<std::int64_t>(1, static_cast<std::int64_t>(static_cast<double>(mean) * (0.6 + 0.8 * dice()))); };
+  const auto around = [&](std::int64_t mean) {
+    return std::max<std::int64_t>(1, static_cast<std::int64_t>(static_cast<double>(mean) * (0.6 + 0.8 * dice())));
+  };
   for (std::int64_t i = 0; i < count; ++i) {
     StepSketch step;
     step.name = "s" + std::to_string(i);
@@ -31,9 +33,16 @@
     step.oneRack = step.together && drawn(load.oneRack);
     step.saves = drawn(load.saves);
     step.repeats = !step.together && drawn(load.repeats);
-    if (!grounds.racks.empty() && drawn(load.near)) step.near = grounds.racks[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.racks.size()) - 1, dice))];
-    if (!grounds.kinds.empty() && drawn(load.needs)) step.needs = grounds.kinds[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.kinds.size()) - 1, dice))];
-    if (drawn(load.apart)) step.apart = std::max<std::int64_t>(2, (step.count + 4) / 5);  // fits on the five workers of a kind
+    if (!grounds.racks.empty() && drawn(load.near))
+      step.near =
+          grounds
+              .racks[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.racks.size()) - 1, dice))];
+    if (!grounds.kinds.empty() && drawn(load.needs))
+      step.needs =
+          grounds
+              .kinds[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(grounds.kinds.size()) - 1, dice))];
+    if (drawn(load.apart))
+      step.apart = std::max<std::int64_t>(2, (step.count + 4) / 5);  // fits on the five workers of a kind
     if (drawn(0.03)) step.failAttempts = 1;
     job.steps.push_back(std::move(step));
   }
@@ -78,8 +87,11 @@
       json_object_set_new(item, "after", after);
     }
     if (step.estimateMs) json_object_set_new(item, "estimateMs", json_integer(step.estimateMs));
-    const std::pair<const char*, bool> flags[] = {
-        {"together", step.together}, {"oneRack", step.oneRack}, {"repeats", step.repeats}, {"standing", step.standing}, {"saves", step.saves}};
+    const std::pair<const char*, bool> flags[] = {{"together", step.together},
+                                                  {"oneRack", step.oneRack},
+                                                  {"repeats", step.repeats},
+                                                  {"standing", step.standing},
+                                                  {"saves", step.saves}};
     for (const auto& [name, on] : flags)
       if (on) json_object_set_new(item, name, json_true());
     if (!step.needs.empty()) json_object_set_new(item, "needs", jsonText(step.needs));
@@ -122,21 +134,25 @@
       for (std::int64_t k = 0; k < i; ++k) task.after.push_back(static_cast<std::size_t>(k));
     task.runMs = between(load.leastRunMs, load.mostRunMs, dice);
     if (load.heavyTail > 0)
-      task.runMs = static_cast<Millis>(static_cast<double>(load.leastRunMs) / std::pow(std::max(1e-3, dice()), load.heavyTail));
+      task.runMs =
+          static_cast<Millis>(static_cast<double>(load.leastRunMs) / std::pow(std::max(1e-3, dice()), load.heavyTail));
     if (dice() < 0.03) task.failAttempts = 1;
     job.tasks.push_back(std::move(task));
   }
   return job;
 }
 
-std::string payloadOf(const TaskSketch& task) { return dumpJson(payloadJson(task.runMs, task.fails, task.failAttempts).get()); }
+std::string payloadOf(const TaskSketch& task) {
+  return dumpJson(payloadJson(task.runMs, task.fails, task.failAttempts).get());
+}
 
 std::string payloadOf(const StepSketch& step) {
   Json payload = payloadJson(step.runMs, step.fails, step.failAttempts);
   json_object_set_new(payload.get(), "slots", json_integer(step.slots));
   if (!step.capacity.empty()) json_object_set_new(payload.get(), "room", capacityJson(step.capacity));
   if (step.together) json_object_set_new(payload.get(), "together", json_integer(step.count));
-  const std::pair<const char*, bool> flags[] = {{"oneRack", step.oneRack}, {"standing", step.standing}, {"saves", step.saves}};
+  const std::pair<const char*, bool> flags[] = {
+      {"oneRack", step.oneRack}, {"standing", step.standing}, {"saves", step.saves}};
   for (const auto& [name, on] : flags)
     if (on) json_object_set_new(payload.get(), name, json_true());
   if (!step.near.empty()) json_object_set_new(payload.get(), "near", jsonText(step.near));
@@ -172,12 +188,14 @@
 }
 
 const std::vector<std::string>& loadNames() {
-  static const std::vector<std::string> all{"leatherwood", "kerala", "heavy", "leatherwood-steps", "kerala-steps", "leatherwood-grown", "kerala-grown"};
+  static const std::vector<std::string> all{
+      "leatherwood", "kerala", "heavy", "leatherwood-steps", "kerala-steps", "leatherwood-grown", "kerala-grown"};
   return all;
 }
 
 std::vector<LineLoad> builtInLoad(const std::string& name) {
-  const auto steps = [](LineLoad line, double perJob, std::int64_t count, std::int64_t cpu, Millis runMs, Millis aimMs, double stretch, std::int64_t rank) {
+  const auto steps = [](LineLoad line, double perJob, std::int64_t count, std::int64_t cpu, Millis runMs, Millis aimMs,
+                        double stretch, std::int64_t rank) {
     line.perJob = perJob;
     line.count = count;
     line.cpu = cpu;
@@ -204,16 +222,20 @@
     return std::vector<LineLoad>{small, middle, big};
   };
   if (name == "leatherwood-steps")
-    return threeLines(steps({"rebuild", 0.65}, 1.2, 4, 2900, 5000, 2000, 2.2, 0), steps({"gate", 1.25}, 1.5, 10, 800, 1800, 4000, 3.2, 5),
+    return threeLines(steps({"rebuild", 0.65}, 1.2, 4, 2900, 5000, 2000, 2.2, 0),
+                      steps({"gate", 1.25}, 1.5, 10, 800, 1800, 4000, 3.2, 5),
                       steps({"checkout", 5.9}, 1, 2, 1100, 1000, 1000, 1.5, 10));
   if (name == "kerala-steps")
-    return threeLines(steps({"rebuild", 0.53}, 1.2, 4, 11000, 6200, 2000, 2.2, 0), steps({"gate", 1.6}, 1.5, 10, 3200, 1400, 4000, 3.2, 5),
+    return threeLines(steps({"rebuild", 0.53}, 1.2, 4, 11000, 6200, 2000, 2.2, 0),
+                      steps({"gate", 1.6}, 1.5, 10, 3200, 1400, 4000, 3.2, 5),
                       steps({"checkout", 7.4}, 1, 2, 4600, 800, 1200, 1.5, 10));
   if (name == "leatherwood-grown")
-    return threeLines(steps({"rebuild", 0.9}, 1.2, 20, 2900, 5000, 1500, 2.2, 0), steps({"gate", 3.2}, 1.5, 25, 800, 1800, 4000, 3.2, 5),
+    return threeLines(steps({"rebuild", 0.9}, 1.2, 20, 2900, 5000, 1500, 2.2, 0),
+                      steps({"gate", 3.2}, 1.5, 25, 800, 1800, 4000, 3.2, 5),
                       steps({"checkout", 23}, 1, 3, 1100, 1000, 800, 1.5, 10));
   if (name == "kerala-grown")
-    return threeLines(steps({"rebuild", 0.95}, 1.2, 20, 11000, 6200, 2000, 2.2, 0), steps({"gate", 4.1}, 1.5, 25, 3200, 1800, 4000, 3.2, 5),
+    return threeLines(steps({"rebuild", 0.95}, 1.2, 20, 11000, 6200, 2000, 2.2, 0),
+                      steps({"gate", 4.1}, 1.5, 25, 3200, 1800, 4000, 3.2, 5),
                       steps({"checkout", 48}, 1, 3, 4600, 640, 1200, 1.5, 10));
   if (name == "kerala")
     return {{"checkout", 9.0, 1, 2, 1, 2, 50, 300, 0.2, 0.1, 0},
@@ -277,7 +299,8 @@
       const json_t* pair = json_object_get(item, key);
       low = json_integer_value(json_array_get(pair, 0));
       high = json_integer_value(json_array_get(pair, 1));
-      return (json_array_size(pair) == 2 && low >= 1 && low <= high) || reject(at + "/" + key, "[least, most], each 1 or more");
+      return (json_array_size(pair) == 2 && low >= 1 && low <= high) ||
+             reject(at + "/" + key, "[least, most], each 1 or more");
     };
     if (!range("tasks", line.leastTasks, line.mostTasks) || !range("slots", line.leastSlots, line.mostSlots) ||
         !range("runMs", line.leastRunMs, line.mostRunMs))
@@ -292,8 +315,9 @@
     line.runMs = line.perJob > 0 ? (line.leastRunMs + line.mostRunMs) / 2 : 0;
     line.rank = numberAt(item, "rank");
     const std::pair<const char*, double*> shares[] = {
-        {"together", &line.together}, {"oneRack", &line.oneRack}, {"saves", &line.saves}, {"near", &line.near},   {"apart", &line.apart},
-        {"needs", &line.needs},       {"repeats", &line.repeats}, {"timed", &line.timed}, {"standing", &line.standing}};
+        {"together", &line.together}, {"oneRack", &line.oneRack}, {"saves", &line.saves},
+        {"near", &line.near},         {"apart", &line.apart},     {"needs", &line.needs},
+        {"repeats", &line.repeats},   {"timed", &line.timed},     {"standing", &line.standing}};
     for (const auto& [key, share] : shares) {
       *share = json_number_value(json_object_get(item, key));
       if (*share < 0 || *share > 1) return reject(at + "/" + key, "a number from 0 to 1");
@@ -303,7 +327,8 @@
   return true;
 }
 
-std::vector<Arrival> drawArrivals(const std::vector<LineLoad>& lines, double seconds, double factor, std::uint64_t seed) {
+std::vector<Arrival> drawArrivals(const std::vector<LineLoad>& lines, double seconds, double factor,
+                                  std::uint64_t seed) {
   std::mt19937_64 random(seed);
   const Dice dice = [&] { return static_cast<double>(random() >> 11) / 9007199254740992.0; };
   std::vector<Arrival> all;
@@ -391,6 +416,8 @@
   return sum;
 }
 
-double gapSeconds(const LineLoad& load, double factor, const Dice& dice) { return -std::log(1.0 - dice()) / (load.perSecond * factor); }
+double gapSeconds(const LineLoad& load, double factor, const Dice& dice) {
+  return -std::log(1.0 - dice()) / (load.perSecond * factor);
+}
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/load.hpp
+++ b/src/simulator/load.hpp
@@ -22,11 +22,12 @@
   std::int64_t count = 0;
   std::int64_t cpu = 0, memMb = 0;  // each task's room
   Millis runMs = 0;
-  Millis aimMs = 0;                 // wanted beyond stretch times the work
+  Millis aimMs = 0;  // wanted beyond stretch times the work
   double stretch = 0;
   std::int64_t rank = 0;
   std::int64_t failureLimit = 3;
-  double together = 0, oneRack = 0, saves = 0, near = 0, apart = 0, needs = 0, repeats = 0, timed = 0, standing = 0;  // shares, 0 to 1
+  double together = 0, oneRack = 0, saves = 0, near = 0, apart = 0, needs = 0, repeats = 0, timed = 0,
+         standing = 0;  // shares, 0 to 1
 };
 
 struct TaskSketch {
@@ -53,7 +54,8 @@
   std::int64_t failAttempts = 0;
 };
 
-// A job of single tasks, or one of steps; times, firstInMs (from now, by the time of day) and everyMs are for steps only.
+// A job of single tasks, or one of steps; times, firstInMs (from now, by the time of day) and everyMs are for steps
+// only.
 struct JobSketch {
   std::string id;
   std::string line;
@@ -89,10 +91,11 @@
   JobSketch job;
 };
 
-std::vector<Arrival> drawArrivals(const std::vector<LineLoad>& lines, double seconds, double factor, std::uint64_t seed);
+std::vector<Arrival> drawArrivals(const std::vector<LineLoad>& lines, double seconds, double factor,
+                                  std::uint64_t seed);
 bool readTrace(std::string_view text, std::vector<Arrival>& arrivals, std::size_t& badLine, std::string& allowed);
 Millis shortestMs(const JobSketch& job);
 std::int64_t workMs(const JobSketch& job);
 double gapSeconds(const LineLoad& load, double factor, const Dice& dice);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/place.cpp
+++ b/src/simulator/place.cpp
@@ -9,15 +9,18 @@
 namespace {
 
 constexpr std::array<std::string_view, 23> kMessages{
-    "SessionBeat", "SessionGrant", "RegisterPrepare", "RegisterPromise", "RegisterAccept", "RegisterAccepted", "RegisterChosen",
-    "AckQuery",    "AckState",     "RangePrepare",    "RangePromise",    "RangeAccept",    "RangeAccepted",    "Resign",
-    "ReplicaBeat",    "Form",         "CatchUpAsk",      "CatchUpGive",     "AgentReport",   "Orders",          "CallAsk",
-    "CallAnswer",  "Referral"};
+    "SessionBeat",    "SessionGrant",     "RegisterPrepare", "RegisterPromise",
+    "RegisterAccept", "RegisterAccepted", "RegisterChosen",  "AckQuery",
+    "AckState",       "RangePrepare",     "RangePromise",    "RangeAccept",
+    "RangeAccepted",  "Resign",           "ReplicaBeat",     "Form",
+    "CatchUpAsk",     "CatchUpGive",      "AgentReport",     "Orders",
+    "CallAsk",        "CallAnswer",       "Referral"};
 static_assert(kMessages.size() == std::variant_size_v<transport::Message>);
 constexpr std::array<std::string_view, 3> kSides{"before", "unsent", "sent"};
 constexpr std::array<std::string_view, 5> kBlows{"crash", "power", "disk", "freeze", "cut"};
 
-template <class Kind, std::size_t N> bool among(const std::array<std::string_view, N>& names, const std::string& text, Kind& into) {
+template <class Kind, std::size_t N>
+bool among(const std::array<std::string_view, N>& names, const std::string& text, Kind& into) {
   const auto found = std::find(names.begin(), names.end(), text);
   into = static_cast<Kind>(found - names.begin());
   return found != names.end();
@@ -27,21 +30,25 @@
 
 std::string pointOf(Role role, const transport::Event& event) {
   const std::string who(roleName(role));
-  if (const auto* heard = std::get_if<transport::Heard>(&event)) return who + "." + std::string(kMessages[heard->message.index()]);
+  if (const auto* heard = std::get_if<transport::Heard>(&event))
+    return who + "." + std::string(kMessages[heard->message.index()]);
   if (std::holds_alternative<transport::Ask>(event)) return who + ".Ask";
   if (std::holds_alternative<transport::Persisted>(event)) return who + ".Persisted";
   return {};
 }
 
 std::string placeText(const Place& place) {
-  return place.point + ":" + std::to_string(place.nth) + ":" + std::string(kSides[static_cast<std::size_t>(place.side)]) + ":" +
+  return place.point + ":" + std::to_string(place.nth) + ":" +
+         std::string(kSides[static_cast<std::size_t>(place.side)]) + ":" +
          std::string(kBlows[static_cast<std::size_t>(place.blow)]);
 }
 
 bool readPlace(const std::string& text, Place& place) {
   std::stringstream parts(text);
   std::string nth, side, blow;
-  if (!std::getline(parts, place.point, ':') || !std::getline(parts, nth, ':') || !std::getline(parts, side, ':') || !std::getline(parts, blow)) return false;
+  if (!std::getline(parts, place.point, ':') || !std::getline(parts, nth, ':') || !std::getline(parts, side, ':') ||
+      !std::getline(parts, blow))
+    return false;
   place.nth = std::atoi(nth.c_str());
   return place.nth > 0 && among(kSides, side, place.side) && among(kBlows, blow, place.blow);
 }
@@ -59,4 +66,4 @@
   return all;
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/place.hpp
+++ b/src/simulator/place.hpp
@@ -23,4 +23,4 @@
 bool readPlace(const std::string& text, Place& place);
 std::vector<Place> allPlaces(const std::map<std::string, int>& points, int most, bool disks);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/scale.cpp
+++ b/src/simulator/scale.cpp
@@ -95,7 +95,8 @@
     for (const auto& hand : sim_.hands()) sim_.startWorker(*hand);
     if (!until(60 * kSecond, [this] { return sim_.leader() != nullptr; })) return cutShort();
     change("PUT", configFor(plan_, sim_.plan));
-    if (!until(60 * kSecond, [this] { return inForce(); }) || !until(60 * kSecond, [this] { return allKnown(); })) return cutShort();
+    if (!until(60 * kSecond, [this] { return inForce(); }) || !until(60 * kSecond, [this] { return allKnown(); }))
+      return cutShort();
     result_.configMs = result_.configAnswerMs = -1;
     fill();
     sim_.runUntil(sim_.nowUs() + 3 * kSecond);
@@ -104,7 +105,8 @@
     measure();
     if (plan_.kill) takeOver();
     stopped_ = true;
-    until(20 * kSecond + 4 * runMs_ * kMilli, [this] { return result_.finished >= result_.accepted && result_.accepted == result_.jobs; });
+    until(20 * kSecond + 4 * runMs_ * kMilli,
+          [this] { return result_.finished >= result_.accepted && result_.accepted == result_.jobs; });
     weigh();
     return std::move(result_);
   }
@@ -117,7 +119,8 @@
     return std::move(result_);
   }
 
-  template <class Done> bool until(Micros spanUs, Done&& done) {
+  template <class Done>
+  bool until(Micros spanUs, Done&& done) {
     const auto endUs = sim_.nowUs() + spanUs;
     while (sim_.nowUs() < endUs) {
       if (done()) return true;
@@ -130,14 +133,18 @@
 
   bool inForce() const {
     if (version_ == 0) return false;
-    return std::all_of(sim_.all().begin(), sim_.all().end(), [&](const auto& host) { return !host->up || daemon::clientOf(*host->node).configVersion >= version_; });
+    return std::all_of(sim_.all().begin(), sim_.all().end(), [&](const auto& host) {
+      return !host->up || daemon::clientOf(*host->node).configVersion >= version_;
+    });
   }
 
   bool allKnown() {
     auto* leader = sim_.leader();
     if (!leader) return false;
     const auto& workers = leader->node->scheduler->workers;
-    result_.known = static_cast<int>(std::count_if(workers.begin(), workers.end(), [](const auto& each) { return each.second.heardMs >= 0 && each.second.last.workerHeard; }));
+    result_.known = static_cast<int>(std::count_if(workers.begin(), workers.end(), [](const auto& each) {
+      return each.second.heardMs >= 0 && each.second.last.workerHeard;
+    }));
     return result_.known == plan_.workers;
   }
 
@@ -150,7 +157,8 @@
   }
 
   // Resent until it is answered, each time to another scheduler.
-  void ask(const std::string& method, const std::string& path, std::string body, std::function<void(const std::string&)> done) {
+  void ask(const std::string& method, const std::string& path, std::string body,
+           std::function<void(const std::string&)> done) {
     transport::Ask text;
     text.method = method;
     text.path = path;
@@ -164,7 +172,8 @@
         result_.alarms.push_back("denied: " + reply.body);
         return;
       }
-      sim_.after((reply.retryMs > 0 ? reply.retryMs : 100) * kMilli, [this, method, path, body, done] { ask(method, path, body, done); });
+      sim_.after((reply.retryMs > 0 ? reply.retryMs : 100) * kMilli,
+                 [this, method, path, body, done] { ask(method, path, body, done); });
     });
   }
 
@@ -187,7 +196,8 @@
   }
 
   void fill() {
-    for (std::int64_t left = plan_.running; left > 0; left -= kTasks) submit(std::min<std::int64_t>(left, kTasks), 50 + sim_.below(runMs_) + 3000);
+    for (std::int64_t left = plan_.running; left > 0; left -= kTasks)
+      submit(std::min<std::int64_t>(left, kTasks), 50 + sim_.below(runMs_) + 3000);
   }
 
   void arrivals() {
@@ -290,8 +300,10 @@
       if (killed_) ++result_.lostByKill;
       return;
     }
-    if (!ended_.insert(task).second) ++result_.endedTwice;
-    else if (--left_.at(job) == 0) ++result_.finished;
+    if (!ended_.insert(task).second)
+      ++result_.endedTwice;
+    else if (--left_.at(job) == 0)
+      ++result_.finished;
   }
 
   ScalePlan plan_;
@@ -310,7 +322,8 @@
   std::set<std::string> started_, ended_;
 };
 
-template <class... Parts> void put(std::string& text, const char* format, Parts... parts) {
+template <class... Parts>
+void put(std::string& text, const char* format, Parts... parts) {
   char line[256];
   std::snprintf(line, sizeof line, format, parts...);
   text += line;
@@ -323,16 +336,20 @@
 std::string table(const ScaleResult& result) {
   std::string text;
   const auto seconds = std::max(0.001, result.seconds);
-  std::map<std::string, double> daemons{{"leader", 1}, {"scheduler", 3}, {"replica", 3}, {"agent", std::max(1, result.workers)}};
-  put(text, "%-7s %-17s %11s %12s %11s %12s %11s %11s %11s\n", "role", "kind", "sent/s", "sent B/s", "received/s", "received B/s", "core us", "codec us", "most us");
+  std::map<std::string, double> daemons{
+      {"leader", 1}, {"scheduler", 3}, {"replica", 3}, {"agent", std::max(1, result.workers)}};
+  put(text, "%-7s %-17s %11s %12s %11s %12s %11s %11s %11s\n", "role", "kind", "sent/s", "sent B/s", "received/s",
+      "received B/s", "core us", "codec us", "most us");
   std::map<std::string, Meter::Row> sums;
   for (const auto& [key, row] : result.meter.rows) {
     auto& sum = sums[key.first];
     const auto each = daemons[key.first];
     const auto per = [&](std::uint64_t count) { return static_cast<double>(count) / seconds / each; };
-    put(text, "%-7s %-17s %11.2f %12.0f %11.2f %12.0f %11.2f %11.2f %11.1f\n", key.first.c_str(), key.second.c_str(), per(row.sent), per(row.sentBytes), per(row.received),
-        per(row.receivedBytes), row.received ? static_cast<double>(row.stepNs) / 1000.0 / static_cast<double>(row.received) : 0.0,
-        static_cast<double>(row.encodeNs + row.decodeNs) / 1000.0 / static_cast<double>(std::max<std::uint64_t>(1, row.sent + (row.decodeNs ? row.received : 0))),
+    put(text, "%-7s %-17s %11.2f %12.0f %11.2f %12.0f %11.2f %11.2f %11.1f\n", key.first.c_str(), key.second.c_str(),
+        per(row.sent), per(row.sentBytes), per(row.received), per(row.receivedBytes),
+        row.received ? static_cast<double>(row.stepNs) / 1000.0 / static_cast<double>(row.received) : 0.0,
+        static_cast<double>(row.encodeNs + row.decodeNs) / 1000.0 /
+            static_cast<double>(std::max<std::uint64_t>(1, row.sent + (row.decodeNs ? row.received : 0))),
         static_cast<double>(row.mostStepNs) / 1000.0);
     sum.sent += row.sent;
     sum.sentBytes += row.sentBytes;
@@ -343,31 +360,49 @@
   text += "each daemon of a role:\n";
   for (const auto& [role, sum] : sums) {
     const auto each = daemons[role];
-    put(text, "%-7s sends %.2f messages/s, %.0f B/s; receives %.0f B/s; core %.4f %% and codec %.4f %% of a processor\n", role.c_str(), static_cast<double>(sum.sent) / seconds / each,
-        static_cast<double>(sum.sentBytes) / seconds / each, static_cast<double>(sum.receivedBytes) / seconds / each, static_cast<double>(sum.stepNs) / 1e7 / seconds / each,
+    put(text,
+        "%-7s sends %.2f messages/s, %.0f B/s; receives %.0f B/s; core %.4f %% and codec %.4f %% of a processor\n",
+        role.c_str(), static_cast<double>(sum.sent) / seconds / each,
+        static_cast<double>(sum.sentBytes) / seconds / each, static_cast<double>(sum.receivedBytes) / seconds / each,
+        static_cast<double>(sum.stepNs) / 1e7 / seconds / each,
         static_cast<double>(sum.encodeNs) / 1e7 / seconds / each);
   }
   const auto span = [&](const char* name, const Meter::Span& each) {
-    put(text, "%s: %llu, mean %.1f us, most %.1f us\n", name, static_cast<unsigned long long>(each.count), each.count ? static_cast<double>(each.ns) / 1000.0 / static_cast<double>(each.count) : 0.0,
+    put(text, "%s: %llu, mean %.1f us, most %.1f us\n", name, static_cast<unsigned long long>(each.count),
+        each.count ? static_cast<double>(each.ns) / 1000.0 / static_cast<double>(each.count) : 0.0,
         static_cast<double>(each.mostNs) / 1000.0);
   };
   span("plans", result.meter.plans);
   span("batches", result.meter.batches);
-  put(text, "takeover: another leads after %lld ms, its step %.1f us; work starts again after %lld ms\n", static_cast<long long>(result.takeoverMs),
-      static_cast<double>(result.takeoverNs) / 1000.0, static_cast<long long>(result.planAgainMs));
-  put(text, "configuration of %zu bytes changed: in force everywhere after %lld ms\n", result.configBytes, static_cast<long long>(result.configMs));
-  put(text, "start latency of a job: p50 %lld ms, p99 %lld ms over %zu; a gang of %lld whole after %lld ms\n", static_cast<long long>(quantile(result.startMs, 0.5)),
-      static_cast<long long>(quantile(result.startMs, 0.99)), result.startMs.size(), static_cast<long long>(result.gang), static_cast<long long>(result.gangMs));
-  put(text, "resident %.1f MB, %.1f KB a worker; heap of one: leader %.1f KB, scheduler %.1f KB, replica %.1f KB, agent %.1f KB; stored %zu entries of %zu bytes\n",
-      static_cast<double>(result.resident) / 1e6, static_cast<double>(result.resident - std::min(result.resident, result.residentBefore)) / 1e3 / std::max(1, result.workers),
-      static_cast<double>(result.leaderBytes) / 1e3, static_cast<double>(result.schedulerBytes) / 1e3, static_cast<double>(result.replicaBytes) / 1e3,
-      static_cast<double>(result.agentBytes) / 1e3, result.stored, result.storedBytes);
-  put(text, "%d workers, %d known; %lld running; %.1f s; jobs %lld handed in, %lld accepted, %lld finished; tasks %lld, starts %lld (%lld twice), ends %lld (%lld twice, %lld unclean, %lld of them after the kill)%s\n",
-      result.workers, result.known, static_cast<long long>(result.running), result.seconds, static_cast<long long>(result.jobs), static_cast<long long>(result.accepted),
-      static_cast<long long>(result.finished), static_cast<long long>(result.tasks), static_cast<long long>(result.starts), static_cast<long long>(result.startedTwice),
-      static_cast<long long>(result.ends), static_cast<long long>(result.endedTwice), static_cast<long long>(result.unclean), static_cast<long long>(result.lostByKill), result.cutShort ? "; cut short" : "");
+  put(text, "takeover: another leads after %lld ms, its step %.1f us; work starts again after %lld ms\n",
+      static_cast<long long>(result.takeoverMs), static_cast<double>(result.takeoverNs) / 1000.0,
+      static_cast<long long>(result.planAgainMs));
+  put(text, "configuration of %zu bytes changed: in force everywhere after %lld ms\n", result.configBytes,
+      static_cast<long long>(result.configMs));
+  put(text, "start latency of a job: p50 %lld ms, p99 %lld ms over %zu; a gang of %lld whole after %lld ms\n",
+      static_cast<long long>(quantile(result.startMs, 0.5)), static_cast<long long>(quantile(result.startMs, 0.99)),
+      result.startMs.size(), static_cast<long long>(result.gang), static_cast<long long>(result.gangMs));
+  put(text,
+      "resident %.1f MB, %.1f KB a worker; heap of one: leader %.1f KB, scheduler %.1f KB, replica %.1f KB, agent %.1f "
+      "KB; stored %zu entries of %zu bytes\n",
+      static_cast<double>(result.resident) / 1e6,
+      static_cast<double>(result.resident - std::min(result.resident, result.residentBefore)) / 1e3 /
+          std::max(1, result.workers),
+      static_cast<double>(result.leaderBytes) / 1e3, static_cast<double>(result.schedulerBytes) / 1e3,
+      static_cast<double>(result.replicaBytes) / 1e3, static_cast<double>(result.agentBytes) / 1e3, result.stored,
+      result.storedBytes);
+  put(text,
+      "%d workers, %d known; %lld running; %.1f s; jobs %lld handed in, %lld accepted, %lld finished; tasks %lld, "
+      "starts %lld (%lld twice), ends %lld (%lld twice, %lld unclean, %lld of them after the kill)%s\n",
+      result.workers, result.known, static_cast<long long>(result.running), result.seconds,
+      static_cast<long long>(result.jobs), static_cast<long long>(result.accepted),
+      static_cast<long long>(result.finished), static_cast<long long>(result.tasks),
+      static_cast<long long>(result.starts), static_cast<long long>(result.startedTwice),
+      static_cast<long long>(result.ends), static_cast<long long>(result.endedTwice),
+      static_cast<long long>(result.unclean), static_cast<long long>(result.lostByKill),
+      result.cutShort ? "; cut short" : "");
   for (const auto& line : result.alarms) text += "  " + line + "\n";
   return text;
 }
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
--- a/src/simulator/scale.hpp
+++ b/src/simulator/scale.hpp
@@ -23,19 +23,20 @@
   double seconds = 0;
   int workers = 0, known = 0;
   std::int64_t running = 0;  // at the end of the measured seconds
-  std::int64_t jobs = 0, accepted = 0, finished = 0, tasks = 0, starts = 0, ends = 0, startedTwice = 0, endedTwice = 0, unclean = 0;
-  std::int64_t lostByKill = 0;          // runs that ended otherwise than clean after the leader was killed
-  std::vector<Millis> startMs;          // hand-in to start, of the jobs of the measured seconds
+  std::int64_t jobs = 0, accepted = 0, finished = 0, tasks = 0, starts = 0, ends = 0, startedTwice = 0, endedTwice = 0,
+               unclean = 0;
+  std::int64_t lostByKill = 0;  // runs that ended otherwise than clean after the leader was killed
+  std::vector<Millis> startMs;  // hand-in to start, of the jobs of the measured seconds
   Millis configMs = -1, configAnswerMs = -1;
   std::size_t configBytes = 0;
-  std::uint64_t takeoverNs = 0;         // the step that took over
-  Millis takeoverMs = -1;               // from the kill until another leads
-  Millis planAgainMs = -1;              // from the kill until a task started that was handed in after it
-  Millis gangMs = -1;                   // from hand-in until all of a gang run
+  std::uint64_t takeoverNs = 0;  // the step that took over
+  Millis takeoverMs = -1;        // from the kill until another leads
+  Millis planAgainMs = -1;       // from the kill until a task started that was handed in after it
+  Millis gangMs = -1;            // from hand-in until all of a gang run
   std::int64_t gang = 0;
   std::size_t residentBefore = 0, resident = 0;
   std::size_t leaderBytes = 0, schedulerBytes = 0, replicaBytes = 0, agentBytes = 0;  // heap of one, freed when it ends
-  std::size_t storedBytes = 0, stored = 0;                                      // of the leader's entries
+  std::size_t storedBytes = 0, stored = 0;                                            // of the leader's entries
   std::vector<std::string> alarms;
   bool cutShort = false;
 };
@@ -43,4 +44,4 @@
 ScaleResult runScale(const ScalePlan& plan);
 std::string table(const ScaleResult& result);
 
-}  // namespace tulip::simulate
+}  // namespace tulip::simulator
