Split the replica into one file for each of its concerns

The functions are moved as they were; the tick and the step are cut into named parts. What the parts share is declared in replica_internal.hpp, with a comment on each. No change of behaviour; the tests are those from before.

--- /dev/null
+++ b/src/control/acceptor.cpp
@@ -0,0 +1,120 @@
+// The acceptor: rounds of the registers and of the job log, with promises synced before they are answered.
+#include "control/replica_internal.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tulip::control {
+
+using namespace transport;
+
+namespace {
+
+// The ROLE-NAME part of the id of a daemon with a name; empty for one without.
+std::string_view hostOf(std::string_view id) {
+  id = id.substr(0, id.find('/'));
+  const auto life = id.rfind('-');
+  if (life == std::string_view::npos || id.substr(0, life).find('-') == std::string_view::npos) return {};
+  return id.substr(0, life);
+}
+
+// Whether a request for the given version of the membership may be answered by this replica.
+bool membershipMatches(const ReplicaState& replica, Version version) {
+  return version == replica.image.membership.version && !replica.fenced && mayVote(replica) &&
+         isVoter(replica.image.membership, replica.image.id);
+}
+
+}  // namespace
+
+void endLeaseOfEarlierLife(ReplicaState& replica, const DaemonId& heard, Now now) {
+  const std::string_view owner = replica.image.jobLogPromised.owner;
+  const auto host = hostOf(owner);
+  if (host.empty() || hostOf(heard.view()) != host || owner.substr(0, owner.find('/')) == heard.view()) return;
+  replica.leaseUntilMs = std::min(replica.leaseUntilMs, now.steadyMs);
+}
+
+bool leaseLive(const ReplicaState& replica, Now now) { return now.steadyMs < replica.leaseUntilMs; }
+
+void onRegisterPrepare(ReplicaState& replica, const Heard& heard, const RegisterPrepare& ask, Outbox& out) {
+  const bool membershipKey = ask.key == nextMembershipKey(replica);
+  if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
+      (!membershipKey && !membershipMatches(replica, ask.membership)))
+    return;
+  std::vector<DiskEntry> writes;
+  auto reply = storage::promise(replica.image, ask, writes);
+  persist(replica, std::move(writes), {{heard.from, reply}}, out);
+}
+
+void onRegisterAccept(ReplicaState& replica, const Heard& heard, const RegisterAccept& ask, Outbox& out) {
+  const bool membershipKey = ask.key == nextMembershipKey(replica);
+  if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
+      (!membershipKey && !membershipMatches(replica, ask.membership)))
+    return;
+  std::vector<DiskEntry> writes;
+  auto reply = storage::accept(replica.image, ask, writes);
+  if (membershipKey && reply.ok) replica.fenced = true;
+  persist(replica, std::move(writes), {{heard.from, reply}}, out);
+}
+
+void onRegisterChosen(ReplicaState& replica, const RegisterChosen& chosen, Now now, Outbox& out) {
+  if (chosen.key == kConfigKey) {
+    const auto found = replica.image.registers.find(kConfigKey);
+    const bool held = found != replica.image.registers.end() && found->second.accepted == chosen.ballot;
+    learnConfig(replica, chosen.ballot, chosen.value.empty() && held ? found->second.value : chosen.value, now, out);
+  }
+  if (chosen.key != nextMembershipKey(replica) || replica.image.empty()) return;
+  const auto found = replica.image.registers.find(chosen.key);
+  const bool held = found != replica.image.registers.end() && found->second.accepted == chosen.ballot;
+  installMembership(
+      replica, storage::unpackMembership(chosen.value.empty() && held ? found->second.value : chosen.value), now, out);
+}
+
+void onJobLogPrepare(ReplicaState& replica, const Heard& heard, const JobLogPrepare& ask, Now now, Outbox& out) {
+  endLeaseOfEarlierLife(replica, heard.fromId, now);
+  if (!membershipMatches(replica, ask.membership)) return;
+  JobLogPromise reply;
+  reply.term = ask.term;
+  reply.promised = replica.image.jobLogPromised;
+  reply.fleetMs = fleetNow(replica.client, now);
+  const bool again = replica.image.jobLogPromised == ask.term;
+  if (!again && (ask.term < replica.image.jobLogPromised || leaseLive(replica, now))) {
+    reply.leaseLeftMs = std::max<Millis>(0, replica.leaseUntilMs - now.steadyMs);
+    out.send(heard.from, std::move(reply));
+    return;
+  }
+  reply.ok = true;
+  reply.base = replica.image.jobLogBase;
+  for (const auto& [key, entry] : replica.image.jobs) reply.entries.push_back(entry);
+  std::vector<DiskEntry> writes{storage::entry::jobLogPromise(ask.term)};
+  persist(replica, std::move(writes), {{heard.from, std::move(reply)}}, out);
+}
+
+void onJobLogAccept(ReplicaState& replica, const Heard& heard, const JobLogAccept& ask, Now now, Outbox& out) {
+  JobLogAccepted reply{ask.term, ask.seq, ask.sentMs, false, ask.seq > 0, replica.image.jobLogPromised};
+  if (!membershipMatches(replica, ask.membership) || ask.term < replica.image.jobLogPromised) {
+    ++replica.jobLogRejected;
+    out.send(heard.from, std::move(reply));
+    return;
+  }
+  std::vector<DiskEntry> writes;
+  if (replica.image.jobLogPromised < ask.term) {
+    out.send(heard.from, std::move(reply));
+    return;
+  }
+  ++replica.jobLogAccepts;
+  reply.ok = true;
+  replica.leader = ask.hint;
+  replica.leaseUntilMs = replica.hintUntilMs = now.steadyMs + bounds(replica).leaseMs;
+  if (std::pair(ask.term, ask.sentMs) >= replica.fleetFrom) {
+    replica.fleetFrom = {ask.term, ask.sentMs};
+    setFleet(replica.client, ask.fleetMs, now);
+  }
+  if (ask.seq > 0) {
+    writes.push_back(storage::entry::jobLogBase(ask.term));
+    writes.push_back(storage::entry::fleet(ask.term, ask.fleetMs));
+  }
+  for (const auto& entry : ask.entries) writes.push_back(storage::entry::job(entry));
+  persist(replica, std::move(writes), {{heard.from, std::move(reply)}}, out);
+}
+
+}  // namespace tulip::control
--- /dev/null
+++ b/src/control/sessions.cpp
@@ -0,0 +1,127 @@
+// Sessions: heartbeats of daemons, the grants that answer them, and the roster of members.
+#include "control/replica_internal.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tulip::control {
+
+using namespace transport;
+
+namespace {
+
+// The members known here and through the other replicas, the freshest word of each.
+std::vector<Member> allMembers(const ReplicaState& replica, Now now) {
+  std::map<DaemonId, Member> all;
+  auto put = [&](Member member, Millis ageMs, const DaemonId& home) {
+    if (ageMs > 4 * bounds(replica).leaseMs) return;
+    member.ageMs = ageMs;
+    member.home = home;
+    auto [slot, fresh] = all.emplace(member.id, member);
+    if (!fresh && slot->second.ageMs > ageMs) slot->second = member;
+  };
+  for (const auto& [id, row] : replica.sessions) put(row.member, now.steadyMs - row.heardMs, replica.image.id);
+  for (const auto& [address, other] : replica.others)
+    for (const auto& member : other.sessions)
+      put(member, member.ageMs + now.steadyMs - other.heardMs, other.last.voter.id);
+  std::vector<Member> list;
+  for (auto& [id, member] : all) list.push_back(std::move(member));
+  return list;
+}
+
+// Puts the configuration into a grant: the delta from a text that the daemon has, or the whole text.
+void putConfig(ReplicaState& replica, SessionRow& row, SessionGrant& grant) {
+  for (const auto& [version, text] : replica.olderTexts) {
+    if (version != row.member.acked) continue;
+    auto [delta, made] = replica.deltas.try_emplace(version);
+    if (made) delta->second = config::makeDelta(text, replica.learned.text);
+    if (delta->second.empty()) break;
+    grant.configBase = version;
+    grant.configText = delta->second;
+    return;
+  }
+  grant.configText = replica.learned.text;
+}
+
+// Tells a daemon that is not granted a session which replicas to ask instead.
+void refer(const ReplicaState& replica, const Address& to, Outbox& out) {
+  Referral referral;
+  for (const auto& voter : knownMembership(replica).voters)
+    if (voter.peerAddress != self(replica)) referral.replicas.push_back(voter.peerAddress);
+  if (!referral.replicas.empty()) out.send(to, std::move(referral));
+}
+
+}  // namespace
+
+std::vector<Member> ownSessions(const ReplicaState& replica, Now now) {
+  std::vector<Member> list;
+  for (const auto& [id, row] : replica.sessions) {
+    if (now.steadyMs - row.heardMs > 2 * bounds(replica).leaseMs) continue;
+    list.push_back(row.member);
+    list.back().ageMs = now.steadyMs - row.heardMs;
+  }
+  return list;
+}
+
+void gatherMembers(ReplicaState& replica, Now now) {
+  replica.members = allMembers(replica, now);
+  replica.membersDigest = digestOf(replica.members, bounds(replica).leaseMs);
+  replica.rosterDigest = digestOf(replica.members, bounds(replica).leaseMs, false);
+}
+
+SessionGrant makeGrant(ReplicaState& replica, SessionRow& row, Now now) {
+  const auto leaseMs = bounds(replica).leaseMs;
+  SessionGrant grant;
+  grant.heartbeat = row.heartbeat;
+  grant.sentMs = row.sentMs;
+  grant.leaseMs = leaseMs;
+  grant.configVersion = replica.learned.version;
+  // A daemon takes no session from a grant of a revision that it lacks, so what was just sent need not come again.
+  const bool sent = row.textVersion == replica.learned.version && now.steadyMs - row.textSentMs < leaseMs;
+  if (row.member.acked < replica.learned.version && !sent) {
+    putConfig(replica, row, grant);
+    row.textVersion = replica.learned.version;
+    row.textSentMs = now.steadyMs;
+  }
+  if (now.steadyMs < replica.hintUntilMs) grant.leader = replica.leader;
+  grant.membership = replica.image.membership;
+  const bool agent = row.member.role == Role::agent;
+  const Millis pauseMs = agent ? 2 * leaseMs : leaseMs / 4;
+  // A new configuration changes what every member has acknowledged; that alone is not told to every agent.
+  const auto& digest = agent ? replica.rosterDigest : replica.membersDigest;
+  if (row.membersDigest == 0 || (row.membersDigest != digest && now.steadyMs - row.membersSentMs >= pauseMs)) {
+    if (replica.members.empty()) gatherMembers(replica, now);
+    grant.members = replica.members;
+    grant.membersDigest = digest;
+    row.membersSentMs = now.steadyMs;
+  }
+  grant.fleetMs = fleetNow(replica.client, now);
+  return grant;
+}
+
+void onSessionHeartbeat(ReplicaState& replica, const Heard& heard, const SessionHeartbeat& heartbeat, Now now,
+                        Outbox& out) {
+  endLeaseOfEarlierLife(replica, heartbeat.me.id, now);
+  if (!hasQuorumLease(replica, now) || !replica.configKnown || !mayVote(replica) || replica.fenced) {
+    if (replica.image.empty() && heartbeat.me.role != Role::replica && heartbeat.membership > 0) {
+      replica.remembered = std::max(replica.remembered, heartbeat.membership);
+      replica.rememberedMs = now.steadyMs;
+    }
+    ++replica.grantsRejected;
+    if (heard.from != self(replica) && !replica.fenced) refer(replica, heard.from, out);
+    return;
+  }
+  ++replica.grants;
+  auto [found, fresh] = replica.sessions.try_emplace(heartbeat.me.id);
+  auto& row = found->second;
+  if (heartbeat.me.acked < row.member.acked) row.textSentMs = -1000000;
+  row.member = heartbeat.me;
+  row.heardMs = now.steadyMs;
+  row.heartbeat = heartbeat.heartbeat;
+  row.sentMs = heartbeat.sentMs;
+  row.membersDigest = heartbeat.membersDigest;
+  if (fresh) gatherMembers(replica, now);
+  out.send(heard.from, makeGrant(replica, row, now));
+}
+
+}  // namespace tulip::control
