Control client split by concern: sessions, proposals, edits

One file of 512 lines held the session with a replica, the register rounds and the applying of an edit. Now: session (heartbeats, grants, referrals, the fleet's clock), proposal (the rounds and the wait for every session), edit (judging and applying, pure, with a typed outcome) and a client that only hands on. Functions of one step each; what was a block of conditions has a name. No change of behaviour.

The stored configuration and the edit also get the fields that the memory of orders will use (taken orders, refusals, zone marks); nothing reads or writes them yet but the layout, at whose end they stand.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -90,12 +90,42 @@
 std::string faultsJson(Kind kind, const std::vector<Fault>& faults);
 std::string_view ruleName(Rule rule);
 
-// What the register keeps; reading it back doesn't touch the JSON.
+/// A change that the operator numbered and that was taken.
+struct TakenOrder {
+  Version operatorVersion = 0;
+  std::uint64_t digest = 0;  // of the edit's name
+  Version version = 0;       // that it made
+  auto operator<=>(const TakenOrder&) const = default;
+  MSGPACK_DEFINE(operatorVersion, digest, version)
+};
+
+/// A refusal that a later configuration alone would not make final.
+struct RejectedEdit {
+  std::uint64_t digest = 0;  // of the edit's name
+  std::int64_t kind = 0;
+  auto operator<=>(const RejectedEdit&) const = default;
+  MSGPACK_DEFINE(digest, kind)
+};
+
+/// The newest order to empty a zone or to take it back.
+struct ZoneMark {
+  std::string zone;
+  bool emptied = false;
+  Version version = 0;  // that it made
+  auto operator<=>(const ZoneMark&) const = default;
+  MSGPACK_DEFINE(zone, emptied, version)
+};
+
+/// What the register keeps; reading it back doesn't touch the JSON.
 struct Stored {
   Version version = 0;
   std::string text;
   std::vector<std::pair<std::string, Version>> requests;
-  MSGPACK_DEFINE(version, text, requests)
+  std::vector<TakenOrder> orders;  // the newest ones, their numbers rising
+  Version forgottenOrders = 0;     // orders up to this number may have been taken and forgotten
+  std::vector<RejectedEdit> rejected;
+  std::vector<ZoneMark> zoneMarks;
+  MSGPACK_DEFINE(version, text, requests, orders, forgottenOrders, rejected, zoneMarks)
 };
 Stored readStored(std::string_view value);
 std::string writeStored(const Stored& stored);
--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -1,56 +1,17 @@
 #pragma once
-#include <map>
+/// What each daemon knows of the control side, and what it asks of it: its session, the configuration and its changes.
 #include <memory>
-#include <optional>
-#include <set>
+#include <vector>
 
 #include "base/settings.hpp"
 #include "config/config.hpp"
+#include "control/edit.hpp"
+#include "control/proposal.hpp"
+#include "control/session.hpp"
 #include "transport/core.hpp"
 
 namespace tulip::control {
 
-inline const std::string kConfigKey = "chart";
-
-struct Edit {
-  bool whole = false;
-  std::string body;
-  std::optional<Version> expected;
-  std::string name;
-  bool sections = false;           // only the top-level sections that body names are replaced, each whole
-  Version operatorVersion = 0;     // the operator's own number: must rise; 0: none given
-  std::optional<Version> basedOn;  // the edition that must be current
-};
-
-enum class Phase { queued, prepare, accept, learn, done };
-
-struct Proposal {
-  std::uint64_t requestId = 0;
-  std::string key;
-  std::optional<Edit> edit;
-  std::string fixedValue;
-  Ballot ballot;
-  Phase phase = Phase::queued;
-  std::map<Address, transport::RegisterPromise> promises;
-  std::set<Address> accepts;
-  std::string value;
-  std::optional<Ballot> judgedOn;  // the accepted ballot that value was made from
-  bool changes = false;
-  Version version = 0;
-  int status = 200;
-  Kind kind = Kind::ok;
-  std::string body;
-  Millis startedMs = 0;
-  Millis deadlineMs = 0;
-  Millis sentMs = 0;
-  Millis retryAtMs = 0;
-  Millis learnedMs = -1;
-  std::uint64_t query = 0;
-  std::map<Address, transport::AckState> states;
-  std::map<Address, Millis> committedMs;  // when a voter was last sent the chosen value itself
-  int attempts = 0;
-};
-
 struct ControlClient {
   Settings settings;
   DaemonId id;
@@ -75,32 +36,23 @@
   bool strange = false;
   std::vector<Proposal> proposals;
   std::uint64_t ballotNumber = 0;
-  Ballot knownBallot;  // a ballot of the configuration's register and its value
+  std::uint64_t namesGiven = 0;  // to edits that came without one
+  Ballot knownBallot;            // a ballot of the configuration's register and its value
   std::string knownValue;
   std::uint64_t proposed = 0, chosen = 0, contended = 0;
 };
 
 ControlClient makeControlClient(const Settings& settings, const DaemonId& id, std::string incarnation);
-bool sessionLive(const ControlClient& client, transport::Now now);
-Millis fleetNow(const ControlClient& client, transport::Now now);
-void raiseFleet(ControlClient& client, Millis fleetMs, transport::Now now);
-void setFleet(ControlClient& client, Millis fleetMs, transport::Now now);
+
 std::vector<Address> replicaAddresses(const ControlClient& client);
 std::vector<Address> voterAddresses(const ControlClient& client);
 std::size_t majority(std::size_t count);
 
+/// False for a message that is none of the client's.
 bool clientHeard(ControlClient& client, const transport::Heard& heard, transport::Now now, transport::Outbox& out);
 void clientTick(ControlClient& client, transport::Now now, transport::Outbox& out);
-void heartbeatNow(ControlClient& client, transport::Now now, transport::Outbox& out);
-void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, transport::Now now,
-                   transport::Outbox& out);
-void proposeFixed(ControlClient& client, std::string key, std::string value, transport::Now now,
-                  transport::Outbox& out);
-bool proposing(const ControlClient& client, std::string_view key);
-std::uint64_t mix(std::string_view text, std::uint64_t hash = 1469598103934665603ull);
-// Of what matters of the members; ages only as silent for a term or not. Never 0.
-std::uint64_t digestOf(const std::vector<transport::Member>& members, Millis leaseMs, bool withAcked = true);
 
+/// Answers a request by an error of the closed list, with its usual pause before the next try.
 void answerKind(transport::Outbox& out, std::uint64_t requestId, Kind kind, const Bounds& bounds,
                 std::string_view detail = {});
 
--- /dev/null
+++ b/src/control/proposal.cpp
@@ -0,0 +1,311 @@
+#include "control/proposal.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "control/client.hpp"
+
+namespace tulip::control {
+
+using namespace transport;
+
+namespace {
+
+constexpr std::size_t kMostProposals = 64;
+constexpr Millis kShortestResendMs = 5;
+constexpr int kMostSpread = 6;
+
+Millis resendMs(Phase phase, const Bounds& bounds) {
+  if (phase == Phase::learn) return bounds.heartbeatMs() / 5;
+  if (phase == Phase::accept) return bounds.heartbeatMs();
+  return bounds.heartbeatMs() / 2;
+}
+
+bool isVoterAddress(const ControlClient& client, const Address& address) {
+  const auto voters = voterAddresses(client);
+  return std::find(voters.begin(), voters.end(), address) != voters.end();
+}
+
+bool isMajority(const ControlClient& client, std::size_t count) {
+  return count >= majority(client.membership.voters.size());
+}
+
+void judge(Proposal& proposal, const Ballot& ballot, const std::string& current) {
+  if (proposal.judgedOn == ballot) return;
+  proposal.judgedOn = ballot;
+  if (!proposal.edit) {
+    proposal.value = current.empty() ? proposal.fixedValue : current;
+    return;
+  }
+  auto outcome = judgeEdit(*proposal.edit, current);
+  proposal.value = std::move(outcome.value);
+  proposal.changes = outcome.confirms;
+  proposal.version = outcome.version;
+  proposal.kind = outcome.kind;
+  proposal.status = outcome.status;
+  proposal.body = std::move(outcome.body);
+}
+
+void sendPrepare(const ControlClient& client, const Proposal& proposal, const Address& voter, Outbox& out) {
+  const bool config = proposal.key == kConfigKey;
+  out.send(voter, RegisterPrepare{client.membership.version, proposal.key, proposal.ballot,
+                                  config ? client.knownBallot : Ballot{}});
+}
+
+// The value itself goes only to a voter that did not accept it, or that has not learned it a heartbeat later.
+void sendChosen(const ControlClient& client, Proposal& proposal, const Address& voter, Now now, Outbox& out) {
+  const auto [last, first] = proposal.committedMs.emplace(voter, now.steadyMs);
+  if (first) {
+    const bool holds = proposal.accepts.contains(voter);
+    out.send(voter, RegisterChosen{proposal.key, proposal.ballot, holds ? std::string() : proposal.value});
+    return;
+  }
+  if (now.steadyMs - last->second < client.settings.bounds.heartbeatMs()) return;
+  last->second = now.steadyMs;
+  out.send(voter, RegisterChosen{proposal.key, proposal.ballot, proposal.value});
+}
+
+void sendLearn(const ControlClient& client, Proposal& proposal, const Address& voter, Now now, Outbox& out) {
+  const auto state = proposal.states.find(voter);
+  const bool learned = state != proposal.states.end() && state->second.learned;
+  if (!learned) sendChosen(client, proposal, voter, now, out);
+  if (proposal.changes && !(learned && state->second.waiting.empty()))
+    out.send(voter, AckQuery{proposal.version, proposal.query});
+}
+
+void sendPhase(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  proposal.sentMs = now.steadyMs;
+  out.wakeBy(now.steadyMs + resendMs(proposal.phase, client.settings.bounds));
+  for (const auto& voter : voterAddresses(client)) {
+    if (proposal.phase == Phase::prepare && !proposal.promises.contains(voter))
+      sendPrepare(client, proposal, voter, out);
+    if (proposal.phase == Phase::accept && !proposal.accepts.contains(voter))
+      out.send(voter, RegisterAccept{client.membership.version, proposal.key, proposal.ballot, proposal.value});
+    if (proposal.phase == Phase::learn) sendLearn(client, proposal, voter, now, out);
+  }
+}
+
+void startRounds(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  proposal.ballot = Ballot{++client.ballotNumber, client.id.value + "/" + client.incarnation};
+  proposal.phase = Phase::prepare;
+  proposal.promises.clear();
+  proposal.accepts.clear();
+  proposal.retryAtMs = 0;
+  ++proposal.attempts;
+  sendPhase(client, proposal, now, out);
+}
+
+bool inRounds(const Proposal& proposal) { return proposal.phase == Phase::prepare || proposal.phase == Phase::accept; }
+
+// Proposals of one daemon for the same register go one after another: side by side they would outbid each other.
+void startQueued(ControlClient& client, Now now, Outbox& out) {
+  for (auto& proposal : client.proposals) {
+    if (proposal.phase != Phase::queued) continue;
+    const bool busy = std::any_of(client.proposals.begin(), client.proposals.end(),
+                                  [&](const Proposal& other) { return other.key == proposal.key && inRounds(other); });
+    if (!busy) startRounds(client, proposal, now, out);
+  }
+}
+
+void backOff(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  if (proposal.retryAtMs) return;
+  ++client.contended;
+  const Millis span = std::max<Millis>(1, client.settings.bounds.heartbeatMs() / 8);
+  const auto spread =
+      mix(client.id.value + std::to_string(proposal.ballot.number)) % (1 + std::min(proposal.attempts, kMostSpread));
+  proposal.retryAtMs = now.steadyMs + span * static_cast<Millis>(1 + spread);
+  out.wakeBy(proposal.retryAtMs);
+}
+
+void finish(Proposal& proposal, Outbox& out) {
+  if (proposal.requestId) out.answer(proposal.requestId, proposal.status, proposal.body, 0, proposal.kind);
+  proposal.requestId = 0;
+  proposal.phase = Phase::done;
+}
+
+void giveUp(const ControlClient& client, Proposal& proposal, Outbox& out) {
+  const bool maybeTaken = proposal.phase != Phase::prepare || proposal.attempts > 1;
+  if (proposal.requestId)
+    answerKind(out, proposal.requestId, maybeTaken ? Kind::unknownOutcome : Kind::noMajority, client.settings.bounds);
+  proposal.requestId = 0;
+  proposal.phase = Phase::done;
+}
+
+const RegisterPromise& newestPromise(const Proposal& proposal) {
+  const RegisterPromise* newest = nullptr;
+  for (const auto& [voter, promise] : proposal.promises)
+    if (!newest || newest->accepted < promise.accepted) newest = &promise;
+  return *newest;
+}
+
+// The value that the promise tells of: a voter leaves out one that the client said it has.
+const std::string& valueOf(ControlClient& client, const Proposal& proposal, const RegisterPromise& promise) {
+  if (proposal.key != kConfigKey || promise.accepted == Ballot{}) return promise.value;
+  if (promise.accepted != client.knownBallot) {
+    client.knownBallot = promise.accepted;
+    client.knownValue = promise.value;
+  }
+  return client.knownValue;
+}
+
+void acceptRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  const auto& newest = newestPromise(proposal);
+  judge(proposal, newest.accepted, valueOf(client, proposal, newest));
+  if (proposal.value.empty()) return finish(proposal, out);
+  if (proposal.key == kConfigKey) {
+    client.knownBallot = proposal.ballot;
+    client.knownValue = proposal.value;
+  }
+  proposal.phase = Phase::accept;
+  ++client.proposed;
+  sendPhase(client, proposal, now, out);
+}
+
+void learnRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  ++client.chosen;
+  proposal.phase = Phase::learn;
+  proposal.retryAtMs = 0;
+  proposal.query = proposal.ballot.number;
+  sendPhase(client, proposal, now, out);
+  if (!proposal.changes) finish(proposal, out);
+  startQueued(client, now, out);
+}
+
+const AckState* learnedState(const Proposal& proposal, const Voter& voter) {
+  const auto found = proposal.states.find(voter.peerAddress);
+  return found != proposal.states.end() && found->second.learned ? &found->second : nullptr;
+}
+
+std::size_t countLearned(const ControlClient& client, const Proposal& proposal) {
+  const auto& voters = client.membership.voters;
+  return static_cast<std::size_t>(std::count_if(
+      voters.begin(), voters.end(), [&](const Voter& voter) { return learnedState(proposal, voter) != nullptr; }));
+}
+
+// How many voters that have learned the change have not heard each voter for so long that its sessions have lapsed.
+std::map<DaemonId, std::size_t> countSilent(const ControlClient& client, const Proposal& proposal) {
+  std::map<DaemonId, std::size_t> silent;
+  for (const auto& voter : client.membership.voters)
+    if (const auto* state = learnedState(proposal, voter))
+      for (const auto& id : state->silent) ++silent[id];
+  return silent;
+}
+
+// No voter holds a live session short of the change: it says so, or so many others, all of whom have learned, have not
+// heard it that it can't stand again without having learned from one of them.
+bool everySessionHasIt(const ControlClient& client, const Proposal& proposal) {
+  const auto& voters = client.membership.voters;
+  const auto silent = countSilent(client, proposal);
+  const auto enough = voters.size() - majority(voters.size()) + 1;
+  return std::all_of(voters.begin(), voters.end(), [&](const Voter& voter) {
+    const auto* state = learnedState(proposal, voter);
+    if (state && state->waiting.empty()) return true;
+    const auto by = silent.find(voter.id);
+    return by != silent.end() && by->second >= enough;
+  });
+}
+
+bool due(const Proposal& proposal, Now now, const Bounds& bounds) {
+  return now.steadyMs - proposal.sentMs >= std::max(kShortestResendMs, resendMs(proposal.phase, bounds));
+}
+
+void tick(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  const auto& bounds = client.settings.bounds;
+  if (proposal.phase == Phase::done) return;
+  if (proposal.deadlineMs && now.steadyMs >= proposal.deadlineMs) return giveUp(client, proposal, out);
+  const bool lapsed = proposal.learnedMs >= 0 && now.steadyMs - proposal.learnedMs >= bounds.lapseMs();
+  if (proposal.phase == Phase::learn && lapsed) return finish(proposal, out);
+  if (proposal.phase == Phase::queued) return;
+  if (proposal.retryAtMs) {
+    if (now.steadyMs >= proposal.retryAtMs) startRounds(client, proposal, now, out);
+  } else if (due(proposal, now, bounds)) {
+    sendPhase(client, proposal, now, out);
+  }
+}
+
+void propose(ControlClient& client, Proposal proposal, Millis deadlineMs, Now now, Outbox& out) {
+  proposal.startedMs = now.steadyMs;
+  proposal.deadlineMs = now.steadyMs + deadlineMs;
+  client.proposals.push_back(std::move(proposal));
+  startQueued(client, now, out);
+}
+
+}  // namespace
+
+void heardPromise(ControlClient& client, const Address& from, const RegisterPromise& reply, Now now, Outbox& out) {
+  client.ballotNumber = std::max(client.ballotNumber, reply.promised.number);
+  for (auto& proposal : client.proposals) {
+    if (proposal.phase != Phase::prepare || proposal.ballot != reply.ballot || proposal.key != reply.key) continue;
+    if (!reply.ok) return backOff(client, proposal, now, out);
+    if (!isVoterAddress(client, from)) return;
+    proposal.promises[from] = reply;
+    if (isMajority(client, proposal.promises.size())) acceptRound(client, proposal, now, out);
+    return;
+  }
+}
+
+void heardAccepted(ControlClient& client, const Address& from, const RegisterAccepted& reply, Now now, Outbox& out) {
+  client.ballotNumber = std::max(client.ballotNumber, reply.promised.number);
+  for (auto& proposal : client.proposals) {
+    if (proposal.phase != Phase::accept || proposal.ballot != reply.ballot || proposal.key != reply.key) continue;
+    if (!reply.ok) return backOff(client, proposal, now, out);
+    if (!isVoterAddress(client, from)) return;
+    proposal.accepts.insert(from);
+    if (isMajority(client, proposal.accepts.size())) learnRound(client, proposal, now, out);
+    return;
+  }
+}
+
+void heardAckState(ControlClient& client, const Address& from, const AckState& reply, Now now, Outbox& out) {
+  for (auto& proposal : client.proposals) {
+    if (proposal.phase != Phase::learn || proposal.query != reply.query) continue;
+    proposal.states[from] = reply;
+    const bool learned = isMajority(client, countLearned(client, proposal));
+    if (learned && everySessionHasIt(client, proposal)) return finish(proposal, out);
+    if (learned && proposal.learnedMs < 0) proposal.learnedMs = now.steadyMs;
+    return;
+  }
+}
+
+void proposalsTick(ControlClient& client, Now now, Outbox& out) {
+  for (auto& proposal : client.proposals) tick(client, proposal, now, out);
+  startQueued(client, now, out);
+  std::erase_if(client.proposals, [](const Proposal& proposal) { return proposal.phase == Phase::done; });
+}
+
+void proposalsMembershipChanged(ControlClient& client, Now now, Outbox& out) {
+  for (auto& proposal : client.proposals) {
+    proposal.promises.clear();
+    proposal.accepts.clear();
+    proposal.states.clear();
+    const bool underWay = proposal.phase != Phase::queued && proposal.phase != Phase::done;
+    if (underWay && !proposal.retryAtMs) sendPhase(client, proposal, now, out);
+  }
+}
+
+bool proposing(const ControlClient& client, std::string_view key) {
+  return std::any_of(client.proposals.begin(), client.proposals.end(),
+                     [&](const Proposal& proposal) { return proposal.key == key; });
+}
+
+void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
+  const auto& bounds = client.settings.bounds;
+  if (client.membership.voters.empty()) return answerKind(out, requestId, Kind::noMajority, bounds);
+  if (client.proposals.size() >= kMostProposals) return answerKind(out, requestId, Kind::overloaded, bounds);
+  if (edit.name.empty())
+    edit.name = client.id.value + "/" + client.incarnation + "/" + std::to_string(client.ballotNumber + 1);
+  Proposal proposal;
+  proposal.requestId = requestId;
+  proposal.key = kConfigKey;
+  proposal.edit = std::move(edit);
+  propose(client, std::move(proposal), deadlineMs, now, out);
+}
+
+void proposeFixed(ControlClient& client, std::string key, std::string value, Now now, Outbox& out) {
+  Proposal proposal;
+  proposal.key = std::move(key);
+  proposal.fixedValue = std::move(value);
+  propose(client, std::move(proposal), 4 * client.settings.bounds.leaseMs, now, out);
+}
+
+}  // namespace tulip::control
