Orders: taken ones never refused, refused ones never in force, zones not undone

Causes, found by reading: - Only 256 names were kept; an order sent again after that was told raced though it had been taken. - A refusal was final only where versions and numbers make it so. An order on a version that hadn't come yet, or one that a change without a number makes valid, was refused at one daemon and taken by its other try, which hung at a daemon cut off. - Edits without a name were named after the next ballot, so those that waited at one daemon shared a name: the second was acknowledged and never made. - Orders for zones have no number; a try that hung at a daemon cut off emptied a zone that had been emptied and taken back elsewhere meanwhile. - Callers were denied (404, 400) by the last known configuration before the session was asked for; counts and states were passed on likewise; /leader and ready told of what was last known.

Now: the register keeps 1,024 numbered orders by digest and the highest number dropped, and answers 503 for what it may have dropped; refusals that are not final by themselves are written into it before they are told; names are counted; a zone order carries the version it was made on; callers get 503 without a session.

The stored layout is extended at its end; what older software stored counts its numbers as dropped. config_test compares the new fields too.

Ruled out: a race of the two rounds themselves (argument in docs/design/control.md).

--- a/src/control/edit.cpp
+++ b/src/control/edit.cpp
@@ -1,13 +1,19 @@
 #include "control/edit.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "control/session.hpp"
+
 namespace tulip::control {
 
 namespace {
 
-/// Outcomes of the latest named edits that the register keeps.
+/// Outcomes of the newest edits that the register keeps: of those with a name, of those with an operator's number, and
+/// refusals that are not final by themselves.
 constexpr std::size_t kMostRequests = 256;
+constexpr std::size_t kMostOrders = 1024;
+constexpr std::size_t kMostRejected = 256;
 
 std::string versionBody(Version version) { return "{\"revision\":" + std::to_string(version) + "}"; }
 
@@ -102,38 +108,146 @@
   return faults;
 }
 
+// The name of an order with a number already stands for its content; other names are chosen by hand.
+std::uint64_t digestOf(const Edit& edit) {
+  if (edit.operatorVersion > 0) return mix(edit.name);
+  return mix(edit.body, mix(edit.expected ? std::to_string(*edit.expected) : std::string(), mix(edit.name)));
+}
+
+bool numbered(const Edit& edit) { return edit.operatorVersion > 0; }
+
+template <class List>
+void keepNewest(List& list, std::size_t most) {
+  if (list.size() > most) list.erase(list.begin(), list.end() - static_cast<std::ptrdiff_t>(most));
+}
+
+/// What one value of the register says of the edits made before.
+struct History {
+  config::Stored stored;
+  Json text;
+  Version operatorVersion = 0;
+};
+
+History readHistory(const std::string& value) {
+  History history;
+  history.stored = config::readStored(value);
+  history.text = history.stored.text.empty() ? Json(json_object()) : parseJson(history.stored.text);
+  history.operatorVersion = static_cast<Version>(numberAt(history.text.get(), "edition"));
+  return history;
+}
+
 std::optional<Version> takenAs(const Edit& edit, const config::Stored& stored) {
   if (edit.name.empty()) return {};
+  if (numbered(edit)) {
+    for (const auto& order : stored.orders)
+      if (order.operatorVersion == edit.operatorVersion && order.digest == digestOf(edit)) return order.version;
+    return {};
+  }
   for (const auto& [name, version] : stored.requests)
     if (name == edit.name) return version;
   return {};
 }
 
-void remember(const Edit& edit, config::Stored& stored) {
+std::optional<Kind> rejectedAs(const Edit& edit, const config::Stored& stored) {
+  for (const auto& rejected : stored.rejected)
+    if (rejected.digest == digestOf(edit)) return static_cast<Kind>(rejected.kind);
+  return {};
+}
+
+// Numbers that were used before the register kept orders, or that it dropped for newer ones.
+Version forgottenOrders(const History& history) {
+  return history.stored.orders.empty() ? std::max(history.stored.forgottenOrders, history.operatorVersion)
+                                       : history.stored.forgottenOrders;
+}
+
+// Whether the edit may have been taken so long ago that its outcome is no longer kept.
+bool mayBeForgotten(const Edit& edit, const History& history) {
+  if (numbered(edit)) return edit.operatorVersion <= forgottenOrders(history);
+  const auto& requests = history.stored.requests;
+  if (edit.nameGiven || !edit.expected || requests.size() < kMostRequests) return false;
+  return *edit.expected + 1 < requests.front().second;
+}
+
+const config::ZoneMark* markOf(const config::Stored& stored, const std::string& zone) {
+  for (const auto& mark : stored.zoneMarks)
+    if (mark.zone == zone) return &mark;
+  return nullptr;
+}
+
+// Whether the opposite was ordered after this order came: it would undo what may have been acknowledged since.
+bool overtaken(const Edit& edit, const config::Stored& stored) {
+  if (!edit.zoneOrder) return false;
+  const auto* mark = markOf(stored, edit.zoneOrder->zone);
+  return mark && mark->version > edit.zoneOrder->madeOn && mark->emptied != edit.zoneOrder->emptied;
+}
+
+void markZone(const ZoneOrder& order, config::Stored& stored) {
+  std::erase_if(stored.zoneMarks, [&](const config::ZoneMark& mark) { return mark.zone == order.zone; });
+  stored.zoneMarks.push_back({order.zone, order.emptied, stored.version});
+}
+
+void rememberOrder(const Edit& edit, const History& history, config::Stored& stored) {
+  stored.forgottenOrders = forgottenOrders(history);
+  stored.orders.push_back({edit.operatorVersion, digestOf(edit), stored.version});
+  if (stored.orders.size() <= kMostOrders) return;
+  stored.forgottenOrders = stored.orders.front().operatorVersion;
+  keepNewest(stored.orders, kMostOrders);
+}
+
+void remember(const Edit& edit, const History& history, config::Stored& stored) {
+  if (edit.zoneOrder) markZone(*edit.zoneOrder, stored);
   if (edit.name.empty()) return;
+  if (numbered(edit)) return rememberOrder(edit, history, stored);
   stored.requests.emplace_back(edit.name, stored.version);
-  if (stored.requests.size() > kMostRequests) stored.requests.erase(stored.requests.begin());
+  keepNewest(stored.requests, kMostRequests);
+}
+
+// Versions and numbers only rise, so a refusal of what was made on an older one stands by itself.
+bool finalByItself(const Edit& edit, const History& history) {
+  if (edit.name.empty() || edit.nameGiven) return true;
+  if (edit.expected && *edit.expected < history.stored.version) return true;
+  if (edit.basedOn && *edit.basedOn < history.operatorVersion) return true;
+  return numbered(edit) && edit.operatorVersion <= history.operatorVersion;
+}
+
+// The same edit may be under way at another daemon too, so the register itself must say that it was refused.
+EditOutcome reject(const Edit& edit, const History& history, Kind kind, std::string body, const std::string& current) {
+  if (finalByItself(edit, history)) return rejected(kind, std::move(body), current);
+  auto stored = history.stored;
+  stored.rejected.push_back({digestOf(edit), static_cast<std::int64_t>(kind)});
+  keepNewest(stored.rejected, kMostRejected);
+  return rejected(kind, std::move(body), config::writeStored(stored));
+}
+
+EditOutcome undecided(const std::string& current) { return rejected(Kind::unknownOutcome, {}, current); }
+
+EditOutcome apply(const Edit& edit, const History& history, const json_t* next) {
+  auto stored = history.stored;
+  stored.text = dumpJson(next);
+  ++stored.version;
+  remember(edit, history, stored);
+  return accepted(stored.version, stored.version, config::writeStored(stored));
 }
 
 }  // namespace
 
 EditOutcome judgeEdit(const Edit& edit, const std::string& current) {
-  auto stored = config::readStored(current);
+  const auto history = readHistory(current);
+  const auto& stored = history.stored;
   if (const auto made = takenAs(edit, stored)) return accepted(*made, stored.version, current);
+  if (const auto kind = rejectedAs(edit, stored)) return rejected(*kind, config::faultsJson(*kind, {}), current);
+  if (mayBeForgotten(edit, history) || overtaken(edit, stored)) return undecided(current);
   if (edit.expected && *edit.expected != stored.version)
-    return rejected(Kind::raced, racedBody("expected", *edit.expected, "revision", stored.version), current);
-  Json base = stored.text.empty() ? Json(json_object()) : parseJson(stored.text);
-  const auto operatorVersion = static_cast<Version>(numberAt(base.get(), "edition"));
-  if (edit.basedOn && *edit.basedOn != operatorVersion)
-    return rejected(Kind::raced, racedBody("basedOn", *edit.basedOn, "edition", operatorVersion), current);
-  const Json next = applyEdit(edit, std::move(base));
-  const auto faults = next ? check(edit, next.get(), operatorVersion) : std::vector<config::Fault>{};
+    return reject(edit, history, Kind::raced, racedBody("expected", *edit.expected, "revision", stored.version),
+                  current);
+  if (edit.basedOn && *edit.basedOn != history.operatorVersion)
+    return reject(edit, history, Kind::raced, racedBody("basedOn", *edit.basedOn, "edition", history.operatorVersion),
+                  current);
+  const Json next = applyEdit(edit, Json(json_deep_copy(history.text.get())));
+  const auto faults = next ? check(edit, next.get(), history.operatorVersion) : std::vector<config::Fault>{};
   if (!next || !faults.empty())
-    return rejected(Kind::invalidConfig, config::faultsJson(Kind::invalidConfig, faults), current);
-  stored.text = dumpJson(next.get());
-  ++stored.version;
-  remember(edit, stored);
-  return accepted(stored.version, stored.version, config::writeStored(stored));
+    return reject(edit, history, Kind::invalidConfig, config::faultsJson(Kind::invalidConfig, faults), current);
+  return apply(edit, history, next.get());
 }
 
 }  // namespace tulip::control
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -117,8 +117,11 @@
   out.wakeBy(proposal.retryAtMs);
 }
 
-void finish(Proposal& proposal, Outbox& out) {
-  if (proposal.requestId) out.answer(proposal.requestId, proposal.status, proposal.body, 0, proposal.kind);
+void finish(const ControlClient& client, Proposal& proposal, Outbox& out) {
+  if (proposal.requestId && proposal.kind == Kind::unknownOutcome)
+    answerKind(out, proposal.requestId, proposal.kind, client.settings.bounds);
+  else if (proposal.requestId)
+    out.answer(proposal.requestId, proposal.status, proposal.body, 0, proposal.kind);
   proposal.requestId = 0;
   proposal.phase = Phase::done;
 }
@@ -151,7 +154,7 @@
 void acceptRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   const auto& newest = newestPromise(proposal);
   judge(proposal, newest.accepted, valueOf(client, proposal, newest));
-  if (proposal.value.empty()) return finish(proposal, out);
+  if (proposal.value.empty()) return finish(client, proposal, out);
   if (proposal.key == kConfigKey) {
     client.knownBallot = proposal.ballot;
     client.knownValue = proposal.value;
@@ -167,7 +170,7 @@
   proposal.retryAtMs = 0;
   proposal.query = proposal.ballot.number;
   sendPhase(client, proposal, now, out);
-  if (!proposal.changes) finish(proposal, out);
+  if (!proposal.changes) finish(client, proposal, out);
   startQueued(client, now, out);
 }
 
@@ -214,7 +217,7 @@
   if (proposal.phase == Phase::done) return;
   if (proposal.deadlineMs && now.steadyMs >= proposal.deadlineMs) return giveUp(client, proposal, out);
   const bool lapsed = proposal.learnedMs >= 0 && now.steadyMs - proposal.learnedMs >= bounds.lapseMs();
-  if (proposal.phase == Phase::learn && lapsed) return finish(proposal, out);
+  if (proposal.phase == Phase::learn && lapsed) return finish(client, proposal, out);
   if (proposal.phase == Phase::queued) return;
   if (proposal.retryAtMs) {
     if (now.steadyMs >= proposal.retryAtMs) startRounds(client, proposal, now, out);
@@ -223,6 +226,12 @@
   }
 }
 
+// A proposer that was outbid must know its own edit again, and no other for it.
+void giveName(ControlClient& client, Edit& edit) {
+  edit.name = client.id.value + "/" + client.incarnation + "/#" + std::to_string(++client.namesGiven);
+  edit.nameGiven = true;
+}
+
 void propose(ControlClient& client, Proposal proposal, Millis deadlineMs, Now now, Outbox& out) {
   proposal.startedMs = now.steadyMs;
   proposal.deadlineMs = now.steadyMs + deadlineMs;
@@ -261,7 +270,7 @@
     if (proposal.phase != Phase::learn || proposal.query != reply.query) continue;
     proposal.states[from] = reply;
     const bool learned = isMajority(client, countLearned(client, proposal));
-    if (learned && everySessionHasIt(client, proposal)) return finish(proposal, out);
+    if (learned && everySessionHasIt(client, proposal)) return finish(client, proposal, out);
     if (learned && proposal.learnedMs < 0) proposal.learnedMs = now.steadyMs;
     return;
   }
@@ -292,8 +301,7 @@
   const auto& bounds = client.settings.bounds;
   if (client.membership.voters.empty()) return answerKind(out, requestId, Kind::noMajority, bounds);
   if (client.proposals.size() >= kMostProposals) return answerKind(out, requestId, Kind::overloaded, bounds);
-  if (edit.name.empty())
-    edit.name = client.id.value + "/" + client.incarnation + "/" + std::to_string(client.ballotNumber + 1);
+  if (edit.name.empty()) giveName(client, edit);
   Proposal proposal;
   proposal.requestId = requestId;
   proposal.key = kConfigKey;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -40,7 +40,8 @@
   const bool here = node.scheduler && scheduler::leads(*node.scheduler, now);
   const LeaderHint hint =
       here ? LeaderHint{node.scheduler->term, client.settings.peerAddress, client.settings.http} : client.leader;
-  if (hint.http.empty()) return control::answerKind(out, requestId, Kind::noLeader, client.settings.bounds);
+  const bool known = here || control::sessionLive(client, now);
+  if (!known || hint.http.empty()) return control::answerKind(out, requestId, Kind::noLeader, client.settings.bounds);
   Json root(json_object());
   json_object_set_new(root.get(), "http", jsonText(hint.http.view()));
   json_object_set_new(root.get(), "term", json_integer(static_cast<json_int_t>(hint.term.number)));
@@ -128,41 +129,55 @@
   scheduler::callLeader(*node.scheduler, std::move(call), ask.deadlineMs, now, out);
 }
 
+// What a caller may be told or asked to wait for rests on the configuration that this daemon has: without a session it
+// can't know whether that is still the one in force.
+bool restsOnConfig(const Ask& ask) { return ask.face == FaceKind::callers; }
+
+void proposeOrder(Node& node, const Ask& ask, control::Edit edit, Now now, Outbox& out) {
+  auto& client = clientOf(node);
+  if (edit.zoneOrder) edit.zoneOrder->madeOn = client.configVersion;
+  control::proposeConfig(client, ask.requestId, std::move(edit), ask.deadlineMs * 9 / 10, now, out);
+}
+
+CallKind callKindOf(Call call) {
+  if (call == Call::submit) return CallKind::submit;
+  if (call == Call::cancelJob) return CallKind::cancelJob;
+  if (call == Call::countPending) return CallKind::countPending;
+  return CallKind::getJob;
+}
+
 void onAdapter(Node& node, const Ask& ask, Now now, Outbox& out) {
   auto& client = clientOf(node);
+  const bool live = control::sessionLive(client, now);
   auto wanted = node.adapter->read(ask, *client.config);
   node.adapterCalls[ask.requestId] = wanted.call;
   auto reject = [&](Kind kind, std::string_view detail = {}) {
     ++node.rejectedAsks;
     control::answerKind(out, ask.requestId, kind, client.settings.bounds, detail);
   };
+  if (restsOnConfig(ask) && !live) return reject(Kind::notReady);
   if (wanted.rejection != Kind::ok) return reject(wanted.rejection);
   switch (wanted.call) {
     case Call::ready:
-      return client.ready ? out.tell(ask.requestId, Kind::ok, {}) : reject(Kind::notReady);
+      return client.ready && live ? out.tell(ask.requestId, Kind::ok, {}) : reject(Kind::notReady);
     case Call::submit:
       if (!node.scheduler) return reject(Kind::noSuchRoute);
-      if (!control::sessionLive(client, now)) return reject(Kind::notReady);
       if (const auto verdict = jobs::checkSpec(wanted.spec, *client.config); verdict.kind != Kind::ok)
         return reject(verdict.kind, verdict.field);
-      return askLeader(node, ask, wanted, CallKind::submit, now, out);
+      return askLeader(node, ask, wanted, callKindOf(wanted.call), now, out);
     case Call::getJob:
     case Call::cancelJob:
     case Call::countPending:
       if (!node.scheduler) return reject(Kind::noSuchRoute);
-      return askLeader(node, ask, wanted,
-                       wanted.call == Call::getJob      ? CallKind::getJob
-                       : wanted.call == Call::cancelJob ? CallKind::cancelJob
-                                                        : CallKind::countPending,
-                       now, out);
+      return askLeader(node, ask, wanted, callKindOf(wanted.call), now, out);
     case Call::putConfig:
     case Call::patchConfig:
     case Call::emptyZone:
     case Call::takeBackZone:
-      if (!control::sessionLive(client, now)) return reject(Kind::notReady);
-      return control::proposeConfig(client, ask.requestId, std::move(wanted.edit), ask.deadlineMs * 9 / 10, now, out);
+      if (!live) return reject(Kind::notReady);
+      return proposeOrder(node, ask, std::move(wanted.edit), now, out);
     case Call::getConfig: {
-      if (!control::sessionLive(client, now) || client.configVersion == 0) return reject(Kind::notReady);
+      if (!live || client.configVersion == 0) return reject(Kind::notReady);
       CallResult brief;
       brief.text = client.configText;
       return out.tell(ask.requestId, Kind::ok, std::move(brief));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -93,11 +93,15 @@
 }
 
 TEST(config, a_stored_configuration_keeps_its_requests) {
-  config::Stored stored{7, R"({"cells":{}})", {{"t1", 6}, {"t2", 7}}};
+  config::Stored stored{7, R"({"cells":{}})", {{"t1", 6}, {"t2", 7}}, {{5, 55, 6}}, 4, {{66, 1}}, {{"z", true, 7}}};
   const auto again = config::readStored(config::writeStored(stored));
   LONGS_EQUAL(7, again.version);
   STRCMP_EQUAL(stored.text.c_str(), again.text.c_str());
   CHECK(again.requests == stored.requests);
+  CHECK(again.orders == stored.orders);
+  LONGS_EQUAL(4, again.forgottenOrders);
+  CHECK(again.rejected == stored.rejected);
+  CHECK(again.zoneMarks == stored.zoneMarks);
 }
 
 TEST(config, a_job_that_can_not_be_is_rejected_by_field) {
