--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -38,6 +38,7 @@
 struct Berthed {
   Settings settings;
   DaemonId id;
+  Incarnation incarnation;
   storage::Disk disk;
   Node node;
   Millis wakeMs = -1;
@@ -167,7 +168,8 @@
       if (near == host_.local.end())
         wants.sends.push_back({node, std::move(send)});
       else
-        inside_.push_back({near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to}});
+        inside_.push_back({near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to,
+                                               one.incarnation, send.toIncarnation}});
     }
     std::move(out.answers.begin(), out.answers.end(), std::back_inserter(wants.answers));
     std::move(out.forwards.begin(), out.forwards.end(), std::back_inserter(wants.forwards));
@@ -181,7 +183,9 @@
     asio::post(host_.context, [this, wants = std::move(wants)]() mutable {
       for (auto& [node, send] : wants.sends) {
         const auto& from = host_.berthed[node];
-        host_.wire->send(from.id, from.settings.peerAddress, send.to, std::move(send.message));
+        const auto version = protocolVersionOf(send.message);
+        host_.wire->send({version, from.id, from.settings.peerAddress, send.to, std::move(send.message),
+                          from.incarnation, send.toIncarnation});
       }
       for (const auto& answer : wants.answers) host_.server->answer(answer);
       for (const auto& forward : wants.forwards) host_.server->forward(forward);
@@ -362,6 +366,7 @@
     const auto& settings = one.settings;
     maxBodyBytes = std::max(maxBodyBytes, settings.maxBodyBytes);
     const std::string incarnation = freshName();
+    one.incarnation = incarnationOf(incarnation);
     one.id = DaemonId(std::string(roleName(settings.role)) + "-" + (settings.name.empty() ? "" : settings.name + "-") +
                       incarnation);
     if (settings.role == Role::replica && !settings.dataFolder.empty()) {
@@ -386,8 +391,9 @@
       [&host](Frame&& frame) {
         const auto found = host.local.find(frame.to);
         if (found == host.local.end()) return;
-        host.events.offer({found->second, Heard{std::move(frame.fromId), std::move(frame.from),
-                                                std::move(frame.message), std::move(frame.to)}});
+        host.events.offer(
+            {found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message),
+                                  std::move(frame.to), frame.fromIncarnation, frame.toIncarnation}});
       },
       [](std::string text) { alarm(std::move(text)); });
   host.server = std::make_unique<http::HttpServer>(
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -120,7 +120,7 @@
 
 void askLeader(Node& node, const Ask& ask, http::Wanted& wanted, CallKind kind, Now now, Outbox& out) {
   CallAsk call;
-  call.requestId = ask.requestId;
+  call.id = {node.incarnations.self, ask.requestId};
   call.call = kind;
   call.pending = wanted.pending;
   call.job = wanted.job;
@@ -259,6 +259,9 @@
 Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image,
               Now now) {
   Node node;
+  node.incarnations.self = incarnationOf(incarnation);
+  node.incarnations.address = settings.peerAddress;
+  node.incarnations.bounds = settings.bounds;
   if (settings.role == Role::replica) node.replica = control::makeReplica(settings, std::move(image), incarnation, now);
   if (settings.role == Role::scheduler) node.scheduler = scheduler::makeScheduler(settings, id, incarnation);
   if (settings.role == Role::agent) node.agent = agent::makeAgent(settings, id, incarnation);
@@ -293,11 +296,24 @@
     out.done = true;
 }
 
+// The only way in for messages: what is meant for, or sent by, another incarnation ends here.
+void admitAndStep(Node& node, const Event& event, Now now, Outbox& out) {
+  std::vector<Heard> released;
+  const bool admitted = admit(node.incarnations, std::get<Heard>(event), now, out, released);
+  for (auto& earlier : released) step(node, std::move(earlier), now, out);
+  if (admitted) step(node, event, now, out);
+}
+
 }  // namespace
 
 void nodeStep(Node& node, const Event& event, Now now, Outbox& out) {
   const auto before = out.answers.size();
-  step(node, event, now, out);
+  if (std::holds_alternative<Heard>(event))
+    admitAndStep(node, event, now, out);
+  else
+    step(node, event, now, out);
+  if (std::holds_alternative<Tick>(event)) retryProbes(node.incarnations, now, out);
+  addressTo(node.incarnations, out.sends);
   if (node.adapterCalls.empty()) return;
   for (std::size_t i = before; i < out.answers.size(); ++i)
     if (auto found = node.adapterCalls.find(out.answers[i].requestId); found != node.adapterCalls.end()) {
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -6,10 +6,12 @@
 #include "http/front.hpp"
 #include "http/protocol_adapter.hpp"
 #include "scheduler/scheduler.hpp"
+#include "transport/peer_incarnations.hpp"
 
 namespace tulip::daemon {
 
 struct Node {
+  transport::PeerIncarnations incarnations;
   std::optional<control::ReplicaState> replica;
   std::optional<scheduler::SchedulerState> scheduler;
   std::optional<agent::AgentState> agent;
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -65,6 +65,7 @@
   accept.membership = scheduler.client.membership.version;
   accept.term = scheduler.term;
   accept.seq = scheduler.seq;
+  accept.number = ++scheduler.acceptNumber;
   accept.sentMs = now.steadyMs;
   accept.fleetMs = fleet(scheduler, now);
   accept.hint = hintOf(scheduler);
@@ -195,12 +196,17 @@
 
 }  // namespace
 
+// A promise counts towards a majority of the membership that it was asked in only.
+static bool ofThisMembership(const SchedulerState& scheduler, const JobLogPromise& promise) {
+  return promise.membership == 0 || promise.membership == scheduler.client.membership.version;
+}
+
 void onPromise(SchedulerState& scheduler, const Heard& heard, const JobLogPromise& promise, Now now, Outbox& out) {
   scheduler.highestSeen = std::max(scheduler.highestSeen, promise.promised.number);
   if (promise.term != scheduler.term) return;
   const bool isVoter = std::any_of(scheduler.client.membership.voters.begin(), scheduler.client.membership.voters.end(),
                                    [&](const Voter& voter) { return voter.id == heard.fromId; });
-  if (!isVoter) return;
+  if (!isVoter || !ofThisMembership(scheduler, promise)) return;
   if (!promise.ok) {
     if (scheduler.course == Course::leading && scheduler.term < promise.promised) {
       auto found = scheduler.voters.find(heard.fromId);
@@ -216,6 +222,7 @@
     return;
   }
   if (scheduler.course == Course::preparing) {
+    std::erase_if(scheduler.promises, [&](const auto& each) { return !ofThisMembership(scheduler, each.second); });
     scheduler.promises[heard.fromId] = promise;
     if (scheduler.promises.size() >= control::majority(scheduler.client.membership.voters.size()))
       takeOver(scheduler, now, out);
@@ -355,6 +362,7 @@
       JobLogAccept heartbeat;
       heartbeat.membership = scheduler.client.membership.version;
       heartbeat.term = scheduler.term;
+      heartbeat.number = ++scheduler.acceptNumber;
       heartbeat.sentMs = now.steadyMs;
       heartbeat.fleetMs = fleet(scheduler, now);
       heartbeat.hint = hintOf(scheduler);
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -105,10 +105,9 @@
   auto& row = scheduler.workers[report.worker];
   row.id = report.worker;
   if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
-  if (row.last.agent != report.agent) {
-    row.firstOrdered.clear();
-    row.ordersSeq = 0;
-  }
+  // The number of orders goes on rising: an agent whose report comes after a delayed one of an earlier agent of the
+  // worker would take none that are numbered anew.
+  if (row.last.agent != report.agent) row.firstOrdered.clear();
   const bool news = row.heardMs < 0 || row.last.workerIncarnation != report.workerIncarnation ||
                     row.last.leaving != report.leaving || row.last.workerHeard != report.workerHeard;
   if (row.last.workerIncarnation != report.workerIncarnation) row.standing.pace = 1;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -62,6 +62,7 @@
   std::uint64_t requestId = 0;
   bool brief = false;
   Address remote;
+  Incarnation remoteIncarnation{};  // of the daemon that passed the call on
 };
 
 struct Waiting {
@@ -120,6 +121,7 @@
   std::deque<std::pair<std::uint64_t, std::string>> tombs;
   std::map<DaemonId, VoterRow> voters;
   std::uint64_t seq = 0;
+  std::uint64_t acceptNumber = 0;  // of the newest accept sent, batch or heartbeat
   std::uint64_t committed = 0;
   std::map<std::uint64_t, Batch> batches;
   Millis leaseUntilMs = -1000000;
--- a/src/simulator/sim.cpp
+++ b/src/simulator/sim.cpp
@@ -7,12 +7,13 @@
 namespace {
 
 std::string_view messageName(const Message& message) {
-  constexpr std::string_view kNames[] = {"SessionBeat",    "SessionGrant",     "RegisterPrepare", "RegisterPromise",
-                                         "RegisterAccept", "RegisterAccepted", "RegisterChosen",  "AckQuery",
-                                         "AckState",       "RangePrepare",     "RangePromise",    "RangeAccept",
-                                         "RangeAccepted",  "Resign",           "ReplicaBeat",     "Form",
-                                         "CatchUpAsk",     "CatchUpGive",      "AgentReport",     "Orders",
-                                         "CallAsk",        "CallAnswer",       "Referral"};
+  constexpr std::string_view kNames[] = {"SessionBeat",     "SessionGrant",     "RegisterPrepare", "RegisterPromise",
+                                         "RegisterAccept",  "RegisterAccepted", "RegisterChosen",  "AckQuery",
+                                         "AckState",        "RangePrepare",     "RangePromise",    "RangeAccept",
+                                         "RangeAccepted",   "Resign",           "ReplicaBeat",     "Form",
+                                         "CatchUpAsk",      "CatchUpGive",      "AgentReport",     "Orders",
+                                         "CallAsk",         "CallAnswer",       "Referral",        "IncarnationProbe",
+                                         "IncarnationProof"};
   static_assert(std::size(kNames) == std::variant_size_v<Message>);
   return kNames[message.index()];
 }
@@ -334,13 +335,23 @@
   ++frames_;
   const bool self = &to == &from;
   if (!self && (isCut(from, to) || chance(plan.sea.drop))) return;
-  Heard heard{from.id, from.settings.peerAddress, send.message, send.to};
+  const auto incarnation = from.node->incarnations.self;
+  Heard heard{from.id, from.settings.peerAddress, send.message, send.to, incarnation, send.toIncarnation};
+  const auto frameOf = [&] {
+    return Frame{protocolVersionOf(send.message),
+                 from.id,
+                 from.settings.peerAddress,
+                 send.to,
+                 send.message,
+                 incarnation,
+                 send.toIncarnation};
+  };
   constexpr std::uint64_t kCodecEvery = 16;
   if (meter) {
     const std::string kind(messageName(send.message));
     auto& out = meter->rows[{roleAt(from), kind}];
     auto fromNs = threadNs();
-    const auto bytes = encode(Frame{kProtocolVersion, from.id, from.settings.peerAddress, send.to, send.message});
+    const auto bytes = encode(frameOf());
     out.encodeNs += meter->since(fromNs);
     ++out.sent;
     out.sentBytes += bytes.size();
@@ -353,9 +364,7 @@
     heard.message = std::move(frame.message);
   } else if (frames_ % kCodecEvery == 0) {
     Frame frame;
-    if (decode(encode(Frame{kProtocolVersion, from.id, from.settings.peerAddress, send.to, send.message}), frame) !=
-        Decoded::ok)
-      std::abort();
+    if (decode(encode(frameOf()), frame) != Decoded::ok) std::abort();
     heard.message = std::move(frame.message);
   }
   const int copies = !self && chance(plan.sea.twice) ? 2 : 1;
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -5,6 +5,10 @@
 namespace tulip::transport {
 namespace {
 
+constexpr std::uint32_t kIncarnationProtocolVersion = 3;  // the first with probes and proofs
+constexpr std::uint32_t kFewestFrameParts = 6;            // without incarnations, of version 2
+constexpr std::uint32_t kFrameParts = 8;
+
 template <std::size_t... Is>
 bool unpackKind(std::size_t kind, const msgpack::object& body, Message& message, std::index_sequence<Is...>) {
   bool found = false;
@@ -14,16 +18,24 @@
 
 }  // namespace
 
+std::uint32_t protocolVersionOf(const Message& message) {
+  const bool identity =
+      std::holds_alternative<IncarnationProbe>(message) || std::holds_alternative<IncarnationProof>(message);
+  return identity ? kIncarnationProtocolVersion : kOldestProtocolVersion;
+}
+
 std::string encode(const Frame& frame) {
   msgpack::sbuffer buffer;
   msgpack::packer<msgpack::sbuffer> packer(buffer);
-  packer.pack_array(6);
+  packer.pack_array(kFrameParts);
   packer.pack(frame.version);
   packer.pack(static_cast<std::uint32_t>(frame.message.index()));
   packer.pack(frame.fromId);
   packer.pack(frame.from);
   packer.pack(frame.to);
   std::visit([&](const auto& body) { packer.pack(body); }, frame.message);
+  packer.pack(frame.fromIncarnation);
+  packer.pack(frame.toIncarnation);
   return std::string(buffer.data(), buffer.size());
 }
 
@@ -31,13 +43,17 @@
   try {
     const auto handle = msgpack::unpack(bytes.data(), bytes.size());
     const auto& root = handle.get();
-    if (root.type != msgpack::type::ARRAY || root.via.array.size < 6) return Decoded::malformed;
+    if (root.type != msgpack::type::ARRAY || root.via.array.size < kFewestFrameParts) return Decoded::malformed;
     const auto* parts = root.via.array.ptr;
     frame.version = parts[0].as<std::uint32_t>();
     frame.fromId = parts[2].as<DaemonId>();
     frame.from = parts[3].as<Address>();
     frame.to = parts[4].as<Address>();
     if (frame.version < kOldestProtocolVersion || frame.version > kProtocolVersion) return Decoded::foreignVersion;
+    if (root.via.array.size >= kFrameParts) {
+      frame.fromIncarnation = parts[6].as<Incarnation>();
+      frame.toIncarnation = parts[7].as<Incarnation>();
+    }
     const bool known = unpackKind(parts[1].as<std::uint32_t>(), parts[5], frame.message,
                                   std::make_index_sequence<std::variant_size_v<Message>>());
     return known ? Decoded::ok : Decoded::malformed;
--- a/src/transport/core.hpp
+++ b/src/transport/core.hpp
@@ -22,6 +22,8 @@
   Address from;
   Message message;
   Address to = {};
+  Incarnation incarnation = {};    // the sender's; Incarnation{} of a process of the protocol before incarnations
+  Incarnation toIncarnation = {};  // the addressee's, where the sender knew one
 };
 
 struct Ask {
@@ -105,6 +107,7 @@
 struct Send {
   Address to;
   Message message;
+  Incarnation toIncarnation = {};  // the addressee's, where it is known
 };
 
 struct Answer {
@@ -142,7 +145,7 @@
   Millis wakeMs = -1;  // steady time by which the next tick is wanted; -1: the usual one will do
   void wakeBy(Millis atMs) { wakeMs = wakeMs < 0 ? atMs : std::min(wakeMs, atMs); }
 
-  void send(const Address& to, Message message) { sends.push_back({to, std::move(message)}); }
+  void send(const Address& to, Message message) { sends.push_back({to, std::move(message), {}}); }
   void answer(std::uint64_t requestId, int status, std::string body, Millis retryMs = 0, Kind kind = Kind::ok) {
     answers.push_back({requestId, status, retryMs, std::move(body), kind, {}});
   }
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -10,7 +10,7 @@
 namespace tulip::transport {
 
 inline constexpr std::uint32_t kOldestProtocolVersion = 2;
-inline constexpr std::uint32_t kProtocolVersion = 2;
+inline constexpr std::uint32_t kProtocolVersion = 3;
 
 struct Member {
   DaemonId id;
@@ -85,8 +85,9 @@
   Millis fleetMs = 0;
   std::uint64_t membersDigest = 0;  // without ages; 0: nothing said of members
   Version configBase = 0;           // above 0: chartText is a delta to the text of this revision
+  Incarnation grantee{};            // whose heartbeat is answered: sentMs is of its clock
   MSGPACK_DEFINE(heartbeat, sentMs, leaseMs, configVersion, configText, leader, membership, members, fleetMs,
-                 membersDigest, configBase)
+                 membersDigest, configBase, grantee)
 };
 
 struct RegisterPrepare {
@@ -132,8 +133,9 @@
 
 struct AckQuery {
   Version configVersion = 0;
-  std::uint64_t query = 0;
-  MSGPACK_DEFINE(configVersion, query)
+  std::uint64_t query = 0;  // the ballot's number, for the protocol before incarnations
+  Ballot ballot{};          // under which the version was chosen
+  MSGPACK_DEFINE(configVersion, query, ballot)
 };
 
 struct AckState {
@@ -142,8 +144,9 @@
   bool learned = false;
   std::vector<DaemonId> waiting;
   std::vector<DaemonId>
-      silent{};  // voters unheard for so long that no session of theirs is left unless others heard them
-  MSGPACK_DEFINE(configVersion, query, learned, waiting, silent)
+      silent{};     // voters unheard for so long that no session of theirs is left unless others heard them
+  Ballot ballot{};  // of the question
+  MSGPACK_DEFINE(configVersion, query, learned, waiting, silent, ballot)
 };
 
 struct JobLogPrepare {
@@ -161,7 +164,8 @@
   Millis fleetMs = 0;
   std::vector<Entry> entries;
   Ballot base;
-  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base)
+  Version membership = 0;  // of the question; 0: given by the protocol before incarnations
+  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership)
 };
 
 struct JobLogAccept {
@@ -172,7 +176,8 @@
   Millis fleetMs = 0;
   LeaderHint hint;
   std::vector<Entry> entries;
-  MSGPACK_DEFINE(membership, term, seq, sentMs, fleetMs, hint, entries)
+  std::uint64_t number = 0;  // rises within the term, over batches and heartbeats alike; kept when sent again
+  MSGPACK_DEFINE(membership, term, seq, sentMs, fleetMs, hint, entries, number)
 };
 
 struct JobLogAccepted {
@@ -218,13 +223,15 @@
   bool diskless = false;  // holds no voter; only tells where the others are
   bool voting = false;
   bool firstBoot = true;
-  BootstrapProposal joined;              // the first membership that the sender promised itself to, synced
-  std::uint64_t sessionsDigest = 0;      // without ages
-  std::uint64_t acknowledgedDigest = 0;  // of the receiver's sessions as known here
-  bool sameSessions = false;             // left out, since the receiver echoed their digest
+  BootstrapProposal joined;               // the first membership that the sender promised itself to, synced
+  std::uint64_t sessionsDigest = 0;       // without ages
+  std::uint64_t acknowledgedDigest = 0;   // of the receiver's sessions as known here
+  bool sameSessions = false;              // left out, since the receiver echoed their digest
+  std::uint64_t number = 0;               // rises within the sender's incarnation
+  Incarnation acknowledgedIncarnation{};  // whose heartbeat acknowledgedMs echoes: a time of its clock
   MSGPACK_DEFINE(voter, seeds, empty, membership, sentMs, acknowledgedMs, configBallot, configValue, leader,
                  leaseLeftMs, fleetMs, sessions, ailing, remembered, zone, diskless, voting, firstBoot, joined,
-                 sessionsDigest, acknowledgedDigest, sameSessions)
+                 sessionsDigest, acknowledgedDigest, sameSessions, number, acknowledgedIncarnation)
 };
 
 // The answer to a session heartbeat that is not granted: where to ask instead.
@@ -236,7 +243,8 @@
 struct CatchUpAsk {
   Version membership = 0;
   DaemonId id;
-  MSGPACK_DEFINE(membership, id)
+  CatchUpId question{};
+  MSGPACK_DEFINE(membership, id, question)
 };
 
 struct CatchUpGive {
@@ -249,7 +257,8 @@
   Ballot base;
   std::vector<Entry> promises;
   Ballot learned{};
-  MSGPACK_DEFINE(membership, id, jobLogPromised, fleetMs, entries, registers, base, promises, learned)
+  CatchUpId question{};  // that is answered
+  MSGPACK_DEFINE(membership, id, jobLogPromised, fleetMs, entries, registers, base, promises, learned, question)
 };
 
 enum class AttemptState : std::uint8_t { ordered, running, stopping, ended };
@@ -313,29 +322,42 @@
 
 enum class CallKind : std::uint8_t { submit, getJob, cancelJob, countPending };
 
+// The two parts of a call's id are packed apart: the number came first, the incarnation was added at the end.
 struct CallAsk {
-  std::uint64_t requestId = 0;
+  CallId id;
   CallKind call = CallKind::getJob;
   QueueName pending;
   JobId job;
   std::string spec;
   Version configVersion = 0;
-  MSGPACK_DEFINE(requestId, call, pending, job, spec, configVersion)
+  MSGPACK_DEFINE(id.number, call, pending, job, spec, configVersion, id.incarnation)
 };
 
 struct CallAnswer {
-  std::uint64_t requestId = 0;
+  CallId id;
   std::int64_t kind = 0;
   std::uint8_t phase = 0;
   std::int64_t count = 0;
   Millis retryMs = 0;
-  MSGPACK_DEFINE(requestId, kind, phase, count, retryMs)
+  MSGPACK_DEFINE(id.number, kind, phase, count, retryMs, id.incarnation)
+};
+
+// Asks the addressee to show that it runs now; see peer_incarnations.hpp.
+struct IncarnationProbe {
+  std::uint64_t number = 0;
+  MSGPACK_DEFINE(number)
+};
+
+struct IncarnationProof {
+  std::uint64_t number = 0;  // of the probe that is answered
+  MSGPACK_DEFINE(number)
 };
 
-using Message = std::variant<SessionHeartbeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept,
-                             RegisterAccepted, RegisterChosen, AckQuery, AckState, JobLogPrepare, JobLogPromise,
-                             JobLogAccept, JobLogAccepted, Resign, ReplicaHeartbeat, BootstrapProposal, CatchUpAsk,
-                             CatchUpGive, AgentReport, Orders, CallAsk, CallAnswer, Referral>;
+using Message =
+    std::variant<SessionHeartbeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted,
+                 RegisterChosen, AckQuery, AckState, JobLogPrepare, JobLogPromise, JobLogAccept, JobLogAccepted, Resign,
+                 ReplicaHeartbeat, BootstrapProposal, CatchUpAsk, CatchUpGive, AgentReport, Orders, CallAsk, CallAnswer,
+                 Referral, IncarnationProbe, IncarnationProof>;
 
 struct Frame {
   std::uint32_t version = kProtocolVersion;
@@ -343,8 +365,13 @@
   Address from;
   Address to;
   Message message;
+  Incarnation fromIncarnation = {};
+  Incarnation toIncarnation = {};  // where the sender knows one
 };
 
+/// The lowest protocol version whose readers understand the message, so that a fleet can be upgraded, and taken back, a
+/// daemon at a time.
+std::uint32_t protocolVersionOf(const Message& message);
 std::string encode(const Frame& frame);
 enum class Decoded { ok, malformed, foreignVersion };
 Decoded decode(std::string_view bytes, Frame& frame);
--- a/src/transport/wire.cpp
+++ b/src/transport/wire.cpp
@@ -124,7 +124,8 @@
   });
 }
 
-void Wire::send(const DaemonId& fromId, const Address& from, const Address& to, Message message) {
+void Wire::send(const Frame& frame) {
+  const auto& to = frame.to;
   if (closed_ || to.empty()) return;
   auto found = lines_.find(to);
   if (found != lines_.end() && !found->second->up &&
@@ -146,7 +147,7 @@
     if (found == lines_.end()) return;
   }
   const auto& line = found->second;
-  const std::string body = encode(Frame{kProtocolVersion, fromId, from, to, std::move(message)});
+  const std::string body = encode(frame);
   if (!line->queued.empty() && line->queued.size() + body.size() > kMostQueuedBytes) {
     ++counts_.dropped;
     return;
--- a/src/transport/wire.hpp
+++ b/src/transport/wire.hpp
@@ -29,7 +29,7 @@
   ~Wire();
   void listen(const Address& self);
   // Queued until flush, which writes what goes to one peer at once.
-  void send(const DaemonId& fromId, const Address& from, const Address& to, Message message);
+  void send(const Frame& frame);
   void flush();
   void close();
   const WireCounts& counts() const { return counts_; }
