--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -42,7 +42,7 @@
     return;
   std::vector<DiskEntry> writes;
   auto reply = storage::promise(replica.image, ask, writes);
-  persist(replica, std::move(writes), {{heard.from, reply}}, out);
+  persist(replica, std::move(writes), {{heard.from, reply, heard.incarnation}}, out);
 }
 
 void onRegisterAccept(ReplicaState& replica, const Heard& heard, const RegisterAccept& ask, Outbox& out) {
@@ -53,7 +53,7 @@
   std::vector<DiskEntry> writes;
   auto reply = storage::accept(replica.image, ask, writes);
   if (membershipKey && reply.ok) replica.fenced = true;
-  persist(replica, std::move(writes), {{heard.from, reply}}, out);
+  persist(replica, std::move(writes), {{heard.from, reply, heard.incarnation}}, out);
 }
 
 void onRegisterChosen(ReplicaState& replica, const RegisterChosen& chosen, Now now, Outbox& out) {
@@ -74,39 +74,40 @@
   if (!membershipMatches(replica, ask.membership)) return;
   JobLogPromise reply;
   reply.term = ask.term;
+  reply.membership = ask.membership;
   reply.promised = replica.image.jobLogPromised;
   reply.fleetMs = fleetNow(replica.client, now);
   const bool again = replica.image.jobLogPromised == ask.term;
   if (!again && (ask.term < replica.image.jobLogPromised || leaseLive(replica, now))) {
     reply.leaseLeftMs = std::max<Millis>(0, replica.leaseUntilMs - now.steadyMs);
-    out.send(heard.from, std::move(reply));
+    out.reply(heard, std::move(reply));
     return;
   }
   reply.ok = true;
   reply.base = replica.image.jobLogBase;
   for (const auto& [key, entry] : replica.image.jobs) reply.entries.push_back(entry);
   std::vector<DiskEntry> writes{storage::entry::jobLogPromise(ask.term)};
-  persist(replica, std::move(writes), {{heard.from, std::move(reply)}}, out);
+  persist(replica, std::move(writes), {{heard.from, std::move(reply), heard.incarnation}}, out);
 }
 
 void onJobLogAccept(ReplicaState& replica, const Heard& heard, const JobLogAccept& ask, Now now, Outbox& out) {
   JobLogAccepted reply{ask.term, ask.seq, ask.sentMs, false, ask.seq > 0, replica.image.jobLogPromised};
   if (!membershipMatches(replica, ask.membership) || ask.term < replica.image.jobLogPromised) {
     ++replica.jobLogRejected;
-    out.send(heard.from, std::move(reply));
+    out.reply(heard, std::move(reply));
     return;
   }
   std::vector<DiskEntry> writes;
   if (replica.image.jobLogPromised < ask.term) {
-    out.send(heard.from, std::move(reply));
+    out.reply(heard, std::move(reply));
     return;
   }
   ++replica.jobLogAccepts;
   reply.ok = true;
   replica.leader = ask.hint;
   replica.leaseUntilMs = replica.hintUntilMs = now.steadyMs + bounds(replica).leaseMs;
-  if (std::pair(ask.term, ask.sentMs) >= replica.fleetFrom) {
-    replica.fleetFrom = {ask.term, ask.sentMs};
+  if (std::pair(ask.term, ask.number) >= replica.fleetFrom) {
+    replica.fleetFrom = {ask.term, ask.number};
     setFleet(replica.client, ask.fleetMs, now);
   }
   if (ask.seq > 0) {
@@ -114,7 +115,7 @@
     writes.push_back(storage::entry::fleet(ask.term, ask.fleetMs));
   }
   for (const auto& entry : ask.entries) writes.push_back(storage::entry::job(entry));
-  persist(replica, std::move(writes), {{heard.from, std::move(reply)}}, out);
+  persist(replica, std::move(writes), {{heard.from, std::move(reply), heard.incarnation}}, out);
 }
 
 }  // namespace tulip::control
--- a/src/control/catch_up.cpp
+++ b/src/control/catch_up.cpp
@@ -8,13 +8,25 @@
 
 using namespace transport;
 
+namespace {
+
+// One question for each membership: its versions only rise, so they number the questions of this process.
+CatchUpId catchUpId(const ReplicaState& replica) { return {replica.client.process, replica.image.membership.version}; }
+
+// A giver of the protocol before incarnations repeats no id.
+bool answersCatchUp(const ReplicaState& replica, const CatchUpGive& give) {
+  return give.question == CatchUpId{} || give.question == catchUpId(replica);
+}
+
+}  // namespace
+
 void askCatchUp(ReplicaState& replica, Now now, Outbox& out) {
   if (replica.image.empty() || replica.image.voting || !isVoter(replica.image.membership, replica.image.id)) return;
   if (now.steadyMs - replica.askedMs < bounds(replica).leaseMs / 2) return;
   replica.askedMs = now.steadyMs;
   for (const auto& voter : replica.image.membership.voters)
     if (voter.id != replica.image.id && !replica.catchUp.contains(voter.id))
-      out.send(voter.peerAddress, CatchUpAsk{replica.image.membership.version, replica.image.id});
+      out.send(voter.peerAddress, CatchUpAsk{replica.image.membership.version, replica.image.id, catchUpId(replica)});
 }
 
 void onCatchUpAsk(ReplicaState& replica, const Heard& heard, const CatchUpAsk& ask, Now now, Outbox& out) {
@@ -29,18 +41,19 @@
                    {},
                    replica.image.jobLogBase,
                    {},
-                   replica.image.learned};
+                   replica.image.learned,
+                   ask.question};
   for (const auto& [key, entry] : replica.image.jobs) give.entries.push_back(entry);
   for (const auto& [key, slot] : replica.image.registers) {
     give.registers.push_back({key, {slot.accepted, 0}, slot.value});
     give.promises.push_back({key, {slot.promised, 0}, {}});
   }
-  out.send(heard.from, std::move(give));
+  out.reply(heard, std::move(give));
 }
 
 void onCatchUpGive(ReplicaState& replica, const CatchUpGive& give, Now now, Outbox& out) {
   if (replica.image.voting || give.membership != replica.image.membership.version ||
-      !isVoter(replica.image.membership, give.id))
+      !isVoter(replica.image.membership, give.id) || !answersCatchUp(replica, give))
     return;
   replica.catchUp[give.id] = give;
   const auto& membership = replica.image.membership;
--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -156,7 +156,7 @@
       }
     }
     if (proposal.changes && !(learned && state->second.waiting.empty()))
-      out.send(voter, AckQuery{proposal.version, proposal.query});
+      out.send(voter, AckQuery{proposal.version, proposal.ballot.number, proposal.ballot});
   }
 }
 
@@ -238,16 +238,21 @@
     ++client.chosen;
     proposal.phase = Phase::learn;
     proposal.retryAtMs = 0;
-    proposal.query = proposal.ballot.number;
     sendPhase(client, proposal, now, out);
     if (!proposal.changes) finish(proposal, out);
     return startQueued(client, now, out);
   }
 }
 
+// A replica of the protocol before incarnations repeats the ballot's number only.
+bool answersAckQuery(const Proposal& proposal, const AckState& reply) {
+  if (proposal.phase != Phase::learn || proposal.version != reply.configVersion) return false;
+  return reply.ballot == Ballot{} ? proposal.ballot.number == reply.query : proposal.ballot == reply.ballot;
+}
+
 void heardAcks(ControlClient& client, const Address& from, const AckState& reply, Now now, Outbox& out) {
   for (auto& proposal : client.proposals) {
-    if (proposal.phase != Phase::learn || proposal.query != reply.query) continue;
+    if (!answersAckQuery(proposal, reply)) continue;
     proposal.states[from] = reply;
     const auto& voters = client.membership.voters;
     const auto needed = majority(voters.size());
@@ -292,6 +297,12 @@
   client.home = referral.replicas[(mix(client.id.view()) + client.heartbeat) % referral.replicas.size()];
 }
 
+// Whether the grant answers a heartbeat of this process, so that its times are of this process's clock. A replica of
+// the protocol before incarnations names no grantee.
+bool answersThisProcess(const ControlClient& client, const SessionGrant& grant) {
+  return grant.grantee == Incarnation{} || grant.grantee == client.process;
+}
+
 // Whether the daemon has the configuration that the grant names, after taking what the grant carries of it.
 bool takeConfig(ControlClient& client, const SessionGrant& grant, Now now, Outbox& out) {
   if (grant.configVersion <= client.configVersion) return true;
@@ -314,10 +325,7 @@
 
 }  // namespace
 
-std::uint64_t mix(std::string_view text, std::uint64_t hash) {
-  for (unsigned char c : text) hash = (hash ^ c) * 1099511628211ull;
-  return hash;
-}
+std::uint64_t mix(std::string_view text, std::uint64_t hash) { return fnv1a(text, hash); }
 
 std::uint64_t digestOf(const std::vector<Member>& members, Millis leaseMs, bool withAcked) {
   std::uint64_t digest = mix("members");
@@ -340,6 +348,7 @@
   client.settings = settings;
   client.id = id;
   client.incarnation = std::move(incarnation);
+  client.process = incarnationOf(client.incarnation);
   return client;
 }
 
@@ -408,6 +417,7 @@
 
 bool clientHeard(ControlClient& client, const Heard& heard, Now now, Outbox& out) {
   if (const auto* grant = std::get_if<SessionGrant>(&heard.message)) {
+    if (!answersThisProcess(client, *grant)) return true;
     if (grant->sentMs > now.steadyMs || grant->sentMs + grant->leaseMs <= now.steadyMs) return true;
     const bool foreign =
         grant->membership.version == client.membership.version && grant->membership != client.membership;
@@ -420,9 +430,11 @@
     client.grantedMs = now.steadyMs;
     if (!takeConfig(client, *grant, now, out)) return true;
     client.sessionUntilMs = std::max(client.sessionUntilMs, grant->sentMs + grant->leaseMs);
-    client.leader = grant->leader;
+    const bool newest = grant->heartbeat >= client.grantedHeartbeat;
+    client.grantedHeartbeat = std::max(client.grantedHeartbeat, grant->heartbeat);
+    if (newest) client.leader = grant->leader;
     adoptMembership(client, grant->membership, now, out);
-    if (grant->membersDigest != 0 && grant->membersDigest != client.membersDigest) {
+    if (newest && grant->membersDigest != 0 && grant->membersDigest != client.membersDigest) {
       client.members = grant->members;
       client.membersDigest = grant->membersDigest;
     }
--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -45,7 +45,6 @@
   Millis sentMs = 0;
   Millis retryAtMs = 0;
   Millis learnedMs = -1;
-  std::uint64_t query = 0;
   std::map<Address, transport::AckState> states;
   std::map<Address, Millis> committedMs;  // when a voter was last sent the chosen value itself
   int attempts = 0;
@@ -55,9 +54,11 @@
   Settings settings;
   DaemonId id;
   std::string incarnation;
+  Incarnation process;  // the same, as frames carry it
   Address home;
   std::vector<Address> referred;
   std::uint64_t heartbeat = 0;
+  std::uint64_t grantedHeartbeat = 0;  // the newest that was answered
   Millis heartbeatSentMs = -1000000;
   Millis grantedMs = -1000000;
   Millis sessionUntilMs = -1000000;
@@ -97,7 +98,7 @@
 void proposeFixed(ControlClient& client, std::string key, std::string value, transport::Now now,
                   transport::Outbox& out);
 bool proposing(const ControlClient& client, std::string_view key);
-std::uint64_t mix(std::string_view text, std::uint64_t hash = 1469598103934665603ull);
+std::uint64_t mix(std::string_view text, std::uint64_t hash = kFnvOffset);
 // Of what matters of the members; ages only as silent for a term or not. Never 0.
 std::uint64_t digestOf(const std::vector<transport::Member>& members, Millis leaseMs, bool withAcked = true);
 
--- a/src/control/heartbeats.cpp
+++ b/src/control/heartbeats.cpp
@@ -48,6 +48,7 @@
 // Sends one heartbeat, with the acknowledgement and the configuration as the target needs them.
 void sendReplicaHeartbeat(ReplicaState& replica, const Address& target, ReplicaHeartbeat heartbeat, Now now,
                           Outbox& out) {
+  heartbeat.number = ++replica.heartbeatNumber;
   heartbeat.acknowledgedMs = -1000000;
   if (auto found = replica.others.find(target); found != replica.others.end()) {
     auto& other = found->second;
@@ -59,7 +60,10 @@
     const bool behind = other.last.configBallot < replica.learnedBallot && !other.last.diskless;
     const bool give = behind && now.steadyMs - replica.learnedMs >= bounds(replica).heartbeatMs();
     if (give) heartbeat.configValue = replica.learnedValue;
-    if (mayAcknowledge(replica) && (!behind || give)) heartbeat.acknowledgedMs = other.last.sentMs;
+    if (mayAcknowledge(replica) && (!behind || give)) {
+      heartbeat.acknowledgedMs = other.last.sentMs;
+      heartbeat.acknowledgedIncarnation = other.incarnation;
+    }
     if (other.last.diskless) heartbeat.sameSessions = true;
   }
   if (heartbeat.sameSessions) heartbeat.sessions.clear();
@@ -96,23 +100,45 @@
   return other.soundMs >= since && other.acknowledgedMs >= since;
 }
 
+namespace {
+
+// Whether the newest heartbeat known of the peer came before this one. Numbers order those of one incarnation. Times of
+// its clock order those of a voter of the protocol before incarnations, which has no numbers.
+bool isNewer(const PeerReplica& peer, const ReplicaHeartbeat& heartbeat, bool sameProcess) {
+  if (!sameProcess) return true;
+  return heartbeat.number > 0 ? heartbeat.number > peer.last.number : heartbeat.sentMs >= peer.last.sentMs;
+}
+
+// Whether the heartbeat acknowledges one of this process, so that its time is one of this process's clock. A voter of
+// the protocol before incarnations names no process; the time must then at least be one since this one's start.
+bool acknowledgesThisProcess(const ReplicaState& replica, const ReplicaHeartbeat& heartbeat, Now now) {
+  if (heartbeat.acknowledgedMs < replica.bornMs || heartbeat.acknowledgedMs > now.steadyMs) return false;
+  return heartbeat.number == 0 || heartbeat.acknowledgedIncarnation == replica.client.process;
+}
+
+}  // namespace
+
 void onReplicaHeartbeat(ReplicaState& replica, const Heard& heard, const ReplicaHeartbeat& heartbeat, Now now,
                         Outbox& out) {
   auto& other = replica.others[heard.from];
-  if (other.last.voter.id == heartbeat.voter.id && heartbeat.sentMs < other.last.sentMs) return;
-  const bool sameLife = other.last.voter.id == heartbeat.voter.id;
+  // A voter is its data folder: what it acknowledged stays acknowledged when its process starts again. Its numbers
+  // don't.
+  const bool sameVoter = other.last.voter.id == heartbeat.voter.id;
+  const bool sameProcess = sameVoter && other.incarnation == heard.incarnation;
+  if (!isNewer(other, heartbeat, sameProcess)) return;
+  other.incarnation = heard.incarnation;
   other.last = heartbeat;
   other.last.configValue.clear();
   other.last.sessions.clear();
   other.heardMs = now.steadyMs;
   if (!heartbeat.ailing) other.soundMs = now.steadyMs;
-  if (!sameLife) other.acknowledgedMs = -1000000;
-  if (heartbeat.acknowledgedMs <= now.steadyMs)
-    other.acknowledgedMs = std::max(other.acknowledgedMs, heartbeat.acknowledgedMs);
+  if (!sameVoter) other.acknowledgedMs = -1000000;
+  const bool acknowledges = acknowledgesThisProcess(replica, heartbeat, now);
+  if (acknowledges) other.acknowledgedMs = std::max(other.acknowledgedMs, heartbeat.acknowledgedMs);
   if (!heartbeat.sameSessions) {
     other.sessions = heartbeat.sessions;
     other.sessionsDigest = heartbeat.sessionsDigest;
-  } else if (!sameLife || other.sessionsDigest != heartbeat.sessionsDigest) {
+  } else if (!sameVoter || other.sessionsDigest != heartbeat.sessionsDigest) {
     other.sessionsDigest = 0;
   }
   if (!replica.diskless) learnConfig(replica, heartbeat.configBallot, heartbeat.configValue, now, out);
@@ -124,7 +150,8 @@
     sendReplicaHeartbeats(replica, now, out);
   }
   tryActivateBootstrap(replica, now, out);
-  const bool lost = heartbeat.acknowledgedMs < now.steadyMs - bounds(replica).leaseMs && !replica.diskless;
+  const bool lost =
+      (!acknowledges || heartbeat.acknowledgedMs < now.steadyMs - bounds(replica).leaseMs) && !replica.diskless;
   const bool behind = heartbeat.membership.version < knownMembership(replica).version;
   if ((lost || behind || (heartbeat.diskless && !replica.diskless)) &&
       now.steadyMs - other.repliedMs >= bounds(replica).heartbeatMs() / 4)
--- a/src/control/learned_config.cpp
+++ b/src/control/learned_config.cpp
@@ -37,7 +37,7 @@
 }
 
 void onAckQuery(ReplicaState& replica, const Heard& heard, const AckQuery& ask, Now now, Outbox& out) {
-  AckState state{ask.configVersion, ask.query, replica.keptVersion >= ask.configVersion, {}};
+  AckState state{ask.configVersion, ask.query, replica.keptVersion >= ask.configVersion, {}, {}, ask.ballot};
   for (const auto& [id, row] : replica.sessions)
     if (row.member.acked < ask.configVersion &&
         now.steadyMs - row.heardMs <= bounds(replica).leaseMs + bounds(replica).heartbeatMs())
@@ -54,7 +54,7 @@
     if (found == replica.others.end() || now.steadyMs - found->second.heardMs >= lapseMs)
       state.silent.push_back(voter.id);
   }
-  out.send(heard.from, std::move(state));
+  out.reply(heard, std::move(state));
 }
 
 void completeConfigRound(ReplicaState& replica, Now now, Outbox& out) {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -5,6 +5,7 @@
 namespace tulip::control {
 
 struct PeerReplica {
+  Incarnation incarnation;  // that last and the times below are of
   transport::ReplicaHeartbeat last;
   Millis heardMs = -1000000;
   Millis soundMs = -1000000;
@@ -25,6 +26,7 @@
   Millis heardMs = 0;
   std::uint64_t heartbeat = 0;
   Millis sentMs = 0;
+  Incarnation incarnation{};        // that sentMs is a time of the clock of
   std::uint64_t membersDigest = 0;  // of the list that the daemon said it has
   Millis membersSentMs = -1000000;
   Version textVersion = 0;  // the configuration last sent to it
@@ -68,10 +70,11 @@
   bool fenced = false;
   transport::LeaderHint leader;
   Millis leaseUntilMs = 0;
-  std::pair<Ballot, Millis> fleetFrom;
+  std::pair<Ballot, std::uint64_t> fleetFrom;  // term and number of the accept that the fleet's time was taken from
   Millis hintUntilMs = 0;
   Millis bornMs = 0;
   Millis heartbeatSentMs = -1000000;
+  std::uint64_t heartbeatNumber = 0;
   Millis seedsMs = -1000000;
   Version remembered = 0;
   Millis rememberedMs = -1000000;
--- a/src/control/sessions.cpp
+++ b/src/control/sessions.cpp
@@ -74,6 +74,7 @@
   SessionGrant grant;
   grant.heartbeat = row.heartbeat;
   grant.sentMs = row.sentMs;
+  grant.grantee = row.incarnation;
   grant.leaseMs = leaseMs;
   grant.configVersion = replica.learned.version;
   // A daemon takes no session from a grant of a revision that it lacks, so what was just sent need not come again.
@@ -114,14 +115,17 @@
   ++replica.grants;
   auto [found, fresh] = replica.sessions.try_emplace(heartbeat.me.id);
   auto& row = found->second;
+  const bool sameProcess = !fresh && row.incarnation == heard.incarnation;
+  if (sameProcess && heartbeat.heartbeat < row.heartbeat) return;
   if (heartbeat.me.acked < row.member.acked) row.textSentMs = -1000000;
   row.member = heartbeat.me;
   row.heardMs = now.steadyMs;
+  row.incarnation = heard.incarnation;
   row.heartbeat = heartbeat.heartbeat;
   row.sentMs = heartbeat.sentMs;
   row.membersDigest = heartbeat.membersDigest;
   if (fresh) gatherMembers(replica, now);
-  out.send(heard.from, makeGrant(replica, row, now));
+  out.reply(heard, makeGrant(replica, row, now));
 }
 
 }  // namespace tulip::control
--- a/src/transport/core.hpp
+++ b/src/transport/core.hpp
@@ -146,6 +146,10 @@
   void wakeBy(Millis atMs) { wakeMs = wakeMs < 0 ? atMs : std::min(wakeMs, atMs); }
 
   void send(const Address& to, Message message) { sends.push_back({to, std::move(message), {}}); }
+  // To the process that asked, and to no later one at its address.
+  void reply(const Heard& heard, Message message) {
+    sends.push_back({heard.from, std::move(message), heard.incarnation});
+  }
   void answer(std::uint64_t requestId, int status, std::string body, Millis retryMs = 0, Kind kind = Kind::ok) {
     answers.push_back({requestId, status, retryMs, std::move(body), kind, {}});
   }
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -228,6 +228,7 @@
       });
     for (auto& send : out.sends) {
       const auto id = worker.replica ? worker.replica->image.id : worker.client->id;
+      const auto process = worker.replica ? worker.replica->client.process : worker.client->process;
       ++worker.messages;
       if (weigh)
         worker.bytes +=
@@ -241,11 +242,12 @@
       // Lines keep their order.
       auto& line = lines_[{worker.settings.peerAddress, send.to}];
       line = std::max(line, nowMs + lateMs);
-      due_.push({line, ++serial_,
-                 [this, from = worker.settings.peerAddress, &to = *found->second,
-                  heard = transport::Heard{id, worker.settings.peerAddress, std::move(send.message), send.to}] {
-                   if (!cuts_.contains({from, to.settings.peerAddress})) give(to, heard);
-                 }});
+      due_.push(
+          {line, ++serial_,
+           [this, from = worker.settings.peerAddress, &to = *found->second,
+            heard = transport::Heard{id, worker.settings.peerAddress, std::move(send.message), send.to, process}] {
+             if (!cuts_.contains({from, to.settings.peerAddress})) give(to, heard);
+           }});
     }
   }
 
--- a/tests/query_test.cpp
+++ b/tests/query_test.cpp
@@ -77,6 +77,58 @@
   CHECK(read.workerIncarnation.empty());
 }
 
+namespace {
+struct OldCallAsk {
+  std::uint64_t requestId;
+  transport::CallKind call;
+  MSGPACK_DEFINE(requestId, call)
+};
+}  // namespace
+
+TEST(codec, frames_name_both_incarnations_and_those_of_version_2_name_none) {
+  transport::Frame frame{transport::kProtocolVersion, DaemonId("d"),  Address("a"),  Address("b"),
+                         transport::Resign{{7, "p"}}, Incarnation{5}, Incarnation{6}};
+  transport::Frame read;
+  CHECK(transport::decode(transport::encode(frame), read) == transport::Decoded::ok);
+  LONGS_EQUAL(5, read.fromIncarnation.value);
+  LONGS_EQUAL(6, read.toIncarnation.value);
+  msgpack::sbuffer bytes;
+  msgpack::packer<msgpack::sbuffer> packer(bytes);
+  packer.pack_array(6);
+  packer.pack(2);
+  packer.pack(frame.message.index());
+  packer.pack(frame.fromId);
+  packer.pack(frame.from);
+  packer.pack(frame.to);
+  packer.pack(std::get<transport::Resign>(frame.message));
+  transport::Frame old;
+  CHECK(transport::decode({bytes.data(), bytes.size()}, old) == transport::Decoded::ok);
+  CHECK(old.fromIncarnation == Incarnation{} && old.toIncarnation == Incarnation{});
+  CHECK(std::get<transport::Resign>(old.message).term == (Ballot{7, "p"}));
+}
+
+TEST(codec, only_messages_that_version_2_lacks_are_sent_as_version_3) {
+  LONGS_EQUAL(2, transport::protocolVersionOf(transport::Resign{}));
+  LONGS_EQUAL(2, transport::protocolVersionOf(transport::ReplicaHeartbeat{}));
+  LONGS_EQUAL(3, transport::protocolVersionOf(transport::IncarnationProbe{}));
+  LONGS_EQUAL(3, transport::protocolVersionOf(transport::IncarnationProof{}));
+}
+
+TEST(codec, a_call_of_version_2_keeps_its_number_and_names_no_incarnation) {
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, OldCallAsk{42, transport::CallKind::cancelJob});
+  const auto old = msgpack::unpack(bytes.data(), bytes.size()).get().as<transport::CallAsk>();
+  LONGS_EQUAL(42, old.id.number);
+  CHECK(old.id.incarnation == Incarnation{} && old.call == transport::CallKind::cancelJob);
+  transport::CallAsk ask;
+  ask.id = {Incarnation{9}, 43};
+  msgpack::sbuffer packed;
+  msgpack::pack(packed, ask);
+  CHECK(msgpack::unpack(packed.data(), packed.size()).get().as<transport::CallAsk>().id == ask.id);
+  const auto asOld = msgpack::unpack(packed.data(), packed.size()).get().as<OldCallAsk>();
+  LONGS_EQUAL(43, asOld.requestId);
+}
+
 TEST(codec, damaged_frames_are_never_believed) {
   const auto whole = transport::encode(
       {transport::kProtocolVersion, DaemonId("d"), Address("a"), Address("b"), transport::AckQuery{3, 4}});
