--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -50,10 +50,9 @@
     frame.from = parts[3].as<Address>();
     frame.to = parts[4].as<Address>();
     if (frame.version < kOldestProtocolVersion || frame.version > kProtocolVersion) return Decoded::foreignVersion;
-    if (root.via.array.size >= kFrameParts) {
-      frame.fromIncarnation = parts[6].as<Incarnation>();
-      frame.toIncarnation = parts[7].as<Incarnation>();
-    }
+    const bool identified = root.via.array.size >= kFrameParts;
+    frame.fromIncarnation = identified ? parts[6].as<Incarnation>() : Incarnation{};
+    frame.toIncarnation = identified ? parts[7].as<Incarnation>() : Incarnation{};
     const bool known = unpackKind(parts[1].as<std::uint32_t>(), parts[5], frame.message,
                                   std::make_index_sequence<std::variant_size_v<Message>>());
     return known ? Decoded::ok : Decoded::malformed;
