--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -120,6 +120,7 @@
 
 void askLeader(Node& node, const Ask& ask, http::Wanted& wanted, CallKind kind, Now now, Outbox& out) {
   CallAsk call;
+  call.requestId = ask.requestId;
   call.id = {node.incarnations.self, ask.requestId};
   call.call = kind;
   call.pending = wanted.pending;
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -22,7 +22,7 @@
   const auto retryMs = static_cast<Millis>(rowOf(kind).retryLeases * static_cast<double>(bounds(scheduler).leaseMs));
   if (!caller.remote.empty()) {
     CallAnswer answer;
-    answer.id = {caller.remoteIncarnation, caller.requestId};
+    answer.requestId = caller.requestId;
     answer.kind = static_cast<std::int64_t>(kind);
     answer.phase = static_cast<std::uint8_t>(job ? phaseOf(*job) : JobPhase::none);
     answer.retryMs = retryMs;
@@ -121,7 +121,7 @@
   const auto count = found == scheduler.openPer.end() ? 0 : found->second;
   if (!caller.remote.empty()) {
     CallAnswer answer;
-    answer.id = {caller.remoteIncarnation, caller.requestId};
+    answer.requestId = caller.requestId;
     answer.count = count;
     return out.send(caller.remote, std::move(answer));
   }
@@ -155,35 +155,33 @@
 
 void onCallAsk(SchedulerState& scheduler, const Heard& heard, const CallAsk& ask, Now now, Outbox& out) {
   if (!leads(scheduler, now) || scheduler.client.configVersion < ask.configVersion) return;
-  serve(scheduler, {ask.id.number, true, heard.from, ask.id.incarnation}, ask, now, out);
+  serve(scheduler, {ask.requestId, true, heard.from}, ask, now, out);
 }
 
 void onCallAnswer(SchedulerState& scheduler, const CallAnswer& answer, Outbox& out) {
-  auto found = scheduler.forwards.find(answer.id.number);
+  auto found = scheduler.forwards.find(answer.requestId);
   if (found == scheduler.forwards.end()) return;
-  const bool identified = answer.id.incarnation != Incarnation{};
-  if (identified && answer.id != found->second.ask.id) return;
   auto kind = static_cast<Kind>(answer.kind);
   const bool promised = kind == Kind::overloaded || kind == Kind::noSuchQueue;
   if (promised && found->second.ask.call == CallKind::submit && found->second.repeated) kind = Kind::unknownOutcome;
   CallResult brief;
   brief.phase = static_cast<JobPhase>(answer.phase);
   brief.count = answer.count;
-  out.tell(answer.id.number, kind, std::move(brief), answer.retryMs);
+  out.tell(answer.requestId, kind, std::move(brief), answer.retryMs);
   scheduler.forwards.erase(found);
 }
 
 void callLeader(SchedulerState& scheduler, CallAsk ask, Millis deadlineMs, Now now, Outbox& out) {
-  if (leads(scheduler, now)) return serve(scheduler, {ask.id.number, true, {}}, ask, now, out);
+  if (leads(scheduler, now)) return serve(scheduler, {ask.requestId, true, {}}, ask, now, out);
   constexpr std::size_t kMostForwards = 1024;
   if (scheduler.forwards.size() >= kMostForwards || scheduler.client.leaving)
-    return tell(scheduler, {ask.id.number, true, {}}, Kind::overloaded, nullptr, out);
+    return tell(scheduler, {ask.requestId, true, {}}, Kind::overloaded, nullptr, out);
   ++scheduler.counts.forwarded;
   Forward forward;
   ask.configVersion = scheduler.client.configVersion;
   forward.sinceMs = now.steadyMs;
   forward.deadlineMs = now.steadyMs + deadlineMs;
-  const auto requestId = ask.id.number;
+  const auto requestId = ask.requestId;
   forward.ask = std::move(ask);
   scheduler.forwards[requestId] = std::move(forward);
   tickForwards(scheduler, now, out);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -62,7 +62,6 @@
   std::uint64_t requestId = 0;
   bool brief = false;
   Address remote;
-  Incarnation remoteIncarnation{};  // of the daemon that passed the call on
 };
 
 struct Waiting {
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -322,24 +322,25 @@
 
 enum class CallKind : std::uint8_t { submit, getJob, cancelJob, countPending };
 
-// The two parts of a call's id are packed apart: the number came first, the incarnation was added at the end.
 struct CallAsk {
-  CallId id;
+  std::uint64_t requestId = 0;
   CallKind call = CallKind::getJob;
   QueueName pending;
   JobId job;
   std::string spec;
   Version configVersion = 0;
-  MSGPACK_DEFINE(id.number, call, pending, job, spec, configVersion, id.incarnation)
+  CallId id{};
+  MSGPACK_DEFINE(requestId, call, pending, job, spec, configVersion, id)
 };
 
 struct CallAnswer {
-  CallId id;
+  std::uint64_t requestId = 0;
   std::int64_t kind = 0;
   std::uint8_t phase = 0;
   std::int64_t count = 0;
   Millis retryMs = 0;
-  MSGPACK_DEFINE(id.number, kind, phase, count, retryMs, id.incarnation)
+  CallId id{};  // of the call that is answered
+  MSGPACK_DEFINE(requestId, kind, phase, count, retryMs, id)
 };
 
 // Asks the addressee to show that it runs now; see peer_incarnations.hpp.
