--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -136,3 +136,43 @@
     CHECK_EQUAL(std::string_view(heartbeats) == "scheduler-a-2", asks(1030));
   }
 }
+
+TEST(takeover, promises_of_an_earlier_membership_make_no_majority_of_the_present_one) {
+  auto earlier = promiseOf(third, second, 5000, {});
+  earlier.membership = 1;
+  hear("a", kA, earlier);
+  const Membership next{2, {{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("d"), kC}}};
+  scheduler.client.membership = next;
+  auto present = promiseOf(third, second, 5000, {});
+  present.membership = 2;
+  hear("b", kB, present);
+  CHECK(scheduler.course == scheduler::Course::preparing);
+  hear("a", kA, earlier);
+  CHECK(scheduler.course == scheduler::Course::preparing);
+  hear("a", kA, present);
+  CHECK(scheduler.course == scheduler::Course::leading);
+}
+
+TEST(takeover, orders_to_an_agent_go_on_rising_after_a_delayed_report_of_the_agent_before) {
+  hear("a", kA, promiseOf(third, second, 5000, {}));
+  hear("b", kB, promiseOf(third, second, 5000, {}));
+  for (const auto& [id, from] : {std::pair("a", kA), std::pair("b", kB)})
+    scheduler::schedulerHeard(scheduler, Heard{DaemonId(id), from, JobLogAccepted{third, 1, 100010, true, true, third}},
+                              {100011}, out);
+  CHECK(scheduler::leads(scheduler, {100011}));
+  const auto reported = [&](const char* agent, std::uint64_t seq) {
+    AgentReport report;
+    report.agent = DaemonId(agent);
+    report.worker = WorkerId("w");
+    report.seq = seq;
+    Outbox got;
+    scheduler::schedulerHeard(scheduler, Heard{DaemonId(agent), kC, report}, {100012}, got);
+    for (const auto& send : got.sends)
+      if (const auto* orders = std::get_if<Orders>(&send.message)) return orders->seq;
+    return std::uint64_t{0};
+  };
+  reported("earlier", 1);
+  const auto first = reported("later", 1);
+  CHECK(reported("earlier", 2) > 0);
+  CHECK(reported("later", 2) > first);
+}
