--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -14,6 +14,7 @@
   client.settings = settings;
   client.id = id;
   client.incarnation = std::move(incarnation);
+  client.process = incarnationOf(client.incarnation);
   return client;
 }
 
--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -16,9 +16,11 @@
   Settings settings;
   DaemonId id;
   std::string incarnation;
+  Incarnation process;  // the same, as frames carry it
   Address home;
   std::vector<Address> referred;
   std::uint64_t heartbeat = 0;
+  std::uint64_t grantedHeartbeat = 0;  // the newest that was answered
   Millis heartbeatSentMs = -1000000;
   Millis grantedMs = -1000000;
   Millis sessionUntilMs = -1000000;
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -70,7 +70,7 @@
   const bool learned = state != proposal.states.end() && state->second.learned;
   if (!learned) sendChosen(client, proposal, voter, now, out);
   if (proposal.changes && !(learned && state->second.waiting.empty()))
-    out.send(voter, AckQuery{proposal.version, proposal.query});
+    out.send(voter, AckQuery{proposal.version, proposal.ballot.number, proposal.ballot});
 }
 
 void sendPhase(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
@@ -168,7 +168,6 @@
   ++client.chosen;
   proposal.phase = Phase::learn;
   proposal.retryAtMs = 0;
-  proposal.query = proposal.ballot.number;
   sendPhase(client, proposal, now, out);
   if (!proposal.changes) finish(client, proposal, out);
   startQueued(client, now, out);
@@ -265,9 +264,15 @@
   }
 }
 
+// A replica of the protocol before incarnations repeats the ballot's number only.
+bool answersAckQuery(const Proposal& proposal, const AckState& reply) {
+  if (proposal.phase != Phase::learn || proposal.version != reply.configVersion) return false;
+  return reply.ballot == Ballot{} ? proposal.ballot.number == reply.query : proposal.ballot == reply.ballot;
+}
+
 void heardAckState(ControlClient& client, const Address& from, const AckState& reply, Now now, Outbox& out) {
   for (auto& proposal : client.proposals) {
-    if (proposal.phase != Phase::learn || proposal.query != reply.query) continue;
+    if (!answersAckQuery(proposal, reply)) continue;
     proposal.states[from] = reply;
     const bool learned = isMajority(client, countLearned(client, proposal));
     if (learned && everySessionHasIt(client, proposal)) return finish(client, proposal, out);
--- a/src/control/proposal.hpp
+++ b/src/control/proposal.hpp
@@ -40,7 +40,6 @@
   Millis sentMs = 0;
   Millis retryAtMs = 0;
   Millis learnedMs = -1;
-  std::uint64_t query = 0;
   std::map<Address, transport::AckState> states;
   std::map<Address, Millis> committedMs;  // when a voter was last sent the chosen value itself
   int attempts = 0;
--- a/src/control/session.cpp
+++ b/src/control/session.cpp
@@ -89,12 +89,15 @@
   return me;
 }
 
+// Whether the grant answers a heartbeat of this process, so that its times are of this process's clock. A replica of
+// the protocol before incarnations names no grantee.
+bool answersThisProcess(const ControlClient& client, const SessionGrant& grant) {
+  return grant.grantee == Incarnation{} || grant.grantee == client.process;
+}
+
 }  // namespace
 
-std::uint64_t mix(std::string_view text, std::uint64_t hash) {
-  for (unsigned char c : text) hash = (hash ^ c) * 1099511628211ull;
-  return hash;
-}
+std::uint64_t mix(std::string_view text, std::uint64_t hash) { return fnv1a(text, hash); }
 
 std::uint64_t digestOf(const std::vector<Member>& members, Millis leaseMs, bool withAcked) {
   std::uint64_t digest = mix("members");
@@ -146,7 +149,7 @@
 }
 
 void heardGrant(ControlClient& client, const SessionGrant& grant, Now now, Outbox& out) {
-  if (!inTime(grant, now)) return;
+  if (!answersThisProcess(client, grant) || !inTime(grant, now)) return;
   if (ofAnotherFleet(client, grant.membership)) {
     if (!std::exchange(client.strange, true))
       out.alarms.push_back("a replica of another cohort than the one known here is not listened to");
@@ -156,9 +159,11 @@
   client.grantedMs = now.steadyMs;
   if (!takeConfig(client, grant, now, out)) return;
   client.sessionUntilMs = std::max(client.sessionUntilMs, grant.sentMs + grant.leaseMs);
-  client.leader = grant.leader;
+  const bool newest = grant.heartbeat >= client.grantedHeartbeat;
+  client.grantedHeartbeat = std::max(client.grantedHeartbeat, grant.heartbeat);
+  if (newest) client.leader = grant.leader;
   adoptMembership(client, grant.membership, now, out);
-  takeMembers(client, grant);
+  if (newest) takeMembers(client, grant);
   raiseFleet(client, grant.fleetMs, now);
 }
 
--- a/src/control/session.hpp
+++ b/src/control/session.hpp
@@ -21,7 +21,7 @@
                 transport::Outbox& out);
 void heardReferral(ControlClient& client, const Address& from, const transport::Referral& referral);
 
-std::uint64_t mix(std::string_view text, std::uint64_t hash = 1469598103934665603ull);
+std::uint64_t mix(std::string_view text, std::uint64_t hash = kFnvOffset);
 /// Of what matters of the members; ages only as silent for a lease or not. Never 0.
 std::uint64_t digestOf(const std::vector<transport::Member>& members, Millis leaseMs, bool withAcked = true);
 
