--- a/src/simulator/audit.cpp
+++ b/src/simulator/audit.cpp
@@ -26,8 +26,9 @@
   sim.runUntil(sim.nowUs() + 5 * kSecond);
   world.judge.close();
   if (reads < 3)
-    world.judge.broken.push_back(
-        {sim.nowMs(), "chart", "fewer than three daemons answer the configuration at the end of the day"});
+    world.judge.broken.push_back({sim.nowMs(), "chart",
+                                  "fewer than three daemons answer the "
+                                  "configuration at the end of the day"});
   if (world.awaitsWhole)
     world.judge.broken.push_back({sim.nowMs(), "inside", "the seat of a lost replica is never taken"});
   result.seed = world.plan.seed;
@@ -71,7 +72,8 @@
   char text[512];
   std::snprintf(
       text, sizeof text,
-      "seed %llu %s: %s jobs %lld finished %lld failed %lld cancelled %lld; submit p50/p99 %lld/%lld start %lld/%lld "
+      "seed %llu %s: %s jobs %lld finished %lld failed %lld "
+      "cancelled %lld; submit p50/p99 %lld/%lld start %lld/%lld "
       "finish %lld/%lld ms; "
       "gap %lld recovered %lld ms; %llu events, trace %016llx",
       static_cast<unsigned long long>(result.seed), faults.empty() ? "(no fault)" : faults.c_str(),
--- a/src/simulator/audit.hpp
+++ b/src/simulator/audit.hpp
@@ -3,7 +3,8 @@
 
 namespace tulip::simulator {
 
-// Asks for everything a last time, closes the judge's books and fills the day's result.
+// Asks for everything a last time, closes the judge's books and fills the day's
+// result.
 void audit(World& world);
 
 }  // namespace tulip::simulator
--- a/src/simulator/day.cpp
+++ b/src/simulator/day.cpp
@@ -34,7 +34,8 @@
   };
   if (plan.trace) sim.onMark = [&](std::string_view text) { *plan.trace << sim.nowUs() << " " << text << "\n"; };
   for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
-  for (const auto& hand : sim.hands()) sim.at(sim.below(400000), [&sim, each = hand.get()] { sim.startWorker(*each); });
+  for (const auto& simWorker : sim.simWorkers())
+    sim.at(sim.below(400000), [&sim, each = simWorker.get()] { sim.startWorker(*each); });
   sim.at(kSecond, [&world] {
     world.changeConfig("PUT", world.firstConfig(), "checkout", "t-base", "", [&world](bool) {
       if (!world.plan.arrivals.empty()) {
--- a/src/simulator/faults.hpp
+++ b/src/simulator/faults.hpp
@@ -1,13 +1,25 @@
 #pragma once
 #include "simulator/world.hpp"
 
+/// What strikes a simulated day, by name.
 namespace tulip::simulator {
 
 using Fault = void (*)(World&);
+using FaultTable = std::map<std::string, Fault>;
 
-// By name: what strikes a day, and what a place is struck in.
-const std::map<std::string, Fault>& faults();
-const std::map<std::string, Fault>& operations();
+FaultTable processesFaults();
+FaultTable powerFaults();
+FaultTable disksFaults();
+FaultTable membershipFaults();
+FaultTable workersFaults();
+FaultTable networkFaults();
+FaultTable callersFaults();
+FaultTable mixedFaults();
+
+/// All of the tables above.
+const FaultTable& faults();
+/// What goes on while a place is struck.
+const FaultTable& operations();
 void strike(World& world, Host& host);
 
 }  // namespace tulip::simulator
--- a/src/simulator/judge.cpp
+++ b/src/simulator/judge.cpp
@@ -6,22 +6,25 @@
 
 const std::vector<std::string>& ruleNames() {
   static const std::vector<std::string> all{
-      "apart", "asked-for", "cancelled", "chart",    "counters", "denied",    "denied-chart", "draining",
-      "early", "emptied",   "ends",      "failures", "finished", "forgotten", "gang",         "inside",
-      "needs", "once",      "room",      "shown",    "stalled",  "steps",     "turned-away"};
+      "answers",      "apart",    "asked-for", "cancelled",  "chart",   "counters", "denied",
+      "denied-chart", "draining", "early",     "emptied",    "ends",    "failures", "finished",
+      "forgotten",    "gang",     "inside",    "needs",      "number",  "once",     "repeated",
+      "resent",       "room",     "shown",     "stale-read", "stalled", "steps",    "turned-away"};
   return all;
 }
 
 Judge::Judge(Sim& sim) : sim_(sim) {
-  sim.onJournal = [this](Hand& hand, const std::string& line) { journal(hand, line); };
-  sim.onWorkerCrash = [this](Hand& hand) {
-    for (const auto& [run, ended] : hand.worker.ended)
+  sim.onJournal = [this](SimWorker& simWorker, const std::string& line) { journal(simWorker, line); };
+  sim.onWorkerCrash = [this](SimWorker& simWorker) {
+    for (const auto& [run, ended] : simWorker.worker.ended)
       if (auto [job, at] = find(run); job) {
         job->lead(at).delivered.erase(run);
         job->lead(at).failed.erase(run);
       }
   };
-  sim.onReported = [this](Hand& hand, const std::string& body, int status) { reported(hand, body, status); };
+  sim.onReported = [this](SimWorker& simWorker, const std::string& body, int status) {
+    reported(simWorker, body, status);
+  };
 }
 
 void Judge::fault(const char* rule, std::string what) {
@@ -134,18 +137,18 @@
   return {&found->second, static_cast<std::size_t>(at - names.begin())};
 }
 
-void Judge::journal(Hand& hand, const std::string& line) {
+void Judge::journal(SimWorker& simWorker, const std::string& line) {
   const auto space = line.find(' ');
   const auto kind = line.substr(0, space);
   const auto rest = line.substr(space + 1);
-  if (kind == "start") return started(hand, rest);
+  if (kind == "start") return started(simWorker, rest);
   const auto gap = rest.rfind(' ');
-  if (kind == "end") return runEnded(hand, rest.substr(0, gap), rest.substr(gap + 1));
+  if (kind == "end") return runEnded(simWorker, rest.substr(0, gap), rest.substr(gap + 1));
   if (kind == "saved")
     if (auto [job, at] = find(rest.substr(0, gap)); job) job->lead(at).issued.insert(rest.substr(gap + 1));
 }
 
-void Judge::started(Hand& hand, const std::string& text) {
+void Judge::started(SimWorker& simWorker, const std::string& text) {
   const auto run = text.substr(0, text.find(' '));
   const auto word = [&](const std::string& key) {
     const auto at = text.find(" " + key + "=");
@@ -179,7 +182,7 @@
     if (where->up && sim_.nowUs() < where->frozenUntilUs)
       task.superseded.insert(other);
     else
-      fault("once", run + " starts on " + hand.worker.traits.name + " while " + other + " runs on " +
+      fault("once", run + " starts on " + simWorker.worker.traits.name + " while " + other + " runs on " +
                         where->worker.traits.name);
   }
   const bool noted = !task.repeats || (now > lead.deliveredMs + kNotedMs && !sim_.troubled(kInTouchMs));
@@ -196,16 +199,16 @@
     fault("failures", run + " starts after " + std::to_string(job->failures(at)) + " failures");
   if (job->cancelledMs >= 0 && now > job->cancelledMs + kCancelGraceMs)
     fault("cancelled", run + " starts after its cancel was confirmed");
-  task.running[run] = &hand;
-  judgePlace(hand, *job, at, run);
-  judgeCapacity(hand);
+  task.running[run] = &simWorker;
+  judgePlace(simWorker, *job, at, run);
+  judgeCapacity(simWorker);
 }
 
-void Judge::judgePlace(Hand& hand, const JobTruth& job, std::size_t at, const std::string& run) {
+void Judge::judgePlace(SimWorker& simWorker, const JobTruth& job, std::size_t at, const std::string& run) {
   const Millis now = sim_.nowMs();
   const auto& task = job.tasks[at];
-  const auto& traits = hand.worker.traits;
-  const auto& zone = hand.agent->settings.zone.value;
+  const auto& traits = simWorker.worker.traits;
+  const auto& zone = simWorker.agent->settings.zone.value;
   if (auto since = emptiedSinceMs_.find(zone); since != emptiedSinceMs_.end() && now > since->second + kEmptyGraceMs)
     fault("emptied", run + " starts in emptied cell " + zone);
   if (auto since = drainedSinceMs_.find(traits.name);
@@ -221,17 +224,17 @@
     std::int64_t beside = 0;
     for (const auto& other : job.tasks)
       if (other.step == task.step && other.instance == task.instance)
-        for (const auto& [name, where] : other.running) beside += where == &hand;
+        for (const auto& [name, where] : other.running) beside += where == &simWorker;
     if (beside > task.apart)
       fault("apart", traits.name + " runs " + std::to_string(beside) + " tasks of the step of " + run);
   }
 }
 
-void Judge::judgeCapacity(Hand& hand) {
-  const auto& traits = hand.worker.traits;
+void Judge::judgeCapacity(SimWorker& simWorker) {
+  const auto& traits = simWorker.worker.traits;
   std::int64_t slots = 0;
   std::map<std::string, std::int64_t> held;
-  for (const auto& [run, running] : hand.worker.running) {
+  for (const auto& [run, running] : simWorker.worker.running) {
     slots += running.slots;
     for (const auto& [kind, amount] : running.capacity) held[kind] += amount;
   }
@@ -243,7 +246,7 @@
   }
 }
 
-void Judge::runEnded(Hand&, const std::string& run, const std::string& outcome) {
+void Judge::runEnded(SimWorker&, const std::string& run, const std::string& outcome) {
   ++ends;
   ++outcomes[outcome];
   auto [job, at] = find(run);
@@ -262,10 +265,10 @@
     fault("gang", run + " waited in vain for its gang, with no trouble near");
 }
 
-void Judge::reported(Hand& hand, const std::string& body, int status) {
+void Judge::reported(SimWorker& simWorker, const std::string& body, int status) {
   if (status != 200) return;
   Json root = parseJson(body);
-  const auto& name = hand.worker.traits.name;
+  const auto& name = simWorker.worker.traits.name;
   if (flagAt(root.get(), "leaving"))
     leavingSinceMs_.try_emplace(name, sim_.nowMs());
   else
@@ -284,12 +287,15 @@
 void Judge::shown(const std::string& id, int status, const json_t* view, Millis askedMs) {
   auto& job = jobs.at(id);
   ++checks;
-  if (status == 404) {
+  constexpr int kNotFound = 404, kGone = 410;
+  if (status == kNotFound || status == kGone) {
     if (job.acceptedMs >= 0 && !(forgetsEnded && !job.shown.empty()))
-      fault("forgotten", id + " is answered as unknown after it was accepted");
+      fault("forgotten", id + " is answered with " + std::to_string(status) + " after it was accepted");
     return;
   }
   if (status != 200) return;
+  if (const auto told = textAt(view, "id"); !told.empty() && told != id)
+    fault("answers", "a call for " + id + " is answered with " + told);
   if (const auto served = numberAt(view, "servedSlotMs", -1); served >= 0 && askedMs >= 0) {
     if (served < job.servedSeenMs && askedMs > job.servedAskedMs)
       fault("counters", id + " has served " + std::to_string(served) + " after " + std::to_string(job.servedSeenMs));
@@ -299,6 +305,7 @@
     }
   }
   const auto state = textAt(view, "state");
+  if (state.empty()) return;
   const bool ended = state == "finished" || state == "failed" || state == "cancelled" || state == "expired";
   if (!ended) {
     if (!job.shown.empty() && (askedMs < 0 || askedMs > job.shownEndedMs))
@@ -326,17 +333,50 @@
   if (state == "finished" && job.neverSucceeds) fault("finished", id + " can not succeed but is shown finished");
 }
 
-void Judge::configProposed(const std::string& mark) { markVersion_.try_emplace(mark, 0); }
+void Judge::configProposed(const std::string& mark) {
+  markVersion_.try_emplace(mark, 0);
+  openChanges_.insert(mark);
+}
 
 void Judge::configConfirmed(const std::string& mark, Version version) {
+  openChanges_.erase(mark);
+  if (openChanges_.empty()) quietlyAcked_[mark] = markVersion_.size();
+  if (rejected_.contains(mark)) fault("denied-chart", mark + " was denied and then confirmed");
+  if (version == 0) return;
   auto& known = markVersion_[mark];
   if (known && known != version) fault("chart", mark + " was confirmed as two revisions");
+  const auto [first, fresh] = markOfVersion_.try_emplace(version, mark);
+  if (!fresh && first->second != mark)
+    fault("number", mark + " and " + first->second + " were both confirmed as revision " + std::to_string(version));
   known = version;
   newestConfirmed_ = std::max(newestConfirmed_, version);
   confirmedMs_.try_emplace(version, sim_.nowMs());
 }
 
-void Judge::configRejected(const std::string& mark) { rejected_.insert(mark); }
+void Judge::configRejected(const std::string& mark) {
+  openChanges_.erase(mark);
+  rejected_.insert(mark);
+}
+
+bool Judge::isLastChange(const std::string& mark) const {
+  const auto quiet = quietlyAcked_.find(mark);
+  return quiet != quietlyAcked_.end() && quiet->second == markVersion_.size() && openChanges_.empty();
+}
+
+void Judge::configResent(const std::string& mark, int status) {
+  ++checks;
+  constexpr int kTimeout = 408, kTooMany = 429;
+  const bool refused = status >= 400 && status < 500 && status != kTimeout && status != kTooMany;
+  if (refused && isLastChange(mark))
+    fault("resent", mark + " was acknowledged, is sent again and refused with " + std::to_string(status));
+}
+
+void Judge::numberConfirmed(Version number, const std::string& mark) {
+  ++checks;
+  const auto [first, fresh] = markOfNumber_.try_emplace(number, mark);
+  if (!fresh && first->second != mark)
+    fault("number", mark + " and " + first->second + " were both acknowledged as number " + std::to_string(number));
+}
 
 void Judge::configRead(Version version, const std::string& text, Millis askedMs, bool final) {
   ++checks;
@@ -345,6 +385,16 @@
   for (const auto& mark : rejected_)
     if (text.find("\"" + mark + "\"") != std::string::npos)
       fault("denied-chart", mark + " was denied and is in revision " + std::to_string(version));
+  if (version > markVersion_.size())
+    fault("repeated", "revision " + std::to_string(version) + " after " + std::to_string(markVersion_.size()) +
+                          " changes: one had two effects");
+  judgeEvacuations(version, text);
+  for (const auto& [each, whenMs] : confirmedMs_)
+    if (each > version && askedMs > whenMs) {
+      fault("stale-read", "revision " + std::to_string(version) + " is answered " + std::to_string(askedMs - whenMs) +
+                              " ms after " + std::to_string(each) + " was confirmed");
+      break;
+    }
   for (const auto& [each, whenMs] : confirmedMs_)
     if (each > version && (final || askedMs > whenMs + kConfigGraceMs))
       fault("chart", "revision " + std::to_string(each) + " was confirmed, " + std::to_string(version) +
@@ -354,15 +404,31 @@
       fault("chart", mark + " is missing from its revision");
 }
 
+void Judge::judgeEvacuations(Version version, const std::string& text) {
+  if (evacuatedFrom_.empty()) return;
+  const Json config = parseJson(text);
+  const json_t* zones = json_object_get(config.get(), "cells");
+  for (const auto& [zone, from] : evacuatedFrom_)
+    if (version >= from && !flagAt(json_object_get(zones, zone.c_str()), "emptied"))
+      fault("emptied", "revision " + std::to_string(version) + " takes back the emptying of " + zone +
+                           ", which was acknowledged by revision " + std::to_string(from));
+}
+
 void Judge::wholeConfig(bool begins) {
   wholeConfigs_ += begins ? 1 : -1;
+  evacuatedFrom_.clear();
   emptiedSinceMs_.clear();
   drainedSinceMs_.clear();
 }
 
 void Judge::zoneEmptied(const std::string& zone, bool emptied, bool confirmed) {
-  if (emptied && confirmed && wholeConfigs_ == 0) emptiedSinceMs_.try_emplace(zone, sim_.nowMs());
-  if (!emptied) emptiedSinceMs_.erase(zone);
+  if (emptied && confirmed && wholeConfigs_ == 0) {
+    emptiedSinceMs_.try_emplace(zone, sim_.nowMs());
+    evacuatedFrom_.try_emplace(zone, newestConfirmed_);
+  }
+  if (emptied) return;
+  emptiedSinceMs_.erase(zone);
+  evacuatedFrom_.erase(zone);
 }
 
 void Judge::drained(const std::string& worker, bool drained, bool confirmed) {
@@ -430,10 +496,11 @@
   }
 }
 
-bool Judge::usable(const Hand& hand) const {
-  const auto& name = hand.worker.traits.name;
-  return hand.up && hand.agent->up && !hand.cut && !hand.worker.leaving && sim_.nowUs() >= hand.frozenUntilUs &&
-         !drainedSinceMs_.contains(name) && !emptiedSinceMs_.contains(hand.agent->settings.zone.value);
+bool Judge::usable(const SimWorker& simWorker) const {
+  const auto& name = simWorker.worker.traits.name;
+  return simWorker.up && simWorker.agent->up && !simWorker.cut && !simWorker.worker.leaving &&
+         sim_.nowUs() >= simWorker.frozenUntilUs && !drainedSinceMs_.contains(name) &&
+         !emptiedSinceMs_.contains(simWorker.agent->settings.zone.value);
 }
 
 void Judge::sweepStalled() {
@@ -443,17 +510,17 @@
   }
   using Capacity = std::map<std::string, std::int64_t>;
   struct Free {
-    const Hand* hand;
+    const SimWorker* simWorker;
     Capacity capacity;
   };
   std::vector<Free> free;
   Capacity total, used;
-  for (const auto& hand : sim_.hands()) {
-    if (!usable(*hand)) continue;
-    Capacity capacity = hand->worker.traits.capacity;
-    capacity[""] = hand->worker.traits.slots;
+  for (const auto& simWorker : sim_.simWorkers()) {
+    if (!usable(*simWorker)) continue;
+    Capacity capacity = simWorker->worker.traits.capacity;
+    capacity[""] = simWorker->worker.traits.slots;
     for (const auto& [kind, amount] : capacity) total[kind] += amount;
-    for (const auto& [run, running] : hand->worker.running) {
+    for (const auto& [run, running] : simWorker->worker.running) {
       capacity[""] -= running.slots;
       used[""] += running.slots;
       for (const auto& [kind, amount] : running.capacity) {
@@ -461,28 +528,28 @@
         used[kind] += amount;
       }
     }
-    free.push_back({hand.get(), std::move(capacity)});
+    free.push_back({simWorker.get(), std::move(capacity)});
   }
   const bool roomy = !free.empty() && std::all_of(total.begin(), total.end(),
                                                   [&](const auto& each) { return used[each.first] * 2 < each.second; });
   const auto fitsTwice = [&](const JobTruth& job, const std::vector<std::size_t>& unit) {
     auto left = free;
     for (int copy = 0; copy < 2; ++copy) {
-      std::map<const Hand*, std::int64_t> beside;
+      std::map<const SimWorker*, std::int64_t> beside;
       for (auto at : unit) {
         const auto& task = job.tasks[at];
         Capacity need = task.capacity;
         need[""] = task.slots;
         const auto found = std::find_if(left.begin(), left.end(), [&](Free& each) {
-          const auto& labels = each.hand->worker.traits.labels;
+          const auto& labels = each.simWorker->worker.traits.labels;
           return (task.needs.empty() || std::any_of(labels.begin(), labels.end(),
                                                     [&](const auto& label) { return label.second == task.needs; })) &&
-                 (task.apart == 0 || beside[each.hand] < task.apart) &&
+                 (task.apart == 0 || beside[each.simWorker] < task.apart) &&
                  std::all_of(need.begin(), need.end(),
                              [&](const auto& kind) { return kind.second <= each.capacity[kind.first]; });
         });
         if (found == left.end()) return false;
-        ++beside[found->hand];
+        ++beside[found->simWorker];
         for (const auto& [kind, amount] : need) found->capacity[kind] -= amount;
       }
     }
--- a/src/simulator/judge.hpp
+++ b/src/simulator/judge.hpp
@@ -7,10 +7,11 @@
 struct TaskTruth {
   std::int64_t slots = 1;
   std::vector<std::size_t> after;
-  std::map<std::string, Hand*> running;
+  std::map<std::string, SimWorker*> running;
   std::set<std::string> superseded;
   std::int64_t starts = 0, cleanEnds = 0;
-  std::set<std::string> failed, delivered;  // runs that failed; runs whose clean end was reported
+  std::set<std::string> failed,
+      delivered;  // runs that failed; runs whose clean end was reported
   Millis deliveredMs = -1, failedMs = -1;
   Millis lonelySinceMs = -1;
   std::map<std::string, std::int64_t> capacity;
@@ -34,7 +35,8 @@
   bool neverSucceeds = false;
   bool mustBeRejected = false;
   bool rejected = false;
-  bool turnedAway = false;  // its caller gave up, and each answer had said that it was not taken
+  bool turnedAway = false;  // its caller gave up, and each answer had said that
+                            // it was not taken
   Millis notBeforeMs = 0;
   Millis submittedMs = 0;
   Millis acceptedMs = -1;
@@ -78,8 +80,17 @@
   void cancelled(const std::string& id);
   void shown(const std::string& id, int status, const json_t* view, Millis askedMs = -1);
   void configProposed(const std::string& mark);
+  /// A version of 0 is not known: the answer does not tell it.
   void configConfirmed(const std::string& mark, Version version);
   void configRejected(const std::string& mark);
+  /// An acknowledged change was sent again, and answered with this status.
+  void configResent(const std::string& mark, int status);
+  /// Whether an acknowledged change is the last that was sent: sent again, it
+  /// may not be refused.
+  bool isLastChange(const std::string& mark) const;
+  /// An operator's change was acknowledged under the number that the operator
+  /// picked.
+  void numberConfirmed(Version number, const std::string& mark);
   void configRead(Version version, const std::string& text, Millis askedMs, bool final);
   void wholeConfig(bool begins);
   void zoneEmptied(const std::string& zone, bool emptied, bool confirmed);
@@ -98,17 +109,18 @@
   bool clockStepped = false;
 
  private:
-  void journal(Hand& hand, const std::string& line);
-  void reported(Hand& hand, const std::string& body, int status);
-  void started(Hand& hand, const std::string& text);
-  void runEnded(Hand& hand, const std::string& run, const std::string& outcome);
-  void judgeCapacity(Hand& hand);
-  void judgePlace(Hand& hand, const JobTruth& job, std::size_t at, const std::string& run);
+  void journal(SimWorker& simWorker, const std::string& line);
+  void reported(SimWorker& simWorker, const std::string& body, int status);
+  void started(SimWorker& simWorker, const std::string& text);
+  void runEnded(SimWorker& simWorker, const std::string& run, const std::string& outcome);
+  void judgeCapacity(SimWorker& simWorker);
+  void judgePlace(SimWorker& simWorker, const JobTruth& job, std::size_t at, const std::string& run);
+  void judgeEvacuations(Version version, const std::string& text);
   void sweepLonely();
   void sweepCancelled();
   void sweepStalled();
   std::string described(const JobTruth& job, std::size_t at) const;
-  bool usable(const Hand& hand) const;
+  bool usable(const SimWorker& simWorker) const;
   void fault(const char* rule, std::string what);
   std::pair<JobTruth*, std::size_t> find(const std::string& run);
 
@@ -118,6 +130,10 @@
   std::map<Version, std::string> textOf_;
   std::set<std::string> rejected_;
   std::map<std::string, Version> markVersion_;
+  std::map<Version, std::string> markOfVersion_, markOfNumber_;
+  std::set<std::string> openChanges_;                // sent, and neither acknowledged nor refused yet
+  std::map<std::string, std::size_t> quietlyAcked_;  // with no other open: how many had been sent until then
+  std::map<std::string, Version> evacuatedFrom_;     // zone -> the version from which it must be shown emptied
   Version newestConfirmed_ = 0;
   std::map<Version, Millis> confirmedMs_;
   std::map<std::string, Millis> emptiedSinceMs_, drainedSinceMs_, leavingSinceMs_;
--- a/src/simulator/load.cpp
+++ b/src/simulator/load.cpp
@@ -260,8 +260,8 @@
   fleet.kinds = 2;
   fleet.sizedPool = !kerala;
   fleet.schedulers = grown ? (kerala ? 11 : 8) : kerala ? 3 : 4;
-  fleet.sea.mostUs = kerala ? 1400 : 1900;
-  fleet.sea.leastUs = kerala ? 900 : 1400;
+  fleet.network.mostUs = kerala ? 1400 : 1900;
+  fleet.network.leastUs = kerala ? 900 : 1400;
   auto& bounds = fleet.bounds;
   bounds.gangWaitMs = grown ? 4000 : 3000;
   bounds.runStopMs = 200;
--- a/src/simulator/load.hpp
+++ b/src/simulator/load.hpp
@@ -17,7 +17,8 @@
   double gang = 0.5;
   double steps = 0.2;
   double heavyTail = 0;
-  // Jobs of steps: perJob is the mean number of steps, count the tasks of each; 0: jobs of single tasks.
+  // Jobs of steps: perJob is the mean number of steps, count the tasks of each;
+  // 0: jobs of single tasks.
   double perJob = 0;
   std::int64_t count = 0;
   std::int64_t cpu = 0, memMb = 0;  // each task's room
@@ -54,8 +55,8 @@
   std::int64_t failAttempts = 0;
 };
 
-// A job of single tasks, or one of steps; times, firstInMs (from now, by the time of day) and everyMs are for steps
-// only.
+// A job of single tasks, or one of steps; times, firstInMs (from now, by the
+// time of day) and everyMs are for steps only.
 struct JobSketch {
   std::string id;
   std::string line;
--- a/src/simulator/meter.hpp
+++ b/src/simulator/meter.hpp
@@ -6,8 +6,8 @@
 
 namespace tulip::simulator {
 
-// What a simulated fleet sent, and the processor time that its cores took for it. A leading scheduler is told apart
-// from the others.
+// What a simulated fleet sent, and the processor time that its cores took for
+// it. A leading scheduler is told apart from the others.
 struct Meter {
   struct Row {
     std::uint64_t sent = 0, sentBytes = 0, encodeNs = 0;
@@ -22,8 +22,9 @@
     }
   };
   std::map<std::pair<std::string, std::string>, Row> rows;  // by role and kind of message or event
-  Span plans, batches, takeovers;  // steps of a scheduler that planned, only fenced a batch, or took over
-  std::uint64_t clockNs = 0;       // what reading the clock twice costs, taken off
+  Span plans, batches, takeovers;                           // steps of a scheduler that planned, only
+                                                            // fenced a batch, or took over
+  std::uint64_t clockNs = 0;                                // what reading the clock twice costs, taken off
 
   void calibrate();
   std::uint64_t since(std::uint64_t fromNs) const;
--- a/src/simulator/place.cpp
+++ b/src/simulator/place.cpp
@@ -28,10 +28,12 @@
 
 }  // namespace
 
+std::string_view messageName(const transport::Message& message) { return kMessages[message.index()]; }
+
 std::string pointOf(Role role, const transport::Event& event) {
   const std::string who(roleName(role));
   if (const auto* heard = std::get_if<transport::Heard>(&event))
-    return who + "." + std::string(kMessages[heard->message.index()]);
+    return who + "." + std::string(messageName(heard->message));
   if (std::holds_alternative<transport::Ask>(event)) return who + ".Ask";
   if (std::holds_alternative<transport::Persisted>(event)) return who + ".Persisted";
   return {};
--- a/src/simulator/place.hpp
+++ b/src/simulator/place.hpp
@@ -18,6 +18,8 @@
   Blow blow = Blow::crash;
 };
 
+/// The name of a kind of message, as places and the scale table print it.
+std::string_view messageName(const transport::Message& message);
 std::string pointOf(Role role, const transport::Event& event);
 std::string placeText(const Place& place);
 bool readPlace(const std::string& text, Place& place);
--- a/src/simulator/scale.cpp
+++ b/src/simulator/scale.cpp
@@ -52,8 +52,8 @@
   fleet.zones = 7;
   fleet.workers = plan.workers;
   fleet.slots = plan.running * 5 / 4 / plan.workers + 2;
-  fleet.sea.drop = fleet.sea.twice = fleet.sea.late = 0;
-  fleet.handUs = 10 * kMilli;
+  fleet.network.drop = fleet.network.duplicate = fleet.network.late = 0;
+  fleet.workerStepUs = 10 * kMilli;
   return fleet;
 }
 
@@ -87,12 +87,12 @@
     result_.workers = plan_.workers;
     result_.residentBefore = residentBytes();
     result_.meter.calibrate();
-    sim_.onJournal = [this](Hand&, const std::string& line) { noted(line); };
+    sim_.onJournal = [this](SimWorker&, const std::string& line) { noted(line); };
     sim_.onAlarm = [this](Host& host, const std::string& text) {
       if (result_.alarms.size() < 20) result_.alarms.push_back(host.name + ": " + text);
     };
     for (const auto& host : sim_.all()) sim_.start(*host);
-    for (const auto& hand : sim_.hands()) sim_.startWorker(*hand);
+    for (const auto& simWorker : sim_.simWorkers()) sim_.startWorker(*simWorker);
     if (!until(60 * kSecond, [this] { return sim_.leader() != nullptr; })) return cutShort();
     change("PUT", configFor(plan_, sim_.plan));
     if (!until(60 * kSecond, [this] { return inForce(); }) || !until(60 * kSecond, [this] { return allKnown(); }))
@@ -361,7 +361,8 @@
   for (const auto& [role, sum] : sums) {
     const auto each = daemons[role];
     put(text,
-        "%-7s sends %.2f messages/s, %.0f B/s; receives %.0f B/s; core %.4f %% and codec %.4f %% of a processor\n",
+        "%-7s sends %.2f messages/s, %.0f B/s; receives %.0f B/s; core %.4f %% "
+        "and codec %.4f %% of a processor\n",
         role.c_str(), static_cast<double>(sum.sent) / seconds / each,
         static_cast<double>(sum.sentBytes) / seconds / each, static_cast<double>(sum.receivedBytes) / seconds / each,
         static_cast<double>(sum.stepNs) / 1e7 / seconds / each,
@@ -374,16 +375,21 @@
   };
   span("plans", result.meter.plans);
   span("batches", result.meter.batches);
-  put(text, "takeover: another leads after %lld ms, its step %.1f us; work starts again after %lld ms\n",
+  put(text,
+      "takeover: another leads after %lld ms, its step %.1f us; work starts "
+      "again after %lld ms\n",
       static_cast<long long>(result.takeoverMs), static_cast<double>(result.takeoverNs) / 1000.0,
       static_cast<long long>(result.planAgainMs));
   put(text, "configuration of %zu bytes changed: in force everywhere after %lld ms\n", result.configBytes,
       static_cast<long long>(result.configMs));
-  put(text, "start latency of a job: p50 %lld ms, p99 %lld ms over %zu; a gang of %lld whole after %lld ms\n",
+  put(text,
+      "start latency of a job: p50 %lld ms, p99 %lld ms over %zu; a gang of "
+      "%lld whole after %lld ms\n",
       static_cast<long long>(quantile(result.startMs, 0.5)), static_cast<long long>(quantile(result.startMs, 0.99)),
       result.startMs.size(), static_cast<long long>(result.gang), static_cast<long long>(result.gangMs));
   put(text,
-      "resident %.1f MB, %.1f KB a worker; heap of one: leader %.1f KB, scheduler %.1f KB, replica %.1f KB, agent %.1f "
+      "resident %.1f MB, %.1f KB a worker; heap of one: leader %.1f KB, "
+      "scheduler %.1f KB, replica %.1f KB, agent %.1f "
       "KB; stored %zu entries of %zu bytes\n",
       static_cast<double>(result.resident) / 1e6,
       static_cast<double>(result.resident - std::min(result.resident, result.residentBefore)) / 1e3 /
@@ -392,8 +398,10 @@
       static_cast<double>(result.replicaBytes) / 1e3, static_cast<double>(result.agentBytes) / 1e3, result.stored,
       result.storedBytes);
   put(text,
-      "%d workers, %d known; %lld running; %.1f s; jobs %lld handed in, %lld accepted, %lld finished; tasks %lld, "
-      "starts %lld (%lld twice), ends %lld (%lld twice, %lld unclean, %lld of them after the kill)%s\n",
+      "%d workers, %d known; %lld running; %.1f s; jobs %lld handed in, %lld "
+      "accepted, %lld finished; tasks %lld, "
+      "starts %lld (%lld twice), ends %lld (%lld twice, %lld unclean, %lld of "
+      "them after the kill)%s\n",
       result.workers, result.known, static_cast<long long>(result.running), result.seconds,
       static_cast<long long>(result.jobs), static_cast<long long>(result.accepted),
       static_cast<long long>(result.finished), static_cast<long long>(result.tasks),
--- a/src/simulator/scale.hpp
+++ b/src/simulator/scale.hpp
@@ -35,8 +35,9 @@
   Millis gangMs = -1;            // from hand-in until all of a gang run
   std::int64_t gang = 0;
   std::size_t residentBefore = 0, resident = 0;
-  std::size_t leaderBytes = 0, schedulerBytes = 0, replicaBytes = 0, agentBytes = 0;  // heap of one, freed when it ends
-  std::size_t storedBytes = 0, stored = 0;                                            // of the leader's entries
+  std::size_t leaderBytes = 0, schedulerBytes = 0, replicaBytes = 0,
+              agentBytes = 0;               // heap of one, freed when it ends
+  std::size_t storedBytes = 0, stored = 0;  // of the leader's entries
   std::vector<std::string> alarms;
   bool cutShort = false;
 };
--- a/src/simulator/sim.hpp
+++ b/src/simulator/sim.hpp
@@ -11,22 +11,16 @@
 
 #include "commands/stub_worker.hpp"
 #include "daemon/node.hpp"
+#include "simulator/call_adapter.hpp"
+#include "simulator/clock.hpp"
 #include "simulator/meter.hpp"
+#include "simulator/network.hpp"
 #include "simulator/place.hpp"
 
+/// The simulated machines, their network, disks and clocks, and the daemons'
+/// own code that runs on them.
 namespace tulip::simulator {
 
-using Micros = std::int64_t;
-
-struct Sea {
-  Micros leastUs = 150;
-  Micros mostUs = 900;
-  double drop = 0;
-  double twice = 0;
-  double late = 0;
-  Micros lateUs = 50000;
-};
-
 struct FleetPlan {
   int zones = 3;
   int schedulers = 4;
@@ -35,7 +29,7 @@
   Bounds bounds;
   Micros tickUs = 10000;
   bool selfStop = true;
-  Sea sea;
+  NetworkPlan network;
   int replicas = 3;
   std::int64_t losses = 1;
   std::map<std::string, std::int64_t> capacity;  // each worker's, beside its slots
@@ -43,16 +37,15 @@
   int kinds = 0;                                 // of workers, told by a label; 0: none
   bool sizedPool = true;                         // the configuration says how large the pool's workers are
   Millis holdMostMs = 0;                         // a worker cuts a longer hold to this; 0: any
-  Micros handUs = 5000;                          // between two steps of a simulated worker
+  Micros workerStepUs = 5000;                    // between two steps of a simulated worker
 };
 
 std::string zoneOf(const FleetPlan& fleet, int worker);
 std::string rackOf(const FleetPlan& fleet, int worker);
 std::string kindOf(const FleetPlan& fleet, int worker);
 std::string poolOf(const FleetPlan& fleet,
-                   int worker);  // by kind where pools are sized, as a pool has the labels of all its workers
-
-constexpr Millis kWallEpochMs = 1700000000000;
+                   int worker);  // by kind where pools are sized, as a pool has
+                                 // the labels of all its workers
 
 struct Reply {
   bool lost = false;
@@ -61,25 +54,27 @@
   std::string body;
 };
 
+/// A machine and the process on it.
 struct Host {
   std::string name;
   Settings settings;
   DaemonId id;
   int lives = 0;
   bool up = false;
-  bool gone = false;  // for good, and replaced or not missed
+  bool gone = false;      // for good, and replaced or not missed
+  bool powered = true;    // the steady clock has gone on since the last life
+  Micros returnedUs = 0;  // when the process last started or thawed
   Micros frozenUntilUs = 0;
-  Micros clockOffsetUs = 0;
-  double clockRate = 1.0;
-  Millis wallOffsetMs = 0;
+  Micros freezeInStepUs = 0;  // the next step is done, but what it sends leaves
+                              // only after a freeze this long
+  MachineClock clock;
   Micros wakeUs = -1;  // when it wants its next tick; -1: with the others
   std::optional<daemon::Node> node;
   storage::Image disk;
-  bool diskFails = false;
+  bool diskBlocked = false;  // stalled or full: no write ends
   Micros syncUs = 800;
-  Micros diskFreeUs = 0;
   std::vector<transport::Persist> unsynced;
-  bool syncing = false;
+  std::vector<transport::Persist> writing;  // the batch under way: a crash keeps all of it or nothing
   std::uint64_t nextRequest = 0;
   std::unordered_map<std::uint64_t, std::function<void(Reply)>> asking;
   std::unordered_map<std::uint64_t, transport::Ask> askText;
@@ -87,7 +82,7 @@
   std::uint64_t syncs = 0;
 };
 
-struct Hand {
+struct SimWorker {
   commands::Worker worker;
   Host* agent = nullptr;
   bool up = false;
@@ -106,8 +101,8 @@
   Micros nowUs() const { return now_; }
   Millis nowMs() const { return now_ / 1000; }
   Millis wallMs() const { return kWallEpochMs + nowMs(); }
-  Millis clockOf(const Hand& hand) const {
-    return static_cast<Millis>(static_cast<double>(now_) * hand.clockRate / 1000.0);
+  Millis clockOf(const SimWorker& simWorker) const {
+    return static_cast<Millis>(static_cast<double>(now_) * simWorker.clockRate / 1000.0);
   }
   void at(Micros whenUs, std::function<void()> act);
   void after(Micros spanUs, std::function<void()> act) { at(now_ + spanUs, std::move(act)); }
@@ -118,44 +113,58 @@
 
   Host& addHost(Role role, const std::string& name, const std::string& zone, const std::string& workerName = {});
   void start(Host& host);
+  /// The process is killed: the machine's clock goes on.
   void crash(Host& host);
+  /// The machine loses power: its steady clock starts anew with its next life.
+  void losePower(Host& host);
   void freeze(Host& host, Micros spanUs);
+  /// The process stops in the middle of its next answer.
+  void freezeInNextStep(Host& host, Micros spanUs) { host.freezeInStepUs = spanUs; }
   void loseDisk(Host& host);
   void stopPolitely(Host& host);
   void ask(Host& host, transport::Ask ask, std::function<void(Reply)> done);
   void cut(const Host& from, const Host& to) {
-    cuts_.insert({from.name, to.name});
+    network_.cut(from.name, to.name);
     trouble();
   }
   void cutOff(const Host& host);
   void heal() {
-    cuts_.clear();
+    network_.heal();
     trouble();
   }
+  /// What one machine sends to the other waits in buffers for this long.
+  void stallLink(const Host& from, const Host& to, Micros spanUs);
+  /// All connections of the machine's process break, those of its callers too.
+  void resetConnections(Host& host);
+  /// Whether the machine counts as lost: down, frozen, cut off or not yet
+  /// caught up after its return.
+  bool isLost(const Host& host) const;
   void trouble() { troubleUs_ = std::max(troubleUs_, now_); }
-  bool troubled(
-      Millis withinMs) const;  // anything beyond load and configurations happened within this time, or goes on
-  bool isCut(const Host& from, const Host& to) const { return cuts_.contains({from.name, to.name}); }
+  bool troubled(Millis withinMs) const;  // anything beyond load and configurations
+                                         // happened within this time, or goes on
+  bool isCut(const Host& from, const Host& to) const { return network_.isCut(from.name, to.name); }
 
-  void startWorker(Hand& hand);
-  void crashWorker(Hand& hand);
-  void freezeWorker(Hand& hand, Micros spanUs);
+  void startWorker(SimWorker& simWorker);
+  void crashWorker(SimWorker& simWorker);
+  void freezeWorker(SimWorker& simWorker, Micros spanUs);
 
   std::vector<Host*> hosts(Role role) const;
   Host* leader();
+  bool knows(const std::string& name) const { return byName_.contains(name); }
   Host& host(const std::string& name) { return *byName_.at(name); }
-  const std::vector<std::unique_ptr<Hand>>& hands() const { return hands_; }
+  const std::vector<std::unique_ptr<SimWorker>>& simWorkers() const { return simWorkers_; }
   const std::vector<std::unique_ptr<Host>>& all() const { return hosts_; }
 
-  std::function<void(Hand&, const std::string&)> onJournal;
-  std::function<void(Hand&, const std::string&, int)> onReported;
+  std::function<void(SimWorker&, const std::string&)> onJournal;
+  std::function<void(SimWorker&, const std::string&, int)> onReported;
   std::function<void(Host&, const std::string&)> onAlarm;
   std::function<void(std::string_view)> onMark;
-  std::function<void(Hand&)> onWorkerCrash;
+  std::function<void(SimWorker&)> onWorkerCrash;
   std::function<void(Host&)> onPlace;
   std::optional<Place> place;
   bool counting = false;
-  Meter* meter = nullptr;  // when set, every message is encoded, decoded and weighed
+  bool seedsChange = false;  // each further life is given other seeds
+  Meter* meter = nullptr;    // when set, every message is encoded, decoded and weighed
   std::map<std::string, int> points;
 
   std::uint64_t seed() const { return seed_; }
@@ -171,23 +180,29 @@
     std::function<void()> act;
     bool operator<(const Due& other) const { return std::tie(whenUs, serial) > std::tie(other.whenUs, other.serial); }
   };
-  transport::Now clock(const Host& host) const;
+  transport::Now clock(const Host& host) const { return read(host.clock, now_); }
   void give(Host& host, transport::Event event);
   void settle(Host& host, transport::Outbox&& out);
   void metered(Host& host, const transport::Event& event, transport::Outbox& out);
   std::string roleAt(const Host& host) const;
   void carry(Host& from, const transport::Send& send);
+  void arrive(const std::string& from, Host& to, const transport::Heard& heard, Micros sentUs);
+  std::vector<Address> drawSeeds();
   void tick(Host& host, int life);
   void wake(Host& host, Millis steadyMs);
   void sync(Host& host);
+  void finishSync(Host& host, int life);
+  void endProcess(Host& host);
+  void endWrites(Host& host);
+  void loseCallers(Host& host, double share);
   void reply(Host& host, std::uint64_t requestId, Reply reply);
-  void workerTick(Hand& hand, int life);
+  void workerTick(SimWorker& simWorker, int life);
   void gangTick();
-  void noteGang(Hand& hand, const std::string& line);
-  void workerCall(Hand& hand);
-  void drainJournal(Hand& hand);
+  void noteGang(SimWorker& simWorker, const std::string& line);
+  void workerCall(SimWorker& simWorker);
+  void drainJournal(SimWorker& simWorker);
   void mark(std::string_view text);
-  Micros voyage();
+  Micros travelTime();
 
   std::uint64_t seed_;
   std::mt19937_64 random_;
@@ -196,11 +211,12 @@
   std::uint64_t trace_ = 1469598103934665603ull;
   std::priority_queue<Due> due_;
   std::vector<std::unique_ptr<Host>> hosts_;
-  std::vector<std::unique_ptr<Hand>> hands_;
+  std::vector<std::unique_ptr<SimWorker>> simWorkers_;
   std::map<std::string, Host*> byName_;
   std::map<Address, Host*> bySignal_, byHttp_;
   std::vector<Address> seeds_;
-  std::set<std::pair<std::string, std::string>> cuts_;
+  Network network_;
+  std::shared_ptr<const http::ProtocolAdapter> adapter_ = std::make_shared<CallAdapter>();
   int addresses_ = 0;
   struct Gang {
     bool whole = false, broken = false;
--- a/src/simulator/world.cpp
+++ b/src/simulator/world.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+constexpr double kResendShare = 0.4;
+constexpr Micros kResendWithinUs = kSecond;
+
 // The error says that nothing was taken, rather than that it is not known.
 bool notTakenBy(const std::string& error) {
   for (const auto kind : {Kind::noLeader, Kind::overloaded, Kind::notReady})
@@ -74,24 +77,35 @@
   quietUs = endUs * 3 / 4;
 }
 
-Host& World::anyHost() {
+Host& World::anyHost(const Host* but) {
   const auto& all = sim.all();
   while (true) {
     auto& host = *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
-    if (!retired.contains(host.name)) return host;
+    if (&host != but && !retired.contains(host.name)) return host;
   }
 }
 
 Micros World::faultTime() { return fromUs + sim.below(std::max<Micros>(1, quietUs - fromUs - kSecond)); }
 
-void World::call(Ask ask, std::function<void(Reply)> done) {
+void World::call(Ask ask, std::function<void(Reply)> done) { callAt(anyHost(), std::move(ask), std::move(done)); }
+
+void World::callForJob(Ask ask, std::function<void(Reply)> done) {
+  if (!sim.chance(throughAdapter)) return call(std::move(ask), std::move(done));
+  ask.face = FaceKind::callers;
+  callAt(pick(Role::scheduler), std::move(ask), std::move(done));
+}
+
+void World::callAt(Host& host, Ask ask, std::function<void(Reply)> done) {
   auto answered = std::make_shared<bool>(false);
   auto once = [answered, done = std::move(done)](Reply reply) {
     if (*answered) return;
     *answered = true;
     done(std::move(reply));
   };
-  sim.ask(anyHost(), std::move(ask), once);
+  const bool answerLost = sim.chance(ackLoss);
+  sim.ask(host, std::move(ask), [once, answerLost](Reply reply) {
+    if (!answerLost) once(std::move(reply));
+  });
   sim.after(4 * kSecond, [once] { once({true, 0, 0, {}}); });
 }
 
@@ -101,7 +115,7 @@
   ask.method = "POST";
   ask.path = "/jobs";
   ask.body = body;
-  call(std::move(ask), [this, id, body, askedMs = sim.nowMs()](Reply reply) {
+  callForJob(std::move(ask), [this, id, body, askedMs = sim.nowMs()](Reply reply) {
     if (!reply.lost && (reply.status == 200 || reply.status == 201)) {
       const bool first = judge.jobs.at(id).acceptedMs < 0;
       judge.accepted(id);
@@ -124,7 +138,7 @@
   Ask ask;
   ask.method = "GET";
   ask.path = "/jobs/" + id;
-  call(std::move(ask), [this, id, askedMs = sim.nowMs()](Reply reply) {
+  callForJob(std::move(ask), [this, id, askedMs = sim.nowMs()](Reply reply) {
     if (!reply.lost) {
       Json view = parseJson(reply.body);
       judge.shown(id, reply.status, view.get(), askedMs);
@@ -142,7 +156,7 @@
   ask.method = "POST";
   ask.path = "/jobs";
   ask.body = body;
-  call(std::move(ask), [this, id, body, then = std::move(then)](Reply reply) {
+  callForJob(std::move(ask), [this, id, body, then = std::move(then)](Reply reply) {
     if (reply.lost || reply.status != 201) return submit(id, body);
     judge.accepted(id);
     ++result.accepted;
@@ -156,7 +170,7 @@
   Ask ask;
   ask.method = "DELETE";
   ask.path = "/jobs/" + id;
-  call(std::move(ask), [this, id, then = std::move(then)](Reply reply) {
+  callForJob(std::move(ask), [this, id, then = std::move(then)](Reply reply) {
     if (!reply.lost && reply.status == 200) {
       judge.cancelled(id);
       if (then) then();
@@ -241,7 +255,7 @@
   ask.method = "POST";
   ask.path = "/jobs";
   ask.body = body;
-  call(std::move(ask), [this, id, body, tries, unclear](Reply reply) {
+  callForJob(std::move(ask), [this, id, body, tries, unclear](Reply reply) {
     Json said = parseJson(reply.body);
     const bool notTaken = !reply.lost && reply.status >= 500 && notTakenBy(textAt(said.get(), "error"));
     if (!notTaken && !reply.lost && reply.status < 500) return submit(id, body);
@@ -297,10 +311,11 @@
   ask.query = query;
   ask.body = body;
   ask.requestName = name;
-  call(std::move(ask), [=, this](Reply reply) {
+  call(ask, [=, this, sent = ask](Reply reply) {
     if (!reply.lost && reply.status == 200) {
       Json root = parseJson(reply.body);
       judge.configConfirmed(mark, static_cast<Version>(numberAt(root.get(), "revision")));
+      if (!name.empty()) resendOnce(mark, sent);
       if (done) done(true);
       return;
     }
@@ -317,6 +332,39 @@
   });
 }
 
+void World::resendOnce(const std::string& mark, const Ask& ask) {
+  if (!sim.chance(kResendShare)) return;
+  sim.after(sim.below(kResendWithinUs), [this, mark, ask] {
+    if (!judge.isLastChange(mark)) return;
+    call(ask, [this, mark](Reply reply) {
+      if (!reply.lost) judge.configResent(mark, reply.status);
+    });
+  });
+}
+
+void World::changeByNumber(Version number, Version basedOn, const std::string& mark, std::function<void()> done) {
+  judge.configProposed(mark);
+  const auto ask = numberedChange(number, basedOn, "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}");
+  const auto send = [=, this](auto again, const Host* failed) -> void {
+    auto& host = anyHost(failed);
+    callAt(host, ask, [=, this, &host](Reply reply) {
+      if (!reply.lost && reply.status == 200) {
+        judge.configConfirmed(mark, 0);
+        judge.numberConfirmed(number, mark);
+        newestNumber = std::max(newestNumber, number);
+        resendOnce(mark, ask);
+        return done();
+      }
+      if (!reply.lost && reply.status < 500) {
+        judge.configRejected(mark);
+        return done();
+      }
+      sim.after(kSecond / 10, [again, &host] { again(again, &host); });
+    });
+  };
+  send(send, nullptr);
+}
+
 void World::markOnce(bool whole, const std::string& query) {
   const auto mark = "mark-" + std::to_string(++nextMark);
   std::string body = "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}";
@@ -415,8 +463,8 @@
   std::erase_if(all, [&](Host* host) { return retired.contains(host->name); });
   return *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
 }
-Hand& World::pickHand() {
-  return *sim.hands()[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(sim.hands().size())))];
+SimWorker& World::pickWorker() {
+  return *sim.simWorkers()[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(sim.simWorkers().size())))];
 }
 
 void World::crashFor(Host& host, Micros spanUs) {
@@ -426,6 +474,46 @@
   });
 }
 
+void World::powerLossFor(Host& host, Micros spanUs) {
+  sim.losePower(host);
+  sim.after(spanUs, [this, &host] {
+    if (!retired.contains(host.name)) sim.start(host);
+  });
+}
+
+void World::loseCore(bool power) {
+  for (const auto& host : sim.all()) {
+    if (host->settings.role == Role::agent) continue;
+    const auto backAfterUs = kSecond / 5 + sim.below(3 * kSecond / 2);
+    power ? powerLossFor(*host, backAfterUs) : crashFor(*host, backAfterUs);
+  }
+}
+
+void World::whenAffordable(std::function<void()> act) {
+  const auto replicas = sim.hosts(Role::replica);
+  const auto lost =
+      std::count_if(replicas.begin(), replicas.end(), [this](const Host* host) { return sim.isLost(*host); });
+  if (lost < plan.fleet.losses) return act();
+  if (sim.nowUs() < quietUs) sim.after(kSecond / 10, [this, act = std::move(act)] { whenAffordable(act); });
+}
+
+std::string World::successorName(const Host& old) const {
+  auto name = old.name + "x";
+  while (sim.knows(name)) name += "x";
+  return name;
+}
+
+void World::replacePlanned(Host& old) {
+  auto& fresh = sim.addHost(Role::replica, successorName(old), old.settings.zone.value);
+  sim.start(fresh);
+  sim.after(kSecond + sim.below(5 * kSecond), [this, &old] {
+    if (retired.contains(old.name)) return;
+    retire(old);
+    sim.stopPolitely(old);
+    sim.after(kSecond, [this, &old] { sim.crash(old); });
+  });
+}
+
 void World::replaceReplica(Host& old, bool sameAddress) {
   sim.crash(old);
   if (sameAddress) {
@@ -434,7 +522,7 @@
     return;
   }
   retire(old);
-  auto& fresh = sim.addHost(Role::replica, old.name + "x", old.settings.zone.value);
+  auto& fresh = sim.addHost(Role::replica, successorName(old), old.settings.zone.value);
   sim.after(300000 + sim.below(kSecond), [this, &fresh] { sim.start(fresh); });
 }
 
@@ -467,13 +555,13 @@
   host.gone = true;
 }
 
-void World::takeSoon(Hand& hand, Millis inMs) {
-  hand.worker.leaving = true;
-  hand.worker.leavesAtMs = sim.clockOf(hand) + inMs;
-  const int life = hand.lives;
+void World::takeSoon(SimWorker& simWorker, Millis inMs) {
+  simWorker.worker.leaving = true;
+  simWorker.worker.leavesAtMs = sim.clockOf(simWorker) + inMs;
+  const int life = simWorker.lives;
   sim.trouble();
-  sim.after(inMs * 1000, [this, &hand, life] {
-    if (hand.lives == life && hand.worker.leaving) sim.crashWorker(hand);
+  sim.after(inMs * 1000, [this, &simWorker, life] {
+    if (simWorker.lives == life && simWorker.worker.leaving) sim.crashWorker(simWorker);
   });
 }
 
@@ -487,25 +575,26 @@
 
 void World::healAll() {
   sim.heal();
-  sim.plan.sea = plan.fleet.sea;
+  ackLoss = 0;
+  sim.plan.network = plan.fleet.network;
   for (const auto& host : sim.all()) {
     host->syncUs = 800;
-    if (!deadDisks.contains(host->name)) host->diskFails = false;
+    if (!deadDisks.contains(host->name)) host->diskBlocked = false;
     if (!host->up && !retired.contains(host->name)) sim.start(*host);
   }
-  for (const auto& hand : sim.hands()) {
-    hand->cut = false;
-    auto& traits = hand->worker.traits;
-    if (hand->worker.leaving || traits.failEvery || traits.slowFactor > 1 || traits.failShare > 0 ||
+  for (const auto& simWorker : sim.simWorkers()) {
+    simWorker->cut = false;
+    auto& traits = simWorker->worker.traits;
+    if (simWorker->worker.leaving || traits.failEvery || traits.slowFactor > 1 || traits.failShare > 0 ||
         traits.standsStill || traits.mute)
       sim.trouble();
-    hand->worker.leaving = false;
-    hand->worker.leavesAtMs = -1;
+    simWorker->worker.leaving = false;
+    simWorker->worker.leavesAtMs = -1;
     traits.failEvery = 0;
     traits.slowFactor = 1;
     traits.failShare = 0;
     traits.standsStill = traits.mute = false;
-    if (!hand->up) sim.startWorker(*hand);
+    if (!simWorker->up) sim.startWorker(*simWorker);
   }
 }
 
--- a/src/simulator/world.hpp
+++ b/src/simulator/world.hpp
@@ -5,7 +5,8 @@
 
 constexpr Micros kSecond = 1000000;
 
-// One day under way: the simulated fleet with its callers and operators, and the judge who watches them.
+// One day under way: the simulated fleet with its callers and operators, and
+// the judge who watches them.
 struct World {
   explicit World(const DayPlan& given);
 
@@ -21,11 +22,18 @@
   std::map<std::string, Micros> submittedUs;
   std::set<std::string> retired, deadDisks;
   Millis leaderLostMs = -1;
-  bool awaitsWhole = false;  // a second replica is lost only once the first one's voter is taken
+  double ackLoss = 0;           // share of answers that are lost on their way to callers and operators
+  double throughAdapter = 0.3;  // share of the callers' calls that come through a protocol adapter
+  Version newestNumber = 0;     // the newest operator's number that was acknowledged
+  bool awaitsWhole = false;     // a second replica is lost only once the first
+                                // one's voter is taken
 
-  Host& anyHost();
+  /// Any machine but the one that just failed the caller, if another is left.
+  Host& anyHost(const Host* but = nullptr);
   Micros faultTime();
   void call(transport::Ask ask, std::function<void(Reply)> done);
+  void callAt(Host& host, transport::Ask ask, std::function<void(Reply)> done);
+  void callForJob(transport::Ask ask, std::function<void(Reply)> done);
   void submit(std::string id, std::string body);
   void poll(const std::string& id);
   void submitThen(const LineLoad& load, std::function<void(const std::string&)> then);
@@ -39,6 +47,10 @@
   std::string firstConfig() const;
   void changeConfig(const std::string& method, std::string body, std::string mark, std::string name, std::string query,
                     std::function<void(bool)> done, int tries = 0);
+  void resendOnce(const std::string& mark, const transport::Ask& ask);
+  /// An operator's change under its own number, sent until it is taken or
+  /// refused.
+  void changeByNumber(Version number, Version basedOn, const std::string& mark, std::function<void()> done);
   void markOnce(bool whole, const std::string& query = {});
   void invalidOnce();
   void conditionalOnce(bool named);
@@ -48,7 +60,7 @@
   void submitImpatient(std::string id, std::string body, int tries, bool unclear);
   void endStanding(const std::string& id);
   void retire(Host& host);
-  void takeSoon(Hand& hand, Millis inMs);
+  void takeSoon(SimWorker& simWorker, Millis inMs);
   const LineLoad& queueOf(const std::string& name) const;
   void sweeps();
   void setFlag(const std::string& group, const std::string& name, const std::string& flag, bool on,
@@ -56,8 +68,18 @@
   void setZone(const std::string& zone, bool emptied, std::function<void()> then);
   void setDrain(const std::string& worker, bool drained, std::function<void()> then);
   Host& pick(Role role);
-  Hand& pickHand();
+  SimWorker& pickWorker();
   void crashFor(Host& host, Micros spanUs);
+  void powerLossFor(Host& host, Micros spanUs);
+  /// All machines of the control side lose power, or all their processes are
+  /// killed, and return one by one.
+  void loseCore(bool power);
+  /// Acts once fewer machines of the control side are lost than the settings
+  /// allow, if that comes in time.
+  void whenAffordable(std::function<void()> act);
+  /// The successor comes first, then the old replica is stopped politely.
+  void replacePlanned(Host& old);
+  std::string successorName(const Host& old) const;
   void replaceReplica(Host& old, bool sameAddress);
   bool membershipWhole();
   void whenWhole(std::function<void()> act);
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -25,7 +25,7 @@
     delete sim;
   }
 
-  Hand& hand(std::size_t at = 0) { return *sim->hands()[at]; }
+  SimWorker& hand(std::size_t at = 0) { return *sim->simWorkers()[at]; }
   void line(const char* text, std::size_t at = 0) { sim->onJournal(hand(at), text); }
   void passMs(Millis span) { sim->runUntil(sim->nowUs() + span * 1000); }
   void deliverClean(const char* run) {
@@ -184,6 +184,96 @@
   CHECK(fires("denied-chart"));
 }
 
+TEST(judge, an_accepted_job_answered_as_gone_fires) {
+  judge->accepted("j");
+  judge->shown("j", 410, nullptr);
+  CHECK(fires("forgotten"));
+}
+
+TEST(judge, an_answer_to_another_caller_fires) {
+  Json view = parseJson(R"({"id":"j","state":"running"})");
+  judge->shown("j", 200, view.get());
+  CHECK_FALSE(fires("answers"));
+  view = parseJson(R"({"id":"other","state":"running"})");
+  judge->shown("j", 200, view.get());
+  CHECK(fires("answers"));
+}
+
+TEST(judge, an_acknowledged_change_refused_when_sent_again_fires) {
+  judge->configProposed("m");
+  judge->configConfirmed("m", 1);
+  judge->configResent("m", 200);
+  judge->configResent("m", 503);
+  judge->configResent("m", 429);
+  CHECK_FALSE(fires("resent"));
+  judge->configResent("m", 412);
+  CHECK(fires("resent"));
+}
+
+TEST(judge, a_change_refused_when_sent_again_after_another_is_no_fault) {
+  judge->configProposed("m");
+  judge->configConfirmed("m", 1);
+  judge->configProposed("n");
+  judge->configResent("m", 412);
+  judge->configConfirmed("n", 2);
+  judge->configResent("m", 412);
+  CHECK_FALSE(fires("resent"));
+}
+
+TEST(judge, two_changes_under_one_number_fire) {
+  judge->numberConfirmed(4, "m");
+  judge->numberConfirmed(4, "m");
+  CHECK_FALSE(fires("number"));
+  judge->numberConfirmed(4, "n");
+  CHECK(fires("number"));
+}
+
+TEST(judge, two_changes_confirmed_as_one_version_fire) {
+  judge->configConfirmed("m", 4);
+  judge->configConfirmed("n", 4);
+  CHECK(fires("number"));
+}
+
+TEST(judge, a_read_older_than_what_was_confirmed_before_it_fires) {
+  passMs(100);
+  judge->configProposed("m");
+  judge->configConfirmed("m", 5);
+  judge->configRead(4, "{}", 100, false);
+  CHECK_FALSE(fires("stale-read"));
+  judge->configRead(4, "{}", 101, false);
+  CHECK(fires("stale-read"));
+}
+
+TEST(judge, a_repeated_change_with_two_effects_fires) {
+  judge->configProposed("m");
+  judge->configProposed("m");
+  judge->configConfirmed("m", 1);
+  judge->configRead(1, "{\"m\":1}", 0, false);
+  CHECK_FALSE(fires("repeated"));
+  judge->configRead(2, "{\"m\":1}", 0, false);
+  CHECK(fires("repeated"));
+}
+
+TEST(judge, an_evacuation_that_does_not_hold_fires) {
+  const std::string emptied = R"({"cells":{"a":{"emptied":true}}})", takenBack = R"({"cells":{"a":{"emptied":false}}})";
+  judge->configProposed("m");
+  judge->configConfirmed("m", 1);
+  judge->zoneEmptied("a", true, true);
+  judge->configRead(1, emptied, 0, false);
+  CHECK_FALSE(fires("emptied"));
+  judge->configRead(1, takenBack, 0, false);
+  CHECK(fires("emptied"));
+}
+
+TEST(judge, an_evacuation_that_was_taken_back_is_no_fault) {
+  judge->configProposed("m");
+  judge->configConfirmed("m", 1);
+  judge->zoneEmptied("a", true, true);
+  judge->zoneEmptied("a", false, false);
+  judge->configRead(1, R"({"cells":{"a":{"emptied":false}}})", 0, false);
+  CHECK_FALSE(fires("emptied"));
+}
+
 TEST(judge, a_run_nobody_asked_for_fires) {
   line("start stranger:a:1");
   CHECK(fires("asked-for"));
@@ -201,7 +291,7 @@
     fleet.kinds = 2;
     sim = new Sim(1, fleet);
     for (const auto& host : sim->all()) host->up = true;
-    for (const auto& each : sim->hands()) each->up = true;
+    for (const auto& each : sim->simWorkers()) each->up = true;
     judge = new Judge(*sim);
     judge->failureLimit["line"] = 2;
   }
@@ -226,7 +316,7 @@
     made.capacity = {{"cpu", 4000}};
     return made;
   }
-  Hand& hand(std::size_t at) { return *sim->hands()[at]; }
+  SimWorker& hand(std::size_t at) { return *sim->simWorkers()[at]; }
   void start(const std::string& run, std::size_t at = 0, const std::string& saved = {}) {
     const auto number = static_cast<std::size_t>(std::atoi(run.c_str() + run.find('.') + 1));
     sim->onJournal(hand(at),
