--- a/src/simulator/judge.cpp
+++ b/src/simulator/judge.cpp
@@ -307,6 +307,9 @@
   const auto state = textAt(view, "state");
   if (state.empty()) return;
   const bool ended = state == "finished" || state == "failed" || state == "cancelled" || state == "expired";
+  if (flagAt(view, "brief") && !judgeBrief(job, state, ended, askedMs)) return;
+  if (ended && !job.ending.empty() && job.ending != state)
+    fault("shown", id + " is shown " + state + " after it was told " + job.ending);
   if (!ended) {
     if (!job.shown.empty() && (askedMs < 0 || askedMs > job.shownEndedMs))
       fault("shown", id + " is shown " + state + " after " + job.shown);
@@ -333,6 +336,21 @@
   if (state == "finished" && job.neverSucceeds) fault("finished", id + " can not succeed but is shown finished");
 }
 
+/// A brief answer tells that a job fails or is cancelled while its last runs are still being stopped. Returns whether
+/// the answer is to be judged as the whole view is.
+bool Judge::judgeBrief(JobTruth& job, const std::string& state, bool ended, Millis askedMs) {
+  if (!ended) {
+    if (!job.ending.empty() && askedMs > job.endingMs)
+      fault("shown", job.id + " is shown " + state + " after it was told " + job.ending);
+    return true;
+  }
+  if (state == "finished" || !job.shown.empty()) return true;
+  if (!job.ending.empty() && job.ending != state) fault("shown", job.id + " is told " + state + " after " + job.ending);
+  if (job.ending.empty()) job.endingMs = sim_.nowMs();
+  job.ending = state;
+  return false;
+}
+
 void Judge::configProposed(const std::string& mark) {
   markVersion_.try_emplace(mark, 0);
   openChanges_.insert(mark);
--- a/src/simulator/judge.hpp
+++ b/src/simulator/judge.hpp
@@ -45,6 +45,8 @@
   Millis firstStartMs = -1;
   Millis shownEndedMs = -1;
   std::string shown;
+  std::string ending;  // told in brief before its last runs have ended
+  Millis endingMs = -1;
   Millis acceptedFleetMs = -1, startedFleetMs = -1, endedFleetMs = -1;
   std::int64_t servedMs = 0, preemptions = 0;
   Millis servedSeenMs = 0, servedAskedMs = -1;
@@ -115,6 +117,7 @@
   void runEnded(SimWorker& simWorker, const std::string& run, const std::string& outcome);
   void judgeCapacity(SimWorker& simWorker);
   void judgePlace(SimWorker& simWorker, const JobTruth& job, std::size_t at, const std::string& run);
+  bool judgeBrief(JobTruth& job, const std::string& state, bool ended, Millis askedMs);
   void judgeEvacuations(Version version, const std::string& text);
   void sweepLonely();
   void sweepCancelled();
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -199,6 +199,26 @@
   CHECK(fires("answers"));
 }
 
+TEST(judge, a_job_told_cancelled_in_brief_may_still_run_but_not_go_on) {
+  Json cancelled = parseJson(R"({"brief":true,"state":"cancelled"})");
+  Json running = parseJson(R"({"brief":true,"state":"running"})");
+  line("start j:a:1");
+  judge->shown("j", 200, cancelled.get(), 0);
+  judge->shown("j", 200, running.get(), 0);
+  LONGS_EQUAL(0, judge->broken.size());
+  judge->shown("j", 200, running.get(), 1);
+  CHECK(fires("shown"));
+}
+
+TEST(judge, a_job_told_cancelled_in_brief_and_shown_finished_fires) {
+  Json cancelled = parseJson(R"({"brief":true,"state":"cancelled"})");
+  for (const char* task : {"a", "b", "c"}) line(("start j:" + std::string(task) + ":1").c_str());
+  for (const char* task : {"a", "b", "c"}) line(("end j:" + std::string(task) + ":1 clean").c_str());
+  judge->shown("j", 200, cancelled.get(), 0);
+  shown("finished");
+  CHECK(fires("shown"));
+}
+
 TEST(judge, an_acknowledged_change_refused_when_sent_again_fires) {
   judge->configProposed("m");
   judge->configConfirmed("m", 1);
