Calls: ids unique over lives, one table of what may be repeated, whole answers at a stop

Cause: CallAnswer carried only the request's number, which began at 1 in each life of a daemon, so an answer to an earlier life's call was told to whoever held the number now. A daemon that forwarded a call and then came to lead could refuse it as 'overloaded' although its first copy was still under way. At a stop, a request read together with the one before was dropped, and what was unanswered at the hard end was cut.

CallAsk and CallAnswer carry CallId (the definitions of base/types.hpp are those of the identity of lives), request numbers begin at random, and the decisions to repeat, to give up and to tell a refusal go through src/http/call_policy. A forwarded HTTP call whose leader resets is given to the core again, for three leases at most, where its row allows that. Alarms of the control side: src/control/alarms, raised by replicas and schedulers, in the counters and in 'ctl status'. The HTTP client has a file of its own.

--- a/src/commands/ctl.cpp
+++ b/src/commands/ctl.cpp
@@ -11,6 +11,7 @@
 #include "base/settings.hpp"
 #include "commands/commands.hpp"
 #include "daemon/daemon.hpp"
+#include "http/call_policy.hpp"
 #include "http/http.hpp"
 #include "query/query.hpp"
 #include "simulator/load.hpp"
@@ -18,6 +19,8 @@
 namespace tulip::commands {
 namespace {
 
+constexpr Millis kAlarmsMs = 1000;  // how long one daemon is waited for when its alarms are shown
+
 struct Ctl {
   std::vector<Address> at;
   std::string journal;
@@ -46,7 +49,15 @@
   return status == 0 ? 6 : status >= 500 ? 6 : 3;
 }
 
+http::Loss lossOf(const http::CallReply& reply) {
+  if (reply.status > 0) return http::lossOf(reply.status);
+  return reply.sent ? http::Loss::silence : http::Loss::unreached;
+}
+
+/// Asks one daemon after another, for as long as the table of calls lets this one be sent again.
 http::CallReply ask(const Ctl& ctl, const Task& task) {
+  const auto path = std::string_view(task.target).substr(0, task.target.find('?'));
+  const auto call = http::classOfOwnCall(task.method, path, !ctl.requestId.empty());
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ctl.deadlineMs);
   http::CallReply reply;
   for (std::size_t tries = 0;; ++tries) {
@@ -63,7 +74,7 @@
     out.headers["X-Tulippitch-Cutoff-Ms"] = std::to_string(std::min<Millis>(left, 10000));
     auto got = http::callNow(std::move(out));
     if (got.status > 0 || reply.status == 0) reply = got;
-    if (got.status > 0 && got.status != 503 && got.status != 504) return reply;
+    if (!http::mayRepeat(call, lossOf(got))) return reply;
     const Millis waitMs = got.retryAfterMs > 0 ? got.retryAfterMs : 100;
     if (waitMs >= left) return reply;
     std::this_thread::sleep_for(std::chrono::milliseconds(waitMs));
@@ -124,6 +135,28 @@
   return 0;
 }
 
+/// The alarms that are raised at each of the daemons asked, since each tells what it knows itself.
+void showAlarms(const Ctl& ctl) {
+  for (const auto& at : ctl.at) {
+    http::CallOut out;
+    out.to = at;
+    out.target = "/counters";
+    out.deadlineMs = std::min<Millis>(ctl.deadlineMs, kAlarmsMs);
+    const auto reply = http::callNow(std::move(out));
+    Json root = parseJson(reply.body);
+    if (reply.status != 200 || !root) {
+      std::cout << "alarm  no-answer  " << at.value << "\n";
+      continue;
+    }
+    const json_t* alarms = json_object_get(root.get(), "alarms");
+    for (std::size_t i = 0; i < json_array_size(alarms); ++i) {
+      const json_t* alarm = json_array_get(alarms, i);
+      std::cout << "alarm  " << textAt(root.get(), "id") << "  ";
+      printRow(alarm, {"alarm", "subject", "forMs", "detail"});
+    }
+  }
+}
+
 std::string readInput(const std::string& path) {
   std::stringstream text;
   if (path == "-")
@@ -248,7 +281,7 @@
     call({"DELETE", "/jobs/" + id, ""}, [this, id](http::CallReply reply) {
       if (reply.status == 200)
         journal(ctl, "cancelled " + id);
-      else if (reply.status >= 500 || reply.status == 0)
+      else if (http::mayRepeat(http::CallClass::cancelJob, lossOf(reply)))
         after(0.2, [this, id] { cancel(id); });
     });
   }
@@ -420,6 +453,7 @@
     if (word(0) == "query" && two) return runQuery(ctl, word(1));
     if (word(0) == "load" && two) return runLoad(ctl, readInput(word(1)), seconds.getValue(), factor.getValue());
     if (word(0) == "status" && one) {
+      showAlarms(ctl);
       const int leader = does({"GET", "/leader", ""});
       const int members = does({"GET", "/members", ""});
       const int workers = does({"GET", "/workers", ""});
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -24,6 +24,7 @@
 
 constexpr Millis kTicksPerTerm = 40;
 constexpr int kMostRounds = 64;
+constexpr int kAnswersPerStop = 10;  // this part of a polite stop is kept for the last answers
 
 Now clockNow() {
   using std::chrono::duration_cast, std::chrono::milliseconds;
@@ -279,9 +280,9 @@
       host_.server->leave();
       for (std::size_t node = 0; node < host_.berthed.size(); ++node) host_.events.offer({node, PoliteStop{}});
       const std::chrono::milliseconds stop(host_.settings().bounds.stopMs);
-      hard_.expires_after(stop);
-      hard_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) end();
+      hard_.expires_after(stop - stop / kAnswersPerStop);
+      hard_.async_wait([this, stop](boost::system::error_code cancelled) {
+        if (!cancelled) answerAndEnd(stop / kAnswersPerStop);
       });
       if (lingers_) {
         soft_.expires_after(stop / 2);
@@ -303,6 +304,18 @@
     });
   }
 
+  // No caller is left without a whole answer: what is still asked is answered as of unknown outcome.
+  void answerAndEnd(std::chrono::milliseconds left) {
+    host_.server->answerOutstanding();
+    left_ = true;
+    lingers_ = false;
+    hard_.expires_after(left);
+    hard_.async_wait([this](boost::system::error_code cancelled) {
+      if (!cancelled) end();
+    });
+    tryEnd();
+  }
+
   void tryEnd() {
     if (!left_ || lingers_) return;
     host_.server->stopListening();
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -60,6 +60,7 @@
   json_object_set_new(root.get(), "deniedAsks", json_integer(static_cast<json_int_t>(node.rejectedAsks)));
   json_object_set_new(root.get(), "proxiedAsks", json_integer(static_cast<json_int_t>(node.proxiedAsks)));
   json_object_set_new(root.get(), "contended", json_integer(static_cast<json_int_t>(client.contended)));
+  json_object_set_new(root.get(), "alarms", control::alarmsView(node.alarms, now));
   if (node.scheduler)
     json_object_set_new(root.get(), "scheduler", parseJson(scheduler::countersJson(*node.scheduler)).release());
   if (node.agent) json_object_set_new(root.get(), "agent", parseJson(agent::countersJson(*node.agent)).release());
@@ -267,6 +268,16 @@
 
 namespace {
 
+/// Replicas and schedulers tell what they know to be wrong with the control side; a node that leaves does not.
+void checkAlarms(Node& node, Now now, Outbox& out) {
+  if (node.agent || node.leavingSinceMs >= 0) return;
+  const auto& client = clientOf(node);
+  const bool knowsLeader = !client.leader.http.empty() || (node.scheduler && scheduler::leads(*node.scheduler, now));
+  const auto conditions = node.replica ? control::replicaConditions(*node.replica, now)
+                                       : control::clientConditions(client, knowsLeader, now);
+  control::updateAlarms(node.alarms, conditions, client.settings.bounds, now, out.alarms);
+}
+
 void step(Node& node, const Event& event, Now now, Outbox& out) {
   if (const auto* ask = std::get_if<Ask>(&event)) return onAsk(node, *ask, now, out);
   auto& client = clientOf(node);
@@ -289,6 +300,7 @@
   if (!node.replica) control::clientTick(client, now, out);
   if (node.scheduler) scheduler::schedulerTick(*node.scheduler, now, out);
   if (node.agent) agent::agentTick(*node.agent, now, out);
+  checkAlarms(node, now, out);
   if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs())
     out.done = true;
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -2,6 +2,7 @@
 #include <optional>
 
 #include "agent/agent.hpp"
+#include "control/alarms.hpp"
 #include "control/replica.hpp"
 #include "http/front.hpp"
 #include "http/protocol_adapter.hpp"
@@ -18,6 +19,7 @@
   Millis leavingSinceMs = -1;
   std::shared_ptr<const http::ProtocolAdapter> adapter;  // for the faces beside the own interface
   std::map<std::uint64_t, http::Call> adapterCalls;
+  control::AlarmState alarms;
   std::uint64_t asks = 0, rejectedAsks = 0, proxiedAsks = 0;
 };
 
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/beast/core.hpp>
 #include <optional>
+#include <random>
 
+#include "base/json.hpp"
+#include "http/call_policy.hpp"
 #include "transport/wire.hpp"
 
 namespace tulip::http {
@@ -19,71 +22,33 @@
 constexpr std::size_t kKeptBytes = 16384;
 constexpr Millis kIdleCalls = 20;
 constexpr Millis kMostCalls = 12;
+constexpr Millis kRepeatLeases = 3;           // a forwarded call is sent again for so long after its first loss
+constexpr Millis kRepeatPausesPerLease = 20;  // pauses between two tries, as a part of a lease
 
-struct Outgoing : std::enable_shared_from_this<Outgoing> {
-  Outgoing(asio::io_context& context, CallOut out, std::function<void(CallReply)> finished)
-      : stream(context), call(std::move(out)), done(std::move(finished)) {}
-
-  void run() {
-    stream.expires_after(std::chrono::milliseconds(std::max<Millis>(1, call.deadlineMs)));
-    stream.async_connect(transport::endpointOf(call.to), [self = shared_from_this()](beast::error_code failed) {
-      if (failed) return self->finish();
-      self->reply.reached = true;
-      self->request = {beast_http::string_to_verb(self->call.method), self->call.target, 11};
-      self->request.set(beast_http::field::host, self->call.to.value);
-      self->request.set(beast_http::field::content_type, "application/json");
-      self->request.keep_alive(false);
-      for (const auto& [name, value] : self->call.headers) self->request.set(name, value);
-      self->request.body() = std::move(self->call.body);
-      self->request.prepare_payload();
-      self->reply.sent = true;
-      beast_http::async_write(self->stream, self->request, [self](beast::error_code lost, std::size_t) {
-        if (lost) return self->finish();
-        self->parser.body_limit(64u << 20);
-        beast_http::async_read(self->stream, self->buffer, self->parser, [self](beast::error_code gone, std::size_t) {
-          if (!gone) {
-            auto& got = self->parser.get();
-            self->reply.status = static_cast<int>(got.result_int());
-            self->reply.body = got.body();
-            if (auto ms = got.find("X-Tulippitch-Retry-Ms"); ms != got.end())
-              self->reply.retryAfterMs = std::atoll(std::string(ms->value()).c_str());
-          }
-          self->finish();
-        });
-      });
-    });
-  }
-
-  void finish() {
-    beast::error_code ignored;
-    stream.socket().close(ignored);
-    auto call_done = std::move(done);
-    done = nullptr;
-    if (call_done) call_done(std::move(reply));
-  }
+/// Where the numbers of this life's requests begin, so that no answer to an earlier life's request fits one of them.
+std::uint64_t firstRequestId() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32;
+}
 
-  beast::tcp_stream stream;
-  CallOut call;
-  std::function<void(CallReply)> done;
-  beast_http::request<beast_http::string_body> request;
-  beast_http::response_parser<beast_http::string_body> parser;
-  beast::flat_buffer buffer;
-  CallReply reply;
-};
+/// The kind that a forwarded call was answered with.
+Kind kindOfReply(const CallReply& reply) {
+  if (reply.status >= 200 && reply.status < 300) return Kind::ok;
+  const Json root = parseJson(reply.body);
+  const auto error = root ? textAt(root.get(), "error") : std::string();
+  for (int kind = 0; kind <= static_cast<int>(Kind::jobEnded); ++kind)
+    if (rowOf(static_cast<Kind>(kind)).name == error) return static_cast<Kind>(kind);
+  return reply.status >= 500 ? Kind::unknownOutcome : Kind::malformed;
+}
 
-}  // namespace
+/// Refusals that say that no leader could be asked, which the next one may change.
+bool saysNoLeader(Kind kind) { return kind == Kind::noLeader || kind == Kind::forwardLoop || kind == Kind::notReady; }
 
-void callHttp(asio::io_context& context, CallOut call, std::function<void(CallReply)> done) {
-  std::make_shared<Outgoing>(context, std::move(call), std::move(done))->run();
+Millis millisUntil(Steady::time_point at) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(at - Steady::now()).count();
 }
 
-CallReply callNow(CallOut call) {
-  asio::io_context context;
-  CallReply reply;
-  callHttp(context, std::move(call), [&](CallReply got) { reply = std::move(got); });
-  context.run();
-  return reply;
-}
+}  // namespace
 
 struct HttpServer::Door {
   Door(asio::io_context& context, FaceKind spoken, std::size_t owner) : acceptor(context), face(spoken), node(owner) {}
@@ -94,7 +59,12 @@
 
 struct HttpServer::Session : std::enable_shared_from_this<HttpServer::Session> {
   Session(HttpServer& owner, tcp::socket connected, const Door& door)
-      : server(owner), counts(owner.counts_), socket(std::move(connected)), face(door.face), node(door.node) {
+      : server(owner),
+        counts(owner.counts_),
+        socket(std::move(connected)),
+        pause(owner.context_),
+        face(door.face),
+        node(door.node) {
     ++counts->open;
     server.sessions_.insert(this);
   }
@@ -109,6 +79,9 @@
 
   void read() {
     since = Steady::now();
+    left = false;
+    pipelined = buffer.size() > 0;
+    server.pipelined_ += pipelined;
     parser.emplace();
     parser->body_limit(server.maxBodyBytes_);
     parser->header_limit(kHeaderBytes);
@@ -118,13 +91,39 @@
   }
 
   void onRead(beast::error_code failed) {
-    if (orphan || gone) return;
+    if (orphan) return;
+    if (std::exchange(pipelined, false)) --server.pipelined_;
+    if (gone) return;
     if (failed == beast_http::error::body_limit) return rejectUnread(Kind::tooLarge);
     if (failed == beast_http::error::header_limit) return rejectUnread(Kind::tooLarge);
     if (failed && failed != beast_http::error::end_of_stream && failed != beast_http::error::partial_message &&
         failed.category() == beast_http::make_error_code(beast_http::error::bad_method).category())
       return rejectUnread(Kind::malformed);
     if (failed) return shut();
+    auto ask = makeAsk();
+    ask.requestId = requestId = ++server.next_;
+    method = ask.method;
+    hops = ask.hops;
+    call =
+        face == FaceKind::own ? classOfOwnCall(method, ask.path, !ask.requestName.empty()) : classOfAdapterCall(method);
+    until = Steady::now() + std::chrono::milliseconds(ask.deadlineMs);
+    server.asking_[requestId] = shared_from_this();
+    server.arm(until);
+    ++server.counts_->asks;
+    if (!server.give_(node, std::move(ask))) {
+      ++server.counts_->overloaded;
+      server.answerKind(requestId, Kind::overloaded);
+    }
+  }
+
+  std::string header(std::string_view name) const {
+    const auto& request = parser->get();
+    const auto found = name.empty() ? request.end() : request.find(beast::string_view(name.data(), name.size()));
+    return found == request.end() ? std::string() : std::string(found->value());
+  }
+
+  /// The request as the core is asked; one of the own interface keeps its body, since it may be forwarded.
+  transport::Ask makeAsk() {
     auto& request = parser->get();
     transport::Ask ask;
     ask.face = face;
@@ -133,10 +132,6 @@
     const auto mark = target.find('?');
     ask.path = std::string(target.substr(0, mark));
     if (mark != std::string_view::npos) ask.query = std::string(target.substr(mark + 1));
-    auto header = [&](std::string_view name) {
-      auto found = name.empty() ? request.end() : request.find(beast::string_view(name.data(), name.size()));
-      return found == request.end() ? std::string() : std::string(found->value());
-    };
     if (face == FaceKind::own) {
       ask.body = request.body();
       ask.requestName = header("X-Tulippitch-Transaction");
@@ -151,17 +146,30 @@
             .c_str());
     const auto mostMs = server.bounds_.callMs * (face == FaceKind::own ? kMostCalls : 1);
     ask.deadlineMs = asked > 0 ? std::min<Millis>(asked, mostMs) : server.bounds_.callMs;
-    ask.requestId = requestId = ++server.next_;
-    method = ask.method;
-    hops = ask.hops;
-    until = Steady::now() + std::chrono::milliseconds(ask.deadlineMs);
-    server.asking_[requestId] = shared_from_this();
-    server.arm(until);
-    ++server.counts_->asks;
-    if (!server.give_(node, std::move(ask))) {
-      ++server.counts_->overloaded;
-      server.answerKind(requestId, Kind::overloaded);
-    }
+    return ask;
+  }
+
+  /// Asks the core again for a call that left and got no answer; whoever leads by then is told. False when it is over.
+  bool giveAgain(Loss loss) {
+    const auto now = Steady::now();
+    if (!left || face != FaceKind::own || !mayRepeat(call, loss) || now >= std::min(until, repeatUntil)) return false;
+    const auto pauseMs = tries++ == 0 ? 0 : std::max<Millis>(1, server.bounds_.leaseMs / kRepeatPausesPerLease);
+    pause.expires_after(std::chrono::milliseconds(pauseMs));
+    pause.async_wait([self = shared_from_this(), asked = requestId](beast::error_code cancelled) {
+      if (cancelled || self->orphan || self->requestId != asked || !self->server.asking_.contains(asked)) return;
+      auto ask = self->makeAsk();
+      ask.requestId = asked;
+      ask.deadlineMs = std::max<Millis>(1, millisUntil(self->until));
+      if (!self->server.give_(self->node, std::move(ask))) self->server.answerKind(asked, Kind::unknownOutcome);
+    });
+    return true;
+  }
+
+  /// The call may have arrived somewhere.
+  void noteLeft() {
+    if (std::exchange(left, true)) return;
+    tries = 0;
+    repeatUntil = Steady::now() + std::chrono::milliseconds(kRepeatLeases * server.bounds_.leaseMs);
   }
 
   // What the peer still sends is read and dropped, so that the answer is not lost in a reset.
@@ -171,7 +179,9 @@
   }
 
   void write(int status, const std::string& body, Millis retryMs) {
-    const bool keep = !closing && !server.leaving_ && parser->get().keep_alive();
+    // A request that has been read already is answered before the connection ends.
+    const bool next = buffer.size() > 0;
+    const bool keep = !closing && (next || !server.leaving_) && parser->get().keep_alive();
     const auto reason = beast_http::obsolete_reason(static_cast<beast_http::status>(status));
     out.clear();
     out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size());
@@ -181,7 +191,8 @@
       if (face == FaceKind::own) out.append("\r\nX-Tulippitch-Retry-Ms: ").append(std::to_string(retryMs));
     }
     if (!keep) out.append("\r\nConnection: close");
-    out.append("\r\n\r\n").append(body);
+    out.append("\r\n\r\n");
+    if (parser->get().method() != beast_http::verb::head) out.append(body);
     since = Steady::now();
     ++server.writing_;
     asio::async_write(socket, asio::buffer(out),
@@ -212,6 +223,7 @@
   void shut() {
     if (gone) return;
     gone = true;
+    pause.cancel();
     beast::error_code ignored;
     socket.shutdown(tcp::socket::shutdown_both, ignored);
     socket.close(ignored);
@@ -220,16 +232,21 @@
   HttpServer& server;
   std::shared_ptr<HttpCounts> counts;
   tcp::socket socket;
+  asio::steady_timer pause;  // before a forwarded call is sent again
   beast::flat_buffer buffer;
   std::optional<beast_http::request_parser<beast_http::string_body>> parser;
   std::string out;
   std::array<char, 512> scrap;
   std::uint64_t requestId = 0;
   std::string method;
+  CallClass call = CallClass::other;
   int hops = 0;
-  Steady::time_point until, since;
+  int tries = 0;
+  Steady::time_point until, since, repeatUntil;
   FaceKind face;
   std::size_t node;
+  bool left = false;       // the call was forwarded and may have arrived
+  bool pipelined = false;  // (part of) the next request was read together with the one before
   bool closing = false;
   bool draining = false;
   bool gone = false;
@@ -243,7 +260,8 @@
       bounds_(bounds),
       maxBodyBytes_(maxBodyBytes),
       give_(std::move(give)),
-      adapter_(std::move(adapter)) {
+      adapter_(std::move(adapter)),
+      next_(firstRequestId()) {
   if (adapter_) headers_ = adapter_->headers();
 }
 
@@ -260,6 +278,15 @@
   accept(*doors_.back());
 }
 
+std::vector<Address> HttpServer::boundAddresses() const {
+  std::vector<Address> all;
+  for (const auto& door : doors_) {
+    const auto at = door->acceptor.local_endpoint();
+    all.emplace_back(at.address().to_string() + ":" + std::to_string(at.port()));
+  }
+  return all;
+}
+
 void HttpServer::accept(Door& door) {
   door.acceptor.async_accept([this, &door](beast::error_code failed, tcp::socket socket) {
     if (closed_ || failed == asio::error::operation_aborted) return;
@@ -307,7 +334,7 @@
   }
   for (const auto requestId : passed) {
     ++counts_->deadlines;
-    answerKind(requestId, asking_.at(requestId)->method == "GET" ? Kind::deadlinePassed : Kind::unknownOutcome);
+    answerKind(requestId, kindWithoutAnswer(asking_.at(requestId)->call, true));
   }
   for (const auto& session : idle) session->shut();
   if (next) arm(std::max(*next, now + std::chrono::milliseconds(bounds_.callMs / 150 + 1)));
@@ -316,6 +343,11 @@
 void HttpServer::answer(const transport::Answer& answer) {
   auto found = asking_.find(answer.requestId);
   if (found == asking_.end()) return;
+  if (found->second->left) {
+    if (saysNoLeader(answer.kind) && found->second->giveAgain(Loss::unavailable)) return;
+    const auto kind = kindAfterRepeat(found->second->call, answer.kind);
+    if (kind != answer.kind) return answerKind(answer.requestId, kind);
+  }
   auto session = std::move(found->second);
   asking_.erase(found);
   ++counts_->answers;
@@ -353,15 +385,30 @@
   call.headers["X-Tulippitch-Hops"] = std::to_string(session.hops + 1);
   if (auto name = request.find("X-Tulippitch-Transaction"); name != request.end())
     call.headers["X-Tulippitch-Transaction"] = std::string(name->value());
-  callHttp(context_, std::move(call), [this, requestId = forward.requestId, method = session.method](CallReply reply) {
-    if (closed_) return;
-    if (reply.status > 0)
-      return answer(
-          {requestId, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), Kind::ok, {}});
-    answerKind(requestId, reply.sent && method != "GET" ? Kind::unknownOutcome : Kind::noLeader);
+  callHttp(context_, std::move(call), [this, requestId = forward.requestId](CallReply reply) {
+    if (!closed_) onForwarded(requestId, std::move(reply));
   });
 }
 
+void HttpServer::onForwarded(std::uint64_t requestId, CallReply reply) {
+  const auto found = asking_.find(requestId);
+  if (found == asking_.end()) return;
+  auto& session = *found->second;
+  if (reply.status > 0) {
+    const auto kind = kindOfReply(reply);
+    return answer({requestId, reply.status, std::max<Millis>(0, reply.retryAfterMs), std::move(reply.body), kind, {}});
+  }
+  if (reply.sent) session.noteLeft();
+  if (session.giveAgain(reply.sent ? Loss::reset : Loss::unreached)) return;
+  answerKind(requestId, kindWithoutAnswer(session.call, session.left));
+}
+
+void HttpServer::answerOutstanding() {
+  std::vector<std::uint64_t> outstanding;
+  for (const auto& [requestId, session] : asking_) outstanding.push_back(requestId);
+  for (const auto requestId : outstanding) answerKind(requestId, kindWithoutAnswer(asking_.at(requestId)->call, true));
+}
+
 void HttpServer::leave() { leaving_ = true; }
 
 void HttpServer::stopListening() {
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -51,11 +51,13 @@
              std::shared_ptr<const ProtocolAdapter> adapter = nullptr);
   ~HttpServer();
   void listen(const Address& at, FaceKind face, std::size_t node);
+  std::vector<Address> boundAddresses() const;  // in the order of listening, with the ports that were given
   void answer(const transport::Answer& answer);
   void forward(const transport::ForwardRequest& forward);
   void leave();  // every connection ends after its next answer
   void stopListening();
-  bool answered() const { return asking_.empty() && writing_ == 0; }
+  void answerOutstanding();  // whatever is still asked is told that its outcome is unknown
+  bool answered() const { return asking_.empty() && writing_ == 0 && pipelined_ == 0; }
   void close();
   const HttpCounts& counts() const { return *counts_; }
   void rebound(const Bounds& bounds) { bounds_ = bounds; }
@@ -65,6 +67,7 @@
   struct Door;
   void accept(Door& door);
   void answerKind(std::uint64_t requestId, Kind kind);
+  void onForwarded(std::uint64_t requestId, CallReply reply);
   void arm(std::chrono::steady_clock::time_point at);
   void sweep();
   boost::asio::io_context& context_;
@@ -82,6 +85,7 @@
   std::chrono::steady_clock::time_point armedFor_;
   bool armed_ = false;
   std::size_t writing_ = 0;
+  std::size_t pipelined_ = 0;
   bool leaving_ = false;
   bool closed_ = false;
 };
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "http/call_policy.hpp"
 #include "scheduler/internal.hpp"
 
 namespace tulip::scheduler {
@@ -19,10 +20,12 @@
 
 void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, Outbox& out,
           std::string_view detail) {
+  if (caller.alsoElsewhere) kind = http::kindAfterRepeat(*caller.alsoElsewhere, kind);
   const auto retryMs = static_cast<Millis>(rowOf(kind).retryLeases * static_cast<double>(bounds(scheduler).leaseMs));
   if (!caller.remote.empty()) {
     CallAnswer answer;
     answer.requestId = caller.requestId;
+    answer.id = caller.callId;
     answer.kind = static_cast<std::int64_t>(kind);
     answer.phase = static_cast<std::uint8_t>(job ? phaseOf(*job) : JobPhase::none);
     answer.retryMs = retryMs;
@@ -122,6 +125,7 @@
   if (!caller.remote.empty()) {
     CallAnswer answer;
     answer.requestId = caller.requestId;
+    answer.id = caller.callId;
     answer.count = count;
     return out.send(caller.remote, std::move(answer));
   }
@@ -149,21 +153,40 @@
   }
 }
 
-bool changes(const CallAsk& ask) { return ask.call == CallKind::submit || ask.call == CallKind::cancelJob; }
+/// Whether an answer is to this call of this life. A leader of before the field of ids sends none; numbers begin at
+/// random in each life, so that the number alone tells then.
+bool answers(const CallAnswer& answer, const CallAsk& ask) { return answer.id == ask.id || answer.id == CallId{}; }
+
+http::Loss lossOf(const Forward& forward, const Address& leader) {
+  return forward.sentTo == leader ? http::Loss::silence : http::Loss::leaderMoved;
+}
+
+/// Sends a call to the leader: at once when it has not left yet, again when its row of the table says so.
+void sendForward(SchedulerState& scheduler, Forward& forward, Now now, Outbox& out) {
+  const auto& leader = scheduler.client.leader.peerAddress;
+  if (leader.empty() || leader == scheduler.client.settings.peerAddress) return;
+  const bool due = forward.sentTo != leader || now.steadyMs - forward.sentMs >= bounds(scheduler).heartbeatMs();
+  if (!due) return;
+  if (forward.sent && !http::mayRepeat(http::classOf(forward.ask.call), lossOf(forward, leader))) return;
+  forward.repeated = forward.sent;
+  forward.sent = true;
+  forward.sentTo = leader;
+  forward.sentMs = now.steadyMs;
+  out.send(leader, forward.ask);
+}
 
 }  // namespace
 
 void onCallAsk(SchedulerState& scheduler, const Heard& heard, const CallAsk& ask, Now now, Outbox& out) {
   if (!leads(scheduler, now) || scheduler.client.configVersion < ask.configVersion) return;
-  serve(scheduler, {ask.requestId, true, heard.from}, ask, now, out);
+  serve(scheduler, {ask.requestId, true, heard.from, ask.id}, ask, now, out);
 }
 
 void onCallAnswer(SchedulerState& scheduler, const CallAnswer& answer, Outbox& out) {
   auto found = scheduler.forwards.find(answer.requestId);
-  if (found == scheduler.forwards.end()) return;
+  if (found == scheduler.forwards.end() || !answers(answer, found->second.ask)) return;
   auto kind = static_cast<Kind>(answer.kind);
-  const bool promised = kind == Kind::overloaded || kind == Kind::noSuchQueue;
-  if (promised && found->second.ask.call == CallKind::submit && found->second.repeated) kind = Kind::unknownOutcome;
+  if (found->second.repeated) kind = http::kindAfterRepeat(http::classOf(found->second.ask.call), kind);
   CallResult brief;
   brief.phase = static_cast<JobPhase>(answer.phase);
   brief.count = answer.count;
@@ -179,6 +202,7 @@
   ++scheduler.counts.forwarded;
   Forward forward;
   ask.configVersion = scheduler.client.configVersion;
+  ask.id = {incarnationOf(scheduler.client.incarnation), ask.requestId};
   forward.sinceMs = now.steadyMs;
   forward.deadlineMs = now.steadyMs + deadlineMs;
   const auto requestId = ask.requestId;
@@ -188,39 +212,25 @@
 }
 
 void tickForwards(SchedulerState& scheduler, Now now, Outbox& out) {
-  const auto& leader = scheduler.client.leader;
-  const Millis againMs = bounds(scheduler).heartbeatMs();
   for (auto at = scheduler.forwards.begin(); at != scheduler.forwards.end();) {
     auto& forward = at->second;
-    const Caller caller{at->first, true, {}};
+    const auto call = http::classOf(forward.ask.call);
+    Caller caller{at->first, true, {}};
     if (leads(scheduler, now)) {
-      const bool repeated = forward.sent;
-      auto ask = std::move(forward.ask);
+      if (forward.sent) caller.alsoElsewhere = call;
+      const auto ask = std::move(forward.ask);
       at = scheduler.forwards.erase(at);
-      if (repeated && ask.call == CallKind::submit && !scheduler.client.config->queues.contains(ask.pending.value))
-        tell(scheduler, caller, Kind::unknownOutcome, nullptr, out);
-      else
-        serve(scheduler, caller, ask, now, out);
+      serve(scheduler, caller, ask, now, out);
       continue;
     }
     const bool late = now.steadyMs >= forward.deadlineMs;
     const bool nobody = !forward.sent && now.steadyMs - forward.sinceMs >= bounds(scheduler).leaseMs / 2;
     if (late || nobody) {
-      tell(scheduler, caller,
-           forward.sent ? (changes(forward.ask) ? Kind::unknownOutcome : Kind::deadlinePassed) : Kind::noLeader,
-           nullptr, out);
+      tell(scheduler, caller, http::kindWithoutAnswer(call, forward.sent), nullptr, out);
       at = scheduler.forwards.erase(at);
       continue;
     }
-    const bool moved = forward.sentTo != leader.peerAddress;
-    if (!leader.peerAddress.empty() && leader.peerAddress != scheduler.client.settings.peerAddress &&
-        (moved || now.steadyMs - forward.sentMs >= againMs)) {
-      forward.repeated = forward.sent;
-      forward.sent = true;
-      forward.sentTo = leader.peerAddress;
-      forward.sentMs = now.steadyMs;
-      out.send(leader.peerAddress, forward.ask);
-    }
+    sendForward(scheduler, forward, now, out);
     ++at;
   }
 }
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "control/client.hpp"
+#include "http/call_policy.hpp"
 #include "jobs/job.hpp"
 
 namespace tulip::scheduler {
@@ -62,6 +63,8 @@
   std::uint64_t requestId = 0;
   bool brief = false;
   Address remote;
+  CallId callId{};                                 // of a call that was passed on
+  std::optional<http::CallClass> alsoElsewhere{};  // set when another copy of the call may still arrive elsewhere
 };
 
 struct Waiting {
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -320,7 +320,8 @@
   JobId job;
   std::string spec;
   Version configVersion = 0;
-  MSGPACK_DEFINE(requestId, call, pending, job, spec, configVersion)
+  CallId id{};
+  MSGPACK_DEFINE(requestId, call, pending, job, spec, configVersion, id)
 };
 
 struct CallAnswer {
@@ -329,7 +330,8 @@
   std::uint8_t phase = 0;
   std::int64_t count = 0;
   Millis retryMs = 0;
-  MSGPACK_DEFINE(requestId, kind, phase, count, retryMs)
+  CallId id{};  // of the call that is answered
+  MSGPACK_DEFINE(requestId, kind, phase, count, retryMs, id)
 };
 
 using Message = std::variant<SessionHeartbeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept,
