A data folder is synced when it is read, and compacted after the answers

Cause: a process that ended between naming a version file and syncing the folder left a file that the next process read and acted on, and that a loss of power could still take away. What a life before had written was not counted, so short lives let the deltas grow by a mebibyte each. A full or refusing disk at the start ended the process with the advice to empty a sound folder. A stray name such as v-...full.bak counted as a delta. Answers waited for a compaction although their delta was durable.

Now: openDisk syncs the folder before it trusts what it read, removes what came back of older versions, and counts the sizes; the daemon waits for a disk that is full or gives errors, and ends with code 8 only for a torn folder or one that cannot be used; a held folder has a kind of its own, at the end of the list since kinds travel in messages. Compaction runs after the answers were given, from one packed copy of the image, and starts at once the size of the last full version (was twice).

The fixture of tests/storage_test.cpp calls compactIfDue after each write, as the disk thread does; its checks are unchanged.

Ruled out: a torn body under a version's name. The content is synced before the rename, so a torn newest file is a fault of the disk and still ends the start with code 8.

--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -34,10 +34,11 @@
     Row{Kind::forwardLoop, "proxy-loop", 503, 6, 0.5, "the daemons do not agree yet on who leads"},
     Row{Kind::staleTerm, "stale-term", 409, 5, 0, "sent under a term that has ended"},
     Row{Kind::tornFile, "torn-file", 500, 8, 0, "a stored version does not match its checksum"},
-    Row{Kind::diskFailed, "disk-failed", 500, 8, 0, "the disk did not take a write"},
+    Row{Kind::diskFailed, "disk-failed", 500, 8, 0, "the disk refused"},
     Row{Kind::badSettings, "bad-env", 500, 2, 0, "the settings do not pass their checks"},
     Row{Kind::unknownSignal, "unknown-signal-revision", 500, 8, 0, "an inner protocol revision not spoken here"},
     Row{Kind::jobEnded, "job-ended", 409, 5, 0, "the job has already ended"},
+    Row{Kind::folderInUse, "folder-in-use", 500, 8, 0, "the data folder is in use by another process"},
 };
 
 struct Category final : std::error_category {
--- a/src/base/errors.hpp
+++ b/src/base/errors.hpp
@@ -32,6 +32,7 @@
   badSettings,
   unknownSignal,
   jobEnded,
+  folderInUse,
 };
 
 struct Row {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -87,6 +87,19 @@
   explicit Host(std::size_t ringItems) : events(ringItems), writes(ringItems) {}
 };
 
+// Writes the batch again until the disk takes it. False once the process is to end.
+bool makeDurable(Host& host, storage::Disk& disk, std::span<const DiskEntry> entries) {
+  std::string said;
+  while (auto failed = storage::writeDelta(disk, entries)) {
+    const auto text = "disk: " + failed.message() + " " + disk.detail;
+    if (text != said) alarm(text);
+    said = text;
+    if (host.writes.closedWithin(std::chrono::milliseconds(host.settings().bounds.heartbeatMs()))) return false;
+  }
+  return true;
+}
+
+// What is durable is told before the folder is compacted: a slow or full disk holds up no answer twice.
 void diskDuty(Host& host) {
   while (!host.writes.closed()) {
     auto batch = host.writes.take(host.settings().ringItems);
@@ -96,17 +109,27 @@
         if (aim == node)
           entries.insert(entries.end(), std::make_move_iterator(persist.entries.begin()),
                          std::make_move_iterator(persist.entries.end()));
-      if (entries.empty()) continue;
-      auto& disk = host.berthed[node].disk;
-      std::string said;
-      while (auto failed = storage::writeDelta(disk, entries)) {
-        const auto text = "disk: " + failed.message() + " " + disk.detail;
-        if (text != said) alarm(text);
-        said = text;
-        if (host.writes.closedWithin(std::chrono::milliseconds(host.settings().bounds.heartbeatMs()))) return;
-      }
+      if (!entries.empty() && !makeDurable(host, host.berthed[node].disk, entries)) return;
     }
     for (const auto& [node, persist] : batch) host.events.push({node, Persisted{persist.ticket, true}});
+    for (auto& one : host.berthed)
+      if (one.disk.files)
+        if (auto failed = storage::compactIfDue(one.disk))
+          alarm("disk: not compacted: " + failed.message() + " " + one.disk.detail);
+  }
+}
+
+// Opens a replica's data folder. A disk that is full or gives errors is waited for: its content may be sound, and a
+// process that ended would only be started again.
+std::error_code openDataFolder(storage::Disk& disk, const Settings& settings, const DaemonId& freshId) {
+  std::string said;
+  for (;;) {
+    const auto failed = storage::openDisk(disk, settings.dataFolder, freshId);
+    if (failed != make_error_code(Kind::diskFailed) || !storage::mayPass(disk.cause)) return failed;
+    const auto text = settings.dataFolder + ": waiting for the disk: " + disk.detail;
+    if (text != said) alarm(text);
+    said = text;
+    std::this_thread::sleep_for(std::chrono::milliseconds(settings.bounds.heartbeatMs()));
   }
 }
 
@@ -366,9 +389,10 @@
                       incarnation);
     if (settings.role == Role::replica && !settings.dataFolder.empty()) {
       keeps = true;
-      if (auto failed = storage::openDisk(one.disk, settings.dataFolder, one.id)) {
+      if (auto failed = openDataFolder(one.disk, settings, one.id)) {
+        const bool torn = failed == make_error_code(Kind::tornFile);
         std::cerr << settings.dataFolder << ": " << failed.message() << ": " << one.disk.detail
-                  << "; empty the folder to rejoin as a new replica" << std::endl;
+                  << (torn ? "; empty the folder to rejoin as a new replica" : "") << std::endl;
         return rowOf(Kind::tornFile).exitCode;
       }
       one.id = one.disk.image.id;
--- a/src/storage/disk.cpp
+++ b/src/storage/disk.cpp
@@ -1,211 +1,195 @@
 #include "storage/disk.hpp"
 
-#include <fcntl.h>
-#include <sys/file.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <boost/crc.hpp>
-#include <cstring>
-#include <fstream>
-#include <optional>
+#include <cerrno>
+#include <map>
+
+#include "storage/version_file.hpp"
 
 namespace tulip::storage {
 namespace fs = std::filesystem;
 
 namespace {
 
-constexpr std::string_view kMagic = "TULIPHOLD1";
 constexpr std::uint64_t kCompactFloorBytes = 1 << 20;
-
-struct Header {
-  std::string magic;
-  std::string owner;
-  std::uint64_t seq = 0;
-  std::uint32_t sum = 0;
-  std::string body;
-  MSGPACK_DEFINE(magic, owner, seq, sum, body)
+constexpr std::uint64_t kBlockBytes = 4096;  // a file takes whole blocks of a disk
+constexpr std::uint64_t kFirstSeq = 1;
+constexpr std::string_view kAsideSuffix = ".aside";
+
+using VersionSizes = std::map<std::uint64_t, std::uint64_t>;  // bytes by number
+
+/// The version files of a folder.
+struct Versions {
+  VersionSizes fulls, deltas;
+  bool empty() const { return fulls.empty() && deltas.empty(); }
+  std::uint64_t newest() const {
+    return std::max(fulls.empty() ? 0 : fulls.rbegin()->first, deltas.empty() ? 0 : deltas.rbegin()->first);
+  }
 };
 
-std::uint32_t checksum(const std::string& owner, std::uint64_t seq, std::string_view body) {
-  boost::crc_32_type crc;
-  crc.process_bytes(owner.data(), owner.size());
-  crc.process_bytes(&seq, sizeof seq);
-  crc.process_bytes(body.data(), body.size());
-  return crc.checksum();
+std::uint64_t wholeBlocks(std::uint64_t bytes) { return (bytes + kBlockBytes - 1) / kBlockBytes * kBlockBytes; }
+
+std::error_code refused(Disk& disk, const std::error_code& cause, std::string_view what) {
+  disk.cause = cause;
+  disk.detail = std::string(what) + ": " + cause.message();
+  return Kind::diskFailed;
 }
 
-std::string fileName(std::uint64_t seq, bool full) {
-  char text[64];
-  std::snprintf(text, sizeof text, "v-%020llu.%s", static_cast<unsigned long long>(seq), full ? "full" : "delta");
-  return text;
+std::error_code syncFolder(Disk& disk) {
+  if (auto failed = disk.files->syncFolder(disk.folder)) return refused(disk, failed, "sync of the folder");
+  ++disk.counts.syncs;
+  return {};
 }
 
-bool writeAll(int file, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const auto wrote = ::write(file, bytes.data(), bytes.size());
-    if (wrote < 0 && errno == EINTR) continue;
-    if (wrote <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(wrote));
+// The content is synced before the file gets its name, so a file under a version's name is always whole.
+std::error_code writeVersion(Disk& disk, const VersionName& name, VersionEncoder& encoder, std::uint64_t& bytes) {
+  const auto parts = encoder.finish(disk.image.id, name.seq);
+  const auto file = disk.folder / fileName(name);
+  auto aside = file;
+  aside += kAsideSuffix;
+  if (auto failed = disk.files->write(aside, parts)) {
+    disk.files->remove(aside);
+    return refused(disk, failed, aside.filename().string());
   }
-  return true;
+  ++disk.counts.syncs;
+  if (auto failed = disk.files->rename(aside, file)) return refused(disk, failed, file.filename().string());
+  if (auto failed = syncFolder(disk)) return failed;
+  bytes = parts[0].size() + parts[1].size();
+  disk.counts.bytes += bytes;
+  ++(name.kind == VersionKind::full ? disk.counts.fulls : disk.counts.deltas);
+  return {};
 }
 
-bool syncFolder(const fs::path& folder) {
-  const int handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY);
-  if (handle < 0) return false;
-  const bool good = ::fsync(handle) == 0;
-  ::close(handle);
-  return good;
+std::error_code listVersions(Disk& disk, Versions& versions) {
+  std::vector<FolderItem> items;
+  if (auto failed = disk.files->list(disk.folder, items)) return refused(disk, failed, "list of the folder");
+  for (const auto& item : items) {
+    if (item.name.ends_with(kAsideSuffix)) disk.files->remove(disk.folder / item.name);
+    if (const auto name = parseFileName(item.name))
+      (name->kind == VersionKind::full ? versions.fulls : versions.deltas)[name->seq] = item.bytes;
+  }
+  return {};
 }
 
-std::error_code writeVersion(Disk& disk, std::uint64_t seq, bool full, std::span<const transport::DiskEntry> entries) {
-  msgpack::sbuffer body;
-  msgpack::packer<msgpack::sbuffer> packer(body);
-  packer.pack_array(static_cast<std::uint32_t>(entries.size()));
-  for (const auto& entry : entries) packer.pack(entry);
-  Header header{std::string(kMagic), disk.image.id.value, seq, 0, std::string(body.data(), body.size())};
-  header.sum = checksum(header.owner, seq, header.body);
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, header);
-
-  const auto name = fileName(seq, full);
-  const auto aside = disk.folder / (name + ".aside");
-  const int file = ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-  if (file < 0) {
-    disk.detail = std::strerror(errno);
-    return Kind::diskFailed;
-  }
-  const bool good = writeAll(file, {bytes.data(), bytes.size()}) && ::fsync(file) == 0;
-  if (!good) disk.detail = std::strerror(errno);
-  ::close(file);
-  std::error_code failed;
-  if (!good) {
-    fs::remove(aside, failed);
-    return Kind::diskFailed;
-  }
-  fs::rename(aside, disk.folder / name, failed);
-  if (failed || !syncFolder(disk.folder)) {
-    disk.detail = failed ? failed.message() : "directory sync failed";
-    return Kind::diskFailed;
+std::error_code readVersion(Disk& disk, const VersionName& name, Image& image) {
+  const auto text = fileName(name);
+  std::string bytes;
+  if (auto failed = disk.files->read(disk.folder / text, bytes)) return refused(disk, failed, text);
+  DaemonId owner = image.id;
+  if (decodeVersion(bytes, name.seq, owner, [&](const auto& entry) { apply(image, entry); }) && owner == image.id)
+    return {};
+  disk.detail = text;
+  return Kind::tornFile;
+}
+
+// Reads the full version of this number and every delta after it, without gaps, up to the newest file there is.
+std::error_code readChain(Disk& disk, const Versions& versions, std::uint64_t fullSeq) {
+  Image image;
+  if (auto failed = readVersion(disk, {fullSeq, VersionKind::full}, image)) return failed;
+  std::uint64_t reached = fullSeq, deltaBytes = 0;
+  for (auto delta = versions.deltas.upper_bound(fullSeq); delta != versions.deltas.end(); ++delta) {
+    const VersionName name{delta->first, VersionKind::delta};
+    if (name.seq != reached + 1) {
+      disk.detail = fileName({reached + 1, VersionKind::delta});
+      return Kind::tornFile;
+    }
+    if (auto failed = readVersion(disk, name, image)) return failed;
+    reached = name.seq;
+    deltaBytes += wholeBlocks(delta->second);
   }
-  disk.counts.syncs += 2;
-  disk.counts.bytes += bytes.size();
-  (full ? disk.fullBytes : disk.deltaBytes) = bytes.size() + (full ? 0 : disk.deltaBytes);
-  ++(full ? disk.counts.fulls : disk.counts.deltas);
+  if (reached != versions.newest()) return Kind::tornFile;
+  disk.image = std::move(image);
+  disk.lastSeq = reached;
+  disk.fullBytes = versions.fulls.at(fullSeq);
+  disk.deltaBytes = deltaBytes;
+  disk.detail.clear();
   return {};
 }
 
-std::optional<std::pair<std::string, std::vector<transport::DiskEntry>>> readVersion(const fs::path& path,
-                                                                                     std::uint64_t seq) {
-  std::ifstream in(path, std::ios::binary);
-  const std::string bytes((std::istreambuf_iterator<char>(in)), {});
-  try {
-    const auto header = msgpack::unpack(bytes.data(), bytes.size()).get().as<Header>();
-    if (header.magic != kMagic || header.seq != seq || header.sum != checksum(header.owner, seq, header.body))
-      return {};
-    return std::pair{
-        header.owner,
-        msgpack::unpack(header.body.data(), header.body.size()).get().as<std::vector<transport::DiskEntry>>()};
-  } catch (const std::exception&) {
-    return {};
+// An older full version serves where the newest one is torn and all deltas between them are still there.
+std::error_code readNewest(Disk& disk, const Versions& versions, std::uint64_t& fullSeq) {
+  std::error_code failed = Kind::tornFile;
+  for (auto full = versions.fulls.rbegin(); full != versions.fulls.rend(); ++full) {
+    failed = readChain(disk, versions, fullSeq = full->first);
+    if (failed != make_error_code(Kind::tornFile)) return failed;
   }
+  return failed;
+}
+
+// Not synced: what comes back after a loss of power is removed by the next start.
+void removeBefore(Disk& disk, const Versions& versions, std::uint64_t fullSeq) {
+  for (const auto& [seq, bytes] : versions.fulls)
+    if (seq < fullSeq) disk.files->remove(disk.folder / fileName({seq, VersionKind::full}));
+  for (const auto& [seq, bytes] : versions.deltas)
+    if (seq <= fullSeq) disk.files->remove(disk.folder / fileName({seq, VersionKind::delta}));
+}
+
+std::error_code begin(Disk& disk, const DaemonId& freshId) {
+  disk.image.id = freshId;
+  disk.lastSeq = kFirstSeq;
+  VersionEncoder encoder;
+  encoder.add(entry::id(freshId));
+  return writeVersion(disk, {kFirstSeq, VersionKind::full}, encoder, disk.fullBytes);
+}
+
+bool compactionDue(const Disk& disk) {
+  return disk.deltaBytes > std::max(kCompactFloorBytes, disk.fullBytes) && disk.deltaBytes >= disk.compactAgainBytes;
 }
 
 std::error_code compact(Disk& disk) {
-  const auto all = snapshot(disk.image);
-  if (auto failed = writeVersion(disk, disk.lastSeq, true, all)) return failed;
+  VersionEncoder encoder;
+  forEachEntry(disk.image, [&](const transport::DiskEntry& entry) { encoder.add(entry); });
+  if (auto failed = writeVersion(disk, {disk.lastSeq, VersionKind::full}, encoder, disk.fullBytes)) return failed;
   disk.deltaBytes = 0;
-  std::error_code ignored;
-  for (const auto& item : fs::directory_iterator(disk.folder, ignored)) {
-    const auto name = item.path().filename().string();
-    std::uint64_t seq = 0;
-    char kind[8] = {};
-    if (std::sscanf(name.c_str(), "v-%20lu.%7s", &seq, kind) != 2) continue;
-    const bool full = std::strcmp(kind, "full") == 0;
-    if (seq < disk.lastSeq || (seq == disk.lastSeq && !full)) fs::remove(item.path(), ignored);
-  }
+  Versions versions;
+  if (!listVersions(disk, versions)) removeBefore(disk, versions, disk.lastSeq);
   return {};
 }
 
 }  // namespace
 
-std::error_code openDisk(Disk& disk, const fs::path& folder, const DaemonId& freshId) {
+std::error_code openDisk(Disk& disk, const fs::path& folder, const DaemonId& freshId, Files& files) {
   disk = Disk{};
+  disk.files = &files;
   disk.folder = folder;
-  std::error_code failed;
-  fs::create_directories(folder, failed);
-  if (failed) {
-    disk.detail = failed.message();
-    return Kind::diskFailed;
-  }
-  const int lock = ::open((folder / "lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0644);
-  if (lock < 0 || ::flock(lock, LOCK_EX | LOCK_NB) != 0) {
-    if (lock >= 0) ::close(lock);
-    disk.detail = "the data folder is in use by another process";
-    return Kind::diskFailed;
+  if (auto failed = files.makeFolder(folder)) return refused(disk, failed, "making the folder");
+  if (auto failed = files.lockFolder(folder, disk.lock)) {
+    refused(disk, failed, "lock");
+    return failed == std::errc::device_or_resource_busy ? Kind::folderInUse : Kind::diskFailed;
   }
-  disk.lock = std::shared_ptr<void>(nullptr, [lock](void*) { ::close(lock); });
-  std::map<std::uint64_t, fs::path> fulls, deltas;
-  std::uint64_t newest = 0;
-  for (const auto& item : fs::directory_iterator(folder, failed)) {
-    const auto name = item.path().filename().string();
-    if (name.ends_with(".aside")) {
-      std::error_code ignored;
-      fs::remove(item.path(), ignored);
-      continue;
-    }
-    std::uint64_t seq = 0;
-    char kind[8] = {};
-    if (std::sscanf(name.c_str(), "v-%20lu.%7s", &seq, kind) != 2) continue;
-    (std::strcmp(kind, "full") == 0 ? fulls : deltas)[seq] = item.path();
-    newest = std::max(newest, seq);
-  }
-  if (fulls.empty() && deltas.empty()) {
-    disk.image.id = freshId;
-    disk.lastSeq = 1;
-    const std::vector<transport::DiskEntry> first{entry::id(freshId)};
-    return writeVersion(disk, 1, true, first);
-  }
-  for (auto full = fulls.rbegin(); full != fulls.rend(); ++full) {
-    auto base = readVersion(full->second, full->first);
-    if (!base) {
-      disk.detail = full->second.filename().string();
-      continue;
-    }
-    Image image;
-    for (const auto& entry : base->second) apply(image, entry);
-    std::uint64_t reached = full->first;
-    bool torn = image.id.value != base->first;
-    for (auto delta = deltas.upper_bound(full->first); delta != deltas.end() && !torn; ++delta) {
-      auto step = readVersion(delta->second, delta->first);
-      torn = delta->first != reached + 1 || !step || step->first != image.id.value;
-      if (torn) {
-        disk.detail = delta->second.filename().string();
-        break;
-      }
-      for (const auto& entry : step->second) apply(image, entry);
-      reached = delta->first;
-    }
-    if (!torn && reached == newest) {
-      disk.image = std::move(image);
-      disk.lastSeq = reached;
-      disk.detail.clear();
-      return {};
-    }
-  }
-  return Kind::tornFile;
+  Versions versions;
+  if (auto failed = listVersions(disk, versions)) return failed;
+  if (versions.empty()) return begin(disk, freshId);
+  std::uint64_t fullSeq = 0;
+  if (auto failed = readNewest(disk, versions, fullSeq)) return failed;
+  // An earlier process may have ended between naming the newest file and syncing the folder.
+  if (auto failed = syncFolder(disk)) return failed;
+  removeBefore(disk, versions, fullSeq);
+  return {};
 }
 
 std::error_code writeDelta(Disk& disk, std::span<const transport::DiskEntry> entries) {
-  if (auto failed = writeVersion(disk, disk.lastSeq + 1, false, entries)) return failed;
+  VersionEncoder encoder;
+  for (const auto& entry : entries) encoder.add(entry);
+  std::uint64_t bytes = 0;
+  if (auto failed = writeVersion(disk, {disk.lastSeq + 1, VersionKind::delta}, encoder, bytes)) return failed;
   ++disk.lastSeq;
+  disk.deltaBytes += wholeBlocks(bytes);
   for (const auto& entry : entries) apply(disk.image, entry);
-  if (disk.deltaBytes <= std::max<std::uint64_t>(kCompactFloorBytes, 2 * disk.fullBytes) ||
-      disk.deltaBytes < disk.compactAgainBytes)
-    return {};
-  disk.compactAgainBytes = compact(disk) ? disk.deltaBytes + kCompactFloorBytes : 0;
   return {};
 }
 
+std::error_code compactIfDue(Disk& disk) {
+  if (!compactionDue(disk)) return {};
+  const auto failed = compact(disk);
+  disk.compactAgainBytes = failed ? disk.deltaBytes + kCompactFloorBytes : 0;
+  return failed;
+}
+
+bool mayPass(const std::error_code& cause) {
+  return cause == std::errc::no_space_on_device || cause == std::errc::io_error || cause == std::errc::file_too_large ||
+         cause == std::error_code(EDQUOT, std::generic_category()) || cause == std::errc::timed_out ||
+         cause == std::errc::interrupted || cause == std::errc::resource_unavailable_try_again;
+}
+
 }  // namespace tulip::storage
--- a/src/storage/image.cpp
+++ b/src/storage/image.cpp
@@ -1,6 +1,7 @@
 #include "storage/image.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace tulip::storage {
 
@@ -66,7 +67,8 @@
   else if (kind == "base")
     image.jobLogBase = std::max(image.jobLogBase, entry.version.ballot);
   else if (kind == "fleet") {
-    const auto fleetMs = std::stoll(entry.key);
+    Millis fleetMs = 0;
+    std::from_chars(entry.key.data(), entry.key.data() + entry.key.size(), fleetMs);
     const bool newer = image.fleetTerm < entry.version.ballot;
     if (newer || image.fleetTerm == entry.version.ballot)
       image.fleetMs = newer ? fleetMs : std::max<Millis>(image.fleetMs, fleetMs);
@@ -95,19 +97,25 @@
   }
 }
 
-std::vector<DiskEntry> snapshot(const Image& image) {
-  std::vector<DiskEntry> all{entry::id(image.id), entry::fleet(image.fleetTerm, image.fleetMs),
-                             entry::voting(image.voting)};
-  if (!image.empty()) all.push_back(entry::membership(image.membership));
-  if (!image.joined.membership.voters.empty()) all.push_back(entry::joined(image.joined));
-  if (image.learned != Ballot{}) all.push_back(entry::learned(image.learned));
-  if (image.jobLogPromised != Ballot{}) all.push_back(entry::jobLogPromise(image.jobLogPromised));
-  if (image.jobLogBase != Ballot{}) all.push_back(entry::jobLogBase(image.jobLogBase));
+void forEachEntry(const Image& image, const std::function<void(const DiskEntry&)>& take) {
+  take(entry::id(image.id));
+  take(entry::fleet(image.fleetTerm, image.fleetMs));
+  take(entry::voting(image.voting));
+  if (!image.empty()) take(entry::membership(image.membership));
+  if (!image.joined.membership.voters.empty()) take(entry::joined(image.joined));
+  if (image.learned != Ballot{}) take(entry::learned(image.learned));
+  if (image.jobLogPromised != Ballot{}) take(entry::jobLogPromise(image.jobLogPromised));
+  if (image.jobLogBase != Ballot{}) take(entry::jobLogBase(image.jobLogBase));
   for (const auto& [key, slot] : image.registers) {
-    if (slot.accepted != Ballot{}) all.push_back(entry::registerAccept(key, slot.accepted, slot.value));
-    if (slot.promised != slot.accepted) all.push_back(entry::registerPromise(key, slot.promised));
+    if (slot.accepted != Ballot{}) take(entry::registerAccept(key, slot.accepted, slot.value));
+    if (slot.promised != slot.accepted) take(entry::registerPromise(key, slot.promised));
   }
-  for (const auto& [key, entry] : image.jobs) all.push_back(entry::job(entry));
+  for (const auto& [key, entry] : image.jobs) take(entry::job(entry));
+}
+
+std::vector<DiskEntry> snapshot(const Image& image) {
+  std::vector<DiskEntry> all;
+  forEachEntry(image, [&](const DiskEntry& entry) { all.push_back(entry); });
   return all;
 }
 
--- a/src/storage/image.hpp
+++ b/src/storage/image.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <absl/container/btree_map.h>
 
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
@@ -48,6 +49,8 @@
 }  // namespace entry
 
 void apply(Image& image, const transport::DiskEntry& entry);
+/// Hands over the entries that make up an image, one at a time: applied to an empty image, they give the same again.
+void forEachEntry(const Image& image, const std::function<void(const transport::DiskEntry&)>& take);
 std::vector<transport::DiskEntry> snapshot(const Image& image);
 std::string packMembership(const transport::Membership& membership);
 transport::Membership unpackMembership(std::string_view bytes);
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -31,6 +31,7 @@
       const std::vector<transport::DiskEntry> entries{
           storage::entry::job(jobEntry(i % 7, static_cast<std::uint64_t>(i + 1)))};
       CHECK_FALSE(static_cast<bool>(storage::writeDelta(disk, entries)));
+      CHECK_FALSE(static_cast<bool>(storage::compactIfDue(disk)));
     }
   }
 };
@@ -158,3 +159,45 @@
   CHECK_FALSE(static_cast<bool>(storage::openDisk(again, folder, DaemonId("other"))));
   LONGS_EQUAL(3, again.image.jobs.size());
 }
+
+TEST(storage, a_start_removes_what_came_back_of_older_versions_and_counts_what_stays) {
+  fill(600);
+  std::ofstream(folder / "v-00000000000000000001.full") << "came back";
+  storage::Disk again;
+  CHECK_FALSE(static_cast<bool>(storage::openDisk(again, folder, DaemonId("other"))));
+  CHECK_FALSE(fs::exists(folder / "v-00000000000000000001.full"));
+  CHECK(again.fullBytes > 0);
+  CHECK(again.deltaBytes > 0);
+}
+
+TEST(storage, many_short_lives_do_not_let_the_deltas_grow) {
+  constexpr int kLives = 30, kWrites = 50;
+  for (int life = 0; life < kLives; ++life) {
+    storage::Disk disk;
+    CHECK_FALSE(static_cast<bool>(storage::openDisk(disk, folder, DaemonId("q1"))));
+    for (int i = 0; i < kWrites; ++i) {
+      const auto seq = static_cast<std::uint64_t>(life * kWrites + i + 1);
+      const std::vector<transport::DiskEntry> entries{storage::entry::job(jobEntry(i % 7, seq))};
+      CHECK_FALSE(static_cast<bool>(storage::writeDelta(disk, entries)));
+      CHECK_FALSE(static_cast<bool>(storage::compactIfDue(disk)));
+    }
+  }
+  std::size_t files = 0;
+  for ([[maybe_unused]] const auto& item : fs::directory_iterator(folder)) ++files;
+  CHECK(files < 300);
+}
+
+TEST(storage, a_name_that_no_version_has_is_no_version) {
+  fill(3);
+  std::ofstream(folder / "v-00000000000000000009.full.bak") << "copied by hand";
+  storage::Disk again;
+  CHECK_FALSE(static_cast<bool>(storage::openDisk(again, folder, DaemonId("other"))));
+  LONGS_EQUAL(4, again.lastSeq);
+}
+
+TEST(storage, a_folder_that_another_process_holds_is_told_apart_from_a_torn_one) {
+  fill(1);
+  storage::Disk one, other;
+  CHECK_FALSE(static_cast<bool>(storage::openDisk(one, folder, DaemonId("q1"))));
+  CHECK(storage::openDisk(other, folder, DaemonId("q1")) == make_error_code(Kind::folderInUse));
+}
