--- a/src/commands/commands.hpp
+++ b/src/commands/commands.hpp
@@ -7,5 +7,6 @@
 int runCtl(int argc, char** argv);
 int runLocalCluster(int argc, char** argv);
 int runSimulate(int argc, char** argv);
+int runModel(int argc, char** argv);
 
 }  // namespace tulip::commands
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -20,6 +20,7 @@
     "  stub-worker    a stand-in worker\n"
     "  ctl            asks and steers from the command line\n"
     "  simulate       the simulator\n"
+    "  model          the model checker\n"
     "  local-cluster  a whole fleet on one machine\n"
     "'tulippitch ROLE --help' lists a role's flags\n";
 
@@ -74,6 +75,7 @@
   if (role == "stub-worker") return commands::runStubWorker(argc, argv);
   if (role == "ctl") return commands::runCtl(argc, argv);
   if (role == "simulate") return commands::runSimulate(argc, argv);
+  if (role == "model") return commands::runModel(argc, argv);
   if (role == "local-cluster") return commands::runLocalCluster(argc, argv);
   std::cerr << kUsage;
   return role == "--help" || role == "help" ? 0 : 2;
