--- a/src/model/history.hpp
+++ b/src/model/history.hpp
@@ -32,7 +32,7 @@
   int sent = 0;
   bool acknowledged = false;
   bool refused = false;
-  Version version = 0; ///< the configuration that it was acknowledged in
+  Version version = 0;  ///< the configuration that it was acknowledged in
 };
 
 /// One request that is under way: at which machine, in which of its lives.
@@ -40,7 +40,7 @@
   std::size_t machine = 0;
   int life = 0;
   std::uint64_t requestId = 0;
-  auto operator<=>(const RequestKey &) const = default;
+  auto operator<=>(const RequestKey&) const = default;
 };
 
 struct PendingRequest {
@@ -51,7 +51,7 @@
 /// A configuration as some daemon has had it in force.
 struct ConfigurationInForce {
   std::size_t textHash = 0;
-  std::int64_t order = -1; ///< the order that made it; -1: none
+  std::int64_t order = -1;  ///< the order that made it; -1: none
 };
 
 using RegisterBallot = std::pair<std::string, Ballot>;
@@ -59,22 +59,18 @@
 /// What outside observers have seen of a world so far; the properties are
 /// stated over it.
 struct History {
-  std::map<RegisterBallot, std::size_t>
-      proposedValues; ///< hash of the value proposed under a ballot
-  std::map<RegisterBallot, std::set<DaemonId>>
-      durableVotes; ///< replicas that synced a value under a ballot
-  std::set<RegisterBallot>
-      countedAsChosen; ///< ballots that some proposer took for chosen
+  std::map<RegisterBallot, std::size_t> proposedValues;       ///< hash of the value proposed under a ballot
+  std::map<RegisterBallot, std::set<DaemonId>> durableVotes;  ///< replicas that synced a value under a ballot
+  std::set<RegisterBallot> countedAsChosen;                   ///< ballots that some proposer took for chosen
   std::map<Version, ConfigurationInForce> inForce;
   std::map<std::int64_t, OrderRecord> orders;
   std::map<RequestKey, PendingRequest> requests;
-  Version acknowledgedVersion =
-      0; ///< newest configuration that an order was acknowledged in
-  Version newestVersion = 0; ///< newest configuration that was ever proposed
+  Version acknowledgedVersion = 0;  ///< newest configuration that an order was acknowledged in
+  Version newestVersion = 0;        ///< newest configuration that was ever proposed
   std::vector<Violation> violations;
 
   void fail(std::string property, std::string detail);
-  const OrderRecord *recordOf(std::int64_t order) const;
+  const OrderRecord* recordOf(std::int64_t order) const;
 };
 
-} // namespace tulip::model
+}  // namespace tulip::model
--- a/src/model/order_adapter.cpp
+++ b/src/model/order_adapter.cpp
@@ -7,19 +7,16 @@
 
 // A section of the configuration that the daemons keep and don't read: it says
 // which order made the configuration.
-constexpr const char *kSection = "origin";
-constexpr const char *kField = "order";
+constexpr const char* kSection = "origin";
+constexpr const char* kField = "order";
 
-std::string bodyOf(const Order &order) {
-  return R"({"origin":{"order":)" + std::to_string(order.index) + "}}";
-}
+std::string bodyOf(const Order& order) { return R"({"origin":{"order":)" + std::to_string(order.index) + "}}"; }
 
 class OrderAdapter final : public http::ProtocolAdapter {
-public:
+ public:
   http::HeaderNames headers() const override { return {}; }
 
-  http::Wanted read(const transport::Ask &ask,
-                    const config::Config &) const override {
+  http::Wanted read(const transport::Ask& ask, const config::Config&) const override {
     const Order order = orderOf(std::stoll(ask.query));
     http::Wanted wanted;
     wanted.call = http::Call::putConfig;
@@ -32,15 +29,12 @@
     return wanted;
   }
 
-  transport::Answer write(http::Call, transport::Answer answer) const override {
-    return answer;
-  }
+  transport::Answer write(http::Call, transport::Answer answer) const override { return answer; }
 };
 
-} // namespace
+}  // namespace
 
-transport::Ask requestOf(const Order &order, std::uint64_t requestId,
-                         Millis deadlineMs) {
+transport::Ask requestOf(const Order& order, std::uint64_t requestId, Millis deadlineMs) {
   transport::Ask ask;
   ask.requestId = requestId;
   ask.method = "PUT";
@@ -55,8 +49,7 @@
 
 std::int64_t orderIn(std::string_view configText) {
   const Json root = parseJson(configText);
-  const json_t *found =
-      json_object_get(json_object_get(root.get(), kSection), kField);
+  const json_t* found = json_object_get(json_object_get(root.get(), kSection), kField);
   return json_is_integer(found) ? json_integer_value(found) : -1;
 }
 
@@ -65,4 +58,4 @@
   return adapter;
 }
 
-} // namespace tulip::model
+}  // namespace tulip::model
--- a/src/model/progress.cpp
+++ b/src/model/progress.cpp
@@ -9,129 +9,100 @@
 constexpr int kLeasesToSettle = 30;
 constexpr int kLeasesToAnswer = 8;
 
-const transport::Membership *newestMembership(const World &world) {
-  const transport::Membership *newest = nullptr;
-  for (const auto &machine : world.machines()) {
-    if (!machine.node || !machine.isReplica())
-      continue;
-    const auto &membership = machine.node->replica->image.membership;
-    if (!newest || newest->version < membership.version)
-      newest = &membership;
+const transport::Membership* newestMembership(const World& world) {
+  const transport::Membership* newest = nullptr;
+  for (const auto& machine : world.machines()) {
+    if (!machine.node || !machine.isReplica()) continue;
+    const auto& membership = machine.node->replica->image.membership;
+    if (!newest || newest->version < membership.version) newest = &membership;
   }
   return newest;
 }
 
-const Machine *holderOf(const World &world, const transport::Voter &voter) {
-  const auto *machine = world.at(voter.peerAddress);
-  return machine && machine->node && machine->isReplica() &&
-                 machine->id == voter.id
-             ? machine
-             : nullptr;
+const Machine* holderOf(const World& world, const transport::Voter& voter) {
+  const auto* machine = world.at(voter.peerAddress);
+  return machine && machine->node && machine->isReplica() && machine->id == voter.id ? machine : nullptr;
 }
 
 // A replica that is no voter holds no session.
-bool isSpare(const Machine &machine, const transport::Membership &membership) {
-  return machine.isReplica() &&
-         std::none_of(membership.voters.begin(), membership.voters.end(),
-                      [&](const transport::Voter &voter) {
-                        return voter.id == machine.id;
-                      });
+bool isSpare(const Machine& machine, const transport::Membership& membership) {
+  return machine.isReplica() && std::none_of(membership.voters.begin(), membership.voters.end(),
+                                             [&](const transport::Voter& voter) { return voter.id == machine.id; });
 }
 
 // What is still missing of a cluster that serves; empty when nothing is.
-std::string missing(const World &world) {
-  const auto *membership = newestMembership(world);
-  if (!membership || membership->voters.empty())
-    return "no membership";
+std::string missing(const World& world) {
+  const auto* membership = newestMembership(world);
+  if (!membership || membership->voters.empty()) return "no membership";
   if (static_cast<int>(membership->voters.size()) < world.plan().voters)
-    return "the membership has " + std::to_string(membership->voters.size()) +
-           " voters";
-  for (const auto &voter : membership->voters) {
-    const auto *machine = holderOf(world, voter);
-    if (!machine)
-      return "voter " + voter.id.value + " is gone";
-    const auto &replica = *machine->node->replica;
-    if (replica.image.membership != *membership)
-      return machine->name + " is in another membership";
-    if (!replica.image.voting)
-      return machine->name + " has not caught up";
-    if (!control::hasQuorumLease(replica, world.clockOf(*machine)))
-      return machine->name + " sees no majority";
+    return "the membership has " + std::to_string(membership->voters.size()) + " voters";
+  for (const auto& voter : membership->voters) {
+    const auto* machine = holderOf(world, voter);
+    if (!machine) return "voter " + voter.id.value + " is gone";
+    const auto& replica = *machine->node->replica;
+    if (replica.image.membership != *membership) return machine->name + " is in another membership";
+    if (!replica.image.voting) return machine->name + " has not caught up";
+    if (!control::hasQuorumLease(replica, world.clockOf(*machine))) return machine->name + " sees no majority";
   }
-  const bool led =
-      std::any_of(world.machines().begin(), world.machines().end(),
-                  [&](const Machine &machine) {
-                    return machine.node && machine.node->scheduler &&
-                           scheduler::leads(*machine.node->scheduler,
-                                            world.clockOf(machine));
-                  });
-  if (!led)
-    return "no scheduler leads";
-  const auto &inForce = world.history().inForce;
+  const bool led = std::any_of(world.machines().begin(), world.machines().end(), [&](const Machine& machine) {
+    return machine.node && machine.node->scheduler &&
+           scheduler::leads(*machine.node->scheduler, world.clockOf(machine));
+  });
+  if (!led) return "no scheduler leads";
+  const auto& inForce = world.history().inForce;
   const Version newest = inForce.empty() ? 0 : inForce.rbegin()->first;
-  for (const auto &machine : world.machines()) {
-    if (isSpare(machine, *membership))
-      continue;
-    const auto &client = daemon::clientOf(*machine.node);
-    if (!control::sessionLive(client, world.clockOf(machine)))
-      return machine.name + " has no session";
-    if (client.configVersion <
-        std::max(newest, world.history().acknowledgedVersion))
-      return machine.name + " has configuration " +
-             std::to_string(client.configVersion);
+  for (const auto& machine : world.machines()) {
+    if (isSpare(machine, *membership)) continue;
+    const auto& client = daemon::clientOf(*machine.node);
+    if (!control::sessionLive(client, world.clockOf(machine))) return machine.name + " has no session";
+    if (client.configVersion < std::max(newest, world.history().acknowledgedVersion))
+      return machine.name + " has configuration " + std::to_string(client.configVersion);
   }
   return {};
 }
 
-bool runUntilServing(World &world) {
+bool runUntilServing(World& world) {
   for (int lease = 0; lease < kLeasesToSettle; ++lease) {
     world.run(world.plan().bounds.leaseMs);
-    if (missing(world).empty())
-      return true;
+    if (missing(world).empty()) return true;
   }
   return false;
 }
 
-std::int64_t nextOrder(const World &world) {
-  const auto &inForce = world.history().inForce;
+std::int64_t nextOrder(const World& world) {
+  const auto& inForce = world.history().inForce;
   const auto current = inForce.empty() ? -1 : inForce.rbegin()->second.order;
-  const auto number =
-      current < 0 ? 0 : static_cast<std::int64_t>(orderOf(current).number);
+  const auto number = current < 0 ? 0 : static_cast<std::int64_t>(orderOf(current).number);
   return number * kOrdersPerNumber + kOrdersPerNumber - 1;
 }
 
-bool isAcknowledged(World &world, const std::string &node, std::int64_t order) {
+bool isAcknowledged(World& world, const std::string& node, std::int64_t order) {
   const auto sentBefore = world.history().requests.size();
-  if (!world.apply({Action::order, node, {}, {}, order}))
-    return false;
-  for (int lease = 0;
-       lease < kLeasesToAnswer && world.history().requests.size() > sentBefore;
-       ++lease)
+  if (!world.apply({Action::order, node, {}, {}, order})) return false;
+  for (int lease = 0; lease < kLeasesToAnswer && world.history().requests.size() > sentBefore; ++lease)
     world.run(world.plan().bounds.leaseMs);
-  const auto *record = world.history().recordOf(order);
+  const auto* record = world.history().recordOf(order);
   return record && record->acknowledged;
 }
 
 // Every node takes the newest acknowledged order again, and a new one.
-void checkOrders(World &world) {
-  auto &history = world.history();
-  for (const auto &machine : world.machines())
-    for (const auto &[order, record] : std::map(history.orders))
+void checkOrders(World& world) {
+  auto& history = world.history();
+  for (const auto& machine : world.machines())
+    for (const auto& [order, record] : std::map(history.orders))
       if (record.acknowledged && record.version == history.newestVersion)
         world.apply({Action::order, machine.name, {}, {}, order});
   world.run(world.plan().bounds.leaseMs);
-  const auto voter =
-      holderOf(world, newestMembership(world)->voters.front())->name;
-  for (const auto &node : {std::string("s1"), voter}) {
+  const auto voter = holderOf(world, newestMembership(world)->voters.front())->name;
+  for (const auto& node : {std::string("s1"), voter}) {
     const auto order = nextOrder(world);
     if (!isAcknowledged(world, node, order))
       history.fail(std::string(property::kProgress),
-                   node + " does not get order " + std::to_string(order) +
-                       " acknowledged");
+                   node + " does not get order " + std::to_string(order) + " acknowledged");
   }
 }
 
-} // namespace
+}  // namespace
 
 std::vector<Violation> checkProgress(World world) {
   world.endFaults();
@@ -144,4 +115,4 @@
   return world.history().violations;
 }
 
-} // namespace tulip::model
+}  // namespace tulip::model
--- a/src/model/properties.hpp
+++ b/src/model/properties.hpp
@@ -12,7 +12,7 @@
 };
 
 /// Every property that is checked, in the order in which it is listed.
-const std::vector<PropertyRow> &propertyRows();
+const std::vector<PropertyRow>& propertyRows();
 
 namespace property {
 inline constexpr std::string_view kOneValue = "one-value";
@@ -26,22 +26,19 @@
 inline constexpr std::string_view kOneLeader = "one-leader";
 inline constexpr std::string_view kFencedTerm = "fenced-term";
 inline constexpr std::string_view kProgress = "progress";
-} // namespace property
+}  // namespace property
 
 /// What is seen of one step of one machine.
-void observeSend(History &history, const Machine &machine,
-                 const transport::Message &message);
-void observeAnswer(History &history, const Machine &machine, std::size_t index,
-                   const transport::Answer &answer);
-void observeSync(History &history, Machine &machine,
-                 const transport::Persist &persist);
-void observeMachine(History &history, const Machine &machine);
+void observeSend(History& history, const Machine& machine, const transport::Message& message);
+void observeAnswer(History& history, const Machine& machine, std::size_t index, const transport::Answer& answer);
+void observeSync(History& history, Machine& machine, const transport::Persist& persist);
+void observeMachine(History& history, const Machine& machine);
 
 /// What must hold between all machines at one moment.
-void observeWorld(World &world);
+void observeWorld(World& world);
 
 /// Ends the faults of a copy of the world and lets it run: in time it must
 /// serve, lead and take orders again.
 std::vector<Violation> checkProgress(World world);
 
-} // namespace tulip::model
+}  // namespace tulip::model
--- a/src/model/replays.cpp
+++ b/src/model/replays.cpp
@@ -10,31 +10,28 @@
 constexpr std::string_view kSpares = "spares=";
 constexpr int kMostSpares = 4;
 
-bool readWord(std::string_view word, Replay &replay) {
+bool readWord(std::string_view word, Replay& replay) {
   if (word == "formed" || word == "settled") {
     replay.settled = word == "settled";
     return true;
   }
-  if (!word.starts_with(kSpares))
-    return false;
+  if (!word.starts_with(kSpares)) return false;
   word.remove_prefix(kSpares.size());
-  const auto [at, failed] = std::from_chars(
-      word.data(), word.data() + word.size(), replay.plan.spares);
-  return failed == std::errc() && at == word.data() + word.size() &&
-         replay.plan.spares >= 0 && replay.plan.spares <= kMostSpares;
+  const auto [at, failed] = std::from_chars(word.data(), word.data() + word.size(), replay.plan.spares);
+  return failed == std::errc() && at == word.data() + word.size() && replay.plan.spares >= 0 &&
+         replay.plan.spares <= kMostSpares;
 }
 
-bool readWorld(std::string_view line, Replay &replay) {
+bool readWorld(std::string_view line, Replay& replay) {
   std::istringstream in{std::string(line.substr(kWorldLine.size()))};
   for (std::string word; in >> word;)
-    if (!readWord(word, replay))
-      return false;
+    if (!readWord(word, replay)) return false;
   return true;
 }
 
-} // namespace
+}  // namespace
 
-const std::vector<NamedReplay> &namedReplays() {
+const std::vector<NamedReplay>& namedReplays() {
   static const std::vector<NamedReplay> replays{
       {"lower-clock-after-power-loss",
        "a voter comes back from a loss of power with a lower clock, then "
@@ -85,7 +82,7 @@
   return replays;
 }
 
-std::optional<Replay> parseReplay(std::string_view text, std::size_t &badLine) {
+std::optional<Replay> parseReplay(std::string_view text, std::size_t& badLine) {
   Replay replay;
   std::size_t first = 0;
   std::size_t lines = 0;
@@ -114,20 +111,14 @@
   return replay;
 }
 
-std::string textOf(const Replay &replay) {
-  std::string text = "world spares=" + std::to_string(replay.plan.spares) +
-                     (replay.settled ? " settled" : " formed");
-  for (const auto &choice : replay.path)
-    text += "\n" + textOf(choice);
+std::string textOf(const Replay& replay) {
+  std::string text = "world spares=" + std::to_string(replay.plan.spares) + (replay.settled ? " settled" : " formed");
+  for (const auto& choice : replay.path) text += "\n" + textOf(choice);
   return text + "\n";
 }
 
-World startOf(const Replay &replay) {
-  return replay.settled ? settledWorld(replay.plan) : formedWorld(replay.plan);
-}
+World startOf(const Replay& replay) { return replay.settled ? settledWorld(replay.plan) : formedWorld(replay.plan); }
 
-PathResult takeReplay(const Replay &replay) {
-  return takePath(startOf(replay), replay.path);
-}
+PathResult takeReplay(const Replay& replay) { return takePath(startOf(replay), replay.path); }
 
-} // namespace tulip::model
+}  // namespace tulip::model
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -36,23 +36,20 @@
 struct Machine {
   std::string name;
   Settings settings;
-  std::shared_ptr<daemon::Node> node; ///< null while it is down
+  std::shared_ptr<daemon::Node> node;  ///< null while it is down
   std::shared_ptr<storage::Image> disk = std::make_shared<storage::Image>();
   std::vector<transport::Persist> unsynced;
   DaemonId id;
   std::string incarnation;
   int lives = 0;
   int replacements = 0;
-  Millis clockBaseMs = 0; ///< its steady clock shows the world's time and this
-  Millis soundSinceMs =
-      -1; ///< since when it has been up and reachable; -1: it is not
-  bool powerLost =
-      false; ///< went down by a loss of power: its clock starts anew
-  bool diskEmptied =
-      false; ///< lost its disk and has not had the time to catch up
+  Millis clockBaseMs = 0;    ///< its steady clock shows the world's time and this
+  Millis soundSinceMs = -1;  ///< since when it has been up and reachable; -1: it is not
+  bool powerLost = false;    ///< went down by a loss of power: its clock starts anew
+  bool diskEmptied = false;  ///< lost its disk and has not had the time to catch up
   bool diskFailed = false;
   std::uint64_t lastRequest = 0;
-  Version configOnDisk = 0; ///< the newest version that its disk has accepted
+  Version configOnDisk = 0;  ///< the newest version that its disk has accepted
 
   bool isReplica() const { return settings.role == Role::replica; }
 };
@@ -69,13 +66,13 @@
 /// A whole cluster as one copyable value: every choice changes it in a
 /// determined way.
 class World {
-public:
-  explicit World(const WorldPlan &plan);
+ public:
+  explicit World(const WorldPlan& plan);
 
   /// Applies the choice. False when it means nothing here (no such message, a
   /// node that is down already, a loss beyond what the plan bears): then
   /// nothing has changed.
-  bool apply(const Choice &choice);
+  bool apply(const Choice& choice);
 
   /// Time passes without new faults; messages arrive in order and writes are
   /// synced.
@@ -83,51 +80,49 @@
   /// Cuts heal, and what is down starts.
   void endFaults();
 
-  const WorldPlan &plan() const { return plan_; }
-  const std::vector<Machine> &machines() const { return machines_; }
-  const std::vector<InFlight> &inFlight() const { return inFlight_; }
-  const std::set<std::pair<std::size_t, std::size_t>> &cuts() const {
-    return cuts_;
-  }
-  const History &history() const { return history_; }
-  History &history() { return history_; }
+  const WorldPlan& plan() const { return plan_; }
+  const std::vector<Machine>& machines() const { return machines_; }
+  const std::vector<InFlight>& inFlight() const { return inFlight_; }
+  const std::set<std::pair<std::size_t, std::size_t>>& cuts() const { return cuts_; }
+  const History& history() const { return history_; }
+  History& history() { return history_; }
   Millis nowMs() const { return nowMs_; }
-  transport::Now clockOf(const Machine &machine) const;
-  const Machine *find(std::string_view name) const;
-  const Machine *at(const Address &address) const;
+  transport::Now clockOf(const Machine& machine) const;
+  const Machine* find(std::string_view name) const;
+  const Machine* at(const Address& address) const;
 
-private:
-  Machine *findMachine(std::string_view name);
+ private:
+  Machine* findMachine(std::string_view name);
   void addMachine(Role role, int number);
   std::vector<Address> seedAddresses() const;
-  std::size_t indexOf(const Machine &machine) const;
-
-  bool applyToFlight(const Choice &choice);
-  bool applyToMachine(const Choice &choice, Machine &machine);
-  bool applyToAll(const Choice &choice);
-  bool start(Machine &machine, std::string_view clock);
-  bool goDown(Machine &machine, bool powerLost);
-  bool wipe(Machine &machine);
-  bool replace(Machine &machine);
-  bool cut(const Machine &from, const std::string &other);
+  std::size_t indexOf(const Machine& machine) const;
+
+  bool applyToFlight(const Choice& choice);
+  bool applyToMachine(const Choice& choice, Machine& machine);
+  bool applyToAll(const Choice& choice);
+  bool start(Machine& machine, std::string_view clock);
+  bool goDown(Machine& machine, bool powerLost);
+  bool wipe(Machine& machine);
+  bool replace(Machine& machine);
+  bool cut(const Machine& from, const std::string& other);
   bool heal();
-  bool order(Machine &machine, std::int64_t index);
+  bool order(Machine& machine, std::int64_t index);
 
-  void step(Machine &machine, const transport::Event &event);
-  void settle(Machine &machine, transport::Outbox &&out);
+  void step(Machine& machine, const transport::Event& event);
+  void settle(Machine& machine, transport::Outbox&& out);
   void advance(Millis spanMs);
   void tickAll();
   void deliverAll();
-  void arrive(const InFlight &flight);
-  bool syncOne(Machine &machine, bool ok);
+  void arrive(const InFlight& flight);
+  bool syncOne(Machine& machine, bool ok);
   void syncAll();
-  std::vector<InFlight>::iterator findFlight(const Choice &choice);
+  std::vector<InFlight>::iterator findFlight(const Choice& choice);
 
   bool reachable(std::size_t from, std::size_t to) const;
   bool isSound(std::size_t index) const;
-  bool isLost(const Machine &machine) const;
-  bool bearsLossOf(const Machine &machine) const;
-  bool bearsEmptyDiskOf(const Machine &machine) const;
+  bool isLost(const Machine& machine) const;
+  bool bearsLossOf(const Machine& machine) const;
+  bool bearsEmptyDiskOf(const Machine& machine) const;
   void refreshSoundness();
 
   WorldPlan plan_;
@@ -140,6 +135,6 @@
 };
 
 /// The kind of a message as choices name it.
-std::string_view kindOf(const transport::Message &message);
+std::string_view kindOf(const transport::Message& message);
 
-} // namespace tulip::model
+}  // namespace tulip::model
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -18,39 +18,35 @@
   return plan;
 }
 
-Choice choiceOf(const char *line) {
+Choice choiceOf(const char* line) {
   const auto choice = parseChoice(line);
   CHECK_TEXT(choice.has_value(), line);
   return *choice;
 }
 
-std::string described(const PathResult &result) {
+std::string described(const PathResult& result) {
   std::string text;
-  for (const auto &violation : result.violations)
-    text += violation.property + ": " + violation.detail + "\n";
-  for (const auto &choice : result.taken)
-    text += textOf(choice) + "\n";
+  for (const auto& violation : result.violations) text += violation.property + ": " + violation.detail + "\n";
+  for (const auto& choice : result.taken) text += textOf(choice) + "\n";
   return text;
 }
 
-void checkHolds(const PathResult &result) {
+void checkHolds(const PathResult& result) {
   const auto text = described(result);
   CHECK_TEXT(result.violations.empty(), text.c_str());
 }
 
-bool breaks(const std::vector<Violation> &violations,
-            std::string_view property) {
-  return std::any_of(
-      violations.begin(), violations.end(),
-      [&](const Violation &each) { return each.property == property; });
+bool breaks(const std::vector<Violation>& violations, std::string_view property) {
+  return std::any_of(violations.begin(), violations.end(),
+                     [&](const Violation& each) { return each.property == property; });
 }
 
-} // namespace
+}  // namespace
 
 TEST_GROUP(model){};
 
 TEST(model, a_choice_is_read_back_as_it_was_written) {
-  for (const auto *line : {"run 300",
+  for (const auto* line : {"run 300",
                            "advance 20",
                            "deliver s1 r2 RegisterPrepare",
                            "drop r1 s1 AckState",
@@ -74,15 +70,11 @@
 }
 
 TEST(model, what_is_no_choice_is_not_read) {
-  for (const auto *line :
-       {"", "run", "run -1", "run x", "order s1", "deliver s1 r2",
-        "start r1 sideways", "explode r1", "heal r1"})
+  for (const auto* line :
+       {"", "run", "run -1", "run x", "order s1", "deliver s1 r2", "start r1 sideways", "explode r1", "heal r1"})
     CHECK_TEXT(!parseChoice(line).has_value(), line);
   std::size_t badLine = 0;
-  CHECK_FALSE(
-      parseReplay("# a path\nworld spares=0 formed\nrun 5\n\nrun five\n",
-                  badLine)
-          .has_value());
+  CHECK_FALSE(parseReplay("# a path\nworld spares=0 formed\nrun 5\n\nrun five\n", badLine).has_value());
   LONGS_EQUAL(5, badLine);
   CHECK_FALSE(parseReplay("world spares=many\n", badLine).has_value());
   LONGS_EQUAL(1, badLine);
@@ -108,9 +100,8 @@
   const auto from = settledWorld(planOf(1));
   auto one = from;
   auto other = from;
-  for (auto *world : {&one, &other})
-    for (const auto *line : {"order s1 4", "run 20", "kill r1", "run 300"})
-      CHECK(world->apply(choiceOf(line)));
+  for (auto* world : {&one, &other})
+    for (const auto* line : {"order s1 4", "run 20", "kill r1", "run 300"}) CHECK(world->apply(choiceOf(line)));
   CHECK_EQUAL(fingerprintOf(one), fingerprintOf(other));
   CHECK(fingerprintOf(one) != fingerprintOf(from));
 }
@@ -119,8 +110,7 @@
   const auto from = settledWorld(planOf(0));
   const auto before = fingerprintOf(from);
   auto copy = from;
-  for (const auto *line : {"order s1 4", "run 100", "lose-power all",
-                           "start all higher", "run 3000"})
+  for (const auto* line : {"order s1 4", "run 100", "lose-power all", "start all higher", "run 3000"})
     CHECK(copy.apply(choiceOf(line)));
   CHECK_EQUAL(before, fingerprintOf(from));
 }
@@ -183,8 +173,7 @@
   auto plan = planOf(0);
   plan.losses = 3;
   auto world = settledWorld(plan);
-  for (const auto *line : {"lose-power all", "wipe r1", "wipe r2"})
-    CHECK(world.apply(choiceOf(line)));
+  for (const auto* line : {"lose-power all", "wipe r1", "wipe r2"}) CHECK(world.apply(choiceOf(line)));
   CHECK(breaks(checkProgress(world), property::kProgress));
 }
 
@@ -193,8 +182,7 @@
   plan.losses = 3;
   const auto from = settledWorld(plan);
   Path path;
-  for (const auto *line : {"run 100", "order s1 4", "lose-power all", "wipe r1",
-                           "run 100", "wipe r2", "heal"})
+  for (const auto* line : {"run 100", "order s1 4", "lose-power all", "wipe r1", "run 100", "wipe r2", "heal"})
     path.push_back(choiceOf(line));
   const auto shortest = shrink(from, path, property::kProgress);
   LONGS_EQUAL(3, shortest.size());
