--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -264,12 +264,16 @@
   }
 }
 
+namespace {
+
 // A replica of the protocol before incarnations repeats the ballot's number only.
 bool answersAckQuery(const Proposal& proposal, const AckState& reply) {
   if (proposal.phase != Phase::learn || proposal.version != reply.configVersion) return false;
   return reply.ballot == Ballot{} ? proposal.ballot.number == reply.query : proposal.ballot == reply.ballot;
 }
 
+}  // namespace
+
 void heardAckState(ControlClient& client, const Address& from, const AckState& reply, Now now, Outbox& out) {
   for (auto& proposal : client.proposals) {
     if (!answersAckQuery(proposal, reply)) continue;
