--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -231,9 +231,9 @@
       const auto process = worker.replica ? worker.replica->client.process : worker.client->process;
       ++worker.messages;
       if (weigh)
-        worker.bytes +=
-            transport::encode({transport::kProtocolVersion, id, worker.settings.peerAddress, send.to, send.message})
-                .size();
+        worker.bytes += transport::encode({transport::kProtocolVersion, id, worker.settings.peerAddress, send.to,
+                                           send.message, process, process})
+                            .size();
       auto found = workers_.find(send.to);
       if (found == workers_.end()) continue;
       const auto lateMs = send.to == worker.settings.peerAddress
