A step of the membership bears the losses it is meant to bear, at every moment

Cause: a new voter took the state of voters of the new membership only. At three voters both others had to stay up until then, and the voter that was left out, alive and complete, would not give its state. Steps also began while the newcomer of the last one had no vote, replicas that were told to stop went without handing over, and with syncs slower than a heartbeat the replicas that had accepted a step outbid one another for good, all of them fenced.

Change: an acceptor sends its final state to the newcomer with its answer; the newcomer votes with the final states of a majority of the membership before, the left-out voter's included. A replica yields to a newer ballot for the step it has accepted and doubles its patience. A vote is told of once it is synced.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -24,6 +24,11 @@
          isVoter(replica.image.membership, replica.image.id);
 }
 
+Ballot acceptedIn(const ReplicaState& replica, const std::string& key) {
+  const auto found = replica.image.registers.find(key);
+  return found == replica.image.registers.end() ? Ballot{} : found->second.accepted;
+}
+
 }  // namespace
 
 void endLeaseOfEarlierLife(ReplicaState& replica, const DaemonId& heard, Now now) {
@@ -35,25 +40,31 @@
 
 bool leaseLive(const ReplicaState& replica, Now now) { return now.steadyMs < replica.leaseUntilMs; }
 
-void onRegisterPrepare(ReplicaState& replica, const Heard& heard, const RegisterPrepare& ask, Outbox& out) {
+void onRegisterPrepare(ReplicaState& replica, const Heard& heard, const RegisterPrepare& ask, Now now, Outbox& out) {
   const bool membershipKey = ask.key == nextMembershipKey(replica);
   if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
       (!membershipKey && !membershipMatches(replica, ask.membership)))
     return;
   std::vector<DiskEntry> writes;
   auto reply = storage::promise(replica.image, ask, writes);
+  if (membershipKey && reply.ok) yieldStep(replica, ask.key, ask.ballot, now);
   persist(replica, std::move(writes), {{heard.from, reply}}, out);
 }
 
-void onRegisterAccept(ReplicaState& replica, const Heard& heard, const RegisterAccept& ask, Outbox& out) {
+void onRegisterAccept(ReplicaState& replica, const Heard& heard, const RegisterAccept& ask, Now now, Outbox& out) {
   const bool membershipKey = ask.key == nextMembershipKey(replica);
   if (!mayVote(replica) || ask.membership != replica.image.membership.version ||
       (!membershipKey && !membershipMatches(replica, ask.membership)))
     return;
+  const bool again = acceptedIn(replica, ask.key) == ask.ballot;
   std::vector<DiskEntry> writes;
   auto reply = storage::accept(replica.image, ask, writes);
-  if (membershipKey && reply.ok) replica.fenced = true;
-  persist(replica, std::move(writes), {{heard.from, reply}}, out);
+  std::vector<Send> after{{heard.from, reply}};
+  if (membershipKey && reply.ok) {
+    replica.fenced = true;
+    if (!again) sendFinalState(replica, storage::unpackMembership(ask.value), now, after);
+  }
+  persist(replica, std::move(writes), std::move(after), out);
 }
 
 void onRegisterChosen(ReplicaState& replica, const RegisterChosen& chosen, Now now, Outbox& out) {
--- a/src/control/heartbeats.cpp
+++ b/src/control/heartbeats.cpp
@@ -28,7 +28,7 @@
   heartbeat.fleetMs = fleetNow(replica.client, now);
   heartbeat.zone = replica.client.settings.zone;
   heartbeat.diskless = replica.diskless;
-  heartbeat.voting = mayVote(replica);
+  heartbeat.voting = mayVote(replica) && !replica.waiting.contains(replica.votingTicket);
   heartbeat.firstBoot = replica.client.settings.firstBoot;
   heartbeat.joined = replica.joined;
   if (!replica.diskless) {
@@ -54,8 +54,8 @@
     other.repliedMs = now.steadyMs;
     heartbeat.acknowledgedDigest = other.sessionsDigest;
     heartbeat.sameSessions = heartbeat.sessionsDigest != 0 && other.last.acknowledgedDigest == heartbeat.sessionsDigest;
-    // No echo lets a replica stand that was not given what is chosen: it comes with the value, or after the replica has
-    // it.
+    // No echo lets a replica stand that was not given what is chosen: it comes with the value, or after the replica
+    // has it.
     const bool behind = other.last.configBallot < replica.learnedBallot && !other.last.diskless;
     const bool give = behind && now.steadyMs - replica.learnedMs >= bounds(replica).heartbeatMs();
     if (give) heartbeat.configValue = replica.learnedValue;
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -43,9 +43,9 @@
         else if constexpr (std::is_same_v<Body, ReplicaHeartbeat>)
           onReplicaHeartbeat(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, RegisterPrepare>)
-          onRegisterPrepare(replica, heard, body, out);
+          onRegisterPrepare(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, RegisterAccept>)
-          onRegisterAccept(replica, heard, body, out);
+          onRegisterAccept(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, RegisterChosen>)
           onRegisterChosen(replica, body, now, out);
         else if constexpr (std::is_same_v<Body, AckQuery>)
@@ -74,6 +74,7 @@
   auto sends = std::move(found->second.sends);
   if (persisted.ok) replica.keptVersion = std::max(replica.keptVersion, found->second.learned);
   replica.waiting.erase(found);
+  if (persisted.ok && persisted.ticket == replica.votingTicket) sendReplicaHeartbeats(replica, now, out);
   if (persisted.ok && persisted.ticket == replica.joinedTicket) {
     replica.joined = replica.image.joined;
     sendReplicaHeartbeats(replica, now, out);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -63,8 +63,8 @@
   std::uint64_t rosterDigest = 0;  // of the members without what they acknowledged
   Version keptVersion = 0;         // learned, and synced as learned
   bool configKnown = false;
-  std::map<DaemonId, Millis>
-      formerUntilMs;  // voters no longer in the membership: when none of their sessions can be left
+  std::map<DaemonId, Millis> formerUntilMs;  // voters no longer in the membership: when none of their
+                                             // sessions can be left
   bool fenced = false;
   transport::LeaderHint leader;
   Millis leaseUntilMs = 0;
@@ -80,13 +80,19 @@
   Millis openSinceMs = -1;
   Millis stepSinceMs = -1;
   Millis askedMs = -1000000;
-  std::map<DaemonId, transport::CatchUpGive> catchUp;
+  std::map<DaemonId, transport::CatchUpGive> catchUp;  // final states of the membership before
+  std::uint64_t votingTicket = 0;                      // the batch with which this replica began to vote
+  int stepYields = 0;                                  // how often this replica has let another complete the open step
+  Version leftIn = 0;                                  // the membership that left this voter out, whose new
+                                                       // voter may need its state
   std::uint64_t jobLogAccepts = 0, jobLogRejected = 0, grants = 0, grantsRejected = 0, catchUps = 0;
 };
 
 ReplicaState makeReplica(const Settings& settings, storage::Image image, std::string incarnation, transport::Now now);
 bool hasQuorumLease(const ReplicaState& replica, transport::Now now);
 bool ailing(const ReplicaState& replica);
+// Whether the daemon may end: nothing is left to hand over, or nobody is there to take it.
+bool mayLeave(const ReplicaState& replica, transport::Now now);
 void replicaStep(ReplicaState& replica, const transport::Event& event, transport::Now now, transport::Outbox& out);
 
 }  // namespace tulip::control
--- a/src/control/replica_internal.hpp
+++ b/src/control/replica_internal.hpp
@@ -106,11 +106,11 @@
 
 // Round one of a register.
 void onRegisterPrepare(ReplicaState& replica, const transport::Heard& heard, const transport::RegisterPrepare& ask,
-                       transport::Outbox& out);
+                       transport::Now now, transport::Outbox& out);
 
 // Round two of a register.
 void onRegisterAccept(ReplicaState& replica, const transport::Heard& heard, const transport::RegisterAccept& ask,
-                      transport::Outbox& out);
+                      transport::Now now, transport::Outbox& out);
 
 // A value was chosen: the configuration is learned, a membership is installed.
 void onRegisterChosen(ReplicaState& replica, const transport::RegisterChosen& chosen, transport::Now now,
@@ -126,15 +126,25 @@
 
 // Catching up (catch_up.cpp).
 
-// Asks the other voters for their state while this voter has none.
+// Asks for the final states that this voter needs before it votes.
 void askCatchUp(ReplicaState& replica, transport::Now now, transport::Outbox& out);
 
-// Gives the state of this replica to a voter without one.
+// Gives the final state of the membership before to a voter without it.
 void onCatchUpAsk(ReplicaState& replica, const transport::Heard& heard, const transport::CatchUpAsk& ask,
                   transport::Now now, transport::Outbox& out);
 
-// Takes in a state; with enough of them, this replica votes.
+// Takes in a final state; with enough of them, this replica votes.
 void onCatchUpGive(ReplicaState& replica, const transport::CatchUpGive& give, transport::Now now,
                    transport::Outbox& out);
 
+// Takes what was given before the membership was known here, with enough of it this replica votes.
+void tryFinishCatchUp(ReplicaState& replica, transport::Now now, transport::Outbox& out);
+
+// Adds the state of this replica, which is fenced for the next membership, for the voters that are new in it.
+void sendFinalState(const ReplicaState& replica, const transport::Membership& next, transport::Now now,
+                    std::vector<transport::Send>& sends);
+
+// Lets a newer proposer complete the step that this replica has accepted, and waits longer before its own next try.
+void yieldStep(ReplicaState& replica, const std::string& key, const Ballot& newer, transport::Now now);
+
 }  // namespace tulip::control
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -289,8 +289,9 @@
   if (!node.replica) control::clientTick(client, now, out);
   if (node.scheduler) scheduler::schedulerTick(*node.scheduler, now, out);
   if (node.agent) agent::agentTick(*node.agent, now, out);
-  if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs())
-    out.done = true;
+  if (node.leavingSinceMs < 0) return;
+  const bool handedOver = !node.replica || control::mayLeave(*node.replica, now);
+  if (handedOver && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs()) out.done = true;
 }
 
 }  // namespace
