--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -320,8 +320,9 @@
   if (node.scheduler) scheduler::schedulerTick(*node.scheduler, now, out);
   if (node.agent) agent::agentTick(*node.agent, now, out);
   checkAlarms(node, now, out);
-  if (node.leavingSinceMs >= 0 && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs())
-    out.done = true;
+  if (node.leavingSinceMs < 0) return;
+  const bool handedOver = !node.replica || control::mayLeave(*node.replica, now);
+  if (handedOver && now.steadyMs - node.leavingSinceMs >= client.settings.bounds.heartbeatMs()) out.done = true;
 }
 
 // The only way in for messages: what is meant for, or sent by, another incarnation ends here.
