--- a/tests/alarms_test.cpp
+++ b/tests/alarms_test.cpp
@@ -204,3 +204,14 @@
   LONGS_EQUAL(3, lines.size());
   CHECK(lines[2].starts_with("voter-silent a@1: over"));
 }
+
+TEST(alarm_lines, what_was_not_heard_while_this_process_stood_still_does_not_count) {
+  const auto holdOffMs = control::alarmHoldOffMs(AlarmKind::voterSilent, bounds);
+  constexpr Millis kAwakeMs = 60000;
+  see(1000, {});
+  for (Millis ms = 0; ms < holdOffMs; ms += 100)
+    see(kAwakeMs + ms, {{{AlarmKind::voterSilent, "a@1"}, 1000, "not heard"}});
+  LONGS_EQUAL(0, lines.size());
+  see(kAwakeMs + holdOffMs, {{{AlarmKind::voterSilent, "a@1"}, 1000, "not heard"}});
+  LONGS_EQUAL(1, lines.size());
+}
