--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -120,6 +120,7 @@
   std::deque<std::pair<std::uint64_t, std::string>> tombs;
   std::map<DaemonId, VoterRow> voters;
   std::uint64_t seq = 0;
+  std::uint64_t acceptNumber = 0;  // of the newest accept sent, batch or heartbeat
   std::uint64_t committed = 0;
   std::map<std::uint64_t, Batch> batches;
   Millis leaseUntilMs = -1000000;
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -228,11 +228,12 @@
       });
     for (auto& send : out.sends) {
       const auto id = worker.replica ? worker.replica->image.id : worker.client->id;
+      const auto process = worker.replica ? worker.replica->client.process : worker.client->process;
       ++worker.messages;
       if (weigh)
-        worker.bytes +=
-            transport::encode({transport::kProtocolVersion, id, worker.settings.peerAddress, send.to, send.message})
-                .size();
+        worker.bytes += transport::encode({transport::kProtocolVersion, id, worker.settings.peerAddress, send.to,
+                                           send.message, process, process})
+                            .size();
       auto found = workers_.find(send.to);
       if (found == workers_.end()) continue;
       const auto lateMs = send.to == worker.settings.peerAddress
@@ -241,11 +242,12 @@
       // Lines keep their order.
       auto& line = lines_[{worker.settings.peerAddress, send.to}];
       line = std::max(line, nowMs + lateMs);
-      due_.push({line, ++serial_,
-                 [this, from = worker.settings.peerAddress, &to = *found->second,
-                  heard = transport::Heard{id, worker.settings.peerAddress, std::move(send.message), send.to}] {
-                   if (!cuts_.contains({from, to.settings.peerAddress})) give(to, heard);
-                 }});
+      due_.push(
+          {line, ++serial_,
+           [this, from = worker.settings.peerAddress, &to = *found->second,
+            heard = transport::Heard{id, worker.settings.peerAddress, std::move(send.message), send.to, process}] {
+             if (!cuts_.contains({from, to.settings.peerAddress})) give(to, heard);
+           }});
     }
   }
 
