--- a/tests/alarms_test.cpp
+++ b/tests/alarms_test.cpp
@@ -109,7 +109,7 @@
 TEST(alarms, a_voter_whose_disk_takes_no_writes_is_told) {
   startAll();
   auto all = replicas();
-  all[2]->diskFails = true;
+  all[2]->diskBlocked = true;
   transport::Ask change;
   change.method = "PUT";
   change.path = "/configuration";
@@ -120,7 +120,7 @@
   run(20);
   LONGS_EQUAL(200, status);
   for (const auto* host : all) LONGS_EQUAL(1, count(*host, AlarmKind::voterNotVoting));
-  all[2]->diskFails = false;
+  all[2]->diskBlocked = false;
   run(15);
   for (const auto* host : all) onceAndOver(*host, AlarmKind::voterNotVoting);
 }
