--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build pkg-config ccache clang-format clang-tidy
+  g++ cmake ninja-build pkg-config ccache clang-format clang-tidy patch
   libboost-dev libboost-system-dev
   libtclap-dev liblog4cxx-dev libcpputest-dev libabsl-dev
   libmsgpack-cxx-dev libjansson-dev libsqlite3-dev libtomlplusplus-dev
