Elections: probes, leases of promises, random waits, no copies of a state

(2) One voter's refusal ended a term that a majority followed. (3) Each voter was asked again every tenth of a lease and gave its whole state each time: up to four copies of four voters, before which no acknowledgement of the first lease reached the leader (of four remote voters two had acknowledged nothing in 932 ms, one a batch and one heartbeat). Ruled out: fenced voters (none refuses the lapsed term), disks, clocks. Mend: a candidate asks first whether a majority would promise; a promise gives its candidate a lease, given back when the campaign fails; waits are drawn from the incarnation and grow; a leader goes on while a majority keeps to its term; a state is asked for again after half a lease only. Model: promises may take time to move (stateMs), property `recovery`: one leads within two leases and keeps its term.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -44,7 +44,12 @@
   const std::string_view owner = replica.image.jobLogPromised.owner;
   const auto host = hostOf(owner);
   if (host.empty() || hostOf(heard.view()) != host || owner.substr(0, owner.find('/')) == heard.view()) return;
+  endLease(replica, now);
+}
+
+void endLease(ReplicaState& replica, Now now) {
   replica.leaseUntilMs = std::min(replica.leaseUntilMs, now.steadyMs);
+  replica.candidateUntilMs = std::min(replica.candidateUntilMs, now.steadyMs);
 }
 
 bool leaseLive(const ReplicaState& replica, Now now) { return now.steadyMs < replica.leaseUntilMs; }
@@ -89,23 +94,36 @@
       replica, storage::unpackMembership(chosen.value.empty() && held ? found->second.value : chosen.value), now, out);
 }
 
-void onJobLogPrepare(ReplicaState& replica, const Heard& heard, const JobLogPrepare& ask, Now now, Outbox& out) {
-  endLeaseOfEarlierLife(replica, heard.fromId, now);
-  if (!membershipMatches(replica, ask.membership)) return;
+namespace {
+
+// How long no other term is promised here: for the lease of a leader, or of a candidate that was given a promise.
+Millis leaseLeftMs(const ReplicaState& replica, const Ballot& asked, Now now) {
+  const auto& promised = replica.image.jobLogPromised;
+  if (promised == asked || givesUpItsTerm(promised, asked)) return 0;
+  return std::max<Millis>(0, std::max(replica.leaseUntilMs, replica.candidateUntilMs) - now.steadyMs);
+}
+
+// The answer to a candidate without what is held here: whether its term is, or for a probe would be, promised.
+JobLogPromise answerTo(const ReplicaState& replica, const JobLogPrepare& ask, Now now) {
   JobLogPromise reply;
   reply.term = ask.term;
   reply.membership = ask.membership;
   reply.promised = replica.image.jobLogPromised;
   reply.fleetMs = fleetNow(replica.client, now);
-  const auto& promised = replica.image.jobLogPromised;
-  const bool again = promised == ask.term;
-  const bool leased = leaseLive(replica, now) && !givesUpItsTerm(promised, ask.term);
-  if (!again && (ask.term < promised || leased)) {
-    reply.leaseLeftMs = std::max<Millis>(0, replica.leaseUntilMs - now.steadyMs);
-    out.reply(heard, std::move(reply));
-    return;
-  }
-  reply.ok = true;
+  reply.leaseLeftMs = leaseLeftMs(replica, ask.term, now);
+  reply.ok = ask.term >= reply.promised && reply.leaseLeftMs == 0;
+  reply.probe = ask.probe;
+  return reply;
+}
+
+}  // namespace
+
+void onJobLogPrepare(ReplicaState& replica, const Heard& heard, const JobLogPrepare& ask, Now now, Outbox& out) {
+  endLeaseOfEarlierLife(replica, heard.fromId, now);
+  if (!membershipMatches(replica, ask.membership)) return;
+  auto reply = answerTo(replica, ask, now);
+  if (!reply.ok || ask.probe) return out.reply(heard, std::move(reply));
+  replica.candidateUntilMs = now.steadyMs + bounds(replica).leaseMs;
   reply.base = replica.image.jobLogBase;
   for (const auto& [key, entry] : replica.image.jobs) reply.entries.push_back(entry);
   std::vector<DiskEntry> writes{storage::entry::jobLogPromise(ask.term)};
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -61,7 +61,9 @@
         else if constexpr (std::is_same_v<Body, BootstrapProposal>)
           onBootstrapProposal(replica, body, now, out);
         else if constexpr (std::is_same_v<Body, Resign>) {
-          if (replica.image.jobLogPromised == body.term) replica.leaseUntilMs = replica.hintUntilMs = now.steadyMs;
+          if (replica.image.jobLogPromised != body.term) return;
+          endLease(replica, now);
+          replica.hintUntilMs = std::min(replica.hintUntilMs, now.steadyMs);
         }
       },
       heard.message);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -73,6 +73,7 @@
   bool fenced = false;
   transport::LeaderHint leader;
   Millis leaseUntilMs = 0;
+  Millis candidateUntilMs = 0;  // until then the candidate whose term was promised last may use that promise
   std::pair<Ballot, std::uint64_t> fleetFrom;  // term and number of the accept that the fleet's time was taken from
   Millis hintUntilMs = 0;
   Millis bornMs = 0;
--- a/src/control/replica_internal.hpp
+++ b/src/control/replica_internal.hpp
@@ -101,6 +101,9 @@
 // Whether the lease of the leader that this replica last accepted from may still run.
 bool leaseLive(const ReplicaState& replica, transport::Now now);
 
+// Ends the lease of a leader, and of a candidate, that gave its term up.
+void endLease(ReplicaState& replica, transport::Now now);
+
 // Ends the leader's lease here once a later life of the same daemon is heard.
 void endLeaseOfEarlierLife(ReplicaState& replica, const DaemonId& heard, transport::Now now);
 
--- a/src/model/progress.cpp
+++ b/src/model/progress.cpp
@@ -8,6 +8,8 @@
 
 constexpr int kLeasesToSettle = 30;
 constexpr int kLeasesToAnswer = 8;
+constexpr int kLeasesToLead = 2;
+constexpr int kLeasesToKeep = 6;
 
 const transport::Membership* newestMembership(const World& world) {
   const transport::Membership* newest = nullptr;
@@ -30,6 +32,15 @@
                                              [&](const transport::Voter& voter) { return voter.id == machine.id; });
 }
 
+const Machine* leaderOf(const World& world) {
+  const auto& machines = world.machines();
+  const auto found = std::find_if(machines.begin(), machines.end(), [&](const Machine& machine) {
+    return machine.node && machine.node->scheduler &&
+           scheduler::leads(*machine.node->scheduler, world.clockOf(machine));
+  });
+  return found == machines.end() ? nullptr : &*found;
+}
+
 // What is still missing of a cluster that serves; empty when nothing is.
 std::string missing(const World& world) {
   const auto* membership = newestMembership(world);
@@ -44,11 +55,7 @@
     if (!replica.image.voting) return machine->name + " has not caught up";
     if (!control::hasQuorumLease(replica, world.clockOf(*machine))) return machine->name + " sees no majority";
   }
-  const bool led = std::any_of(world.machines().begin(), world.machines().end(), [&](const Machine& machine) {
-    return machine.node && machine.node->scheduler &&
-           scheduler::leads(*machine.node->scheduler, world.clockOf(machine));
-  });
-  if (!led) return "no scheduler leads";
+  if (!leaderOf(world)) return "no scheduler leads";
   const auto& inForce = world.history().inForce;
   const Version newest = inForce.empty() ? 0 : inForce.rbegin()->first;
   for (const auto& machine : world.machines()) {
@@ -115,4 +122,24 @@
   return world.history().violations;
 }
 
+std::vector<Violation> checkRecovery(World world) {
+  auto& history = world.history();
+  const auto fail = [&](const std::string& detail) {
+    history.fail(std::string(property::kRecovery), detail);
+    return history.violations;
+  };
+  world.endFaults();
+  world.run(kLeasesToLead * world.plan().bounds.leaseMs);
+  const auto* leader = leaderOf(world);
+  if (!leader) return fail("no scheduler leads after " + std::to_string(kLeasesToLead) + " leases");
+  const auto term = leader->node->scheduler->term;
+  for (int lease = 1; lease <= kLeasesToKeep; ++lease) {
+    world.run(world.plan().bounds.leaseMs);
+    leader = leaderOf(world);
+    if (!leader || leader->node->scheduler->term != term)
+      return fail("term " + std::to_string(term.number) + " is led for " + std::to_string(lease) + " leases only");
+  }
+  return history.violations;
+}
+
 }  // namespace tulip::model
--- a/src/model/properties.cpp
+++ b/src/model/properties.cpp
@@ -168,6 +168,7 @@
       {property::kProgress,
        "with the faults ended a majority forms, one "
        "leads, all catch up and an order is taken"},
+      {property::kRecovery, "with the faults ended one leads within two leases, and keeps its term"},
   };
   return rows;
 }
--- a/src/model/properties.hpp
+++ b/src/model/properties.hpp
@@ -26,6 +26,7 @@
 inline constexpr std::string_view kOneLeader = "one-leader";
 inline constexpr std::string_view kFencedTerm = "fenced-term";
 inline constexpr std::string_view kProgress = "progress";
+inline constexpr std::string_view kRecovery = "recovery";
 }  // namespace property
 
 /// What is seen of one step of one machine.
@@ -41,4 +42,8 @@
 /// serve, lead and take orders again.
 std::vector<Violation> checkProgress(World world);
 
+/// Ends the faults of a copy of the world: one scheduler must lead within two
+/// leases, and from then on the same one.
+std::vector<Violation> checkRecovery(World world);
+
 }  // namespace tulip::model
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -365,7 +365,8 @@
 void World::deliverAll() {
   std::vector<InFlight> arriving;
   std::vector<InFlight> staying;
-  for (auto& flight : inFlight_) (flight.delayed ? staying : arriving).push_back(std::move(flight));
+  for (auto& flight : inFlight_)
+    (flight.delayed || nowMs_ < flight.arrivesMs ? staying : arriving).push_back(std::move(flight));
   inFlight_ = std::move(staying);
   for (const auto& flight : arriving) arrive(flight);
 }
@@ -419,6 +420,15 @@
   settle(machine, std::move(out));
 }
 
+// A small message arrives with the next hop, unless a state is moving on its way.
+Millis World::arrivalOf(std::size_t from, std::size_t to, const Message& message) {
+  if (plan_.stateMs == 0) return 0;
+  auto& busyUntilMs = busyUntilMs_[{from, to}];
+  const auto* promise = std::get_if<JobLogPromise>(&message);
+  if (promise && promise->ok && !promise->probe) busyUntilMs = std::max(busyUntilMs, nowMs_) + plan_.stateMs;
+  return busyUntilMs;
+}
+
 void World::settle(Machine& machine, Outbox&& out) {
   const auto index = indexOf(machine);
   for (auto& persist : out.persists) machine.unsynced.push_back(std::move(persist));
@@ -426,9 +436,10 @@
     observeSend(history_, machine, send.message);
     const auto* to = at(send.to);
     if (!to || !reachable(index, indexOf(*to))) continue;
+    const auto arrivesMs = arrivalOf(index, indexOf(*to), send.message);
     inFlight_.push_back({index, machine.settings.peerAddress, machine.id, send.to,
                          std::make_shared<const Message>(std::move(send.message)), machine.node->incarnations.self,
-                         send.toIncarnation, false});
+                         send.toIncarnation, false, arrivesMs});
   }
   for (const auto& answer : out.answers) observeAnswer(history_, machine, index, answer);
   observeMachine(history_, machine);
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -16,6 +17,7 @@
   int spares = 1;
   int schedulers = 2;
   std::int64_t losses = 1;
+  Millis stateMs = 0;  ///< a promise's whole state takes this long on its way, and what is sent after it waits
   Bounds bounds;
 };
 
@@ -63,6 +65,7 @@
   Incarnation fromIncarnation;
   Incarnation toIncarnation;
   bool delayed = false;
+  Millis arrivesMs = 0;  ///< not before then by itself
 };
 
 /// A whole cluster as one copyable value: every choice changes it in a
@@ -112,6 +115,7 @@
 
   void step(Machine& machine, const transport::Event& event);
   void settle(Machine& machine, transport::Outbox&& out);
+  Millis arrivalOf(std::size_t from, std::size_t to, const transport::Message& message);
   void advance(Millis spanMs);
   void tickAll();
   void deliverAll();
@@ -131,6 +135,7 @@
   std::vector<Machine> machines_;
   std::vector<InFlight> inFlight_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::map<std::pair<std::size_t, std::size_t>, Millis> busyUntilMs_;  ///< ways on which a state is moving
   Millis nowMs_ = 0;
   int lives_ = 0;
   History history_;
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -369,6 +369,7 @@
                                                         {"shuns", c.shuns},
                                                         {"rewritten", c.rewritten},
                                                         {"steppedDown", c.steppedDown},
+                                                        {"outbid", c.outbid},
                                                         {"gangRetries", c.gangRetries},
                                                         {"lateEnds", c.lateEnds},
                                                         {"stalls", c.stalls},
--- /dev/null
+++ b/src/scheduler/election.cpp
@@ -0,0 +1,168 @@
+// Elections: when a scheduler becomes a candidate, and how it gathers promises of its term.
+//
+// A campaign has two phases. A probe first asks every voter whether it would promise the term; nothing is promised by
+// it, so it disturbs neither a leader nor another candidate. Only with a majority of such answers are the promises
+// asked for. A promise gives its candidate a lease at that voter, in which no other term is promised. A campaign that
+// can't win any more gives these leases back and is repeated after a random wait, whose span doubles with each failure.
+#include <algorithm>
+
+#include "scheduler/leadership.hpp"
+
+namespace tulip::scheduler {
+
+using namespace transport;
+
+namespace {
+
+constexpr std::uint64_t kMostDoublings = 3;  // of the span that waits are drawn from
+
+// A promise counts towards a majority of the membership that it was asked in only.
+bool ofThisMembership(const SchedulerState& scheduler, const JobLogPromise& promise) {
+  return promise.membership == 0 || promise.membership == scheduler.client.membership.version;
+}
+
+bool isVoter(const SchedulerState& scheduler, const DaemonId& id) {
+  const auto& voters = scheduler.client.membership.voters;
+  return std::any_of(voters.begin(), voters.end(), [&](const Voter& voter) { return voter.id == id; });
+}
+
+std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
+
+// Whether a voter of the membership runs on the same host.
+bool besideVoter(const control::ControlClient& client) {
+  const auto host = hostOf(client.settings.peerAddress);
+  return std::any_of(client.membership.voters.begin(), client.membership.voters.end(),
+                     [&](const Voter& voter) { return hostOf(voter.peerAddress) == host; });
+}
+
+// From 0 up to the span. Drawn from the incarnation, so that candidates that fail together try again apart.
+Millis randomWaitMs(const SchedulerState& scheduler, Millis spanMs) {
+  const auto& client = scheduler.client;
+  const auto seed = client.id.value + "/" + client.incarnation + "/" + std::to_string(scheduler.campaigns) + "/";
+  const auto drawn = control::mix("wait", control::mix(seed)) >> 16;
+  return static_cast<Millis>(drawn % static_cast<std::uint64_t>(std::max<Millis>(1, spanMs)));
+}
+
+// Before the first campaign after a leader: schedulers beside a voter come first.
+Millis firstWaitMs(const SchedulerState& scheduler) {
+  const Millis spanMs = bounds(scheduler).heartbeatMs();
+  return (besideVoter(scheduler.client) ? 0 : spanMs) + randomWaitMs(scheduler, spanMs);
+}
+
+// Before the next campaign after one that failed.
+Millis retryWaitMs(const SchedulerState& scheduler) {
+  const Millis spanMs = bounds(scheduler).heartbeatMs() << std::min(scheduler.failedCampaigns, kMostDoublings);
+  return bounds(scheduler).heartbeatMs() / 2 + randomWaitMs(scheduler, std::min(spanMs, bounds(scheduler).leaseMs));
+}
+
+bool isCandidate(const SchedulerState& scheduler) {
+  return scheduler.course == Course::probing || scheduler.course == Course::preparing;
+}
+
+void startPhase(SchedulerState& scheduler, Course phase, Now now) {
+  scheduler.course = phase;
+  scheduler.promises.clear();
+  scheduler.refusals.clear();
+  scheduler.campaignMembership = scheduler.client.membership.version;
+  scheduler.prepareStartMs = now.steadyMs;
+  scheduler.prepareSentMs = -1000000;
+}
+
+void startCampaign(SchedulerState& scheduler, Now now) {
+  const auto& client = scheduler.client;
+  ++scheduler.campaigns;
+  scheduler.highestSeen = std::max(scheduler.highestSeen, client.leader.term.number);
+  scheduler.term = Ballot{scheduler.highestSeen + 1, client.id.value + "/" + client.incarnation};
+  startPhase(scheduler, Course::probing, now);
+}
+
+// A refused probe has harmed nobody, so it costs no longer wait.
+void failCampaign(SchedulerState& scheduler, Now now, Outbox& out) {
+  if (scheduler.course == Course::preparing) {
+    ++scheduler.counts.outbid;
+    ++scheduler.failedCampaigns;
+    for (const auto& voter : scheduler.client.membership.voters) out.send(voter.peerAddress, Resign{scheduler.term});
+  }
+  resetCourse(scheduler, now, out);
+  scheduler.tryAtMs = now.steadyMs + retryWaitMs(scheduler);
+}
+
+void askVoters(SchedulerState& scheduler, Now now, Outbox& out) {
+  scheduler.prepareSentMs = now.steadyMs;
+  JobLogPrepare ask{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)};
+  ask.probe = scheduler.course == Course::probing;
+  for (const auto& voter : scheduler.client.membership.voters)
+    if (!scheduler.promises.contains(voter.id) && !scheduler.refusals.contains(voter.id))
+      out.send(voter.peerAddress, ask);
+}
+
+void onRefusal(SchedulerState& scheduler, const DaemonId& voter, Now now, Outbox& out) {
+  scheduler.refusals.insert(voter);
+  const auto voters = scheduler.client.membership.voters.size();
+  if (scheduler.refusals.size() > voters - control::majority(voters)) failCampaign(scheduler, now, out);
+}
+
+void onConsent(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& promise, Now now, Outbox& out) {
+  if (promise.probe && scheduler.course == Course::preparing) return;
+  scheduler.promises[voter] = promise;
+  if (scheduler.promises.size() < control::majority(scheduler.client.membership.voters.size())) return;
+  if (scheduler.course == Course::preparing) return takeOver(scheduler, now, out);
+  scheduler.highestSeen = std::max(scheduler.highestSeen, scheduler.term.number);
+  startPhase(scheduler, Course::preparing, now);
+  askVoters(scheduler, now, out);
+}
+
+// A voter that joins a term which is led already.
+void onLatePromise(SchedulerState& scheduler, const DaemonId& id, const JobLogPromise& promise, Now now, Outbox& out) {
+  auto found = scheduler.voters.find(id);
+  if (found == scheduler.voters.end() || found->second.promised) return;
+  mergePromise(scheduler, id, promise);
+  for (auto& [voterId, voter] : scheduler.voters) sendVoter(scheduler, voter, now, out);
+}
+
+}  // namespace
+
+void onPromise(SchedulerState& scheduler, const Heard& heard, const JobLogPromise& promise, Now now, Outbox& out) {
+  scheduler.highestSeen = std::max(scheduler.highestSeen, promise.promised.number);
+  if (promise.term != scheduler.term) return;
+  if (!isVoter(scheduler, heard.fromId) || !ofThisMembership(scheduler, promise)) return;
+  if (isCandidate(scheduler)) {
+    std::erase_if(scheduler.promises, [&](const auto& each) { return !ofThisMembership(scheduler, each.second); });
+    if (promise.ok) return onConsent(scheduler, heard.fromId, promise, now, out);
+    return onRefusal(scheduler, heard.fromId, now, out);
+  }
+  if (scheduler.course != Course::leading || promise.probe) return;
+  if (promise.ok)
+    onLatePromise(scheduler, heard.fromId, promise, now, out);
+  else if (scheduler.term < promise.promised)
+    if (auto found = scheduler.voters.find(heard.fromId); found != scheduler.voters.end())
+      onVoterAhead(scheduler, found->second, now, out);
+}
+
+void follow(SchedulerState& scheduler, Now now) {
+  const auto& client = scheduler.client;
+  if (client.leaving || !control::sessionLive(client, now) || client.membership.voters.empty()) return;
+  if (!client.leader.http.empty() && client.leader.peerAddress != client.settings.peerAddress) {
+    scheduler.tryAtMs = 0;
+    scheduler.failedCampaigns = 0;
+    return;
+  }
+  if (scheduler.tryAtMs == 0) scheduler.tryAtMs = now.steadyMs + firstWaitMs(scheduler);
+  if (now.steadyMs >= scheduler.tryAtMs) startCampaign(scheduler, now);
+}
+
+void campaign(SchedulerState& scheduler, Now now, Outbox& out) {
+  if (now.steadyMs - scheduler.prepareStartMs > bounds(scheduler).leaseMs ||
+      !control::sessionLive(scheduler.client, now))
+    return failCampaign(scheduler, now, out);
+  if (scheduler.campaignMembership != scheduler.client.membership.version) {
+    scheduler.campaignMembership = scheduler.client.membership.version;
+    scheduler.refusals.clear();
+    scheduler.prepareSentMs = -1000000;
+  }
+  const Millis pauseMs =
+      scheduler.course == Course::probing ? bounds(scheduler).heartbeatMs() : promisePauseMs(scheduler);
+  if (now.steadyMs - scheduler.prepareSentMs >= pauseMs) askVoters(scheduler, now, out);
+}
+
+}  // namespace tulip::scheduler
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -1,8 +1,8 @@
 #pragma once
 #include "scheduler/scheduler.hpp"
 
-// What the files of the leading scheduler share: succession (terms, voters, batches), orders (reports and what is
-// wanted), standing (workers' trust), epoch (house and plan), calls.
+// What the files of the leading scheduler share: orders (reports and what is wanted), workers' health, epochs and
+// calls. What elections, takeover and replication share is in leadership.hpp.
 namespace tulip::scheduler {
 
 inline const Bounds& bounds(const SchedulerState& scheduler) { return scheduler.client.settings.bounds; }
@@ -36,15 +36,6 @@
   scheduler.planDue = true;
 }
 
-void stepDown(SchedulerState& scheduler, transport::Now now, transport::Outbox& out, std::string_view why);
-void lead(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
-void onPromise(SchedulerState& scheduler, const transport::Heard& heard, const transport::JobLogPromise& promise,
-               transport::Now now, transport::Outbox& out);
-void onAccepted(SchedulerState& scheduler, const transport::Heard& heard, const transport::JobLogAccepted& reply,
-                transport::Now now, transport::Outbox& out);
-void follow(SchedulerState& scheduler, transport::Now now);
-void prepare(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
-
 void onReport(SchedulerState& scheduler, const transport::Heard& heard, const transport::AgentReport& report,
               transport::Now now, transport::Outbox& out);
 void sendOrders(SchedulerState& scheduler, WorkerRow& row, transport::Now now, transport::Outbox& out);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -90,13 +90,14 @@
   bool repeated = false;
 };
 
-enum class Course : std::uint8_t { following, preparing, leading };
+// Probing: asks whether a majority would promise a term. Preparing: asks for the promises.
+enum class Course : std::uint8_t { following, probing, preparing, leading };
 
 struct SchedulerCounts {
   std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0,
                 cleans = 0, submitted = 0, rejected = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0,
                 rewritten = 0, steppedDown = 0, gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0,
-                forwarded = 0;
+                forwarded = 0, outbid = 0;
 };
 
 using HeldAttempts = std::map<WorkerId, std::map<AttemptId, std::pair<JobId, std::size_t>>>;
@@ -109,7 +110,11 @@
   Millis prepareSentMs = -1000000;
   Millis tryAtMs = 0;
   Millis prepareStartMs = 0;
+  std::uint64_t campaigns = 0;        // of this process
+  std::uint64_t failedCampaigns = 0;  // since a leader was last heard, or this scheduler last led
   std::map<DaemonId, transport::JobLogPromise> promises;
+  Version campaignMembership = 0;  // that the answers below are of
+  std::set<DaemonId> refusals;     // voters that refused the present term
 
   absl::btree_map<JobId, Job> jobs;
   absl::btree_map<JobId, std::shared_ptr<const Job>> committedJobs;
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -153,7 +153,8 @@
   Version membership = 0;
   Ballot term;
   LeaderHint hint;
-  MSGPACK_DEFINE(membership, term, hint)
+  bool probe = false;  // asks only whether the term would be promised; unknown to earlier builds, which promise it
+  MSGPACK_DEFINE(membership, term, hint, probe)
 };
 
 struct JobLogPromise {
@@ -165,7 +166,8 @@
   std::vector<Entry> entries;
   Ballot base;
   Version membership = 0;  // of the question; 0: given by the protocol before incarnations
-  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership)
+  bool probe = false;      // answers a probe: nothing is promised, and no entries are given
+  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership, probe)
 };
 
 struct JobLogAccept {
--- /dev/null
+++ b/tests/election_test.cpp
@@ -0,0 +1,255 @@
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+#include "control/replica.hpp"
+#include "scheduler/scheduler.hpp"
+
+using namespace tulip;
+using namespace tulip::transport;
+
+namespace {
+
+constexpr Millis kStartMs = 100000;
+
+const Address kA("10.0.0.1:1"), kB("10.0.0.2:1"), kC("10.0.0.3:1");
+const std::vector<std::pair<DaemonId, Address>> kVoters{{DaemonId("a"), kA}, {DaemonId("b"), kB}, {DaemonId("c"), kC}};
+
+Membership threeVoters() {
+  Membership membership{1, {}};
+  for (const auto& [id, address] : kVoters) membership.voters.push_back({id, address});
+  return membership;
+}
+
+template <class Body>
+std::vector<Body> sent(const Outbox& out) {
+  std::vector<Body> bodies;
+  for (const auto& send : out.sends)
+    if (const auto* body = std::get_if<Body>(&send.message)) bodies.push_back(*body);
+  return bodies;
+}
+
+}  // namespace
+
+TEST_GROUP(election_voter) {
+  control::ReplicaState replica;
+  Millis leaseMs = 0;
+  const Ballot first{5, "scheduler-a/1"}, second{6, "scheduler-b/1"};
+
+  void setup() override {
+    Settings settings;
+    settings.role = Role::replica;
+    settings.peerAddress = kA;
+    settings.dataFolder = "d";
+    leaseMs = settings.bounds.leaseMs;
+    storage::Image image;
+    image.id = DaemonId("a");
+    image.voting = true;
+    image.membership = threeVoters();
+    image.jobs["j"] = Entry{"j", {}, "job"};
+    replica = control::makeReplica(settings, image, "i", {kStartMs - 2 * leaseMs});
+  }
+
+  Outbox hear(const Message& message, Millis atMs) {
+    Outbox out;
+    control::replicaStep(replica, Heard{DaemonId("scheduler"), kB, message}, {atMs}, out);
+    return out;
+  }
+
+  JobLogPromise asks(const Ballot& term, bool probe, Millis atMs) {
+    JobLogPrepare ask{1, term, {}};
+    ask.probe = probe;
+    auto out = hear(ask, atMs);
+    for (const auto& persist : out.persists)
+      control::replicaStep(replica, Persisted{persist.ticket, true}, {atMs}, out);
+    const auto promises = sent<JobLogPromise>(out);
+    LONGS_EQUAL(1, promises.size());
+    return promises.front();
+  }
+};
+
+TEST(election_voter, a_probe_promises_and_writes_nothing_and_is_answered_without_the_state) {
+  JobLogPrepare probe{1, second, {}};
+  probe.probe = true;
+  const auto out = hear(probe, kStartMs);
+  CHECK(out.persists.empty());
+  const auto answers = sent<JobLogPromise>(out);
+  LONGS_EQUAL(1, answers.size());
+  CHECK(answers[0].ok && answers[0].probe && answers[0].entries.empty());
+  CHECK(replica.image.jobLogPromised == Ballot{});
+  CHECK(asks(first, false, kStartMs).ok);
+}
+
+TEST(election_voter, a_promise_gives_its_candidate_a_lease) {
+  const auto given = asks(first, false, kStartMs);
+  CHECK(given.ok && !given.entries.empty());
+  for (const bool probe : {true, false}) {
+    const auto refusal = asks(second, probe, kStartMs + leaseMs - 1);
+    CHECK_FALSE(refusal.ok);
+    CHECK(refusal.promised == first);
+    LONGS_EQUAL(1, refusal.leaseLeftMs);
+  }
+  CHECK(asks(first, false, kStartMs + leaseMs - 1).ok);
+  CHECK(asks(second, false, kStartMs + 2 * leaseMs).ok);
+}
+
+TEST(election_voter, a_candidate_that_resigns_gives_its_lease_back) {
+  CHECK(asks(first, false, kStartMs).ok);
+  hear(Resign{second}, kStartMs + 1);
+  CHECK_FALSE(asks(second, true, kStartMs + 1).ok);
+  hear(Resign{first}, kStartMs + 2);
+  CHECK(asks(second, true, kStartMs + 2).ok);
+}
+
+TEST_GROUP(election_candidate) {
+  scheduler::SchedulerState scheduler = make("i");
+  Outbox out;
+
+  static scheduler::SchedulerState make(const char* incarnation) {
+    Settings settings;
+    settings.role = Role::scheduler;
+    settings.peerAddress = Address("10.0.0.9:1");
+    auto made = scheduler::makeScheduler(settings, DaemonId("me"), incarnation);
+    made.client.membership = threeVoters();
+    made.client.sessionUntilMs = 10 * kStartMs;
+    return made;
+  }
+
+  Outbox tick(Millis atMs) {
+    Outbox got;
+    scheduler::schedulerTick(scheduler, {atMs}, got);
+    return got;
+  }
+
+  // When the candidate first asks, from then on.
+  Millis runUntilItAsks(Millis fromMs) {
+    for (Millis atMs = fromMs; atMs < fromMs + 10 * scheduler.client.settings.bounds.leaseMs; ++atMs) {
+      out = tick(atMs);
+      if (!sent<JobLogPrepare>(out).empty()) return atMs;
+    }
+    FAIL("never asked");
+    return 0;
+  }
+
+  Outbox answer(std::size_t voter, bool ok, bool probe, Millis atMs, Ballot promised = {}) {
+    JobLogPromise promise;
+    promise.term = scheduler.term;
+    promise.ok = ok;
+    promise.probe = probe;
+    promise.promised = promised;
+    promise.membership = 1;
+    Outbox got;
+    const auto& [id, address] = kVoters[voter];
+    scheduler::schedulerHeard(scheduler, Heard{id, address, promise}, {atMs}, got);
+    return got;
+  }
+
+  // Leads, with its first batch acknowledged by all.
+  Millis lead() {
+    const auto atMs = runUntilItAsks(kStartMs);
+    for (const bool probe : {true, false})
+      for (std::size_t voter = 0; voter < kVoters.size(); ++voter) answer(voter, true, probe, atMs);
+    for (std::size_t voter = 0; voter < kVoters.size(); ++voter) accepts(voter, true, 1, atMs, {});
+    CHECK(scheduler::leads(scheduler, {atMs}));
+    return atMs;
+  }
+
+  void accepts(std::size_t voter, bool ok, std::uint64_t seq, Millis sentMs, Ballot promised) {
+    const auto& [id, address] = kVoters[voter];
+    const JobLogAccepted reply{scheduler.term, seq, sentMs, ok, seq > 0, promised};
+    scheduler::schedulerHeard(scheduler, Heard{id, address, reply}, {sentMs}, out);
+  }
+};
+
+TEST(election_candidate, asks_for_promises_only_once_a_majority_would_give_them) {
+  const auto atMs = runUntilItAsks(kStartMs);
+  for (const auto& ask : sent<JobLogPrepare>(out)) CHECK(ask.probe);
+  CHECK(sent<JobLogPrepare>(answer(0, true, true, atMs)).empty());
+  const auto asks = sent<JobLogPrepare>(answer(1, true, true, atMs));
+  LONGS_EQUAL(3, asks.size());
+  for (const auto& ask : asks) CHECK_FALSE(ask.probe);
+  answer(2, true, true, atMs);
+  answer(0, true, false, atMs);
+  CHECK(scheduler.course == scheduler::Course::preparing);
+  answer(1, true, false, atMs);
+  CHECK(scheduler.course == scheduler::Course::leading);
+}
+
+// An answer brings a voter's whole state: copies of it on one link hold up every acknowledgement behind them.
+TEST(election_candidate, a_voter_is_asked_for_its_promise_twice_a_lease_at_most) {
+  const auto leaseMs = scheduler.client.settings.bounds.leaseMs;
+  const auto startMs = runUntilItAsks(kStartMs);
+  auto asked = sent<JobLogPrepare>(answer(0, true, true, startMs)).size();
+  asked += sent<JobLogPrepare>(answer(1, true, true, startMs)).size();
+  LONGS_EQUAL(3, asked);
+  Millis atMs = startMs;
+  const auto asksUntil = [&](Millis untilMs) {
+    std::size_t asks = 0;
+    for (; atMs < untilMs; ++atMs) asks += sent<JobLogPrepare>(tick(atMs)).size();
+    return asks;
+  };
+  LONGS_EQUAL(0, asksUntil(startMs + leaseMs / 3));
+  answer(0, true, false, atMs);
+  answer(1, true, false, atMs);
+  CHECK(scheduler.course == scheduler::Course::leading);
+  LONGS_EQUAL(0, asksUntil(startMs + leaseMs / 2));
+  LONGS_EQUAL(1, asksUntil(startMs + leaseMs - 1));
+}
+
+TEST(election_candidate, a_refused_probe_is_repeated_with_a_term_above_the_one_promised) {
+  const auto atMs = runUntilItAsks(kStartMs);
+  answer(0, false, true, atMs, {41, "other"});
+  answer(1, false, true, atMs, {40, "other"});
+  CHECK(scheduler.course == scheduler::Course::following);
+  LONGS_EQUAL(0, scheduler.counts.outbid);
+  runUntilItAsks(atMs);
+  CHECK(scheduler.course == scheduler::Course::probing);
+  LONGS_EQUAL(42, scheduler.term.number);
+}
+
+TEST(election_candidate, that_can_not_win_gives_its_leases_back_and_counts_it) {
+  const auto atMs = runUntilItAsks(kStartMs);
+  for (std::size_t voter = 0; voter < 2; ++voter) answer(voter, true, true, atMs);
+  CHECK(scheduler.course == scheduler::Course::preparing);
+  const auto term = scheduler.term;
+  answer(0, true, false, atMs);
+  answer(1, false, false, atMs, {99, "other"});
+  const auto resigned = sent<Resign>(answer(2, false, false, atMs, {99, "other"}));
+  LONGS_EQUAL(3, resigned.size());
+  CHECK(resigned[0].term == term);
+  CHECK(scheduler.course == scheduler::Course::following);
+  LONGS_EQUAL(1, scheduler.counts.outbid);
+}
+
+TEST(election_candidate, waits_differ_from_incarnation_to_incarnation_and_grow) {
+  const auto waitAfter = [&](const char* incarnation, std::uint64_t failures) {
+    scheduler = make(incarnation);
+    scheduler.failedCampaigns = failures;
+    const auto atMs = runUntilItAsks(kStartMs);
+    answer(0, false, true, atMs, {41, "other"});
+    answer(1, false, true, atMs, {41, "other"});
+    return runUntilItAsks(atMs) - atMs;
+  };
+  const std::vector<const char*> incarnations{"i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"};
+  Millis mostAtFirst = 0, mostLater = 0;
+  std::set<Millis> waits;
+  for (const auto* incarnation : incarnations) {
+    mostAtFirst = std::max(mostAtFirst, waitAfter(incarnation, 0));
+    const auto later = waitAfter(incarnation, 2);
+    mostLater = std::max(mostLater, later);
+    waits.insert(later);
+  }
+  CHECK(waits.size() >= incarnations.size() - 1);
+  CHECK(mostLater > mostAtFirst);
+  const auto leaseMs = scheduler.client.settings.bounds.leaseMs;
+  CHECK(waitAfter("i1", 1000) <= 2 * leaseMs);
+}
+
+TEST(election_candidate, a_leader_that_one_voter_refuses_goes_on_with_the_majority) {
+  const auto atMs = lead();
+  accepts(2, false, 0, atMs + 1, {99, "other"});
+  CHECK(scheduler::leads(scheduler, {atMs + 1}));
+  accepts(1, false, 0, atMs + 2, {99, "other"});
+  CHECK(scheduler.course == scheduler::Course::following);
+  LONGS_EQUAL(1, scheduler.counts.steppedDown);
+}
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -177,6 +177,47 @@
   CHECK(breaks(checkProgress(world), property::kProgress));
 }
 
+// Eight candidates at five voters, whose promises bring a state that takes a fifth of a lease.
+TEST(model, after_a_loss_of_power_one_of_many_candidates_leads_within_two_leases_and_keeps_it) {
+  auto plan = planOf(0);
+  plan.voters = 5;
+  plan.losses = 2;
+  plan.schedulers = 8;
+  plan.stateMs = plan.bounds.leaseMs / 5;
+  auto world = settledWorld(plan);
+  for (int round = 0; round < 5; ++round) {
+    for (const auto* line : {"lose-power all", "start all higher"}) CHECK(world.apply(choiceOf(line)));
+    checkHolds({{}, checkRecovery(world)});
+    world.run(3000 + 130 * round);
+  }
+}
+
+TEST(model, when_the_leader_ends_one_of_many_candidates_leads_within_two_leases_and_keeps_it) {
+  auto plan = planOf(0);
+  plan.schedulers = 8;
+  plan.stateMs = plan.bounds.leaseMs / 5;
+  auto world = settledWorld(plan);
+  for (int round = 0; round < 5; ++round) {
+    const auto& machines = world.machines();
+    const auto leader = std::find_if(machines.begin(), machines.end(), [&](const Machine& machine) {
+      return machine.node && machine.node->scheduler && leads(*machine.node->scheduler, world.clockOf(machine));
+    });
+    CHECK(leader != machines.end());
+    CHECK(world.apply(choiceOf(("kill " + leader->name).c_str())));
+    checkHolds({{}, checkRecovery(world)});
+    world.apply(choiceOf("start all higher"));
+    world.run(3000 + 130 * round);
+  }
+}
+
+TEST(model, a_cluster_without_a_majority_does_not_recover) {
+  auto plan = planOf(0);
+  plan.losses = 3;
+  auto world = settledWorld(plan);
+  for (const auto* line : {"lose-power all", "wipe r1", "wipe r2"}) CHECK(world.apply(choiceOf(line)));
+  CHECK(breaks(checkRecovery(world), property::kRecovery));
+}
+
 TEST(model, a_failing_path_is_shortened_to_what_it_needs) {
   auto plan = planOf(0);
   plan.losses = 3;
