A replica proposes a daemon's change; a configuration that did not arrive is sent again

Cause: a daemon that was sent a change proposed it itself. Every voter sent it the register's whole value, it sent the whole value to every voter, and both again at each resend: on a link of 2 Mbit/s its heartbeats and grants waited behind that for seconds. Beside it: a configuration was withheld for a lease although it was seen to be lost or to be a delta for a version that the daemon had left, and a home replica was kept whose grants renewed no session.

Ruled out: grants that are not believed, replicas that can't grant (daemons on wide links keep their sessions there).

The test of what a small change carries counted the bytes of replicas while the proposer was a client. It now counts the proposing replica apart, and also what the asked daemon sends and the texts in all grants.

--- a/src/base/types.hpp
+++ b/src/base/types.hpp
@@ -62,6 +62,7 @@
 
 using CallId = QuestionId<struct CallTag>;
 using CatchUpId = QuestionId<struct CatchUpTag>;
+using EditId = QuestionId<struct EditTag>;
 
 struct Ballot {
   std::uint64_t number = 0;
--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -45,7 +45,7 @@
 
 bool clientHeard(ControlClient& client, const Heard& heard, Now now, Outbox& out) {
   if (const auto* grant = std::get_if<SessionGrant>(&heard.message))
-    heardGrant(client, *grant, now, out);
+    heardGrant(client, heard.from, *grant, now, out);
   else if (const auto* referral = std::get_if<Referral>(&heard.message))
     heardReferral(client, heard.from, *referral);
   else if (const auto* promise = std::get_if<RegisterPromise>(&heard.message))
@@ -54,6 +54,8 @@
     heardAccepted(client, heard.from, *accepted, now, out);
   else if (const auto* acks = std::get_if<AckState>(&heard.message))
     heardAckState(client, heard.from, *acks, now, out);
+  else if (const auto* answer = std::get_if<EditAnswer>(&heard.message))
+    heardEditAnswer(client, *answer, now, out);
   else
     return false;
   return true;
@@ -61,6 +63,7 @@
 
 void clientTick(ControlClient& client, Now now, Outbox& out) {
   sessionTick(client, now, out);
+  forwardedEditsTick(client, now, out);
   proposalsTick(client, now, out);
 }
 
--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -1,11 +1,13 @@
 #pragma once
 /// What each daemon knows of the control side, and what it asks of it: its session, the configuration and its changes.
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "base/settings.hpp"
 #include "config/config.hpp"
 #include "control/edit.hpp"
+#include "control/edit_forwarding.hpp"
 #include "control/proposal.hpp"
 #include "control/session.hpp"
 #include "transport/core.hpp"
@@ -20,9 +22,11 @@
   Address home;
   std::vector<Address> referred;
   std::uint64_t heartbeat = 0;
-  std::uint64_t grantedHeartbeat = 0;  // the newest that was answered
+  std::uint64_t grantedHeartbeat = 0;   // the newest whose grant renewed the session
+  std::uint64_t answeredHeartbeat = 0;  // the newest that was answered, with or without renewing the session
   Millis heartbeatSentMs = -1000000;
   Millis grantedMs = -1000000;
+  Millis renewedMs = -1000000;  // when a grant last renewed the session
   Millis sessionUntilMs = -1000000;
   Version configVersion = 0;
   std::string configText;
@@ -36,6 +40,9 @@
   bool ready = false;
   bool leaving = false;
   bool strange = false;
+  std::set<Address> editTakers;  // replicas whose grants say that they propose edits for others
+  std::vector<ForwardedEdit> forwardedEdits;
+  std::uint64_t editsForwarded = 0;
   std::vector<Proposal> proposals;
   std::uint64_t ballotNumber = 0;
   std::uint64_t namesGiven = 0;  // to edits that came without one
--- a/src/control/learned_config.cpp
+++ b/src/control/learned_config.cpp
@@ -30,12 +30,20 @@
     replica.waiting[replica.ticket].learned = replica.learned.version;
   }
   replica.configKnown = replica.configKnown || !(ballot < replica.image.learned);
-  if (!newer || !hasQuorumLease(replica, now)) return;
+  if (!newer) return;
+  for (auto& [id, row] : replica.sessions)
+    if (row.behindSinceMs < 0 && row.member.acked < replica.learned.version) row.behindSinceMs = now.steadyMs;
+  if (!hasQuorumLease(replica, now)) return;
   for (auto& [id, row] : replica.sessions)
     if (now.steadyMs - row.heardMs <= bounds(replica).leaseMs)
       out.send(row.member.peerAddress, makeGrant(replica, row, now));
 }
 
+void onEditAsk(ReplicaState& replica, const Heard& heard, const EditAsk& ask, Now now, Outbox& out) {
+  if (!mayGrant(replica, now)) return refuseEdit(heard, ask, out);
+  proposeForAnother(replica.client, heard, ask, now, out);
+}
+
 void onAckQuery(ReplicaState& replica, const Heard& heard, const AckQuery& ask, Now now, Outbox& out) {
   AckState state{ask.configVersion, ask.query, replica.keptVersion >= ask.configVersion, {}, {}, ask.ballot};
   for (const auto& [id, row] : replica.sessions)
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -219,7 +219,7 @@
   replica.stepYields = 0;
   if (votes && !voted) replica.leaseUntilMs = now.steadyMs + bounds(replica).leaseMs;
   persist(replica, std::move(writes), {}, out);
-  replica.client.membership = membership;
+  adoptMembership(replica.client, membership, now, out);
   replica.joined = {};
   sendReplicaHeartbeats(replica, now, out);
   replica.askedMs = -1000000;
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -117,20 +117,29 @@
   out.wakeBy(proposal.retryAtMs);
 }
 
+// Tells whoever asked, once; with an empty body, what the kind means.
+void tell(const ControlClient& client, Proposal& proposal, Kind kind, int status, std::string body, Outbox& out) {
+  if (const auto asker = std::exchange(proposal.asker, {}))
+    out.sends.push_back({asker->from, EditAnswer{asker->id, static_cast<std::int64_t>(kind), status, std::move(body)},
+                         asker->incarnation});
+  const auto requestId = std::exchange(proposal.requestId, 0);
+  if (!requestId) return;
+  if (body.empty())
+    answerKind(out, requestId, kind, client.settings.bounds);
+  else
+    out.answer(requestId, status, std::move(body), 0, kind);
+}
+
 void finish(const ControlClient& client, Proposal& proposal, Outbox& out) {
-  if (proposal.requestId && proposal.kind == Kind::unknownOutcome)
-    answerKind(out, proposal.requestId, proposal.kind, client.settings.bounds);
-  else if (proposal.requestId)
-    out.answer(proposal.requestId, proposal.status, proposal.body, 0, proposal.kind);
-  proposal.requestId = 0;
+  const bool unknown = proposal.kind == Kind::unknownOutcome;
+  tell(client, proposal, proposal.kind, proposal.status, unknown ? std::string() : proposal.body, out);
   proposal.phase = Phase::done;
 }
 
 void giveUp(const ControlClient& client, Proposal& proposal, Outbox& out) {
   const bool maybeTaken = proposal.phase != Phase::prepare || proposal.attempts > 1;
-  if (proposal.requestId)
-    answerKind(out, proposal.requestId, maybeTaken ? Kind::unknownOutcome : Kind::noMajority, client.settings.bounds);
-  proposal.requestId = 0;
+  const auto kind = maybeTaken ? Kind::unknownOutcome : Kind::noMajority;
+  tell(client, proposal, kind, rowOf(kind).status, {}, out);
   proposal.phase = Phase::done;
 }
 
@@ -309,8 +318,10 @@
 void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
   const auto& bounds = client.settings.bounds;
   if (client.membership.voters.empty()) return answerKind(out, requestId, Kind::noMajority, bounds);
-  if (client.proposals.size() >= kMostProposals) return answerKind(out, requestId, Kind::overloaded, bounds);
+  if (client.proposals.size() + client.forwardedEdits.size() >= kMostProposals)
+    return answerKind(out, requestId, Kind::overloaded, bounds);
   if (edit.name.empty()) giveName(client, edit);
+  if (forwardsEdits(client, now)) return forwardEdit(client, requestId, std::move(edit), deadlineMs, now, out);
   Proposal proposal;
   proposal.requestId = requestId;
   proposal.key = kConfigKey;
@@ -318,6 +329,16 @@
   propose(client, std::move(proposal), deadlineMs, now, out);
 }
 
+void proposeConfigFor(ControlClient& client, EditAsker asker, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
+  Proposal proposal;
+  proposal.asker = std::move(asker);
+  proposal.key = kConfigKey;
+  proposal.edit = std::move(edit);
+  if (client.proposals.size() >= kMostProposals)
+    return tell(client, proposal, Kind::overloaded, rowOf(Kind::overloaded).status, {}, out);
+  propose(client, std::move(proposal), deadlineMs, now, out);
+}
+
 void proposeFixed(ControlClient& client, std::string key, std::string value, Now now, Outbox& out) {
   Proposal proposal;
   proposal.key = std::move(key);
--- a/src/control/proposal.hpp
+++ b/src/control/proposal.hpp
@@ -18,9 +18,17 @@
 
 enum class Phase { queued, prepare, accept, learn, done };
 
+/// The daemon that a replica proposes an edit for, and the edit's id there.
+struct EditAsker {
+  Address from;
+  Incarnation incarnation;
+  EditId id;
+};
+
 /// One change on its way, from the request until its answer.
 struct Proposal {
   std::uint64_t requestId = 0;
+  std::optional<EditAsker> asker;  // that is answered in place of a request
   std::string key;
   std::optional<Edit> edit;
   std::string fixedValue;
@@ -45,10 +53,15 @@
   int attempts = 0;
 };
 
-/// Proposes a change of the configuration; the request is answered by deadlineMs from now.
+/// Proposes a change of the configuration, or hands it to the home replica to propose; the request is answered by
+/// deadlineMs from now.
 void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, transport::Now now,
                    transport::Outbox& out);
 
+/// On a replica: proposes a change of the configuration for another daemon.
+void proposeConfigFor(ControlClient& client, EditAsker asker, Edit edit, Millis deadlineMs, transport::Now now,
+                      transport::Outbox& out);
+
 /// Proposes a value for a register that is still empty; completes what is there otherwise.
 void proposeFixed(ControlClient& client, std::string key, std::string value, transport::Now now,
                   transport::Outbox& out);
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -48,6 +48,8 @@
           onRegisterAccept(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, RegisterChosen>)
           onRegisterChosen(replica, body, now, out);
+        else if constexpr (std::is_same_v<Body, EditAsk>)
+          onEditAsk(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, AckQuery>)
           onAckQuery(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, JobLogPrepare>)
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -34,6 +34,10 @@
   Millis membersSentMs = -1000000;
   Version textVersion = 0;  // the configuration last sent to it
   Millis textSentMs = -1000000;
+  Version textBase = 0;                 // the version that it was sent as a delta to; 0: whole
+  std::uint64_t textHeartbeat = 0;      // that the grant with it answered
+  std::uint64_t answeredHeartbeat = 0;  // the newest to which the daemon has received a grant
+  Millis behindSinceMs = -1;  // since when it is short of what is learned and has taken nothing newer; -1: not
 };
 
 struct Bootstrap {
--- a/src/control/replica_internal.hpp
+++ b/src/control/replica_internal.hpp
@@ -33,6 +33,9 @@
 // The grant that answers the newest heartbeat of a session.
 transport::SessionGrant makeGrant(ReplicaState& replica, SessionRow& row, transport::Now now);
 
+// Whether this replica knows the configuration in force, and so may grant sessions and propose for others.
+bool mayGrant(const ReplicaState& replica, transport::Now now);
+
 // Grants a session, or refers the daemon to the other replicas.
 void onSessionHeartbeat(ReplicaState& replica, const transport::Heard& heard,
                         const transport::SessionHeartbeat& heartbeat, transport::Now now, transport::Outbox& out);
@@ -58,6 +61,10 @@
 void learnConfig(ReplicaState& replica, const Ballot& ballot, const std::string& value, transport::Now now,
                  transport::Outbox& out);
 
+// Proposes a change of the configuration for a daemon, where a session would be granted too.
+void onEditAsk(ReplicaState& replica, const transport::Heard& heard, const transport::EditAsk& ask, transport::Now now,
+               transport::Outbox& out);
+
 // Tells a proposer whether the revision is kept here and which sessions are still short of it.
 void onAckQuery(ReplicaState& replica, const transport::Heard& heard, const transport::AckQuery& ask,
                 transport::Now now, transport::Outbox& out);
--- a/src/control/session.cpp
+++ b/src/control/session.cpp
@@ -26,12 +26,6 @@
   return membership.version == client.membership.version && membership != client.membership;
 }
 
-void adoptMembership(ControlClient& client, const Membership& membership, Now now, Outbox& out) {
-  if (client.membership == membership) return;
-  client.membership = membership;
-  proposalsMembershipChanged(client, now, out);
-}
-
 // The text that the grant brings, whole or as a delta; empty when it can't be had.
 std::string textOf(const ControlClient& client, const SessionGrant& grant) {
   if (grant.configBase == 0) return grant.configText;
@@ -89,6 +83,13 @@
   return me;
 }
 
+// Whether another replica is to be asked: the home answers no more, or its answers have not renewed the session for so
+// long that there is just time left for another to renew it.
+bool homeIsOfNoUse(const ControlClient& client, Now now) {
+  const auto leaseMs = client.settings.bounds.leaseMs;
+  return now.steadyMs - client.grantedMs > leaseMs / 2 || now.steadyMs - client.renewedMs > leaseMs * 3 / 5;
+}
+
 // Whether the grant answers a heartbeat of this process, so that its times are of this process's clock. A replica of
 // the protocol before incarnations names no grantee.
 bool answersThisProcess(const ControlClient& client, const SessionGrant& grant) {
@@ -129,26 +130,33 @@
   client.fleetAtMs = now.steadyMs;
 }
 
+void adoptMembership(ControlClient& client, const Membership& membership, Now now, Outbox& out) {
+  if (client.membership == membership) return;
+  client.membership = membership;
+  proposalsMembershipChanged(client, now, out);
+}
+
 void heartbeatNow(ControlClient& client, Now now, Outbox& out) {
   const auto replicas = replicaAddresses(client);
   if (replicas.empty()) return;
   pickHome(client, replicas);
   client.heartbeatSentMs = now.steadyMs;
   out.send(client.home, SessionHeartbeat{describe(client), ++client.heartbeat, now.steadyMs, client.membership.version,
-                                         client.membersDigest});
+                                         client.membersDigest, client.answeredHeartbeat});
 }
 
 void sessionTick(ControlClient& client, Now now, Outbox& out) {
   const auto& bounds = client.settings.bounds;
   if (!holdsSession(client) || now.steadyMs - client.heartbeatSentMs < bounds.heartbeatMs()) return;
-  if (!isReplica(client) && now.steadyMs - client.grantedMs > bounds.leaseMs / 2) {
+  if (!isReplica(client) && homeIsOfNoUse(client, now)) {
     nextHome(client);
     client.grantedMs = now.steadyMs - bounds.leaseMs / 4;
+    client.renewedMs = now.steadyMs;
   }
   heartbeatNow(client, now, out);
 }
 
-void heardGrant(ControlClient& client, const SessionGrant& grant, Now now, Outbox& out) {
+void heardGrant(ControlClient& client, const Address& from, const SessionGrant& grant, Now now, Outbox& out) {
   if (!answersThisProcess(client, grant) || !inTime(grant, now)) return;
   if (ofAnotherFleet(client, grant.membership)) {
     if (!std::exchange(client.strange, true))
@@ -157,7 +165,13 @@
   }
   client.strange = false;
   client.grantedMs = now.steadyMs;
+  client.answeredHeartbeat = std::max(client.answeredHeartbeat, grant.heartbeat);
+  if (grant.takesEdits)
+    client.editTakers.insert(from);
+  else
+    client.editTakers.erase(from);
   if (!takeConfig(client, grant, now, out)) return;
+  client.renewedMs = now.steadyMs;
   client.sessionUntilMs = std::max(client.sessionUntilMs, grant.sentMs + grant.leaseMs);
   const bool newest = grant.heartbeat >= client.grantedHeartbeat;
   client.grantedHeartbeat = std::max(client.grantedHeartbeat, grant.heartbeat);
--- a/src/control/session.hpp
+++ b/src/control/session.hpp
@@ -15,9 +15,13 @@
 void raiseFleet(ControlClient& client, Millis fleetMs, transport::Now now);
 void setFleet(ControlClient& client, Millis fleetMs, transport::Now now);
 
+/// Takes the membership, and starts the changes that are under way anew at its voters.
+void adoptMembership(ControlClient& client, const transport::Membership& membership, transport::Now now,
+                     transport::Outbox& out);
+
 void heartbeatNow(ControlClient& client, transport::Now now, transport::Outbox& out);
 void sessionTick(ControlClient& client, transport::Now now, transport::Outbox& out);
-void heardGrant(ControlClient& client, const transport::SessionGrant& grant, transport::Now now,
+void heardGrant(ControlClient& client, const Address& from, const transport::SessionGrant& grant, transport::Now now,
                 transport::Outbox& out);
 void heardReferral(ControlClient& client, const Address& from, const transport::Referral& referral);
 
--- a/src/control/sessions.cpp
+++ b/src/control/sessions.cpp
@@ -29,6 +29,15 @@
   return list;
 }
 
+// Whether the configuration that was last sent is the newest, and may still arrive and be of use. It is neither when
+// the daemon has since received a later grant, or has taken another version than the one that the delta is for.
+bool textUnderWay(const ReplicaState& replica, const SessionRow& row, Now now) {
+  if (row.textVersion != replica.learned.version) return false;
+  if (now.steadyMs - row.textSentMs >= bounds(replica).leaseMs) return false;
+  if (row.textBase != 0 && row.textBase != row.member.acked) return false;
+  return row.answeredHeartbeat <= row.textHeartbeat;
+}
+
 // Puts the configuration into a grant: the delta from a text that the daemon has, or the whole text.
 void putConfig(ReplicaState& replica, SessionRow& row, SessionGrant& grant) {
   for (const auto& [version, text] : replica.olderTexts) {
@@ -43,6 +52,14 @@
   grant.configText = replica.learned.text;
 }
 
+// Keeps since when the daemon has been short of the configuration and taken nothing newer.
+void noteProgress(const ReplicaState& replica, SessionRow& row, Version acked, Now now) {
+  if (acked >= replica.learned.version)
+    row.behindSinceMs = -1;
+  else if (row.behindSinceMs < 0 || acked > row.member.acked)
+    row.behindSinceMs = now.steadyMs;
+}
+
 // Tells a daemon that is not granted a session which replicas to ask instead.
 void refer(const ReplicaState& replica, const Address& to, Outbox& out) {
   Referral referral;
@@ -77,12 +94,14 @@
   grant.grantee = row.incarnation;
   grant.leaseMs = leaseMs;
   grant.configVersion = replica.learned.version;
-  // A daemon takes no session from a grant of a revision that it lacks, so what was just sent need not come again.
-  const bool sent = row.textVersion == replica.learned.version && now.steadyMs - row.textSentMs < leaseMs;
-  if (row.member.acked < replica.learned.version && !sent) {
+  grant.takesEdits = true;
+  // A daemon takes no session from a grant of a revision that it lacks, so what is on its way need not come again.
+  if (row.member.acked < replica.learned.version && !textUnderWay(replica, row, now)) {
     putConfig(replica, row, grant);
     row.textVersion = replica.learned.version;
     row.textSentMs = now.steadyMs;
+    row.textBase = grant.configBase;
+    row.textHeartbeat = row.heartbeat;
   }
   if (now.steadyMs < replica.hintUntilMs) grant.leader = replica.leader;
   grant.membership = replica.image.membership;
@@ -100,10 +119,14 @@
   return grant;
 }
 
+bool mayGrant(const ReplicaState& replica, Now now) {
+  return hasQuorumLease(replica, now) && replica.configKnown && mayVote(replica) && !replica.fenced;
+}
+
 void onSessionHeartbeat(ReplicaState& replica, const Heard& heard, const SessionHeartbeat& heartbeat, Now now,
                         Outbox& out) {
   endLeaseOfEarlierLife(replica, heartbeat.me.id, now);
-  if (!hasQuorumLease(replica, now) || !replica.configKnown || !mayVote(replica) || replica.fenced) {
+  if (!mayGrant(replica, now)) {
     if (replica.image.empty() && heartbeat.me.role != Role::replica && heartbeat.membership > 0) {
       replica.remembered = std::max(replica.remembered, heartbeat.membership);
       replica.rememberedMs = now.steadyMs;
@@ -117,8 +140,10 @@
   auto& row = found->second;
   const bool sameProcess = !fresh && row.incarnation == heard.incarnation;
   if (sameProcess && heartbeat.heartbeat < row.heartbeat) return;
-  if (heartbeat.me.acked < row.member.acked) row.textSentMs = -1000000;
+  if (!sameProcess || heartbeat.me.acked < row.member.acked) row.textSentMs = -1000000;
+  noteProgress(replica, row, heartbeat.me.acked, now);
   row.member = heartbeat.me;
+  row.answeredHeartbeat = heartbeat.answeredHeartbeat;
   row.heardMs = now.steadyMs;
   row.incarnation = heard.incarnation;
   row.heartbeat = heartbeat.heartbeat;
--- a/src/simulator/place.cpp
+++ b/src/simulator/place.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 25> kMessages{
-    "SessionBeat",     "SessionGrant",     "RegisterPrepare", "RegisterPromise",
-    "RegisterAccept",  "RegisterAccepted", "RegisterChosen",  "AckQuery",
-    "AckState",        "RangePrepare",     "RangePromise",    "RangeAccept",
-    "RangeAccepted",   "Resign",           "ReplicaBeat",     "Form",
-    "CatchUpAsk",      "CatchUpGive",      "AgentReport",     "Orders",
-    "CallAsk",         "CallAnswer",       "Referral",        "IncarnationProbe",
-    "IncarnationProof"};
+constexpr std::array<std::string_view, 27> kMessages{
+    "SessionBeat",      "SessionGrant",     "RegisterPrepare", "RegisterPromise",
+    "RegisterAccept",   "RegisterAccepted", "RegisterChosen",  "AckQuery",
+    "AckState",         "RangePrepare",     "RangePromise",    "RangeAccept",
+    "RangeAccepted",    "Resign",           "ReplicaBeat",     "Form",
+    "CatchUpAsk",       "CatchUpGive",      "AgentReport",     "Orders",
+    "CallAsk",          "CallAnswer",       "Referral",        "IncarnationProbe",
+    "IncarnationProof", "EditAsk",          "EditAnswer"};
 static_assert(kMessages.size() == std::variant_size_v<transport::Message>);
 constexpr std::array<std::string_view, 3> kSides{"before", "unsent", "sent"};
 constexpr std::array<std::string_view, 5> kBlows{"crash", "power", "disk", "freeze", "cut"};
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::uint32_t kIncarnationProtocolVersion = 3;  // the first with probes and proofs
+constexpr std::uint32_t kEditProtocolVersion = 4;         // the first with edits that replicas propose
 constexpr std::uint32_t kFewestFrameParts = 6;            // without incarnations, of version 2
 constexpr std::uint32_t kFrameParts = 8;
 
@@ -21,6 +22,8 @@
 std::uint32_t protocolVersionOf(const Message& message) {
   const bool identity =
       std::holds_alternative<IncarnationProbe>(message) || std::holds_alternative<IncarnationProof>(message);
+  const bool edit = std::holds_alternative<EditAsk>(message) || std::holds_alternative<EditAnswer>(message);
+  if (edit) return kEditProtocolVersion;
   return identity ? kIncarnationProtocolVersion : kOldestProtocolVersion;
 }
 
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -10,7 +11,7 @@
 namespace tulip::transport {
 
 inline constexpr std::uint32_t kOldestProtocolVersion = 2;
-inline constexpr std::uint32_t kProtocolVersion = 3;
+inline constexpr std::uint32_t kProtocolVersion = 4;
 
 struct Member {
   DaemonId id;
@@ -69,8 +70,9 @@
   std::uint64_t heartbeat = 0;
   Millis sentMs = 0;
   Version membership = 0;
-  std::uint64_t membersDigest = 0;  // of the list that the sender has; 0: none
-  MSGPACK_DEFINE(me, heartbeat, sentMs, membership, membersDigest)
+  std::uint64_t membersDigest = 0;      // of the list that the sender has; 0: none
+  std::uint64_t answeredHeartbeat = 0;  // the newest of this process to which a grant was received; 0: none is known
+  MSGPACK_DEFINE(me, heartbeat, sentMs, membership, membersDigest, answeredHeartbeat)
 };
 
 struct SessionGrant {
@@ -86,8 +88,9 @@
   std::uint64_t membersDigest = 0;  // without ages; 0: nothing said of members
   Version configBase = 0;           // above 0: chartText is a delta to the text of this revision
   Incarnation grantee{};            // whose heartbeat is answered: sentMs is of its clock
+  bool takesEdits = false;          // the sender answers EditAsk
   MSGPACK_DEFINE(heartbeat, sentMs, leaseMs, configVersion, configText, leader, membership, members, fleetMs,
-                 membersDigest, configBase, grantee)
+                 membersDigest, configBase, grantee, takesEdits)
 };
 
 struct RegisterPrepare {
@@ -354,11 +357,39 @@
   MSGPACK_DEFINE(number)
 };
 
+// Asks a replica to propose a change of the configuration for the sender. The whole value of the register, which the
+// rounds carry to and from every voter, then never passes the sender's link. Sent only to a replica whose grants say
+// that it takes edits.
+struct EditAsk {
+  EditId id;
+  Millis deadlineMs = 0;  // from when it was sent
+  bool whole = false;
+  std::string body;
+  std::optional<Version> expected;
+  std::string name;
+  bool sections = false;
+  Version operatorVersion = 0;
+  std::optional<Version> basedOn;
+  std::string zone;  // of an order to empty a zone or to take it back; empty: it is none
+  bool zoneEmptied = false;
+  Version zoneMadeOn = 0;
+  MSGPACK_DEFINE(id, deadlineMs, whole, body, expected, name, sections, operatorVersion, basedOn, zone, zoneEmptied,
+                 zoneMadeOn)
+};
+
+struct EditAnswer {
+  EditId id;  // of the edit that is answered
+  std::int64_t kind = 0;
+  std::int64_t status = 0;
+  std::string body;  // empty: the asker words the answer
+  MSGPACK_DEFINE(id, kind, status, body)
+};
+
 using Message =
     std::variant<SessionHeartbeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted,
                  RegisterChosen, AckQuery, AckState, JobLogPrepare, JobLogPromise, JobLogAccept, JobLogAccepted, Resign,
                  ReplicaHeartbeat, BootstrapProposal, CatchUpAsk, CatchUpGive, AgentReport, Orders, CallAsk, CallAnswer,
-                 Referral, IncarnationProbe, IncarnationProof>;
+                 Referral, IncarnationProbe, IncarnationProof, EditAsk, EditAnswer>;
 
 struct Frame {
   std::uint32_t version = kProtocolVersion;
--- a/tests/confirm_test.cpp
+++ b/tests/confirm_test.cpp
@@ -261,23 +261,33 @@
   fixture.run(3000);
   const auto size = fixture.clientAt(31).configText.size();
   CHECK(size > 80000);
-  const auto sent = [&] {
+  const auto proposer = fixture.clientAt(21).home;
+  const auto sent = [&](bool byProposer) {
     std::size_t bytes = 0;
-    for (int number : {1, 2, 3}) bytes += fixture.at(number).bytes;
+    for (int number : {1, 2, 3})
+      if ((Fixture::addressOf(number) == proposer) == byProposer) bytes += fixture.at(number).bytes;
     return bytes;
   };
+  std::size_t texts = 0;
+  fixture.loses = [&](const Address&, const Address&, const transport::Message& message) {
+    if (const auto* grant = std::get_if<transport::SessionGrant>(&message)) texts += grant->configText.size();
+    return false;
+  };
   fixture.weigh = true;
-  const auto before = sent();
+  const auto byProposer = sent(true), byOthers = sent(false);
   auto patch = edit(R"({"pendings":{"line-77":{"rank":4}},"edition":2})");
   patch.whole = false;
   fixture.propose(21, patch);
   CHECK(fixture.runUntil(4000, [&] { return answered(21, 2); }) >= 0);
-  const auto took = sent() - before;
   for (int number = 31; number < 42; ++number) {
     LONGS_EQUAL(2, versionAt(number));
     STRCMP_EQUAL(fixture.clientAt(21).configText.c_str(), fixture.clientAt(number).configText.c_str());
   }
-  CHECK(took < size);
+  // The replica that proposes sends the value to each of the three voters; nobody is sent it otherwise.
+  CHECK(sent(true) - byProposer < 4 * size);
+  CHECK(sent(false) - byOthers < size);
+  CHECK(texts < size / 10);
+  CHECK(fixture.at(21).bytes < size / 10);
 }
 
 TEST(confirm, messages_at_rest_carry_only_what_changed) {
@@ -292,3 +302,130 @@
   CHECK(perSecond < 20000);
   CHECK(fixture.clientAt(31).members.size() == 20);
 }
+
+namespace {
+
+constexpr double kNarrowBytesPerMs = 250;  // 2 Mbit/s
+
+}  // namespace
+
+// A daemon on a narrow link took the register's whole value from every voter, and sent it to every voter, again at each
+// try: its heartbeats and its grants waited behind that for seconds.
+TEST(confirm, a_daemon_on_a_narrow_link_keeps_its_session_while_it_changes_a_large_configuration) {
+  fixture.delayMs = 3;
+  fixture.syncMs = 2;
+  fixture.propose(22, edit(manyLines(200)));
+  CHECK(fixture.runUntil(4000, [&] { return answered(22); }) >= 0);
+  fixture.run(3000);
+  fixture.linkBytesPerMs[21] = kNarrowBytesPerMs;
+  fixture.propose(21, edit(manyLines(200)));
+  const auto tookMs = fixture.runUntil(4000, [&] {
+    CHECK(control::sessionLive(fixture.clientAt(21), {fixture.nowMs}));
+    return answered(21);
+  });
+  CHECK(tookMs >= 0 && tookMs <= fixture.bounds.leaseMs);
+  LONGS_EQUAL(200, answer(21).status);
+  for (int number : {22, 31}) LONGS_EQUAL(2, versionAt(number));
+}
+
+namespace {
+
+bool bringsConfig(const transport::Message& message) {
+  const auto* grant = std::get_if<transport::SessionGrant>(&message);
+  return grant && !grant->configText.empty();
+}
+
+}  // namespace
+
+// What was just sent was not sent again for a whole lease, also where it could be seen to be lost.
+TEST(confirm, a_lost_configuration_is_sent_again_before_the_session_lapses) {
+  fixture.propose(21, edit("{}"));
+  CHECK(fixture.runUntil(4000, [&] { return answered(21); }) >= 0);
+  fixture.run(2000);
+  bool lost = false;
+  fixture.loses = [&](const Address&, const Address& to, const transport::Message& message) {
+    return to == Fixture::addressOf(31) && bringsConfig(message) && !std::exchange(lost, true);
+  };
+  fixture.propose(22, edit("{}"));
+  const auto tookMs = fixture.runUntil(4000, [&] {
+    CHECK(control::sessionLive(fixture.clientAt(31), {fixture.nowMs}));
+    return answered(22);
+  });
+  CHECK(lost);
+  CHECK(tookMs >= 0 && tookMs <= 3 * fixture.bounds.heartbeatMs());
+  LONGS_EQUAL(2, versionAt(31));
+}
+
+// A delta was made for the version that a distant daemon had said it had, while a newer one was on its way to it: it
+// could not use the delta, and was sent no other for a whole lease.
+TEST(confirm, changes_that_follow_each_other_faster_than_a_daemon_answers_end_no_session) {
+  fixture.propose(21, edit(manyLines(20)));
+  CHECK(fixture.runUntil(4000, [&] { return answered(21); }) >= 0);
+  fixture.run(2000);
+  fixture.farMs[31] = 150;
+  fixture.run(2000);
+  const auto patched = [](int rank) {
+    auto made = edit(R"({"pendings":{"line-7":{"rank":)" + std::to_string(rank) + "}}}");
+    made.whole = false;
+    return made;
+  };
+  for (int number : {22, 23, 24}) {
+    fixture.propose(number, patched(number));
+    fixture.run(60);
+  }
+  const auto tookMs = fixture.runUntil(4000, [&] {
+    CHECK(control::sessionLive(fixture.clientAt(31), {fixture.nowMs}));
+    return answered(22) && answered(23) && answered(24);
+  });
+  CHECK(tookMs >= 0 && tookMs <= fixture.bounds.leaseMs);
+  LONGS_EQUAL(4, versionAt(31));
+}
+
+TEST(confirm, a_replica_that_grants_without_giving_the_configuration_is_left_for_another) {
+  fixture.propose(21, edit("{}"));
+  CHECK(fixture.runUntil(4000, [&] { return answered(21); }) >= 0);
+  fixture.run(2000);
+  const auto bad = fixture.clientAt(31).home;
+  fixture.loses = [&](const Address& from, const Address& to, const transport::Message& message) {
+    return from == bad && to == Fixture::addressOf(31) && bringsConfig(message);
+  };
+  fixture.propose(22, edit("{}"));
+  const auto tookMs = fixture.runUntil(4000, [&] {
+    CHECK(control::sessionLive(fixture.clientAt(31), {fixture.nowMs}));
+    return answered(22);
+  });
+  CHECK(tookMs >= 0 && tookMs <= fixture.bounds.lapseMs());
+  LONGS_EQUAL(2, versionAt(31));
+  CHECK(fixture.clientAt(31).home != bad);
+}
+
+TEST(confirm, an_edit_is_handed_to_another_replica_when_its_home_dies_and_is_made_once) {
+  fixture.delayMs = 3;
+  fixture.syncMs = 20;
+  fixture.run(2000);
+  int home = 0;
+  for (int number : {1, 2, 3})
+    if (fixture.clientAt(21).home == Fixture::addressOf(number)) home = number;
+  fixture.propose(21, edit("{}"));
+  LONGS_EQUAL(0, fixture.clientAt(21).proposals.size());
+  LONGS_EQUAL(1, fixture.clientAt(21).forwardedEdits.size());
+  fixture.run(60);
+  fixture.stop(home);
+  const auto tookMs = fixture.runUntil(4000, [&] { return answered(21); });
+  CHECK(tookMs >= 0 && tookMs <= fixture.bounds.lapseMs() + 2 * fixture.bounds.leaseMs);
+  LONGS_EQUAL(200, answer(21).status);
+  STRCMP_EQUAL("{\"revision\":1}", answer(21).body.c_str());
+  fixture.run(1000);
+  LONGS_EQUAL(1, versionAt(31));
+}
+
+TEST(confirm, an_edit_that_no_replica_took_is_answered_by_its_deadline) {
+  fixture.run(1000);
+  for (int number : {1, 2, 3}) fixture.stop(number);
+  fixture.propose(21, edit("{}"), 1, 2000);
+  LONGS_EQUAL(1, fixture.clientAt(21).forwardedEdits.size());
+  const auto tookMs = fixture.runUntil(4000, [&] { return answered(21); });
+  CHECK(tookMs >= 0 && tookMs <= 2000 + fixture.tickMs);
+  CHECK(answer(21).kind == Kind::unknownOutcome);
+  CHECK(fixture.clientAt(21).forwardedEdits.empty());
+}
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -32,6 +32,9 @@
   std::vector<Address> seeds;
   Millis delayMs = 1, spreadMs = 0, syncMs = 1, tickMs = 10;
   bool weigh = false;
+  std::map<int, Millis> farMs;  // how much longer messages to and from a machine take
+  std::function<bool(const Address& from, const Address& to, const transport::Message&)> loses;  // where set
+  std::map<int, double> linkBytesPerMs;  // of a machine's own link, each way; any other link is as wide as it needs
   Millis nowMs = 100000;
 
   Fixture() {
@@ -236,12 +239,14 @@
                             .size();
       auto found = workers_.find(send.to);
       if (found == workers_.end()) continue;
+      if (loses && loses(worker.settings.peerAddress, send.to, send.message)) continue;
       const auto lateMs = send.to == worker.settings.peerAddress
                               ? 0
-                              : delayMs + static_cast<Millis>(random_() % static_cast<std::uint64_t>(spreadMs + 1));
+                              : delayMs + farBetween(worker.settings.peerAddress, send.to) +
+                                    static_cast<Millis>(random_() % static_cast<std::uint64_t>(spreadMs + 1));
       // Lines keep their order.
       auto& line = lines_[{worker.settings.peerAddress, send.to}];
-      line = std::max(line, nowMs + lateMs);
+      line = std::max(line, passLinks(worker, send, id, process) + lateMs);
       due_.push(
           {line, ++serial_,
            [this, from = worker.settings.peerAddress, &to = *found->second,
@@ -251,6 +256,33 @@
     }
   }
 
+  Millis farBetween(const Address& one, const Address& other) const {
+    Millis spanMs = 0;
+    for (const auto& [number, farMs] : farMs)
+      if (addressOf(number) == one || addressOf(number) == other) spanMs += farMs;
+    return spanMs;
+  }
+
+  // When the message has passed the links of both machines, behind what went over them before.
+  Millis passLinks(const Berthed& from, const transport::Send& send, const DaemonId& id, Incarnation process) {
+    if (linkBytesPerMs.empty() || send.to == from.settings.peerAddress) return nowMs;
+    std::optional<double> size;
+    auto passedMs = static_cast<double>(nowMs);
+    const Address ends[] = {from.settings.peerAddress, send.to};
+    for (const int way : {0, 1})
+      for (const auto& [number, bytesPerMs] : linkBytesPerMs) {
+        if (addressOf(number) != ends[way]) continue;
+        const transport::Frame frame{
+            transport::protocolVersionOf(send.message), id, ends[0], ends[1], send.message, process, process};
+        if (!size) size = static_cast<double>(transport::encode(frame).size());
+        auto& freeMs = linkFreeMs_[{number, way}];
+        passedMs = freeMs = std::max(passedMs, freeMs) + *size / bytesPerMs;
+      }
+    return static_cast<Millis>(passedMs);
+  }
+
+  std::map<std::pair<int, int>, double>
+      linkFreeMs_;  // when what a machine sent (0) or received (1) has passed its link
   std::map<Address, std::unique_ptr<Berthed>> workers_;
   std::map<std::pair<Address, Address>, Millis> lines_;
   std::set<std::pair<Address, Address>> cuts_;
--- a/tests/query_test.cpp
+++ b/tests/query_test.cpp
@@ -107,11 +107,13 @@
   CHECK(std::get<transport::Resign>(old.message).term == (Ballot{7, "p"}));
 }
 
-TEST(codec, only_messages_that_version_2_lacks_are_sent_as_version_3) {
+TEST(codec, each_message_is_sent_as_the_first_version_that_has_it) {
   LONGS_EQUAL(2, transport::protocolVersionOf(transport::Resign{}));
   LONGS_EQUAL(2, transport::protocolVersionOf(transport::ReplicaHeartbeat{}));
   LONGS_EQUAL(3, transport::protocolVersionOf(transport::IncarnationProbe{}));
   LONGS_EQUAL(3, transport::protocolVersionOf(transport::IncarnationProof{}));
+  LONGS_EQUAL(4, transport::protocolVersionOf(transport::EditAsk{}));
+  LONGS_EQUAL(4, transport::protocolVersionOf(transport::EditAnswer{}));
 }
 
 TEST(codec, a_call_of_version_2_keeps_its_number_and_names_no_incarnation) {
