Alarm session-behind: whom the acknowledgement of a change waits for, and what it was sent

At the replica that grants the session, after a lease: the version that the daemon has, when it was heard, when and how it was last sent the newest. sessionsBehind in a replica's counters lists the same at once.

--- a/src/control/alarms.cpp
+++ b/src/control/alarms.cpp
@@ -55,6 +55,30 @@
           disk ? "its disk takes no writes" : "it has not caught up"};
 }
 
+std::string sinceText(Millis sinceMs, Now now) { return std::to_string(now.steadyMs - sinceMs) + " ms ago"; }
+
+bool wasSentNewest(const ReplicaState& replica, const SessionRow& row) {
+  return row.textVersion == replica.learned.version;
+}
+
+std::string behindText(const ReplicaState& replica, const SessionRow& row, Now now) {
+  std::string text = "has version " + std::to_string(row.member.acked) + " of " +
+                     std::to_string(replica.learned.version) + ", heard " + sinceText(row.heardMs, now);
+  if (!wasSentNewest(replica, row)) return text + ", not sent it yet";
+  const auto how = row.textBase == 0 ? std::string("whole") : "as a delta to " + std::to_string(row.textBase);
+  return text + ", sent it " + how + " " + sinceText(row.textSentMs, now);
+}
+
+/// The acknowledgement of a change waits for these.
+std::vector<const SessionRow*> sessionsBehind(const ReplicaState& replica, Now now) {
+  const auto& bounds = replica.client.settings.bounds;
+  std::vector<const SessionRow*> behind;
+  for (const auto& [id, row] : replica.sessions)
+    if (row.behindSinceMs >= 0 && now.steadyMs - row.heardMs <= bounds.leaseMs + bounds.heartbeatMs())
+      behind.push_back(&row);
+  return behind;
+}
+
 bool knowsLeader(const ReplicaState& replica, Now now) {
   return now.steadyMs < replica.hintUntilMs || now.steadyMs < replica.leaseUntilMs;
 }
@@ -86,11 +110,16 @@
       return "voter-not-voting";
     case AlarmKind::fewerLosses:
       return "fewer-losses-bearable";
+    case AlarmKind::sessionBehind:
+      return "session-behind";
   }
   return "?";
 }
 
 Millis alarmHoldOffMs(AlarmKind kind, const Bounds& bounds) {
+  // A daemon that answers takes a change within a heartbeat or two, and one that fell silent is waited for no longer
+  // than its session lasts.
+  if (kind == AlarmKind::sessionBehind) return bounds.leaseMs;
   // A leader that died is followed within about two leases: its own must lapse, and the next one must be chosen.
   return (kind == AlarmKind::noLeader ? kHoldOffLeases + 1 : kHoldOffLeases) * bounds.leaseMs;
 }
@@ -118,6 +147,9 @@
     conditions.push_back({{AlarmKind::noMajority, {}}, Condition::kSinceNow, seen});
     return conditions;
   }
+  for (const auto* row : sessionsBehind(replica, now))
+    conditions.push_back(
+        {{AlarmKind::sessionBehind, row->member.id.value}, row->behindSinceMs, behindText(replica, *row, now)});
   if (!knowsLeader(replica, now))
     conditions.push_back({{AlarmKind::noLeader, {}}, Condition::kSinceNow, "no scheduler holds the lease"});
   const auto bearable = static_cast<std::int64_t>(voting) - static_cast<std::int64_t>(needed);
@@ -164,6 +196,24 @@
   }
 }
 
+json_t* sessionsBehindView(const ReplicaState& replica, Now now) {
+  json_t* list = json_array();
+  for (const auto* row : sessionsBehind(replica, now)) {
+    json_t* item = json_object();
+    json_object_set_new(item, "daemon", jsonText(row->member.id.view()));
+    json_object_set_new(item, "revision", json_integer(static_cast<json_int_t>(row->member.acked)));
+    json_object_set_new(item, "wanted", json_integer(static_cast<json_int_t>(replica.learned.version)));
+    json_object_set_new(item, "forMs", json_integer(now.steadyMs - row->behindSinceMs));
+    json_object_set_new(item, "heardMs", json_integer(now.steadyMs - row->heardMs));
+    if (wasSentNewest(replica, *row)) {
+      json_object_set_new(item, "sentMs", json_integer(now.steadyMs - row->textSentMs));
+      json_object_set_new(item, "base", json_integer(static_cast<json_int_t>(row->textBase)));
+    }
+    json_array_append_new(list, item);
+  }
+  return list;
+}
+
 json_t* alarmsView(const AlarmState& alarms, Now now) {
   json_t* list = json_array();
   for (const auto& [key, alarm] : alarms.active) {
--- a/src/control/alarms.hpp
+++ b/src/control/alarms.hpp
@@ -17,12 +17,20 @@
 
 namespace tulip::control {
 
-enum class AlarmKind : std::uint8_t { noMajority, noLeader, noSession, voterSilent, voterNotVoting, fewerLosses };
+enum class AlarmKind : std::uint8_t {
+  noMajority,
+  noLeader,
+  noSession,
+  voterSilent,
+  voterNotVoting,
+  fewerLosses,
+  sessionBehind
+};
 
 /// How an alarm is named in the log, in the counters and in the operators' page.
 std::string_view alarmName(AlarmKind kind);
 
-/// One alarm: its kind, and the voter that it is about (empty where it is about the whole).
+/// One alarm: its kind, and the voter or daemon that it is about (empty where it is about the whole).
 struct AlarmKey {
   AlarmKind kind = AlarmKind::noMajority;
   std::string subject;
@@ -56,7 +64,8 @@
 /// process takes, as a multiple of the lease.
 Millis alarmHoldOffMs(AlarmKind kind, const Bounds& bounds);
 
-/// What a replica knows: its majority, the leader, each other voter, and how many losses can be borne.
+/// What a replica knows: its majority, the leader, each other voter, how many losses can be borne, and each daemon with
+/// a session here that is short of the configuration, for which its acknowledgement waits.
 std::vector<Condition> replicaConditions(const ReplicaState& replica, transport::Now now);
 
 /// What any other daemon knows: its session with the replicas and, where it has one, the leader.
@@ -66,6 +75,11 @@
 void updateAlarms(AlarmState& alarms, const std::vector<Condition>& conditions, const Bounds& bounds,
                   transport::Now now, std::vector<std::string>& lines);
 
+/// The daemons that the acknowledgement of the newest configuration waits for here, as a JSON array of `daemon`,
+/// `revision`, `wanted`, `forMs`, `heardMs` ago and, where it was sent, `sentMs` ago and the revision it was sent as a
+/// delta to, `base`.
+json_t* sessionsBehindView(const ReplicaState& replica, transport::Now now);
+
 /// The raised alarms as a JSON array of `alarm`, `subject`, `forMs` and `detail`.
 json_t* alarmsView(const AlarmState& alarms, transport::Now now);
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -78,6 +78,7 @@
     json_object_set_new(item, "rangeDenied", json_integer(static_cast<json_int_t>(replica.jobLogRejected)));
     json_object_set_new(item, "grants", json_integer(static_cast<json_int_t>(replica.grants)));
     json_object_set_new(item, "grantsDenied", json_integer(static_cast<json_int_t>(replica.grantsRejected)));
+    json_object_set_new(item, "sessionsBehind", control::sessionsBehindView(replica, now));
     json_object_set_new(item, "catchUps", json_integer(static_cast<json_int_t>(replica.catchUps)));
     json_object_set_new(item, "cohortRevision",
                         json_integer(static_cast<json_int_t>(replica.image.membership.version)));
--- a/tests/confirm_test.cpp
+++ b/tests/confirm_test.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include "control/alarms.hpp"
 #include "fixtures.hpp"
 
 using namespace tulip;
@@ -399,6 +400,41 @@
   CHECK(fixture.clientAt(31).home != bad);
 }
 
+TEST(confirm, whom_an_acknowledgement_waits_for_stands_in_an_alarm_with_what_it_was_last_sent) {
+  fixture.propose(21, edit("{}"));
+  CHECK(fixture.runUntil(4000, [&] { return answered(21); }) >= 0);
+  fixture.run(2000);
+  auto* home = &fixture.replicaAt(1);
+  for (int number : {2, 3})
+    if (fixture.clientAt(31).home == Fixture::addressOf(number)) home = &fixture.replicaAt(number);
+  fixture.loses = [&](const Address&, const Address& to, const transport::Message& message) {
+    return to == Fixture::addressOf(31) && bringsConfig(message);
+  };
+  const auto behind = [&] {
+    std::vector<control::Condition> found;
+    for (auto& condition : control::replicaConditions(*home, {fixture.nowMs}))
+      if (condition.key.kind == control::AlarmKind::sessionBehind) found.push_back(std::move(condition));
+    return found;
+  };
+  CHECK(behind().empty());
+  fixture.propose(22, edit("{}"));
+  fixture.run(fixture.bounds.leaseMs / 2);
+  const auto conditions = behind();
+  LONGS_EQUAL(1, conditions.size());
+  STRCMP_EQUAL(fixture.clientAt(31).id.value.c_str(), conditions.front().key.subject.c_str());
+  CHECK(conditions.front().sinceMs > fixture.nowMs - fixture.bounds.leaseMs / 2);
+  STRCMP_CONTAINS("has version 1 of 2, heard ", conditions.front().detail.c_str());
+  STRCMP_CONTAINS(", sent it ", conditions.front().detail.c_str());
+  Json view(control::sessionsBehindView(*home, {fixture.nowMs}));
+  LONGS_EQUAL(1, json_array_size(view.get()));
+  STRCMP_EQUAL(fixture.clientAt(31).id.value.c_str(),
+               json_string_value(json_object_get(json_array_get(view.get(), 0), "daemon")));
+  fixture.loses = {};
+  CHECK(fixture.runUntil(4000, [&] { return answered(22); }) >= 0);
+  fixture.run(fixture.bounds.leaseMs);
+  CHECK(behind().empty());
+}
+
 TEST(confirm, an_edit_is_handed_to_another_replica_when_its_home_dies_and_is_made_once) {
   fixture.delayMs = 3;
   fixture.syncMs = 20;
