An agent's new life ends what it is told to stop at a worker that it never hears

Cause: an agent that restarted beside a worker that is gone for good took up a stop as `stopping`, and only ended what was `ordered` when a worker stays silent that it never heard. It listed the run in each report, so the leader, which ends the runs of silent agents, asked for the stop again and again. A gang with such a member never started again. Each state of a run had its own rule for silence, and one state had none.

Conclusion: the rule must not depend on what this life of an agent has heard.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -208,6 +208,58 @@
   out.send(agent.client.leader.peerAddress, std::move(report));
 }
 
+/// Ends what was ordered and not handed over, now that nothing may start here.
+void endDrainedStarts(AgentState& agent) {
+  if (!agent.heard || !drained(agent)) return;
+  for (auto& [id, run] : agent.runs) {
+    if (run.state != AttemptState::ordered || run.handedReport > 0) continue;
+    ++agent.counts.rejectedStarts;
+    end(agent, run, AttemptOutcome::lost, "denied: draining");
+  }
+}
+
+/// How workers of a pool behave when nobody renews their lease.
+struct SilencePolicy {
+  bool selfStop = false;  // they stop everything by themselves
+  std::int64_t lostAfterLeases = 1;
+};
+
+/// The policy of this worker's pool. Until the worker is heard its pool isn't known, so the most careful of all holds.
+SilencePolicy silencePolicy(const AgentState& agent) {
+  const auto& pools = agent.client.config->pools;
+  if (agent.heard) {
+    const auto pool = pools.find(agent.pool.value);
+    return pool == pools.end() ? SilencePolicy{} : SilencePolicy{pool->second.selfStop, pool->second.lostAfterLeases};
+  }
+  SilencePolicy strictest{!pools.empty(), 1};
+  for (const auto& [name, pool] : pools) {
+    strictest.selfStop = strictest.selfStop && pool.selfStop;
+    strictest.lostAfterLeases = std::max(strictest.lostAfterLeases, pool.lostAfterLeases);
+  }
+  return strictest;
+}
+
+/// When a run that has not ended is surely over, or was surely never started, if the worker stays silent until then.
+Millis surelyOverAtMs(const AgentState& agent, const AgentAttempt& run, const SilencePolicy& policy) {
+  const Millis sureMs = bounds(agent).sureMs(policy.lostAfterLeases);
+  const bool unhanded = run.state == AttemptState::ordered && run.handedReport == 0;
+  // Before the worker was heard, an earlier life of this agent may have granted it a lease up to this life's start.
+  if (unhanded || !agent.heard) return std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) + sureMs;
+  return std::max(agent.workerUntilMs, agent.answeredMs) + sureMs - bounds(agent).workerLeaseMs;
+}
+
+/// Ends the runs of a worker that has been silent for so long that they are over, in whichever state they are.
+void endSilentRuns(AgentState& agent, Now now) {
+  if (agent.poll) return;
+  const auto policy = silencePolicy(agent);
+  if (!policy.selfStop) return;
+  for (auto& [id, run] : agent.runs) {
+    if (run.state == AttemptState::ended || now.steadyMs <= surelyOverAtMs(agent, run, policy)) continue;
+    ++agent.counts.silences;
+    end(agent, run, AttemptOutcome::lost, "its worker is silent");
+  }
+}
+
 }  // namespace
 
 AgentState makeAgent(const Settings& settings, const DaemonId& id, std::string incarnation) {
@@ -371,40 +423,8 @@
 }
 
 void agentTick(AgentState& agent, Now now, Outbox& out) {
-  if (agent.heard && drained(agent))
-    for (auto& [id, run] : agent.runs)
-      if (run.state == AttemptState::ordered && run.handedReport == 0) {
-        ++agent.counts.rejectedStarts;
-        end(agent, run, AttemptOutcome::lost, "denied: draining");
-      }
-  auto pool = agent.client.config->pools.find(agent.pool.value);
-  const bool selfStop = pool != agent.client.config->pools.end() && pool->second.selfStop;
-  const auto& pools = agent.client.config->pools;
-  const bool allStop =
-      agent.heard ? selfStop
-                  : std::all_of(pools.begin(), pools.end(), [](const auto& each) { return each.second.selfStop; });
-  std::int64_t leases = 1;
-  for (const auto& [name, each] : pools)
-    if (!agent.heard || name == agent.pool.value) leases = std::max(leases, each.lostAfterLeases);
-  if (allStop && !agent.poll)
-    for (auto& [id, run] : agent.runs) {
-      if (run.state != AttemptState::ordered || run.handedReport > 0) continue;
-      if (now.steadyMs - std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) <= bounds(agent).sureMs(leases))
-        continue;
-      ++agent.counts.silences;
-      end(agent, run, AttemptOutcome::lost, "its worker is silent");
-    }
-  const Millis quietMs = now.steadyMs - std::max(agent.workerUntilMs, agent.answeredMs);
-  const bool silent = agent.heard && !agent.poll && selfStop &&
-                      quietMs > bounds(agent).sureMs(pool->second.lostAfterLeases) - bounds(agent).workerLeaseMs;
-  if (silent)
-    for (auto& [id, run] : agent.runs) {
-      const bool onWorker = run.state == AttemptState::running || run.state == AttemptState::stopping ||
-                            (run.state == AttemptState::ordered && run.handedReport > 0);
-      if (!onWorker) continue;
-      ++agent.counts.silences;
-      end(agent, run, AttemptOutcome::lost, "worker silent past its term");
-    }
+  endDrainedStarts(agent);
+  endSilentRuns(agent, now);
   const bool scarce = goOnMs(agent, now) < bounds(agent).workerLeaseMs / 2;
   if (agent.poll) {
     const Millis holdMs = scarce ? agent.poll->holdMs / 8 : agent.poll->holdMs;
--- a/src/simulator/faults_workers.cpp
+++ b/src/simulator/faults_workers.cpp
@@ -115,6 +115,18 @@
          for (int i = 0; i < 2; ++i)
            world.sim.at(world.faultTime(), [&world] { world.sim.crashWorker(world.pickWorker()); });
        }},
+      {"worker-gone-agent-restarts",
+       [](World& world) {
+         for (int i = 0; i < 2; ++i)
+           world.sim.at(world.faultTime(), [&world] {
+             auto& simWorker = world.pickWorker();
+             world.sim.crashWorker(simWorker);
+             world.retired.insert(simWorker.worker.traits.name);
+             world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond), [&world, &simWorker] {
+               if (simWorker.agent->up) world.crashFor(*simWorker.agent, kSecond);
+             });
+           });
+       }},
       {"workers-flap",
        [](World& world) {
          for (int i = 0; i < 3; ++i)
--- a/src/simulator/world.cpp
+++ b/src/simulator/world.cpp
@@ -594,7 +594,7 @@
     traits.slowFactor = 1;
     traits.failShare = 0;
     traits.standsStill = traits.mute = false;
-    if (!simWorker->up) sim.startWorker(*simWorker);
+    if (!simWorker->up && !retired.contains(traits.name)) sim.startWorker(*simWorker);
   }
 }
 
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -57,6 +57,8 @@
 
   WantedAttempt go(const char* run, const char* life = "w1") { return {AttemptId(run), false, "{}", life, {}, true}; }
 
+  WantedAttempt stop(const char* run, const char* life = "w1") { return {AttemptId(run), true, {}, life}; }
+
   static std::size_t started(const Outbox& out) {
     std::size_t count = 0;
     for (const auto& answer : out.answers)
@@ -170,6 +172,35 @@
   CHECK(agent.runs.at(AttemptId("j:a:1")).outcome == AttemptOutcome::lost);
 }
 
+TEST(agent, a_stop_for_a_worker_that_this_life_never_heard_ends_once_it_is_surely_over) {
+  const auto leaseMs = agent.client.settings.bounds.workerLeaseMs;
+  ordered({stop("j:a:1")}, nowMs);
+  Outbox out;
+  agent::agentTick(agent, {nowMs + leaseMs}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::stopping);
+  agent::agentTick(agent, {nowMs + 20 * leaseMs}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).outcome == AttemptOutcome::lost);
+}
+
+TEST(agent, so_does_an_order_that_is_stopped_before_the_worker_was_heard) {
+  const auto leaseMs = agent.client.settings.bounds.workerLeaseMs;
+  ordered({go("j:a:1")}, nowMs);
+  ordered({stop("j:a:1")}, nowMs);
+  Outbox out;
+  agent::agentTick(agent, {nowMs + leaseMs}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::stopping);
+  agent::agentTick(agent, {nowMs + 20 * leaseMs}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).outcome == AttemptOutcome::lost);
+}
+
+TEST(agent, where_workers_do_not_stop_by_themselves_a_stop_waits_until_the_worker_is_heard) {
+  configure(R"({"pools":{"side":{"selfStop":false}}})", 2);
+  ordered({stop("j:a:1")}, nowMs);
+  Outbox out;
+  agent::agentTick(agent, {nowMs + 20 * agent.client.settings.bounds.workerLeaseMs}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::stopping);
+}
+
 TEST(agent, until_it_has_heard_its_worker_it_says_of_no_run_that_it_never_started) {
   configure(R"({"cells":{"a":{"emptied":true}}})", 2);
   ordered({go("j:a:1")}, nowMs);
