A restarted agent acknowledges ends from where its earlier life left off

Cause: ends are acknowledged by the highest number without gaps, counted from 0 in each life of an agent. A worker that lived on lists its ends from the first that was not acknowledged, say 58, and 58 was never the next of 0. So nothing was acknowledged any more: the ends came again with each heartbeat, stayed in each report to the leader, and past 500 of them a worker lists no new ones.

Test: agent, after its restart it acknowledges ends from where its earlier life left off: 0 before, 59 after.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -77,6 +77,15 @@
   return run.state == AttemptState::ended && run.listed && !run.wanted && agent.ordersSeq > 0;
 }
 
+/// A worker lists its ends from the first one that it has not been told to forget. After this agent's restart that one
+/// shows how far the earlier life acknowledged them.
+void takeUpAcknowledgement(AgentState& agent, const std::vector<EndedAttempt>& ended) {
+  if (ended.empty()) return;
+  const auto first = std::min_element(ended.begin(), ended.end(),
+                                      [](const auto& one, const auto& other) { return one.number < other.number; });
+  if (first->number > 0) agent.lastSeen = std::max(agent.lastSeen, first->number - 1);
+}
+
 void answerPoll(AgentState& agent, Now now, Outbox& out) {
   const auto poll = std::move(*agent.poll);
   agent.poll.reset();
@@ -344,6 +353,7 @@
   if (!same || !agent.heard) agent.reportDue = true;
   if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
   if (report.incarnation != agent.incarnation) agent.lastSeen = 0;
+  takeUpAcknowledgement(agent, report.ended);
   if (report.leaving != agent.leaving) agent.reportDue = true;
   agent.heard = true;
   agent.incarnation = report.incarnation;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -201,6 +201,26 @@
   CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::stopping);
 }
 
+TEST(agent, after_its_restart_it_acknowledges_ends_from_where_its_earlier_life_left_off) {
+  agent.client.settings.adapter = "numbered";
+  ordered({}, nowMs);
+  WorkerReport message;
+  message.incarnation = "w1";
+  message.pool = PoolName("side");
+  message.slots = 8;
+  message.number = 1;
+  message.ended = {{58, AttemptId("j:a:1"), AttemptOutcome::clean, {}, {}},
+                   {59, AttemptId("j:b:1"), AttemptOutcome::clean, {}, {}}};
+  Outbox out;
+  agent::workerReport(agent, 1, message, {nowMs}, out);
+  agent::agentTick(agent, {nowMs + agent.client.settings.bounds.longPollMs()}, out);
+  LONGS_EQUAL(59, agent.lastSeen);
+  message.number = 2;
+  message.ended.clear();
+  agent::workerReport(agent, 2, message, {nowMs}, out);
+  LONGS_EQUAL(0, agent.runs.size());
+}
+
 TEST(agent, until_it_has_heard_its_worker_it_says_of_no_run_that_it_never_started) {
   configure(R"({"cells":{"a":{"emptied":true}}})", 2);
   ordered({go("j:a:1")}, nowMs);
