--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -188,33 +188,14 @@
 
 }  // namespace
 
-// A job that could start and doesn't for ten terms is worth a line, once.
+// The waits of runs are checked against their bounds; a job that could start and doesn't for ten leases is worth a
+// line, once.
 void tellLongWaits(SchedulerState& scheduler, Now now, Outbox& out) {
+  checkRunWaits(scheduler, now, out);
   const auto fleetMs = fleet(scheduler, now);
   for (const auto& id : scheduler.open) {
     const auto& job = scheduler.jobs.at(id);
-    if (scheduler.longWaits.contains(id)) continue;
-    if (job.holding > 0) {
-      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        const auto& task = job.tasks[i];
-        if (!task.holds() || (task.confirmed && !task.stopping) ||
-            fleetMs - std::max(task.orderedMs, task.movedMs) < 8 * bounds(scheduler).leaseMs)
-          continue;
-        auto row = scheduler.workers.find(task.worker);
-        scheduler.longWaits.insert(id);
-        out.alarms.push_back("run " + runIdOf(job, i).value + " at " + task.worker.value + " is " +
-                             (task.stopping ? "not stopped" : "not confirmed") + " after " +
-                             std::to_string(fleetMs - task.orderedMs) + " ms; its worker was heard " +
-                             (row == scheduler.workers.end()
-                                  ? std::string("never")
-                                  : std::to_string(now.steadyMs - row->second.heardMs) + " ms ago, by its agent " +
-                                        std::to_string(row->second.last.workerHeard) + ", lists it " +
-                                        std::to_string(row->second.listed.contains(runIdOf(job, i).value)) + ", life " +
-                                        row->second.last.workerIncarnation + " for " + task.workerIncarnation));
-        break;
-      }
-      continue;
-    }
+    if (job.holding > 0 || scheduler.longWaits.contains(id)) continue;
     if (job.counters.waitMs < 10 * bounds(scheduler).leaseMs) continue;
     scheduler.longWaits.insert(id);
     const auto groups = readyGroups(job, fleetMs);
@@ -281,29 +262,7 @@
       }
     }
   }
-  std::vector<std::pair<JobId, std::size_t>> lost;
-  for (const auto& [worker, runs] : scheduler.held) {
-    if (runs.empty()) continue;
-    const auto mark = scheduler.client.config->gone.find(worker.value);
-    const bool gone = mark != scheduler.client.config->gone.end() && mark->second;
-    auto row = scheduler.workers.find(worker);
-    const Millis heardMs =
-        row == scheduler.workers.end() ? scheduler.leadSinceMs : std::max(row->second.heardMs, scheduler.leadSinceMs);
-    if (!gone && now.steadyMs - heardMs < bounds(scheduler).sureMs(1)) continue;
-    const auto& pools = scheduler.client.config->pools;
-    std::int64_t leases = 1;
-    bool selfStop = true;
-    for (const auto& [name, pool] : pools) {
-      if (row != scheduler.workers.end() && row->second.last.pool.value != name) continue;
-      leases = std::max(leases, pool.lostAfterLeases);
-      selfStop = selfStop && pool.selfStop;
-    }
-    if (row != scheduler.workers.end() && !pools.contains(row->second.last.pool.value)) selfStop = false;
-    if (!gone && (!selfStop || now.steadyMs - heardMs < bounds(scheduler).sureMs(leases))) continue;
-    for (const auto& [run, where] : runs) lost.push_back(where);
-  }
-  for (const auto& [id, at] : lost)
-    finishRun(scheduler, id, at, AttemptOutcome::lost, "worker silent past its term", now);
+  endSilentRuns(scheduler, now);
   const auto& keep = scheduler.client.config->keep;
   const Millis keepMs =
       bounds(scheduler).statusMs > 0 ? bounds(scheduler).statusMs + bounds(scheduler).statusMs / 10 : keep.finishedMs;
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -61,6 +61,11 @@
 // lastResort: a shunned worker will do.
 bool usableWorker(const SchedulerState& scheduler, const WorkerRow& row, transport::Now now, bool lastResort = false);
 
+/// Checks each wait of a run against its bound: one past it is an alarm and goes to its way out.
+void checkRunWaits(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
+/// Ends the runs of workers that were silent for so long that they are over, and of those marked as gone.
+void endSilentRuns(SchedulerState& scheduler, transport::Now now);
+
 void keepHouse(SchedulerState& scheduler, transport::Now now);
 void tellLongWaits(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 void runEpoch(SchedulerState& scheduler, transport::Now now);
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -44,7 +44,7 @@
 }
 
 void sendOrders(SchedulerState& scheduler, WorkerRow& row, Now now, Outbox& out) {
-  if (row.heardMs < 0 || !leads(scheduler, now)) return;
+  if (row.heardMs < 0 || row.leaseWithheld || !leads(scheduler, now)) return;
   Orders orders;
   orders.term = scheduler.term;
   orders.seq = ++row.ordersSeq;
@@ -104,6 +104,7 @@
   ++scheduler.counts.reports;
   auto& row = scheduler.workers[report.worker];
   row.id = report.worker;
+  if (row.leaseWithheld) return;
   if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
   // The number of orders goes on rising: an agent whose report comes after a delayed one of an earlier agent of the
   // worker would take none that are numbered anew.
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -10,6 +10,7 @@
 #include "control/client.hpp"
 #include "http/call_policy.hpp"
 #include "jobs/job.hpp"
+#include "scheduler/run_waits.hpp"
 
 namespace tulip::scheduler {
 
@@ -40,6 +41,7 @@
   Millis wallOffsetMs = 0;
   bool wallKnown = false;
   Millis pacedMs = -1000000;
+  bool leaseWithheld = false;  // it is sent nothing, so that its worker's lease lapses and all that runs there is over
   WorkerHealth standing;
 };
 
@@ -96,7 +98,7 @@
   std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0,
                 cleans = 0, submitted = 0, rejected = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0,
                 rewritten = 0, steppedDown = 0, gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0,
-                forwarded = 0;
+                forwarded = 0, overdueRuns = 0;
 };
 
 using HeldAttempts = std::map<WorkerId, std::map<AttemptId, std::pair<JobId, std::size_t>>>;
@@ -138,6 +140,7 @@
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
   std::map<QueueName, LinePace> paces;
+  RunWaits runWaits;
   std::set<JobId> longWaits;  // told of in the log, once each
   std::deque<std::int64_t> sizes;
   std::deque<std::pair<Millis, JobId>> ended;
--- a/src/scheduler/worker_health.cpp
+++ b/src/scheduler/worker_health.cpp
@@ -155,6 +155,7 @@
 }
 
 bool usableWorker(const SchedulerState& scheduler, const WorkerRow& row, Now now, bool lastResort) {
+  if (row.leaseWithheld) return false;
   const auto& config = *scheduler.client.config;
   if (row.heardMs < 0 || now.steadyMs - row.heardMs > bounds(scheduler).freshMs()) return false;
   if (!row.last.workerHeard || row.last.workerAgeMs > bounds(scheduler).freshMs() || row.last.leaving) return false;
