Calls: silent leaders and lost majorities hold no caller past a lease

Cause: a forwarded call waited for its caller's deadline when the daemon that was asked didn't lead (it said nothing), when the leader that a grant had named was silent, and when a batch found no majority; each call without a known leader was held half a lease anew. Mend: a refusal by a daemon that doesn't lead; one lease for the answer and for the majority; the time without a leader is counted once. What may have been done is never told as not done. Ruled out: sessions (asked for first) and full rings (refused at once).

--- a/src/http/call_policy.cpp
+++ b/src/http/call_policy.cpp
@@ -92,6 +92,10 @@
   return policyOf(call).changes ? Kind::unknownOutcome : Kind::deadlinePassed;
 }
 
+Kind kindOfGivenUp(CallClass call, bool left) {
+  return left && policyOf(call).changes ? Kind::unknownOutcome : Kind::noLeader;
+}
+
 Kind kindAfterRepeat(CallClass call, Kind answered) {
   return policyOf(call).changes && saysNotDone(answered) ? Kind::unknownOutcome : answered;
 }
--- a/src/http/call_policy.hpp
+++ b/src/http/call_policy.hpp
@@ -53,6 +53,8 @@
 bool mayRepeat(CallClass call, Loss loss);
 /// What is answered when no try got an answer. `left`: at least one try may have arrived.
 Kind kindWithoutAnswer(CallClass call, bool left);
+/// What is answered when a call is given up before its caller's deadline, because nobody answers who could know.
+Kind kindOfGivenUp(CallClass call, bool left);
 /// What is told of an answer while an earlier try of the call may still arrive elsewhere: a refusal by one daemon does
 /// not say that the call had no effect.
 Kind kindAfterRepeat(CallClass call, Kind answered);
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -18,7 +18,7 @@
   return now.steadyMs + *middle;
 }
 
-void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, Outbox& out,
+void tell(const SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, Outbox& out,
           std::string_view detail) {
   if (caller.alsoElsewhere) kind = http::kindAfterRepeat(*caller.alsoElsewhere, kind);
   const auto retryMs = static_cast<Millis>(rowOf(kind).retryLeases * static_cast<double>(bounds(scheduler).leaseMs));
@@ -57,7 +57,7 @@
   if (auto known = scheduler.jobs.find(spec.id); known != scheduler.jobs.end()) {
     if (spec.digest != known->second.spec->digest)
       return tell(scheduler, caller, Kind::idTaken, nullptr, out, spec.id.view());
-    scheduler.waiting.push_back({caller, spec.id, HeldAnswer::submitted});
+    scheduler.waiting.push_back({caller, spec.id, HeldAnswer::submitted, now.steadyMs});
     scheduler.planDue = true;
     return;
   }
@@ -92,7 +92,7 @@
   scheduler.dirty.insert(id);
   scheduler.fresh.insert(id);
   scheduler.planDue = true;
-  scheduler.waiting.push_back({caller, id, HeldAnswer::submitted});
+  scheduler.waiting.push_back({caller, id, HeldAnswer::submitted, now.steadyMs});
 }
 
 void cancelJob(SchedulerState& scheduler, const Caller& caller, const JobId& id, Now now, Outbox& out) {
@@ -108,13 +108,12 @@
       endJob(each, JobState::cancelled, "cancelled by its caller", fleet(scheduler, now));
       closeIfOver(each, fleet(scheduler, now));
     });
-  scheduler.waiting.push_back({caller, id, HeldAnswer::cancelled});
+  scheduler.waiting.push_back({caller, id, HeldAnswer::cancelled, now.steadyMs});
 }
 
 void getJob(const SchedulerState& scheduler, const Caller& caller, const JobId& id, Outbox& out) {
   auto found = scheduler.committedJobs.find(id);
-  tell(const_cast<SchedulerState&>(scheduler), caller,
-       found == scheduler.committedJobs.end() ? Kind::noSuchJob : Kind::ok,
+  tell(scheduler, caller, found == scheduler.committedJobs.end() ? Kind::noSuchJob : Kind::ok,
        found == scheduler.committedJobs.end() ? nullptr : found->second.get(), out,
        found == scheduler.committedJobs.end() ? id.view() : std::string_view());
 }
@@ -168,6 +167,7 @@
   const bool due = forward.sentTo != leader || now.steadyMs - forward.sentMs >= bounds(scheduler).heartbeatMs();
   if (!due) return;
   if (forward.sent && !http::mayRepeat(http::classOf(forward.ask.call), lossOf(forward, leader))) return;
+  if (!forward.sent) forward.firstSentMs = now.steadyMs;
   forward.repeated = forward.sent;
   forward.sent = true;
   forward.sentTo = leader;
@@ -175,17 +175,60 @@
   out.send(leader, forward.ask);
 }
 
+/// How long this daemon has known of no leader; 0 while it knows one.
+Millis leaderlessMs(const SchedulerState& scheduler, Now now) {
+  return scheduler.leaderlessSinceMs < 0 ? 0 : now.steadyMs - scheduler.leaderlessSinceMs;
+}
+
+/// What a forwarded call is told when it is given up; empty while an answer may still come within its bounds.
+std::optional<Kind> givenUp(const SchedulerState& scheduler, const Forward& forward, Now now) {
+  const auto call = http::classOf(forward.ask.call);
+  const auto leaseMs = bounds(scheduler).leaseMs;
+  if (now.steadyMs >= forward.deadlineMs) return http::kindWithoutAnswer(call, forward.sent);
+  const bool silent = forward.sent && now.steadyMs - forward.firstSentMs >= leaseMs;
+  const auto unsentMs = std::max(now.steadyMs - forward.sinceMs, leaderlessMs(scheduler, now));
+  const bool nobody = !forward.sent && unsentMs >= leaseMs / 2;
+  if (silent || nobody) return http::kindOfGivenUp(call, forward.sent);
+  return {};
+}
+
+/// A daemon that doesn't lead refused the only copy of the call: it has not been carried out, and may leave anew.
+void forgetDeparture(Forward& forward) { forward.sent = false; }
+
+/// Tells those callers that their outcome is unknown whose entries have found no majority within a lease.
+void giveUpWaiting(const SchedulerState& scheduler, std::vector<Waiting>& waiting, Now now, Outbox& out) {
+  std::erase_if(waiting, [&](const Waiting& each) {
+    if (now.steadyMs - each.sinceMs < bounds(scheduler).leaseMs) return false;
+    tell(scheduler, each.caller, Kind::unknownOutcome, nullptr, out);
+    return true;
+  });
+}
+
+void noteLeaderless(SchedulerState& scheduler, Now now) {
+  const bool known = !scheduler.client.leader.http.empty() || leads(scheduler, now);
+  if (known)
+    scheduler.leaderlessSinceMs = -1;
+  else if (scheduler.leaderlessSinceMs < 0)
+    scheduler.leaderlessSinceMs = now.steadyMs;
+}
+
 }  // namespace
 
 void onCallAsk(SchedulerState& scheduler, const Heard& heard, const CallAsk& ask, Now now, Outbox& out) {
-  if (!leads(scheduler, now) || scheduler.client.configVersion < ask.configVersion) return;
-  serve(scheduler, {ask.requestId, true, heard.from, ask.id}, ask, now, out);
+  const Caller caller{ask.requestId, true, heard.from, ask.id};
+  if (!leads(scheduler, now)) return tell(scheduler, caller, Kind::noLeader, nullptr, out);
+  if (scheduler.client.configVersion < ask.configVersion) return;
+  serve(scheduler, caller, ask, now, out);
 }
 
 void onCallAnswer(SchedulerState& scheduler, const CallAnswer& answer, Outbox& out) {
   auto found = scheduler.forwards.find(answer.requestId);
   if (found == scheduler.forwards.end() || !answers(answer, found->second.ask)) return;
   auto kind = static_cast<Kind>(answer.kind);
+  if (kind == Kind::noLeader) {
+    if (!found->second.repeated) forgetDeparture(found->second);
+    return;
+  }
   if (found->second.repeated) kind = http::kindAfterRepeat(http::classOf(found->second.ask.call), kind);
   CallResult brief;
   brief.phase = static_cast<JobPhase>(answer.phase);
@@ -223,10 +266,8 @@
       serve(scheduler, caller, ask, now, out);
       continue;
     }
-    const bool late = now.steadyMs >= forward.deadlineMs;
-    const bool nobody = !forward.sent && now.steadyMs - forward.sinceMs >= bounds(scheduler).leaseMs / 2;
-    if (late || nobody) {
-      tell(scheduler, caller, http::kindWithoutAnswer(call, forward.sent), nullptr, out);
+    if (const auto kind = givenUp(scheduler, forward, now)) {
+      tell(scheduler, caller, *kind, nullptr, out);
       at = scheduler.forwards.erase(at);
       continue;
     }
@@ -235,6 +276,13 @@
   }
 }
 
+void tickCalls(SchedulerState& scheduler, Now now, Outbox& out) {
+  noteLeaderless(scheduler, now);
+  giveUpWaiting(scheduler, scheduler.waiting, now, out);
+  for (auto& [seq, batch] : scheduler.batches) giveUpWaiting(scheduler, batch.answers, now, out);
+  tickForwards(scheduler, now, out);
+}
+
 void listJobs(const SchedulerState& scheduler, std::uint64_t requestId, const std::map<std::string, std::string>& query,
               Outbox& out) {
   std::size_t most = 100;
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -66,11 +66,13 @@
 void runEpoch(SchedulerState& scheduler, transport::Now now);
 
 Millis wallNow(const SchedulerState& scheduler, transport::Now now);
-void tell(SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, transport::Outbox& out,
+void tell(const SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, transport::Outbox& out,
           std::string_view detail = {});
 void onCallAsk(SchedulerState& scheduler, const transport::Heard& heard, const transport::CallAsk& ask,
                transport::Now now, transport::Outbox& out);
 void onCallAnswer(SchedulerState& scheduler, const transport::CallAnswer& answer, transport::Outbox& out);
+/// Sends forwarded calls again, and answers every caller whose wait is past its bound.
+void tickCalls(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 void tickForwards(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 
 }  // namespace tulip::scheduler
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -487,7 +487,7 @@
   if (scheduler.course == Course::following) follow(scheduler, now);
   if (scheduler.course == Course::preparing) prepare(scheduler, now, out);
   if (scheduler.course == Course::leading) lead(scheduler, now, out);
-  if (!scheduler.forwards.empty()) tickForwards(scheduler, now, out);
+  tickCalls(scheduler, now, out);
   const bool known = !scheduler.client.leader.http.empty() || leads(scheduler, now);
   scheduler.client.ready = control::sessionLive(scheduler.client, now) && known && !scheduler.client.leaving;
 }
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -71,6 +71,7 @@
   Caller caller;
   JobId job;
   HeldAnswer kind = HeldAnswer::submitted;
+  Millis sinceMs = 0;
 };
 
 struct Batch {
@@ -84,9 +85,10 @@
   transport::CallAsk ask;
   Millis sinceMs = 0;
   Millis sentMs = -1000000;
+  Millis firstSentMs = 0;  // of the oldest copy that may have been carried out
   Millis deadlineMs = 0;
   Address sentTo;
-  bool sent = false;
+  bool sent = false;  // a copy may have been carried out
   bool repeated = false;
 };
 
@@ -143,6 +145,7 @@
   std::deque<std::pair<Millis, JobId>> ended;
   std::map<QueueName, std::int64_t> openPer;
   std::map<std::uint64_t, Forward> forwards;
+  Millis leaderlessSinceMs = -1;  // since when no leader is known here; -1: one is
   SchedulerCounts counts;
   std::string broken;
 };
--- a/tests/call_policy_test.cpp
+++ b/tests/call_policy_test.cpp
@@ -43,6 +43,13 @@
   }
 }
 
+TEST(call_policy, a_call_that_is_given_up_is_told_as_not_done_only_when_that_is_known) {
+  for (const auto& policy : http::callPolicies()) {
+    CHECK(http::kindOfGivenUp(policy.call, false) == Kind::noLeader);
+    CHECK(http::kindOfGivenUp(policy.call, true) == (policy.changes ? Kind::unknownOutcome : Kind::noLeader));
+  }
+}
+
 TEST(call_policy, a_refusal_is_no_last_word_while_another_copy_may_arrive) {
   for (const auto refusal :
        {Kind::overloaded, Kind::noSuchQueue, Kind::noLeader, Kind::notReady, Kind::forwardLoop, Kind::neverFits})
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -10,6 +10,9 @@
 constexpr Millis kNowMs = 100000;
 constexpr std::uint64_t kRequest = 7;
 constexpr Millis kDeadlineMs = 3000;
+const Millis kLeaseMs = Bounds{}.leaseMs;
+const Millis kHeartbeatMs = Bounds{}.heartbeatMs();
+static_assert(kDeadlineMs > 1500, "a call is given up before its deadline");
 
 const Address kFront("10.0.0.9:1"), kFirst("10.0.0.1:1"), kSecond("10.0.0.2:1");
 
@@ -85,6 +88,8 @@
     return answer;
   }
 
+  void refuse(const CallAsk& ask, const Address& from) { hear(answerTo(ask, Kind::noLeader), from); }
+
   void onlyAnswer(Kind kind) {
     LONGS_EQUAL(1, out.answers.size());
     LONGS_EQUAL(static_cast<int>(kind), static_cast<int>(out.answers[0].kind));
@@ -181,3 +186,118 @@
   LONGS_EQUAL(0, sent(kFirst).size());
   onlyAnswer(Kind::noLeader);
 }
+
+TEST(calls, a_daemon_that_does_not_lead_says_so_to_the_one_that_asked_it) {
+  CallAsk ask;
+  ask.requestId = kRequest;
+  ask.id = {incarnationOf("another"), kRequest};
+  ask.call = CallKind::submit;
+  ask.spec = specOf("j");
+  scheduler::schedulerHeard(scheduler, Heard{DaemonId("other"), kSecond, ask}, {kNowMs}, out);
+  LONGS_EQUAL(1, out.sends.size());
+  const auto* answer = std::get_if<CallAnswer>(&out.sends[0].message);
+  CHECK(answer != nullptr);
+  CHECK(answer->id == ask.id);
+  LONGS_EQUAL(static_cast<int>(Kind::noLeader), answer->kind);
+  CHECK(answer->retryMs > 0);
+  CHECK(scheduler.jobs.empty());
+}
+
+TEST(calls, a_call_that_a_former_leader_refused_goes_to_the_next) {
+  call(CallKind::submit);
+  refuse(*sent(kFirst).at(0), kFirst);
+  LONGS_EQUAL(0, out.answers.size());
+  follow(scheduler, kSecond);
+  tick(10);
+  hear(answerTo(*sent(kSecond).at(0), Kind::overloaded), kSecond);
+  onlyAnswer(Kind::overloaded);
+}
+
+TEST(calls, a_call_whose_only_copy_was_refused_is_told_as_not_done_within_half_a_lease) {
+  call(CallKind::submit);
+  refuse(*sent(kFirst).at(0), kFirst);
+  tick(kLeaseMs / 2);
+  onlyAnswer(Kind::noLeader);
+  CHECK(out.answers[0].retryMs > 0);
+}
+
+TEST(calls, a_refusal_for_want_of_the_lead_says_nothing_of_an_earlier_copy) {
+  call(CallKind::submit);
+  tick(kHeartbeatMs);
+  LONGS_EQUAL(2, sent(kFirst).size());
+  refuse(*sent(kFirst).at(0), kFirst);
+  tick(kLeaseMs / 2);
+  LONGS_EQUAL(0, out.answers.size());
+  tick(kLeaseMs);
+  onlyAnswer(Kind::unknownOutcome);
+}
+
+TEST(calls, a_silent_leader_holds_no_change_longer_than_a_lease) {
+  call(CallKind::submit);
+  tick(kLeaseMs - 1);
+  LONGS_EQUAL(0, out.answers.size());
+  tick(kLeaseMs);
+  onlyAnswer(Kind::unknownOutcome);
+  LONGS_EQUAL(0, scheduler.forwards.size());
+}
+
+TEST(calls, a_silent_leader_holds_no_read_longer_than_a_lease) {
+  call(CallKind::getJob);
+  tick(kLeaseMs);
+  onlyAnswer(Kind::noLeader);
+  CHECK(out.answers[0].retryMs > 0);
+}
+
+TEST(calls, a_new_leader_is_asked_within_the_same_lease) {
+  call(CallKind::submit);
+  follow(scheduler, kSecond);
+  tick(kLeaseMs / 2);
+  LONGS_EQUAL(1, sent(kSecond).size());
+  tick(kLeaseMs);
+  onlyAnswer(Kind::unknownOutcome);
+}
+
+TEST(calls, a_daemon_long_without_a_leader_holds_no_call) {
+  scheduler.client.leader = {};
+  tick(-kLeaseMs / 2);
+  call(CallKind::submit);
+  onlyAnswer(Kind::noLeader);
+  CHECK(out.answers[0].retryMs > 0);
+}
+
+TEST(calls, a_leader_known_again_ends_the_time_without_one) {
+  scheduler.client.leader = {};
+  tick(0);
+  follow(scheduler, kFirst);
+  tick(kLeaseMs);
+  scheduler.client.leader = {};
+  tick(kLeaseMs + 1);
+  call(CallKind::submit);
+  LONGS_EQUAL(0, out.answers.size());
+}
+
+TEST(calls, a_leader_without_a_majority_tells_its_callers_within_a_lease) {
+  lead(kNowMs);
+  call(CallKind::submit);
+  tick(kLeaseMs - 1);
+  LONGS_EQUAL(1, scheduler.batches.size());
+  LONGS_EQUAL(0, out.answers.size());
+  tick(kLeaseMs);
+  onlyAnswer(Kind::unknownOutcome);
+  CHECK(scheduler.jobs.contains(JobId("j")));
+}
+
+TEST(calls, a_leader_without_a_majority_tells_the_daemons_that_asked_it) {
+  lead(kNowMs);
+  CallAsk ask;
+  ask.requestId = kRequest;
+  ask.id = {incarnationOf("another"), kRequest};
+  ask.call = CallKind::submit;
+  ask.spec = specOf("j");
+  scheduler::schedulerHeard(scheduler, Heard{DaemonId("other"), kSecond, ask}, {kNowMs}, out);
+  tick(kLeaseMs);
+  LONGS_EQUAL(1, out.sends.size());
+  const auto* answer = std::get_if<CallAnswer>(&out.sends[0].message);
+  CHECK(answer != nullptr);
+  LONGS_EQUAL(static_cast<int>(Kind::unknownOutcome), answer->kind);
+}
