Replica: one promise at most waits for the disk with the whole job log

Mend: an earlier term's promise goes when a newer term is promised; a question that is asked again while its answer waits gets that one.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -87,6 +87,28 @@
     for (auto& send : sends) out.sends.push_back(std::move(send));
 }
 
+const JobLogPromise* promiseOf(const Send& send) {
+  const auto* promise = std::get_if<JobLogPromise>(&send.message);
+  return promise && promise->ok ? promise : nullptr;
+}
+
+// Keeps one promise at most among the answers that wait for the disk, since each holds the whole job log: one that
+// waits already answers the same question, and one of an older term is worth nothing once a newer term is promised.
+void keepOnePromise(ReplicaState& replica, std::vector<Send>& after) {
+  for (const auto& send : after) {
+    const auto* newest = promiseOf(send);
+    if (!newest) continue;
+    const auto term = newest->term;
+    bool waits = false;
+    for (auto& [ticket, unsynced] : replica.waiting) {
+      std::erase_if(unsynced.sends, [&](const Send& each) { return promiseOf(each) && promiseOf(each)->term < term; });
+      waits = waits || std::ranges::any_of(unsynced.sends, [](const Send& each) { return promiseOf(each) != nullptr; });
+    }
+    if (waits) std::erase_if(after, [](const Send& each) { return promiseOf(each) != nullptr; });
+    return;
+  }
+}
+
 // A tick of the replica and of the control client within it.
 void onTick(ReplicaState& replica, Now now, Outbox& out) {
   if (ailing(replica) != replica.ailed) {
@@ -110,6 +132,7 @@
 }
 
 void persist(ReplicaState& replica, std::vector<DiskEntry> entries, std::vector<Send> after, Outbox& out) {
+  keepOnePromise(replica, after);
   for (const auto& entry : entries) storage::apply(replica.image, entry);
   if (entries.empty()) {
     for (auto& send : after) out.sends.push_back(std::move(send));
