--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,128 +1,15 @@
+// The configuration's fields: what each may be, and which must agree.
 #include "config/config.hpp"
 
 #include <absl/container/flat_hash_set.h>
 
-#include <algorithm>
 #include <array>
-#include <span>
-#include <utility>
+
+#include "config/reader.hpp"
 
 namespace tulip::config {
 namespace {
 
-constexpr std::size_t kMostNames = 10000;
-
-class Reader {
- public:
-  explicit Reader(std::vector<Fault>& faults) : faults_(faults) {}
-
-  void fault(std::string allowed) {
-    std::string path;
-    for (const auto step : steps_) path.append("/").append(step);
-    faults_.push_back({path.empty() ? "/" : path, std::move(allowed)});
-  }
-
-  template <class Act>
-  void within(std::string_view step, Act act) {
-    steps_.push_back(step);
-    act();
-    steps_.pop_back();
-  }
-
-  void number(const json_t* value, std::int64_t low, std::int64_t high, std::int64_t& into) {
-    if (json_is_integer(value) && json_integer_value(value) >= low && json_integer_value(value) <= high)
-      into = json_integer_value(value);
-    else
-      fault("a whole number from " + std::to_string(low) + " to " + std::to_string(high));
-  }
-
-  void flag(const json_t* value, bool& into) {
-    if (json_is_boolean(value))
-      into = json_is_true(value);
-    else
-      fault("true or false");
-  }
-
-  void text(const json_t* value, std::size_t most, std::string& into) {
-    if (json_is_string(value) && json_string_length(value) <= most)
-      into.assign(json_string_value(value), json_string_length(value));
-    else
-      fault("a text of at most " + std::to_string(most) + " bytes");
-  }
-
-  void opaque(const json_t* value) {
-    if (!json_is_object(value)) fault("an object");
-  }
-
-  template <class Act>
-  void each(const json_t* value, const char* allowed, Act act) {
-    if (!json_is_object(value)) return fault(allowed);
-    const char* key;
-    json_t* item;
-    json_object_foreach(const_cast<json_t*>(value), key, item) within(key, [&] { act(key, item); });
-  }
-
-  template <class Into>
-  struct Field {
-    std::string_view key;
-    void (*read)(Reader&, const json_t*, Into&);
-  };
-
-  template <class Into, std::size_t Count>
-  void object(const json_t* value, const std::array<Field<Into>, Count>& fields, Into& into) {
-    each(value, "an object", [&](std::string_view key, const json_t* item) {
-      for (const auto& field : fields)
-        if (field.key == key) return field.read(*this, item, into);
-      std::string known;
-      for (const auto& field : fields) known.append(known.empty() ? "" : ", ").append(field.key);
-      fault("one of: " + known);
-    });
-  }
-
-  template <class Act>
-  void named(const json_t* value, Act act) {
-    if (json_object_size(value) > kMostNames) return fault("at most " + std::to_string(kMostNames) + " names");
-    each(value, "an object keyed by name", [&](std::string_view name, const json_t* item) {
-      bool plain = !name.empty() && name.size() <= 64;
-      for (char c : name) plain = plain && (isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.');
-      if (!plain)
-        fault("a name of 1 to 64 letters, digits, '-', '_' or '.'");
-      else
-        act(name, item);
-    });
-  }
-
- private:
-  std::vector<Fault>& faults_;
-  std::vector<std::string_view> steps_;
-};
-
-template <class Into>
-using Fields = Reader::Field<Into>;
-
-template <auto Member, std::int64_t Low, std::int64_t High, class Into>
-void readNumber(Reader& reader, const json_t* value, Into& into) {
-  std::int64_t number = static_cast<std::int64_t>(into.*Member);
-  reader.number(value, Low, High, number);
-  into.*Member = static_cast<std::remove_reference_t<decltype(into.*Member)>>(number);
-}
-
-template <auto Member, class Into>
-void readFlag(Reader& reader, const json_t* value, Into& into) {
-  reader.flag(value, into.*Member);
-}
-
-template <class Into>
-void readOpaque(Reader& reader, const json_t* value, Into&) {
-  reader.opaque(value);
-}
-
-template <class Into>
-void readPlace(Reader& reader, const json_t* value, Into&) {
-  std::int64_t place = 0;
-  reader.number(value, -(1LL << 50), 1LL << 50, place);
-}
-
 constexpr std::array queueFields{
     Fields<Queue>{"rank", readNumber<&Queue::rank, -1000, 1000, Queue>},
     Fields<Queue>{"failureLimit", readNumber<&Queue::failureLimit, 1, 1000, Queue>},
@@ -357,34 +244,6 @@
   return readConfig(root.get(), config, faults);
 }
 
-void mergeInto(json_t* target, const json_t* patch) {
-  const char* key;
-  json_t* value;
-  json_object_foreach(const_cast<json_t*>(patch), key, value) {
-    if (json_is_null(value)) {
-      json_object_del(target, key);
-      continue;
-    }
-    if (!json_is_object(value)) {
-      json_object_set(target, key, value);
-      continue;
-    }
-    json_t* inner = json_object_get(target, key);
-    if (!json_is_object(inner)) {
-      inner = json_object();
-      json_object_set_new(target, key, inner);
-    }
-    mergeInto(inner, value);
-  }
-}
-
-Json mergePatch(const json_t* target, const json_t* patch) {
-  if (!json_is_object(patch)) return Json(json_deep_copy(patch));
-  Json result(json_is_object(target) ? json_deep_copy(target) : json_object());
-  mergeInto(result.get(), patch);
-  return result;
-}
-
 std::string faultsJson(Kind kind, const std::vector<Fault>& faults) {
   Json root(json_object());
   json_object_set_new(root.get(), "error", jsonText(rowOf(kind).name));
@@ -400,21 +259,4 @@
   return dumpJson(root.get());
 }
 
-Stored readStored(std::string_view value) {
-  Stored stored;
-  if (value.empty()) return stored;
-  try {
-    msgpack::unpack(value.data(), value.size()).get().convert(stored);
-  } catch (const std::exception&) {
-    return {};
-  }
-  return stored;
-}
-
-std::string writeStored(const Stored& stored) {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, stored);
-  return std::string(buffer.data(), buffer.size());
-}
-
 }  // namespace tulip::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -17,7 +17,7 @@
   Millis backoffMs = 200;
   std::int64_t quotaSlots = 0;
   std::int64_t mostJobs = 10000;
-  std::string host;  // with prefix: callers reach this line by host and longest prefix
+  std::string host;  // with prefix: callers reach this queue by host and longest prefix
   std::string prefix;
   PoolName pool;     // empty: any pool
   Millis aimMs = 0;  // wanted from hand-in to end beyond stretch times the work; 0: none
@@ -49,8 +49,8 @@
   Millis epochMs = 50;
   Millis gangStartMs = 5000;
   std::int64_t mostPushes = 3;
-  bool rankFirst = false;  // rank goes before the lane, and higher rank may push lower out
-  double mostLoss = 0;     // work a push may lose, as a multiple of the work it lets start; 0: no bound
+  bool rankFirst = false;  // rank goes before the lane, and higher rank may preempt lower
+  double mostLoss = 0;     // work a preemption may lose, as a multiple of the work it lets start; 0: no bound
 };
 
 struct Keep {
--- a/src/config/delta.cpp
+++ b/src/config/delta.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/crc.hpp>
 
+#include "base/unpack.hpp"
 #include "config/config.hpp"
 
 namespace tulip::config {
@@ -65,7 +66,7 @@
 
 std::string applyDelta(std::string_view base, std::string_view bytes) {
   try {
-    const auto delta = msgpack::unpack(bytes.data(), bytes.size()).get().as<Delta>();
+    const auto delta = unpackBounded(bytes).get().as<Delta>();
     if (delta.baseSum != sumOf(base)) return {};
     std::string next;
     for (const auto& piece : delta.pieces) {
