--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "base/json.hpp"
@@ -86,6 +87,65 @@
   return false;
 }
 
+struct GivenSetting {
+  std::string value;
+  std::string source;  // the file, or "flags"
+};
+
+using GivenSettings = std::map<std::string, GivenSetting>;
+
+// A setting of the file as a flag would give it; empty where it has a type that no setting has.
+std::optional<std::string> textOf(const json_t* value) {
+  if (json_is_string(value)) return json_string_value(value);
+  if (json_is_integer(value)) return std::to_string(json_integer_value(value));
+  if (!json_is_array(value)) return {};
+  std::string joined;
+  for (std::size_t i = 0; i < json_array_size(value); ++i) {
+    const char* part = json_string_value(json_array_get(value, i));
+    joined += (i ? "," : "") + std::string(part ? part : "?");
+  }
+  return joined;
+}
+
+bool readFile(const std::string& file, GivenSettings& given, SettingsFault& fault) {
+  std::ifstream in(file);
+  std::stringstream text;
+  text << in.rdbuf();
+  const Json root = in ? parseJson(text.str()) : nullptr;
+  if (!json_is_object(root.get())) {
+    fault = {file, "(whole file)", "one readable JSON object without repeated keys"};
+    return false;
+  }
+  const char* key;
+  json_t* value;
+  json_object_foreach(root.get(), key, value) {
+    auto setting = textOf(value);
+    if (!setting) {
+      fault = {file, key, "a text, a whole number or a list of texts"};
+      return false;
+    }
+    given[key] = {std::move(*setting), file};
+  }
+  return true;
+}
+
+bool nothingMissing(const Settings& settings, SettingsFault& fault) {
+  const std::string whole = settings.settingsFile.empty() ? "flags" : settings.settingsFile;
+  const auto need = [&](bool present, const char* key, const char* allowed) {
+    if (!present) fault = {whole, key, allowed};
+    return present;
+  };
+  return need(!settings.peerAddress.empty(), "signal", "must be given") &&
+         need(!settings.http.empty(), "http", "must be given") &&
+         need(settings.http != settings.peerAddress, "http", "an address other than signal") &&
+         need(!settings.zone.empty(), "cell", "must be given") &&
+         need(settings.seeds.size() == 3, "seeds", "must be given: three addresses of replicas") &&
+         need(settings.role != Role::replica || !settings.dataFolder.empty(), "data-folder",
+              "must be given to a replica") &&
+         need(settings.role != Role::agent || !settings.worker.empty(), "worker",
+              "must be given to a agent: the worker's name");
+}
+
 }  // namespace
 
 bool validAddress(std::string_view text) {
@@ -109,67 +169,21 @@
 bool readSettings(Role role, const SettingsFlags& flags, Settings& settings, SettingsFault& fault) {
   settings = Settings{};
   settings.role = role;
-  SettingsFlags merged;
-  std::map<std::string, std::string> from;
+  GivenSettings given;
   if (auto file = flags.find("env-file"); file != flags.end()) {
     settings.settingsFile = file->second;
-    std::ifstream in(file->second);
-    std::stringstream text;
-    text << in.rdbuf();
-    Json root = in ? parseJson(text.str()) : nullptr;
-    if (!root || !json_is_object(root.get())) {
-      fault = {file->second, "(whole file)", "one readable JSON object without repeated keys"};
-      return false;
-    }
-    const char* key;
-    json_t* value;
-    json_object_foreach(root.get(), key, value) {
-      std::string text;
-      if (json_is_string(value))
-        text = json_string_value(value);
-      else if (json_is_integer(value))
-        text = std::to_string(json_integer_value(value));
-      else if (json_is_array(value)) {
-        for (std::size_t i = 0; i < json_array_size(value); ++i) {
-          const char* part = json_string_value(json_array_get(value, i));
-          text += (i ? "," : "") + std::string(part ? part : "?");
-        }
-      } else {
-        fault = {file->second, key, "a text, a whole number or a list of texts"};
-        return false;
-      }
-      merged[key] = text;
-      from[key] = file->second;
-    }
+    if (!readFile(file->second, given, fault)) return false;
   }
   for (const auto& [key, value] : flags)
-    if (key != "env-file") {
-      merged[key] = value;
-      from[key] = "flags";
-    }
-  for (const auto& [key, value] : merged) {
+    if (key != "env-file") given[key] = {value, "flags"};
+  for (const auto& [key, setting] : given) {
     std::string allowed;
-    if (!putKey(settings, key, value, allowed)) {
-      fault = {from[key], key, allowed};
+    if (!putKey(settings, key, setting.value, allowed)) {
+      fault = {setting.source, key, allowed};
       return false;
     }
   }
-  const std::string whole = settings.settingsFile.empty() ? "flags" : settings.settingsFile;
-  auto need = [&](bool present, const char* key, const char* allowed) {
-    if (present) return true;
-    fault = {whole, key, allowed};
-    return false;
-  };
-  if (!need(!settings.peerAddress.empty(), "signal", "must be given")) return false;
-  if (!need(!settings.http.empty(), "http", "must be given")) return false;
-  if (!need(settings.http != settings.peerAddress, "http", "an address other than signal")) return false;
-  if (!need(!settings.zone.empty(), "cell", "must be given")) return false;
-  if (!need(settings.seeds.size() == 3, "seeds", "must be given: three addresses of replicas")) return false;
-  if (role == Role::replica && !need(!settings.dataFolder.empty(), "data-folder", "must be given to a replica"))
-    return false;
-  if (role == Role::agent && !need(!settings.worker.empty(), "worker", "must be given to a agent: the worker's name"))
-    return false;
-  return true;
+  return nothingMissing(settings, fault);
 }
 
 std::string faultLine(const SettingsFault& fault) {
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "base/unpack.hpp"
+
 namespace tulip::jobs {
 
 namespace {
@@ -277,7 +279,7 @@
 
 bool unpackSpec(std::string_view bytes, Spec& spec) {
   try {
-    spec = msgpack::unpack(bytes.data(), bytes.size()).get().as<Spec>();
+    spec = unpackBounded(bytes).get().as<Spec>();
     return true;
   } catch (const std::exception&) {
     return false;
--- a/src/storage/image.cpp
+++ b/src/storage/image.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/unpack.hpp"
+
 namespace tulip::storage {
 
 using transport::DiskEntry;
@@ -22,7 +24,7 @@
 transport::Membership unpackMembership(std::string_view bytes) {
   if (bytes.empty()) return {};
   try {
-    return msgpack::unpack(bytes.data(), bytes.size()).get().as<transport::Membership>();
+    return unpackBounded(bytes).get().as<transport::Membership>();
   } catch (const std::exception&) {
     return {};
   }
--- a/src/storage/version_file.cpp
+++ b/src/storage/version_file.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <cstdio>
 
+#include "base/unpack.hpp"
+
 namespace tulip::storage {
 
 namespace {
@@ -31,7 +33,7 @@
 
 msgpack::object_handle unpackWhole(std::string_view bytes) {
   std::size_t used = 0;
-  auto unpacked = msgpack::unpack(bytes.data(), bytes.size(), used, byReference);
+  auto unpacked = msgpack::unpack(bytes.data(), bytes.size(), used, byReference, nullptr, unpackLimit(bytes.size()));
   if (used != bytes.size()) throw msgpack::parse_error("bytes after the end");
   return unpacked;
 }
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -1,5 +1,6 @@
 #include <array>
 
+#include "base/unpack.hpp"
 #include "transport/messages.hpp"
 
 namespace tulip::transport {
@@ -41,7 +42,7 @@
 
 Decoded decode(std::string_view bytes, Frame& frame) {
   try {
-    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    const auto handle = unpackBounded(bytes);
     const auto& root = handle.get();
     if (root.type != msgpack::type::ARRAY || root.via.array.size < kFewestFrameParts) return Decoded::malformed;
     const auto* parts = root.via.array.ptr;
