--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -20,8 +20,8 @@
   MSGPACK_DEFINE(lane, servedMs, ranMs, waitMs, firstStartMs, totalServedMs, promotions, preemptions, rest)
 };
 
-// held is the room held, in thousandths of the resource count W_J: slots of the own interface count 1000 each; loads of
-// several kinds count the dominant share of a worker that each run takes, and servedMs is then worker milliseconds.
+// held is the capacity held, in thousandths of the resource count W_J: slots of the own interface count 1000 each;
+// loads of several kinds count the dominant share of a worker that each run takes, servedMs then worker milliseconds.
 void accrue(Counters& counters, std::int64_t held, bool waiting, Millis spanMs);
 bool settle(Counters& counters, const config::Admission& rules, bool holds);
 
@@ -38,7 +38,7 @@
   std::string needs;                   // a value that one of the worker's labels must have; empty: none
   std::string near;                    // the rack where its data lies; empty: anywhere
   std::int64_t apart = 0;              // at most this many of the step's tasks on one worker; 0: no bound
-  std::vector<std::pair<std::size_t, std::int64_t>> beside;  // berth, tasks of the step that are there
+  std::vector<std::pair<std::size_t, std::int64_t>> beside;  // worker, tasks of the step that run there
   std::vector<WorkerId> avoid;                               // one for each task or none: where it failed last
   Millis estimateMs = 0;
 };
@@ -90,7 +90,7 @@
   std::optional<std::size_t> reservedFor;
   std::size_t passedOver = 0;
   std::size_t tries = 0;
-  std::size_t looks = 0;  // at a berth for a task: what a plan costs
+  std::size_t looks = 0;  // at a worker for a task: what a plan costs
 };
 
 struct Field {
@@ -98,7 +98,7 @@
   std::map<QueueName, std::int64_t> quotaSlots;
   std::map<QueueName, std::int64_t> heldSlots;
   double farFactor = 1.5;
-  bool rankFirst = false;  // as the option of that name, for fleets whose env asks for it
+  bool rankFirst = false;  // as the option of that name, for fleets whose settings ask for it
   double mostLoss = 0;     // as the option of that name, where above 0
 };
 
--- a/src/admission/placement.hpp
+++ b/src/admission/placement.hpp
@@ -11,15 +11,15 @@
 constexpr std::uint32_t kNowhere = UINT32_MAX;
 constexpr int kWorker = 1 << 16;  // the score of a whole free worker in one kind
 
-// The rooms of all berths, with a score of how much of a worker each is.
+// The capacities of all workers, with a score of how much of a whole worker each is.
 struct Capacities {
   std::vector<placement::Load> load;
   std::vector<int> score;
 };
 
-// What placement knows of the berths, as plain numbers.
+// What placement knows of the workers, as plain numbers.
 struct Deck {
-  std::size_t kinds = 0;  // places of a load that any berth offers
+  std::size_t kinds = 0;  // places of a load that any worker offers
   std::array<double, placement::kMostKinds> weight{};
   std::vector<int> doubt;
   std::vector<std::uint32_t> rack;
@@ -65,18 +65,18 @@
   std::int64_t apart = 0;
   std::uint32_t near = kNowhere;
   bool oneRack = false;
-  std::span<const std::uint32_t> avoid;  // berth for each task, or none
+  std::span<const std::uint32_t> avoid;  // worker for each task, or none
 
   const placement::Load& load(std::size_t at) const { return loads[loads.size() == 1 ? 0 : at]; }
   bool alike() const { return loads.size() == 1; }
   std::uint32_t avoided(std::size_t at) const { return avoid.empty() ? kNowhere : avoid[at]; }
 };
 
-// How many of the unit's tasks are on each berth.
+// How many of the unit's tasks are on each worker.
 struct Tally {
   std::vector<int> count;
   std::vector<std::uint32_t> touched;
-  std::size_t looks = 0;  // at a berth for a task
+  std::size_t looks = 0;  // at a worker for a task
 
   void put(std::uint32_t at, int amount) {
     count[at] += amount;
@@ -94,7 +94,7 @@
 
 // Places tasks together and reuses its memory from call to call.
 struct Matcher {
-  std::vector<std::uint32_t> chosen;  // the result: a berth for each task
+  std::vector<std::uint32_t> chosen;  // the result: a worker for each task
   bool spread = false;                // the result is on more than one rack
   bool together(const Deck& deck, const Demand& demand, std::span<const std::uint32_t> among,
                 const Capacities& capacities, Tally& tally);
--- a/src/placement/capacity.hpp
+++ b/src/placement/capacity.hpp
@@ -24,7 +24,7 @@
 
 using Labels = std::map<std::string, std::string>;
 
-// Rooms as plain numbers, for plans: slots first, then the named kinds in the order of their interning.
+// Capacities as plain numbers, for plans: slots first, then the named kinds in the order of their interning.
 constexpr std::size_t kMostKinds = 8;
 using Load = std::array<std::int64_t, kMostKinds>;
 
