--- a/src/query/query.cpp
+++ b/src/query/query.cpp
@@ -84,6 +84,9 @@
   return SQLITE_DENY;
 }
 
+constexpr int kStepsEach = 1000;  // of sqlite, between two looks at the bound
+constexpr int kMostValueBytes = 1 << 22;
+
 int stepBound(void* left) { return --*static_cast<std::int64_t*>(left) <= 0; }
 
 void bind(sqlite3_stmt* statement, int at, const json_t* value) {
@@ -128,69 +131,89 @@
   json_array_append_new(list, row);
 }
 
-}  // namespace
+Base openBase() {
+  sqlite3* raw = nullptr;
+  const int opened =
+      sqlite3_open_v2(":memory:", &raw, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_MEMORY, nullptr);
+  Base base(raw);
+  return opened == SQLITE_OK ? std::move(base) : nullptr;
+}
 
-std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail, Bounds bounds) {
-  sqlite3* rawBase = nullptr;
-  if (sqlite3_open_v2(":memory:", &rawBase, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_MEMORY, nullptr) !=
-      SQLITE_OK) {
-    sqlite3_close(rawBase);
-    return Kind::overloaded;
-  }
-  Base base(rawBase);
-  sqlite3_exec(base.get(), "BEGIN", nullptr, nullptr, nullptr);
-  Json flat(json_array());
+void createTables(sqlite3* base, const json_t* snapshot) {
+  sqlite3_exec(base, "BEGIN", nullptr, nullptr, nullptr);
+  const Json flat(json_array());
   flatten(json_object_get(snapshot, "configuration"), "", flat.get());
   for (const auto& shape : shapes()) {
     std::string columns;
     for (const auto& column : shape.columns)
       columns += (columns.empty() ? "" : ",") + std::string(column.name) + " " + column.type;
-    sqlite3_exec(base.get(), ("CREATE TABLE " + std::string(shape.name) + "(" + columns + ")").c_str(), nullptr,
-                 nullptr, nullptr);
-    fill(base.get(), shape,
-         std::string_view(shape.name) == "configuration" ? flat.get() : json_object_get(snapshot, shape.name));
+    sqlite3_exec(base, ("CREATE TABLE " + std::string(shape.name) + "(" + columns + ")").c_str(), nullptr, nullptr,
+                 nullptr);
+    const bool configuration = std::string_view(shape.name) == "configuration";
+    fill(base, shape, configuration ? flat.get() : json_object_get(snapshot, shape.name));
   }
-  sqlite3_exec(base.get(), "COMMIT", nullptr, nullptr, nullptr);
+  sqlite3_exec(base, "COMMIT", nullptr, nullptr, nullptr);
+}
 
-  constexpr int kStepsEach = 1000;
-  std::int64_t left = bounds.mostSteps / kStepsEach;
-  sqlite3_set_authorizer(base.get(), onlyReads, nullptr);
-  sqlite3_limit(base.get(), SQLITE_LIMIT_LENGTH, 1 << 22);
-  sqlite3_limit(base.get(), SQLITE_LIMIT_ATTACHED, 0);
-  sqlite3_progress_handler(base.get(), kStepsEach, stepBound, &left);
+// `left` is counted down while a statement runs, and must live as long as the base is used.
+void bound(sqlite3* base, std::int64_t& left) {
+  sqlite3_set_authorizer(base, onlyReads, nullptr);
+  sqlite3_limit(base, SQLITE_LIMIT_LENGTH, kMostValueBytes);
+  sqlite3_limit(base, SQLITE_LIMIT_ATTACHED, 0);
+  sqlite3_progress_handler(base, kStepsEach, stepBound, &left);
+}
+
+Statement prepare(sqlite3* base, const std::string& sql, std::string& detail) {
   sqlite3_stmt* raw = nullptr;
   const char* rest = nullptr;
-  const std::string text(sql);
-  if (sqlite3_prepare_v2(base.get(), text.c_str(), -1, &raw, &rest) != SQLITE_OK || !raw) {
-    detail = raw ? "" : sqlite3_errmsg(base.get());
+  const int prepared = sqlite3_prepare_v2(base, sql.c_str(), -1, &raw, &rest);
+  Statement statement(raw);
+  if (prepared != SQLITE_OK || !raw) {
+    detail = raw ? "" : sqlite3_errmsg(base);
     if (detail == "not authorized") detail = "only SELECT is taken";
     if (detail.empty() || detail == "not an error") detail = "one SELECT statement";
-    return Kind::badValue;
+    return nullptr;
   }
-  Statement statement(raw);
-  if (std::string_view(rest).find_first_not_of(" \t\r\n;") != std::string_view::npos || !sqlite3_stmt_readonly(raw)) {
-    detail = "one SELECT statement";
-    return Kind::badValue;
-  }
-  const int width = sqlite3_column_count(raw);
-  for (int i = 0; i < width; ++i) table.columns.emplace_back(sqlite3_column_name(raw, i));
+  const bool more = std::string_view(rest).find_first_not_of(" \t\r\n;") != std::string_view::npos;
+  if (!more && sqlite3_stmt_readonly(raw)) return statement;
+  detail = "one SELECT statement";
+  return nullptr;
+}
+
+std::error_code readRows(sqlite3* base, sqlite3_stmt* statement, std::size_t mostRows, Table& table,
+                         std::string& detail) {
+  const int width = sqlite3_column_count(statement);
+  for (int i = 0; i < width; ++i) table.columns.emplace_back(sqlite3_column_name(statement, i));
   while (true) {
-    const int step = sqlite3_step(raw);
+    const int step = sqlite3_step(statement);
     if (step == SQLITE_DONE) return {};
     if (step != SQLITE_ROW) {
-      detail = step == SQLITE_INTERRUPT ? "the statement ran longer than its bound" : sqlite3_errmsg(base.get());
+      detail = step == SQLITE_INTERRUPT ? "the statement ran longer than its bound" : sqlite3_errmsg(base);
       return step == SQLITE_INTERRUPT ? Kind::tooLarge : Kind::badValue;
     }
-    if (table.rows.size() >= bounds.mostRows) {
-      detail = "more rows than " + std::to_string(bounds.mostRows);
+    if (table.rows.size() >= mostRows) {
+      detail = "more rows than " + std::to_string(mostRows);
       return Kind::tooLarge;
     }
     auto& row = table.rows.emplace_back();
     for (int i = 0; i < width; ++i) {
-      const auto* zone = sqlite3_column_text(raw, i);
-      row.emplace_back(zone ? reinterpret_cast<const char*>(zone) : "");
+      const auto* text = sqlite3_column_text(statement, i);
+      row.emplace_back(text ? reinterpret_cast<const char*>(text) : "");
     }
   }
 }
 
+}  // namespace
+
+std::error_code query(const json_t* snapshot, std::string_view sql, Table& table, std::string& detail, Bounds bounds) {
+  const auto base = openBase();
+  if (!base) return Kind::overloaded;
+  createTables(base.get(), snapshot);
+  std::int64_t left = bounds.mostSteps / kStepsEach;
+  bound(base.get(), left);
+  const auto statement = prepare(base.get(), std::string(sql), detail);
+  if (!statement) return Kind::badValue;
+  return readRows(base.get(), statement.get(), bounds.mostRows, table, detail);
+}
+
 }  // namespace tulip::query
