Wire: state that is sent again is held once for each peer, and buffers are freed

Cause: promises (2 MB each, asked for ten times a lease by each candidate), unacknowledged batches and final states were queued again behind themselves, up to 4 MB in the queue and as much being written for each connection; the queues kept their size. Mend: newer state takes the place of what waits, and is left out while a large copy is being written; the queue keeps frames. Sizes stand in /counters. Tests: overload.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -433,6 +433,7 @@
                                   std::move(frame.to), frame.fromIncarnation, frame.toIncarnation}});
       },
       [](std::string text) { alarm(std::move(text)); });
+  for (auto& one : host.berthed) one.node.wire = &host.wire->counts();
   host.server = std::make_unique<http::HttpServer>(
       host.context, host.settings().bounds, maxBodyBytes,
       [&host](std::size_t node, Ask&& ask) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -49,6 +49,43 @@
   out.answer(requestId, 200, dumpJson(root.get()));
 }
 
+std::size_t heldMessages(const PeerIncarnations& incarnations) {
+  std::size_t held = 0;
+  for (const auto& [address, peer] : incarnations.peers)
+    for (const auto& candidate : peer.candidates) held += candidate.held.size();
+  return held;
+}
+
+std::size_t waitingCallers(const scheduler::SchedulerState& scheduler) {
+  auto waiting = scheduler.waiting.size();
+  for (const auto& [seq, batch] : scheduler.batches) waiting += batch.answers.size();
+  return waiting;
+}
+
+/// The sizes of what grows while something is waited for: a majority, a disk, a leader, a connection.
+json_t* sizesView(const Node& node) {
+  json_t* sizes = json_object();
+  auto put = [&](const char* name, std::uint64_t size) {
+    json_object_set_new(sizes, name, json_integer(static_cast<json_int_t>(size)));
+  };
+  put("adapterCalls", node.adapterCalls.size());
+  put("heldMessages", heldMessages(node.incarnations));
+  put("proposals", clientOf(node).proposals.size());
+  if (node.wire) put("queuedBytes", node.wire->queuedBytes);
+  if (node.wire) put("supersededFrames", node.wire->superseded);
+  if (node.replica) {
+    put("unsyncedBatches", node.replica->waiting.size());
+    put("finalStates", node.replica->catchUp.size());
+  }
+  if (node.scheduler) {
+    put("forwards", node.scheduler->forwards.size());
+    put("waitingCallers", waitingCallers(*node.scheduler));
+    put("openBatches", node.scheduler->batches.size());
+    put("promises", node.scheduler->promises.size());
+  }
+  return sizes;
+}
+
 void answerCounters(Node& node, std::uint64_t requestId, Now now, Outbox& out) {
   const auto& client = clientOf(node);
   Json root(json_object());
@@ -62,6 +99,7 @@
   json_object_set_new(root.get(), "proxiedAsks", json_integer(static_cast<json_int_t>(node.proxiedAsks)));
   json_object_set_new(root.get(), "contended", json_integer(static_cast<json_int_t>(client.contended)));
   json_object_set_new(root.get(), "alarms", control::alarmsView(node.alarms, now));
+  json_object_set_new(root.get(), "sizes", sizesView(node));
   if (node.scheduler)
     json_object_set_new(root.get(), "scheduler", parseJson(scheduler::countersJson(*node.scheduler)).release());
   if (node.agent) json_object_set_new(root.get(), "agent", parseJson(agent::countersJson(*node.agent)).release());
@@ -269,6 +307,10 @@
 
 }  // namespace
 
+const control::ControlClient& clientOf(const Node& node) {
+  return node.replica ? node.replica->client : node.scheduler ? node.scheduler->client : node.agent->client;
+}
+
 control::ControlClient& clientOf(Node& node) {
   return node.replica ? node.replica->client : node.scheduler ? node.scheduler->client : node.agent->client;
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -8,6 +8,7 @@
 #include "http/protocol_adapter.hpp"
 #include "scheduler/scheduler.hpp"
 #include "transport/peer_incarnations.hpp"
+#include "transport/wire_counts.hpp"
 
 namespace tulip::daemon {
 
@@ -22,12 +23,14 @@
   std::shared_ptr<const http::ProtocolAdapter> adapter;  // for the faces beside the own interface
   std::map<std::uint64_t, http::Call> adapterCalls;
   control::AlarmState alarms;
+  const transport::WireCounts* wire = nullptr;  // of its process; none in a simulated one
   std::uint64_t asks = 0, rejectedAsks = 0, proxiedAsks = 0;
 };
 
 Node makeNode(const Settings& settings, const DaemonId& id, const std::string& incarnation, storage::Image image,
               transport::Now now);
 control::ControlClient& clientOf(Node& node);
+const control::ControlClient& clientOf(const Node& node);
 void nodeStep(Node& node, const transport::Event& event, transport::Now now, transport::Outbox& out);
 
 }  // namespace tulip::daemon
--- a/src/transport/wire.cpp
+++ b/src/transport/wire.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstring>
+#include <deque>
+#include <optional>
 
 namespace tulip::transport {
 namespace asio = boost::asio;
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr std::size_t kMostQueuedBytes = 4u << 20;
+constexpr std::size_t kWriteBytes = 64u << 10;  // handed to the socket at once, unless one frame is larger
 constexpr std::uint32_t kMostFrameBytes = 256u << 20;
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kKeptBytes = 64u << 10;
@@ -30,6 +33,121 @@
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof tries);
 }
 
+void release(std::string& buffer) {
+  buffer.clear();
+  buffer.shrink_to_fit();
+}
+
+/// Messages that carry state whole, and are sent again until they are acknowledged: the newest says all that earlier
+/// ones did.
+bool supersedesEarlier(const Message& message) {
+  if (const auto* promise = std::get_if<JobLogPromise>(&message)) return !promise->entries.empty();
+  if (const auto* accept = std::get_if<JobLogAccept>(&message)) return accept->seq > 0;
+  return std::holds_alternative<CatchUpGive>(message);
+}
+
+std::string withLength(const std::string& body) {
+  const auto size = static_cast<std::uint32_t>(body.size());
+  std::string bytes;
+  bytes.reserve(sizeof size + body.size());
+  for (int shift = 24; shift >= 0; shift -= 8) bytes.push_back(static_cast<char>((size >> shift) & 0xff));
+  return bytes += body;
+}
+
+/// What a frame carries, of whom and for whom.
+struct FrameSubject {
+  std::size_t kind = 0;  // of its message, by place in the variant
+  Address from;
+  Address to;
+  bool operator==(const FrameSubject&) const = default;
+};
+
+/// A frame that waits for its connection.
+struct QueuedFrame {
+  FrameSubject subject;
+  bool supersedable = false;
+  std::string bytes;  // with its length before it
+
+  bool isLarge() const { return bytes.size() > kWriteBytes; }
+};
+
+/// The frames that wait for one connection, in the order of sending. A frame that supersedes one takes its place, and
+/// is left out while a large one is still being written, so that what is sent again and again to a peer that takes
+/// little or nothing is held once.
+class SendQueue {
+ public:
+  explicit SendQueue(WireCounts& counts) : counts_(counts) {}
+  bool empty() const { return frames_.empty(); }
+
+  void clear() {
+    account(bytes_, 0);
+    frames_.clear();
+  }
+
+  /// False: the queue is full, and the frame was not taken.
+  bool push(QueuedFrame frame) {
+    if (supersede(frame)) return true;
+    if (!frames_.empty() && bytes_ + frame.bytes.size() > kMostQueuedBytes) return false;
+    account(0, frame.bytes.size());
+    frames_.push_back(std::move(frame));
+    return true;
+  }
+
+  /// Takes what is to be written next: whole frames, one at least.
+  void take(std::string& bytes) {
+    bytes.clear();
+    writing_.reset();
+    if (!frames_.empty() && frames_.front().supersedable && frames_.front().isLarge())
+      writing_ = frames_.front().subject;
+    while (!frames_.empty() && (bytes.empty() || bytes.size() + frames_.front().bytes.size() <= kWriteBytes)) {
+      account(frames_.front().bytes.size(), 0);
+      if (bytes.empty())
+        bytes = std::move(frames_.front().bytes);
+      else
+        bytes += frames_.front().bytes;
+      frames_.pop_front();
+    }
+  }
+
+  void written() { writing_.reset(); }
+
+  void takeAllOf(SendQueue& other) {
+    while (!other.frames_.empty()) {
+      other.account(other.frames_.front().bytes.size(), 0);
+      push(std::move(other.frames_.front()));
+      other.frames_.pop_front();
+    }
+  }
+
+ private:
+  bool supersede(QueuedFrame& frame) {
+    if (!frame.supersedable) return false;
+    if (writing_ == frame.subject && frame.isLarge()) {
+      ++counts_.superseded;
+      return true;
+    }
+    const auto earlier = std::ranges::find_if(
+        frames_, [&](const QueuedFrame& each) { return each.supersedable && each.subject == frame.subject; });
+    if (earlier == frames_.end()) return false;
+    ++counts_.superseded;
+    account(earlier->bytes.size(), frame.bytes.size());
+    *earlier = std::move(frame);
+    return true;
+  }
+
+  void account(std::size_t less, std::size_t more) {
+    bytes_ += more;
+    bytes_ -= less;
+    counts_.queuedBytes += more;
+    counts_.queuedBytes -= less;
+  }
+
+  WireCounts& counts_;
+  std::deque<QueuedFrame> frames_;
+  std::optional<FrameSubject> writing_;  // of the large frame that was taken last and is not written yet
+  std::size_t bytes_ = 0;
+};
+
 }  // namespace
 
 tcp::endpoint endpointOf(const Address& address) {
@@ -41,10 +159,11 @@
 }
 
 struct Wire::Line {
-  explicit Line(asio::io_context& context) : socket(context) {}
+  Line(asio::io_context& context, WireCounts& counts) : socket(context), queued(counts) {}
   tcp::socket socket;
   std::set<Address> others;  // addresses of the peer process that are reached through it
-  std::string queued, running;
+  SendQueue queued;
+  std::string running;  // is being written
   std::string in;
   std::size_t filled = 0;
   Steady::time_point dialed;
@@ -85,7 +204,7 @@
 }
 
 void Wire::accept(Door& door) {
-  auto line = std::make_shared<Line>(context_);
+  auto line = std::make_shared<Line>(context_, counts_);
   door.acceptor.async_accept(line->socket, [this, &door, line](boost::system::error_code failed) {
     if (closed_ || failed == asio::error::operation_aborted) return;
     if (!failed) {
@@ -104,7 +223,7 @@
 }
 
 void Wire::dial(const Address& to) {
-  auto line = std::make_shared<Line>(context_);
+  auto line = std::make_shared<Line>(context_, counts_);
   line->others.insert(to);
   line->dialed = Steady::now();
   lines_[to] = line;
@@ -147,14 +266,12 @@
     if (found == lines_.end()) return;
   }
   const auto& line = found->second;
-  const std::string body = encode(frame);
-  if (!line->queued.empty() && line->queued.size() + body.size() > kMostQueuedBytes) {
+  QueuedFrame queued{
+      {frame.message.index(), frame.from, to}, supersedesEarlier(frame.message), withLength(encode(frame))};
+  if (!line->queued.push(std::move(queued))) {
     ++counts_.dropped;
     return;
   }
-  const auto size = static_cast<std::uint32_t>(body.size());
-  for (int shift = 24; shift >= 0; shift -= 8) line->queued.push_back(static_cast<char>((size >> shift) & 0xff));
-  line->queued += body;
   ++counts_.sent;
   if (line->unflushed) return;
   line->unflushed = true;
@@ -173,15 +290,15 @@
 void Wire::write(const std::shared_ptr<Line>& line) {
   if (!line->up || line->writing || line->gone || line->queued.empty()) return;
   line->writing = true;
-  line->running.clear();
-  std::swap(line->running, line->queued);
+  line->queued.take(line->running);
   ++counts_.writes;
   asio::async_write(line->socket, asio::buffer(line->running),
                     [this, line](boost::system::error_code failed, std::size_t) {
                       line->writing = false;
+                      line->queued.written();
                       if (closed_ || line->gone) return;
                       if (failed) return drop(line);
-                      if (line->running.capacity() > kKeptBytes) std::string().swap(line->running);
+                      if (line->running.capacity() > kKeptBytes) release(line->running);
                       write(line);
                     });
 }
@@ -236,7 +353,7 @@
   if (line->filled >= 4 && line->in.size() < size + 4u)
     line->in.resize(size + 4u);
   else if (line->filled == 0 && line->in.size() > kKeptBytes)
-    std::string().swap(line->in);
+    release(line->in);
   return true;
 }
 
@@ -250,7 +367,7 @@
   if (!old) return;
   old->others.erase(other);
   if (old->up) return;
-  line->queued += old->queued;
+  line->queued.takeAllOf(old->queued);
   drop(old);
   write(line);
 }
@@ -259,6 +376,7 @@
   if (line->gone) return;
   line->gone = true;
   if (!line->queued.empty()) ++counts_.dropped;
+  line->queued.clear();
   boost::system::error_code ignored;
   line->socket.close(ignored);
   all_.erase(line);
--- a/src/transport/wire.hpp
+++ b/src/transport/wire.hpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio.hpp>
 
-#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,13 +11,10 @@
 #include <vector>
 
 #include "transport/messages.hpp"
+#include "transport/wire_counts.hpp"
 
 namespace tulip::transport {
 
-struct WireCounts {
-  std::atomic<std::uint64_t> sent{0}, received{0}, dropped{0}, malformed{0}, foreign{0}, writes{0};
-};
-
 // Frames between processes. One wire serves every node of its process: each listens at its own address, and lines are
 // shared.
 class Wire {
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -3,6 +3,7 @@
 #include "base/ring.hpp"
 #include "control/replica.hpp"
 #include "scheduler/scheduler.hpp"
+#include "transport/wire.hpp"
 
 using namespace tulip;
 
@@ -11,6 +12,7 @@
 constexpr std::size_t kJobs = 100;
 constexpr std::size_t kJobBytes = 1000;
 constexpr Millis kNowMs = 100000;
+constexpr Millis kNeverMs = 3600 * 1000;  // no connection is given up in the time of a test
 
 std::vector<transport::Entry> jobLog() {
   std::vector<transport::Entry> entries;
@@ -46,6 +48,22 @@
   return entries;
 }
 
+transport::Frame frameOf(transport::Message message, const char* to) {
+  transport::Frame frame;
+  frame.from = Address("127.0.0.1:1");
+  frame.to = Address(to);
+  frame.message = std::move(message);
+  return frame;
+}
+
+transport::JobLogPromise wholePromise(std::uint64_t term) {
+  transport::JobLogPromise promise;
+  promise.term = {term, "candidate"};
+  promise.ok = true;
+  promise.entries = jobLog();
+  return promise;
+}
+
 }  // namespace
 
 TEST_GROUP(overload){};
@@ -113,3 +131,70 @@
   }
   LONGS_EQUAL(1, promised);
 }
+
+TEST(overload, state_sent_again_to_a_peer_that_takes_nothing_is_held_once) {
+  boost::asio::io_context context;  // never run: no connection comes about
+  transport::Wire wire(
+      context, Bounds{}.leaseMs, [](transport::Frame&&) {}, [](std::string) {});
+  const auto onePromise = transport::encode(frameOf(wholePromise(1), "127.0.0.1:2")).size();
+  for (std::uint64_t term = 1; term <= 30; ++term) {
+    wire.send(frameOf(wholePromise(term), "127.0.0.1:2"));
+    transport::JobLogAccept batch;
+    batch.seq = term;
+    batch.entries = jobLog();
+    wire.send(frameOf(batch, "127.0.0.1:2"));
+    transport::CatchUpGive state;
+    state.entries = jobLog();
+    wire.send(frameOf(state, "127.0.0.1:2"));
+  }
+  CHECK(wire.counts().queuedBytes < 4 * onePromise);
+  LONGS_EQUAL(3 * 29, wire.counts().superseded);
+  LONGS_EQUAL(0, wire.counts().dropped);
+}
+
+TEST(overload, state_for_one_peer_takes_no_place_of_another) {
+  boost::asio::io_context context;
+  transport::Wire wire(
+      context, Bounds{}.leaseMs, [](transport::Frame&&) {}, [](std::string) {});
+  for (const char* to : {"127.0.0.1:2", "127.0.0.1:3"}) wire.send(frameOf(wholePromise(1), to));
+  LONGS_EQUAL(0, wire.counts().superseded);
+}
+
+TEST(overload, short_answers_and_heartbeats_take_no_place_of_one_another) {
+  boost::asio::io_context context;
+  transport::Wire wire(
+      context, Bounds{}.leaseMs, [](transport::Frame&&) {}, [](std::string) {});
+  for (int i = 0; i < 3; ++i) {
+    wire.send(frameOf(transport::JobLogPromise{}, "127.0.0.1:2"));
+    wire.send(frameOf(transport::JobLogAccept{}, "127.0.0.1:2"));
+  }
+  LONGS_EQUAL(0, wire.counts().superseded);
+}
+
+TEST(overload, what_waits_for_a_connection_that_is_given_up_is_no_longer_counted) {
+  boost::asio::io_context context;
+  transport::Wire wire(
+      context, Bounds{}.leaseMs, [](transport::Frame&&) {}, [](std::string) {});
+  wire.send(frameOf(wholePromise(1), "127.0.0.1:2"));
+  CHECK(wire.counts().queuedBytes > 0);
+  wire.close();
+  LONGS_EQUAL(0, wire.counts().queuedBytes);
+}
+
+TEST(overload, state_that_is_being_written_to_a_peer_that_reads_nothing_is_not_queued_behind_itself) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+  const auto to = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  transport::Wire wire(
+      context, kNeverMs, [](transport::Frame&&) {}, [](std::string) {});
+  auto promise = wholePromise(1);
+  promise.entries.front().value.assign(std::size_t{16} << 20, 'j');  // more than the sockets buffer
+  wire.send(frameOf(promise, to.c_str()));
+  while (wire.counts().queuedBytes > 0) context.run_one();  // until connected: it is being written from here on
+  LONGS_EQUAL(0, wire.counts().queuedBytes);
+  for (int again = 0; again < 10; ++again) wire.send(frameOf(promise, to.c_str()));
+  LONGS_EQUAL(0, wire.counts().queuedBytes);
+  LONGS_EQUAL(10, wire.counts().superseded);
+  wire.send(frameOf(transport::JobLogPromise{}, to.c_str()));
+  CHECK(wire.counts().queuedBytes > 0);
+}
