--- a/src/transport/wire.cpp
+++ b/src/transport/wire.cpp
@@ -33,6 +33,11 @@
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof tries);
 }
 
+void release(std::string& buffer) {
+  buffer.clear();
+  buffer.shrink_to_fit();
+}
+
 /// Messages that carry state whole, and are sent again until they are acknowledged: the newest says all that earlier
 /// ones did.
 bool supersedesEarlier(const Message& message) {
@@ -293,7 +298,7 @@
                       line->queued.written();
                       if (closed_ || line->gone) return;
                       if (failed) return drop(line);
-                      if (line->running.capacity() > kKeptBytes) std::string().swap(line->running);
+                      if (line->running.capacity() > kKeptBytes) release(line->running);
                       write(line);
                     });
 }
@@ -348,7 +353,7 @@
   if (line->filled >= 4 && line->in.size() < size + 4u)
     line->in.resize(size + 4u);
   else if (line->filled == 0 && line->in.size() > kKeptBytes)
-    std::string().swap(line->in);
+    release(line->in);
   return true;
 }
 
