Elections: first chance to schedulers beside a voter, refused voters probed again

Cause: all are refused until the voters' first lease ends, and then whoever probes first wins: twelve of twenty run beside no voter. A campaign that one voter refused for a lease about to end asked it no more and waited a whole lease for the others (read from the code; not logged). Mend: a scheduler beside no voter leaves the first majority that would promise to others and comes back two heartbeat pauses later; a probe asks a voter again that refused it, ends at once when its term is too low, and after half a lease. Not yet measured at this commit.

--- a/src/scheduler/election.cpp
+++ b/src/scheduler/election.cpp
@@ -87,26 +87,42 @@
   scheduler.tryAtMs = now.steadyMs + retryWaitMs(scheduler);
 }
 
+// A voter whose lease for another runs out meanwhile consents when it is probed again.
+bool isAnswered(const SchedulerState& scheduler, const DaemonId& voter) {
+  if (scheduler.promises.contains(voter)) return true;
+  return scheduler.course == Course::preparing && scheduler.refusals.contains(voter);
+}
+
 void askVoters(SchedulerState& scheduler, Now now, Outbox& out) {
   scheduler.prepareSentMs = now.steadyMs;
   JobLogPrepare ask{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)};
   ask.probe = scheduler.course == Course::probing;
   for (const auto& voter : scheduler.client.membership.voters)
-    if (!scheduler.promises.contains(voter.id) && !scheduler.refusals.contains(voter.id))
-      out.send(voter.peerAddress, ask);
+    if (!isAnswered(scheduler, voter.id)) out.send(voter.peerAddress, ask);
 }
 
-void onRefusal(SchedulerState& scheduler, const DaemonId& voter, Now now, Outbox& out) {
+void onRefusal(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& refusal, Now now, Outbox& out) {
   scheduler.refusals.insert(voter);
+  const bool termTooLow = scheduler.term < refusal.promised;
+  if (scheduler.course == Course::probing && termTooLow) return failCampaign(scheduler, now, out);
   const auto voters = scheduler.client.membership.voters.size();
   if (scheduler.refusals.size() > voters - control::majority(voters)) failCampaign(scheduler, now, out);
 }
 
+// The state has a long way to a scheduler beside no voter, so it leaves its first chance to the others.
+void yieldOnce(SchedulerState& scheduler, Now now, Outbox& out) {
+  ++scheduler.failedCampaigns;
+  resetCourse(scheduler, now, out);
+  scheduler.tryAtMs = now.steadyMs + 2 * bounds(scheduler).heartbeatMs();
+}
+
 void onConsent(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& promise, Now now, Outbox& out) {
   if (promise.probe && scheduler.course == Course::preparing) return;
   scheduler.promises[voter] = promise;
+  scheduler.refusals.erase(voter);
   if (scheduler.promises.size() < control::majority(scheduler.client.membership.voters.size())) return;
   if (scheduler.course == Course::preparing) return takeOver(scheduler, now, out);
+  if (scheduler.failedCampaigns == 0 && !besideVoter(scheduler.client)) return yieldOnce(scheduler, now, out);
   scheduler.highestSeen = std::max(scheduler.highestSeen, scheduler.term.number);
   startPhase(scheduler, Course::preparing, now);
   askVoters(scheduler, now, out);
@@ -129,7 +145,7 @@
   if (isCandidate(scheduler)) {
     std::erase_if(scheduler.promises, [&](const auto& each) { return !ofThisMembership(scheduler, each.second); });
     if (promise.ok) return onConsent(scheduler, heard.fromId, promise, now, out);
-    return onRefusal(scheduler, heard.fromId, now, out);
+    return onRefusal(scheduler, heard.fromId, promise, now, out);
   }
   if (scheduler.course != Course::leading || promise.probe) return;
   if (promise.ok)
@@ -152,8 +168,9 @@
 }
 
 void campaign(SchedulerState& scheduler, Now now, Outbox& out) {
-  if (now.steadyMs - scheduler.prepareStartMs > bounds(scheduler).leaseMs ||
-      !control::sessionLive(scheduler.client, now))
+  const auto& limits = bounds(scheduler);
+  const Millis spanMs = scheduler.course == Course::probing ? limits.leaseMs / 2 : limits.leaseMs;
+  if (now.steadyMs - scheduler.prepareStartMs > spanMs || !control::sessionLive(scheduler.client, now))
     return failCampaign(scheduler, now, out);
   if (scheduler.campaignMembership != scheduler.client.membership.version) {
     scheduler.campaignMembership = scheduler.client.membership.version;
