--- a/src/control/alarms.cpp
+++ b/src/control/alarms.cpp
@@ -117,9 +117,9 @@
 }
 
 Millis alarmHoldOffMs(AlarmKind kind, const Bounds& bounds) {
-  // A daemon that answers takes a change within a heartbeat or two, and one that fell silent is waited for no longer
-  // than its session lasts.
-  if (kind == AlarmKind::sessionBehind) return bounds.leaseMs;
+  // A daemon that answers takes a change within a heartbeat or two. One that fell silent, or went to another replica,
+  // is waited for until its session has lapsed, which is no reason for an alarm.
+  if (kind == AlarmKind::sessionBehind) return bounds.leaseMs + bounds.leaseMs / 2;
   // A leader that died is followed within about two leases: its own must lapse, and the next one must be chosen.
   return (kind == AlarmKind::noLeader ? kHoldOffLeases + 1 : kHoldOffLeases) * bounds.leaseMs;
 }
--- a/src/control/edit_forwarding.cpp
+++ b/src/control/edit_forwarding.cpp
@@ -55,9 +55,10 @@
   out.wakeBy(now.steadyMs + handAgainMs(client.settings.bounds));
 }
 
-// A replica that never got to propose says so of itself only.
+// A replica that did not get to propose says so of itself only: another that was handed the edit may have.
 Kind kindOf(const ForwardedEdit& edit, Kind told) {
-  return told == Kind::noMajority && edit.timesSent > 1 ? Kind::unknownOutcome : told;
+  const bool ofItselfOnly = told == Kind::noMajority || told == Kind::overloaded;
+  return ofItselfOnly && edit.timesSent > 1 ? Kind::unknownOutcome : told;
 }
 
 }  // namespace
