--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -77,15 +77,6 @@
   return run.state == AttemptState::ended && run.listed && !run.wanted && agent.ordersSeq > 0;
 }
 
-/// A worker lists its ends from the first one that it has not been told to forget. After this agent's restart that one
-/// shows how far the earlier life acknowledged them.
-void takeUpAcknowledgement(AgentState& agent, const std::vector<EndedAttempt>& ended) {
-  if (ended.empty()) return;
-  const auto first = std::min_element(ended.begin(), ended.end(),
-                                      [](const auto& one, const auto& other) { return one.number < other.number; });
-  if (first->number > 0) agent.lastSeen = std::max(agent.lastSeen, first->number - 1);
-}
-
 void answerPoll(AgentState& agent, Now now, Outbox& out) {
   const auto poll = std::move(*agent.poll);
   agent.poll.reset();
@@ -269,6 +260,111 @@
   }
 }
 
+/// A new life of the worker runs nothing that an earlier one was given.
+void endEarlierLife(AgentState& agent) {
+  for (auto& [id, run] : agent.runs)
+    if (run.state != AttemptState::ended && (run.state != AttemptState::ordered || run.handedReport))
+      end(agent, run, AttemptOutcome::lost, "worker restarted");
+}
+
+/// A worker lists its ends from the first one that it has not been told to forget. After this agent's restart that one
+/// shows how far the earlier life acknowledged them.
+void takeUpAcknowledgement(AgentState& agent, const WorkerReport& report) {
+  if (report.incarnation != agent.incarnation) agent.lastSeen = 0;
+  if (report.ended.empty()) return;
+  const auto first = std::min_element(report.ended.begin(), report.ended.end(),
+                                      [](const auto& one, const auto& other) { return one.number < other.number; });
+  if (first->number > 0) agent.lastSeen = std::max(agent.lastSeen, first->number - 1);
+}
+
+/// What the report says of the worker itself.
+void noteWorker(AgentState& agent, const WorkerReport& report, Now now) {
+  const bool same = agent.heard && report.incarnation == agent.incarnation;
+  if (!same || report.leaving != agent.leaving) agent.reportDue = true;
+  if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
+  agent.heard = true;
+  agent.incarnation = report.incarnation;
+  agent.lastReport = report.number;
+  agent.workerMs = now.steadyMs;
+  agent.leaving = report.leaving;
+  agent.leavesAtMs = report.leavesMs < 0 ? -1 : now.steadyMs + report.leavesMs;
+  agent.pool = report.pool;
+  agent.slots = report.slots;
+  agent.labels = report.labels;
+  agent.capacity = report.capacity;
+}
+
+void noteRunning(AgentState& agent, const WorkerReport& report) {
+  for (const auto& running : report.running) {
+    auto& run = agent.runs[running.run];
+    run.listed = true;
+    run.percent = running.percent;
+    if (run.saved != running.saved) run.saved = running.saved;
+    if (run.state == AttemptState::ordered) {
+      run.state = AttemptState::running;
+      agent.reportDue = true;
+    }
+    if (run.state == AttemptState::ended) run.state = AttemptState::stopping;
+  }
+}
+
+/// Whether the report brought an end that wasn't known.
+bool noteEnded(AgentState& agent, const WorkerReport& report) {
+  bool news = false;
+  for (const auto& ended : report.ended) {
+    if (ended.number > 0 && ended.number <= agent.lastSeen) continue;
+    auto& run = agent.runs[ended.run];
+    run.listed = true;
+    run.number = ended.number;
+    if (run.state == AttemptState::ended && run.outcome != AttemptOutcome::lost) continue;
+    run.saved = ended.saved;
+    end(agent, run, ended.outcome, ended.detail);
+    news = true;
+  }
+  return news;
+}
+
+/// A run that was handed over and that the worker doesn't list never arrived there, or is gone from it.
+void judgeAbsent(AgentState& agent, AgentAttempt& run, const WorkerReport& report, Now now) {
+  const bool handed = run.state == AttemptState::ordered && run.handedReport > 0 && run.handedReport < report.number;
+  const bool vanished = run.state == AttemptState::running || run.state == AttemptState::stopping;
+  if (handed && run.wanted && !run.stop && mayStart(agent, now)) {
+    run.handedReport = 0;
+    ++agent.counts.rehanded;
+  } else if (handed) {
+    end(agent, run, AttemptOutcome::lost, "never started");
+  } else if (vanished) {
+    end(agent, run, run.stop ? AttemptOutcome::stopped : AttemptOutcome::lost, "gone from the worker");
+  }
+}
+
+/// What the report doesn't list.
+void noteAbsent(AgentState& agent, const WorkerReport& report, Now now) {
+  for (auto& [id, run] : agent.runs)
+    if (!run.listed && run.state == AttemptState::ordered && run.workerIncarnation != report.incarnation)
+      end(agent, run, AttemptOutcome::lost, "ordered for an earlier life of the worker");
+  for (auto at = agent.runs.begin(); at != agent.runs.end();) {
+    auto& run = at->second;
+    if (!run.listed) judgeAbsent(agent, run, report, now);
+    if (!run.listed && run.state == AttemptState::ended && !run.wanted && agent.ordersSeq > 0)
+      at = agent.runs.erase(at);
+    else
+      ++at;
+  }
+}
+
+/// The report is answered when there is something to say, or once its time is over.
+void holdPoll(AgentState& agent, std::uint64_t requestId, const WorkerReport& report, bool news, Now now) {
+  const bool numbered = !agent.client.settings.adapter.empty();
+  agent.poll = Poll{requestId, report.number, now.steadyMs, bounds(agent).longPollMs(), numbered, {}};
+  if (!numbered) return;
+  agent.poll->ended = report.ended;
+  if (news)
+    agent.poll->holdMs = bounds(agent).newsHoldMs();
+  else
+    agent.poll->holdMs = report.running.empty() ? bounds(agent).idleHoldMs() : 0;
+}
+
 }  // namespace
 
 AgentState makeAgent(const Settings& settings, const DaemonId& id, std::string incarnation) {
@@ -340,79 +436,19 @@
 
 void workerReport(AgentState& agent, std::uint64_t requestId, const WorkerReport& report, Now now, Outbox& out) {
   const bool same = agent.heard && report.incarnation == agent.incarnation;
-  const bool numbered = !agent.client.settings.adapter.empty();
   if (same && report.number <= agent.lastReport) {
     ++agent.counts.staleReports;
     return out.reject(requestId, Kind::staleTerm, {});
   }
   if (agent.poll) answerPoll(agent, now, out);
-  if (agent.heard && !same)
-    for (auto& [id, run] : agent.runs)
-      if (run.state != AttemptState::ended && (run.state != AttemptState::ordered || run.handedReport))
-        end(agent, run, AttemptOutcome::lost, "worker restarted");
-  if (!same || !agent.heard) agent.reportDue = true;
-  if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
-  if (report.incarnation != agent.incarnation) agent.lastSeen = 0;
-  takeUpAcknowledgement(agent, report.ended);
-  if (report.leaving != agent.leaving) agent.reportDue = true;
-  agent.heard = true;
-  agent.incarnation = report.incarnation;
-  agent.lastReport = report.number;
-  agent.workerMs = now.steadyMs;
-  agent.leaving = report.leaving;
-  agent.leavesAtMs = report.leavesMs < 0 ? -1 : now.steadyMs + report.leavesMs;
-  agent.pool = report.pool;
-  agent.slots = report.slots;
-  agent.labels = report.labels;
-  agent.capacity = report.capacity;
+  if (agent.heard && !same) endEarlierLife(agent);
+  takeUpAcknowledgement(agent, report);
+  noteWorker(agent, report, now);
   for (auto& [id, run] : agent.runs) run.listed = false;
-  bool busy = false, news = false;
-  for (const auto& running : report.running) {
-    auto& run = agent.runs[running.run];
-    busy = run.listed = true;
-    run.percent = running.percent;
-    if (run.saved != running.saved) run.saved = running.saved;
-    if (run.state == AttemptState::ordered) {
-      run.state = AttemptState::running;
-      agent.reportDue = true;
-    }
-    if (run.state == AttemptState::ended) run.state = AttemptState::stopping;
-  }
-  for (const auto& ended : report.ended) {
-    if (ended.number > 0 && ended.number <= agent.lastSeen) continue;
-    auto& run = agent.runs[ended.run];
-    run.listed = true;
-    run.number = ended.number;
-    if (run.state == AttemptState::ended && run.outcome != AttemptOutcome::lost) continue;
-    run.saved = ended.saved;
-    end(agent, run, ended.outcome, ended.detail);
-    news = true;
-  }
-  for (auto& [id, run] : agent.runs)
-    if (!run.listed && run.state == AttemptState::ordered && run.workerIncarnation != report.incarnation)
-      end(agent, run, AttemptOutcome::lost, "ordered for an earlier life of the worker");
-  for (auto at = agent.runs.begin(); at != agent.runs.end();) {
-    auto& run = at->second;
-    const bool handed = run.state == AttemptState::ordered && run.handedReport > 0 && run.handedReport < report.number;
-    const bool vanished = run.state == AttemptState::running || run.state == AttemptState::stopping;
-    if (!run.listed && handed) {
-      if (run.wanted && !run.stop && mayStart(agent, now)) {
-        run.handedReport = 0;
-        ++agent.counts.rehanded;
-      } else
-        end(agent, run, AttemptOutcome::lost, "never started");
-    } else if (!run.listed && vanished)
-      end(agent, run, run.stop ? AttemptOutcome::stopped : AttemptOutcome::lost, "gone from the worker");
-    if (!run.listed && run.state == AttemptState::ended && !run.wanted && agent.ordersSeq > 0)
-      at = agent.runs.erase(at);
-    else
-      ++at;
-  }
-  agent.poll = Poll{requestId, report.number, now.steadyMs, bounds(agent).longPollMs(), numbered, {}};
-  if (numbered) {
-    agent.poll->ended = report.ended;
-    agent.poll->holdMs = news ? bounds(agent).newsHoldMs() : busy ? 0 : bounds(agent).idleHoldMs();
-  }
+  noteRunning(agent, report);
+  const bool news = noteEnded(agent, report);
+  noteAbsent(agent, report, now);
+  holdPoll(agent, requestId, report, news, now);
   if (anythingNew(agent, now) || agent.poll->holdMs == 0)
     answerPoll(agent, now, out);
   else
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -228,6 +228,40 @@
   }
 }
 
+namespace {
+
+/// Forgets ended jobs once they were kept for long enough and every voter has what is to be forgotten.
+void dropEndedJobs(SchedulerState& scheduler, Millis fleetMs) {
+  const auto& keep = scheduler.client.config->keep;
+  const Millis keepMs =
+      bounds(scheduler).statusMs > 0 ? bounds(scheduler).statusMs + bounds(scheduler).statusMs / 10 : keep.finishedMs;
+  const bool inStep = std::all_of(scheduler.voters.begin(), scheduler.voters.end(), [&](const auto& voter) {
+    return voter.second.promised && voter.second.ackedSeq >= scheduler.committed && scheduler.committed > 0;
+  });
+  if (inStep) {
+    std::uint64_t least = scheduler.seq;
+    for (const auto& [id, voter] : scheduler.voters) least = std::min(least, voter.ackedSeq);
+    while (!scheduler.tombs.empty() && scheduler.tombs.front().first <= least) {
+      auto found = scheduler.current.find(scheduler.tombs.front().second);
+      if (found != scheduler.current.end() && found->second.value.empty()) scheduler.current.erase(found);
+      scheduler.tombs.pop_front();
+    }
+  }
+  std::size_t budget = 64;
+  while (inStep && budget-- && !scheduler.ended.empty() &&
+         (static_cast<std::int64_t>(scheduler.ended.size()) > keep.finishedMost ||
+          fleetMs - scheduler.ended.front().first > keepMs)) {
+    const auto id = scheduler.ended.front().second;
+    if (scheduler.dirty.contains(id)) break;
+    scheduler.ended.pop_front();
+    scheduler.jobs.erase(id);
+    scheduler.dirty.insert(id);
+    ++scheduler.counts.dropped;
+  }
+}
+
+}  // namespace
+
 void keepHouse(SchedulerState& scheduler, Now now) {
   const auto fleetMs = fleet(scheduler, now);
   scheduler.houseMs = now.steadyMs;
@@ -263,32 +297,7 @@
     }
   }
   endSilentRuns(scheduler, now);
-  const auto& keep = scheduler.client.config->keep;
-  const Millis keepMs =
-      bounds(scheduler).statusMs > 0 ? bounds(scheduler).statusMs + bounds(scheduler).statusMs / 10 : keep.finishedMs;
-  const bool inStep = std::all_of(scheduler.voters.begin(), scheduler.voters.end(), [&](const auto& voter) {
-    return voter.second.promised && voter.second.ackedSeq >= scheduler.committed && scheduler.committed > 0;
-  });
-  if (inStep) {
-    std::uint64_t least = scheduler.seq;
-    for (const auto& [id, voter] : scheduler.voters) least = std::min(least, voter.ackedSeq);
-    while (!scheduler.tombs.empty() && scheduler.tombs.front().first <= least) {
-      auto found = scheduler.current.find(scheduler.tombs.front().second);
-      if (found != scheduler.current.end() && found->second.value.empty()) scheduler.current.erase(found);
-      scheduler.tombs.pop_front();
-    }
-  }
-  std::size_t budget = 64;
-  while (inStep && budget-- && !scheduler.ended.empty() &&
-         (static_cast<std::int64_t>(scheduler.ended.size()) > keep.finishedMost ||
-          fleetMs - scheduler.ended.front().first > keepMs)) {
-    const auto id = scheduler.ended.front().second;
-    if (scheduler.dirty.contains(id)) break;
-    scheduler.ended.pop_front();
-    scheduler.jobs.erase(id);
-    scheduler.dirty.insert(id);
-    ++scheduler.counts.dropped;
-  }
+  dropEndedJobs(scheduler, fleetMs);
 }
 
 void runEpoch(SchedulerState& scheduler, Now now) {
