--- a/src/commands/ctl_load.cpp
+++ b/src/commands/ctl_load.cpp
@@ -31,12 +31,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - since.at(id))
         .count();
   }
-  void after(double seconds, std::function<void()> act) {
+  void after(double seconds, const std::function<void()>& act) {
     auto timer = std::make_shared<boost::asio::steady_timer>(
         context, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
     timer->async_wait([timer, act](boost::system::error_code) { act(); });
   }
-  void call(CtlRequest request, std::function<void(http::CallReply)> done) {
+  void call(const CtlRequest& request, std::function<void(http::CallReply)> done) {
     http::CallOut out;
     out.to = ctl.at[random() % ctl.at.size()];
     out.method = request.method;
@@ -47,7 +47,7 @@
   void submit(const std::string& id, const std::string& body) {
     ++tries;
     if (seen.insert(id).second) writeJournal(ctl, "submit " + body);
-    call({"POST", "/jobs", body}, [this, id, body](http::CallReply reply) {
+    call({"POST", "/jobs", body}, [this, id, body](const http::CallReply& reply) {
       if (reply.status == 200 || reply.status == 201) {
         acceptedMs[id] = sinceMs(id);
         writeJournal(ctl, "accepted " + id);
@@ -66,7 +66,7 @@
     });
   }
   void cancel(const std::string& id) {
-    call({"DELETE", "/jobs/" + id, ""}, [this, id](http::CallReply reply) {
+    call({"DELETE", "/jobs/" + id, ""}, [this, id](const http::CallReply& reply) {
       if (reply.status == 200)
         writeJournal(ctl, "cancelled " + id);
       else if (http::mayRepeat(http::CallClass::cancelJob, lossOf(reply)))
@@ -75,7 +75,7 @@
   }
   void readConfig() {
     const auto askedMs = steadyMs();
-    call({"GET", "/configuration", ""}, [this, askedMs](http::CallReply reply) {
+    call({"GET", "/configuration", ""}, [this, askedMs](const http::CallReply& reply) {
       Json view = parseJson(reply.body);
       const auto version = view ? numberAt(view.get(), "revision") : 0;
       if (reply.status == 200 && version > 0)
@@ -90,7 +90,7 @@
     });
   }
   void poll(const std::string& id) {
-    call({"GET", "/jobs/" + id, ""}, [this, id](http::CallReply reply) {
+    call({"GET", "/jobs/" + id, ""}, [this, id](const http::CallReply& reply) {
       Json view = parseJson(reply.body);
       if (reply.status == 404) {
         ++lost;
@@ -121,6 +121,7 @@
 
 json_t* quantiles(const std::map<std::string, Millis>& byJob) {
   std::vector<Millis> values;
+  values.reserve(byJob.size());
   for (const auto& [id, value] : byJob) values.push_back(value);
   std::sort(values.begin(), values.end());
   json_t* item = json_object();
