--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -67,13 +67,13 @@
   writeOut(book);
 }
 
-void note(std::string text) {
+void note(const std::string& text) {
   auto& book = logRing();
   std::lock_guard lock(book.guard);
   keep(book, stamped(text));
 }
 
-void alarm(std::string text) {
+void alarm(const std::string& text) {
   auto& book = logRing();
   std::lock_guard lock(book.guard);
   keep(book, stamped("ALARM " + text));
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -7,8 +7,8 @@
 namespace tulip {
 
 void openLedger(const std::string& who);
-void note(std::string text);
-void alarm(std::string text);
+void note(const std::string& text);
+void alarm(const std::string& text);
 std::vector<std::string> ledgerLines();
 
 }  // namespace tulip
--- a/src/commands/local_cluster.cpp
+++ b/src/commands/local_cluster.cpp
@@ -144,7 +144,7 @@
   std::string addDaemon(const std::string& role, int i, const std::string& peerAddress,
                         const std::vector<std::string>& more) {
     const auto name = role + "-" + std::to_string(i + 1);
-    const auto http = ports_.take();
+    auto http = ports_.take();
     std::vector<std::string> words{"tulippitch",       role,
                                    "--name",           name,
                                    "--signal",         peerAddress,
