Simulated machines share a process; links and disks take time by the byte

What: a machine may hold a replica and a scheduler in one process (one power, one link, one polite stop; no disk beyond the replicas).

--- a/src/simulator/faults_workers.cpp
+++ b/src/simulator/faults_workers.cpp
@@ -81,7 +81,7 @@
              auto& simWorker = world.pickWorker();
              simWorker.worker.traits.standsStill = true;
              world.sim.after(3 * kSecond + world.sim.below(5 * kSecond), [&world, &simWorker] {
-               world.sim.trouble();
+               world.sim.workerTrouble();
                simWorker.worker.traits.standsStill = false;
              });
            });
@@ -99,7 +99,7 @@
              auto& simWorker = world.pickWorker();
              simWorker.worker.traits.mute = true;
              world.sim.after(kSecond + world.sim.below(6 * kSecond), [&world, &simWorker] {
-               world.sim.trouble();
+               world.sim.workerTrouble();
                simWorker.worker.traits.mute = false;
              });
            });
--- a/src/simulator/host_calls.cpp
+++ b/src/simulator/host_calls.cpp
@@ -5,7 +5,8 @@
 using namespace transport;
 
 void Sim::ask(Host& host, Ask text, std::function<void(Reply)> done) {
-  after(travelTime(), [this, &host, text = std::move(text), done = std::move(done)]() mutable {
+  const auto travelUs = callTravelUs(host, text.body.size(), false);
+  after(travelUs, [this, &host, text = std::move(text), done = std::move(done)]() mutable {
     if (!host.up) {
       after(travelTime(), [done] { done({true, 0, 0, {}}); });
       return;
@@ -52,7 +53,8 @@
   auto done = std::move(found->second);
   host.asking.erase(found);
   host.askText.erase(requestId);
-  after(travelTime(), [done = std::move(done), reply = std::move(reply)] { done(reply); });
+  const auto travelUs = callTravelUs(host, reply.body.size(), true);
+  after(travelUs, [done = std::move(done), reply = std::move(reply)] { done(reply); });
 }
 
 }  // namespace tulip::simulator
--- a/src/simulator/hosts.cpp
+++ b/src/simulator/hosts.cpp
@@ -4,39 +4,75 @@
 
 using namespace transport;
 
-Host& Sim::addHost(Role role, const std::string& name, const std::string& zone, const std::string& workerName) {
+namespace {
+
+constexpr int kPeerPort = 7000;
+
+}  // namespace
+
+Host& Sim::addNode(Role role, const std::string& name, const std::string& machine, const std::string& zone, int port) {
   hosts_.push_back(std::make_unique<Host>());
   auto& host = *hosts_.back();
   host.name = name;
+  host.machine = machine;
   host.settings.role = role;
   host.settings.name = name;
   host.settings.zone = ZoneName(zone);
   host.settings.seeds = seeds_;
   host.settings.bounds = plan.bounds;
   host.settings.losses = plan.losses;
-  host.settings.worker = workerName;
-  host.settings.dataFolder = role == Role::replica ? "simulated" : "";
-  const auto ip = "10.0." + std::to_string(addresses_ / 250) + "." + std::to_string(addresses_ % 250 + 1);
-  ++addresses_;
-  host.settings.peerAddress = Address(ip + ":7000");
-  host.settings.http = Address(ip + ":8000");
+  auto [ip, fresh] = ipOf_.try_emplace(machine);
+  if (fresh) {
+    ip->second = "10.0." + std::to_string(addresses_ / 250) + "." + std::to_string(addresses_ % 250 + 1);
+    ++addresses_;
+  }
+  host.settings.peerAddress = Address(ip->second + ":" + std::to_string(port));
   host.powered = false;
+  nodesOf_[machine].push_back(&host);
   byName_[name] = &host;
   bySignal_[host.settings.peerAddress] = &host;
+  return host;
+}
+
+Host& Sim::addHost(Role role, const std::string& name, const std::string& zone, const std::string& workerName) {
+  auto& host = addNode(role, name, name, zone, kPeerPort);
+  host.settings.worker = workerName;
+  host.settings.dataFolder = role == Role::replica ? "simulated" : "";
+  host.settings.http = Address(ipOf_.at(name) + ":8000");
   byHttp_[host.settings.http] = &host;
+  links_.setRate(name, role == Role::agent ? plan.links.workerMbps : plan.links.largeMbps);
   return host;
 }
 
+Host& Sim::addSharedMachine(const std::string& name, const std::string& zone, bool disk) {
+  auto& replica = addNode(Role::replica, "replica-" + name, name, zone, kPeerPort);
+  replica.settings.dataFolder = disk ? "simulated" : "";
+  auto& scheduler = addNode(Role::scheduler, "scheduler-" + name, name, zone, kPeerPort + 1);
+  scheduler.settings.http = Address(ipOf_.at(name) + ":8000");
+  byHttp_[scheduler.settings.http] = &scheduler;
+  links_.setRate(name, disk ? plan.links.largeMbps : plan.links.smallMbps);
+  return replica;
+}
+
 void Sim::start(Host& host) {
   if (host.up) return;
-  trouble();
+  host.settings.role == Role::agent ? workerTrouble() : trouble();
+  links_.disconnect(host.machine, now_);
+  if (!host.powered) host.clock = switchedOn(host.clock, now_, [this](std::int64_t bound) { return below(bound); });
+  for (auto* node : nodesBeside(host)) {
+    node->clock = host.clock;
+    startNode(*node);
+  }
+}
+
+void Sim::startNode(Host& host) {
   host.up = true;
+  host.left = false;
   ++host.lives;
   host.frozenUntilUs = 0;
   host.returnedUs = now_;
   host.wakeUs = -1;
   host.nextRequest = 0;
-  if (!host.powered) host.clock = switchedOn(host.clock, now_, [this](std::int64_t bound) { return below(bound); });
   host.powered = true;
   if (seedsChange && host.lives > 1) host.settings.seeds = drawSeeds();
   const auto incarnation = "i" + std::to_string(++names_);
@@ -60,14 +96,19 @@
 }
 
 void Sim::losePower(Host& host) {
-  host.powered = false;
+  for (auto* node : nodesBeside(host)) node->powered = false;
   if (!host.up) return;
   mark("power loss " + host.name);
   endProcess(host);
 }
 
 void Sim::endProcess(Host& host) {
-  trouble();
+  host.settings.role == Role::agent ? workerTrouble() : trouble();
+  links_.disconnect(host.machine, now_);
+  for (auto* node : nodesBeside(host)) endNode(*node);
+}
+
+void Sim::endNode(Host& host) {
   host.up = false;
   ++host.lives;
   host.held.clear();
@@ -80,6 +121,10 @@
 void Sim::freeze(Host& host, Micros spanUs) {
   if (!host.up) return;
   mark("freeze " + host.name);
+  for (auto* node : nodesBeside(host)) freezeNode(*node, spanUs);
+}
+
+void Sim::freezeNode(Host& host, Micros spanUs) {
   host.frozenUntilUs = now_ + spanUs;
   const int life = host.lives;
   after(spanUs, [this, &host, life] {
@@ -104,7 +149,7 @@
   if (host.gone) return false;
   const Millis catchUpMs = plan.bounds.catchUpMs > 0 ? plan.bounds.catchUpMs : 4 * plan.bounds.leaseMs;
   const bool cutOff = std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& other) {
-    return other.get() != &host && (isCut(host, *other) || isCut(*other, host));
+    return other->machine != host.machine && (isCut(host, *other) || isCut(*other, host));
   });
   return !host.up || host.diskBlocked || cutOff || now_ < host.frozenUntilUs ||
          now_ < host.returnedUs + catchUpMs * 1000;
@@ -112,7 +157,11 @@
 
 void Sim::stopPolitely(Host& host) {
   trouble();
-  if (host.up) give(host, PoliteStop{});
+  if (!host.up) return;
+  const int life = host.lives;
+  for (auto* node : nodesBeside(host)) {
+    if (host.up && host.lives == life) give(*node, PoliteStop{});
+  }
 }
 
 void Sim::tick(Host& host, int life) {
@@ -236,7 +285,9 @@
     }
     ask(*to->second, std::move(onward), std::move(back));
   }
-  if (out.done) crash(host);
+  host.left = host.left || out.done;
+  const auto& nodes = nodesBeside(host);
+  if (out.done && std::all_of(nodes.begin(), nodes.end(), [](const Host* node) { return node->left; })) crash(host);
 }
 
 }  // namespace tulip::simulator
--- a/src/simulator/network.cpp
+++ b/src/simulator/network.cpp
@@ -2,6 +2,10 @@
 
 namespace tulip::simulator {
 
+void Network::heal(const std::string& machine) {
+  std::erase_if(cuts_, [&](const Link& link) { return link.first == machine || link.second == machine; });
+}
+
 void Network::stall(const std::string& from, const std::string& to, Micros untilUs) {
   auto& stall = stalls_[{from, to}];
   if (untilUs > stall.untilUs) stall.untilUs = untilUs;
--- a/src/simulator/network.hpp
+++ b/src/simulator/network.hpp
@@ -27,6 +27,8 @@
 
   void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void heal() { cuts_.clear(); }
+  /// Ends the cuts of one machine.
+  void heal(const std::string& machine);
   bool isCut(const std::string& from, const std::string& to) const { return cuts_.contains({from, to}); }
   bool anyCut() const { return !cuts_.empty(); }
 
--- a/src/simulator/sim.cpp
+++ b/src/simulator/sim.cpp
@@ -1,5 +1,7 @@
 #include "simulator/sim.hpp"
 
+#include <array>
+
 namespace tulip::simulator {
 
 using namespace transport;
@@ -16,10 +18,17 @@
 }
 
 Sim::Sim(std::uint64_t seed, FleetPlan given) : plan(std::move(given)), seed_(seed), random_(seed) {
-  for (int i = 0; i < 3; ++i) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
   auto zone = [&](int i) { return zoneOf(plan, i); };
-  for (int i = 0; i < plan.replicas; ++i) addHost(Role::replica, "replica-" + std::to_string(i + 1), zone(i));
-  for (int i = 0; i < plan.schedulers; ++i) addHost(Role::scheduler, "scheduler-" + std::to_string(i + 1), zone(i));
+  const int machines = plan.replicas + plan.schedulers;
+  const std::array<int, 3> seeding =
+      plan.sharedMachines ? std::array{0, plan.replicas - 1, machines - 1} : std::array{0, 1, 2};
+  for (const int i : seeding) seeds_.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
+  if (plan.sharedMachines) {
+    for (int i = 0; i < machines; ++i) addSharedMachine("edge-" + std::to_string(i + 1), zone(i), i < plan.replicas);
+  } else {
+    for (int i = 0; i < plan.replicas; ++i) addHost(Role::replica, "replica-" + std::to_string(i + 1), zone(i));
+    for (int i = 0; i < plan.schedulers; ++i) addHost(Role::scheduler, "scheduler-" + std::to_string(i + 1), zone(i));
+  }
   for (int i = 0; i < plan.workers; ++i) {
     const auto number = std::to_string(i + 1);
     auto& agent = addHost(Role::agent, "agent-" + number, zone(i), "worker-" + number);
@@ -73,17 +82,31 @@
   now_ = std::max(now_, untilUs);
 }
 
+bool Sim::isNodeTroubled(const Host& host, Micros sinceUs) const {
+  constexpr Micros kSlowSyncUs = 5000;
+  return (!host.up && !host.gone) || host.frozenUntilUs > sinceUs || host.diskBlocked || host.syncUs > kSlowSyncUs;
+}
+
+bool Sim::coreTroubled(Millis withinMs) const {
+  if (now_ - coreTroubleUs_ <= withinMs * 1000 || network_.anyCut() || plan.network.drop > 0 || plan.network.late > 0)
+    return true;
+  const Micros sinceUs = std::max<Micros>(0, now_ - withinMs * 1000);
+  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& host) {
+    return host->settings.role != Role::agent && isNodeTroubled(*host, sinceUs);
+  });
+}
+
 bool Sim::troubled(Millis withinMs) const {
   if (now_ - troubleUs_ <= withinMs * 1000 || network_.anyCut() || plan.network.drop > 0 || plan.network.late > 0)
     return true;
   const Micros since = std::max<Micros>(0, now_ - withinMs * 1000);
   for (const auto& host : hosts_)
-    if ((!host->up && !host->gone) || host->frozenUntilUs > since || host->diskBlocked || host->syncUs > 5000)
-      return true;
+    if (isNodeTroubled(*host, since)) return true;
   for (const auto& simWorker : simWorkers_) {
     const auto& traits = simWorker->worker.traits;
-    if ((!simWorker->up && !simWorker->agent->gone) || simWorker->cut || simWorker->frozenUntilUs > since ||
-        traits.mute || traits.standsStill || traits.slowFactor > 1 || traits.failEvery > 0 || traits.failShare > 0)
+    const bool gone = simWorker->gone || simWorker->agent->gone;
+    if ((!simWorker->up && !gone) || simWorker->cut || simWorker->frozenUntilUs > since || traits.mute ||
+        traits.standsStill || traits.slowFactor > 1 || traits.failEvery > 0 || traits.failShare > 0)
       return true;
   }
   return false;
--- a/src/simulator/sim.hpp
+++ b/src/simulator/sim.hpp
@@ -13,6 +13,7 @@
 #include "daemon/node.hpp"
 #include "simulator/call_adapter.hpp"
 #include "simulator/clock.hpp"
+#include "simulator/links.hpp"
 #include "simulator/meter.hpp"
 #include "simulator/network.hpp"
 #include "simulator/place.hpp"
@@ -38,6 +39,10 @@
   bool sizedPool = true;                         // the configuration says how large the pool's workers are
   Millis holdMostMs = 0;                         // a worker cuts a longer hold to this; 0: any
   Micros workerStepUs = 5000;                    // between two steps of a simulated worker
+  bool sharedMachines = false;                   // a replica and a scheduler are one process; those of the machines
+                                                 // beyond the replicas have no disk
+  LinkPlan links;
+  double diskMbPerS = 0;  // what a sync takes beside its fixed time; 0: no time by the byte
 };
 
 std::string zoneOf(const FleetPlan& fleet, int worker);
@@ -54,9 +59,10 @@
   std::string body;
 };
 
-/// A machine and the process on it.
+/// A node of a process on a machine.
 struct Host {
   std::string name;
+  std::string machine;  // where it runs; one process holds all nodes of a machine
   Settings settings;
   DaemonId id;
   int lives = 0;
@@ -80,6 +86,9 @@
   std::unordered_map<std::uint64_t, transport::Ask> askText;
   std::vector<std::function<void()>> held;
   std::uint64_t syncs = 0;
+  bool left = false;  // has done its part of a polite stop
+
+  bool isDiskless() const { return settings.role == Role::replica && settings.dataFolder.empty(); }
 };
 
 struct SimWorker {
@@ -87,6 +96,7 @@
   Host* agent = nullptr;
   bool up = false;
   bool cut = false;
+  bool gone = false;  // for good, though its agent may live on
   Micros frozenUntilUs = 0;
   int lives = 0;
   bool calling = false;
@@ -104,6 +114,7 @@
   Millis clockOf(const SimWorker& simWorker) const {
     return static_cast<Millis>(static_cast<double>(now_) * simWorker.clockRate / 1000.0);
   }
+  transport::Now clock(const Host& host) const { return read(host.clock, now_); }
   void at(Micros whenUs, std::function<void()> act);
   void after(Micros spanUs, std::function<void()> act) { at(now_ + spanUs, std::move(act)); }
   void runUntil(Micros untilUs);
@@ -112,6 +123,10 @@
   double unit();
 
   Host& addHost(Role role, const std::string& name, const std::string& zone, const std::string& workerName = {});
+  /// A machine with a replica and a scheduler in one process; returns the replica.
+  Host& addSharedMachine(const std::string& name, const std::string& zone, bool disk);
+  /// The nodes of the machine's process.
+  const std::vector<Host*>& nodesBeside(const Host& host) const { return nodesOf_.at(host.machine); }
   void start(Host& host);
   /// The process is killed: the machine's clock goes on.
   void crash(Host& host);
@@ -124,7 +139,8 @@
   void stopPolitely(Host& host);
   void ask(Host& host, transport::Ask ask, std::function<void(Reply)> done);
   void cut(const Host& from, const Host& to) {
-    network_.cut(from.name, to.name);
+    if (from.machine == to.machine) return;
+    network_.cut(from.machine, to.machine);
     trouble();
   }
   void cutOff(const Host& host);
@@ -132,6 +148,10 @@
     network_.heal();
     trouble();
   }
+  void heal(const Host& host) {
+    network_.heal(host.machine);
+    trouble();
+  }
   /// What one machine sends to the other waits in buffers for this long.
   void stallLink(const Host& from, const Host& to, Micros spanUs);
   /// All connections of the machine's process break, those of its callers too.
@@ -139,10 +159,14 @@
   /// Whether the machine counts as lost: down, frozen, cut off or not yet
   /// caught up after its return.
   bool isLost(const Host& host) const;
-  void trouble() { troubleUs_ = std::max(troubleUs_, now_); }
+  /// A trouble of the control side or of a link.
+  void trouble() { troubleUs_ = coreTroubleUs_ = now_; }
+  void workerTrouble() { troubleUs_ = now_; }
   bool troubled(Millis withinMs) const;  // anything beyond load and configurations
                                          // happened within this time, or goes on
-  bool isCut(const Host& from, const Host& to) const { return network_.isCut(from.name, to.name); }
+  /// Whether a trouble of the control side or of a link happened within this time, or goes on.
+  bool coreTroubled(Millis withinMs) const;
+  bool isCut(const Host& from, const Host& to) const { return network_.isCut(from.machine, to.machine); }
 
   void startWorker(SimWorker& simWorker);
   void crashWorker(SimWorker& simWorker);
@@ -151,6 +175,7 @@
   std::vector<Host*> hosts(Role role) const;
   Host* leader();
   bool knows(const std::string& name) const { return byName_.contains(name); }
+  bool knowsMachine(const std::string& name) const { return nodesOf_.contains(name); }
   Host& host(const std::string& name) { return *byName_.at(name); }
   const std::vector<std::unique_ptr<SimWorker>>& simWorkers() const { return simWorkers_; }
   const std::vector<std::unique_ptr<Host>>& all() const { return hosts_; }
@@ -180,19 +205,27 @@
     std::function<void()> act;
     bool operator<(const Due& other) const { return std::tie(whenUs, serial) > std::tie(other.whenUs, other.serial); }
   };
-  transport::Now clock(const Host& host) const { return read(host.clock, now_); }
   void give(Host& host, transport::Event event);
   void settle(Host& host, transport::Outbox&& out);
   void metered(Host& host, const transport::Event& event, transport::Outbox& out);
   std::string roleAt(const Host& host) const;
   void carry(Host& from, const transport::Send& send);
-  void arrive(const std::string& from, Host& to, const transport::Heard& heard, Micros sentUs);
+  transport::Heard weighed(Host& from, Host& to, const transport::Send& send, std::size_t& bytes);
+  void travel(Host& from, Host& to, const transport::Heard& heard, Micros spanUs);
+  void travelTimed(Host& from, Host& to, const transport::Heard& heard, std::size_t bytes);
+  void arrive(const Host& from, Host& to, const transport::Heard& heard, Micros sentUs);
+  Micros callTravelUs(const Host& host, std::size_t bytes, bool answer);
+  Host& addNode(Role role, const std::string& name, const std::string& machine, const std::string& zone, int port);
+  void startNode(Host& host);
+  void freezeNode(Host& host, Micros spanUs);
+  bool isNodeTroubled(const Host& host, Micros sinceUs) const;
   std::vector<Address> drawSeeds();
   void tick(Host& host, int life);
   void wake(Host& host, Millis steadyMs);
   void sync(Host& host);
   void finishSync(Host& host, int life);
   void endProcess(Host& host);
+  void endNode(Host& host);
   void endWrites(Host& host);
   void loseCallers(Host& host, double share);
   void reply(Host& host, std::uint64_t requestId, Reply reply);
@@ -213,9 +246,12 @@
   std::vector<std::unique_ptr<Host>> hosts_;
   std::vector<std::unique_ptr<SimWorker>> simWorkers_;
   std::map<std::string, Host*> byName_;
+  std::map<std::string, std::vector<Host*>> nodesOf_;  // by machine
+  std::map<std::string, std::string> ipOf_;            // by machine
   std::map<Address, Host*> bySignal_, byHttp_;
   std::vector<Address> seeds_;
   Network network_;
+  Links links_;
   std::shared_ptr<const http::ProtocolAdapter> adapter_ = std::make_shared<CallAdapter>();
   int addresses_ = 0;
   struct Gang {
@@ -223,7 +259,7 @@
   };
   std::map<std::string, Gang> gangs_;
   std::set<std::string> gangRuns_;
-  Micros troubleUs_ = -1000000000;
+  Micros troubleUs_ = -1000000000, coreTroubleUs_ = -1000000000;
 };
 
 }  // namespace tulip::simulator
--- a/src/simulator/sim_workers.cpp
+++ b/src/simulator/sim_workers.cpp
@@ -13,7 +13,7 @@
   simWorker.worker.traits = traits;
   simWorker.worker.incarnation = "w" + std::to_string(++names_);
   simWorker.news = false;
-  trouble();
+  workerTrouble();
   simWorker.calling = false;
   simWorker.frozenUntilUs = 0;
   const int life = simWorker.lives;
@@ -23,7 +23,7 @@
 void Sim::crashWorker(SimWorker& simWorker) {
   if (!simWorker.up) return;
   mark("crash " + simWorker.worker.traits.name);
-  trouble();
+  workerTrouble();
   if (onWorkerCrash) onWorkerCrash(simWorker);
   simWorker.up = false;
   ++simWorker.lives;
