--- a/src/simulator/audit.cpp
+++ b/src/simulator/audit.cpp
@@ -13,7 +13,7 @@
     if (!job.rejected && !job.turnedAway) world.poll(id);
   std::size_t reads = 0;
   for (const auto& host : sim.all()) {
-    if (!host->up) continue;
+    if (!host->up || host->settings.http.empty()) continue;
     Ask ask;
     ask.method = "GET";
     ask.path = "/configuration";
@@ -23,8 +23,11 @@
       world.readConfig(reply.body, world.sim.nowMs(), true);
     });
   }
+  const auto askedMs = sim.nowMs();
   sim.runUntil(sim.nowUs() + 5 * kSecond);
+  world.judge.judgeUnanswered(askedMs);
   world.judge.close();
+  result.servedAgainMs = world.judge.servedAgainMs();
   if (reads < 3)
     world.judge.broken.push_back({sim.nowMs(), "chart",
                                   "fewer than three daemons answer the "
@@ -51,6 +54,7 @@
     result.mostReplicaKeys = std::max(result.mostReplicaKeys, host->disk.jobs.size());
   }
   if (auto* leader = sim.leader()) {
+    result.leaderCounters = scheduler::countersJson(*leader->node->scheduler);
     result.dropped = leader->node->scheduler->counts.dropped;
     result.leaderKeys = leader->node->scheduler->current.size();
     result.leaderJobs = leader->node->scheduler->committedJobs.size();
@@ -85,7 +89,10 @@
       static_cast<long long>(quantile(result.finishMs, 0.99)), static_cast<long long>(result.leaderGapMs),
       static_cast<long long>(result.recoveredMs), static_cast<unsigned long long>(result.events),
       static_cast<unsigned long long>(result.traceSum));
-  return text;
+  if (result.peakBytes == 0) return text;
+  return std::string(text) + ", served again after " + std::to_string(result.servedAgainMs) + " ms, peak " +
+         std::to_string(result.peakBytes / 1024) + " kB (" + result.peakAt + "), " +
+         std::to_string(result.alarms.size()) + " alarms";
 }
 
 }  // namespace tulip::simulator
--- a/src/simulator/day.hpp
+++ b/src/simulator/day.hpp
@@ -20,6 +20,7 @@
   std::string configPatch;
   double tailSeconds = 90;
   bool forgetsEnded = false;
+  bool longDay = false;  // overlapping troubles at any hour, changes all along, and the loss of the whole control side
   std::string operation;
   std::optional<Place> place;
 };
@@ -34,6 +35,7 @@
   std::int64_t starts = 0, checks = 0, submitTries = 0;
   Millis recoveredMs = -1;
   Millis leaderGapMs = 0;
+  Millis servedAgainMs = -1;  // from the machines' return after a long day's closing fault to the first served request
   std::vector<Millis> submitMs, startMs, finishMs;
   std::uint64_t syncs = 0;
   std::uint64_t dropped = 0;
@@ -41,6 +43,9 @@
   std::map<std::string, JobTruth> truth;
   std::map<std::string, std::int64_t> outcomes;
   std::vector<std::string> alarms;
+  std::string leaderCounters;  // of the leader at the end
+  std::size_t peakBytes = 0;  // what a daemon of the control side kept in memory at most, on long days
+  std::string peakAt;         // which one, and when
   std::map<std::string, int> points;
   bool placed = false;
 };
--- a/src/simulator/judge.cpp
+++ b/src/simulator/judge.cpp
@@ -6,10 +6,10 @@
 
 const std::vector<std::string>& ruleNames() {
   static const std::vector<std::string> all{
-      "answers",      "apart",    "asked-for", "cancelled",  "chart",   "counters", "denied",
-      "denied-chart", "draining", "early",     "emptied",    "ends",    "failures", "finished",
-      "forgotten",    "gang",     "inside",    "needs",      "number",  "once",     "repeated",
-      "resent",       "room",     "shown",     "stale-read", "stalled", "steps",    "turned-away"};
+      "acks",         "answers",  "apart",   "asked-for", "cancelled",  "chart",    "counters", "denied",
+      "denied-chart", "draining", "early",   "emptied",   "ends",       "failures", "finished", "forgotten",
+      "gang",         "inside",   "lost",    "needs",     "number",     "once",     "recover",  "repeated",
+      "resent",       "room",     "session", "shown",     "stale-read", "stalled",  "steps",    "turned-away"};
   return all;
 }
 
@@ -288,7 +288,9 @@
   auto& job = jobs.at(id);
   ++checks;
   constexpr int kNotFound = 404, kGone = 410;
-  if (status == kNotFound || status == kGone) {
+  const bool unknown = status == kNotFound || status == kGone;
+  if (unknown || status == 200) job.answeredMs = sim_.nowMs();
+  if (unknown) {
     if (job.acceptedMs >= 0 && !(forgetsEnded && !job.shown.empty()))
       fault("forgotten", id + " is answered with " + std::to_string(status) + " after it was accepted");
     return;
@@ -354,10 +356,12 @@
 void Judge::configProposed(const std::string& mark) {
   markVersion_.try_emplace(mark, 0);
   openChanges_.insert(mark);
+  awaitingAck_.try_emplace(mark, sim_.nowMs());
 }
 
 void Judge::configConfirmed(const std::string& mark, Version version) {
   openChanges_.erase(mark);
+  awaitingAck_.erase(mark);
   if (openChanges_.empty()) quietlyAcked_[mark] = markVersion_.size();
   if (rejected_.contains(mark)) fault("denied-chart", mark + " was denied and then confirmed");
   if (version == 0) return;
@@ -373,6 +377,7 @@
 
 void Judge::configRejected(const std::string& mark) {
   openChanges_.erase(mark);
+  awaitingAck_.erase(mark);
   rejected_.insert(mark);
 }
 
@@ -467,8 +472,12 @@
 void Judge::sweep() {
   sweepLonely();
   sweepCancelled();
+  sweepAcks();
+  sweepSessions();
   constexpr std::uint64_t kStallSweeps = 5;
-  if (stalls && ++sweeps_ % kStallSweeps == 0) sweepStalled();
+  if (!stalls || ++sweeps_ % kStallSweeps != 0) return;
+  sweepStalled();
+  sweepLost();
 }
 
 void Judge::sweepLonely() {
@@ -514,94 +523,8 @@
   }
 }
 
-bool Judge::usable(const SimWorker& simWorker) const {
-  const auto& name = simWorker.worker.traits.name;
-  return simWorker.up && simWorker.agent->up && !simWorker.cut && !simWorker.worker.leaving &&
-         sim_.nowUs() >= simWorker.frozenUntilUs && !drainedSinceMs_.contains(name) &&
-         !emptiedSinceMs_.contains(simWorker.agent->settings.zone.value);
-}
-
-void Judge::sweepStalled() {
-  if (sim_.troubled(kSettledMs)) {
-    for (auto& [id, job] : jobs) job.stalledSinceMs = -1;
-    return;
-  }
-  using Capacity = std::map<std::string, std::int64_t>;
-  struct Free {
-    const SimWorker* simWorker;
-    Capacity capacity;
-  };
-  std::vector<Free> free;
-  Capacity total, used;
-  for (const auto& simWorker : sim_.simWorkers()) {
-    if (!usable(*simWorker)) continue;
-    Capacity capacity = simWorker->worker.traits.capacity;
-    capacity[""] = simWorker->worker.traits.slots;
-    for (const auto& [kind, amount] : capacity) total[kind] += amount;
-    for (const auto& [run, running] : simWorker->worker.running) {
-      capacity[""] -= running.slots;
-      used[""] += running.slots;
-      for (const auto& [kind, amount] : running.capacity) {
-        capacity[kind] -= amount;
-        used[kind] += amount;
-      }
-    }
-    free.push_back({simWorker.get(), std::move(capacity)});
-  }
-  const bool roomy = !free.empty() && std::all_of(total.begin(), total.end(),
-                                                  [&](const auto& each) { return used[each.first] * 2 < each.second; });
-  const auto fitsTwice = [&](const JobTruth& job, const std::vector<std::size_t>& unit) {
-    auto left = free;
-    for (int copy = 0; copy < 2; ++copy) {
-      std::map<const SimWorker*, std::int64_t> beside;
-      for (auto at : unit) {
-        const auto& task = job.tasks[at];
-        Capacity need = task.capacity;
-        need[""] = task.slots;
-        const auto found = std::find_if(left.begin(), left.end(), [&](Free& each) {
-          const auto& labels = each.simWorker->worker.traits.labels;
-          return (task.needs.empty() || std::any_of(labels.begin(), labels.end(),
-                                                    [&](const auto& label) { return label.second == task.needs; })) &&
-                 (task.apart == 0 || beside[each.simWorker] < task.apart) &&
-                 std::all_of(need.begin(), need.end(),
-                             [&](const auto& kind) { return kind.second <= each.capacity[kind.first]; });
-        });
-        if (found == left.end()) return false;
-        ++beside[found->simWorker];
-        for (const auto& [kind, amount] : need) found->capacity[kind] -= amount;
-      }
-    }
-    return true;
-  };
-  for (auto& [id, job] : jobs) {
-    if (job.acceptedMs < 0 || !job.shown.empty() || job.cancelAskedMs >= 0) continue;
-    ++checks;
-    const bool runs =
-        std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return !task.running.empty(); });
-    std::vector<std::size_t> unit;
-    if (roomy && !runs)
-      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        if (!job.ready(i, sim_.nowMs())) continue;
-        const auto limit = failureLimit.find(job.line);
-        if (!job.tasks[i].standing && limit != failureLimit.end() && job.failures(i) >= limit->second) continue;
-        const bool sameGang =
-            !unit.empty() && job.tasks[i].members > 1 && job.tasks[i].lead == job.tasks[unit.front()].lead;
-        if (unit.empty() || job.gang || sameGang) unit.push_back(i);
-      }
-    if (unit.empty() || !fitsTwice(job, unit))
-      job.stalledSinceMs = -1;
-    else if (job.stalledSinceMs < 0)
-      job.stalledSinceMs = sim_.nowMs();
-    else if (sim_.nowMs() - job.stalledSinceMs > kStallMs) {
-      fault("stalled", id + " has nothing running for " + std::to_string(sim_.nowMs() - job.stalledSinceMs) +
-                           " ms though there is room twice over for " + described(job, unit.front()) + ", " +
-                           std::to_string(unit.size()) + " at once");
-      job.stalledSinceMs = sim_.nowMs();
-    }
-  }
-}
-
 void Judge::close() {
+  judgeRecovery();
   for (const auto& [id, job] : jobs) {
     ++checks;
     if (job.acceptedMs >= 0 && job.shown.empty()) {
--- a/src/simulator/judge.hpp
+++ b/src/simulator/judge.hpp
@@ -14,6 +14,7 @@
       delivered;  // runs that failed; runs whose clean end was reported
   Millis deliveredMs = -1, failedMs = -1;
   Millis lonelySinceMs = -1;
+  Millis waitsSinceMs = -1;  // could run since then, with room in plenty, and doesn't
   std::map<std::string, std::int64_t> capacity;
   std::size_t lead = kItself;  // the first member, which keeps the ends of its whole gang
   std::size_t step = 0;
@@ -53,6 +54,7 @@
   std::vector<std::string> names;
   std::vector<TaskTruth> tasks;
   Millis stalledSinceMs = -1;
+  Millis answeredMs = -1;  // when its caller last heard anything of it
 
   TaskTruth& lead(std::size_t at) { return tasks[tasks[at].lead == TaskTruth::kItself ? at : tasks[at].lead]; }
   const TaskTruth& lead(std::size_t at) const {
@@ -85,6 +87,8 @@
   /// A version of 0 is not known: the answer does not tell it.
   void configConfirmed(const std::string& mark, Version version);
   void configRejected(const std::string& mark);
+  /// Its operator sends the change no more, without knowing whether it is in force.
+  void configGivenUp(const std::string& mark) { awaitingAck_.erase(mark); }
   /// An acknowledged change was sent again, and answered with this status.
   void configResent(const std::string& mark, int status);
   /// Whether an acknowledged change is the last that was sent: sent again, it
@@ -98,6 +102,14 @@
   void zoneEmptied(const std::string& zone, bool emptied, bool confirmed);
   void drained(const std::string& worker, bool drained, bool confirmed);
   void sweep();
+  /// At the end of a day, once all is well again: every task that could run with room in plenty is lost.
+  void judgeLeftOver();
+  /// Whose callers have heard nothing since then are lost, as unknown jobs are.
+  void judgeUnanswered(Millis sinceMs);
+  /// The machines are back after the loss of the whole control side that ends the day.
+  void machinesBack() { backMs_ = sim_.nowMs(); }
+  /// From the machines' return until the first request sent after it is served; -1: none was.
+  Millis servedAgainMs() const;
   void close();
   Version newestConfirmed() const { return newestConfirmed_; }
 
@@ -109,8 +121,20 @@
   bool forgetsEnded = false;
   bool stalls = true;  // off where the order of work may leave room unused
   bool clockStepped = false;
+  Millis ackMs = 5000;       // an operator's change is answered within this, in calm
+  Millis recoverMs = 15000;  // requests are served again this long after the machines' return
 
  private:
+  using Capacity = std::map<std::string, std::int64_t>;
+  struct Free {
+    const SimWorker* simWorker;
+    Capacity capacity;
+  };
+  /// What is free on the workers that may be used.
+  struct Room {
+    std::vector<Free> free;
+    bool plenty = false;  // under half of it is in use
+  };
   void journal(SimWorker& simWorker, const std::string& line);
   void reported(SimWorker& simWorker, const std::string& body, int status);
   void started(SimWorker& simWorker, const std::string& text);
@@ -122,6 +146,15 @@
   void sweepLonely();
   void sweepCancelled();
   void sweepStalled();
+  void sweepLost();
+  void sweepAcks();
+  void sweepSessions();
+  void judgeRecovery();
+  Room roomNow() const;
+  bool fitsTwice(const Room& room, const JobTruth& job, const std::vector<std::size_t>& unit) const;
+  bool mayStart(const JobTruth& job, std::size_t at) const;
+  std::vector<std::size_t> gangOf(const JobTruth& job, std::size_t at) const;
+  bool couldRun(const Room& room, const JobTruth& job, std::size_t at) const;
   std::string described(const JobTruth& job, std::size_t at) const;
   bool usable(const SimWorker& simWorker) const;
   void fault(const char* rule, std::string what);
@@ -137,6 +170,10 @@
   std::set<std::string> openChanges_;                // sent, and neither acknowledged nor refused yet
   std::map<std::string, std::size_t> quietlyAcked_;  // with no other open: how many had been sent until then
   std::map<std::string, Version> evacuatedFrom_;     // zone -> the version from which it must be shown emptied
+  std::map<std::string, Millis> awaitingAck_;        // when each was sent
+  Millis calmSinceMs_ = -1;                          // -1: the control side is not settled
+  Millis backMs_ = -1;
+  std::set<std::string> withoutSession_;
   Version newestConfirmed_ = 0;
   std::map<Version, Millis> confirmedMs_;
   std::map<std::string, Millis> emptiedSinceMs_, drainedSinceMs_, leavingSinceMs_;
--- a/src/simulator/world.cpp
+++ b/src/simulator/world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/errors.hpp"
+#include "simulator/footprint.hpp"
 
 namespace tulip::simulator {
 
@@ -81,6 +82,7 @@
   const auto& all = sim.all();
   while (true) {
     auto& host = *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
+    if (plan.fleet.sharedMachines && host.settings.role != Role::scheduler) continue;
     if (&host != but && !retired.contains(host.name)) return host;
   }
 }
@@ -305,6 +307,8 @@
 void World::changeConfig(const std::string& method, std::string body, std::string mark, std::string name,
                          std::string query, std::function<void(bool)> done, int tries) {
   if (tries == 0) judge.configProposed(mark);
+  // A change that rests on a revision may be refused, or its outcome may no longer be known: no answer is owed.
+  if (!query.empty()) judge.configGivenUp(mark);
   Ask ask;
   ask.method = method;
   ask.path = "/configuration";
@@ -312,6 +316,9 @@
   ask.body = body;
   ask.requestName = name;
   call(ask, [=, this, sent = ask](Reply reply) {
+    if (plan.trace)
+      *plan.trace << sim.nowUs() << " operator's " << mark << " got "
+                  << (reply.lost ? "no answer" : std::to_string(reply.status) + " " + reply.body) << "\n";
     if (!reply.lost && reply.status == 200) {
       Json root = parseJson(reply.body);
       judge.configConfirmed(mark, static_cast<Version>(numberAt(root.get(), "revision")));
@@ -326,7 +333,7 @@
       if (done) done(false);
       return;
     }
-    if (tries > 60 || name.empty()) return;
+    if (tries > 60 || name.empty()) return judge.configGivenUp(mark);
     sim.after((reply.retryMs > 0 ? reply.retryMs : 100) * 1000,
               [=, this] { changeConfig(method, body, mark, name, query, done, tries + 1); });
   });
@@ -422,6 +429,18 @@
   if (version) judge.configRead(version, dumpJson(json_object_get(root.get(), "configuration")), askedMs, final);
 }
 
+void World::weigh() {
+  if (sim.nowUs() >= endUs) return;
+  for (const auto& host : sim.all()) {
+    if (!host->node || host->settings.role == Role::agent) continue;
+    const auto bytes = footprintOf(*host->node);
+    if (bytes <= result.peakBytes) continue;
+    result.peakBytes = bytes;
+    result.peakAt = host->name + " at " + std::to_string(sim.nowMs()) + " ms";
+  }
+  sim.after(kSecond, [this] { weigh(); });
+}
+
 void World::sweeps() {
   judge.sweep();
   if (sim.leader()) {
@@ -460,7 +479,7 @@
 
 Host& World::pick(Role role) {
   auto all = sim.hosts(role);
-  std::erase_if(all, [&](Host* host) { return retired.contains(host->name); });
+  std::erase_if(all, [&](Host* host) { return retired.contains(host->name) || host->isDiskless(); });
   return *all[static_cast<std::size_t>(sim.below(static_cast<std::int64_t>(all.size())))];
 }
 SimWorker& World::pickWorker() {
@@ -491,20 +510,26 @@
 
 void World::whenAffordable(std::function<void()> act) {
   const auto replicas = sim.hosts(Role::replica);
-  const auto lost =
-      std::count_if(replicas.begin(), replicas.end(), [this](const Host* host) { return sim.isLost(*host); });
+  const auto lost = std::count_if(replicas.begin(), replicas.end(),
+                                  [this](const Host* host) { return !host->isDiskless() && sim.isLost(*host); });
   if (lost < plan.fleet.losses) return act();
   if (sim.nowUs() < quietUs) sim.after(kSecond / 10, [this, act = std::move(act)] { whenAffordable(act); });
 }
 
 std::string World::successorName(const Host& old) const {
-  auto name = old.name + "x";
-  while (sim.knows(name)) name += "x";
+  auto name = old.machine + "x";
+  while (sim.knowsMachine(name)) name += "x";
   return name;
 }
 
+Host& World::addSuccessor(const Host& old) {
+  const auto name = successorName(old);
+  const auto& zone = old.settings.zone.value;
+  return plan.fleet.sharedMachines ? sim.addSharedMachine(name, zone, true) : sim.addHost(Role::replica, name, zone);
+}
+
 void World::replacePlanned(Host& old) {
-  auto& fresh = sim.addHost(Role::replica, successorName(old), old.settings.zone.value);
+  auto& fresh = addSuccessor(old);
   sim.start(fresh);
   sim.after(kSecond + sim.below(5 * kSecond), [this, &old] {
     if (retired.contains(old.name)) return;
@@ -522,7 +547,7 @@
     return;
   }
   retire(old);
-  auto& fresh = sim.addHost(Role::replica, successorName(old), old.settings.zone.value);
+  auto& fresh = addSuccessor(old);
   sim.after(300000 + sim.below(kSecond), [this, &fresh] { sim.start(fresh); });
 }
 
@@ -551,15 +576,17 @@
 }
 
 void World::retire(Host& host) {
-  retired.insert(host.name);
-  host.gone = true;
+  for (auto* node : sim.nodesBeside(host)) {
+    retired.insert(node->name);
+    node->gone = true;
+  }
 }
 
 void World::takeSoon(SimWorker& simWorker, Millis inMs) {
   simWorker.worker.leaving = true;
   simWorker.worker.leavesAtMs = sim.clockOf(simWorker) + inMs;
   const int life = simWorker.lives;
-  sim.trouble();
+  sim.workerTrouble();
   sim.after(inMs * 1000, [this, &simWorker, life] {
     if (simWorker.lives == life && simWorker.worker.leaving) sim.crashWorker(simWorker);
   });
@@ -587,14 +614,14 @@
     auto& traits = simWorker->worker.traits;
     if (simWorker->worker.leaving || traits.failEvery || traits.slowFactor > 1 || traits.failShare > 0 ||
         traits.standsStill || traits.mute)
-      sim.trouble();
+      sim.workerTrouble();
     simWorker->worker.leaving = false;
     simWorker->worker.leavesAtMs = -1;
     traits.failEvery = 0;
     traits.slowFactor = 1;
     traits.failShare = 0;
     traits.standsStill = traits.mute = false;
-    if (!simWorker->up) sim.startWorker(*simWorker);
+    if (!simWorker->up && !simWorker->gone) sim.startWorker(*simWorker);
   }
 }
 
--- a/src/simulator/world.hpp
+++ b/src/simulator/world.hpp
@@ -63,6 +63,8 @@
   void takeSoon(SimWorker& simWorker, Millis inMs);
   const LineLoad& queueOf(const std::string& name) const;
   void sweeps();
+  /// Finds, once a second, what the daemons of the control side keep in memory.
+  void weigh();
   void setFlag(const std::string& group, const std::string& name, const std::string& flag, bool on,
                std::function<void(bool)> done);
   void setZone(const std::string& zone, bool emptied, std::function<void()> then);
@@ -80,6 +82,8 @@
   /// The successor comes first, then the old replica is stopped politely.
   void replacePlanned(Host& old);
   std::string successorName(const Host& old) const;
+  /// The machine that takes the place of a replica's: with a scheduler beside it where they share machines.
+  Host& addSuccessor(const Host& old);
   void replaceReplica(Host& old, bool sameAddress);
   bool membershipWhole();
   void whenWhole(std::function<void()> act);
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -584,3 +584,167 @@
   passMs(6000);
   CHECK_FALSE(fires("stalled"));
 }
+
+TEST(steps, a_task_that_could_run_and_does_not_is_lost_though_others_of_its_job_run) {
+  passMs(kSettledMs);
+  job({step(2)});
+  start("j:0.0.0:1");
+  passMs(kStallMs);
+  CHECK_FALSE(fires("lost"));
+  passMs(1200);
+  CHECK(fires("lost"));
+  CHECK_FALSE(fires("stalled"));
+}
+
+TEST(steps, a_gang_member_whose_run_is_not_replaced_is_lost) {
+  passMs(kSettledMs);
+  auto wide = step(6);
+  wide.together = true;
+  job({wide});
+  for (int i = 0; i < 6; ++i) start("j:0.0." + std::to_string(i) + ":1", static_cast<std::size_t>(i));
+  end("j:0.0.3:1", "broken", 3);
+  passMs(kStallMs);
+  CHECK_FALSE(fires("lost"));
+  passMs(1200);
+  CHECK(fires("lost"));
+}
+
+TEST(steps, a_task_without_room_out_of_turn_in_trouble_or_at_work_is_not_lost) {
+  passMs(kSettledMs);
+  job({step(1), step(1, {0})});
+  start("j:0.0.0:1");
+  JobSketch wide{"k", "line", false, 0, {}, {step(30)}};
+  wide.steps.front().together = true;
+  judge->submitted(wide);
+  judge->accepted("k");
+  passMs(6000);
+  CHECK_FALSE(fires("lost"));
+  JobSketch other{"l", "line", false, 0, {}, {step(1)}};
+  judge->submitted(other);
+  judge->accepted("l");
+  sim->trouble();
+  passMs(6000);
+  CHECK_FALSE(fires("lost"));
+}
+
+TEST(steps, what_could_run_when_the_day_is_over_is_lost) {
+  job({step(1)});
+  start("j:0.0.0:1");
+  judge->judgeLeftOver();
+  CHECK_FALSE(fires("lost"));
+  end("j:0.0.0:1", "broken");
+  judge->judgeLeftOver();
+  CHECK(fires("lost"));
+}
+
+TEST(steps, an_accepted_job_whose_caller_hears_nothing_is_lost) {
+  job({step(1)});
+  passMs(100);
+  shown("running");
+  judge->judgeUnanswered(100);
+  CHECK_FALSE(fires("lost"));
+  judge->judgeUnanswered(200);
+  CHECK(fires("lost"));
+}
+
+TEST(steps, a_change_without_an_answer_in_calm_fires) {
+  passMs(kCoreSettledMs + 100);
+  judge->configProposed("mark-1");
+  passMs(judge->ackMs);
+  CHECK_FALSE(fires("acks"));
+  passMs(200);
+  CHECK(fires("acks"));
+}
+
+TEST(steps, a_change_that_is_answered_given_up_or_troubled_does_not) {
+  passMs(kCoreSettledMs + 100);
+  judge->configProposed("mark-1");
+  judge->configProposed("mark-2");
+  judge->configProposed("mark-3");
+  judge->configConfirmed("mark-1", 1);
+  judge->configRejected("mark-2");
+  judge->configGivenUp("mark-3");
+  passMs(judge->ackMs + 1000);
+  judge->configProposed("mark-4");
+  for (int i = 0; i < 3; ++i) {
+    passMs(judge->ackMs - 500);
+    sim->trouble();
+  }
+  CHECK_FALSE(fires("acks"));
+}
+
+TEST(steps, troubles_of_workers_excuse_no_missing_answer) {
+  passMs(kCoreSettledMs + 100);
+  judge->configProposed("mark-1");
+  sim->crashWorker(hand(0));
+  passMs(judge->ackMs + 200);
+  CHECK(fires("acks"));
+}
+
+TEST_GROUP(service) {
+  Sim sim{1, FleetPlan{}};
+  Judge judge{sim};
+
+  void passMs(Millis span) {
+    for (Millis past = 0; past < span; past += 100) {
+      sim.runUntil(sim.nowUs() + 100000);
+      judge.sweep();
+    }
+  }
+  bool fires(const char* rule) {
+    return std::any_of(judge.broken.begin(), judge.broken.end(), [&](const auto& each) { return each.rule == rule; });
+  }
+  void request(const std::string& id, bool served) {
+    judge.submitted(id);
+    if (served) judge.accepted(id);
+  }
+};
+
+TEST(service, a_session_that_is_lost_in_calm_fires_and_one_in_trouble_does_not) {
+  for (const auto& host : sim.all()) sim.start(*host);
+  for (const auto& each : sim.simWorkers()) sim.startWorker(*each);
+  passMs(2 * kSettledMs);
+  CHECK_FALSE(fires("session"));
+  auto& scheduler = *sim.hosts(Role::scheduler).front();
+  for (const auto& other : sim.all())
+    if (other.get() != &scheduler) sim.stallLink(*other, scheduler, 20000000);
+  passMs(kSettledMs - 100);
+  CHECK_FALSE(fires("session"));
+  passMs(1000);
+  CHECK(fires("session"));
+}
+
+TEST(service, no_request_served_long_after_the_machines_are_back_fires) {
+  for (int i = 0; i < 8; ++i) request("before-" + std::to_string(i), true);
+  passMs(1000);
+  judge.machinesBack();
+  for (int i = 0; i < 8; ++i) request("at-once-" + std::to_string(i), false);
+  passMs(judge.recoverMs + 100);
+  for (int i = 0; i < 8; ++i) request("late-" + std::to_string(i), i == 0);
+  passMs(2 * kServedWithinMs);
+  judge.close();
+  CHECK(fires("recover"));
+  LONGS_EQUAL(judge.recoverMs + 100, judge.servedAgainMs());
+}
+
+TEST(service, a_quarter_of_the_requests_served_again_is_enough) {
+  for (int i = 0; i < 8; ++i) request("before-" + std::to_string(i), true);
+  passMs(1000);
+  judge.machinesBack();
+  passMs(judge.recoverMs + 100);
+  for (int i = 0; i < 8; ++i) request("late-" + std::to_string(i), i < 2);
+  passMs(2 * kServedWithinMs);
+  judge.close();
+  CHECK_FALSE(fires("recover"));
+}
+
+TEST(service, a_day_that_served_nothing_before_its_end_has_nothing_to_recover) {
+  for (int i = 0; i < 8; ++i) request("before-" + std::to_string(i), false);
+  passMs(1000);
+  judge.machinesBack();
+  passMs(judge.recoverMs + 100);
+  request("late", false);
+  passMs(2 * kServedWithinMs);
+  judge.close();
+  CHECK_FALSE(fires("recover"));
+}
