--- a/src/commands/simulate.cpp
+++ b/src/commands/simulate.cpp
@@ -10,6 +10,7 @@
 #include "commands/commands.hpp"
 #include "daemon/daemon.hpp"
 #include "simulator/journals.hpp"
+#include "simulator/long_day.hpp"
 #include "simulator/scale.hpp"
 #include "simulator/whatif.hpp"
 
@@ -100,7 +101,8 @@
     recovered.push_back(result.recoveredMs);
     if (!result.broken.empty()) ++broken;
     if (verbose || !result.broken.empty()) std::cout << simulator::summary(result) << "\n";
-    for (std::size_t k = 0; k < result.broken.size() && k < 4; ++k)
+    const std::size_t most = verbose ? result.broken.size() : std::min<std::size_t>(4, result.broken.size());
+    for (std::size_t k = 0; k < most; ++k)
       std::cout << "    at " << result.broken[k].atMs << " ms, " << result.broken[k].rule << ": "
                 << result.broken[k].what << "\n";
     for (const auto& each : result.broken) ++perRule[each.rule];
@@ -113,6 +115,7 @@
                   << simulator::quantile(values, 0.5) << "/" << simulator::quantile(values, 0.99) << "/"
                   << simulator::quantile(values, 1.0) << " ms\n";
       for (const auto& line : result.alarms) std::cout << "    " << line << "\n";
+      std::cout << "    the last leader: " << result.leaderCounters << "\n";
     }
     std::cout.flush();
   });
@@ -186,6 +189,12 @@
     TCLAP::ValueArg<double> seconds("", "seconds", "length of a day", false, 16, "S", line);
     TCLAP::ValueArg<double> factor("", "load-factor", "times the load", false, 1, "X", line);
     TCLAP::ValueArg<std::string> rule("", "rule", "las, gittins or fifo", false, "las", "RULE", line);
+    TCLAP::SwitchArg longDay("", "long",
+                             "long days on a site's fleet: troubles at any hour, hundreds of changes, links and disks "
+                             "that take time by the byte, the loss of the whole control side at the end; --load is "
+                             "kerala-grown, or another with -steps or -grown",
+                             line);
+    TCLAP::SwitchArg site("", "site", "a site's fleet, with links and disks that take time by the byte", line);
     TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
     TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
     TCLAP::SwitchArg stays("", "no-self-stop", "workers go on when unheard past their term", line);
@@ -275,10 +284,12 @@
     for (std::uint64_t i = 0; i < count.getValue(); ++i) {
       simulator::DayPlan plan;
       plan.seed = seed.getValue() + i;
+      if (longDay.getValue()) plan = simulator::longDayPlan(load.getValue(), plan.seed);
       plan.load = loadFrom(load.getValue());
-      plan.fleet = simulator::fleetOf(load.getValue());
-      plan.seconds = seconds.getValue();
-      plan.loadFactor = factor.getValue();
+      plan.fleet = longDay.getValue() || site.getValue() ? simulator::siteFleetOf(load.getValue())
+                                                         : simulator::fleetOf(load.getValue());
+      if (!longDay.getValue() || seconds.isSet()) plan.seconds = seconds.getValue();
+      if (!longDay.getValue() || factor.isSet()) plan.loadFactor = factor.getValue();
       plan.rule = rule.getValue();
       if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; }))
         plan.tailSeconds = 400;
--- a/src/simulator/day.cpp
+++ b/src/simulator/day.cpp
@@ -6,6 +6,7 @@
 
 #include "simulator/audit.hpp"
 #include "simulator/faults.hpp"
+#include "simulator/long_day.hpp"
 
 namespace tulip::simulator {
 
@@ -50,6 +51,7 @@
     });
   });
   world.sweeps();
+  if (plan.longDay) scheduleLongDay(world);
   for (const auto& name : plan.faults) {
     auto found = faults().find(name);
     if (found != faults().end()) found->second(world);
--- a/src/simulator/day.hpp
+++ b/src/simulator/day.hpp
@@ -44,8 +44,8 @@
   std::map<std::string, std::int64_t> outcomes;
   std::vector<std::string> alarms;
   std::string leaderCounters;  // of the leader at the end
-  std::size_t peakBytes = 0;  // what a daemon of the control side kept in memory at most, on long days
-  std::string peakAt;         // which one, and when
+  std::size_t peakBytes = 0;   // what a daemon of the control side kept in memory at most, on long days
+  std::string peakAt;          // which one, and when
   std::map<std::string, int> points;
   bool placed = false;
 };
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include "simulator/long_day.hpp"
 #include "simulator/whatif.hpp"
 
 using namespace tulip::simulator;
@@ -271,3 +272,43 @@
   LONGS_EQUAL(0, result.broken.size());
   CHECK(result.finished > 200);
 }
+
+namespace {
+
+DayResult longDay(const char* load, std::uint64_t seed, double seconds) {
+  auto plan = longDayPlan(load, seed);
+  plan.seconds = seconds;
+  auto result = runDay(plan);
+  for (const auto& each : result.broken) UT_PRINT((each.rule + ": " + each.what).c_str());
+  return result;
+}
+
+}  // namespace
+
+TEST(day, one_seed_is_one_long_day) {
+  const auto first = longDay("leatherwood-steps", 7, 60), again = longDay("leatherwood-steps", 7, 60);
+  CHECK(first.traceSum == again.traceSum);
+  LONGS_EQUAL(first.events, again.events);
+}
+
+TEST(day, long_days_of_overlapping_troubles_on_a_small_site) {
+  for (std::uint64_t seed : {4, 5, 7}) {
+    const auto result = longDay("leatherwood-steps", seed, 90);
+    LONGS_EQUAL(0, result.broken.size());
+    CHECK(result.finished > 200);
+    CHECK(result.servedAgainMs >= 0);
+    CHECK(result.peakBytes > 0);
+  }
+}
+
+TEST(day, a_calm_day_on_a_small_site) {
+  DayPlan plan;
+  plan.seed = 1;
+  plan.load = builtInLoad("leatherwood-steps");
+  plan.fleet = siteFleetOf("leatherwood-steps");
+  plan.seconds = 24;
+  const auto result = runDay(plan);
+  for (const auto& each : result.broken) UT_PRINT((each.rule + ": " + each.what).c_str());
+  LONGS_EQUAL(0, result.broken.size());
+  CHECK(result.finished > 100);
+}
