--- a/src/simulator/faults_workers.cpp
+++ b/src/simulator/faults_workers.cpp
@@ -81,7 +81,7 @@
              auto& simWorker = world.pickWorker();
              simWorker.worker.traits.standsStill = true;
              world.sim.after(3 * kSecond + world.sim.below(5 * kSecond), [&world, &simWorker] {
-               world.sim.trouble();
+               world.sim.workerTrouble();
                simWorker.worker.traits.standsStill = false;
              });
            });
@@ -99,7 +99,7 @@
              auto& simWorker = world.pickWorker();
              simWorker.worker.traits.mute = true;
              world.sim.after(kSecond + world.sim.below(6 * kSecond), [&world, &simWorker] {
-               world.sim.trouble();
+               world.sim.workerTrouble();
                simWorker.worker.traits.mute = false;
              });
            });
@@ -121,7 +121,7 @@
            world.sim.at(world.faultTime(), [&world] {
              auto& simWorker = world.pickWorker();
              world.sim.crashWorker(simWorker);
-             world.retired.insert(simWorker.worker.traits.name);
+             simWorker.gone = true;
              world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond), [&world, &simWorker] {
                if (simWorker.agent->up) world.crashFor(*simWorker.agent, kSecond);
              });
