--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -334,3 +334,15 @@
   LONGS_EQUAL(0, result.broken.size());
   CHECK(result.finished > 1000);
 }
+
+// Found at d59dba2: small daemons have no session in calm (edge-10 and edge-18 from 8 s after the last trouble on).
+TEST(day, a_long_day_of_a_grown_site_leaves_no_daemon_without_a_session) {
+  const auto result = longDay("kerala-grown", 8, 90);
+  LONGS_EQUAL(0, result.broken.size());
+}
+
+// Found at d59dba2: nine members of a gang start again ten seconds after all of it had ended cleanly.
+TEST(day, a_long_day_of_a_grown_site_starts_no_ended_gang_again) {
+  const auto result = longDay("kerala-grown", 10, 90);
+  LONGS_EQUAL(0, result.broken.size());
+}
