--- a/src/scheduler/election.cpp
+++ b/src/scheduler/election.cpp
@@ -28,13 +28,23 @@
 
 std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
 
-// Whether a voter of the membership runs on the same host.
-bool besideVoter(const control::ControlClient& client) {
-  const auto host = hostOf(client.settings.peerAddress);
+// Whether a voter of the membership runs on the host of the address.
+bool besideVoter(const control::ControlClient& client, const Address& address) {
+  const auto host = hostOf(address);
   return std::any_of(client.membership.voters.begin(), client.membership.voters.end(),
                      [&](const Voter& voter) { return hostOf(voter.peerAddress) == host; });
 }
 
+// Whether this scheduler runs beside no voter, while one that does has a session.
+bool hasBetterPlaced(const SchedulerState& scheduler) {
+  const auto& client = scheduler.client;
+  if (besideVoter(client, client.settings.peerAddress)) return false;
+  return std::any_of(client.members.begin(), client.members.end(), [&](const Member& member) {
+    return member.role == Role::scheduler && !member.leaving && member.ageMs < bounds(scheduler).leaseMs &&
+           besideVoter(client, member.peerAddress);
+  });
+}
+
 // From 0 up to the span. Drawn from the incarnation, so that candidates that fail together try again apart.
 Millis randomWaitMs(const SchedulerState& scheduler, Millis spanMs) {
   const auto& client = scheduler.client;
@@ -46,7 +56,7 @@
 // Before the first campaign after a leader: schedulers beside a voter come first.
 Millis firstWaitMs(const SchedulerState& scheduler) {
   const Millis spanMs = bounds(scheduler).heartbeatMs();
-  return (besideVoter(scheduler.client) ? 0 : spanMs) + randomWaitMs(scheduler, spanMs);
+  return (hasBetterPlaced(scheduler) ? spanMs : 0) + randomWaitMs(scheduler, spanMs);
 }
 
 // Before the next campaign after one that failed.
@@ -109,7 +119,7 @@
   if (scheduler.refusals.size() > voters - control::majority(voters)) failCampaign(scheduler, now, out);
 }
 
-// The state has a long way to a scheduler beside no voter, so it leaves its first chance to the others.
+// The state has a long way to a scheduler beside no voter, so it leaves its first chance to those that are.
 void yieldOnce(SchedulerState& scheduler, Now now, Outbox& out) {
   ++scheduler.failedCampaigns;
   resetCourse(scheduler, now, out);
@@ -122,7 +132,7 @@
   scheduler.refusals.erase(voter);
   if (scheduler.promises.size() < control::majority(scheduler.client.membership.voters.size())) return;
   if (scheduler.course == Course::preparing) return takeOver(scheduler, now, out);
-  if (scheduler.failedCampaigns == 0 && !besideVoter(scheduler.client)) return yieldOnce(scheduler, now, out);
+  if (scheduler.failedCampaigns == 0 && hasBetterPlaced(scheduler)) return yieldOnce(scheduler, now, out);
   scheduler.highestSeen = std::max(scheduler.highestSeen, scheduler.term.number);
   startPhase(scheduler, Course::preparing, now);
   askVoters(scheduler, now, out);
--- a/src/simulator/footprint.cpp
+++ b/src/simulator/footprint.cpp
@@ -47,7 +47,8 @@
   /// Adds what the value holds beyond its own size.
   template <class Type>
   void addHeld(const Type& value) {
-    if constexpr (std::is_arithmetic_v<Type> || std::is_enum_v<Type> || std::is_same_v<Type, std::string_view>)
+    if constexpr (std::is_arithmetic_v<Type> || std::is_enum_v<Type> || std::is_same_v<Type, std::string_view> ||
+                  std::is_pointer_v<Type>)
       return;
     else if constexpr (std::is_same_v<Type, std::shared_ptr<const http::ProtocolAdapter>>)
       return;
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -115,6 +115,13 @@
     return made;
   }
 
+  void knowSchedulerAt(const char* address) {
+    Member member;
+    member.id = DaemonId("other");
+    member.peerAddress = Address(address);
+    scheduler.client.members = {member};
+  }
+
   Outbox tick(Millis atMs) {
     Outbox got;
     scheduler::schedulerTick(scheduler, {atMs}, got);
@@ -178,6 +185,7 @@
 // An answer brings a voter's whole state: copies of it on one link hold up every acknowledgement behind them.
 TEST(election_candidate, beside_no_voter_leaves_the_first_chance_to_others) {
   scheduler = make("i", false);
+  knowSchedulerAt("10.0.0.1:9");
   auto atMs = runUntilItAsks(kStartMs);
   for (std::size_t voter = 0; voter < 2; ++voter) CHECK(sent<JobLogPrepare>(answer(voter, true, true, atMs)).empty());
   CHECK(scheduler.course == scheduler::Course::following);
@@ -188,6 +196,16 @@
   LONGS_EQUAL(3, sent<JobLogPrepare>(answer(1, true, true, againMs)).size());
 }
 
+// Where no scheduler runs beside a voter, a wait for better placed ones only lengthens the time without a leader.
+TEST(election_candidate, beside_no_voter_it_leaves_no_chance_to_schedulers_that_are_no_better_placed) {
+  scheduler = make("i", false);
+  knowSchedulerAt("10.0.0.8:9");
+  const auto atMs = runUntilItAsks(kStartMs);
+  CHECK(atMs <= kStartMs + scheduler.client.settings.bounds.heartbeatMs());
+  answer(0, true, true, atMs);
+  LONGS_EQUAL(3, sent<JobLogPrepare>(answer(1, true, true, atMs)).size());
+}
+
 TEST(election_candidate, a_voter_is_asked_for_its_promise_twice_a_lease_at_most) {
   const auto leaseMs = scheduler.client.settings.bounds.leaseMs;
   const auto startMs = runUntilItAsks(kStartMs);
