Sessions: a configuration is taken also from a grant that comes after its lease

Cause: a grant older than its lease was dropped whole, with the configuration in it. Now what is chosen is taken however late it comes; only the lease needs the time. Test: confirm, a configuration that takes two leases to arrive; failed before.

--- a/src/control/session.cpp
+++ b/src/control/session.cpp
@@ -16,9 +16,7 @@
 // A replica without a disk holds no session: it only tells where the others are.
 bool holdsSession(const ControlClient& client) { return !isReplica(client) || !client.settings.dataFolder.empty(); }
 
-bool inTime(const SessionGrant& grant, Now now) {
-  return grant.sentMs <= now.steadyMs && now.steadyMs < grant.sentMs + grant.leaseMs;
-}
+bool inTime(const SessionGrant& grant, Now now) { return now.steadyMs < grant.sentMs + grant.leaseMs; }
 
 bool ofAnotherFleet(const ControlClient& client, const Membership& membership) {
   if (isReplica(client)) return false;
@@ -90,6 +88,17 @@
   return now.steadyMs - client.grantedMs > leaseMs / 2 || now.steadyMs - client.renewedMs > leaseMs * 3 / 5;
 }
 
+void renewSession(ControlClient& client, const SessionGrant& grant, Now now, Outbox& out) {
+  client.renewedMs = now.steadyMs;
+  client.sessionUntilMs = std::max(client.sessionUntilMs, grant.sentMs + grant.leaseMs);
+  const bool newest = grant.heartbeat >= client.grantedHeartbeat;
+  client.grantedHeartbeat = std::max(client.grantedHeartbeat, grant.heartbeat);
+  if (newest) client.leader = grant.leader;
+  adoptMembership(client, grant.membership, now, out);
+  if (newest) takeMembers(client, grant);
+  raiseFleet(client, grant.fleetMs, now);
+}
+
 // Whether the grant answers a heartbeat of this process, so that its times are of this process's clock. A replica of
 // the protocol before incarnations names no grantee.
 bool answersThisProcess(const ControlClient& client, const SessionGrant& grant) {
@@ -157,10 +166,10 @@
 }
 
 void heardGrant(ControlClient& client, const Address& from, const SessionGrant& grant, Now now, Outbox& out) {
-  if (!answersThisProcess(client, grant) || !inTime(grant, now)) return;
+  if (!answersThisProcess(client, grant) || grant.sentMs > now.steadyMs) return;
   if (ofAnotherFleet(client, grant.membership)) {
     if (!std::exchange(client.strange, true))
-      out.alarms.push_back("a replica of another cohort than the one known here is not listened to");
+      out.alarms.push_back("a replica of another membership than the one known here is not listened to");
     return;
   }
   client.strange = false;
@@ -170,15 +179,9 @@
     client.editTakers.insert(from);
   else
     client.editTakers.erase(from);
-  if (!takeConfig(client, grant, now, out)) return;
-  client.renewedMs = now.steadyMs;
-  client.sessionUntilMs = std::max(client.sessionUntilMs, grant.sentMs + grant.leaseMs);
-  const bool newest = grant.heartbeat >= client.grantedHeartbeat;
-  client.grantedHeartbeat = std::max(client.grantedHeartbeat, grant.heartbeat);
-  if (newest) client.leader = grant.leader;
-  adoptMembership(client, grant.membership, now, out);
-  if (newest) takeMembers(client, grant);
-  raiseFleet(client, grant.fleetMs, now);
+  // A chosen configuration is one however late it arrives. A narrow link may take longer than a lease to bring it.
+  if (!takeConfig(client, grant, now, out) || !inTime(grant, now)) return;
+  renewSession(client, grant, now, out);
 }
 
 void heardReferral(ControlClient& client, const Address& from, const Referral& referral) {
--- a/tests/confirm_test.cpp
+++ b/tests/confirm_test.cpp
@@ -330,6 +330,22 @@
   for (int number : {22, 31}) LONGS_EQUAL(2, versionAt(number));
 }
 
+// A grant that came after the lease of its heartbeat was dropped with the configuration in it, which was then sent
+// again, as late, for ever.
+TEST(confirm, a_configuration_that_takes_longer_than_a_lease_to_arrive_is_taken) {
+  fixture.delayMs = 3;
+  fixture.propose(22, edit("{}"));
+  CHECK(fixture.runUntil(4000, [&] { return answered(22); }) >= 0);
+  fixture.run(3000);
+  const auto& leaseMs = fixture.bounds.leaseMs;
+  auto grown = edit(manyLines(400));
+  fixture.linkBytesPerMs[31] = static_cast<double>(grown.body.size()) / static_cast<double>(2 * leaseMs);
+  fixture.propose(22, std::move(grown));
+  CHECK(fixture.runUntil(10 * leaseMs, [&] { return versionAt(31) == 2; }) >= 0);
+  CHECK(fixture.runUntil(20 * leaseMs, [&] { return control::sessionLive(fixture.clientAt(31), {fixture.nowMs}); }) >=
+        0);
+}
+
 namespace {
 
 bool bringsConfig(const transport::Message& message) {
