Elections: chances are left to better placed schedulers up to three times

Now one beside no voter waits a heartbeat pause more whoever is known, and leaves a majority's consent to better placed ones up to three times, for waits that double.

--- a/src/scheduler/election.cpp
+++ b/src/scheduler/election.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::uint64_t kMostDoublings = 3;  // of the span that waits are drawn from
+constexpr std::uint64_t kMostYields = 3;     // of one scheduler to better placed ones, in one time without a leader
 
 // A promise counts towards a majority of the membership that it was asked in only.
 bool ofThisMembership(const SchedulerState& scheduler, const JobLogPromise& promise) {
@@ -53,10 +54,12 @@
   return static_cast<Millis>(drawn % static_cast<std::uint64_t>(std::max<Millis>(1, spanMs)));
 }
 
-// Before the first campaign after a leader: schedulers beside a voter come first.
+// Before the first campaign after a leader: schedulers beside a voter come first. Whether there are any is not known
+// yet where everything has just started, so it isn't asked.
 Millis firstWaitMs(const SchedulerState& scheduler) {
+  const auto& client = scheduler.client;
   const Millis spanMs = bounds(scheduler).heartbeatMs();
-  return (hasBetterPlaced(scheduler) ? spanMs : 0) + randomWaitMs(scheduler, spanMs);
+  return (besideVoter(client, client.settings.peerAddress) ? 0 : spanMs) + randomWaitMs(scheduler, spanMs);
 }
 
 // Before the next campaign after one that failed.
@@ -119,11 +122,16 @@
   if (scheduler.refusals.size() > voters - control::majority(voters)) failCampaign(scheduler, now, out);
 }
 
-// The state has a long way to a scheduler beside no voter, so it leaves its first chance to those that are.
-void yieldOnce(SchedulerState& scheduler, Now now, Outbox& out) {
-  ++scheduler.failedCampaigns;
+// The state has a long way to a scheduler beside no voter: over a narrow link it takes many leases, and whatever else
+// is sent to that machine waits behind it. So it leaves the chance to those that are better placed, for a wait that
+// doubles each time. The number of times is bounded, since they may be unable to lead.
+bool mayYield(const SchedulerState& scheduler) { return scheduler.yields < kMostYields && hasBetterPlaced(scheduler); }
+
+void yield(SchedulerState& scheduler, Now now, Outbox& out) {
+  const Millis waitMs = 2 * bounds(scheduler).heartbeatMs() << scheduler.yields;
+  ++scheduler.yields;
   resetCourse(scheduler, now, out);
-  scheduler.tryAtMs = now.steadyMs + 2 * bounds(scheduler).heartbeatMs();
+  scheduler.tryAtMs = now.steadyMs + waitMs;
 }
 
 void onConsent(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& promise, Now now, Outbox& out) {
@@ -132,7 +140,7 @@
   scheduler.refusals.erase(voter);
   if (scheduler.promises.size() < control::majority(scheduler.client.membership.voters.size())) return;
   if (scheduler.course == Course::preparing) return takeOver(scheduler, now, out);
-  if (scheduler.failedCampaigns == 0 && hasBetterPlaced(scheduler)) return yieldOnce(scheduler, now, out);
+  if (mayYield(scheduler)) return yield(scheduler, now, out);
   scheduler.highestSeen = std::max(scheduler.highestSeen, scheduler.term.number);
   startPhase(scheduler, Course::preparing, now);
   askVoters(scheduler, now, out);
@@ -171,6 +179,7 @@
   if (!client.leader.http.empty() && client.leader.peerAddress != client.settings.peerAddress) {
     scheduler.tryAtMs = 0;
     scheduler.failedCampaigns = 0;
+    scheduler.yields = 0;
     return;
   }
   if (scheduler.tryAtMs == 0) scheduler.tryAtMs = now.steadyMs + firstWaitMs(scheduler);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -116,6 +116,7 @@
   Millis prepareStartMs = 0;
   std::uint64_t campaigns = 0;        // of this process
   std::uint64_t failedCampaigns = 0;  // since a leader was last heard, or this scheduler last led
+  std::uint64_t yields = 0;           // chances left to better placed schedulers since then
   std::map<DaemonId, transport::JobLogPromise> promises;
   Version campaignMembership = 0;  // that the answers below are of
   std::set<DaemonId> refusals;     // voters that refused the present term
--- a/src/scheduler/takeover.cpp
+++ b/src/scheduler/takeover.cpp
@@ -128,6 +128,7 @@
   scheduler.course = Course::leading;
   scheduler.leadSinceMs = now.steadyMs;
   scheduler.failedCampaigns = 0;
+  scheduler.yields = 0;
   scheduler.seq = 1;
   refreshVoters(scheduler);
   for (auto& [id, voter] : scheduler.voters) voter.sentMs = scheduler.prepareSentMs;
