Linter: simple findings of the commands, configuration and proposals mended, long functions split

A proposal's body that went to a remote asker was moved and then read for the local request; it is copied now. runSimulate, onAsk and runHost are split into named steps without change of behaviour.

--- a/src/commands/simulate.cpp
+++ b/src/commands/simulate.cpp
@@ -156,162 +156,220 @@
   return value;
 }
 
-int runScaleTable(const TCLAP::ValueArg<int>& workers, const TCLAP::ValueArg<int>& running,
-                  const TCLAP::ValueArg<double>& jobs, const TCLAP::ValueArg<int>& lines,
-                  const TCLAP::ValueArg<double>& seconds, const TCLAP::ValueArg<std::uint64_t>& seed) {
+// The command's options, under the names that the command line knows them by.
+struct SimulateOptions {
+  TCLAP::CmdLine line{"simulated days: the daemons' own code under simulated time, network, disks and workers", ' ',
+                      "0.1.0"};
+  TCLAP::ValueArg<std::string> load{
+      "",
+      "load",
+      "leatherwood, kerala or heavy, either of the first two with -steps or -grown, or a scenario file",
+      false,
+      "leatherwood",
+      "NAME",
+      line};
+  TCLAP::ValueArg<std::string> fault{
+      "", "faults", "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false, "", "NAMES", line};
+  TCLAP::ValueArg<std::uint64_t> seed{"", "seed", "first seed", false, 1, "N", line};
+  TCLAP::ValueArg<std::uint64_t> count{"", "days", "how many seeds", false, 1, "N", line};
+  TCLAP::ValueArg<double> seconds{"", "seconds", "length of a day", false, 16, "S", line};
+  TCLAP::ValueArg<double> factor{"", "load-factor", "times the load", false, 1, "X", line};
+  TCLAP::ValueArg<std::string> rule{"", "rule", "las, gittins or fifo", false, "las", "RULE", line};
+  TCLAP::SwitchArg longDay{"", "long",
+                           "long days on a site's fleet: troubles at any hour, hundreds of changes, links and disks "
+                           "that take time by the byte, the loss of the whole control side at the end; --load is "
+                           "kerala-grown, or another with -steps or -grown",
+                           line};
+  TCLAP::SwitchArg site{"", "site", "a site's fleet, with links and disks that take time by the byte", line};
+  TCLAP::ValueArg<int> threads{"", "threads", "days side by side", false, 4, "N", line};
+  TCLAP::ValueArg<std::string> trace{"", "trace", "write the first day's event trace here", false, "", "FILE", line};
+  TCLAP::SwitchArg stays{"", "no-self-stop", "workers go on when unheard past their term", line};
+  TCLAP::ValueArg<std::string> untilRule{
+      "",     "until-rule", "stop at the first day that breaks this rule, or 'any', and name its seed", false, "",
+      "RULE", line};
+  TCLAP::ValueArg<std::string> place{
+      "",
+      "place",
+      "OPERATION, or OPERATION@POINT:NTH:SIDE:BLOW: a blow at every step of one operation; 'list' names them",
+      false,
+      "",
+      "WHERE",
+      line};
+  TCLAP::ValueArg<int> placeMost{"", "place-most", "how many of each kind of step to strike at", false, 8, "N", line};
+  TCLAP::SwitchArg verbose{"v", "verbose", "print every day and its alarms", line};
+  TCLAP::MultiArg<std::string> variant{
+      "",    "variant",    "what-if: NAME=PATCH, a merge patch of the configuration; give two or more",
+      false, "NAME=PATCH", line};
+  TCLAP::ValueArg<std::string> replay{
+      "", "replay", "what-if: a trace that 'ctl trace' wrote, instead of a load", false, "", "FILE", line};
+  TCLAP::ValueArg<std::string> journals{
+      "", "journals", "judge the journals of a real fleet's workers in this folder", false, "", "FOLDER", line};
+  TCLAP::SwitchArg scale{"", "scale", "measure a large fleet: messages, bytes and processor time by role and kind",
+                         line};
+  TCLAP::ValueArg<int> scaleWorkers{"",  "scale-workers", "simulated workers, each with its agent", false, 100, "N",
+                                    line};
+  TCLAP::ValueArg<int> scaleRunning{"",  "scale-running", "tasks at work at any time; 0: 12 a worker", false, 0, "N",
+                                    line};
+  TCLAP::ValueArg<double> scaleJobs{
+      "", "scale-jobs-per-s", "jobs of 16 tasks a second; 0: such that a task takes 8 s", false, 0, "X", line};
+  TCLAP::ValueArg<int> scaleLines{"",  "scale-lines", "lines of the configuration, each with a quota", false, 10,
+                                  "N", line};
+  TCLAP::ValueArg<double> scaleSeconds{"", "scale-seconds", "simulated seconds to measure", false, 5, "S", line};
+
+  int sideBySide() const { return std::max(1, threads.getValue()); }
+};
+
+// Measures a large fleet and prints the table.
+int runScaleTable(const SimulateOptions& options) {
   simulator::ScalePlan plan;
-  plan.workers = within(workers, 1, 10000, "1 to 10000");
-  plan.running = within(running, 0, 200000, "0 to 200000");
+  plan.workers = within(options.scaleWorkers, 1, 10000, "1 to 10000");
+  plan.running = within(options.scaleRunning, 0, 200000, "0 to 200000");
   if (plan.running == 0) plan.running = 12LL * plan.workers;
-  plan.jobsPerSecond = within(jobs, 0.0, 10000.0, "0 to 10000");
-  plan.lines = within(lines, 1, 10000, "1 to 10000");
-  plan.seconds = within(seconds, 0.5, 600.0, "0.5 to 600");
-  plan.seed = seed.getValue();
+  plan.jobsPerSecond = within(options.scaleJobs, 0.0, 10000.0, "0 to 10000");
+  plan.lines = within(options.scaleLines, 1, 10000, "1 to 10000");
+  plan.seconds = within(options.scaleSeconds, 0.5, 600.0, "0.5 to 600");
+  plan.seed = options.seed.getValue();
   const auto result = simulator::runScale(plan);
   std::cout << simulator::table(result);
   return result.cutShort ? 1 : 0;
 }
 
+// Reads the variants of a what-if, each as NAME=PATCH.
+std::vector<simulator::Variant> readVariants(const SimulateOptions& options) {
+  std::vector<simulator::Variant> variants;
+  for (const auto& text : options.variant.getValue()) {
+    const auto equals = text.find('=');
+    Json patch = equals == std::string::npos ? nullptr : parseJson(std::string_view(text).substr(equals + 1));
+    if (!json_is_object(patch.get())) throw TCLAP::ArgException("allowed is NAME=PATCH with a JSON object", "variant");
+    variants.push_back({text.substr(0, equals), text.substr(equals + 1)});
+  }
+  return variants;
+}
+
+// Reads the arrivals of a what-if from a trace.
+std::vector<simulator::Arrival> readReplay(const SimulateOptions& options) {
+  std::vector<simulator::Arrival> arrivals;
+  std::ifstream in(options.replay.getValue());
+  std::stringstream text;
+  text << in.rdbuf();
+  std::size_t badLine = 0;
+  std::string allowed;
+  if (!in || !simulator::readTrace(text.str(), arrivals, badLine, allowed))
+    throw TCLAP::ArgException(in ? "line " + std::to_string(badLine) + ": allowed is " + allowed : "cannot be read",
+                              options.replay.getValue());
+  return arrivals;
+}
+
+// Compares the variants on the same arrivals.
+int runVariants(const SimulateOptions& options) {
+  simulator::DayPlan plan;
+  plan.seed = options.seed.getValue();
+  plan.fleet.tickUs = 25000;
+  const auto variants = readVariants(options);
+  if (options.replay.getValue().empty())
+    plan.arrivals = simulator::drawArrivals(loadFrom(options.load.getValue()), options.seconds.getValue(),
+                                            options.factor.getValue(), options.seed.getValue());
+  else
+    plan.arrivals = readReplay(options);
+  plan.seconds = 8 + static_cast<double>(plan.arrivals.empty() ? 0 : plan.arrivals.back().atMs) / 1000;
+  plan.tailSeconds = 1800;
+  return runWhatIf(std::move(plan), variants, options.sideBySide());
+}
+
+// Judges the journals of a real fleet and prints the verdict.
+int runJournals(const SimulateOptions& options) {
+  const auto verdict = simulator::judgeJournals(options.journals.getValue());
+  for (const auto& fault : verdict.broken) std::cout << fault << "\n";
+  std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, " << verdict.broken.size()
+            << " broken, " << verdict.unacknowledgedReruns
+            << " run again after an end that died unacknowledged; callers saw " << verdict.accepted << " accepted, "
+            << verdict.ended << " ended, " << verdict.reads << " readings of the configuration; " << verdict.torn
+            << " torn lines\n";
+  return verdict.broken.empty() && verdict.starts > 0 ? 0 : 1;
+}
+
+// Prints the names that --faults takes.
+int listFaults() {
+  for (const auto& name : simulator::faultNames()) std::cout << name << "\n";
+  return 0;
+}
+
+// Throws if the rule to stop at is none of the judge's.
+void checkUntilRule(const SimulateOptions& options) {
+  const auto& rules = simulator::ruleNames();
+  if (const auto& until = options.untilRule.getValue();
+      !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
+    throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists",
+                              "until-rule");
+}
+
+// Sets the faults drawn by the day's seed, or adds those that are named.
+void chooseFaults(const SimulateOptions& options, simulator::DayPlan& plan) {
+  if (options.fault.getValue() == "pairs") {
+    plan.faults = simulator::drawFaults(plan.seed);
+    return;
+  }
+  const auto names = simulator::faultNames();
+  std::stringstream parts(options.fault.getValue());
+  for (std::string part; std::getline(parts, part, ',');) {
+    if (std::find(names.begin(), names.end(), part) == names.end())
+      throw TCLAP::ArgException("allowed is a name that 'list' prints", part);
+    plan.faults.push_back(part);
+  }
+}
+
+// The plan of one day with this seed.
+simulator::DayPlan planDay(const SimulateOptions& options, std::uint64_t seed) {
+  simulator::DayPlan plan;
+  plan.seed = seed;
+  if (options.longDay.getValue()) plan = simulator::longDayPlan(options.load.getValue(), plan.seed);
+  plan.load = loadFrom(options.load.getValue());
+  plan.fleet = options.longDay.getValue() || options.site.getValue() ? simulator::siteFleetOf(options.load.getValue())
+                                                                     : simulator::fleetOf(options.load.getValue());
+  if (!options.longDay.getValue() || options.seconds.isSet()) plan.seconds = options.seconds.getValue();
+  if (!options.longDay.getValue() || options.factor.isSet()) plan.loadFactor = options.factor.getValue();
+  plan.rule = options.rule.getValue();
+  if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; }))
+    plan.tailSeconds = 400;
+  plan.fleet.selfStop = !options.stays.getValue();
+  chooseFaults(options, plan);
+  return plan;
+}
+
+// Runs one day for each seed, tracing the first if asked to.
+int runPlannedDays(const SimulateOptions& options) {
+  std::vector<simulator::DayPlan> plans;
+  for (std::uint64_t i = 0; i < options.count.getValue(); ++i)
+    plans.push_back(planDay(options, options.seed.getValue() + i));
+  std::ofstream traceOut;
+  if (!options.trace.getValue().empty() && !plans.empty()) {
+    traceOut.open(options.trace.getValue());
+    plans.front().trace = &traceOut;
+  }
+  return runDays(plans, options.sideBySide(), options.verbose.getValue(), options.untilRule.getValue());
+}
+
+// Runs what the options ask for; the exit code of the command.
+int runChosen(const SimulateOptions& options) {
+  if (options.scale.getValue()) return runScaleTable(options);
+  if (!options.variant.getValue().empty()) return runVariants(options);
+  if (!options.journals.getValue().empty()) return runJournals(options);
+  if (options.fault.getValue() == "list") return listFaults();
+  if (!options.place.getValue().empty())
+    return runPlaces(options.place.getValue(), options.placeMost.getValue(), options.seed.getValue(),
+                     options.sideBySide(), options.verbose.getValue());
+  checkUntilRule(options);
+  return runPlannedDays(options);
+}
+
 }  // namespace
 
 int runSimulate(int argc, char** argv) {
   try {
-    TCLAP::CmdLine line("simulated days: the daemons' own code under simulated time, network, disks and workers", ' ',
-                        "0.1.0");
-    TCLAP::ValueArg<std::string> load(
-        "", "load", "leatherwood, kerala or heavy, either of the first two with -steps or -grown, or a scenario file",
-        false, "leatherwood", "NAME", line);
-    TCLAP::ValueArg<std::string> fault("", "faults",
-                                       "joined by commas; 'list' names them; 'pairs' draws one or two by seed", false,
-                                       "", "NAMES", line);
-    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
-    TCLAP::ValueArg<std::uint64_t> count("", "days", "how many seeds", false, 1, "N", line);
-    TCLAP::ValueArg<double> seconds("", "seconds", "length of a day", false, 16, "S", line);
-    TCLAP::ValueArg<double> factor("", "load-factor", "times the load", false, 1, "X", line);
-    TCLAP::ValueArg<std::string> rule("", "rule", "las, gittins or fifo", false, "las", "RULE", line);
-    TCLAP::SwitchArg longDay("", "long",
-                             "long days on a site's fleet: troubles at any hour, hundreds of changes, links and disks "
-                             "that take time by the byte, the loss of the whole control side at the end; --load is "
-                             "kerala-grown, or another with -steps or -grown",
-                             line);
-    TCLAP::SwitchArg site("", "site", "a site's fleet, with links and disks that take time by the byte", line);
-    TCLAP::ValueArg<int> threads("", "threads", "days side by side", false, 4, "N", line);
-    TCLAP::ValueArg<std::string> trace("", "trace", "write the first day's event trace here", false, "", "FILE", line);
-    TCLAP::SwitchArg stays("", "no-self-stop", "workers go on when unheard past their term", line);
-    TCLAP::ValueArg<std::string> untilRule("", "until-rule",
-                                           "stop at the first day that breaks this rule, or 'any', and name its seed",
-                                           false, "", "RULE", line);
-    TCLAP::ValueArg<std::string> place(
-        "", "place",
-        "OPERATION, or OPERATION@POINT:NTH:SIDE:BLOW: a blow at every step of one operation; 'list' names them", false,
-        "", "WHERE", line);
-    TCLAP::ValueArg<int> placeMost("", "place-most", "how many of each kind of step to strike at", false, 8, "N", line);
-    TCLAP::SwitchArg verbose("v", "verbose", "print every day and its alarms", line);
-    TCLAP::MultiArg<std::string> variant("", "variant",
-                                         "what-if: NAME=PATCH, a merge patch of the configuration; give two or more",
-                                         false, "NAME=PATCH", line);
-    TCLAP::ValueArg<std::string> replay("", "replay", "what-if: a trace that 'ctl trace' wrote, instead of a load",
-                                        false, "", "FILE", line);
-    TCLAP::ValueArg<std::string> journals("", "journals", "judge the journals of a real fleet's workers in this folder",
-                                          false, "", "FOLDER", line);
-    TCLAP::SwitchArg scale("", "scale", "measure a large fleet: messages, bytes and processor time by role and kind",
-                           line);
-    TCLAP::ValueArg<int> scaleWorkers("", "scale-workers", "simulated workers, each with its agent", false, 100, "N",
-                                      line);
-    TCLAP::ValueArg<int> scaleRunning("", "scale-running", "tasks at work at any time; 0: 12 a worker", false, 0, "N",
-                                      line);
-    TCLAP::ValueArg<double> scaleJobs("", "scale-jobs-per-s",
-                                      "jobs of 16 tasks a second; 0: such that a task takes 8 s", false, 0, "X", line);
-    TCLAP::ValueArg<int> scaleLines("", "scale-lines", "lines of the configuration, each with a quota", false, 10, "N",
-                                    line);
-    TCLAP::ValueArg<double> scaleSeconds("", "scale-seconds", "simulated seconds to measure", false, 5, "S", line);
-    line.setExceptionHandling(false);
-    line.parse(argc, argv);
-    if (scale.getValue()) return runScaleTable(scaleWorkers, scaleRunning, scaleJobs, scaleLines, scaleSeconds, seed);
-    if (!variant.getValue().empty()) {
-      simulator::DayPlan plan;
-      plan.seed = seed.getValue();
-      plan.fleet.tickUs = 25000;
-      std::vector<simulator::Variant> variants;
-      for (const auto& text : variant.getValue()) {
-        const auto equals = text.find('=');
-        Json patch = equals == std::string::npos ? nullptr : parseJson(std::string_view(text).substr(equals + 1));
-        if (!json_is_object(patch.get()))
-          throw TCLAP::ArgException("allowed is NAME=PATCH with a JSON object", "variant");
-        variants.push_back({text.substr(0, equals), text.substr(equals + 1)});
-      }
-      if (replay.getValue().empty()) {
-        plan.arrivals =
-            simulator::drawArrivals(loadFrom(load.getValue()), seconds.getValue(), factor.getValue(), seed.getValue());
-      } else {
-        std::ifstream in(replay.getValue());
-        std::stringstream text;
-        text << in.rdbuf();
-        std::size_t badLine = 0;
-        std::string allowed;
-        if (!in || !simulator::readTrace(text.str(), plan.arrivals, badLine, allowed))
-          throw TCLAP::ArgException(
-              in ? "line " + std::to_string(badLine) + ": allowed is " + allowed : "cannot be read", replay.getValue());
-      }
-      plan.seconds = 8 + static_cast<double>(plan.arrivals.empty() ? 0 : plan.arrivals.back().atMs) / 1000;
-      plan.tailSeconds = 1800;
-      return runWhatIf(std::move(plan), variants, std::max(1, threads.getValue()));
-    }
-    if (!journals.getValue().empty()) {
-      const auto verdict = simulator::judgeJournals(journals.getValue());
-      for (const auto& fault : verdict.broken) std::cout << fault << "\n";
-      std::cout << verdict.starts << " starts, " << verdict.cleanTasks << " tasks ended cleanly, "
-                << verdict.broken.size() << " broken, " << verdict.unacknowledgedReruns
-                << " run again after an end that died unacknowledged; callers saw " << verdict.accepted << " accepted, "
-                << verdict.ended << " ended, " << verdict.reads << " readings of the configuration; " << verdict.torn
-                << " torn lines\n";
-      return verdict.broken.empty() && verdict.starts > 0 ? 0 : 1;
-    }
-    const auto names = simulator::faultNames();
-    if (fault.getValue() == "list") {
-      for (const auto& name : names) std::cout << name << "\n";
-      return 0;
-    }
-    if (!place.getValue().empty())
-      return runPlaces(place.getValue(), placeMost.getValue(), seed.getValue(), std::max(1, threads.getValue()),
-                       verbose.getValue());
-    const auto& rules = simulator::ruleNames();
-    if (const auto& until = untilRule.getValue();
-        !until.empty() && until != "any" && std::find(rules.begin(), rules.end(), until) == rules.end())
-      throw TCLAP::ArgException("allowed is 'any' or one of the judge's rules, which docs/invariants.md lists",
-                                "until-rule");
-    std::vector<simulator::DayPlan> plans;
-    for (std::uint64_t i = 0; i < count.getValue(); ++i) {
-      simulator::DayPlan plan;
-      plan.seed = seed.getValue() + i;
-      if (longDay.getValue()) plan = simulator::longDayPlan(load.getValue(), plan.seed);
-      plan.load = loadFrom(load.getValue());
-      plan.fleet = longDay.getValue() || site.getValue() ? simulator::siteFleetOf(load.getValue())
-                                                         : simulator::fleetOf(load.getValue());
-      if (!longDay.getValue() || seconds.isSet()) plan.seconds = seconds.getValue();
-      if (!longDay.getValue() || factor.isSet()) plan.loadFactor = factor.getValue();
-      plan.rule = rule.getValue();
-      if (std::any_of(plan.load.begin(), plan.load.end(), [](const auto& each) { return each.heavyTail > 0; }))
-        plan.tailSeconds = 400;
-      plan.fleet.selfStop = !stays.getValue();
-      if (fault.getValue() == "pairs") {
-        plan.faults = simulator::drawFaults(plan.seed);
-      } else {
-        std::stringstream parts(fault.getValue());
-        for (std::string part; std::getline(parts, part, ',');) {
-          if (std::find(names.begin(), names.end(), part) == names.end())
-            throw TCLAP::ArgException("allowed is a name that 'list' prints", part);
-          plan.faults.push_back(part);
-        }
-      }
-      plans.push_back(std::move(plan));
-    }
-    std::ofstream traceOut;
-    if (!trace.getValue().empty() && !plans.empty()) {
-      traceOut.open(trace.getValue());
-      plans.front().trace = &traceOut;
-    }
-    return runDays(plans, std::max(1, threads.getValue()), verbose.getValue(), untilRule.getValue());
+    SimulateOptions options;
+    options.line.setExceptionHandling(false);
+    options.line.parse(argc, argv);
+    return runChosen(options);
   } catch (const TCLAP::ArgException& failed) {
     std::cerr << "simulate: " << failed.argId() << ": " << failed.error() << std::endl;
     return rowOf(Kind::badSettings).exitCode;
--- a/src/commands/stub_worker.cpp
+++ b/src/commands/stub_worker.cpp
@@ -108,7 +108,7 @@
   for (const auto& [kind, amount] : held) {
     const auto total = worker.traits.capacity.find(kind);
     if (amount > 0 && (total == worker.traits.capacity.end() || amount > total->second))
-      worker.journal.push_back("over " + run + " " + kind);
+      worker.journal.push_back(std::string("over ").append(run).append(" ").append(kind));
   }
 }
 
--- a/src/commands/stub_worker_command.cpp
+++ b/src/commands/stub_worker_command.cpp
@@ -62,7 +62,7 @@
     const auto sentMs = steadyMs();
     out.body = nextReport(worker, sentMs);
     out.deadlineMs = 2000;
-    http::callHttp(context, std::move(out), [this, sentMs, number = worker.report](http::CallReply reply) {
+    http::callHttp(context, std::move(out), [this, sentMs, number = worker.report](const http::CallReply& reply) {
       if (number != worker.report) {
         if (reply.status == 200) heardAnswer(worker, reply.body, sentMs, steadyMs());
         return;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -211,7 +211,8 @@
 
 void checkLines(Reader& reader, const Config& config) {
   absl::flat_hash_set<std::pair<std::string_view, std::string_view>> taken;
-  for (const auto& [name, line] : config.queues) {
+  for (const auto& [queueName, line] : config.queues) {
+    const auto& name = queueName;  // a structured binding can't be captured by every compiler
     const auto at = [&](std::string_view field, const char* allowed) {
       reader.within("pendings",
                     [&] { reader.within(name, [&] { reader.within(field, [&] { reader.fault(allowed); }); }); });
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -120,8 +120,8 @@
 // Tells whoever asked, once; with an empty body, what the kind means.
 void tell(const ControlClient& client, Proposal& proposal, Kind kind, int status, std::string body, Outbox& out) {
   if (const auto asker = std::exchange(proposal.asker, {}))
-    out.sends.push_back({asker->from, EditAnswer{asker->id, static_cast<std::int64_t>(kind), status, std::move(body)},
-                         asker->incarnation});
+    out.sends.push_back(
+        {asker->from, EditAnswer{asker->id, static_cast<std::int64_t>(kind), status, body}, asker->incarnation});
   const auto requestId = std::exchange(proposal.requestId, 0);
   if (!requestId) return;
   if (body.empty())
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -186,7 +186,7 @@
       const auto ticket = persist.ticket;
       if (!host_.writes.offer({node, std::move(persist)})) inside_.push_back({node, Persisted{ticket, false}});
     }
-    for (auto& text : out.alarms) alarm(std::move(text));
+    for (const auto& text : out.alarms) alarm(text);
     for (auto& send : out.sends) {
       auto near = host_.local.find(send.to);
       if (near == host_.local.end())
@@ -380,49 +380,48 @@
   }
 }
 
-int runHost(const ReadEnvs& readEnvs, const std::string& settingsFile) {
-  ::mallopt(M_ARENA_MAX, 1);
-  std::signal(SIGPIPE, SIG_IGN);
-  std::vector<Settings> nodes;
-  SettingsFault fault;
-  if (!readEnvs(nodes, fault)) {
-    std::cerr << faultLine(fault) << std::endl;
-    return rowOf(Kind::badSettings).exitCode;
+using SharedAdapter = std::shared_ptr<const http::ProtocolAdapter>;
+
+bool keepsData(const Settings& settings) { return settings.role == Role::replica && !settings.dataFolder.empty(); }
+
+// Opens the replica's data folder and takes its id from there. False, with the reason printed, if it can't be used.
+bool openReplica(Berthed& one) {
+  if (auto failed = openDataFolder(one.disk, one.settings, one.id)) {
+    const bool torn = failed == make_error_code(Kind::tornFile);
+    std::cerr << one.settings.dataFolder << ": " << failed.message() << ": " << one.disk.detail
+              << (torn ? "; empty the folder to rejoin as a new replica" : "") << std::endl;
+    return false;
   }
-  Host host(nodes.front().ringItems);
-  host.readEnvs = readEnvs;
-  host.settingsFile = settingsFile;
-  std::shared_ptr<const http::ProtocolAdapter> adapter;
-  bool keeps = false;
-  std::size_t maxBodyBytes = 0;
-  host.berthed.resize(nodes.size());
-  for (std::size_t node = 0; node < nodes.size(); ++node) {
+  one.id = one.disk.image.id;
+  return true;
+}
+
+// Makes one node of the host from its settings. The nodes of a process share the first adapter that one of them names.
+bool makeHostedNode(Berthed& one, SharedAdapter& adapter) {
+  const auto& settings = one.settings;
+  const std::string incarnation = freshName();
+  one.incarnation = incarnationOf(incarnation);
+  one.id = DaemonId(std::string(roleName(settings.role)) + "-" + (settings.name.empty() ? "" : settings.name + "-") +
+                    incarnation);
+  if (keepsData(settings) && !openReplica(one)) return false;
+  if (!adapter && !settings.adapter.empty()) adapter = SharedAdapter(adapterNamed(settings.adapter)->make());
+  one.node = makeNode(settings, one.id, incarnation, one.disk.image, clockNow());
+  one.node.adapter = adapter;
+  return true;
+}
+
+bool makeNodes(Host& host, std::vector<Settings> settings, SharedAdapter& adapter) {
+  host.berthed.resize(settings.size());
+  for (std::size_t node = 0; node < settings.size(); ++node) {
     auto& one = host.berthed[node];
-    one.settings = std::move(nodes[node]);
-    const auto& settings = one.settings;
-    maxBodyBytes = std::max(maxBodyBytes, settings.maxBodyBytes);
-    const std::string incarnation = freshName();
-    one.incarnation = incarnationOf(incarnation);
-    one.id = DaemonId(std::string(roleName(settings.role)) + "-" + (settings.name.empty() ? "" : settings.name + "-") +
-                      incarnation);
-    if (settings.role == Role::replica && !settings.dataFolder.empty()) {
-      keeps = true;
-      if (auto failed = openDataFolder(one.disk, settings, one.id)) {
-        const bool torn = failed == make_error_code(Kind::tornFile);
-        std::cerr << settings.dataFolder << ": " << failed.message() << ": " << one.disk.detail
-                  << (torn ? "; empty the folder to rejoin as a new replica" : "") << std::endl;
-        return rowOf(Kind::tornFile).exitCode;
-      }
-      one.id = one.disk.image.id;
-    }
-    if (!adapter && !settings.adapter.empty())
-      adapter = std::shared_ptr<const http::ProtocolAdapter>(adapterNamed(settings.adapter)->make());
-    one.node = makeNode(settings, one.id, incarnation, one.disk.image, clockNow());
-    one.node.adapter = adapter;
-    host.local[settings.peerAddress] = node;
+    one.settings = std::move(settings[node]);
+    if (!makeHostedNode(one, adapter)) return false;
+    host.local[one.settings.peerAddress] = node;
   }
-  openLedger(std::string(roleName(host.settings().role)) +
-             (host.settings().name.empty() ? "" : " " + host.settings().name));
+  return true;
+}
+
+void makeWire(Host& host) {
   host.wire = std::make_unique<Wire>(
       host.context, host.settings().bounds.leaseMs,
       [&host](Frame&& frame) {
@@ -432,19 +431,29 @@
             {found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message),
                                   std::move(frame.to), frame.fromIncarnation, frame.toIncarnation}});
       },
-      [](std::string text) { alarm(std::move(text)); });
+      [](const std::string& text) { alarm(text); });
   for (auto& one : host.berthed) one.node.wire = &host.wire->counts();
+}
+
+void makeServer(Host& host, const SharedAdapter& adapter) {
+  std::size_t maxBodyBytes = 0;
+  for (const auto& one : host.berthed) maxBodyBytes = std::max(maxBodyBytes, one.settings.maxBodyBytes);
   host.server = std::make_unique<http::HttpServer>(
       host.context, host.settings().bounds, maxBodyBytes,
       [&host](std::size_t node, Ask&& ask) {
         return host.events.offerWithin({node, std::move(ask)}, host.settings().ringItems / 4);
       },
       adapter);
-  if (!listenAll(host)) return rowOf(Kind::badSettings).exitCode;
+}
+
+// Runs the host's threads until its nodes have left, then closes what they used.
+void runThreads(Host& host) {
   Ending ending(host);
   Core core(host);
   std::thread coreThread([&] { core.run(); });
   std::thread diskThread;
+  const bool keeps =
+      std::any_of(host.berthed.begin(), host.berthed.end(), [](const Berthed& one) { return keepsData(one.settings); });
   if (keeps) diskThread = std::thread([&] { diskDuty(host); });
   host.context.run();
   host.over = true;
@@ -456,6 +465,28 @@
   host.wire->close();
   host.context.restart();
   host.context.poll();
+}
+
+int runHost(const ReadEnvs& readEnvs, const std::string& settingsFile) {
+  ::mallopt(M_ARENA_MAX, 1);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::vector<Settings> nodes;
+  SettingsFault fault;
+  if (!readEnvs(nodes, fault)) {
+    std::cerr << faultLine(fault) << std::endl;
+    return rowOf(Kind::badSettings).exitCode;
+  }
+  Host host(nodes.front().ringItems);
+  host.readEnvs = readEnvs;
+  host.settingsFile = settingsFile;
+  SharedAdapter adapter;
+  if (!makeNodes(host, std::move(nodes), adapter)) return rowOf(Kind::tornFile).exitCode;
+  openLedger(std::string(roleName(host.settings().role)) +
+             (host.settings().name.empty() ? "" : " " + host.settings().name));
+  makeWire(host);
+  makeServer(host, adapter);
+  if (!listenAll(host)) return rowOf(Kind::badSettings).exitCode;
+  runThreads(host);
   return 0;
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -234,26 +234,9 @@
   }
 }
 
-void onAsk(Node& node, const Ask& ask, Now now, Outbox& out) {
-  ++node.asks;
-  auto& client = clientOf(node);
-  if (ask.face != FaceKind::own && node.adapter) return onAdapter(node, ask, now, out);
-  if (node.rules.empty() || node.compiledFor != client.configVersion) {
-    node.rules = http::compile(*client.config, client.settings.role);
-    node.compiledFor = client.configVersion;
-  }
-  const bool leading = node.scheduler && scheduler::leads(*node.scheduler, now);
-  const http::Scene scene{control::sessionLive(client, now), leading, client.leader.http, client.settings.http, 2};
-  const auto outcome = http::interpret(node.rules, ask, scene);
-  if (outcome.course == http::Course::reject) {
-    ++node.rejectedAsks;
-    return control::answerKind(out, ask.requestId, outcome.kind, client.settings.bounds, ask.method + " " + ask.path);
-  }
-  if (outcome.course == http::Course::forward) {
-    ++node.proxiedAsks;
-    out.forwards.push_back({ask.requestId, client.leader.http});
-    return;
-  }
+// Answers a call that the table of routes lets this daemon take itself.
+void answerCall(Node& node, const Ask& ask, const http::Outcome& outcome, Now now, Outbox& out) {
+  const auto& client = clientOf(node);
   switch (outcome.call) {
     case Call::none:
       return;
@@ -306,6 +289,29 @@
   }
 }
 
+void onAsk(Node& node, const Ask& ask, Now now, Outbox& out) {
+  ++node.asks;
+  auto& client = clientOf(node);
+  if (ask.face != FaceKind::own && node.adapter) return onAdapter(node, ask, now, out);
+  if (node.rules.empty() || node.compiledFor != client.configVersion) {
+    node.rules = http::compile(*client.config, client.settings.role);
+    node.compiledFor = client.configVersion;
+  }
+  const bool leading = node.scheduler && scheduler::leads(*node.scheduler, now);
+  const http::Scene scene{control::sessionLive(client, now), leading, client.leader.http, client.settings.http, 2};
+  const auto outcome = http::interpret(node.rules, ask, scene);
+  if (outcome.course == http::Course::reject) {
+    ++node.rejectedAsks;
+    return control::answerKind(out, ask.requestId, outcome.kind, client.settings.bounds, ask.method + " " + ask.path);
+  }
+  if (outcome.course == http::Course::forward) {
+    ++node.proxiedAsks;
+    out.forwards.push_back({ask.requestId, client.leader.http});
+    return;
+  }
+  answerCall(node, ask, outcome, now, out);
+}
+
 }  // namespace
 
 const control::ControlClient& clientOf(const Node& node) {
