--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -448,12 +448,12 @@
 
 // Runs the host's threads until its nodes have left, then closes what they used.
 void runThreads(Host& host) {
+  const bool keeps =
+      std::any_of(host.berthed.begin(), host.berthed.end(), [](const Berthed& one) { return keepsData(one.settings); });
   Ending ending(host);
   Core core(host);
   std::thread coreThread([&] { core.run(); });
   std::thread diskThread;
-  const bool keeps =
-      std::any_of(host.berthed.begin(), host.berthed.end(), [](const Berthed& one) { return keepsData(one.settings); });
   if (keeps) diskThread = std::thread([&] { diskDuty(host); });
   host.context.run();
   host.over = true;
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -81,6 +81,51 @@
   putText(into, task.failedOn.value);
 }
 
+// A worker by its id and incarnation.
+using Place = std::pair<std::string, std::string>;
+
+// Reads the state of one task, which stands for a sequence of like tasks.
+bool takeTask(Taker& taker, const Job& job, const std::vector<Place>& places, Task& task) {
+  const auto mark = static_cast<std::uint8_t>(taker.rest.front());
+  taker.rest.remove_prefix(1);
+  if ((mark & 3) > 2) return false;
+  task.state = static_cast<TaskState>(mark & 3);
+  task.stopping = mark & kStopping;
+  task.attempts = static_cast<std::int64_t>(taker.count());
+  if (mark & kHolds) {
+    const auto place = taker.count();
+    if (place >= places.size()) return false;
+    task.worker = WorkerId(places[place].first);
+    task.workerIncarnation = places[place].second;
+    task.orderedMs = job.acceptedMs + taker.number();
+    task.weight = static_cast<std::int64_t>(taker.count());
+  } else {
+    task.ranMs = static_cast<Millis>(taker.count());
+  }
+  if (mark & kStory) {
+    task.failures = static_cast<std::int64_t>(taker.count());
+    task.notBeforeMs = taker.number();
+    task.saved = taker.text();
+    task.detail = taker.text();
+    task.failedOn = WorkerId(taker.text());
+  }
+  return true;
+}
+
+// Gives the task at this index the state that was read, and counts it.
+void setTask(Job& job, std::size_t index, const Task& read) {
+  auto& task = job.tasks[index];
+  const auto step = task.step, instance = task.instance;
+  task = read;
+  task.step = step;
+  task.instance = instance;
+  auto& tally = job.tallyOf(index);
+  ++(task.state == TaskState::pending ? tally.pending : task.state == TaskState::placed ? tally.placed : tally.done);
+  job.doneTasks += task.state == TaskState::done;
+  job.holding += task.holds();
+  if (task.holds()) job.held += task.weight;
+}
+
 }  // namespace
 
 std::string packJob(const Job& job) {
@@ -149,7 +194,7 @@
   for (auto* number :
        {&c.lane, &c.servedMs, &c.ranMs, &c.waitMs, &c.firstStartMs, &c.totalServedMs, &c.promotions, &c.preemptions})
     *number = taker.number();
-  std::vector<std::pair<std::string, std::string>> places(std::min<std::uint64_t>(taker.count(), bytes.size()));
+  std::vector<Place> places(std::min<std::uint64_t>(taker.count(), bytes.size()));
   for (auto& [worker, incarnation] : places) {
     worker = taker.text();
     incarnation = taker.text();
@@ -165,45 +210,9 @@
   for (std::size_t i = 0; i < job.tasks.size();) {
     const auto alike = taker.count();
     if (!taker.good || taker.rest.empty() || alike < 1 || alike > job.tasks.size() - i) return false;
-    auto& task = job.tasks[i];
-    const auto mark = static_cast<std::uint8_t>(taker.rest.front());
-    taker.rest.remove_prefix(1);
-    if ((mark & 3) > 2) return false;
-    task.state = static_cast<TaskState>(mark & 3);
-    task.stopping = mark & kStopping;
-    task.attempts = static_cast<std::int64_t>(taker.count());
-    if (mark & kHolds) {
-      const auto place = taker.count();
-      if (place >= places.size()) return false;
-      task.worker = WorkerId(places[place].first);
-      task.workerIncarnation = places[place].second;
-      task.orderedMs = job.acceptedMs + taker.number();
-      task.weight = static_cast<std::int64_t>(taker.count());
-    } else {
-      task.ranMs = static_cast<Millis>(taker.count());
-    }
-    if (mark & kStory) {
-      task.failures = static_cast<std::int64_t>(taker.count());
-      task.notBeforeMs = taker.number();
-      task.saved = taker.text();
-      task.detail = taker.text();
-      task.failedOn = WorkerId(taker.text());
-    }
-    const Task whole = task;
-    for (std::uint64_t k = 0; k < alike; ++k, ++i) {
-      auto& each = job.tasks[i];
-      const auto step = each.step, instance = each.instance;
-      each = whole;
-      each.step = step;
-      each.instance = instance;
-      auto& tally = job.tallyOf(i);
-      ++(each.state == TaskState::pending  ? tally.pending
-         : each.state == TaskState::placed ? tally.placed
-                                           : tally.done);
-      job.doneTasks += each.state == TaskState::done;
-      job.holding += each.holds();
-      if (each.holds()) job.held += each.weight;
-    }
+    Task read = job.tasks[i];
+    if (!takeTask(taker, job, places, read)) return false;
+    for (std::uint64_t k = 0; k < alike; ++k, ++i) setTask(job, i, read);
   }
   return taker.good && taker.rest.empty();
 }
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -146,6 +146,61 @@
   return unit;
 }
 
+constexpr Millis kLongestMs = 366LL * 86400000;
+
+// Reads when the job starts, how often it is repeated and when it is given up.
+bool readTimes(SpecReader& reader, const json_t* root, Spec& spec) {
+  if (!reader.count(json_object_get(root, "notBeforeMs"), "/notBeforeMs", 0, kLongestMs, spec.notBeforeMs))
+    return false;
+  if (!reader.count(json_object_get(root, "cutoffMs"), "/cutoffMs", 1, kLongestMs, spec.deadlineMs)) return false;
+  if (!reader.count(json_object_get(root, "times"), "/times", 0, 10000, spec.times)) return false;
+  if (!reader.count(json_object_get(root, "firstAtMs"), "/firstAtMs", 0, 1LL << 50, spec.firstWallMs)) return false;
+  if (!reader.count(json_object_get(root, "everyMs"), "/everyMs", 0, kLongestMs, spec.everyMs)) return false;
+  return true;
+}
+
+using StepIndexes = absl::flat_hash_map<std::string, std::uint32_t>;
+
+// Reads which steps each step of the list waits for.
+Verdict readDependencies(const json_t* items, const std::string& list, const StepIndexes& byName, Spec& spec) {
+  for (std::size_t i = 0; i < json_array_size(items); ++i) {
+    const json_t* after = json_object_get(json_array_get(items, i), "after");
+    const auto at = list + "/" + std::to_string(i) + "/after";
+    if (after && !json_is_array(after)) return {Kind::badValue, at, "a list of task names"};
+    for (std::size_t k = 0; k < json_array_size(after); ++k) {
+      const char* name = json_string_value(json_array_get(after, k));
+      auto found = byName.find(name ? name : "");
+      if (found == byName.end())
+        return {Kind::badValue, at + "/" + std::to_string(k), "the name of another task of the job"};
+      spec.steps[i].after.push_back(found->second);
+    }
+  }
+  return {};
+}
+
+// Reads the list of tasks, or of steps of several tasks each.
+Verdict readSteps(SpecReader& reader, const json_t* root, const config::Config& config, Spec& spec) {
+  const json_t* steps = json_object_get(root, "steps");
+  const bool whole = steps != nullptr;
+  const char* list = whole ? "/steps" : "/tasks";
+  const json_t* items = whole ? steps : json_object_get(root, "tasks");
+  if (whole && json_object_get(root, "tasks")) return {Kind::badValue, "/tasks", "either tasks or steps"};
+  const auto count = json_array_size(items);
+  if (!json_is_array(items) || count < 1 || static_cast<std::int64_t>(count) > config.http.mostTasks)
+    return {Kind::badValue, list, "a list of 1 to " + std::to_string(config.http.mostTasks) + " tasks"};
+  spec.plainNames = !whole;
+  StepIndexes byName;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto at = std::string(list) + "/" + std::to_string(i);
+    Step step;
+    if (!readStep(reader, json_array_get(items, i), at, whole, step)) return reader.verdict;
+    if (!byName.emplace(step.name, i).second)
+      return {Kind::badValue, at + "/name", "a name no other task of the job has"};
+    spec.steps.push_back(std::move(step));
+  }
+  return readDependencies(items, list, byName, spec);
+}
+
 }  // namespace
 
 Verdict checkSpec(const Spec& spec, const config::Config& config) {
@@ -207,7 +262,6 @@
   spec = Spec{};
   Json root = parseJson(body);
   if (!root || !json_is_object(root.get())) return {Kind::malformed, "/", "one JSON object without repeated keys"};
-  constexpr Millis longestMs = 366LL * 86400000;
   if (!reader.known(root.get(), "/",
                     {"id", "pending", "gang", "labels", "notBeforeMs", "cutoffMs", "tasks", "steps", "times",
                      "firstAtMs", "everyMs", "payload"}))
@@ -222,47 +276,10 @@
     if (!json_is_boolean(gang)) return {Kind::badValue, "/gang", "true or false"};
     spec.gang = json_is_true(gang);
   }
-  if (!reader.count(json_object_get(root.get(), "notBeforeMs"), "/notBeforeMs", 0, longestMs, spec.notBeforeMs))
-    return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "cutoffMs"), "/cutoffMs", 1, longestMs, spec.deadlineMs))
-    return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "times"), "/times", 0, 10000, spec.times)) return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "firstAtMs"), "/firstAtMs", 0, 1LL << 50, spec.firstWallMs))
-    return reader.verdict;
-  if (!reader.count(json_object_get(root.get(), "everyMs"), "/everyMs", 0, longestMs, spec.everyMs))
-    return reader.verdict;
+  if (!readTimes(reader, root.get(), spec)) return reader.verdict;
   if (!readLabels(reader, json_object_get(root.get(), "labels"), spec.labels)) return reader.verdict;
   if (const json_t* payload = json_object_get(root.get(), "payload")) spec.payload = dumpJson(payload);
-  const json_t* steps = json_object_get(root.get(), "steps");
-  const bool whole = steps != nullptr;
-  const char* list = whole ? "/steps" : "/tasks";
-  const json_t* items = whole ? steps : json_object_get(root.get(), "tasks");
-  if (whole && json_object_get(root.get(), "tasks")) return {Kind::badValue, "/tasks", "either tasks or steps"};
-  const auto count = json_array_size(items);
-  if (!json_is_array(items) || count < 1 || static_cast<std::int64_t>(count) > config.http.mostTasks)
-    return {Kind::badValue, list, "a list of 1 to " + std::to_string(config.http.mostTasks) + " tasks"};
-  spec.plainNames = !whole;
-  absl::flat_hash_map<std::string, std::uint32_t> byName;
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto at = std::string(list) + "/" + std::to_string(i);
-    Step step;
-    if (!readStep(reader, json_array_get(items, i), at, whole, step)) return reader.verdict;
-    if (!byName.emplace(step.name, i).second)
-      return {Kind::badValue, at + "/name", "a name no other task of the job has"};
-    spec.steps.push_back(std::move(step));
-  }
-  for (std::size_t i = 0; i < count; ++i) {
-    const json_t* after = json_object_get(json_array_get(items, i), "after");
-    const auto at = std::string(list) + "/" + std::to_string(i) + "/after";
-    if (after && !json_is_array(after)) return {Kind::badValue, at, "a list of task names"};
-    for (std::size_t k = 0; k < json_array_size(after); ++k) {
-      const char* name = json_string_value(json_array_get(after, k));
-      auto found = byName.find(name ? name : "");
-      if (found == byName.end())
-        return {Kind::badValue, at + "/" + std::to_string(k), "the name of another task of the job"};
-      spec.steps[i].after.push_back(found->second);
-    }
-  }
+  if (auto verdict = readSteps(reader, root.get(), config, spec); verdict.kind != Kind::ok) return verdict;
   spec.digest = digestOf(dumpJson(root.get()));
   if (auto found = config.queues.find(spec.pending.value); found != config.queues.end()) {
     spec.line = found->second;
--- a/src/jobs/view.cpp
+++ b/src/jobs/view.cpp
@@ -82,8 +82,9 @@
     for (auto dep : job.stepOf(i).after) {
       std::size_t first = task.instance * job.spec->perInstance();
       for (std::uint32_t k = 0; k < dep; ++k) first += job.spec->steps[k].count;
-      for (std::uint32_t k = 0; k < job.spec->steps[dep].count; ++k)
-        json_array_append_new(after, json_integer(static_cast<json_int_t>(first + k)));
+      const std::size_t end = first + job.spec->steps[dep].count;
+      for (std::size_t at = first; at < end; ++at)
+        json_array_append_new(after, json_integer(static_cast<json_int_t>(at)));
     }
     json_object_set_new(item, "slots", json_integer(std::max<std::int64_t>(1, job.stepOf(i).need.slots)));
     json_object_set_new(item, "runMs", json_integer(std::max<Millis>(1, task.ranMs)));
