--- a/src/model/fingerprint.cpp
+++ b/src/model/fingerprint.cpp
@@ -55,9 +55,7 @@
   void add(const Type& value) {
     if constexpr (std::is_same_v<Type, Millis>)
       addTime(value);
-    else if constexpr (std::is_arithmetic_v<Type>)
-      mix(static_cast<std::uint64_t>(value));
-    else if constexpr (std::is_enum_v<Type>)
+    else if constexpr (std::is_arithmetic_v<Type> || std::is_enum_v<Type>)
       mix(static_cast<std::uint64_t>(value));
     else if constexpr (std::convertible_to<const Type&, std::string_view>)
       addText(value);
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -29,7 +29,7 @@
     answer.kind = static_cast<std::int64_t>(kind);
     answer.phase = static_cast<std::uint8_t>(job ? phaseOf(*job) : JobPhase::none);
     answer.retryMs = retryMs;
-    return out.send(caller.remote, std::move(answer));
+    return out.send(caller.remote, answer);
   }
   if (caller.brief) {
     CallResult brief;
@@ -126,7 +126,7 @@
     answer.requestId = caller.requestId;
     answer.id = caller.callId;
     answer.count = count;
-    return out.send(caller.remote, std::move(answer));
+    return out.send(caller.remote, answer);
   }
   if (!caller.brief) return out.answer(caller.requestId, 200, "{\"pending\":" + std::to_string(count) + "}");
   CallResult brief;
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -324,9 +324,9 @@
     ++scheduler.counts.starts;
     startsOf[start.job].push_back(&start);
   }
-  for (const auto& [at, starts] : startsOf)
-    change(scheduler, scene.ids[at], [&](Job& job) {
-      for (const auto* start : starts) {
+  for (const auto& entry : startsOf)
+    change(scheduler, scene.ids[entry.first], [&](Job& job) {
+      for (const auto* start : entry.second) {
         const auto& worker = scene.field.workers[start->worker];
         const auto& step = job.stepOf(start->task);
         const auto weight =
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -97,15 +97,8 @@
   finishRun(scheduler, job.id, *at, AttemptOutcome::clean, seen.detail, now);
 }
 
-}  // namespace
-
-void onReport(SchedulerState& scheduler, const Heard& heard, const AgentReport& report, Now now, Outbox& out) {
-  if (!leads(scheduler, now)) return;
-  ++scheduler.counts.reports;
-  auto& row = scheduler.workers[report.worker];
-  row.id = report.worker;
-  if (row.leaseWithheld) return;
-  if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
+// Keeps what a report says of the worker itself.
+void noteReport(SchedulerState& scheduler, WorkerRow& row, const Heard& heard, const AgentReport& report, Now now) {
   // The number of orders goes on rising: an agent whose report comes after a delayed one of an earlier agent of the
   // worker would take none that are numbered anew.
   if (row.last.agent != report.agent) row.firstOrdered.clear();
@@ -120,6 +113,31 @@
     row.wallOffsetMs = report.wallMs - now.steadyMs;
     row.wallKnown = true;
   }
+}
+
+// Keeps what a report says of a task that is running.
+void noteProgress(Job& job, std::size_t index, const AttemptReport& seen, Millis fleetMs) {
+  auto& task = job.tasks[index];
+  if (!task.confirmed || task.percent != seen.percent) task.movedMs = fleetMs;
+  task.confirmed = true;
+  task.percent = seen.percent;
+  const bool whole = !job.stepOf(index).together || job.tallyOf(index).placed == job.stepOf(index).count;
+  if (task.runningMs < 0 && whole) {
+    task.runningMs = fleetMs;
+    task.runningPercent = seen.percent;
+  }
+}
+
+}  // namespace
+
+void onReport(SchedulerState& scheduler, const Heard& heard, const AgentReport& report, Now now, Outbox& out) {
+  if (!leads(scheduler, now)) return;
+  ++scheduler.counts.reports;
+  auto& row = scheduler.workers[report.worker];
+  row.id = report.worker;
+  if (row.leaseWithheld) return;
+  if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
+  noteReport(scheduler, row, heard, report, now);
   const auto fleetMs = fleet(scheduler, now);
   std::map<std::string_view, const AttemptReport*> listed;
   row.listed.clear();
@@ -145,15 +163,7 @@
       known.insert(found->first);
       if (seen.state != AttemptState::ordered && !seen.saved.empty()) task.seenSaved = seen.saved;
       if (seen.state == AttemptState::running) {
-        if (!task.confirmed || task.percent != seen.percent) task.movedMs = fleetMs;
-        task.confirmed = true;
-        task.percent = seen.percent;
-        const bool whole =
-            !job.stepOf(where.second).together || job.tallyOf(where.second).placed == job.stepOf(where.second).count;
-        if (task.runningMs < 0 && whole) {
-          task.runningMs = fleetMs;
-          task.runningPercent = seen.percent;
-        }
+        noteProgress(job, where.second, seen, fleetMs);
         if (const auto pace = paceOf(scheduler, job, where.second, fleetMs); pace > 0) paces.push_back(pace);
       }
       if (seen.state == AttemptState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
