--- a/src/simulator/audit.cpp
+++ b/src/simulator/audit.cpp
@@ -17,7 +17,7 @@
     Ask ask;
     ask.method = "GET";
     ask.path = "/configuration";
-    sim.ask(*host, ask, [&world, &reads](Reply reply) {
+    sim.ask(*host, ask, [&world, &reads](const Reply& reply) {
       if (reply.lost || reply.status != 200) return;
       ++reads;
       world.readConfig(reply.body, world.sim.nowMs(), true);
--- a/src/simulator/clock.cpp
+++ b/src/simulator/clock.cpp
@@ -17,9 +17,10 @@
   constexpr Micros kFreshBootUs = 20 * kSecondUs;
   constexpr Micros kLongUpUs = 7200 * kSecondUs;
   constexpr std::int64_t kDriftSteps = 4001;
+  constexpr std::int64_t kHalfDrift = kDriftSteps / 2;
   const bool freshBoot = draw(2) == 0;
   const Micros shownUs = draw(freshBoot ? kFreshBootUs : kLongUpUs);
-  const auto drift = static_cast<double>(draw(kDriftSteps) - kDriftSteps / 2) / (kDriftSteps / 2) * kMostDrift;
+  const auto drift = static_cast<double>(draw(kDriftSteps) - kHalfDrift) / static_cast<double>(kHalfDrift) * kMostDrift;
   MachineClock clock = before;
   clock.rate = 1.0 + drift;
   clock.offsetUs = shownUs - static_cast<Micros>(static_cast<double>(nowUs) * clock.rate);
--- a/src/simulator/day.cpp
+++ b/src/simulator/day.cpp
@@ -13,6 +13,7 @@
 void inThreads(int threads, std::size_t count, const std::function<void(std::size_t)>& act) {
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> client;
+  client.reserve(static_cast<std::size_t>(std::max(0, threads)));
   for (int i = 0; i < threads; ++i)
     client.emplace_back([&] {
       for (std::size_t at = next++; at < count; at = next++) act(at);
@@ -20,19 +21,27 @@
   for (auto& thread : client) thread.join();
 }
 
+namespace {
+
+// Keeps an alarm for the day's result; one of a broken invariant is a finding of the judge.
+void noteAlarm(World& world, const Host& host, const std::string& text) {
+  constexpr std::size_t kMostAlarms = 200;
+  const auto nowMs = world.sim.nowMs();
+  if (world.result.alarms.size() < kMostAlarms)
+    world.result.alarms.push_back(std::to_string(nowMs) + " " + host.name + ": " + text);
+  if (text.find("invariant") != std::string::npos)
+    world.judge.broken.push_back({nowMs, "inside", host.name + ": " + text});
+}
+
+}  // namespace
+
 DayResult runDay(const DayPlan& plan) {
   World world(plan);
   auto& sim = world.sim;
   world.judge.stalls = plan.rule != "fifo" && plan.configPatch.empty();
   world.judge.forgetsEnded = plan.forgetsEnded;
   world.judge.failureLimit = {{"checkout", 3}, {"gate", 3}, {"rebuild", 4}, {"probe", 3}};
-  sim.onAlarm = [&](Host& host, const std::string& text) {
-    constexpr std::size_t kMostAlarms = 200;
-    if (world.result.alarms.size() < kMostAlarms)
-      world.result.alarms.push_back(std::to_string(sim.nowMs()) + " " + host.name + ": " + text);
-    if (text.find("invariant") != std::string::npos)
-      world.judge.broken.push_back({sim.nowMs(), "inside", host.name + ": " + text});
-  };
+  sim.onAlarm = [&world](Host& host, const std::string& text) { noteAlarm(world, host, text); };
   if (plan.trace) sim.onMark = [&](std::string_view text) { *plan.trace << sim.nowUs() << " " << text << "\n"; };
   for (const auto& host : sim.all()) sim.at(sim.below(200000), [&sim, each = host.get()] { sim.start(*each); });
   for (const auto& simWorker : sim.simWorkers())
--- a/src/simulator/faults_callers.cpp
+++ b/src/simulator/faults_callers.cpp
@@ -41,7 +41,7 @@
        [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 40; ++i)
-           world.sim.at(when + i * 50000, [&world] { world.markOnce(world.sim.chance(0.2)); });
+           world.sim.at(when + Micros{50000} * i, [&world] { world.markOnce(world.sim.chance(0.2)); });
        }},
       {"cell-emptied",
        [](World& world) {
@@ -65,7 +65,7 @@
        [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 120; ++i)
-           world.sim.at(when + i * 2000, [&world] {
+           world.sim.at(when + Micros{2000} * i, [&world] {
              const auto load = builtInLoad("leatherwood");
              world.newJob(load[static_cast<std::size_t>(world.sim.below(3))], world.sim.chance(0.1),
                           world.sim.chance(0.05));
@@ -124,7 +124,7 @@
        [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 40; ++i)
-           world.sim.at(when + i * 40000, [&world] {
+           world.sim.at(when + Micros{40000} * i, [&world] {
              world.submitThen(LineLoad{"checkout", 1, 1, 4, 1, 3, 500, 4000, 0.3, 0.3, 0},
                               [&world](const std::string& id) {
                                 world.sim.after(world.sim.below(600000), [&world, id] { world.cancel(id); });
@@ -135,13 +135,13 @@
        [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 12; ++i)
-           world.sim.at(when + i * 20000, [&world] { world.newJob(world.queueOf("rebuild")); });
+           world.sim.at(when + Micros{20000} * i, [&world] { world.newJob(world.queueOf("rebuild")); });
        }},
       {"burst-of-urgent",
        [](World& world) {
          const auto when = world.faultTime();
          for (int i = 0; i < 60; ++i)
-           world.sim.at(when + i * 10000, [&world] { world.newJob(world.queueOf("checkout")); });
+           world.sim.at(when + Micros{10000} * i, [&world] { world.newJob(world.queueOf("checkout")); });
        }},
       {"poison",
        [](World& world) {
--- a/src/simulator/faults_membership.cpp
+++ b/src/simulator/faults_membership.cpp
@@ -83,7 +83,7 @@
          world.endUs += 30 * kSecond;
          world.quietUs += 30 * kSecond;
          for (int i = 0; i < 4; ++i)
-           world.sim.at(world.fromUs + i * 8 * kSecond,
+           world.sim.at(world.fromUs + i * (8 * kSecond),
                         [&world] { world.whenAffordable([&world] { replaceOne(world); }); });
        }},
   };
