--- a/src/simulator/footprint.cpp
+++ b/src/simulator/footprint.cpp
@@ -48,9 +48,7 @@
   template <class Type>
   void addHeld(const Type& value) {
     if constexpr (std::is_arithmetic_v<Type> || std::is_enum_v<Type> || std::is_same_v<Type, std::string_view> ||
-                  std::is_pointer_v<Type>)
-      return;
-    else if constexpr (std::is_same_v<Type, std::shared_ptr<const http::ProtocolAdapter>>)
+                  std::is_pointer_v<Type> || std::is_same_v<Type, std::shared_ptr<const http::ProtocolAdapter>>)
       return;
     else if constexpr (std::convertible_to<const Type&, std::string_view>)
       addText(value);
--- a/src/simulator/journals.cpp
+++ b/src/simulator/journals.cpp
@@ -69,6 +69,11 @@
   }
 }
 
+std::string joined(const std::string& first, std::string_view separator, const std::string& second) {
+  std::string whole = first;
+  return whole.append(separator).append(second);
+}
+
 void readShore(const std::string& folder, Shore& shore, JournalVerdict& verdict) {
   std::vector<std::pair<std::int64_t, std::string>> lines;
   for (const auto& item : std::filesystem::directory_iterator(folder)) {
@@ -119,7 +124,7 @@
     } else if (kind == "limit")
       shore.limits[name] = std::atoll(more.c_str());
     else if (kind == "drained" || kind == "emptied")
-      shore.drained[kind + " " + name].emplace_back(atMs, INT64_MAX);
+      shore.drained[joined(kind, " ", name)].emplace_back(atMs, INT64_MAX);
     else if (kind == "undrained" || kind == "unemptied") {
       auto& spans = shore.drained[kind.substr(2) + " " + name];
       if (!spans.empty() && spans.back().second == INT64_MAX) spans.back().second = atMs;
@@ -136,17 +141,21 @@
   }
 }
 
-void judgeShore(const Shore& shore, const std::map<std::string, std::vector<Span>>& byTask, JournalVerdict& verdict) {
+using SpansByTask = std::map<std::string, std::vector<Span>>;
+
+// When the named task of a job, or any member of its gang, first ended cleanly.
+std::int64_t firstCleanMs(const SpansByTask& byTask, const std::string& id, const Call& call, const std::string& name) {
+  std::int64_t first = INT64_MAX;
+  const auto gang = call.gang.find(name);
+  for (const auto& member : gang == call.gang.end() ? std::vector<std::string>{name} : gang->second)
+    if (auto found = byTask.find(joined(id, ":", member)); found != byTask.end())
+      for (const auto& span : found->second)
+        if (span.outcome == "clean") first = std::min(first, span.untilMs);
+  return first;
+}
+
+void judgeShore(const Shore& shore, const SpansByTask& byTask, JournalVerdict& verdict) {
   const auto fault = [&](std::string text) { verdict.broken.push_back(std::move(text)); };
-  const auto firstClean = [&](const std::string& id, const Call& call, const std::string& name) {
-    std::int64_t first = INT64_MAX;
-    const auto gang = call.gang.find(name);
-    for (const auto& member : gang == call.gang.end() ? std::vector<std::string>{name} : gang->second)
-      if (auto found = byTask.find(id + ":" + member); found != byTask.end())
-        for (const auto& span : found->second)
-          if (span.outcome == "clean") first = std::min(first, span.untilMs);
-    return first;
-  };
   for (const auto& [task, spans] : byTask) {
     const auto colon = task.find(':');
     const auto found = shore.calls.find(task.substr(0, colon));
@@ -164,7 +173,7 @@
         fault("cancelled: " + span.run + " starts after its cancel was confirmed");
       if (span.fromMs + kEarlyGraceMs < call.submittedMs + call.notBeforeMs) fault("early: " + span.run);
       for (const auto& step : call.after.at(task.substr(colon + 1)))
-        if (firstClean(found->first, call, step) > span.fromMs)
+        if (firstCleanMs(byTask, found->first, call, step) > span.fromMs)
           fault("steps: " + span.run + " starts before " + step + " is done");
       if (auto limit = shore.limits.find(call.line);
           limit != shore.limits.end() && failures >= limit->second && !call.standing.contains(task.substr(colon + 1)))
@@ -179,8 +188,8 @@
   for (const auto& [id, call] : shore.calls) {
     if (call.acceptedMs >= 0 && call.endedMs < 0) fault("ends: " + id + " was accepted and not seen to end");
     for (const auto& [name, steps] : call.after)
-      if (call.shown == "finished" && firstClean(id, call, name) > call.endedMs)
-        fault("finished: " + id + " is shown finished but " + name + " had not ended cleanly");
+      if (call.shown == "finished" && firstCleanMs(byTask, id, call, name) > call.endedMs)
+        fault("finished: " + joined(id, " is shown finished but ", name) + " had not ended cleanly");
   }
 }
 
