--- a/src/simulator/judge.cpp
+++ b/src/simulator/judge.cpp
@@ -183,8 +183,13 @@
     if (where->up && sim_.nowUs() < where->frozenUntilUs)
       task.superseded.insert(other);
     else
-      fault("once", run + " starts on " + simWorker.worker.traits.name + " while " + other + " runs on " +
-                        where->worker.traits.name);
+      fault("once", std::string(run)
+                        .append(" starts on ")
+                        .append(simWorker.worker.traits.name)
+                        .append(" while ")
+                        .append(other)
+                        .append(" runs on ")
+                        .append(where->worker.traits.name));
   }
   const bool noted = !task.repeats || (now > lead.deliveredMs + kNotedMs && !sim_.troubled(kInTouchMs));
   if (!lead.delivered.empty() && noted) fault("once", run + " starts after the task ended cleanly");
@@ -334,7 +339,8 @@
       fault("finished", id + " is shown finished but " + job.names[i] + " never ended cleanly");
     for (const auto& [run, where] : task.running)
       if (!task.repeats && !task.superseded.contains(run) && !(where->up && sim_.nowUs() < where->frozenUntilUs))
-        fault("finished", id + " is shown " + state + " while " + run + " runs");
+        fault("finished",
+              std::string(id).append(" is shown ").append(state).append(" while ").append(run).append(" runs"));
   }
   if (state == "finished" && job.neverSucceeds) fault("finished", id + " can not succeed but is shown finished");
 }
@@ -484,7 +490,8 @@
 void Judge::sweepLonely() {
   const auto& bounds = sim_.plan.bounds;
   const Millis lonelyMs = 5000 + 3 * bounds.workerLeaseMs;
-  for (auto& [id, job] : jobs) {
+  for (auto& [id, row] : jobs) {
+    auto& job = row;  // a structured binding can't be captured by every compiler
     if (!job.gang) continue;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
       auto& task = job.tasks[i];
