--- a/src/simulator/long_day.cpp
+++ b/src/simulator/long_day.cpp
@@ -59,7 +59,7 @@
 }
 
 /// Acts once every voter votes and fewer machines are lost than the settings allow: only then may a disk be lost.
-void whenSafe(World& world, std::function<void()> act) {
+void whenSafe(World& world, const std::function<void()>& act) {
   if (world.sim.nowUs() >= world.quietUs - 2 * kSecond) return;
   const auto again = [&world, act] { whenSafe(world, act); };
   if (!world.membershipWhole()) return world.sim.after(kSecond / 4, again);
--- a/src/simulator/operations.cpp
+++ b/src/simulator/operations.cpp
@@ -45,7 +45,7 @@
          world.replaceReplica(world.pick(Role::replica), false);
          world.sim.after(11 * kSecond / 2, [&world] {
            world.sim.points.clear();
-           for (int i = 0; i < 12; ++i) world.sim.after(i * 150000, [&world] { world.markOnce(false); });
+           for (int i = 0; i < 12; ++i) world.sim.after(Micros{150000} * i, [&world] { world.markOnce(false); });
          });
        }},
   };
