--- a/src/simulator/scale.cpp
+++ b/src/simulator/scale.cpp
@@ -157,8 +157,8 @@
   }
 
   // Resent until it is answered, each time to another scheduler.
-  void ask(const std::string& method, const std::string& path, std::string body,
-           std::function<void(const std::string&)> done) {
+  void ask(const std::string& method, const std::string& path, const std::string& body,
+           const std::function<void(const std::string&)>& done) {
     transport::Ask text;
     text.method = method;
     text.path = path;
@@ -166,7 +166,7 @@
     if (path == "/configuration") text.requestName = "t-" + std::to_string(std::hash<std::string>{}(body));
     const auto schedulers = sim_.hosts(Role::scheduler);
     auto& host = *schedulers[static_cast<std::size_t>(++asked_) % schedulers.size()];
-    sim_.ask(host, text, [this, method, path, body, done](Reply reply) {
+    sim_.ask(host, text, [this, method, path, body, done](const Reply& reply) {
       if (!reply.lost && reply.status < 400) return done(reply.body);
       if (!reply.lost && reply.status < 500) {
         result_.alarms.push_back("denied: " + reply.body);
--- a/src/simulator/sim_workers.cpp
+++ b/src/simulator/sim_workers.cpp
@@ -131,7 +131,7 @@
   text.path = "/worker/report";
   text.body = commands::nextReport(simWorker.worker, sentMs);
   const auto number = simWorker.worker.report;
-  auto finish = [this, &simWorker, life, sentMs, number, body = text.body](Reply got) {
+  auto finish = [this, &simWorker, life, sentMs, number, body = text.body](const Reply& got) {
     if (!simWorker.up || simWorker.lives != life) return;
     auto act = [this, &simWorker, life, sentMs, number, got, body] {
       if (!simWorker.up || simWorker.lives != life) return;
--- a/src/simulator/world.cpp
+++ b/src/simulator/world.cpp
@@ -117,7 +117,7 @@
   ask.method = "POST";
   ask.path = "/jobs";
   ask.body = body;
-  callForJob(std::move(ask), [this, id, body, askedMs = sim.nowMs()](Reply reply) {
+  callForJob(std::move(ask), [this, id, body, askedMs = sim.nowMs()](const Reply& reply) {
     if (!reply.lost && (reply.status == 200 || reply.status == 201)) {
       const bool first = judge.jobs.at(id).acceptedMs < 0;
       judge.accepted(id);
@@ -140,7 +140,7 @@
   Ask ask;
   ask.method = "GET";
   ask.path = "/jobs/" + id;
-  callForJob(std::move(ask), [this, id, askedMs = sim.nowMs()](Reply reply) {
+  callForJob(std::move(ask), [this, id, askedMs = sim.nowMs()](const Reply& reply) {
     if (!reply.lost) {
       Json view = parseJson(reply.body);
       judge.shown(id, reply.status, view.get(), askedMs);
@@ -158,7 +158,7 @@
   ask.method = "POST";
   ask.path = "/jobs";
   ask.body = body;
-  callForJob(std::move(ask), [this, id, body, then = std::move(then)](Reply reply) {
+  callForJob(std::move(ask), [this, id, body, then = std::move(then)](const Reply& reply) {
     if (reply.lost || reply.status != 201) return submit(id, body);
     judge.accepted(id);
     ++result.accepted;
@@ -172,7 +172,7 @@
   Ask ask;
   ask.method = "DELETE";
   ask.path = "/jobs/" + id;
-  callForJob(std::move(ask), [this, id, then = std::move(then)](Reply reply) {
+  callForJob(std::move(ask), [this, id, then = std::move(then)](const Reply& reply) {
     if (!reply.lost && reply.status == 200) {
       judge.cancelled(id);
       if (then) then();
@@ -257,7 +257,7 @@
   ask.method = "POST";
   ask.path = "/jobs";
   ask.body = body;
-  callForJob(std::move(ask), [this, id, body, tries, unclear](Reply reply) {
+  callForJob(std::move(ask), [this, id, body, tries, unclear](const Reply& reply) {
     Json said = parseJson(reply.body);
     const bool notTaken = !reply.lost && reply.status >= 500 && notTakenBy(textAt(said.get(), "error"));
     if (!notTaken && !reply.lost && reply.status < 500) return submit(id, body);
@@ -315,7 +315,7 @@
   ask.query = query;
   ask.body = body;
   ask.requestName = name;
-  call(ask, [=, this, sent = ask](Reply reply) {
+  call(ask, [=, this, sent = ask](const Reply& reply) {
     if (plan.trace)
       *plan.trace << sim.nowUs() << " operator's " << mark << " got "
                   << (reply.lost ? "no answer" : std::to_string(reply.status) + " " + reply.body) << "\n";
@@ -343,7 +343,7 @@
   if (!sim.chance(kResendShare)) return;
   sim.after(sim.below(kResendWithinUs), [this, mark, ask] {
     if (!judge.isLastChange(mark)) return;
-    call(ask, [this, mark](Reply reply) {
+    call(ask, [this, mark](const Reply& reply) {
       if (!reply.lost) judge.configResent(mark, reply.status);
     });
   });
@@ -354,7 +354,7 @@
   const auto ask = numberedChange(number, basedOn, "{\"pendings\":{\"" + mark + "\":{\"rank\":1}}}");
   const auto send = [=, this](auto again, const Host* failed) -> void {
     auto& host = anyHost(failed);
-    callAt(host, ask, [=, this, &host](Reply reply) {
+    callAt(host, ask, [=, this, &host](const Reply& reply) {
       if (!reply.lost && reply.status == 200) {
         judge.configConfirmed(mark, 0);
         judge.numberConfirmed(number, mark);
@@ -417,7 +417,7 @@
   ask.method = "GET";
   ask.path = "/configuration";
   const auto askedMs = sim.nowMs();
-  call(std::move(ask), [this, askedMs](Reply reply) {
+  call(std::move(ask), [this, askedMs](const Reply& reply) {
     if (!reply.lost && reply.status == 200) readConfig(reply.body, askedMs, false);
   });
   sim.after(150000 + sim.below(100000), [this] { readConfigs(); });
