Judge: a clean end counts once it is acknowledged under an unbroken hold (`once`)

Cause: the judge took a clean end as final as soon as the worker's report of it got a 200 from its agent.

Now an end is final when its acknowledgement reaches the worker and no lapse came between; the stub worker keeps track of that and journals `acked RUN lapsed` otherwise. A start between an end and a later valid acknowledgement, which wasn't seen before, is a fault now, for gangs by any member's end. Ends acknowledged after a lapse count in judgeJournals as ends never acknowledged do.

--- a/src/commands/stub_worker.cpp
+++ b/src/commands/stub_worker.cpp
@@ -165,6 +165,23 @@
   return dumpJson(root.get());
 }
 
+namespace {
+
+/// An end that is acknowledged only after the hold lapsed counts as never acknowledged.
+void noteLapse(Worker& worker, Millis nowMs) {
+  if (!worker.traits.selfStop || nowMs < worker.goOnUntilMs) return;
+  for (auto& [run, ended] : worker.ended) ended.holdLapsed = true;
+}
+
+void forgetEnded(Worker& worker, const std::string& run) {
+  const auto found = worker.ended.find(run);
+  if (found == worker.ended.end()) return;
+  worker.journal.push_back("acked " + run + (found->second.holdLapsed ? " lapsed" : ""));
+  worker.ended.erase(found);
+}
+
+}  // namespace
+
 void heardAnswer(Worker& worker, std::string_view body, Millis sentMs, Millis nowMs) {
   Json root = parseJson(body);
   if (!root || numberAt(root.get(), "report") > static_cast<std::int64_t>(worker.report)) return;
@@ -173,6 +190,7 @@
   worker.fence = fence;
   auto holdMs = numberAt(root.get(), "goOnMs");
   if (worker.traits.holdMostMs > 0) holdMs = std::min(holdMs, worker.traits.holdMostMs);
+  noteLapse(worker, nowMs);
   worker.goOnUntilMs = std::max(worker.goOnUntilMs, sentMs + holdMs);
   // An answer to a report that another has followed holds on; what it orders was given up when the later one came
   // without it.
@@ -195,8 +213,7 @@
   }
   const json_t* ack = json_object_get(root.get(), "ack");
   for (std::size_t i = 0; i < json_array_size(ack); ++i)
-    if (const char* run = json_string_value(json_array_get(ack, i)); run && worker.ended.erase(run))
-      worker.journal.push_back(std::string("acked ") + run);
+    if (const char* run = json_string_value(json_array_get(ack, i))) forgetEnded(worker, run);
   const json_t* start = json_object_get(root.get(), "start");
   for (std::size_t i = 0; i < json_array_size(start); ++i) {
     const json_t* item = json_array_get(start, i);
--- a/src/commands/stub_worker.hpp
+++ b/src/commands/stub_worker.hpp
@@ -55,6 +55,7 @@
   std::string outcome;
   std::string detail;
   std::string saved;
+  bool holdLapsed = false;  // since its end, before an answer acknowledged it
 };
 
 struct Worker {
--- a/src/simulator/judge.hpp
+++ b/src/simulator/judge.hpp
@@ -10,9 +10,10 @@
   std::map<std::string, SimWorker*> running;
   std::set<std::string> superseded;
   std::int64_t starts = 0, cleanEnds = 0;
-  std::set<std::string> failed,
-      delivered;  // runs that failed; runs whose clean end was reported
-  Millis deliveredMs = -1, failedMs = -1;
+  std::set<std::string> failed;                       // runs that failed
+  std::set<std::string> acknowledged;                 // runs whose clean end is final
+  std::map<std::string, std::string> unacknowledged;  // runs that ended cleanly -> the first run started after that
+  Millis acknowledgedMs = -1, failedMs = -1;
   Millis lonelySinceMs = -1;
   Millis waitsSinceMs = -1;  // could run since then, with room in plenty, and doesn't
   std::map<std::string, std::int64_t> capacity;
@@ -139,6 +140,9 @@
   void reported(SimWorker& simWorker, const std::string& body, int status);
   void started(SimWorker& simWorker, const std::string& text);
   void runEnded(SimWorker& simWorker, const std::string& run, const std::string& outcome);
+  void endAcknowledged(const std::string& run, bool holdLapsed);
+  /// A start of a task that has ended cleanly, or has ended so if that end is acknowledged later.
+  void judgeRerun(TaskTruth& lead, const TaskTruth& task, const std::string& run);
   void judgeCapacity(SimWorker& simWorker);
   void judgePlace(SimWorker& simWorker, const JobTruth& job, std::size_t at, const std::string& run);
   bool judgeBrief(JobTruth& job, const std::string& state, bool ended, Millis askedMs);
--- a/tests/journals_test.cpp
+++ b/tests/journals_test.cpp
@@ -42,6 +42,10 @@
   const auto lost = judge("1 w1 x start j:a:1 2\n5 w1 x end j:a:1 clean\n", "9 w2 y start j:a:2 2\n");
   LONGS_EQUAL(0, lost.broken.size());
   LONGS_EQUAL(1, lost.unacknowledgedReruns);
+  const auto lapsed =
+      judge("1 w1 x start j:a:1 2\n5 w1 x end j:a:1 clean\n20 w1 x acked j:a:1 lapsed\n", "9 w2 y start j:a:2 2\n");
+  LONGS_EQUAL(0, lapsed.broken.size());
+  LONGS_EQUAL(1, lapsed.unacknowledgedReruns);
 }
 
 TEST(journals, too_much_on_a_worker_fires) {
--- a/tests/worker_test.cpp
+++ b/tests/worker_test.cpp
@@ -50,6 +50,26 @@
   CHECK(worker.ended.contains("j:a:1"));
   hear(R"(,"ack":["j:a:1"])");
   CHECK_FALSE(worker.ended.contains("j:a:1"));
+  CHECK(journalled("acked j:a:1"));
+}
+
+TEST(worker, an_end_that_is_acknowledged_after_the_hold_lapsed_is_journalled_so) {
+  hear(R"(,"start":[{"run":"j:a:1","payload":{"runMs":100}},{"run":"j:b:1","payload":{"runMs":100}}])", 300);
+  pass(200);
+  hear(R"(,"ack":["j:a:1"])", 300);
+  CHECK(journalled("acked j:a:1"));
+  pass(400);
+  hear("", 300);
+  hear(R"(,"ack":["j:b:1"])", 300);
+  CHECK(journalled("acked j:b:1 lapsed"));
+}
+
+TEST(worker, a_lapsed_hold_takes_no_acknowledgement_from_a_worker_that_does_not_stop_by_itself) {
+  worker.traits.selfStop = false;
+  hear(R"(,"start":[{"run":"j:a:1","payload":{"runMs":100}}])", 300);
+  pass(400);
+  hear(R"(,"ack":["j:a:1"])", 300);
+  CHECK(journalled("acked j:a:1"));
 }
 
 TEST(worker, what_is_over_its_capacity_starts_all_the_same_and_is_journalled) {
