--- a/src/simulator/scale.cpp
+++ b/src/simulator/scale.cpp
@@ -150,7 +150,7 @@
 
   void change(const std::string& method, std::string body) {
     version_ = 0;
-    ask(method, "/configuration", std::move(body), [this](const std::string& text) {
+    ask(method, "/configuration", body, [this](const std::string& text) {
       Json root = parseJson(text);
       version_ = static_cast<Version>(numberAt(root.get(), "revision"));
     });
--- a/src/simulator/sim_workers.cpp
+++ b/src/simulator/sim_workers.cpp
@@ -163,7 +163,7 @@
     if (got.lost)
       after(50000, [finish, got] { finish(got); });
     else
-      finish(std::move(got));
+      finish(got);
   });
   after(2000000, [finish] { finish({true, 0, 0, {}}); });
 }
