Configuration reads: a daemon on a narrow link sends the asker on to its replica's machine

Now such a daemon answers 307 where the text would hold its link for longer than the pause between two heartbeats; the machine of the replica that grants its session answers.

--- a/src/base/errors.hpp
+++ b/src/base/errors.hpp
@@ -33,6 +33,7 @@
   unknownSignal,
   jobEnded,
   folderInUse,
+  askElsewhere,
 };
 
 struct Row {
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -40,6 +40,7 @@
     {"max-body-bytes", 1024, 67108864,
      [](Settings& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
 };
+    {"link-kbps", 8, 1000000000, [](Settings& e, std::int64_t v) { e.linkKbps = v; }},
 
 bool putKey(Settings& settings, const std::string& key, const std::string& value, std::string& allowed) {
   auto address = [&](Address& into) {
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -34,7 +34,7 @@
   Millis lapseMs() const { return 2 * leaseMs + leaseMs / 10; }
 };
 
-enum class FaceKind : std::uint8_t { own, callers, ready, control, worker };
+enum class FaceKind : std::uint8_t { own, callers, ready, control, worker, metrics };
 
 struct Face {
   FaceKind kind = FaceKind::own;
@@ -53,6 +53,7 @@
   bool firstBoot = true;        // a new fleet may be formed
   std::int64_t losses = 1;      // replicas that may be lost at once; the membership has twice as many voters and one
   Millis firstThresholdMs = 0;  // usual first demotion threshold, in worker milliseconds; 0: as configured
+  std::int64_t linkKbps = 0;    // what the machine's own link carries, in kilobits a second; 0: not known
   std::string dataFolder;
   std::string settingsFile;
   std::string worker;
--- /dev/null
+++ b/src/daemon/config_reader.cpp
@@ -0,0 +1,31 @@
+#include "daemon/config_reader.hpp"
+
+#include <algorithm>
+
+namespace tulip::daemon {
+namespace {
+
+constexpr std::size_t kBitsPerByte = 8;
+
+/// How long a text holds this machine's own link; a kilobit a second is a bit a millisecond.
+Millis transferMs(const Settings& settings, std::size_t bytes) {
+  return static_cast<Millis>(bytes * kBitsPerByte) / settings.linkKbps;
+}
+
+std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
+
+std::string_view portOf(const Address& address) { return address.view().substr(address.view().rfind(':') + 1); }
+
+}  // namespace
+
+std::optional<Address> configReader(const control::ControlClient& client) {
+  const auto& settings = client.settings;
+  if (settings.linkKbps <= 0 || client.home.empty()) return {};
+  if (transferMs(settings, client.configText.size()) <= settings.bounds.heartbeatMs()) return {};
+  const auto listener = std::ranges::find(settings.faces, FaceKind::control, &Face::kind);
+  if (listener == settings.faces.end() || hostOf(client.home) == hostOf(listener->at)) return {};
+  // Daemons that speak an adapter listen at the same ports on all machines.
+  return Address(std::string(hostOf(client.home)) + ":" + std::string(portOf(listener->at)));
+}
+
+}  // namespace tulip::daemon
--- /dev/null
+++ b/src/daemon/config_reader.hpp
@@ -0,0 +1,16 @@
+#pragma once
+/// Which daemon answers a read of the configuration that came in through a protocol adapter.
+///
+/// A configuration of hundreds of queues takes a narrow link longer than a caller waits, and the daemon's own
+/// heartbeats wait behind it. Such a daemon sends the caller on to the machine of the replica that grants its session:
+/// that one has a session of its own, or says at once that it has none.
+#include <optional>
+
+#include "control/client.hpp"
+
+namespace tulip::daemon {
+
+/// The listener that answers instead of this daemon; none where this daemon answers itself.
+std::optional<Address> configReader(const control::ControlClient& client);
+
+}  // namespace tulip::daemon
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -280,8 +280,10 @@
 };
 
 // From the first polite signal: leave, answer callers until new ones are sent elsewhere, then end.
+      one.settings.linkKbps = read.linkKbps;
 class Ending {
  public:
+      client.settings.linkKbps = read.linkKbps;
   Ending(Host& host)
       : host_(host),
         polite_(host.context, SIGTERM, SIGINT),
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,6 +1,7 @@
 #include "daemon/node.hpp"
 
 #include "base/log.hpp"
+#include "daemon/config_reader.hpp"
 
 namespace tulip::daemon {
 
@@ -219,6 +220,7 @@
       return proposeOrder(node, ask, std::move(wanted.edit), now, out);
     case Call::getConfig: {
       if (!live || client.configVersion == 0) return reject(Kind::notReady);
+      if (const auto elsewhere = configReader(client)) return out.redirect(ask.requestId, *elsewhere);
       CallResult brief;
       brief.text = client.configText;
       return out.tell(ask.requestId, Kind::ok, std::move(brief));
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr std::string_view kJsonType = "application/json";
+constexpr std::string_view kMetricsType = "text/plain; version=0.0.4; charset=utf-8";
 constexpr std::size_t kMostSessions = 3072;
 constexpr std::uint32_t kHeaderBytes = 16384;
 constexpr std::size_t kKeptBytes = 16384;
@@ -175,17 +177,22 @@
   // What the peer still sends is read and dropped, so that the answer is not lost in a reset.
   void rejectUnread(Kind kind) {
     closing = true;
-    write(rowOf(kind).status, "{\"error\":\"" + std::string(rowOf(kind).name) + "\"}", 0);
+    write(rowOf(kind).status, "{\"error\":\"" + std::string(rowOf(kind).name) + "\"}", 0, {});
   }
 
-  void write(int status, const std::string& body, Millis retryMs) {
+  void write(int status, const std::string& body, Millis retryMs, const Address& location) {
     // A request that has been read already is answered before the connection ends.
     const bool next = buffer.size() > 0;
     const bool keep = !closing && (next || !server.leaving_) && parser->get().keep_alive();
     const auto reason = beast_http::obsolete_reason(static_cast<beast_http::status>(status));
     out.clear();
     out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size());
-    out.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size()));
+    out.append("\r\nContent-Type: ").append(face == FaceKind::metrics ? kMetricsType : kJsonType);
+    out.append("\r\nContent-Length: ").append(std::to_string(body.size()));
+    if (!location.empty()) {
+      const auto target = parser->get().target();
+      out.append("\r\nLocation: http://").append(location.value).append(target.data(), target.size());
+    }
     if (retryMs > 0) {
       out.append("\r\nRetry-After: ").append(std::to_string((retryMs + 999) / 1000));
       if (face == FaceKind::own) out.append("\r\nX-Tulippitch-Retry-Ms: ").append(std::to_string(retryMs));
@@ -351,7 +358,9 @@
   auto session = std::move(found->second);
   asking_.erase(found);
   ++counts_->answers;
-  if (!session->gone) session->write(answer.status, answer.body, answer.retryMs);
+  if (const auto status = static_cast<std::size_t>(answer.status); status < HttpCounts::kStatuses)
+    ++counts_->byStatus[status];
+  if (!session->gone) session->write(answer.status, answer.body, answer.retryMs, answer.location);
 }
 
 void HttpServer::answerKind(std::uint64_t requestId, Kind kind) {
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 
+#include <array>
 #include <atomic>
 #include <boost/beast/http.hpp>
 #include <functional>
@@ -40,7 +41,9 @@
 CallReply callNow(CallOut call);
 
 struct HttpCounts {
+  static constexpr std::size_t kStatuses = 600;
   std::atomic<std::uint64_t> asks{0}, answers{0}, deadlines{0}, proxied{0}, overloaded{0}, open{0};
+  std::array<std::atomic<std::uint32_t>, kStatuses> byStatus{};  // answers
 };
 
 // Serves the own interface and the faces of a protocol adapter, for every node of its process.
--- a/src/transport/core.hpp
+++ b/src/transport/core.hpp
@@ -117,6 +117,7 @@
   std::string body;
   Kind kind = Kind::ok;
   CallResult brief = {};  // the same in plain values, for callers through a protocol adapter
+  Address location = {};  // of askElsewhere: the listener that answers the same request
 };
 
 struct ForwardRequest {
@@ -156,6 +157,9 @@
   void reject(std::uint64_t requestId, Kind kind, std::string body, Millis retryMs = 0) {
     answers.push_back({requestId, rowOf(kind).status, retryMs, std::move(body), kind, {}});
   }
+  void redirect(std::uint64_t requestId, const Address& to) {
+    answers.push_back({requestId, rowOf(Kind::askElsewhere).status, 0, {}, Kind::askElsewhere, {}, to});
+  }
   void tell(std::uint64_t requestId, Kind kind, CallResult brief, Millis retryMs = 0) {
     answers.push_back({requestId, rowOf(kind).status, retryMs, {}, kind, std::move(brief)});
   }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -130,6 +130,33 @@
   STRCMP_EQUAL("body", asks[2].body.c_str());
 }
 
+TEST(http_server, a_caller_is_sent_on_with_the_target_that_it_asked_for) {
+  auto& caller = client();
+  caller.send(requestText("GET", "/a?b=1"));
+  runUntil([&] { return asks.size() == 1; });
+  transport::Outbox out;
+  out.redirect(asks[0].requestId, Address("10.0.0.1:8166"));
+  server->answer(out.answers.at(0));
+  runUntil([&] { return caller.holds("\r\n\r\n"); });
+  CHECK(caller.holds("HTTP/1.1 307 Temporary Redirect\r\n"));
+  CHECK(caller.holds("\r\nLocation: http://10.0.0.1:8166/a?b=1\r\n"));
+}
+
+TEST(http_server, answers_are_counted_by_status_and_metrics_are_plain_text) {
+  server->listen(Address("127.0.0.1:0"), FaceKind::metrics, 0);
+  clients.push_back(std::make_unique<Client>(context));
+  auto& caller = *clients.back();
+  caller.connect(server->boundAddresses().at(1));
+  caller.send(requestText("GET", "/metrics"));
+  runUntil([&] { return asks.size() == 1; });
+  CHECK(asks[0].face == FaceKind::metrics);
+  answer(0, "a 1\n");
+  runUntil([&] { return caller.holds("a 1\n"); });
+  CHECK(caller.holds("\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\n"));
+  LONGS_EQUAL(1, server->counts().byStatus[200].load());
+  LONGS_EQUAL(0, server->counts().byStatus[404].load());
+}
+
 TEST(http_server, a_client_that_has_shut_its_sending_side_gets_its_answer) {
   auto& caller = client();
   caller.send(requestText("GET", "/a"));
