Agents: a worker's leave is a notice, and late heartbeats undo neither it nor a new life

(2) The next heartbeat, phase ready or late, set leaving back, so that new runs were started there (DRAIN). (3) A late heartbeat of an earlier life was taken for a new one and ended live runs as lost. Now runs are held until their end is listed, their lease has surely lapsed or another life is heard; the leave holds for that life; a life that another followed is not heard, unless the other falls silent (an agent that restarted may hear a late one first). A leave without a time means the drain time of the settings. Mutants leave-is-an-end, leave-undone-by-a-heartbeat and late-heartbeat-of-an-earlier-life.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t kMostEarlierLives = 8;  // of the worker that are remembered
+
 const Bounds& bounds(const AgentState& agent) { return agent.client.settings.bounds; }
 
 bool drained(const AgentState& agent) {
@@ -260,8 +262,18 @@
   }
 }
 
+/// Whether a message is a late one of a life that another followed. Where the life that is believed to be the present
+/// one has fallen silent, the belief may be wrong (an agent that restarted may hear a late message first).
+bool fromEarlierLife(const AgentState& agent, std::string_view incarnation, Now now) {
+  return std::ranges::find(agent.earlierLives, incarnation) != agent.earlierLives.end() &&
+         now.steadyMs - agent.workerMs <= bounds(agent).freshMs();
+}
+
 /// A new life of the worker runs nothing that an earlier one was given.
-void endEarlierLife(AgentState& agent) {
+void beginLife(AgentState& agent, const std::string& incarnation) {
+  std::erase(agent.earlierLives, incarnation);
+  agent.earlierLives.push_back(agent.incarnation);
+  if (agent.earlierLives.size() > kMostEarlierLives) agent.earlierLives.pop_front();
   for (auto& [id, run] : agent.runs)
     if (run.state != AttemptState::ended && (run.state != AttemptState::ordered || run.handedReport))
       end(agent, run, AttemptOutcome::lost, "worker restarted");
@@ -280,14 +292,18 @@
 /// What the report says of the worker itself.
 void noteWorker(AgentState& agent, const WorkerReport& report, Now now) {
   const bool same = agent.heard && report.incarnation == agent.incarnation;
-  if (!same || report.leaving != agent.leaving) agent.reportDue = true;
+  const bool leaving = report.leaving || report.incarnation == agent.leavingLife;
+  if (!same || leaving != agent.leaving) agent.reportDue = true;
   if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
   agent.heard = true;
   agent.incarnation = report.incarnation;
   agent.lastReport = report.number;
   agent.workerMs = now.steadyMs;
-  agent.leaving = report.leaving;
-  agent.leavesAtMs = report.leavesMs < 0 ? -1 : now.steadyMs + report.leavesMs;
+  agent.leaving = leaving;
+  if (report.leavesMs >= 0)
+    agent.leavesAtMs = now.steadyMs + report.leavesMs;
+  else if (!same || !leaving)
+    agent.leavesAtMs = -1;
   agent.pool = report.pool;
   agent.slots = report.slots;
   agent.labels = report.labels;
@@ -436,12 +452,12 @@
 
 void workerReport(AgentState& agent, std::uint64_t requestId, const WorkerReport& report, Now now, Outbox& out) {
   const bool same = agent.heard && report.incarnation == agent.incarnation;
-  if (same && report.number <= agent.lastReport) {
+  if ((same && report.number <= agent.lastReport) || fromEarlierLife(agent, report.incarnation, now)) {
     ++agent.counts.staleReports;
     return out.reject(requestId, Kind::staleTerm, {});
   }
   if (agent.poll) answerPoll(agent, now, out);
-  if (agent.heard && !same) endEarlierLife(agent);
+  if (agent.heard && !same) beginLife(agent, report.incarnation);
   takeUpAcknowledgement(agent, report);
   noteWorker(agent, report, now);
   for (auto& [id, run] : agent.runs) run.listed = false;
@@ -457,12 +473,13 @@
 }
 
 void workerLeaves(AgentState& agent, std::uint64_t requestId, std::string_view incarnation, Now now, Outbox& out) {
+  // A leave is a notice and no end: what runs there is over when its end is listed, when its lease has surely lapsed or
+  // when another life is heard.
+  if (!fromEarlierLife(agent, incarnation, now)) agent.leavingLife = incarnation;
   if (agent.heard && agent.incarnation == incarnation) {
-    if (agent.poll) answerPoll(agent, now, out);
-    for (auto& [id, run] : agent.runs)
-      if (run.state != AttemptState::ended) end(agent, run, AttemptOutcome::lost, "its worker left");
     agent.leaving = true;
-    agent.gone = true;
+    if (agent.leavesAtMs < 0 && bounds(agent).drainMs > 0) agent.leavesAtMs = now.steadyMs + bounds(agent).drainMs;
+    endDrainedStarts(agent);
     sendReport(agent, now, out);
   }
   out.answer(requestId, 200, "{}");
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -1,4 +1,6 @@
 #pragma once
+#include <deque>
+
 #include "control/client.hpp"
 
 namespace tulip::agent {
@@ -49,7 +51,8 @@
   std::map<std::string, std::int64_t> capacity;
   bool leaving = false;
   Millis leavesAtMs = -1;
-  bool gone = false;  // its worker said that it ends
+  std::string leavingLife;               // the life of the worker that announced its leave; empty: none did
+  std::deque<std::string> earlierLives;  // of the worker, the latest last: nothing that they say counts any more
   std::optional<Poll> poll;
   std::map<AttemptId, AgentAttempt> runs;
   Ballot term;
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -16,6 +16,7 @@
   Millis gangWaitMs = 5000;    // a gang member waits this long for the others before its worker gives it up
   Millis runStopMs = 2000;     // a worker takes this long at most to stop a run
   Millis statusMs = 0;         // how long an ended job is told of; 0: as the configuration's keep says
+  Millis drainMs = 0;          // a worker that announces its leave serves on for this long at least; 0: not known
   Millis earlyMs = 0;          // how far ahead of its due time a task may start
   Millis catchUpMs = 0;        // an empty replica at a new address is to be seated within this; 0: four terms
   Millis checkpointMs = 1000;  // work between two checkpoints
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -59,6 +59,24 @@
 
   WantedAttempt stop(const char* run, const char* life = "w1") { return {AttemptId(run), true, {}, life}; }
 
+  Outbox leaves(const std::string& life = "w1") {
+    Outbox out;
+    agent::workerLeaves(agent, ++report, life, {nowMs}, out);
+    return out;
+  }
+
+  /// What the agent tells the leader at its next pause between two reports.
+  AgentReport nextReport() {
+    nowMs += agent.client.settings.bounds.reportMs();
+    Outbox out;
+    agent::agentTick(agent, {nowMs}, out);
+    const AgentReport* last = nullptr;
+    for (const auto& send : out.sends)
+      if (const auto* message = std::get_if<AgentReport>(&send.message)) last = message;
+    CHECK(last != nullptr);
+    return *last;
+  }
+
   static std::size_t started(const Outbox& out) {
     std::size_t count = 0;
     for (const auto& answer : out.answers)
@@ -232,3 +250,119 @@
   reports(R"(["j:a:1"])");
   CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::running);
 }
+
+TEST(agent, what_runs_on_a_worker_that_announces_its_leave_goes_on_until_its_end_is_heard) {
+  reports();
+  ordered({go("j:a:1")}, nowMs);
+  reports(R"(["j:a:1"])");
+  leaves();
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::running);
+  nowMs += 50;
+  reports(R"(["j:a:1"])");
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::running);
+}
+
+TEST(agent, what_runs_on_a_worker_that_left_is_lost_once_its_lease_has_surely_lapsed) {
+  auto config = std::make_shared<config::Config>(*agent.client.config);
+  config->pools.at("side").lostAfterLeases = 1;
+  agent.client.config = config;
+  const auto leaseMs = agent.client.settings.bounds.workerLeaseMs;
+  reports();
+  ordered({go("j:a:1")}, nowMs);
+  reports(R"(["j:a:1"])");
+  Outbox out;
+  agent::agentTick(agent, {nowMs + agent.client.settings.bounds.longPollMs()}, out);
+  leaves();
+  agent::agentTick(agent, {nowMs + leaseMs / 2}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::running);
+  agent::agentTick(agent, {nowMs + 3 * leaseMs}, out);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).outcome == AttemptOutcome::lost);
+}
+
+TEST(agent, a_heartbeat_after_a_leave_does_not_undo_it) {
+  reports();
+  leaves();
+  reports();
+  CHECK(nextReport().leaving);
+  LONGS_EQUAL(0, started(ordered({go("j:a:1")}, nowMs)));
+  CHECK(agent.runs.at(AttemptId("j:a:1")).outcome == AttemptOutcome::lost);
+}
+
+TEST(agent, a_leave_is_remembered_before_its_worker_is_heard_and_forgotten_with_its_life) {
+  leaves();
+  reports();
+  CHECK(nextReport().leaving);
+  reports("[]", "w2");
+  CHECK_FALSE(nextReport().leaving);
+  reports("[]", "w2");
+  LONGS_EQUAL(1, started(ordered({go("j:a:1", "w2")}, nowMs)));
+}
+
+TEST(agent, an_unfetched_order_is_given_back_at_once_when_its_worker_announces_its_leave) {
+  reports();
+  agent.client.sessionUntilMs = nowMs;
+  ordered({go("j:a:1")}, nowMs);
+  agent.client.sessionUntilMs = nowMs + 60000;
+  leaves();
+  const auto told = nextReport();
+  LONGS_EQUAL(1, told.runs.size());
+  CHECK(told.runs[0].state == AttemptState::ended && told.runs[0].outcome == AttemptOutcome::lost);
+}
+
+TEST(agent, a_leave_without_a_time_says_that_the_worker_stays_for_the_drain_time) {
+  const auto pauseMs = agent.client.settings.bounds.reportMs();
+  agent.client.settings.bounds.drainMs = 2000;
+  reports();
+  leaves();
+  LONGS_EQUAL(2000 - pauseMs, nextReport().leavesMs);
+  reports();
+  LONGS_EQUAL(2000 - 2 * pauseMs, nextReport().leavesMs);
+}
+
+TEST(agent, a_late_report_of_an_earlier_life_of_the_worker_is_rejected) {
+  reports();
+  reports("[]", "w2");
+  ordered({go("j:a:1", "w2")}, nowMs);
+  reports(R"(["j:a:1"])", "w2");
+  const auto late = reports();
+  LONGS_EQUAL(rowOf(Kind::staleTerm).status, late.answers.at(0).status);
+  CHECK(agent.runs.at(AttemptId("j:a:1")).state == AttemptState::running);
+  STRCMP_EQUAL("w2", agent.incarnation.c_str());
+}
+
+TEST(agent, a_life_taken_for_an_earlier_one_is_heard_again_once_the_other_is_silent) {
+  reports();
+  reports("[]", "w2");
+  const auto freshMs = agent.client.settings.bounds.freshMs();
+  nowMs += freshMs;
+  reports();
+  STRCMP_EQUAL("w2", agent.incarnation.c_str());
+  nowMs += 1;
+  reports();
+  STRCMP_EQUAL("w1", agent.incarnation.c_str());
+  reports();
+  STRCMP_EQUAL("w1", agent.incarnation.c_str());
+}
+
+TEST(agent, a_life_of_another_kind_has_nothing_of_the_one_before) {
+  Outbox out;
+  WorkerReport message;
+  message.incarnation = "w1";
+  message.number = 1;
+  message.pool = PoolName("side");
+  message.slots = 8;
+  message.labels = {{"kind", "a"}, {"rack", "r1"}};
+  message.capacity = {{"cpu", 16000}, {"gpu", 2}};
+  agent::workerReport(agent, 1, message, {nowMs}, out);
+  message.incarnation = "w2";
+  message.pool = PoolName("other");
+  message.labels = {{"kind", "b"}};
+  message.capacity = {{"cpu", 4000}};
+  message.running = {{AttemptId("j:a:1"), {}, 5}};
+  Outbox next;
+  agent::workerReport(agent, 2, message, {nowMs}, next);
+  const auto told = nextReport();
+  STRCMP_EQUAL("other", told.pool.value.c_str());
+  CHECK(told.labels == message.labels);
+  CHECK(told.capacity == message.capacity);
+}
