Metrics: each process tells its figures in the Prometheus text format where the settings ask for it

metrics = "PORT/PATH" (own settings: metrics) opens a listener of its own; the core thread writes the text from the counters that it keeps anyway, on no call's path. New: histograms of the time of a batch to its commit and of a write to its sync, in parts of a lease. Weighed: prometheus-cpp of the registry; it brings a web server and curl to the users' machines and one more shared library to each agent, where memory is priced. The text is written here.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -25,6 +25,9 @@
   return true;
 }
 
+constexpr const char* kMetricsAllowed = "a port, '/' and a path, such as 9100/metrics";
+constexpr const char* kAnyHost = "127.0.0.1";  // to check the port before the own interface's host is known
+
 struct CountKey {
   std::string_view key;
   std::int64_t low, high;
@@ -37,10 +40,10 @@
     {"stop-ms", 100, 600000, [](Settings& e, std::int64_t v) { e.bounds.stopMs = v; }},
     {"call-ms", 100, 600000, [](Settings& e, std::int64_t v) { e.bounds.callMs = v; }},
     {"ring-items", 64, 1048576, [](Settings& e, std::int64_t v) { e.ringItems = static_cast<std::size_t>(v); }},
+    {"link-kbps", 8, 1000000000, [](Settings& e, std::int64_t v) { e.linkKbps = v; }},
     {"max-body-bytes", 1024, 67108864,
      [](Settings& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
 };
-    {"link-kbps", 8, 1000000000, [](Settings& e, std::int64_t v) { e.linkKbps = v; }},
 
 bool putKey(Settings& settings, const std::string& key, const std::string& value, std::string& allowed) {
   auto address = [&](Address& into) {
@@ -76,6 +79,12 @@
     }
     return settings.seeds.size() == 3;
   }
+  if (key == "metrics") {
+    allowed = kMetricsAllowed;
+    Settings checked;
+    settings.metricsPath = value;
+    return readMetricsSetting(value, kAnyHost, checked);
+  }
   for (const auto& row : counts)
     if (row.key == key) {
       allowed = "a whole number from " + std::to_string(row.low) + " to " + std::to_string(row.high);
@@ -147,6 +156,15 @@
               "must be given to a agent: the worker's name");
 }
 
+/// The listener for metrics stands at the machine of the own interface, which may be given after it.
+bool placeMetrics(Settings& settings, SettingsFault& fault) {
+  const auto text = std::exchange(settings.metricsPath, {});
+  const auto& http = settings.http.value;
+  const bool placed = readMetricsSetting(text, http.substr(0, http.rfind(':')), settings);
+  if (!placed) fault = {settings.settingsFile.empty() ? "flags" : settings.settingsFile, "metrics", kMetricsAllowed};
+  return placed;
+}
+
 }  // namespace
 
 bool validAddress(std::string_view text) {
@@ -158,9 +176,20 @@
   return !failed && parseCount(text.substr(colon + 1), port) && port >= 1 && port <= 65535;
 }
 
+bool readMetricsSetting(std::string_view text, std::string_view ip, Settings& settings) {
+  const auto slash = text.find('/');
+  if (slash == std::string_view::npos || slash + 1 == text.size()) return false;
+  const auto at = std::string(ip) + ":" + std::string(text.substr(0, slash));
+  const auto path = text.substr(slash);
+  if (!validAddress(at) || path.find_first_of(" ?#") != std::string_view::npos) return false;
+  settings.faces.push_back({FaceKind::metrics, Address(at)});
+  settings.metricsPath = path;
+  return true;
+}
+
 const std::vector<std::string>& settingsKeys() {
   static const std::vector<std::string> keys = [] {
-    std::vector<std::string> all{"signal", "http", "cell", "name", "worker", "data-folder", "seeds"};
+    std::vector<std::string> all{"signal", "http", "cell", "name", "worker", "data-folder", "seeds", "metrics"};
     for (const auto& row : counts) all.emplace_back(row.key);
     return all;
   }();
@@ -184,7 +213,8 @@
       return false;
     }
   }
-  return nothingMissing(settings, fault);
+  if (!nothingMissing(settings, fault)) return false;
+  return settings.metricsPath.empty() || placeMetrics(settings, fault);
 }
 
 std::string faultLine(const SettingsFault& fault) {
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -53,10 +53,11 @@
   std::string adapter;          // empty: the own interface only
   bool firstBoot = true;        // a new fleet may be formed
   std::int64_t losses = 1;      // replicas that may be lost at once; the membership has twice as many voters and one
-  Millis firstThresholdMs = 0;  // usual first demotion threshold, in worker milliseconds; 0: as configured
   std::int64_t linkKbps = 0;    // what the machine's own link carries, in kilobits a second; 0: not known
+  Millis firstThresholdMs = 0;  // usual first demotion threshold, in worker milliseconds; 0: as configured
   std::string dataFolder;
   std::string settingsFile;
+  std::string metricsPath;  // under which the metrics listener answers; empty: there is none
   std::string worker;
   Bounds bounds;
   std::size_t ringItems = 4096;
@@ -75,5 +76,7 @@
 bool readSettings(Role role, const SettingsFlags& flags, Settings& settings, SettingsFault& fault);
 std::string faultLine(const SettingsFault& fault);
 bool validAddress(std::string_view text);
+/// Reads "PORT/PATH" into the metrics listener at that IP number. False, and nothing changed, if it can't be read.
+bool readMetricsSetting(std::string_view text, std::string_view ip, Settings& settings);
 
 }  // namespace tulip
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -76,6 +76,7 @@
   auto found = replica.waiting.find(persisted.ticket);
   if (found == replica.waiting.end()) return;
   auto sends = std::move(found->second.sends);
+  if (persisted.ok) replica.syncTimes.note(now.steadyMs - found->second.sinceMs, bounds(replica).leaseMs);
   if (persisted.ok) replica.keptVersion = std::max(replica.keptVersion, found->second.learned);
   replica.waiting.erase(found);
   if (persisted.ok && persisted.ticket == replica.votingTicket) sendReplicaHeartbeats(replica, now, out);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -1,5 +1,7 @@
 #pragma once
 #include <optional>
+
+#include "base/duration_histogram.hpp"
 #include "control/client.hpp"
 
 #include "storage/image.hpp"
@@ -96,6 +98,7 @@
   int stepYields = 0;                                  // how often this replica has let another complete the open step
   Version leftIn = 0;                                  // the membership that left this voter out, whose new
                                                        // voter may need its state
+  DurationHistogram syncTimes;                         // from a write to its acknowledgement by the disk
   std::uint64_t jobLogAccepts = 0, jobLogRejected = 0, grants = 0, grantsRejected = 0, catchUps = 0;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,7 @@
 
 #include "base/log.hpp"
 #include "base/ring.hpp"
+#include "daemon/metrics.hpp"
 #include "daemon/node.hpp"
 #include "daemon/protocol_adapters.hpp"
 #include "http/http.hpp"
@@ -144,7 +145,7 @@
     while (!host_.over) {
       auto events = host_.events.takeUntil(steadyAt(nextMs()));
       Wants wants;
-      for (auto& [node, event] : events) step(node, event, wants);
+      for (auto& [node, event] : events) take(node, event, wants);
       tick(wants);
       for (int round = 0; round < kMostRounds && !inside_.empty(); ++round) {
         const auto heard = std::exchange(inside_, {});
@@ -177,6 +178,24 @@
     if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.settings().bounds.leaseMs / kTicksPerTerm);
   }
 
+  void take(std::size_t node, const Event& event, Wants& wants) {
+    const auto* ask = std::get_if<Ask>(&event);
+    if (ask && ask->face == FaceKind::metrics) return answerMetrics(node, *ask, wants);
+    step(node, event, wants);
+  }
+
+  /// The figures of the whole process; no node's step has a part in it.
+  void answerMetrics(std::size_t node, const Ask& ask, Wants& wants) const {
+    const auto& settings = host_.berthed[node].settings;
+    if (ask.method != "GET" || ask.path != settings.metricsPath) {
+      wants.answers.push_back({ask.requestId, rowOf(Kind::noSuchRoute).status, 0, {}, Kind::noSuchRoute});
+      return;
+    }
+    std::vector<const Node*> nodes;
+    for (const auto& one : host_.berthed) nodes.push_back(&one.node);
+    wants.answers.push_back({ask.requestId, 200, 0, metricsOf(nodes, host_.server->counts(), clockNow())});
+  }
+
   void step(std::size_t node, const Event& event, Wants& wants) {
     auto& one = host_.berthed[node];
     Outbox out;
@@ -261,8 +280,10 @@
       bounds.leaseMs = then.bounds.leaseMs;
       bounds.workerLeaseMs = then.bounds.workerLeaseMs;
       one.settings.bounds = bounds;
+      one.settings.linkKbps = read.linkKbps;
       auto& client = clientOf(one.node);
       client.settings.bounds = bounds;
+      client.settings.linkKbps = read.linkKbps;
       if (then.role == Role::replica) continue;
       one.settings.seeds = read.seeds;
       client.settings.seeds = read.seeds;
@@ -280,10 +301,8 @@
 };
 
 // From the first polite signal: leave, answer callers until new ones are sent elsewhere, then end.
-      one.settings.linkKbps = read.linkKbps;
 class Ending {
  public:
-      client.settings.linkKbps = read.linkKbps;
   Ending(Host& host)
       : host_(host),
         polite_(host.context, SIGTERM, SIGINT),
--- a/src/scheduler/replication.cpp
+++ b/src/scheduler/replication.cpp
@@ -51,6 +51,7 @@
   while (!scheduler.batches.empty() && scheduler.batches.begin()->first <= scheduler.committed) {
     auto batch = std::move(scheduler.batches.begin()->second);
     scheduler.batches.erase(scheduler.batches.begin());
+    if (batch.sealedMs >= 0) scheduler.batchTimes.note(now.steadyMs - batch.sealedMs, bounds(scheduler).leaseMs);
     release(scheduler, batch, now, out);
   }
 }
@@ -201,6 +202,7 @@
   ++scheduler.seq;
   ++scheduler.counts.batches;
   Batch batch;
+  batch.sealedMs = now.steadyMs;
   for (const auto& id : scheduler.dirty) {
     auto found = scheduler.jobs.find(id);
     if (found == scheduler.jobs.end()) {
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 
+#include "base/duration_histogram.hpp"
 #include "control/client.hpp"
 #include "http/call_policy.hpp"
 #include "jobs/job.hpp"
@@ -80,6 +81,7 @@
   std::vector<std::shared_ptr<const Job>> jobs;
   std::vector<JobId> dropped;
   std::vector<Waiting> answers;
+  Millis sealedMs = -1;  // -1: the batch only repeats what was written under earlier terms
 };
 
 // A call of this daemon's caller that only the leader can answer.
@@ -156,6 +158,7 @@
   std::map<std::uint64_t, Forward> forwards;
   Millis leaderlessSinceMs = -1;  // since when no leader is known here; -1: one is
   SchedulerCounts counts;
+  DurationHistogram batchTimes;  // from sealing a batch to its commit
   std::string broken;
 };
 
--- a/src/scheduler/takeover.cpp
+++ b/src/scheduler/takeover.cpp
@@ -139,6 +139,7 @@
   scheduler.current = std::move(newest.entries);
   const auto promises = std::exchange(scheduler.promises, {});
   scheduler.batches[1] = readJobs(scheduler, newest.fleetMs, out);
+  scheduler.batches[1].sealedMs = now.steadyMs;
   for (const auto& [id, promise] : promises)
     if (scheduler.voters.contains(id)) mergePromise(scheduler, id, promise);
   for (auto& [id, voter] : scheduler.voters) sendVoter(scheduler, voter, now, out);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -135,6 +135,12 @@
   STRCMP_EQUAL("term", fault.key.c_str());
   CHECK_FALSE(with(("{" + good + R"(,"term-ms":5})").c_str()));
   STRCMP_EQUAL((path + ": term-ms: allowed is a whole number from 200 to 60000").c_str(), faultLine(fault).c_str());
+  CHECK_FALSE(with(("{" + good + R"(,"metrics":"metrics"})").c_str()));
+  STRCMP_EQUAL("metrics", fault.key.c_str());
+  CHECK(with(("{" + good + R"(,"metrics":"9100/figures","link-kbps":2000})").c_str()));
+  STRCMP_EQUAL("/figures", settings.metricsPath.c_str());
+  STRCMP_EQUAL("127.0.0.1:9100", settings.faces.back().at.value.c_str());
+  LONGS_EQUAL(2000, settings.linkKbps);
   CHECK_FALSE(with(R"({"signal":"localhost:7001"})"));
   STRCMP_EQUAL("signal", fault.key.c_str());
   CHECK_FALSE(with("{"));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -181,6 +181,29 @@
   STRCMP_EQUAL("10.1.0.10:8166", envs[0].faces[0].at.value.c_str());
 }
 
+TEST(platform, the_link_the_drain_time_and_the_metrics_listener_are_read_where_they_are_given) {
+  CHECK(settings(kSettings));
+  LONGS_EQUAL(0, envs[0].linkKbps);
+  LONGS_EQUAL(0, envs[0].bounds.drainMs);
+  CHECK(envs[0].metricsPath.empty());
+  const auto more = replaced(kSettings, "orders = \"heartbeat\"\n",
+                             "orders = \"heartbeat\"\nmetrics = \"9100/metrics\"\n[limits]\nlink_mbps = 2.0\n");
+  CHECK(settings(replaced(more, "[bounds]\n", "[bounds]\ndrain_ms = 2000\n")));
+  LONGS_EQUAL(2000, envs[0].linkKbps);
+  LONGS_EQUAL(2000, envs[0].bounds.drainMs);
+  STRCMP_EQUAL("/metrics", envs[0].metricsPath.c_str());
+  CHECK(envs[0].faces.back().kind == FaceKind::metrics);
+  STRCMP_EQUAL("10.1.0.10:9100", envs[0].faces.back().at.value.c_str());
+  CHECK(envs[1].metricsPath.empty());
+  LONGS_EQUAL(2000, envs[1].linkKbps);
+  for (const char* wrong : {"9100", "/metrics", "9100/", "x/metrics", "70000/metrics", "9100/a b"}) {
+    CHECK_FALSE(settings(replaced(more, "9100/metrics", wrong)));
+    STRCMP_EQUAL("metrics", fault.key.c_str());
+  }
+  CHECK_FALSE(settings(replaced(more, "link_mbps = 2.0", "link_mbps = -1")));
+  STRCMP_EQUAL("limits.link_mbps", fault.key.c_str());
+}
+
 TEST(platform, each_wrong_setting_is_one_line_that_names_it) {
   const std::vector<std::pair<std::string, std::string>> wrong{
       {"ip = \"10.1.0.10\"", "ip"},
