pending counts accepted jobs of which no task has begun

A task has begun when it has been seen at work; an order alone doesn't show that, so the count is never below what waits.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -67,6 +67,12 @@
   return sum;
 }
 
+bool hasBegun(const Job& job) {
+  return job.doneTasks > 0 || std::ranges::any_of(job.tasks, [](const Task& task) {
+           return task.confirmed || task.failures > 0 || task.ranMs > 0;
+         });
+}
+
 bool hasRuns(const Job& job) { return job.holding > 0; }
 
 bool depsDone(const Job& job, std::size_t at) {
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -89,6 +89,7 @@
 std::int64_t heldSlots(const Job& job);
 std::size_t gangBegin(const Job& job, std::size_t task);  // first task of its step and instance
 bool hasRuns(const Job& job);
+bool hasBegun(const Job& job);  // a task of it has been seen at work; an order alone does not show that
 bool depsDone(const Job& job, std::size_t task);
 Millis dueMs(const Job& job, std::uint32_t instance);
 // The longest chain of estimates through the steps that aren't done; of all steps with whole.
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -119,8 +119,10 @@
 }
 
 void countPending(const SchedulerState& scheduler, const Caller& caller, const QueueName& line, Outbox& out) {
-  auto found = scheduler.openPer.find(line);
-  const auto count = found == scheduler.openPer.end() ? 0 : found->second;
+  const auto count = std::ranges::count_if(scheduler.open, [&](const JobId& id) {
+    const auto& job = scheduler.jobs.at(id);
+    return job.pending() == line && !hasBegun(job);
+  });
   if (!caller.remote.empty()) {
     CallAnswer answer;
     answer.requestId = caller.requestId;
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -104,6 +104,27 @@
   }
 };
 
+TEST(calls, a_queue_s_count_is_of_accepted_jobs_of_which_no_task_has_begun) {
+  lead(kNowMs);
+  auto config = std::make_shared<config::Config>(*scheduler.client.config);
+  config->http.mostOpenJobs = 100;
+  scheduler.client.config = config;
+  for (const char* id : {"waits", "is-ordered", "runs"}) {
+    jobs::Spec spec;
+    CHECK(jobs::unpackSpec(specOf(id), spec));
+    scheduler::submitSpec(scheduler, {kRequest, true, {}}, std::move(spec), {kNowMs}, out);
+  }
+  for (const char* id : {"is-ordered", "runs"})
+    jobs::startRun(scheduler.jobs.at(JobId(id)), 0, WorkerId("w"), "life", kNowMs);
+  scheduler.jobs.at(JobId("runs")).tasks[0].confirmed = true;
+  const auto count = [&](const char* queue) {
+    scheduler::countPending(scheduler, {kRequest, true, {}}, QueueName(queue), out);
+    return out.answers.back().brief.count;
+  };
+  LONGS_EQUAL(2, count("a"));
+  LONGS_EQUAL(0, count("other"));
+}
+
 TEST(calls, an_answer_to_an_earlier_life_is_told_to_nobody) {
   call(CallKind::cancelJob);
   const auto earlier = *sent(kFirst).at(0);
