Simulator: all power lost with as many disks as are borne; the core cut in halves

all-power-lost-with-disks strikes right after an accepted job, a configuration, a cancel or 5 to 400 ms after sending, at every machine, counted or not; -in-a-takeover strikes while a leader is being replaced; core-halves cuts the machines with a disk in two while all others reach both.

--- a/src/simulator/faults.cpp
+++ b/src/simulator/faults.cpp
@@ -68,6 +68,8 @@
                                                    "disk-dies-replica-lives",
                                                    "core-machine-replaced",
                                                    "core-lost-with-a-disk",
+                                                   "all-power-lost-with-disks",
+                                                   "all-power-lost-with-disks-in-a-takeover",
                                                    "replica-power-lost-then-replaced",
                                                    "replicas-power-lost-in-turn",
                                                    "replica-replaced-planned",
--- a/src/simulator/faults_network.cpp
+++ b/src/simulator/faults_network.cpp
@@ -29,6 +29,23 @@
   return leader && world.sim.chance(0.4) ? *leader : world.pick(Role::replica);
 }
 
+/// The machines with a disk are cut into two halves for some seconds; all others reach both.
+void cutCoreInHalves(World& world) {
+  std::vector<Host*> core;
+  for (auto* replica : world.sim.hosts(Role::replica))
+    if (!replica->isDiskless()) core.push_back(replica);
+  for (std::size_t place = core.size(); place > 1; --place)
+    std::swap(core[place - 1], core[static_cast<std::size_t>(world.sim.below(static_cast<std::int64_t>(place)))]);
+  const auto middle = core.size() / 2;
+  for (std::size_t one = 0; one < middle; ++one)
+    for (std::size_t other = middle; other < core.size(); ++other) {
+      world.sim.cut(*core[one], *core[other]);
+      world.sim.cut(*core[other], *core[one]);
+    }
+  world.markOnce(false);
+  world.sim.after(2 * kSecond + world.sim.below(6 * kSecond), [&world] { world.sim.heal(); });
+}
+
 }  // namespace
 
 FaultTable networkFaults() {
@@ -61,6 +78,10 @@
            world.sim.after(kSecond + world.sim.below(6 * kSecond), [&world] { world.sim.heal(); });
          });
        }},
+      {"core-halves",
+       [](World& world) {
+         for (int i = 0; i < 3; ++i) world.sim.at(world.faultTime(), [&world] { cutCoreInHalves(world); });
+       }},
       {"lossy-sea",
        [](World& world) {
          world.sim.at(world.fromUs, [&world] {
--- a/src/simulator/faults_power.cpp
+++ b/src/simulator/faults_power.cpp
@@ -31,6 +31,59 @@
 /// Soon after a call was sent, answered or not.
 Micros soonAfterSending(World& world) { return 5000 + world.sim.below(395000); }
 
+/// Replicas whose disks may be lost now without a loss beyond what the settings allow.
+std::vector<Host*> affordableDisks(World& world) {
+  std::vector<Host*> sound;
+  std::int64_t lost = 0;
+  for (auto* replica : world.sim.hosts(Role::replica)) {
+    if (replica->isDiskless() || world.retired.contains(replica->name)) continue;
+    if (world.sim.isLost(*replica) || world.deadDisks.contains(replica->name))
+      ++lost;
+    else
+      sound.push_back(replica);
+  }
+  const auto most = std::max<std::int64_t>(0, world.plan.fleet.losses - lost);
+  while (static_cast<std::int64_t>(sound.size()) > most)
+    sound.erase(sound.begin() + world.sim.below(static_cast<std::int64_t>(sound.size())));
+  return sound;
+}
+
+/// Every machine loses power at the same moment, whether its loss counts or not, and as many disks are lost with it as
+/// the settings allow.
+void loseAllPowerAndDisks(World& world) {
+  const auto emptied = world.membershipWhole() ? affordableDisks(world) : std::vector<Host*>{};
+  for (const auto& host : world.sim.all()) {
+    if (world.retired.contains(host->name)) continue;
+    world.powerLossFor(*host, kSecond / 5 + world.sim.below(3 * kSecond / 2));
+  }
+  for (const auto& simWorker : world.sim.simWorkers()) {
+    auto& each = *simWorker;
+    if (each.gone) continue;
+    world.sim.crashWorker(each);
+    world.sim.after(kSecond / 2 + world.sim.below(2 * kSecond), [&world, &each] { world.sim.startWorker(each); });
+  }
+  for (auto* replica : emptied) world.sim.loseDisk(*replica);
+}
+
+/// Right after one of the kinds of acknowledgement, or soon after something was sent.
+void onceAcknowledged(World& world, std::function<void()> act) {
+  const LineLoad longTasks{"checkout", 1, 3, 3, 1, 1, 4000, 6000, 0, 1};
+  switch (world.sim.below(4)) {
+    case 0:
+      return world.submitThen(LineLoad{"checkout"}, [act = std::move(act)](const std::string&) { act(); });
+    case 1:
+      return configuredThen(world, std::move(act));
+    case 2:
+      return world.submitThen(longTasks, [&world, act = std::move(act)](const std::string& id) {
+        world.sim.after(kSecond, [&world, id, act] { world.cancel(id, act); });
+      });
+    default:
+      world.markOnce(false);
+      world.newJob(world.queueOf("checkout"));
+      return world.sim.after(soonAfterSending(world), std::move(act));
+  }
+}
+
 }  // namespace
 
 FaultTable powerFaults() {
@@ -103,6 +156,19 @@
              world.sim.after(soonAfterSending(world), [&world] { loseCoreOneWay(world); });
            });
        }},
+      {"all-power-lost-with-disks",
+       [](World& world) {
+         for (int i = 0; i < 2; ++i)
+           world.sim.at(world.faultTime(),
+                        [&world] { onceAcknowledged(world, [&world] { loseAllPowerAndDisks(world); }); });
+       }},
+      {"all-power-lost-with-disks-in-a-takeover",
+       [](World& world) {
+         world.sim.at(world.faultTime(), [&world] {
+           if (auto* leader = world.sim.leader()) world.crashFor(*leader, kSecond / 2);
+           world.sim.after(soonAfterSending(world) * 4, [&world] { loseAllPowerAndDisks(world); });
+         });
+       }},
       {"core-lost-with-a-disk",
        [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
