Takeover: the state comes from one voter, the others promise with versions alone

Cause: each of five voters sent a candidate the whole job log with its promise, over the candidate's one link; only the values of the newest state are used. Now the voter on the candidate's own host gives the values, the others their versions and the sizes of what they leave out; what no promise has brought is asked of one voter, and of another that has it after half a lease. Earlier builds give and take whole promises as before.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -116,6 +116,19 @@
   return reply;
 }
 
+// What is held here of the job log, with the values or with their sizes.
+void addEntries(const ReplicaState& replica, bool versionsOnly, JobLogPromise& reply) {
+  reply.entries.reserve(replica.image.jobs.size());
+  for (const auto& [key, entry] : replica.image.jobs) {
+    if (!versionsOnly) {
+      reply.entries.push_back(entry);
+      continue;
+    }
+    reply.entries.push_back({entry.key, entry.version, {}});
+    reply.leftOut.push_back(entry.value.size());
+  }
+}
+
 }  // namespace
 
 void onJobLogPrepare(ReplicaState& replica, const Heard& heard, const JobLogPrepare& ask, Now now, Outbox& out) {
@@ -125,7 +138,7 @@
   if (!reply.ok || ask.probe) return out.reply(heard, std::move(reply));
   replica.candidateUntilMs = now.steadyMs + bounds(replica).leaseMs;
   reply.base = replica.image.jobLogBase;
-  for (const auto& [key, entry] : replica.image.jobs) reply.entries.push_back(entry);
+  addEntries(replica, ask.versionsOnly, reply);
   std::vector<DiskEntry> writes{storage::entry::jobLogPromise(ask.term)};
   persist(replica, std::move(writes), {{heard.from, std::move(reply), heard.incarnation}}, out);
 }
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -97,8 +97,11 @@
   return promise && promise->ok ? promise : nullptr;
 }
 
-// Keeps one promise at most among the answers that wait for the disk, since each holds the whole job log: one that
-// waits already answers the same question, and one of an older term is worth nothing once a newer term is promised.
+bool hasValues(const JobLogPromise& promise) { return promise.leftOut.empty(); }
+
+// Keeps one promise with values at most among the answers that wait for the disk, since each holds the whole job log:
+// one that waits already answers the same question, and one of an older term is worth nothing once a newer term is
+// promised. A promise without values doesn't answer a question for them.
 void keepOnePromise(ReplicaState& replica, std::vector<Send>& after) {
   for (const auto& send : after) {
     const auto* newest = promiseOf(send);
@@ -107,7 +110,10 @@
     bool waits = false;
     for (auto& [ticket, unsynced] : replica.waiting) {
       std::erase_if(unsynced.sends, [&](const Send& each) { return promiseOf(each) && promiseOf(each)->term < term; });
-      waits = waits || std::ranges::any_of(unsynced.sends, [](const Send& each) { return promiseOf(each) != nullptr; });
+      waits = waits || std::ranges::any_of(unsynced.sends, [&](const Send& each) {
+                const auto* waiting = promiseOf(each);
+                return waiting && (hasValues(*waiting) || !hasValues(*newest));
+              });
     }
     if (waits) std::erase_if(after, [](const Send& each) { return promiseOf(each) != nullptr; });
     return;
--- a/src/scheduler/election.cpp
+++ b/src/scheduler/election.cpp
@@ -79,6 +79,8 @@
   scheduler.campaignMembership = scheduler.client.membership.version;
   scheduler.prepareStartMs = now.steadyMs;
   scheduler.prepareSentMs = -1000000;
+  scheduler.valuesAskedMs = -1000000;
+  scheduler.valueAsks = 0;
 }
 
 void startCampaign(SchedulerState& scheduler, Now now) {
@@ -110,8 +112,44 @@
   scheduler.prepareSentMs = now.steadyMs;
   JobLogPrepare ask{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)};
   ask.probe = scheduler.course == Course::probing;
+  const auto host = hostOf(scheduler.client.settings.peerAddress);
+  for (const auto& voter : scheduler.client.membership.voters) {
+    if (isAnswered(scheduler, voter.id)) continue;
+    ask.versionsOnly = hostOf(voter.peerAddress) != host;
+    out.send(voter.peerAddress, ask);
+  }
+}
+
+// Asks one voter for values that no promise has brought, and after a pause without an answer the next one that has
+// them.
+void askForValues(SchedulerState& scheduler, const std::vector<DaemonId>& holders, Now now, Outbox& out) {
+  if (now.steadyMs - scheduler.valuesAskedMs < promisePauseMs(scheduler)) return;
+  const auto& holder = holders[scheduler.valueAsks++ % holders.size()];
+  scheduler.valuesAskedMs = now.steadyMs;
   for (const auto& voter : scheduler.client.membership.voters)
-    if (!isAnswered(scheduler, voter.id)) out.send(voter.peerAddress, ask);
+    if (voter.id == holder)
+      out.send(voter.peerAddress,
+               JobLogPrepare{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)});
+}
+
+bool hasMajority(const SchedulerState& scheduler) {
+  return scheduler.promises.size() >= control::majority(scheduler.client.membership.voters.size());
+}
+
+// With the promises of a majority the candidate leads, once it has the values of the state that they name.
+void leadOnPromises(SchedulerState& scheduler, Now now, Outbox& out) {
+  const auto holders = holdersOfMissingValues(scheduler.promises);
+  if (holders.empty()) return takeOver(scheduler, now, out);
+  askForValues(scheduler, holders, now, out);
+}
+
+// A promise that leaves values out says less than one of the same voter that doesn't.
+void notePromise(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& promise) {
+  const auto known = scheduler.promises.find(voter);
+  const bool hadValues = known != scheduler.promises.end() && known->second.leftOut.empty();
+  if (hadValues && !promise.leftOut.empty()) return;
+  scheduler.promises[voter] = promise;
+  if (promise.leftOut.empty()) scheduler.valuesAskedMs = -1000000;
 }
 
 void onRefusal(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& refusal, Now now, Outbox& out) {
@@ -136,10 +174,10 @@
 
 void onConsent(SchedulerState& scheduler, const DaemonId& voter, const JobLogPromise& promise, Now now, Outbox& out) {
   if (promise.probe && scheduler.course == Course::preparing) return;
-  scheduler.promises[voter] = promise;
+  notePromise(scheduler, voter, promise);
   scheduler.refusals.erase(voter);
-  if (scheduler.promises.size() < control::majority(scheduler.client.membership.voters.size())) return;
-  if (scheduler.course == Course::preparing) return takeOver(scheduler, now, out);
+  if (!hasMajority(scheduler)) return;
+  if (scheduler.course == Course::preparing) return leadOnPromises(scheduler, now, out);
   if (mayYield(scheduler)) return yield(scheduler, now, out);
   scheduler.highestSeen = std::max(scheduler.highestSeen, scheduler.term.number);
   startPhase(scheduler, Course::preparing, now);
@@ -199,6 +237,7 @@
   const Millis pauseMs =
       scheduler.course == Course::probing ? bounds(scheduler).heartbeatMs() : promisePauseMs(scheduler);
   if (now.steadyMs - scheduler.prepareSentMs >= pauseMs) askVoters(scheduler, now, out);
+  if (scheduler.course == Course::preparing && hasMajority(scheduler)) leadOnPromises(scheduler, now, out);
 }
 
 }  // namespace tulip::scheduler
--- a/src/scheduler/replication.cpp
+++ b/src/scheduler/replication.cpp
@@ -97,7 +97,9 @@
 void askForPromise(const SchedulerState& scheduler, VoterRow& voter, Now now, Outbox& out) {
   if (now.steadyMs - voter.sentMs < promisePauseMs(scheduler)) return;
   voter.sentMs = now.steadyMs;
-  out.send(voter.peerAddress, JobLogPrepare{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)});
+  JobLogPrepare ask{scheduler.client.membership.version, scheduler.term, hintOf(scheduler)};
+  ask.versionsOnly = true;  // what the voter is owed follows from its versions
+  out.send(voter.peerAddress, ask);
 }
 
 std::size_t bytesOf(const JobLogAccept& accept) {
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -11,6 +11,7 @@
 #include "control/client.hpp"
 #include "http/call_policy.hpp"
 #include "jobs/job.hpp"
+#include "scheduler/promised_state.hpp"
 #include "scheduler/run_waits.hpp"
 
 namespace tulip::scheduler {
@@ -119,9 +120,11 @@
   std::uint64_t campaigns = 0;        // of this process
   std::uint64_t failedCampaigns = 0;  // since a leader was last heard, or this scheduler last led
   std::uint64_t yields = 0;           // chances left to better placed schedulers since then
-  std::map<DaemonId, transport::JobLogPromise> promises;
-  Version campaignMembership = 0;  // that the answers below are of
-  std::set<DaemonId> refusals;     // voters that refused the present term
+  Promises promises;
+  Millis valuesAskedMs = -1000000;  // when a voter was last asked for values that its promise had left out
+  std::uint64_t valueAsks = 0;      // of this campaign
+  Version campaignMembership = 0;   // that the answers below are of
+  std::set<DaemonId> refusals;      // voters that refused the present term
 
   absl::btree_map<JobId, Job> jobs;
   absl::btree_map<JobId, std::shared_ptr<const Job>> committedJobs;
--- a/src/scheduler/takeover.cpp
+++ b/src/scheduler/takeover.cpp
@@ -39,27 +39,6 @@
 
 constexpr std::size_t kMostSizes = 512;  // of finished jobs, that the queues' thresholds are learned from
 
-// What the replicas of the newest base hold: everything that was ever committed.
-struct NewestState {
-  absl::btree_map<std::string, Entry> entries;
-  Millis fleetMs = 0;
-};
-
-NewestState newestOf(const std::map<DaemonId, JobLogPromise>& promises) {
-  NewestState newest;
-  Ballot base;
-  for (const auto& [id, promise] : promises) base = std::max(base, promise.base);
-  for (const auto& [id, promise] : promises) {
-    if (promise.base != base) continue;
-    newest.fleetMs = std::max(newest.fleetMs, promise.fleetMs);
-    for (const auto& entry : promise.entries) {
-      auto [slot, fresh] = newest.entries.emplace(entry.key, entry);
-      if (!fresh && slot->second.version < entry.version) slot->second = entry;
-    }
-  }
-  return newest;
-}
-
 // What is not the same at all that promised is written again under the new term.
 void rewriteDiffering(SchedulerState& scheduler, absl::btree_map<std::string, Entry>& entries) {
   std::map<std::string_view, std::size_t> agreeing;
@@ -132,7 +111,7 @@
   scheduler.seq = 1;
   refreshVoters(scheduler);
   for (auto& [id, voter] : scheduler.voters) voter.sentMs = scheduler.prepareSentMs;
-  auto newest = newestOf(scheduler.promises);
+  auto newest = takeNewest(scheduler.promises);
   rewriteDiffering(scheduler, newest.entries);
   control::setFleet(scheduler.client, newest.fleetMs, now);
   scheduler.planDue = true;
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -157,7 +157,8 @@
   Ballot term;
   LeaderHint hint;
   bool probe = false;  // asks only whether the term would be promised; unknown to earlier builds, which promise it
-  MSGPACK_DEFINE(membership, term, hint, probe)
+  bool versionsOnly = false;  // the values may be left out; unknown to earlier builds, which give them
+  MSGPACK_DEFINE(membership, term, hint, probe, versionsOnly)
 };
 
 struct JobLogPromise {
@@ -168,9 +169,10 @@
   Millis fleetMs = 0;
   std::vector<Entry> entries;
   Ballot base;
-  Version membership = 0;  // of the question; 0: given by the protocol before incarnations
-  bool probe = false;      // answers a probe: nothing is promised, and no entries are given
-  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership, probe)
+  Version membership = 0;              // of the question; 0: given by the protocol before incarnations
+  bool probe = false;                  // answers a probe: nothing is promised, and no entries are given
+  std::vector<std::uint64_t> leftOut;  // entry by entry the bytes of its value, which is left out; empty: none is
+  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership, probe, leftOut)
 };
 
 struct JobLogAccept {
--- a/src/transport/wire.cpp
+++ b/src/transport/wire.cpp
@@ -41,7 +41,8 @@
 /// Messages that carry state whole, and are sent again until they are acknowledged: the newest says all that earlier
 /// ones did.
 bool supersedesEarlier(const Message& message) {
-  if (const auto* promise = std::get_if<JobLogPromise>(&message)) return !promise->entries.empty();
+  if (const auto* promise = std::get_if<JobLogPromise>(&message))
+    return !promise->entries.empty() && promise->leftOut.empty();
   if (const auto* accept = std::get_if<JobLogAccept>(&message)) return accept->seq > 0;
   return std::holds_alternative<CatchUpGive>(message);
 }
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -93,6 +93,40 @@
   CHECK(asks(second, false, kStartMs + 2 * leaseMs).ok);
 }
 
+TEST(election_voter, asked_for_versions_only_it_gives_the_sizes_of_the_values_that_it_leaves_out) {
+  replica.image.jobs["k"] = Entry{"k", {first, 2}, {}};
+  JobLogPrepare ask{1, second, {}};
+  ask.versionsOnly = true;
+  auto out = hear(ask, kStartMs);
+  for (const auto& persist : out.persists)
+    control::replicaStep(replica, Persisted{persist.ticket, true}, {kStartMs}, out);
+  const auto promises = sent<JobLogPromise>(out);
+  LONGS_EQUAL(1, promises.size());
+  const auto& promise = promises.front();
+  CHECK(promise.ok);
+  LONGS_EQUAL(2, promise.entries.size());
+  CHECK(promise.entries[0].key == "j" && promise.entries[0].value.empty());
+  CHECK(promise.entries[1].key == "k" && promise.entries[1].version == (EntryVersion{first, 2}));
+  CHECK(promise.leftOut == (std::vector<std::uint64_t>{3, 0}));
+  CHECK(replica.image.jobLogPromised == second);
+}
+
+TEST(election_voter, a_promise_that_waits_for_the_disk_without_values_is_no_answer_to_a_question_for_them) {
+  JobLogPrepare ask{1, second, {}};
+  ask.versionsOnly = true;
+  const auto bare = hear(ask, kStartMs), bareAgain = hear(ask, kStartMs);
+  ask.versionsOnly = false;
+  const auto whole = hear(ask, kStartMs), wholeAgain = hear(ask, kStartMs);
+  Outbox out;
+  for (const auto* each : {&bare, &bareAgain, &whole, &wholeAgain})
+    for (const auto& persist : each->persists)
+      control::replicaStep(replica, Persisted{persist.ticket, true}, {kStartMs}, out);
+  const auto promises = sent<JobLogPromise>(out);
+  LONGS_EQUAL(2, promises.size());
+  CHECK(promises[0].entries[0].value.empty());
+  CHECK(promises[1].entries[0].value == "job");
+}
+
 TEST(election_voter, a_candidate_that_resigns_gives_its_lease_back) {
   CHECK(asks(first, false, kStartMs).ok);
   hear(Resign{second}, kStartMs + 1);
@@ -210,6 +244,19 @@
   LONGS_EQUAL(3, sent<JobLogPrepare>(answer(1, true, true, atMs)).size());
 }
 
+TEST(election_candidate, asks_only_the_voter_beside_it_for_values) {
+  const auto atMs = runUntilItAsks(kStartMs);
+  answer(0, true, true, atMs);
+  const auto out = answer(1, true, true, atMs);
+  std::size_t asked = 0;
+  for (const auto& send : out.sends)
+    if (const auto* ask = std::get_if<JobLogPrepare>(&send.message)) {
+      ++asked;
+      CHECK(ask->versionsOnly == (send.to != kA));
+    }
+  LONGS_EQUAL(3, asked);
+}
+
 TEST(election_candidate, a_voter_is_asked_for_its_promise_twice_a_lease_at_most) {
   const auto leaseMs = scheduler.client.settings.bounds.leaseMs;
   const auto startMs = runUntilItAsks(kStartMs);
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -58,6 +58,22 @@
     scheduler.prepareStartMs = 100000;
   }
 
+  static JobLogPromise withoutValues(JobLogPromise promise) {
+    for (auto& entry : promise.entries) {
+      promise.leftOut.push_back(entry.value.size());
+      entry.value.clear();
+    }
+    return promise;
+  }
+
+  std::size_t asksForValues(const Address& voter) const {
+    std::size_t asks = 0;
+    for (const auto& send : out.sends)
+      if (const auto* ask = std::get_if<JobLogPrepare>(&send.message); ask && send.to == voter)
+        asks += !ask->versionsOnly;
+    return asks;
+  }
+
   void hear(const char* id, const Address& from, JobLogPromise promise) {
     scheduler::schedulerHeard(scheduler, Heard{DaemonId(id), from, std::move(promise)}, {100010}, out);
   }
@@ -86,6 +102,58 @@
   LONGS_EQUAL(6000, control::fleetNow(scheduler.client, {100010}));
 }
 
+TEST(takeover, a_value_that_one_promise_brings_need_not_be_in_the_others) {
+  hear("a", kA, promiseOf(third, second, 5000, {{"j", {second, 4}, jobOn("w", 1)}}));
+  hear("b", kB, withoutValues(promiseOf(third, second, 6000, {{"j", {second, 4}, jobOn("w", 1)}})));
+  CHECK(scheduler.course == scheduler::Course::leading);
+  CHECK(scheduler.jobs.at(JobId("j")).tasks[0].state == jobs::TaskState::placed);
+  LONGS_EQUAL(0, scheduler.counts.rewritten);
+}
+
+TEST(takeover, a_value_that_no_promise_brings_is_asked_for_before_anything_is_led) {
+  const std::vector<Entry> newest{{"j", {second, 4}, jobOn("w", 1)}};
+  hear("a", kA, promiseOf(third, second, 5000, {{"j", {second, 3}, jobOn("", 0)}}));
+  hear("b", kB, withoutValues(promiseOf(third, second, 6000, newest)));
+  CHECK(scheduler.course == scheduler::Course::preparing);
+  LONGS_EQUAL(1, asksForValues(kB));
+  LONGS_EQUAL(0, asksForValues(kA));
+  hear("b", kB, promiseOf(third, second, 6000, newest));
+  CHECK(scheduler.course == scheduler::Course::leading);
+  CHECK(scheduler.jobs.at(JobId("j")).tasks[0].state == jobs::TaskState::placed);
+  LONGS_EQUAL(6000, control::fleetNow(scheduler.client, {100010}));
+}
+
+TEST(takeover, a_voter_that_brings_no_values_is_left_for_another_that_has_them) {
+  const auto bare = withoutValues(promiseOf(third, second, 5000, {{"j", {second, 4}, jobOn("w", 1)}}));
+  hear("a", kA, bare);
+  hear("b", kB, bare);
+  LONGS_EQUAL(1, asksForValues(kA));
+  hear("a", kA, bare);
+  LONGS_EQUAL(1, asksForValues(kA));
+  const auto pauseMs = scheduler.client.settings.bounds.leaseMs / 2;
+  scheduler::schedulerTick(scheduler, {100010 + pauseMs}, out);
+  LONGS_EQUAL(1, asksForValues(kA));
+  LONGS_EQUAL(1, asksForValues(kB));
+}
+
+TEST(takeover, a_value_of_an_older_base_is_not_asked_for) {
+  hear("a", kA, promiseOf(third, second, 5000, {{"j", {first, 3}, jobOn("", 0)}}));
+  hear("b", kB, withoutValues(promiseOf(third, first, 9000, {{"j", {first, 9}, jobOn("left-over", 1)}})));
+  CHECK(scheduler.course == scheduler::Course::leading);
+  CHECK(scheduler.jobs.at(JobId("j")).tasks[0].state == jobs::TaskState::pending);
+  LONGS_EQUAL(0, asksForValues(kB));
+}
+
+TEST(takeover, a_job_dropped_everywhere_needs_no_value) {
+  auto promise = withoutValues(promiseOf(third, second, 5000, {}));
+  promise.entries = {{"j", {second, 4}, {}}, {"~j", {second, 4}, {}}};
+  promise.leftOut = {0, 0};
+  hear("a", kA, promise);
+  hear("b", kB, promise);
+  CHECK(scheduler.course == scheduler::Course::leading);
+  CHECK(scheduler.jobs.empty());
+}
+
 TEST(takeover, nothing_leads_on_the_word_of_one_replica_or_of_a_stranger) {
   hear("a", kA, promiseOf(third, second, 5000, {}));
   hear("x", Address("10.0.0.4:1"), promiseOf(third, second, 5000, {}));
