Figures: what the core's steps cost and wait for, and where a slow change spent its time

Now: steps and waits by kind of event as metrics, and once a lease as a line in the ring when one was slow; a change that took longer than a lease is told with its rounds and whom it waited for, and so is an edit that a daemon handed over. Test: metrics, steps are told by the kind of event and slow ones in a line; an event is of the kind that its message is of.

--- a/src/control/edit_forwarding.cpp
+++ b/src/control/edit_forwarding.cpp
@@ -61,6 +61,15 @@
   return ofItselfOnly && edit.timesSent > 1 ? Kind::unknownOutcome : told;
 }
 
+/// An edit that took longer than a lease is worth a line that says how it went over this daemon's link.
+void tellSlowEdit(const ControlClient& client, const ForwardedEdit& edit, Now now, Outbox& out) {
+  const Millis tookMs = now.steadyMs - edit.sinceMs;
+  if (tookMs <= client.settings.bounds.leaseMs) return;
+  out.alarms.push_back("slow edit of " + std::to_string(edit.ask.body.size()) + " bytes, handed over " +
+                       std::to_string(edit.timesSent) + " times, last to " + edit.to.value + ", took " +
+                       std::to_string(tookMs) + " ms");
+}
+
 }  // namespace
 
 bool forwardsEdits(const ControlClient& client, Now now) {
@@ -72,6 +81,7 @@
   forwarded.requestId = requestId;
   forwarded.ask = askOf(std::move(edit));
   forwarded.ask.id = {client.process, ++client.editsForwarded};
+  forwarded.sinceMs = now.steadyMs;
   forwarded.deadlineMs = now.steadyMs + deadlineMs;
   client.forwardedEdits.push_back(std::move(forwarded));
   hand(client, client.forwardedEdits.back(), now, out);
@@ -89,6 +99,7 @@
     return;
   }
   const auto kind = kindOf(*found, told);
+  tellSlowEdit(client, *found, now, out);
   if (answer.body.empty() || kind != told)
     answerKind(out, found->requestId, kind, bounds);
   else
@@ -100,6 +111,7 @@
   const auto& bounds = client.settings.bounds;
   for (auto& edit : client.forwardedEdits) {
     if (now.steadyMs >= edit.deadlineMs) {
+      tellSlowEdit(client, edit, now, out);
       answerKind(out, edit.requestId, Kind::unknownOutcome, bounds);
       edit.requestId = 0;
       continue;
--- a/src/control/edit_forwarding.hpp
+++ b/src/control/edit_forwarding.hpp
@@ -20,6 +20,7 @@
   std::uint64_t requestId = 0;
   transport::EditAsk ask;
   Address to;  // that it was last handed to
+  Millis sinceMs = 0;
   Millis sentMs = 0;
   Millis deadlineMs = 0;
   int timesSent = 0;
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -130,13 +130,37 @@
     out.answer(requestId, status, std::move(body), 0, kind);
 }
 
-void finish(const ControlClient& client, Proposal& proposal, Outbox& out) {
+std::string waitedForText(const Proposal& proposal) {
+  std::string text;
+  for (const auto& [voter, state] : proposal.states) {
+    if (!state.learned) text += " " + voter.value + " has not learned it;";
+    for (const auto& daemon : state.waiting) text += " " + daemon.value + " at " + voter.value + ";";
+  }
+  return text;
+}
+
+/// A change that took longer than a lease is worth a line that says where the time went.
+void tellSlowChange(const ControlClient& client, const Proposal& proposal, Now now, Outbox& out) {
+  if (!proposal.edit || now.steadyMs - proposal.startedMs <= client.settings.bounds.leaseMs) return;
+  const auto spanText = [&](Millis fromMs, Millis untilMs) {
+    return fromMs < 0 ? std::string("-") : std::to_string((untilMs < 0 ? now.steadyMs : untilMs) - fromMs);
+  };
+  out.alarms.push_back(
+      "slow change of " + std::to_string(proposal.edit->body.size()) + " bytes, " +
+      std::string(rowOf(proposal.kind).name) + ", ms of first round, second round, acknowledgements: " +
+      spanText(proposal.startedMs, proposal.acceptingMs) + ", " + spanText(proposal.acceptingMs, proposal.chosenMs) +
+      ", " + spanText(proposal.chosenMs, -1) + "; last waited for:" + waitedForText(proposal));
+}
+
+void finish(const ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  tellSlowChange(client, proposal, now, out);
   const bool unknown = proposal.kind == Kind::unknownOutcome;
   tell(client, proposal, proposal.kind, proposal.status, unknown ? std::string() : proposal.body, out);
   proposal.phase = Phase::done;
 }
 
-void giveUp(const ControlClient& client, Proposal& proposal, Outbox& out) {
+void giveUp(const ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  tellSlowChange(client, proposal, now, out);
   const bool maybeTaken = proposal.phase != Phase::prepare || proposal.attempts > 1;
   const auto kind = maybeTaken ? Kind::unknownOutcome : Kind::noMajority;
   tell(client, proposal, kind, rowOf(kind).status, {}, out);
@@ -163,12 +187,13 @@
 void acceptRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   const auto& newest = newestPromise(proposal);
   judge(proposal, newest.accepted, valueOf(client, proposal, newest));
-  if (proposal.value.empty()) return finish(client, proposal, out);
+  if (proposal.value.empty()) return finish(client, proposal, now, out);
   if (proposal.key == kConfigKey) {
     client.knownBallot = proposal.ballot;
     client.knownValue = proposal.value;
   }
   proposal.phase = Phase::accept;
+  proposal.acceptingMs = now.steadyMs;
   ++client.proposed;
   sendPhase(client, proposal, now, out);
 }
@@ -176,9 +201,10 @@
 void learnRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   ++client.chosen;
   proposal.phase = Phase::learn;
+  proposal.chosenMs = now.steadyMs;
   proposal.retryAtMs = 0;
   sendPhase(client, proposal, now, out);
-  if (!proposal.changes) finish(client, proposal, out);
+  if (!proposal.changes) finish(client, proposal, now, out);
   startQueued(client, now, out);
 }
 
@@ -223,9 +249,9 @@
 void tick(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   const auto& bounds = client.settings.bounds;
   if (proposal.phase == Phase::done) return;
-  if (proposal.deadlineMs && now.steadyMs >= proposal.deadlineMs) return giveUp(client, proposal, out);
+  if (proposal.deadlineMs && now.steadyMs >= proposal.deadlineMs) return giveUp(client, proposal, now, out);
   const bool lapsed = proposal.learnedMs >= 0 && now.steadyMs - proposal.learnedMs >= bounds.lapseMs();
-  if (proposal.phase == Phase::learn && lapsed) return finish(client, proposal, out);
+  if (proposal.phase == Phase::learn && lapsed) return finish(client, proposal, now, out);
   if (proposal.phase == Phase::queued) return;
   if (proposal.retryAtMs) {
     if (now.steadyMs >= proposal.retryAtMs) startRounds(client, proposal, now, out);
@@ -288,7 +314,7 @@
     if (!answersAckQuery(proposal, reply)) continue;
     proposal.states[from] = reply;
     const bool learned = isMajority(client, countLearned(client, proposal));
-    if (learned && everySessionHasIt(client, proposal)) return finish(client, proposal, out);
+    if (learned && everySessionHasIt(client, proposal)) return finish(client, proposal, now, out);
     if (learned && proposal.learnedMs < 0) proposal.learnedMs = now.steadyMs;
     return;
   }
--- a/src/control/proposal.hpp
+++ b/src/control/proposal.hpp
@@ -44,6 +44,8 @@
   Kind kind = Kind::ok;
   std::string body;
   Millis startedMs = 0;
+  Millis acceptingMs = -1;  // when its second round began
+  Millis chosenMs = -1;
   Millis deadlineMs = 0;
   Millis sentMs = 0;
   Millis retryAtMs = 0;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -13,6 +13,7 @@
 #include "daemon/metrics.hpp"
 #include "daemon/node.hpp"
 #include "daemon/protocol_adapters.hpp"
+#include "daemon/step_times.hpp"
 #include "http/http.hpp"
 #include "storage/disk.hpp"
 #include "transport/wire.hpp"
@@ -50,6 +51,7 @@
 struct Aimed {
   std::size_t node = 0;
   Event event;
+  Millis queuedMs = clockNow().steadyMs;
 };
 
 struct AimedPersist {
@@ -81,6 +83,7 @@
   asio::io_context context{1};
   Ring<Aimed> events;
   Ring<AimedPersist> writes;
+  StepTimes stepTimes;  // of the core thread
   std::unique_ptr<Wire> wire;
   std::unique_ptr<http::HttpServer> server;
   std::atomic<bool> over{false}, readAgain{false};
@@ -145,13 +148,14 @@
     while (!host_.over) {
       auto events = host_.events.takeUntil(steadyAt(nextMs()));
       Wants wants;
-      for (auto& [node, event] : events) take(node, event, wants);
+      for (const auto& aimed : events) take(aimed, wants);
       tick(wants);
       for (int round = 0; round < kMostRounds && !inside_.empty(); ++round) {
         const auto heard = std::exchange(inside_, {});
-        for (const auto& [node, event] : heard) step(node, event, wants);
+        for (const auto& aimed : heard) step(aimed, wants);
       }
       give(std::move(wants));
+      tellSlowSteps();
       if (host_.readAgain.exchange(false) || fileChanged()) readAgain();
     }
   }
@@ -171,17 +175,30 @@
     for (std::size_t node = 0; node < host_.berthed.size(); ++node) {
       auto& one = host_.berthed[node];
       if (all || (one.wakeMs >= 0 && one.wakeMs <= now.steadyMs)) {
+        const Millis dueMs = one.wakeMs >= 0 ? std::min(one.wakeMs, nextTickMs_) : nextTickMs_;
         one.wakeMs = -1;
-        step(node, Tick{}, wants);
+        step({node, Tick{}, std::min(dueMs, now.steadyMs)}, wants);
       }
     }
     if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.settings().bounds.leaseMs / kTicksPerTerm);
   }
 
-  void take(std::size_t node, const Event& event, Wants& wants) {
-    const auto* ask = std::get_if<Ask>(&event);
-    if (ask && ask->face == FaceKind::metrics) return answerMetrics(node, *ask, wants);
-    step(node, event, wants);
+  void take(const Aimed& aimed, Wants& wants) {
+    const auto* ask = std::get_if<Ask>(&aimed.event);
+    if (ask && ask->face == FaceKind::metrics) return answerMetrics(aimed.node, *ask, wants);
+    step(aimed, wants);
+  }
+
+  /// Once a lease, a line in the ring on steps that were slow: written out with the next alarm.
+  void tellSlowSteps() {
+    const auto nowMs = clockNow().steadyMs;
+    if (nowMs < slowStepsToldMs_ + host_.settings().bounds.leaseMs) return;
+    slowStepsToldMs_ = nowMs;
+    noteSlowSteps();
+  }
+
+  void noteSlowSteps() {
+    if (const auto line = host_.stepTimes.takeSlowLine(host_.settings().bounds.leaseMs); !line.empty()) note(line);
   }
 
   /// The figures of the whole process; no node's step has a part in it.
@@ -196,15 +213,20 @@
     wants.answers.push_back({ask.requestId, 200, 0, metricsOf(nodes, host_.server->counts(), clockNow())});
   }
 
-  void step(std::size_t node, const Event& event, Wants& wants) {
+  void step(const Aimed& aimed, Wants& wants) {
+    const auto node = aimed.node;
     auto& one = host_.berthed[node];
     Outbox out;
-    nodeStep(one.node, event, clockNow(), out);
+    const auto now = clockNow();
+    const auto beganUs = threadProcessorTime();
+    nodeStep(one.node, aimed.event, now, out);
+    host_.stepTimes.note(kindOf(aimed.event), threadProcessorTime() - beganUs, now.steadyMs - aimed.queuedMs);
     if (out.wakeMs >= 0) one.wakeMs = one.wakeMs < 0 ? out.wakeMs : std::min(one.wakeMs, out.wakeMs);
     for (auto& persist : out.persists) {
       const auto ticket = persist.ticket;
       if (!host_.writes.offer({node, std::move(persist)})) inside_.push_back({node, Persisted{ticket, false}});
     }
+    if (!out.alarms.empty()) noteSlowSteps();
     for (const auto& text : out.alarms) alarm(text);
     for (auto& send : out.sends) {
       auto near = host_.local.find(send.to);
@@ -296,6 +318,7 @@
   Host& host_;
   std::vector<Aimed> inside_;
   Millis nextTickMs_ = 0;
+  Millis slowStepsToldMs_ = 0;
   Millis lookAtMs_ = -1;
   struct stat seen_ {};
 };
@@ -454,6 +477,7 @@
       },
       [](const std::string& text) { alarm(text); });
   for (auto& one : host.berthed) one.node.wire = &host.wire->counts();
+  for (auto& one : host.berthed) one.node.stepTimes = &host.stepTimes;
 }
 
 void makeServer(Host& host, const SharedAdapter& adapter) {
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -13,6 +13,8 @@
 
 double seconds(Millis ms) { return static_cast<double>(ms) / 1000; }
 
+double processorSeconds(ProcessorMicros micros) { return static_cast<double>(micros) / 1e6; }
+
 double leftSeconds(Millis untilMs, Now now) { return seconds(std::max<Millis>(0, untilMs - now.steadyMs)); }
 
 MetricLabels with(MetricLabels labels, std::string name, std::string value) {
@@ -138,6 +140,21 @@
               counts.silences);
 }
 
+void addSteps(MetricsText& out, const StepCosts& costs) {
+  for (std::size_t place = 0; place < costs.size(); ++place) {
+    const auto& cost = costs.at(place);
+    if (cost.steps == 0) continue;
+    const MetricLabels labels{{"event", std::string(nameOf(static_cast<EventKind>(place)))}};
+    out.counter("tulippitch_steps_total", "steps of the core thread by the kind of event", labels, cost.steps);
+    out.gauge("tulippitch_steps_processor_seconds", "processor time of these steps since the start", labels,
+              processorSeconds(cost.processorUs));
+    out.gauge("tulippitch_step_longest_seconds", "processor time of the longest of these steps", labels,
+              processorSeconds(cost.longestUs));
+    out.gauge("tulippitch_event_longest_wait_seconds", "longest time that such an event waited for its step", labels,
+              seconds(cost.longestWaitMs));
+  }
+}
+
 void addProcess(MetricsText& out, const http::HttpCounts& http, const transport::WireCounts* wire) {
   out.gauge("tulippitch_http_connections", "open connections of callers, operators and workers", {},
             static_cast<double>(http.open.load()));
@@ -159,6 +176,7 @@
 std::string metricsOf(std::span<const Node* const> nodes, const http::HttpCounts& http, Now now) {
   MetricsText out;
   const transport::WireCounts* wire = nullptr;
+  const StepTimes* stepTimes = nullptr;
   for (const auto* node : nodes) {
     const auto& settings = clientOf(*node).settings;
     const MetricLabels labels{{"role", std::string(roleName(settings.role))}, {"zone", settings.zone.value}};
@@ -167,8 +185,10 @@
     if (node->scheduler) addScheduler(out, labels, *node->scheduler, now);
     if (node->agent) addAgent(out, labels, *node->agent, now);
     if (node->wire) wire = node->wire;
+    if (node->stepTimes) stepTimes = node->stepTimes;
   }
   addProcess(out, http, wire);
+  if (stepTimes) addSteps(out, stepTimes->total());
   return out.text();
 }
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -4,6 +4,7 @@
 #include "agent/agent.hpp"
 #include "control/alarms.hpp"
 #include "control/replica.hpp"
+#include "daemon/step_times.hpp"
 #include "http/front.hpp"
 #include "http/protocol_adapter.hpp"
 #include "scheduler/scheduler.hpp"
@@ -24,6 +25,7 @@
   std::map<std::uint64_t, http::Call> adapterCalls;
   control::AlarmState alarms;
   const transport::WireCounts* wire = nullptr;  // of its process; none in a simulated one
+  const StepTimes* stepTimes = nullptr;         // likewise
   std::uint64_t asks = 0, rejectedAsks = 0, proxiedAsks = 0;
 };
 
--- a/src/model/fingerprint.cpp
+++ b/src/model/fingerprint.cpp
@@ -62,6 +62,7 @@
     else if constexpr (NameLike<Type>)
       addText(value.view());
     else if constexpr (std::is_same_v<Type, Settings> || std::is_same_v<Type, const transport::WireCounts*> ||
+                       std::is_same_v<Type, const daemon::StepTimes*> ||
                        std::is_same_v<Type, std::shared_ptr<const http::ProtocolAdapter>>)
       return;  // the same for the whole of a life
     else if constexpr (kIsVariant<Type>)
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -105,6 +105,42 @@
   CHECK(has(text, "tulippitch_worker_heard{role=\"agent\",zone=\"north-a\"} 0"));
 }
 
+TEST(metrics, steps_are_told_by_the_kind_of_event_and_slow_ones_in_a_line) {
+  daemon::StepTimes times;
+  times.note(daemon::EventKind::report, 2000, 5);
+  times.note(daemon::EventKind::report, 1000, 40);
+  STRCMP_EQUAL("", times.takeSlowLine(1000).c_str());
+  times.note(daemon::EventKind::tick, 101000, 0);
+  times.note(daemon::EventKind::replication, 100, 300);
+  STRCMP_EQUAL(
+      "slow steps: tick 1 in 101 ms, longest 101 ms, waited 0 ms; report 2 in 3 ms, longest 2 ms, waited 40 ms;"
+      " replication 1 in 0 ms, longest 0 ms, waited 300 ms;",
+      times.takeSlowLine(1000).c_str());
+  STRCMP_EQUAL("", times.takeSlowLine(1000).c_str());
+  auto scheduler = nodeOf(Role::scheduler);
+  scheduler.stepTimes = &times;
+  const std::vector<const daemon::Node*> nodes{&scheduler};
+  const auto text = daemon::metricsOf(nodes, {}, {kNowMs});
+  CHECK(has(text, "tulippitch_steps_total{event=\"report\"} 2"));
+  CHECK(has(text, "tulippitch_steps_processor_seconds{event=\"tick\"} 0.101"));
+  CHECK(has(text, "tulippitch_step_longest_seconds{event=\"report\"} 0.002"));
+  CHECK(has(text, "tulippitch_event_longest_wait_seconds{event=\"replication\"} 0.3"));
+  CHECK(text.find("event=\"call\"") == std::string::npos);
+}
+
+TEST(metrics, an_event_is_of_the_kind_that_its_message_is_of) {
+  const auto heard = [](transport::Message message) {
+    return daemon::kindOf(transport::Heard{DaemonId("a"), Address("10.0.0.1:1"), std::move(message)});
+  };
+  CHECK(heard(transport::JobLogAccepted{}) == daemon::EventKind::replication);
+  CHECK(heard(transport::AgentReport{}) == daemon::EventKind::report);
+  CHECK(heard(transport::SessionGrant{}) == daemon::EventKind::session);
+  CHECK(heard(transport::AckState{}) == daemon::EventKind::configuration);
+  CHECK(heard(transport::CallAsk{}) == daemon::EventKind::call);
+  CHECK(daemon::kindOf(transport::Ask{}) == daemon::EventKind::request);
+  CHECK(daemon::kindOf(transport::Persisted{}) == daemon::EventKind::disk);
+}
+
 TEST(metrics, every_sample_belongs_to_the_family_above_it_and_each_family_is_told_once) {
   auto scheduler = nodeOf(Role::scheduler), replica = nodeOf(Role::replica);
   const std::vector<const daemon::Node*> nodes{&scheduler, &replica};
