--- a/tests/confirm_test.cpp
+++ b/tests/confirm_test.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "control/alarms.hpp"
 #include "fixtures.hpp"
 
@@ -348,6 +350,51 @@
 
 namespace {
 
+/// The bytes of configurations that messages to each machine carried.
+struct ConfigTraffic {
+  std::map<Address, std::size_t> bytes;
+
+  void note(const Address& to, const transport::Message& message) {
+    if (const auto* grant = std::get_if<transport::SessionGrant>(&message)) bytes[to] += grant->configText.size();
+  }
+};
+
+}  // namespace
+
+// Every replica that such a daemon turned to sent it the whole text, while the first copy was still under way: its
+// heartbeats and grants waited behind the copies, and acknowledgements of later changes behind them.
+TEST(confirm, a_large_configuration_passes_a_narrow_link_once_and_is_in_force_a_lease_later) {
+  fixture.delayMs = 3;
+  fixture.syncMs = 2;
+  const std::vector<int> narrow{21, 22, 23, 24, 25};
+  for (const int number : narrow) {
+    fixture.linkBytesPerMs[number] = kNarrowBytesPerMs;
+    fixture.clientAt(number).settings.linkKbps = static_cast<std::int64_t>(kNarrowBytesPerMs * 8);
+  }
+  ConfigTraffic traffic;
+  fixture.loses = [&](const Address&, const Address& to, const transport::Message& message) {
+    traffic.note(to, message);
+    return false;
+  };
+  const auto& leaseMs = fixture.bounds.leaseMs;
+  fixture.propose(26, edit(manyLines(620)));
+  const auto everywhere = [&] {
+    return std::ranges::all_of(narrow, [&](int number) {
+      return versionAt(number) == 1 && control::sessionLive(fixture.clientAt(number), {fixture.nowMs});
+    });
+  };
+  const auto tookMs = fixture.runUntil(10 * leaseMs, everywhere);
+  const auto size = fixture.clientAt(26).configText.size();
+  CHECK(size > 160000);
+  const auto transferMs = static_cast<Millis>(static_cast<double>(size) / kNarrowBytesPerMs);
+  CHECK(tookMs >= 0 && tookMs <= transferMs + leaseMs);
+  fixture.run(2 * leaseMs);
+  for (const int number : narrow) CHECK(traffic.bytes[Fixture::addressOf(number)] < size + size / 4);
+  LONGS_EQUAL(200, answer(26).status);
+}
+
+namespace {
+
 bool bringsConfig(const transport::Message& message) {
   const auto* grant = std::get_if<transport::SessionGrant>(&message);
   return grant && !grant->configText.empty();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -485,6 +485,40 @@
   CHECK(wanted.edit.name.starts_with("v9/"));
 }
 
+namespace {
+
+const std::string kTenant =
+    R"({"name":"kaje80","api_keys":["key-one","key-two"],"rank":1,"share":24,"at_most":{"cpu":4000,"mem_mb":9000,"gpu":0}})";
+
+std::string withTenants(int version, const std::string& tenants) {
+  auto text = whole(version, kRoute, kService);
+  text.pop_back();
+  return text + R"(,"customers":[)" + tenants + "]}";
+}
+
+}  // namespace
+
+TEST(platform, tenants_are_changed_by_name) {
+  const auto value = [](const control::EditOutcome& outcome) { return config::readStored(outcome.value).text; };
+  const auto placed = ask(FaceKind::control, "POST", "/api/Config.Replace", withTenants(7, kTenant), "0");
+  CHECK(placed.rejection == Kind::ok);
+  const auto first = control::judgeEdit(placed.edit, {});
+  CHECK(first.kind == Kind::ok);
+  const auto changed = replaced(kTenant, "\"cpu\":4000", "\"cpu\":2000");
+  const auto added = replaced(replaced(kTenant, "kaje80", "wuny38"), "\"key-one\",\"key-two\"", "\"key-three\"");
+  const auto update = ask(FaceKind::control, "POST", "/api/Config.Update",
+                          R"({"version":9,"put":{"customers":[)" + changed + "," + added + "]}}", "7");
+  CHECK(update.rejection == Kind::ok);
+  const auto second = control::judgeEdit(update.edit, first.value);
+  CHECK(second.kind == Kind::ok);
+  CHECK(sameJson(platform::configurationAsSent(value(second)), withTenants(9, changed + "," + added)));
+  const auto removal =
+      ask(FaceKind::control, "POST", "/api/Config.Update", R"({"version":10,"remove":{"customers":["kaje80"]}})", "9");
+  CHECK(removal.rejection == Kind::ok);
+  const auto third = control::judgeEdit(removal.edit, second.value);
+  CHECK(sameJson(platform::configurationAsSent(value(third)), withTenants(10, added)));
+}
+
 TEST(platform, invalid_configurations_are_rejected) {
   auto rejected = [&](const std::string& body, const std::string& basedOn = "0") {
     return ask(FaceKind::control, "POST", "/api/Config.Replace", body, basedOn).rejection != Kind::ok;
