Configurations: a daemon on a narrow link reads a large one in pieces, and sends large changes on

Cause: a grant carried the whole text. On 2 Mbit/s it took longer than half a lease, after which the daemon turned to another replica, which sent all of it again; up to five copies, and heartbeats, grants and later deltas behind them. Large changes passed the link of the asked daemon twice. Now: a grant tells the size, the daemon asks for pieces that its link bears in a quarter of a heartbeat's pause, and goes on at another replica where it broke off; a large Config.Replace or Config.Update is sent on by 307 as large reads are.

--- a/src/control/client.cpp
+++ b/src/control/client.cpp
@@ -56,6 +56,8 @@
     heardAckState(client, heard.from, *acks, now, out);
   else if (const auto* answer = std::get_if<EditAnswer>(&heard.message))
     heardEditAnswer(client, *answer, now, out);
+  else if (const auto* piece = std::get_if<ConfigPiece>(&heard.message))
+    heardConfigPiece(client, heard.from, *piece, now, out);
   else
     return false;
   return true;
@@ -63,6 +65,7 @@
 
 void clientTick(ControlClient& client, Now now, Outbox& out) {
   sessionTick(client, now, out);
+  configTransferTick(client, now, out);
   forwardedEditsTick(client, now, out);
   proposalsTick(client, now, out);
 }
--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -6,6 +6,7 @@
 
 #include "base/settings.hpp"
 #include "config/config.hpp"
+#include "control/config_transfer.hpp"
 #include "control/edit.hpp"
 #include "control/edit_forwarding.hpp"
 #include "control/proposal.hpp"
@@ -31,6 +32,7 @@
   Version configVersion = 0;
   std::string configText;
   std::shared_ptr<const config::Config> config = std::make_shared<config::Config>();
+  ConfigTransfer configTransfer;  // of a newer version, where it is read in pieces
   transport::LeaderHint leader;
   transport::Membership membership;
   std::vector<transport::Member> members;
--- a/src/control/edit_forwarding.cpp
+++ b/src/control/edit_forwarding.cpp
@@ -61,10 +61,11 @@
   return ofItselfOnly && edit.timesSent > 1 ? Kind::unknownOutcome : told;
 }
 
-/// An edit that took longer than a lease is worth a line that says how it went over this daemon's link.
+/// An edit that took longer than the sessions of silent daemons last is worth a line on its way over this daemon's
+/// link.
 void tellSlowEdit(const ControlClient& client, const ForwardedEdit& edit, Now now, Outbox& out) {
   const Millis tookMs = now.steadyMs - edit.sinceMs;
-  if (tookMs <= client.settings.bounds.leaseMs) return;
+  if (tookMs <= client.settings.bounds.lapseMs()) return;
   out.alarms.push_back("slow edit of " + std::to_string(edit.ask.body.size()) + " bytes, handed over " +
                        std::to_string(edit.timesSent) + " times, last to " + edit.to.value + ", took " +
                        std::to_string(tookMs) + " ms");
--- a/src/control/learned_config.cpp
+++ b/src/control/learned_config.cpp
@@ -20,6 +20,7 @@
       replica.olderTexts.emplace_back(replica.learned.version, std::move(replica.learned.text));
     if (replica.olderTexts.size() > kOlderTexts) replica.olderTexts.erase(replica.olderTexts.begin());
     replica.deltas.clear();
+    replica.textDigests.clear();
   }
   replica.learnedBallot = ballot;
   replica.learnedValue = value;
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -139,9 +139,9 @@
   return text;
 }
 
-/// A change that took longer than a lease is worth a line that says where the time went.
+/// A change that took longer than the sessions of silent daemons last is worth a line that says where the time went.
 void tellSlowChange(const ControlClient& client, const Proposal& proposal, Now now, Outbox& out) {
-  if (!proposal.edit || now.steadyMs - proposal.startedMs <= client.settings.bounds.leaseMs) return;
+  if (!proposal.edit || now.steadyMs - proposal.startedMs <= client.settings.bounds.lapseMs()) return;
   const auto spanText = [&](Millis fromMs, Millis untilMs) {
     return fromMs < 0 ? std::string("-") : std::to_string((untilMs < 0 ? now.steadyMs : untilMs) - fromMs);
   };
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -50,6 +50,8 @@
           onRegisterChosen(replica, body, now, out);
         else if constexpr (std::is_same_v<Body, EditAsk>)
           onEditAsk(replica, heard, body, now, out);
+        else if constexpr (std::is_same_v<Body, ConfigAsk>)
+          onConfigAsk(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, AckQuery>)
           onAckQuery(replica, heard, body, now, out);
         else if constexpr (std::is_same_v<Body, JobLogPrepare>)
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -39,6 +39,7 @@
   Version textBase = 0;                 // the version that it was sent as a delta to; 0: whole
   std::uint64_t textHeartbeat = 0;      // that the grant with it answered
   std::uint64_t answeredHeartbeat = 0;  // the newest to which the daemon has received a grant
+  std::uint64_t mostConfigBytes = 0;    // that it takes in one message; 0: any amount
   Millis behindSinceMs = -1;  // since when it is short of what is learned and has taken nothing newer; -1: not
 };
 
@@ -68,7 +69,8 @@
   config::Stored learned;
   Millis learnedMs = -1000000;
   std::vector<std::pair<Version, std::string>> olderTexts;
-  std::map<Version, std::string> deltas;  // from an older revision to the learned one
+  std::map<Version, std::string> deltas;         // from an older revision to the learned one
+  std::map<Version, std::uint64_t> textDigests;  // of the texts that are kept, once one was asked for
   std::vector<transport::Member> members;
   std::uint64_t membersDigest = 0;
   std::uint64_t rosterDigest = 0;  // of the members without what they acknowledged
--- a/src/control/replica_internal.hpp
+++ b/src/control/replica_internal.hpp
@@ -40,6 +40,19 @@
 void onSessionHeartbeat(ReplicaState& replica, const transport::Heard& heard,
                         const transport::SessionHeartbeat& heartbeat, transport::Now now, transport::Outbox& out);
 
+// Configurations in pieces (config_pieces.cpp).
+
+// What is to be sent to a daemon that has a version: a delta to it where there is one, or else the whole text.
+struct ConfigContent {
+  Version base = 0;  // 0: the whole text
+  const std::string* bytes = nullptr;
+};
+ConfigContent contentFor(ReplicaState& replica, Version has);
+
+// Gives the piece of the configuration that a daemon asks for.
+void onConfigAsk(ReplicaState& replica, const transport::Heard& heard, const transport::ConfigAsk& ask,
+                 transport::Now now, transport::Outbox& out);
+
 // Heartbeats (heartbeats.cpp).
 
 // Sends heartbeats to all voters, to replicas heard lately, and now and then to the seeds.
--- a/src/control/session.cpp
+++ b/src/control/session.cpp
@@ -36,14 +36,7 @@
   if (grant.configVersion <= client.configVersion) return true;
   auto text = textOf(client, grant);
   if (text.empty()) return false;
-  auto made = std::make_shared<config::Config>();
-  std::vector<config::Fault> faults;
-  if (!config::readConfigText(text, *made, faults))
-    out.alarms.push_back("a confirmed configuration does not read here");
-  client.config = made;
-  client.configText = std::move(text);
-  client.configVersion = grant.configVersion;
-  heartbeatNow(client, now, out);
+  installConfig(client, grant.configVersion, std::move(text), now, out);
   return true;
 }
 
@@ -85,7 +78,8 @@
 // long that there is just time left for another to renew it.
 bool homeIsOfNoUse(const ControlClient& client, Now now) {
   const auto leaseMs = client.settings.bounds.leaseMs;
-  return now.steadyMs - client.grantedMs > leaseMs / 2 || now.steadyMs - client.renewedMs > leaseMs * 3 / 5;
+  if (now.steadyMs - client.grantedMs > leaseMs / 2) return true;
+  return now.steadyMs - client.renewedMs > leaseMs * 3 / 5 && !configArrives(client, now);
 }
 
 void renewSession(ControlClient& client, const SessionGrant& grant, Now now, Outbox& out) {
@@ -145,13 +139,25 @@
   proposalsMembershipChanged(client, now, out);
 }
 
+void installConfig(ControlClient& client, Version version, std::string text, Now now, Outbox& out) {
+  auto made = std::make_shared<config::Config>();
+  std::vector<config::Fault> faults;
+  if (!config::readConfigText(text, *made, faults))
+    out.alarms.push_back("a confirmed configuration does not read here");
+  client.config = made;
+  client.configText = std::move(text);
+  client.configVersion = version;
+  heartbeatNow(client, now, out);
+}
+
 void heartbeatNow(ControlClient& client, Now now, Outbox& out) {
   const auto replicas = replicaAddresses(client);
   if (replicas.empty()) return;
   pickHome(client, replicas);
   client.heartbeatSentMs = now.steadyMs;
-  out.send(client.home, SessionHeartbeat{describe(client), ++client.heartbeat, now.steadyMs, client.membership.version,
-                                         client.membersDigest, client.answeredHeartbeat});
+  out.send(client.home,
+           SessionHeartbeat{describe(client), ++client.heartbeat, now.steadyMs, client.membership.version,
+                            client.membersDigest, client.answeredHeartbeat, mostConfigBytes(client.settings)});
 }
 
 void sessionTick(ControlClient& client, Now now, Outbox& out) {
@@ -179,6 +185,7 @@
     client.editTakers.insert(from);
   else
     client.editTakers.erase(from);
+  heardConfigOffer(client, from, grant, now, out);
   // A chosen configuration is one however late it arrives. A narrow link may take longer than a lease to bring it.
   if (!takeConfig(client, grant, now, out) || !inTime(grant, now)) return;
   renewSession(client, grant, now, out);
--- a/src/control/session.hpp
+++ b/src/control/session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 /// Sessions of a daemon with a replica: heartbeats, grants, referrals, and the fleet's clock that comes with them.
+#include <string>
 #include <vector>
 
 #include "transport/core.hpp"
@@ -19,6 +20,10 @@
 void adoptMembership(ControlClient& client, const transport::Membership& membership, transport::Now now,
                      transport::Outbox& out);
 
+/// Acts on a newer version of the configuration, and acknowledges it.
+void installConfig(ControlClient& client, Version version, std::string text, transport::Now now,
+                   transport::Outbox& out);
+
 void heartbeatNow(ControlClient& client, transport::Now now, transport::Outbox& out);
 void sessionTick(ControlClient& client, transport::Now now, transport::Outbox& out);
 void heardGrant(ControlClient& client, const Address& from, const transport::SessionGrant& grant, transport::Now now,
--- a/src/control/sessions.cpp
+++ b/src/control/sessions.cpp
@@ -38,18 +38,18 @@
   return row.answeredHeartbeat <= row.textHeartbeat;
 }
 
-// Puts the configuration into a grant: the delta from a text that the daemon has, or the whole text.
+// Puts the configuration into a grant, or, where the daemon takes less in one message, that it can be read in pieces.
 void putConfig(ReplicaState& replica, SessionRow& row, SessionGrant& grant) {
-  for (const auto& [version, text] : replica.olderTexts) {
-    if (version != row.member.acked) continue;
-    auto [delta, made] = replica.deltas.try_emplace(version);
-    if (made) delta->second = config::makeDelta(text, replica.learned.text);
-    if (delta->second.empty()) break;
-    grant.configBase = version;
-    grant.configText = delta->second;
+  const auto content = contentFor(replica, row.member.acked);
+  if (row.mostConfigBytes > 0 && content.bytes->size() > row.mostConfigBytes) {
+    grant.configBytes = content.bytes->size();
     return;
   }
-  grant.configText = replica.learned.text;
+  grant.configBase = content.base;
+  grant.configText = *content.bytes;
+  row.textVersion = replica.learned.version;
+  row.textBase = grant.configBase;
+  row.textHeartbeat = row.heartbeat;
 }
 
 // Keeps since when the daemon has been short of the configuration and taken nothing newer.
@@ -98,10 +98,7 @@
   // A daemon takes no session from a grant of a revision that it lacks, so what is on its way need not come again.
   if (row.member.acked < replica.learned.version && !textUnderWay(replica, row, now)) {
     putConfig(replica, row, grant);
-    row.textVersion = replica.learned.version;
     row.textSentMs = now.steadyMs;
-    row.textBase = grant.configBase;
-    row.textHeartbeat = row.heartbeat;
   }
   if (now.steadyMs < replica.hintUntilMs) grant.leader = replica.leader;
   grant.membership = replica.image.membership;
@@ -149,6 +146,7 @@
   row.heartbeat = heartbeat.heartbeat;
   row.sentMs = heartbeat.sentMs;
   row.membersDigest = heartbeat.membersDigest;
+  row.mostConfigBytes = heartbeat.mostConfigBytes;
   if (fresh) gatherMembers(replica, now);
   out.reply(heard, makeGrant(replica, row, now));
 }
--- a/src/daemon/event_kind.cpp
+++ b/src/daemon/event_kind.cpp
@@ -20,7 +20,7 @@
   if (isOneOf<JobLogPrepare, JobLogPromise, JobLogAccept, JobLogAccepted, Resign>(message))
     return EventKind::replication;
   if (isOneOf<RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted, RegisterChosen, AckQuery, AckState,
-              EditAsk, EditAnswer>(message))
+              EditAsk, EditAnswer, ConfigAsk, ConfigPiece>(message))
     return EventKind::configuration;
   return EventKind::session;
 }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -217,6 +217,7 @@
     case Call::emptyZone:
     case Call::takeBackZone:
       if (!live) return reject(Kind::notReady);
+      if (const auto elsewhere = configEditor(client, ask.body.size())) return out.redirect(ask.requestId, *elsewhere);
       return proposeOrder(node, ask, std::move(wanted.edit), now, out);
     case Call::getConfig: {
       if (!live || client.configVersion == 0) return reject(Kind::notReady);
--- a/src/simulator/place.cpp
+++ b/src/simulator/place.cpp
@@ -8,14 +8,15 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 27> kMessages{
+constexpr std::array<std::string_view, 29> kMessages{
     "SessionBeat",      "SessionGrant",     "RegisterPrepare", "RegisterPromise",
     "RegisterAccept",   "RegisterAccepted", "RegisterChosen",  "AckQuery",
     "AckState",         "RangePrepare",     "RangePromise",    "RangeAccept",
     "RangeAccepted",    "Resign",           "ReplicaBeat",     "Form",
     "CatchUpAsk",       "CatchUpGive",      "AgentReport",     "Orders",
     "CallAsk",          "CallAnswer",       "Referral",        "IncarnationProbe",
-    "IncarnationProof", "EditAsk",          "EditAnswer"};
+    "IncarnationProof", "EditAsk",          "EditAnswer",      "ConfigAsk",
+    "ConfigPiece"};
 static_assert(kMessages.size() == std::variant_size_v<transport::Message>);
 constexpr std::array<std::string_view, 3> kSides{"before", "unsent", "sent"};
 constexpr std::array<std::string_view, 5> kBlows{"crash", "power", "disk", "freeze", "cut"};
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t kIncarnationProtocolVersion = 3;  // the first with probes and proofs
 constexpr std::uint32_t kEditProtocolVersion = 4;         // the first with edits that replicas propose
+constexpr std::uint32_t kPieceProtocolVersion = 5;        // the first with configurations in pieces
 constexpr std::uint32_t kFewestFrameParts = 6;            // without incarnations, of version 2
 constexpr std::uint32_t kFrameParts = 8;
 
@@ -24,6 +25,8 @@
   const bool identity =
       std::holds_alternative<IncarnationProbe>(message) || std::holds_alternative<IncarnationProof>(message);
   const bool edit = std::holds_alternative<EditAsk>(message) || std::holds_alternative<EditAnswer>(message);
+  const bool piece = std::holds_alternative<ConfigAsk>(message) || std::holds_alternative<ConfigPiece>(message);
+  if (piece) return kPieceProtocolVersion;
   if (edit) return kEditProtocolVersion;
   return identity ? kIncarnationProtocolVersion : kOldestProtocolVersion;
 }
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -11,7 +11,7 @@
 namespace tulip::transport {
 
 inline constexpr std::uint32_t kOldestProtocolVersion = 2;
-inline constexpr std::uint32_t kProtocolVersion = 4;
+inline constexpr std::uint32_t kProtocolVersion = 5;
 
 struct Member {
   DaemonId id;
@@ -72,7 +72,8 @@
   Version membership = 0;
   std::uint64_t membersDigest = 0;      // of the list that the sender has; 0: none
   std::uint64_t answeredHeartbeat = 0;  // the newest of this process to which a grant was received; 0: none is known
-  MSGPACK_DEFINE(me, heartbeat, sentMs, membership, membersDigest, answeredHeartbeat)
+  std::uint64_t mostConfigBytes = 0;    // of a configuration in one message; more is read in pieces; 0: any amount
+  MSGPACK_DEFINE(me, heartbeat, sentMs, membership, membersDigest, answeredHeartbeat, mostConfigBytes)
 };
 
 struct SessionGrant {
@@ -89,8 +90,9 @@
   Version configBase = 0;           // above 0: chartText is a delta to the text of this revision
   Incarnation grantee{};            // whose heartbeat is answered: sentMs is of its clock
   bool takesEdits = false;          // the sender answers EditAsk
+  std::uint64_t configBytes = 0;    // above 0: the text is left out, and can be read by ConfigAsk
   MSGPACK_DEFINE(heartbeat, sentMs, leaseMs, configVersion, configText, leader, membership, members, fleetMs,
-                 membersDigest, configBase, grantee, takesEdits)
+                 membersDigest, configBase, grantee, takesEdits, configBytes)
 };
 
 struct RegisterPrepare {
@@ -389,11 +391,31 @@
   MSGPACK_DEFINE(id, kind, status, body)
 };
 
+// Asks for a piece of a configuration that a grant left out.
+struct ConfigAsk {
+  Version version = 0;
+  Version has = 0;  // the version whose text the asker has
+  std::uint64_t offset = 0;
+  std::uint64_t mostBytes = 0;
+  MSGPACK_DEFINE(version, has, offset, mostBytes)
+};
+
+// Answers it. Another version than the one asked for is given from its beginning, where that one is no longer had.
+struct ConfigPiece {
+  Version version = 0;
+  Version base = 0;  // the content is a delta to the text of this version; 0: the whole text
+  std::uint64_t textDigest = 0;
+  std::uint64_t totalBytes = 0;  // of the content
+  std::uint64_t offset = 0;
+  std::string bytes;
+  MSGPACK_DEFINE(version, base, textDigest, totalBytes, offset, bytes)
+};
+
 using Message =
     std::variant<SessionHeartbeat, SessionGrant, RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted,
                  RegisterChosen, AckQuery, AckState, JobLogPrepare, JobLogPromise, JobLogAccept, JobLogAccepted, Resign,
                  ReplicaHeartbeat, BootstrapProposal, CatchUpAsk, CatchUpGive, AgentReport, Orders, CallAsk, CallAnswer,
-                 Referral, IncarnationProbe, IncarnationProof, EditAsk, EditAnswer>;
+                 Referral, IncarnationProbe, IncarnationProof, EditAsk, EditAnswer, ConfigAsk, ConfigPiece>;
 
 struct Frame {
   std::uint32_t version = kProtocolVersion;
--- a/tests/config_reader_test.cpp
+++ b/tests/config_reader_test.cpp
@@ -94,6 +94,34 @@
   CHECK(answer.location.empty());
 }
 
+TEST(config_reader, a_large_change_is_taken_at_the_replica_s_machine_where_the_own_link_is_narrow) {
+  const auto change = [&](std::size_t bytes) {
+    Ask ask;
+    ask.requestId = kRequest;
+    ask.face = FaceKind::control;
+    ask.method = "POST";
+    ask.path = "/api/Config.Replace";
+    ask.basedOn = "7";
+    ask.body = R"({"version":8,"route_table":[],"backends":[],"filler":")" + std::string(bytes, 'x') + "\"}";
+    ask.deadlineMs = 4000;
+    Outbox out;
+    daemon::nodeStep(node, ask, {kNowMs}, out);
+    return out;
+  };
+  const auto large = change(kLargeBytes);
+  LONGS_EQUAL(1, large.answers.size());
+  LONGS_EQUAL(307, large.answers.front().status);
+  STRCMP_EQUAL("10.0.0.1:8166", large.answers.front().location.value.c_str());
+  CHECK(node.scheduler->client.proposals.empty() && node.scheduler->client.forwardedEdits.empty());
+  auto& client = node.scheduler->client;
+  client.membership = {1, {{DaemonId("a"), client.home}}};
+  CHECK(change(1000).answers.empty());
+  LONGS_EQUAL(1, client.proposals.size());
+  client.settings.linkKbps = kWideKbps;
+  CHECK(change(kLargeBytes).answers.empty());
+  LONGS_EQUAL(2, client.proposals.size());
+}
+
 TEST(config_reader, the_bound_is_a_heartbeat_s_pause_of_the_link) {
   auto& client = node.scheduler->client;
   const auto pauseBytes = static_cast<std::size_t>(client.settings.bounds.heartbeatMs() * kNarrowKbps / 8);
--- a/tests/query_test.cpp
+++ b/tests/query_test.cpp
@@ -114,6 +114,8 @@
   LONGS_EQUAL(3, transport::protocolVersionOf(transport::IncarnationProof{}));
   LONGS_EQUAL(4, transport::protocolVersionOf(transport::EditAsk{}));
   LONGS_EQUAL(4, transport::protocolVersionOf(transport::EditAnswer{}));
+  LONGS_EQUAL(5, transport::protocolVersionOf(transport::ConfigAsk{}));
+  LONGS_EQUAL(5, transport::protocolVersionOf(transport::ConfigPiece{}));
 }
 
 TEST(codec, a_call_of_version_2_keeps_its_number_and_names_no_incarnation) {
