Tenants: keys and limits are in force, and are changed by name

Cause: an update by name took routes and services only and answered 400 to any other list, so a valid change of tenants never had its acknowledgement; keys and limits were kept as they came and read by nothing, and two tenants with one key passed the checks. Mending the answer alone would have been a false acknowledgement. Now: tenants are a section of the configuration; a call needs a key unless its queue is open, by the same argument as for routes; a job belongs to the tenant whose key came with it, and each plan keeps what a tenant holds within its limit, or within it and one task when it holds half of it at most. A 400 names the part that was refused and why.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -1,6 +1,7 @@
 // One plan: jobs in their order, with capacity reserved for the one that smaller work has kept out for longest.
 #include "admission/admission.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 #include "admission/planner.hpp"
@@ -9,6 +10,15 @@
 
 namespace {
 
+/// Whether what must start first of the unit may start: all of it, or a task.
+bool mayBegin(const Planner& planner, const Candidate& job, const Unit& unit) {
+  if (unit.loads.empty()) return false;
+  if (!job.gang && !unit.whole) return planner.tenantAllows(job, {unit.loads.data(), 1});
+  const std::vector<placement::Load> needs =
+      unit.loads.size() == 1 ? std::vector<placement::Load>(unit.tasks.size(), unit.loads.front()) : unit.loads;
+  return planner.tenantAllows(job, needs);
+}
+
 std::int64_t slotsOf(const Unit& unit) {
   std::int64_t sum = 0;
   for (std::size_t i = 0; i < unit.tasks.size() && !unit.loads.empty(); ++i)
@@ -34,7 +44,8 @@
     if (job.readyForMs < rules.reserveAfterMs) continue;
     if (longest && key(job) >= key(jobs[longest->job])) continue;
     for (std::size_t u = 0; u < job.ready.size(); ++u)
-      if (planner.wide(job, job.ready[u]) && slotsOf(job.ready[u]) <= planner.quotaLeft(job)) {
+      if (planner.wide(job, job.ready[u]) && slotsOf(job.ready[u]) <= planner.quotaLeft(job) &&
+          mayBegin(planner, job, job.ready[u])) {
         longest = ReadyUnit{at, u};
         break;
       }
@@ -44,6 +55,22 @@
 
 }  // namespace
 
+bool withinLimit(const TenantUse& use, std::span<const placement::Load> needs) {
+  for (std::size_t kind = 0; kind < placement::kMostKinds; ++kind) {
+    const auto limit = use.limit[kind];
+    if (limit <= 0) continue;
+    std::int64_t wanted = 0, largest = 0;
+    for (const auto& need : needs) {
+      wanted += need[kind];
+      largest = std::max(largest, need[kind]);
+    }
+    if (wanted == 0 || use.held[kind] + wanted <= limit) continue;
+    const bool littleHeld = use.held[kind] * 2 <= limit;
+    if (!littleHeld || use.held[kind] + wanted - largest > limit) return false;
+  }
+  return true;
+}
+
 Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& given,
           std::span<const std::int64_t> sizes) {
   auto rules = given;
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -54,6 +54,13 @@
   Millis endsInMs = -1;   // until its end by its estimate; 0 or less: unknown or overdue
 };
 
+/// What the jobs of a tenant hold, and what they may hold, of each kind of capacity.
+struct TenantUse {
+  placement::Load limit{};  // 0: no limit
+  placement::Load held{};
+};
+inline constexpr std::size_t kNoTenant = static_cast<std::size_t>(-1);
+
 struct Candidate {
   JobId id;
   QueueName pending;
@@ -64,6 +71,7 @@
   Millis dueInMs =
       0;  // until what is left must start for the line's aim, by its estimates; negative: passed. 0 with no aim
   bool gang = false;
+  std::size_t tenant = kNoTenant;  // place in the field's tenants
   std::vector<Unit> ready;
   std::vector<HeldRun> runs;
 };
@@ -97,11 +105,17 @@
   std::vector<placement::WorkerCapacity> workers;
   std::map<QueueName, std::int64_t> quotaSlots;
   std::map<QueueName, std::int64_t> heldSlots;
+  std::vector<TenantUse> tenants;
   double farFactor = 1.5;
   bool rankFirst = false;  // as the option of that name, for fleets whose settings ask for it
   double mostLoss = 0;     // as the option of that name, where above 0
 };
 
+/// Whether tasks with these needs may start together: the tenant then stays within its limit, or holds no more than
+/// half of it before and no more than its limit and the largest of the tasks after. So work that needs more than half
+/// of a limit is not kept out for ever by smaller work, and a task larger than the limit can run alone.
+bool withinLimit(const TenantUse& use, std::span<const placement::Load> needs);
+
 Plan plan(std::span<const Candidate> jobs, Field field, const config::Admission& rules,
           std::span<const std::int64_t> sizes);
 
--- a/src/admission/planner.cpp
+++ b/src/admission/planner.cpp
@@ -103,6 +103,16 @@
   return quota->second - (held == field.heldSlots.end() ? 0 : held->second);
 }
 
+bool Planner::tenantAllows(const Candidate& job, std::span<const placement::Load> needs) const {
+  return job.tenant >= field.tenants.size() || withinLimit(field.tenants[job.tenant], needs);
+}
+
+// What was placed holds capacity from now on, also where it only waits for others to stop.
+void Planner::countForTenant(const Candidate& job, std::span<const placement::Load> needs) {
+  if (job.tenant >= field.tenants.size()) return;
+  for (const auto& need : needs) placement::add(field.tenants[job.tenant].held, need);
+}
+
 bool Planner::knownMisfit(const Scope& scope, const placement::Load& low, std::size_t count) const {
   return std::any_of(scope.misfits.begin(), scope.misfits.end(),
                      [&](const auto& misfit) { return misfit.count <= count && deck.within(misfit.load, low); });
@@ -120,6 +130,17 @@
   deck.take(soon, worker, need);
 }
 
+namespace {
+
+std::vector<placement::Load> needsOf(const Demand& demand) {
+  std::vector<placement::Load> needs;
+  needs.reserve(demand.count);
+  for (std::size_t i = 0; i < demand.count; ++i) needs.push_back(demand.load(i));
+  return needs;
+}
+
+}  // namespace
+
 bool Planner::placeWhole(std::size_t job, const Unit& unit) {
   if (unit.tasks.empty() || unit.loads.empty()) return false;
   const auto demand = demandOf(unit);
@@ -135,12 +156,16 @@
     }
   }
   if (slots > quotaLeft(jobs[job])) return false;
+  const auto needs = needsOf(demand);
+  if (!tenantAllows(jobs[job], needs)) return false;
   auto& scope = scopeOf(unit);
   tallyBeside(unit);
   const bool placedNow = placeTogether(batch, scope);
   tally.clear();
-  if (placedNow) field.heldSlots[jobs[job].pending] += slots;
-  return placedNow;
+  if (!placedNow) return false;
+  field.heldSlots[jobs[job].pending] += slots;
+  countForTenant(jobs[job], needs);
+  return true;
 }
 
 bool Planner::placeTogether(const Batch& batch, Scope& scope) {
@@ -181,11 +206,12 @@
   std::size_t found = 0;
   for (std::size_t i = 0; i < demand.count; ++i) {
     const auto& need = demand.load(i);
-    if (need[0] > left) {
+    if (need[0] > left || !tenantAllows(jobs[job], {&need, 1})) {
       if (demand.alike()) break;
       continue;
     }
     if (placeOne({job, unit, demand, i, 1, need, need}, scope)) {
+      countForTenant(jobs[job], {&need, 1});
       ++found;
       took += need[0];
       left -= need[0];
--- a/src/admission/planner.hpp
+++ b/src/admission/planner.hpp
@@ -101,6 +101,8 @@
   /// Whether a stream of smaller work could keep the unit from ever starting.
   bool wide(const Candidate& job, const Unit& unit) const;
   std::int64_t quotaLeft(const Candidate& job) const;
+  /// Whether the job's tenant may start tasks with these needs together.
+  bool tenantAllows(const Candidate& job, std::span<const placement::Load> needs) const;
   /// The plan made so far; to be called once, at the end.
   Plan finish();
 
@@ -124,6 +126,7 @@
   void tallyBeside(const Unit& unit);
   bool knownMisfit(const Scope& scope, const placement::Load& low, std::size_t count) const;
   void noteMisfit(Scope& scope, const placement::Load& high, std::size_t count) const;
+  void countForTenant(const Candidate& job, std::span<const placement::Load> needs);
   void start(std::size_t job, std::uint32_t task, std::uint32_t worker, const placement::Load& need);
   bool placeTogether(const Batch& batch, Scope& scope);
   bool placeOne(const Batch& batch, Scope& scope);
--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -39,6 +39,7 @@
     Row{Kind::unknownSignal, "unknown-signal-revision", 500, 8, 0, "an inner protocol revision not spoken here"},
     Row{Kind::jobEnded, "job-ended", 409, 5, 0, "the job has already ended"},
     Row{Kind::folderInUse, "folder-in-use", 500, 8, 0, "the data folder is in use by another process"},
+    Row{Kind::unauthorized, "unauthorized", 401, 3, 0, "the request came with no key of a tenant"},
     Row{Kind::askElsewhere, "ask-elsewhere", 307, 6, 0, "another daemon answers this sooner"},
 };
 
--- a/src/base/errors.hpp
+++ b/src/base/errors.hpp
@@ -34,6 +34,7 @@
   jobEnded,
   folderInUse,
   askElsewhere,
+  unauthorized,
 };
 
 struct Row {
--- a/src/base/types.hpp
+++ b/src/base/types.hpp
@@ -23,6 +23,10 @@
     packer.pack(value);
   }
   void msgpack_unpack(const msgpack::object& object) { object.convert(value); }
+  template <class H>
+  friend H AbslHashValue(H state, const Name& name) {
+    return H::combine(std::move(state), name.value);
+  }
 };
 
 using DaemonId = Name<struct DaemonTag>;
@@ -32,6 +36,7 @@
 using AttemptId = Name<struct AttemptTag>;
 using PoolName = Name<struct PoolTag>;
 using QueueName = Name<struct QueueTag>;
+using TenantName = Name<struct TenantTag>;
 using Address = Name<struct AddressTag>;
 
 using Millis = std::int64_t;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,8 +1,10 @@
 // The configuration's fields: what each may be, and which must agree.
 #include "config/config.hpp"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
 #include <array>
 
 #include "config/reader.hpp"
@@ -29,6 +31,7 @@
                     else
                       reader.fault("a number from 0 to 1000000000");
                   }},
+    Fields<Queue>{"needsKey", readFlag<&Queue::needsKey, Queue>},
     Fields<Queue>{"place", readPlace<Queue>},
     Fields<Queue>{"asSent", readOpaque<Queue>},
 };
@@ -58,6 +61,34 @@
     Fields<Pool>{"asSent", readOpaque<Pool>},
 };
 
+void readKeys(Reader& reader, const json_t* value, Tenant& into) {
+  constexpr std::size_t kMostKeys = 1000;
+  constexpr std::size_t kMostKeyBytes = 512;
+  if (!json_is_array(value) || json_array_size(value) > kMostKeys)
+    return reader.fault("a list of at most " + std::to_string(kMostKeys) + " texts");
+  for (std::size_t i = 0; i < json_array_size(value); ++i) {
+    const auto place = std::to_string(i);
+    reader.within(place, [&] {
+      const json_t* key = json_array_get(value, i);
+      if (json_string_length(key) == 0 || json_string_length(key) > kMostKeyBytes)
+        return reader.fault("a text of 1 to " + std::to_string(kMostKeyBytes) + " bytes");
+      into.keys.emplace_back(json_string_value(key), json_string_length(key));
+    });
+  }
+}
+
+constexpr std::array tenantFields{
+    Fields<Tenant>{"keys", readKeys},
+    Fields<Tenant>{"atMost",
+                   [](Reader& reader, const json_t* value, Tenant& into) {
+                     reader.each(value, "an object of whole numbers", [&](const char* key, const json_t* item) {
+                       reader.number(item, 0, 1LL << 50, into.atMost[key]);
+                     });
+                   }},
+    Fields<Tenant>{"place", readPlace<Tenant>},
+    Fields<Tenant>{"asSent", readOpaque<Tenant>},
+};
+
 struct ZoneEntry {
   bool emptied = false;
 };
@@ -166,6 +197,17 @@
   });
 }
 
+void readTenants(Reader& reader, const json_t* value, Config& config) {
+  if (json_is_null(value)) return;  // as if it were left out
+  config.tenantsGiven = true;
+  reader.named(value, [&](std::string_view name, const json_t* item) {
+    Tenant made;
+    made.name = TenantName(name);
+    reader.object(item, tenantFields, made);
+    config.tenants.insert_or_assign(std::string(name), std::move(made));
+  });
+}
+
 void readZones(Reader& reader, const json_t* value, Config& config) {
   reader.named(value, [&](std::string_view name, const json_t* item) {
     ZoneEntry zone;
@@ -200,6 +242,7 @@
     Fields<Config>{"origin", readOpaque<Config>},
     Fields<Config>{"pendings", readQueues},
     Fields<Config>{"pools", readPools},
+    Fields<Config>{"tenants", readTenants},
     Fields<Config>{"cells", readZones},
     Fields<Config>{"workers", readWorkers},
     Fields<Config>{"gangway", [](Reader& reader, const json_t* value,
@@ -223,6 +266,20 @@
   }
 }
 
+// A key must say whose it is. The fault names no key.
+void checkKeys(Reader& reader, const Config& config) {
+  absl::flat_hash_map<std::string_view, std::string_view> owners;
+  for (const auto& [tenantName, tenant] : config.tenants) {
+    const auto& name = tenantName;  // a structured binding can't be captured by every compiler
+    const bool shared = std::ranges::any_of(
+        tenant.keys, [&](const std::string& key) { return owners.try_emplace(key, name).first->second != name; });
+    if (!shared) continue;
+    reader.within("tenants", [&] {
+      reader.within(name, [&] { reader.within("keys", [&] { reader.fault("keys that no other tenant has"); }); });
+    });
+  }
+}
+
 }  // namespace
 
 std::string_view ruleName(Rule rule) { return rule == Rule::las ? "las" : rule == Rule::gittins ? "gittins" : "fifo"; }
@@ -233,6 +290,7 @@
   const std::size_t before = faults.size();
   reader.object(root, configFields, config);
   checkLines(reader, config);
+  checkKeys(reader, config);
   return faults.size() == before;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -22,6 +22,7 @@
   PoolName pool;     // empty: any pool
   Millis aimMs = 0;  // wanted from hand-in to end beyond stretch times the work; 0: none
   double stretch = 0;
+  bool needsKey = true;  // of a tenant, where there are tenants
   MSGPACK_DEFINE(name, rank, failureLimit, backoffMs, quotaSlots, mostJobs, host, prefix, pool, aimMs, stretch)
 };
 
@@ -36,6 +37,13 @@
   bool guards = false;  // its workers reject what doesn't fit
 };
 
+/// Whose keys callers come with, and what its jobs may have running at a time.
+struct Tenant {
+  TenantName name;
+  std::vector<std::string> keys;
+  std::map<std::string, std::int64_t> atMost;  // of each kind of capacity; absent or 0: no limit
+};
+
 enum class Rule { las, gittins, fifo };
 enum class Layout { pack, spread };
 
@@ -68,6 +76,8 @@
   Version operatorVersion = 0;  // the operator's own number, rising; 0: none given
   std::map<std::string, Queue> queues;
   std::map<std::string, Pool> pools;
+  std::map<std::string, Tenant> tenants;
+  bool tenantsGiven = false;  // callers need a key of one of them
   std::map<std::string, bool> emptied;
   std::map<std::string, bool> drained;
   std::map<std::string, bool> gone;
--- a/src/control/edit.cpp
+++ b/src/control/edit.cpp
@@ -53,7 +53,9 @@
   }
 }
 
-bool replacedByEntry(std::string_view section) { return section == "pendings" || section == "pools"; }
+bool replacedByEntry(std::string_view section) {
+  return section == "pendings" || section == "pools" || section == "tenants";
+}
 
 void applySection(json_t* base, const char* section, json_t* part, bool whole) {
   if (json_is_null(part)) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,6 +1,7 @@
 #include "daemon/node.hpp"
 
 #include "base/log.hpp"
+#include "config/tenants.hpp"
 #include "daemon/config_reader.hpp"
 
 namespace tulip::daemon {
@@ -188,6 +189,21 @@
   return CallKind::getJob;
 }
 
+/// Whose request it is, and whether it may be made.
+struct Access {
+  bool granted = false;
+  TenantName tenant;  // empty: none is needed and none is named
+};
+
+/// A request for a queue needs a key of a tenant, unless the queue is open to all or there are no tenants.
+Access accessOf(const config::Config& config, const Ask& ask, const QueueName& queueName) {
+  const auto* tenant = ask.key.empty() ? nullptr : config::tenantOf(config, ask.key);
+  if (tenant) return {true, tenant->name};
+  const auto queue = config.queues.find(queueName.value);
+  const bool open = !config.tenantsGiven || queue == config.queues.end() || !queue->second.needsKey;
+  return {open, {}};
+}
+
 void onAdapter(Node& node, const Ask& ask, Now now, Outbox& out) {
   auto& client = clientOf(node);
   const bool live = control::sessionLive(client, now);
@@ -198,7 +214,10 @@
     control::answerKind(out, ask.requestId, kind, client.settings.bounds, detail);
   };
   if (restsOnConfig(ask) && !live) return reject(Kind::notReady);
-  if (wanted.rejection != Kind::ok) return reject(wanted.rejection);
+  const auto access = accessOf(*client.config, ask, wanted.pending);
+  if (restsOnConfig(ask) && !access.granted) return reject(Kind::unauthorized);
+  if (wanted.rejection != Kind::ok) return reject(wanted.rejection, wanted.detail);
+  wanted.spec.tenant = access.tenant;
   switch (wanted.call) {
     case Call::ready:
       return client.ready && live ? out.tell(ask.requestId, Kind::ok, {}) : reject(Kind::notReady);
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -33,6 +33,18 @@
   return static_cast<std::uint64_t>(device()) << 32;
 }
 
+/// The key of an Authorization header of the scheme "Bearer"; empty where there is none.
+std::string bearerKey(std::string_view authorization) {
+  constexpr std::string_view kScheme = "Bearer ";
+  if (authorization.size() <= kScheme.size()) return {};
+  if (!beast::iequals(beast::string_view(authorization.data(), kScheme.size()),
+                      beast::string_view(kScheme.data(), kScheme.size())))
+    return {};
+  auto key = authorization.substr(kScheme.size());
+  key.remove_prefix(std::min(key.find_first_not_of(' '), key.size()));
+  return std::string(key);
+}
+
 /// The kind that a forwarded call was answered with.
 Kind kindOfReply(const CallReply& reply) {
   if (reply.status >= 200 && reply.status < 300) return Kind::ok;
@@ -141,6 +153,7 @@
     } else {
       ask.body = std::move(request.body());
       ask.basedOn = header(server.headers_.basedOn);
+      ask.key = bearerKey(header("Authorization"));
     }
     ask.host = std::string(request[beast_http::field::host]);
     const auto asked = std::atoll(
--- a/src/http/protocol_adapter.hpp
+++ b/src/http/protocol_adapter.hpp
@@ -13,7 +13,8 @@
 struct Wanted {
   Call call = Call::none;
   Kind rejection = Kind::ok;
-  QueueName pending;
+  std::string detail;  // of the rejection: which part of the request, and why
+  QueueName pending;   // that the request is for, also where it is rejected
   JobId job;
   jobs::Spec spec;
   control::Edit edit;
--- a/src/jobs/spec.hpp
+++ b/src/jobs/spec.hpp
@@ -47,8 +47,9 @@
   std::string payload;
   std::vector<Step> steps;
   config::Queue line;  // the line as it was at acceptance, for when the configuration no longer has it
+  TenantName tenant;   // whose key it was handed in with; empty: nobody's
   MSGPACK_DEFINE(id, digest, pending, pool, gang, plainNames, labels, notBeforeMs, deadlineMs, times, firstWallMs,
-                 everyMs, payload, steps, line)
+                 everyMs, payload, steps, line, tenant)
 
   std::size_t perInstance() const;
   std::size_t instances() const { return times > 0 ? static_cast<std::size_t>(times) : 1; }
--- a/src/jobs/view.cpp
+++ b/src/jobs/view.cpp
@@ -25,6 +25,7 @@
   json_t* root = json_object();
   json_object_set_new(root, "id", jsonText(job.id.view()));
   json_object_set_new(root, "pending", jsonText(job.pending().view()));
+  if (!job.spec->tenant.empty()) json_object_set_new(root, "tenant", jsonText(job.spec->tenant.view()));
   const bool running = hasRuns(job);
   const bool ended = job.state != JobState::open;
   std::string_view shown = stateName(job.state);
--- a/src/transport/core.hpp
+++ b/src/transport/core.hpp
@@ -38,6 +38,7 @@
   FaceKind face = FaceKind::own;
   std::string host;
   std::string basedOn;
+  std::string key;  // that the caller came with as a bearer; empty: none
 };
 
 struct RunningAttempt {
