Leader: an event costs what it changes; what goes over everything is done at the pace of heartbeats

Cause: each change of a job took all its attempts out of the index and put them in again, each committed change sent all workers of the job their whole lists anew (n lists for each of n ends), and progress, waits and capacity of everything were gone through with every plan; look-ups compared names along trees. Now: the index is brought in line by difference, orders go to workers whose orders changed, capacity is checked where something started, the rest twice a heartbeat; jobs are looked up by hash. Lists of jobs are sorted when they are asked for.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -148,10 +148,12 @@
   job.accountedMs = std::max(job.accountedMs, fleetMs);
 }
 
-AttemptId runIdOf(const Job& job, std::size_t task) {
-  return AttemptId(job.id.value + ":" + taskName(job, task) + ":" + std::to_string(job.tasks[task].attempts));
+AttemptId attemptIdOf(const Job& job, std::size_t task, std::int64_t attempt) {
+  return AttemptId(job.id.value + ":" + taskName(job, task) + ":" + std::to_string(attempt));
 }
 
+AttemptId runIdOf(const Job& job, std::size_t task) { return attemptIdOf(job, task, job.tasks[task].attempts); }
+
 namespace {
 
 void setState(Job& job, std::size_t at, TaskState state) {
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -82,6 +82,7 @@
 std::string taskName(const Job& job, std::size_t task);
 std::optional<std::size_t> taskAt(const Job& job, std::string_view name);
 AttemptId runIdOf(const Job& job, std::size_t task);
+AttemptId attemptIdOf(const Job& job, std::size_t task, std::int64_t attempt);
 json_t* viewJob(const Job& job, bool brief);
 std::string traceLine(const Job& job);
 transport::JobPhase phaseOf(const Job& job);
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -305,19 +305,18 @@
       return out.answer(requestId, 422,
                         config::faultsJson(Kind::unknownField, {{key, "limit, after, state, pending"}}));
   }
+  std::vector<const Job*> wanted;
+  for (const auto& [id, job] : scheduler.committedJobs) {
+    if (id.value <= after || (!line.empty() && job->pending().value != line)) continue;
+    if (state.empty() || stateName(job->state) == state) wanted.push_back(job.get());
+  }
+  const auto shown = std::min(most, wanted.size());
+  std::partial_sort(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(shown), wanted.end(),
+                    [](const Job* one, const Job* other) { return one->id < other->id; });
   Json root(json_object());
   json_t* list = json_array();
-  std::string next;
-  for (auto at = scheduler.committedJobs.upper_bound(JobId(after)); at != scheduler.committedJobs.end(); ++at) {
-    const auto& job = *at->second;
-    if (!line.empty() && job.pending().value != line) continue;
-    if (!state.empty() && stateName(job.state) != state) continue;
-    if (json_array_size(list) == most) {
-      next = std::string(json_string_value(json_object_get(json_array_get(list, most - 1), "id")));
-      break;
-    }
-    json_array_append_new(list, viewJob(job, true));
-  }
+  for (std::size_t i = 0; i < shown; ++i) json_array_append_new(list, viewJob(*wanted[i], true));
+  const std::string next = shown < wanted.size() ? wanted[shown - 1]->id.value : std::string();
   json_object_set_new(root.get(), "jobs", list);
   if (!next.empty()) json_object_set_new(root.get(), "after", jsonText(next));
   out.answer(requestId, 200, dumpJson(root.get()));
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -110,39 +110,59 @@
 
 }  // namespace
 
-void keepHouse(SchedulerState& scheduler, Now now) {
+void settleJobs(SchedulerState& scheduler, Now now) {
   const auto fleetMs = fleet(scheduler, now);
-  scheduler.houseMs = now.steadyMs;
-  judgeProgress(scheduler, now);
   const auto& rules = rulesOf(scheduler);
-  const auto openNow = std::vector<JobId>(scheduler.open.begin(), scheduler.open.end());
-  for (const auto& id : openNow) {
+  for (const auto& id : scheduler.open) {
     auto& job = scheduler.jobs.at(id);
     accrueTo(job, fleetMs);
     const auto promotions = job.counters.promotions;
     if (admission::settle(job.counters, rules, hasRuns(job))) scheduler.dirty.insert(id);
     scheduler.counts.promotions += static_cast<std::uint64_t>(job.counters.promotions - promotions);
-    if (job.spec->deadlineMs > 0 && job.ending == JobState::open && fleetMs >= job.acceptedMs + job.spec->deadlineMs)
-      change(scheduler, id, [&](Job& each) {
-        endJob(each, JobState::expired, "its cutoff passed", fleetMs);
-        closeIfOver(each, fleetMs);
-      });
-    if (job.ending == JobState::open && job.holding > 0) {
-      std::vector<std::size_t> late;
-      for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        const auto& task = job.tasks[i];
-        if (task.state != TaskState::placed || task.confirmed || task.stopping ||
-            !(job.spec->gang || job.stepOf(i).together))
-          continue;
-        if (fleetMs - std::max(task.orderedMs, task.movedMs) >= rules.gangStartMs) late.push_back(i);
-      }
-      if (!late.empty()) {
-        ++scheduler.counts.gangRetries;
-        change(scheduler, id, [&](Job& each) {
-          for (const auto i : late) stopRun(each, i, fleetMs);
-        });
-      }
-    }
+  }
+}
+
+namespace {
+
+void expireIfDue(SchedulerState& scheduler, const Job& job, Millis fleetMs) {
+  if (job.spec->deadlineMs <= 0 || job.ending != JobState::open) return;
+  if (fleetMs < job.acceptedMs + job.spec->deadlineMs) return;
+  change(scheduler, job.id, [&](Job& each) {
+    endJob(each, JobState::expired, "its cutoff passed", fleetMs);
+    closeIfOver(each, fleetMs);
+  });
+}
+
+bool belongsToGang(const Job& job, std::size_t task) { return job.spec->gang || job.stepOf(task).together; }
+
+/// Stops the gang's members that did not start in time, and with them the gang.
+void stopLateGang(SchedulerState& scheduler, const Job& job, Millis fleetMs) {
+  if (job.ending != JobState::open || job.holding == 0) return;
+  std::vector<std::size_t> late;
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    const auto& task = job.tasks[i];
+    if (task.state != TaskState::placed || task.confirmed || task.stopping || !belongsToGang(job, i)) continue;
+    if (fleetMs - std::max(task.orderedMs, task.movedMs) >= rulesOf(scheduler).gangStartMs) late.push_back(i);
+  }
+  if (late.empty()) return;
+  ++scheduler.counts.gangRetries;
+  change(scheduler, job.id, [&](Job& each) {
+    for (const auto i : late) stopRun(each, i, fleetMs);
+  });
+}
+
+}  // namespace
+
+void keepHouse(SchedulerState& scheduler, Now now) {
+  const auto fleetMs = fleet(scheduler, now);
+  scheduler.houseMs = now.steadyMs;
+  judgeProgress(scheduler, now);
+  settleJobs(scheduler, now);
+  const auto openNow = std::vector<JobId>(scheduler.open.begin(), scheduler.open.end());
+  for (const auto& id : openNow) {
+    const auto& job = scheduler.jobs.at(id);
+    expireIfDue(scheduler, job, fleetMs);
+    stopLateGang(scheduler, job, fleetMs);
   }
   endSilentRuns(scheduler, now);
   dropEndedJobs(scheduler, fleetMs);
@@ -186,31 +206,30 @@
         startRun(job, start->task, scene.workers[start->worker], scene.incarnations[start->worker], fleetMs, weight);
       }
     });
-  if (!plan.starts.empty())
-    if (auto fault = checkCapacity(scheduler); !fault.empty() && scheduler.broken.empty()) scheduler.broken = fault;
+  std::set<WorkerId> startedAt;
+  for (const auto& start : plan.starts) startedAt.insert(scene.workers[start.worker]);
+  for (const auto& worker : startedAt)
+    if (auto fault = checkCapacity(scheduler, worker); !fault.empty() && scheduler.broken.empty())
+      scheduler.broken = fault;
 }
 
-std::string checkCapacity(const SchedulerState& scheduler) {
-  auto kinds = scheduler.kinds;
-  for (const auto& [worker, runs] : scheduler.held) {
-    auto row = scheduler.workers.find(worker);
-    if (row == scheduler.workers.end() || runs.empty()) continue;
-    auto pool = scheduler.client.config->pools.find(row->second.last.pool.value);
-    if (pool == scheduler.client.config->pools.end()) continue;
-    const bool fresh = std::any_of(runs.begin(), runs.end(), [&](const auto& each) {
-      return !scheduler.jobs.at(each.second.first).tasks[each.second.second].confirmed;
-    });
-    if (!fresh) continue;
-    placement::Load sum{};
-    for (const auto& [run, where] : runs)
-      placement::add(sum, kinds.load(scheduler.jobs.at(where.first).stepOf(where.second).need));
-    placement::Capacity capacity{std::max(pool->second.slots, row->second.last.slots), {}};
-    for (const auto& [name, amount] : row->second.last.capacity) capacity.more[name] = amount;
-    for (const auto& [name, amount] : pool->second.capacity)
-      capacity.more[name] = std::max(capacity.more[name], amount);
-    if (!placement::fits(sum, kinds.load(capacity))) return worker.value + " holds more than its room";
+std::string checkCapacity(SchedulerState& scheduler, const WorkerId& worker) {
+  const auto held = scheduler.held.find(worker);
+  const auto row = scheduler.workers.find(worker);
+  if (held == scheduler.held.end() || row == scheduler.workers.end()) return {};
+  const auto pool = scheduler.client.config->pools.find(row->second.last.pool.value);
+  if (pool == scheduler.client.config->pools.end()) return {};
+  placement::Load sum{};
+  for (const auto& [attempt, where] : held->second) {
+    const auto& job = scheduler.jobs.at(where.first);
+    placement::add(sum, job.loads.empty() ? scheduler.kinds.load(job.stepOf(where.second).need)
+                                          : job.loads[job.tasks[where.second].step]);
   }
-  return {};
+  placement::Capacity capacity{std::max(pool->second.slots, row->second.last.slots), {}};
+  for (const auto& [name, amount] : row->second.last.capacity) capacity.more[name] = amount;
+  for (const auto& [name, amount] : pool->second.capacity) capacity.more[name] = std::max(capacity.more[name], amount);
+  return placement::fits(sum, scheduler.kinds.load(capacity)) ? std::string()
+                                                              : worker.value + " holds more than its room";
 }
 
 }  // namespace tulip::scheduler
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -16,7 +16,6 @@
 inline std::string specKey(const JobId& id) { return "~" + id.value; }
 
 const config::Queue& queueOf(const SchedulerState& scheduler, const Job& job);
-void indexRuns(HeldAttempts& held, const Job& job, bool in);
 void noteEnded(SchedulerState& scheduler, const Job& job);
 placement::Load totalOf(SchedulerState& scheduler, const WorkerRow& row);
 
@@ -26,9 +25,9 @@
   if (found == scheduler.jobs.end()) return;
   auto& job = found->second;
   const bool wasOpen = job.state == JobState::open;
-  indexRuns(scheduler.held, job, false);
+  const auto before = holdingsOf(job);
   apply(job);
-  indexRuns(scheduler.held, job, true);
+  updateHoldings(scheduler.held, job, before, holdingsOf(job), [](const WorkerId&) {});
   if (wasOpen && job.state != JobState::open) noteEnded(scheduler, job);
   if (auto fault = checkJob(job); !fault.empty() && scheduler.broken.empty())
     scheduler.broken = job.id.value + ": " + fault;
@@ -58,6 +57,8 @@
 void endSilentRuns(SchedulerState& scheduler, transport::Now now);
 
 void keepHouse(SchedulerState& scheduler, transport::Now now);
+/// Brings the service that each open job has had, and the lane that follows from it, up to now.
+void settleJobs(SchedulerState& scheduler, transport::Now now);
 void tellLongWaits(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 void runEpoch(SchedulerState& scheduler, transport::Now now);
 
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -60,7 +60,9 @@
   const Millis epochMs = rulesOf(scheduler).epochMs;
   if (now.steadyMs - scheduler.epochMs < epochMs) return out.wakeBy(scheduler.epochMs + epochMs);
   scheduler.epochMs = now.steadyMs;
-  if (now.steadyMs - scheduler.houseMs >= bounds(scheduler).heartbeatMs() / 2 || scheduler.planDue) {
+  // What takes time by all jobs and attempts is done at the pace of heartbeats, however often plans are due.
+  const bool houseDue = now.steadyMs - scheduler.houseMs >= bounds(scheduler).heartbeatMs() / 2;
+  if (houseDue) {
     keepHouse(scheduler, now);
     tellLongWaits(scheduler, now, out);
   }
@@ -68,6 +70,7 @@
   if (due && now.steadyMs - scheduler.leadSinceMs >= bounds(scheduler).heartbeatMs() * 3 / 2) {
     scheduler.planDue = false;
     scheduler.plannedMs = now.steadyMs;
+    if (!houseDue) settleJobs(scheduler, now);
     runEpoch(scheduler, now);
   }
   if (!scheduler.broken.empty()) {
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -11,18 +11,6 @@
   return found == scheduler.client.config->queues.end() ? job.spec->line : found->second;
 }
 
-void indexRuns(HeldAttempts& held, const Job& job, bool in) {
-  if (job.holding == 0) return;
-  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-    const auto& task = job.tasks[i];
-    if (!task.holds()) continue;
-    if (in)
-      held[task.worker].insert_or_assign(runIdOf(job, i), std::pair(job.id, i));
-    else
-      held[task.worker].erase(runIdOf(job, i));
-  }
-}
-
 void noteEnded(SchedulerState& scheduler, const Job& job) {
   scheduler.open.erase(job.id);
   --scheduler.openPer[job.pending()];
--- a/src/scheduler/replication.cpp
+++ b/src/scheduler/replication.cpp
@@ -9,21 +9,14 @@
 
 namespace {
 
+/// Only workers whose orders are other ones now are sent them: the others are told theirs in answer to their reports.
 void release(SchedulerState& scheduler, Batch& batch, Now now, Outbox& out) {
   for (const auto& job : batch.jobs) {
     auto& slot = scheduler.committedJobs[job->id];
-    auto mark = [&](const Job& each) {
-      if (each.holding > 0)
-        for (const auto& task : each.tasks)
-          if (task.holds()) scheduler.ordersDue.insert(task.worker);
-    };
-    if (slot) {
-      mark(*slot);
-      indexRuns(scheduler.committedHeld, *slot, false);
-    }
+    const auto before = slot ? holdingsOf(*slot) : std::vector<Holding>{};
     slot = job;
-    mark(*slot);
-    indexRuns(scheduler.committedHeld, *slot, true);
+    updateHoldings(scheduler.committedHeld, *job, before, holdingsOf(*job),
+                   [&](const WorkerId& worker) { scheduler.ordersDue.insert(worker); });
   }
   for (const auto& id : batch.dropped) scheduler.committedJobs.erase(id);
   for (const auto& each : batch.answers)
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -3,6 +3,7 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <absl/container/node_hash_map.h>
 
 #include <deque>
 #include <memory>
@@ -11,6 +12,7 @@
 #include "control/client.hpp"
 #include "http/call_policy.hpp"
 #include "jobs/job.hpp"
+#include "scheduler/held_attempts.hpp"
 #include "scheduler/promised_state.hpp"
 #include "scheduler/run_waits.hpp"
 
@@ -107,8 +109,6 @@
                 forwarded = 0, outbid = 0, overdueRuns = 0;
 };
 
-using HeldAttempts = std::map<WorkerId, std::map<AttemptId, std::pair<JobId, std::size_t>>>;
-
 struct SchedulerState {
   control::ControlClient client;
   Course course = Course::following;
@@ -126,8 +126,8 @@
   Version campaignMembership = 0;   // that the answers below are of
   std::set<DaemonId> refusals;      // voters that refused the present term
 
-  absl::btree_map<JobId, Job> jobs;
-  absl::btree_map<JobId, std::shared_ptr<const Job>> committedJobs;
+  absl::node_hash_map<JobId, Job> jobs;
+  absl::flat_hash_map<JobId, std::shared_ptr<const Job>> committedJobs;
   absl::btree_set<JobId> open;
   absl::btree_set<JobId> dirty;
   absl::btree_set<JobId> fresh;  // whose spec is still to be written
@@ -190,6 +190,7 @@
                   transport::Outbox& out);
 void listWorkers(const SchedulerState& scheduler, std::uint64_t requestId, transport::Now now, transport::Outbox& out);
 std::string countersJson(const SchedulerState& scheduler);
-std::string checkCapacity(const SchedulerState& scheduler);
+// Whether what is held at the worker fits there; says otherwise.
+std::string checkCapacity(SchedulerState& scheduler, const WorkerId& worker);
 
 }  // namespace tulip::scheduler
--- a/src/scheduler/takeover.cpp
+++ b/src/scheduler/takeover.cpp
@@ -71,7 +71,7 @@
   if (job.state == JobState::open) {
     scheduler.open.insert(job.id);
     ++scheduler.openPer[job.pending()];
-    indexRuns(scheduler.held, job, true);
+    addHoldings(scheduler.held, job);
   } else {
     scheduler.ended.emplace_back(job.finishedMs, job.id);
     if (job.state == JobState::finished) scheduler.sizes.push_back(job.counters.totalServedMs);
--- a/tests/run_path_test.cpp
+++ b/tests/run_path_test.cpp
@@ -78,7 +78,7 @@
     scheduler.leadSinceMs = nowMs;
     scheduler.jobs = jobs;
     for (const auto& [id, job] : scheduler.jobs) scheduler.open.insert(id);
-    for (const auto& [id, job] : scheduler.jobs) scheduler::indexRuns(scheduler.held, job, true);
+    for (const auto& [id, job] : scheduler.jobs) scheduler::addHoldings(scheduler.held, job);
     commit();
     if (agent) agent->client.leader = {scheduler.term, kLeader, kLeader};
   }
@@ -114,7 +114,7 @@
     auto job = jobs::makeJob(longTask());
     jobs::startRun(job, 0, WorkerId("w"), worker->incarnation, nowMs);
     scheduler.open.insert(job.id);
-    scheduler::indexRuns(scheduler.held, job, true);
+    scheduler::addHoldings(scheduler.held, job);
     scheduler.jobs.emplace(job.id, std::move(job));
     commit();
   }
--- a/tests/run_waits_test.cpp
+++ b/tests/run_waits_test.cpp
@@ -50,8 +50,8 @@
     job.spec = oneTask();
     jobs::startRun(job, 0, kWorker, "w1", nowMs);
     scheduler.open.insert(job.id);
-    scheduler::indexRuns(scheduler.held, job, true);
-    scheduler::indexRuns(scheduler.committedHeld, job, true);
+    scheduler::addHoldings(scheduler.held, job);
+    scheduler::addHoldings(scheduler.committedHeld, job);
     scheduler.committedJobs[job.id] = std::make_shared<const jobs::Job>(job);
     scheduler.jobs.emplace(job.id, std::move(job));
   }
