Processes: leases, sessions, acknowledgements and the disk go before reports, orders and calls

Cause: one queue for all events, stepped up to 256 at a time before anything was sent: acknowledgements of a loaded leader's lease waited behind reports and calls until it lapsed, and the takeover was more load. The class of the incident: what a lease or an acknowledgement rests on waited behind work that can wait. Now: two lanes, and sixteen events of work at most between two looks at the other.

--- a/src/base/ring.hpp
+++ b/src/base/ring.hpp
@@ -13,36 +13,16 @@
 struct Ring {
   explicit Ring(std::size_t bound) : bound_(bound) {}
 
-  bool offer(Item item) { return offerWithin(std::move(item), bound_); }
-
-  bool offerWithin(Item item, std::size_t most) {
+  bool offer(Item item) {
     {
       std::lock_guard lock(guard_);
-      if (closed_ || items_.size() >= std::min(most, bound_)) return false;
-      items_.push_back(std::move(item));
-    }
-    filled_.notify_one();
-    return true;
-  }
-
-  bool push(Item item) {
-    {
-      std::unique_lock lock(guard_);
-      drained_.wait(lock, [&] { return closed_ || items_.size() < bound_; });
-      if (closed_) return false;
+      if (closed_ || items_.size() >= bound_) return false;
       items_.push_back(std::move(item));
     }
     filled_.notify_one();
     return true;
   }
 
-  template <class Clock, class Span>
-  std::vector<Item> takeUntil(const std::chrono::time_point<Clock, Span>& until, std::size_t most = 256) {
-    std::unique_lock lock(guard_);
-    filled_.wait_until(lock, until, [&] { return closed_ || !items_.empty(); });
-    return drain(most);
-  }
-
   std::vector<Item> take(std::size_t most) {
     std::unique_lock lock(guard_);
     filled_.wait(lock, [&] { return closed_ || !items_.empty(); });
@@ -55,7 +35,6 @@
       closed_ = true;
     }
     filled_.notify_all();
-    drained_.notify_all();
     closing_.notify_all();
   }
 
@@ -77,13 +56,12 @@
       taken.push_back(std::move(items_.front()));
       items_.pop_front();
     }
-    drained_.notify_all();
     return taken;
   }
 
   std::size_t bound_;
   mutable std::mutex guard_;
-  std::condition_variable filled_, drained_, closing_;
+  std::condition_variable filled_, closing_;
   std::deque<Item> items_;
   bool closed_ = false;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,7 @@
 
 #include "base/log.hpp"
 #include "base/ring.hpp"
+#include "daemon/event_queue.hpp"
 #include "daemon/metrics.hpp"
 #include "daemon/node.hpp"
 #include "daemon/protocol_adapters.hpp"
@@ -26,7 +27,8 @@
 
 constexpr Millis kTicksPerTerm = 40;
 constexpr int kMostRounds = 64;
-constexpr int kAnswersPerStop = 10;  // this part of a polite stop is kept for the last answers
+constexpr std::size_t kOrdinaryAtOnce = 16;  // events after which what is urgent is looked at again, and sent
+constexpr int kAnswersPerStop = 10;          // this part of a polite stop is kept for the last answers
 
 Now clockNow() {
   using std::chrono::duration_cast, std::chrono::milliseconds;
@@ -48,11 +50,7 @@
   bool done = false;
 };
 
-struct Aimed {
-  std::size_t node = 0;
-  Event event;
-  Millis queuedMs = clockNow().steadyMs;
-};
+QueuedEvent queued(std::size_t node, Event event) { return {node, std::move(event), clockNow().steadyMs}; }
 
 struct AimedPersist {
   std::size_t node = 0;
@@ -81,7 +79,7 @@
   ReadEnvs readEnvs;
   std::string settingsFile;
   asio::io_context context{1};
-  Ring<Aimed> events;
+  EventQueue events;
   Ring<AimedPersist> writes;
   StepTimes stepTimes;  // of the core thread
   std::unique_ptr<Wire> wire;
@@ -117,7 +115,7 @@
                          std::make_move_iterator(persist.entries.end()));
       if (!entries.empty() && !makeDurable(host, host.berthed[node].disk, entries)) return;
     }
-    for (const auto& [node, persist] : batch) host.events.push({node, Persisted{persist.ticket, true}});
+    for (const auto& [node, persist] : batch) host.events.push(queued(node, Persisted{persist.ticket, true}));
     for (auto& one : host.berthed)
       if (one.disk.files)
         if (auto failed = storage::compactIfDue(one.disk))
@@ -146,13 +144,13 @@
   void run() {
     nextTickMs_ = clockNow().steadyMs;
     while (!host_.over) {
-      auto events = host_.events.takeUntil(steadyAt(nextMs()));
+      auto events = host_.events.takeUntil(steadyAt(nextMs()), kOrdinaryAtOnce);
       Wants wants;
-      for (const auto& aimed : events) take(aimed, wants);
+      for (const auto& event : events) take(event, wants);
       tick(wants);
       for (int round = 0; round < kMostRounds && !inside_.empty(); ++round) {
         const auto heard = std::exchange(inside_, {});
-        for (const auto& aimed : heard) step(aimed, wants);
+        for (const auto& event : heard) step(event, wants);
       }
       give(std::move(wants));
       tellSlowSteps();
@@ -183,10 +181,10 @@
     if (all) nextTickMs_ = now.steadyMs + std::max<Millis>(1, host_.settings().bounds.leaseMs / kTicksPerTerm);
   }
 
-  void take(const Aimed& aimed, Wants& wants) {
-    const auto* ask = std::get_if<Ask>(&aimed.event);
-    if (ask && ask->face == FaceKind::metrics) return answerMetrics(aimed.node, *ask, wants);
-    step(aimed, wants);
+  void take(const QueuedEvent& event, Wants& wants) {
+    const auto* ask = std::get_if<Ask>(&event.event);
+    if (ask && ask->face == FaceKind::metrics) return answerMetrics(event.node, *ask, wants);
+    step(event, wants);
   }
 
   /// Once a lease, a line in the ring on steps that were slow: written out with the next alarm.
@@ -213,18 +211,18 @@
     wants.answers.push_back({ask.requestId, 200, 0, metricsOf(nodes, host_.server->counts(), clockNow())});
   }
 
-  void step(const Aimed& aimed, Wants& wants) {
-    const auto node = aimed.node;
+  void step(const QueuedEvent& event, Wants& wants) {
+    const auto node = event.node;
     auto& one = host_.berthed[node];
     Outbox out;
     const auto now = clockNow();
     const auto beganUs = threadProcessorTime();
-    nodeStep(one.node, aimed.event, now, out);
-    host_.stepTimes.note(kindOf(aimed.event), threadProcessorTime() - beganUs, now.steadyMs - aimed.queuedMs);
+    nodeStep(one.node, event.event, now, out);
+    host_.stepTimes.note(kindOf(event.event), threadProcessorTime() - beganUs, now.steadyMs - event.queuedMs);
     if (out.wakeMs >= 0) one.wakeMs = one.wakeMs < 0 ? out.wakeMs : std::min(one.wakeMs, out.wakeMs);
     for (auto& persist : out.persists) {
       const auto ticket = persist.ticket;
-      if (!host_.writes.offer({node, std::move(persist)})) inside_.push_back({node, Persisted{ticket, false}});
+      if (!host_.writes.offer({node, std::move(persist)})) inside_.push_back(queued(node, Persisted{ticket, false}));
     }
     if (!out.alarms.empty()) noteSlowSteps();
     for (const auto& text : out.alarms) alarm(text);
@@ -233,8 +231,8 @@
       if (near == host_.local.end())
         wants.sends.push_back({node, std::move(send)});
       else
-        inside_.push_back({near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to,
-                                               one.incarnation, send.toIncarnation}});
+        inside_.push_back(queued(near->second, Heard{one.id, one.settings.peerAddress, std::move(send.message), send.to,
+                                                     one.incarnation, send.toIncarnation}));
     }
     std::move(out.answers.begin(), out.answers.end(), std::back_inserter(wants.answers));
     std::move(out.forwards.begin(), out.forwards.end(), std::back_inserter(wants.forwards));
@@ -316,7 +314,7 @@
   }
 
   Host& host_;
-  std::vector<Aimed> inside_;
+  std::vector<QueuedEvent> inside_;
   Millis nextTickMs_ = 0;
   Millis slowStepsToldMs_ = 0;
   Millis lookAtMs_ = -1;
@@ -349,7 +347,7 @@
       if (asked_) return end();
       asked_ = true;
       host_.server->leave();
-      for (std::size_t node = 0; node < host_.berthed.size(); ++node) host_.events.offer({node, PoliteStop{}});
+      for (std::size_t node = 0; node < host_.berthed.size(); ++node) host_.events.offer(queued(node, PoliteStop{}));
       const std::chrono::milliseconds stop(host_.settings().bounds.stopMs);
       hard_.expires_after(stop - stop / kAnswersPerStop);
       hard_.async_wait([this, stop](boost::system::error_code cancelled) {
@@ -472,8 +470,8 @@
         const auto found = host.local.find(frame.to);
         if (found == host.local.end()) return;
         host.events.offer(
-            {found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message),
-                                  std::move(frame.to), frame.fromIncarnation, frame.toIncarnation}});
+            queued(found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message),
+                                        std::move(frame.to), frame.fromIncarnation, frame.toIncarnation}));
       },
       [](const std::string& text) { alarm(text); });
   for (auto& one : host.berthed) one.node.wire = &host.wire->counts();
@@ -486,7 +484,7 @@
   host.server = std::make_unique<http::HttpServer>(
       host.context, host.settings().bounds, maxBodyBytes,
       [&host](std::size_t node, Ask&& ask) {
-        return host.events.offerWithin({node, std::move(ask)}, host.settings().ringItems / 4);
+        return host.events.offerWithin(queued(node, std::move(ask)), host.settings().ringItems / 4);
       },
       adapter);
 }
--- a/src/daemon/event_kind.cpp
+++ b/src/daemon/event_kind.cpp
@@ -32,13 +32,18 @@
   if (std::holds_alternative<Ask>(event)) return EventKind::request;
   if (std::holds_alternative<Persisted>(event)) return EventKind::disk;
   if (std::holds_alternative<Tick>(event)) return EventKind::tick;
-  return EventKind::session;
+  return EventKind::stop;
 }
 
 std::string_view nameOf(EventKind kind) {
   constexpr std::array<std::string_view, kEventKinds> names{
-      "tick", "request", "disk", "replication", "session", "configuration", "report", "orders", "call"};
+      "tick", "request", "disk", "replication", "session", "configuration", "report", "orders", "call", "stop"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
+bool isUrgent(EventKind kind) {
+  return kind == EventKind::disk || kind == EventKind::replication || kind == EventKind::session ||
+         kind == EventKind::configuration;
+}
+
 }  // namespace tulip::daemon
--- a/src/daemon/event_kind.hpp
+++ b/src/daemon/event_kind.hpp
@@ -17,11 +17,15 @@
   report,         ///< of an agent
   orders,         ///< for an agent
   call,           ///< passed on to the leader, or its answer
+  stop,           ///< the process is to end
 };
 
-inline constexpr std::size_t kEventKinds = static_cast<std::size_t>(EventKind::call) + 1;
+inline constexpr std::size_t kEventKinds = static_cast<std::size_t>(EventKind::stop) + 1;
 
 EventKind kindOf(const transport::Event& event);
 std::string_view nameOf(EventKind kind);
 
+/// Whether leases, sessions or acknowledgements of the configuration wait for it: it goes before work.
+bool isUrgent(EventKind kind);
+
 }  // namespace tulip::daemon
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -1,7 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
-#include "base/ring.hpp"
 #include "control/replica.hpp"
+#include "daemon/event_queue.hpp"
 #include "scheduler/scheduler.hpp"
 #include "transport/wire.hpp"
 
@@ -68,15 +68,63 @@
 
 TEST_GROUP(overload){};
 
-TEST(overload, callers_never_fill_a_ring_that_daemons_need) {
-  Ring<int> ring(8);
+namespace {
+
+const auto kAtOnce = std::chrono::steady_clock::time_point::min();
+
+daemon::QueuedEvent heardEvent(transport::Message message) {
+  return {0, transport::Heard{DaemonId("d"), Address("10.0.0.1:1"), std::move(message)}, 0};
+}
+
+daemon::QueuedEvent askedEvent() { return {0, transport::Ask{}, 0}; }
+
+}  // namespace
+
+TEST(overload, callers_never_fill_a_queue_that_daemons_need) {
+  daemon::EventQueue queue(8);
   int taken = 0;
-  while (ring.offerWithin(1, 2)) ++taken;
+  while (queue.offerWithin(askedEvent(), 2)) ++taken;
   LONGS_EQUAL(2, taken);
-  while (ring.offer(2)) ++taken;
+  while (queue.offer(heardEvent(transport::AgentReport{}))) ++taken;
   LONGS_EQUAL(8, taken);
-  LONGS_EQUAL(8, ring.take(100).size());
-  CHECK(ring.offerWithin(1, 2));
+  while (queue.offer(heardEvent(transport::JobLogAccepted{}))) ++taken;
+  LONGS_EQUAL(16, taken);
+  LONGS_EQUAL(16, queue.takeUntil(kAtOnce, 100).size());
+  CHECK(queue.offerWithin(askedEvent(), 2));
+}
+
+// A leader's lease lapsed while acknowledgements of its heartbeats waited behind hundreds of reports and calls.
+TEST(overload, leases_and_acknowledgements_do_not_wait_behind_work) {
+  constexpr std::size_t kReports = 1000;
+  constexpr std::size_t kAtOnceReports = 16;
+  daemon::EventQueue queue(4 * kReports);
+  for (std::size_t i = 0; i < kReports; ++i) CHECK(queue.offer(heardEvent(transport::AgentReport{})));
+  for (const transport::Message& message :
+       {transport::Message(transport::JobLogAccepted{}), transport::Message(transport::SessionGrant{}),
+        transport::Message(transport::AckQuery{})})
+    CHECK(queue.offer(heardEvent(message)));
+  CHECK(queue.push({0, transport::Persisted{}, 0}));
+  CHECK(queue.offer({0, transport::PoliteStop{}, 0}));
+  const auto first = queue.takeUntil(kAtOnce, kAtOnceReports);
+  LONGS_EQUAL(4 + kAtOnceReports, first.size());
+  CHECK(daemon::kindOf(first[0].event) == daemon::EventKind::replication);
+  CHECK(daemon::kindOf(first[1].event) == daemon::EventKind::session);
+  CHECK(daemon::kindOf(first[2].event) == daemon::EventKind::configuration);
+  CHECK(daemon::kindOf(first[3].event) == daemon::EventKind::disk);
+  CHECK(daemon::kindOf(first[4].event) == daemon::EventKind::report);
+  const auto rest = queue.takeUntil(kAtOnce, 2 * kReports);
+  LONGS_EQUAL(kReports - kAtOnceReports + 1, rest.size());
+  CHECK(daemon::kindOf(rest.back().event) == daemon::EventKind::stop);
+}
+
+TEST(overload, a_closed_queue_takes_nothing_and_holds_nobody) {
+  daemon::EventQueue queue(1);
+  CHECK(queue.push(askedEvent()));
+  queue.close();
+  CHECK_FALSE(queue.offer(askedEvent()));
+  CHECK_FALSE(queue.push(askedEvent()));
+  LONGS_EQUAL(1, queue.takeUntil(kAtOnce, 1).size());
+  LONGS_EQUAL(0, queue.takeUntil(kAtOnce, 1).size());
 }
 
 TEST(overload, a_flood_on_one_queue_line_leaves_the_others_their_share) {
