Agents: one report at a time is on its way

Cause: each heartbeat of a worker with news made a report, up to twenty a second from each of 240 agents, however far the leader was behind. Now: the next report goes out once orders have answered the last, or after half a lease; a new leader is told at once. Tests: agent, has one report at a time on its way and another after half a lease; a new leader is told at once; mutant reports-without-answers.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -128,6 +128,7 @@
   ++agent.counts.orders;
   agent.term = orders.term;
   agent.ordersSeq = orders.seq;
+  agent.answeredReport = std::max(agent.answeredReport, orders.acknowledgedSeq);
   agent.orderedVersion = orders.configVersion;
   agent.acknowledgedMs = std::max(agent.acknowledgedMs, orders.acknowledgedMs);
   control::raiseFleet(agent.client, orders.fleetMs, now);
@@ -176,8 +177,16 @@
   if (agent.poll && anythingNew(agent, now)) answerPoll(agent, now, out);
 }
 
+/// One report at a time is on its way: a leader that falls behind is told less often, and never of what a later report
+/// tells again. One that was not answered for half a lease may be lost.
+bool mayReport(const AgentState& agent, Now now) {
+  return agent.answeredReport >= agent.reportSeq || agent.reportedTo != agent.client.leader.peerAddress ||
+         now.steadyMs - agent.reportedMs >= bounds(agent).leaseMs / 2;
+}
+
 void sendReport(AgentState& agent, Now now, Outbox& out) {
   agent.reportedMs = now.steadyMs;
+  agent.reportedTo = agent.client.leader.peerAddress;
   agent.reportDue = false;
   if (agent.client.leader.peerAddress.empty() || !control::sessionLive(agent.client, now)) return;
   AgentReport report;
@@ -397,6 +406,7 @@
     return;
   }
   if (const auto* orders = std::get_if<Orders>(&heard.message)) onOrders(agent, *orders, now, out);
+  if (agent.reportDue && mayReport(agent, now)) sendReport(agent, now, out);
 }
 
 void workerReport(AgentState& agent, std::uint64_t requestId, std::string_view body, Now now, Outbox& out) {
@@ -469,7 +479,7 @@
     answerPoll(agent, now, out);
   else
     out.wakeBy(now.steadyMs + agent.poll->holdMs);
-  if (agent.reportDue) sendReport(agent, now, out);
+  if (agent.reportDue && mayReport(agent, now)) sendReport(agent, now, out);
 }
 
 void workerLeaves(AgentState& agent, std::uint64_t requestId, std::string_view incarnation, Now now, Outbox& out) {
@@ -496,7 +506,8 @@
     else
       out.wakeBy(agent.poll->sinceMs + holdMs);
   }
-  if (agent.reportDue || now.steadyMs - agent.reportedMs >= bounds(agent).reportMs()) sendReport(agent, now, out);
+  const bool usualDue = now.steadyMs - agent.reportedMs >= bounds(agent).reportMs();
+  if (usualDue || (agent.reportDue && mayReport(agent, now))) sendReport(agent, now, out);
   agent.client.ready =
       control::sessionLive(agent.client, now) && !agent.client.leader.http.empty() && !agent.client.leaving;
 }
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -60,6 +60,8 @@
   Version orderedVersion = 0;
   Millis acknowledgedMs = -1000000;
   std::uint64_t reportSeq = 0;
+  std::uint64_t answeredReport = 0;  // the newest that orders have answered
+  Address reportedTo;                // the leader that was sent the last one
   std::uint64_t lastSeen = 0;
   Millis reportedMs = -1000000;
   bool reportDue = false;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "agent/agent.hpp"
 
 using namespace tulip;
@@ -366,3 +368,32 @@
   CHECK(told.labels == message.labels);
   CHECK(told.capacity == message.capacity);
 }
+
+// Every heartbeat of a worker that brought news made a report, however far the leader was behind with the ones before.
+TEST(agent, has_one_report_at_a_time_on_its_way_and_another_after_half_a_lease) {
+  const auto reportsIn = [](const Outbox& out) {
+    return std::ranges::count_if(out.sends,
+                                 [](const Send& send) { return std::holds_alternative<AgentReport>(send.message); });
+  };
+  const auto& bounds = agent.client.settings.bounds;
+  ordered({go("j:a:1"), go("j:b:1"), go("j:c:1")}, nowMs);
+  LONGS_EQUAL(1, reportsIn(reports()));
+  LONGS_EQUAL(0, reportsIn(reports(R"(["j:a:1"])")));
+  LONGS_EQUAL(0, reportsIn(reports(R"(["j:a:1","j:b:1"])")));
+  LONGS_EQUAL(1, reportsIn(ordered({go("j:a:1"), go("j:b:1"), go("j:c:1")}, nowMs)));
+  LONGS_EQUAL(0, reportsIn(reports(R"(["j:a:1","j:b:1","j:c:1"])")));
+  nowMs += bounds.leaseMs / 2;
+  LONGS_EQUAL(1, reportsIn(reports(R"(["j:a:1","j:b:1","j:c:1"])")));
+}
+
+TEST(agent, a_new_leader_is_told_at_once) {
+  Outbox out;
+  ordered({go("j:a:1")}, nowMs);
+  reports();
+  reports(R"(["j:a:1"])");
+  CHECK(agent.reportDue);
+  agent.client.leader = {{4, "q"}, Address("10.0.0.7:1"), Address("10.0.0.7:2")};
+  agent::agentTick(agent, {nowMs}, out);
+  LONGS_EQUAL(1, out.sends.size());
+  STRCMP_EQUAL("10.0.0.7:1", out.sends.front().to.value.c_str());
+}
