--- a/src/control/sessions.cpp
+++ b/src/control/sessions.cpp
@@ -25,6 +25,7 @@
     for (const auto& member : other.sessions)
       put(member, member.ageMs + now.steadyMs - other.heardMs, other.last.voter.id);
   std::vector<Member> list;
+  list.reserve(all.size());
   for (auto& [id, member] : all) list.push_back(std::move(member));
   return list;
 }
