Agents: a new leader is told twice a heartbeat until it answers

Cause: a leader drops reports until its first batch is at a majority. Test: agent, a new leader is told at once and again until it answers.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -177,11 +177,26 @@
   if (agent.poll && anythingNew(agent, now)) answerPoll(agent, now, out);
 }
 
+/// Whether the leader has answered in its term. Until then it may not lead yet, and drop what it is told.
+bool answeredByLeader(const AgentState& agent) { return agent.term >= agent.client.leader.term; }
+
+/// After which a report that was not answered may be lost.
+Millis reportAgainMs(const AgentState& agent) {
+  return answeredByLeader(agent) ? bounds(agent).leaseMs / 2 : bounds(agent).heartbeatMs() / 2;
+}
+
 /// One report at a time is on its way: a leader that falls behind is told less often, and never of what a later report
-/// tells again. One that was not answered for half a lease may be lost.
+/// tells again.
 bool mayReport(const AgentState& agent, Now now) {
   return agent.answeredReport >= agent.reportSeq || agent.reportedTo != agent.client.leader.peerAddress ||
-         now.steadyMs - agent.reportedMs >= bounds(agent).leaseMs / 2;
+         now.steadyMs - agent.reportedMs >= reportAgainMs(agent);
+}
+
+/// Whether a report is due with or without news. A new leader starts nothing at a worker that it hasn't heard of.
+bool reportOverdue(const AgentState& agent, Now now) {
+  const auto usualMs = bounds(agent).reportMs();
+  const auto pauseMs = answeredByLeader(agent) ? usualMs : std::min(usualMs, reportAgainMs(agent));
+  return now.steadyMs - agent.reportedMs >= pauseMs;
 }
 
 void sendReport(AgentState& agent, Now now, Outbox& out) {
@@ -506,8 +521,7 @@
     else
       out.wakeBy(agent.poll->sinceMs + holdMs);
   }
-  const bool usualDue = now.steadyMs - agent.reportedMs >= bounds(agent).reportMs();
-  if (usualDue || (agent.reportDue && mayReport(agent, now))) sendReport(agent, now, out);
+  if (reportOverdue(agent, now) || (agent.reportDue && mayReport(agent, now))) sendReport(agent, now, out);
   agent.client.ready =
       control::sessionLive(agent.client, now) && !agent.client.leader.http.empty() && !agent.client.leaving;
 }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -386,6 +386,27 @@
   LONGS_EQUAL(1, reportsIn(reports(R"(["j:a:1","j:b:1","j:c:1"])")));
 }
 
+// A leader takes reports once its first batch is at a majority, which may be after its agents have heard of it.
+TEST(agent, a_new_leader_is_told_at_once_and_again_until_it_answers) {
+  const auto reportsWithin = [&](Millis spanMs) {
+    std::size_t sent = 0;
+    for (const Millis untilMs = nowMs + spanMs; nowMs < untilMs; nowMs += 10) {
+      Outbox each;
+      agent::agentTick(agent, {nowMs}, each);
+      sent += each.sends.size();
+    }
+    return sent;
+  };
+  const auto& bounds = agent.client.settings.bounds;
+  ordered({}, nowMs);
+  reports();
+  agent.client.leader = {{4, "p"}, Address("10.0.0.7:1"), Address("10.0.0.7:2")};
+  agent.reportDue = true;
+  LONGS_EQUAL(4, reportsWithin(2 * bounds.heartbeatMs()));
+  ordered({}, nowMs, 4);
+  LONGS_EQUAL(0, reportsWithin(bounds.reportMs() / 4));
+}
+
 TEST(agent, a_new_leader_is_told_at_once) {
   Outbox out;
   ordered({go("j:a:1")}, nowMs);
