Orders: an attempt that was given up is not started while that waits for its batch

Cause: orders come from the committed state. Between the decision that a silent worker's attempts are lost and its commit, the agent's first report was answered with the attempt's start, which is good from that report on; the next attempt started elsewhere after the commit. Now: what the working state no longer holds is told as stopped; an end that the agent lists stays listed by that. Test: leader_load, which failed before.

--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -42,13 +42,17 @@
   orders.configVersion = scheduler.client.configVersion;
   orders.fleetMs = fleet(scheduler, now);
   absl::flat_hash_map<std::string, std::uint64_t> ordered;
+  const auto& stillHeld = scheduler.held[row.id];
   for (const auto& [run, where] : scheduler.committedHeld[row.id]) {
     const auto& job = *scheduler.committedJobs.at(where.first);
     const auto& task = job.tasks[where.second];
     auto first = row.firstOrdered.find(run.value);
     ordered[run.value] = first == row.firstOrdered.end() ? orders.seq : first->second;
-    WantedAttempt wanted{run, task.stopping, {}, task.workerIncarnation, {}, false};
-    if (!task.stopping && !row.listed.contains(run.value)) {
+    // What was given up, and is not committed as such yet, must not start any more: a start is good from the report
+    // that these orders answer. An end that the agent lists is kept there by a stop as well.
+    const bool stop = task.stopping || !stillHeld.contains(run);
+    WantedAttempt wanted{run, stop, {}, task.workerIncarnation, {}, false};
+    if (!stop && !row.listed.contains(run.value)) {
       const auto& step = job.stepOf(where.second);
       wanted.whole = true;
       wanted.saved = task.saved;
--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -114,3 +114,36 @@
   LONGS_EQUAL(1, sent.count(agentAddress(7)));
   LONGS_EQUAL(1, scheduler.jobs.at(kJob).doneTasks);
 }
+
+// Orders come from the committed state. While the loss of an attempt waited for its batch, a report of the agent was
+// answered with the attempt's start, good from that report on, and the next attempt started elsewhere once the batch
+// was committed.
+TEST(leader_load, an_attempt_given_up_for_silence_is_not_started_before_that_is_committed) {
+  constexpr std::size_t kWorker = 7;
+  auto config = std::make_shared<config::Config>();
+  std::vector<config::Fault> faults;
+  CHECK(config::readConfigText(R"({"pools":{"side":{"slots":8,"lostAfterTerms":1}}})", *config, faults));
+  scheduler.client.config = config;
+  nowMs += scheduler.client.settings.bounds.sureMs(1);
+  scheduler.leaseUntilMs = nowMs + scheduler.client.settings.bounds.leaseMs;
+  scheduler::schedulerTick(scheduler, {nowMs}, out);
+  CHECK(scheduler.held[WorkerId(workerName(kWorker))].empty());
+  out = {};
+  AgentReport report;
+  report.agent = DaemonId("agent-" + workerName(kWorker));
+  report.worker = WorkerId(workerName(kWorker));
+  report.workerIncarnation = "life";
+  report.workerHeard = true;
+  report.pool = PoolName("side");
+  report.seq = 1;
+  hear(report.agent.value.c_str(), agentAddress(kWorker), report);
+  std::size_t told = 0;
+  for (const auto& send : out.sends)
+    if (const auto* orders = std::get_if<Orders>(&send.message))
+      for (const auto& wanted : orders->wanted) {
+        ++told;
+        CHECK(wanted.stop);
+        CHECK_FALSE(wanted.whole);
+      }
+  LONGS_EQUAL(1, told);
+}
