--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -28,6 +28,8 @@
 constexpr Millis kTicksPerTerm = 40;
 constexpr int kMostRounds = 64;
 constexpr std::size_t kOrdinaryAtOnce = 16;  // events after which what is urgent is looked at again, and sent
+constexpr int kEventsPerTick = 2;            // processor time that waiting events get for that of a tick
+constexpr Millis kLatestTicksPerLease = 4;   // a tick waits for events no longer than this part of a lease
 constexpr int kAnswersPerStop = 10;          // this part of a polite stop is kept for the last answers
 
 Now clockNow() {
@@ -146,8 +148,10 @@
     while (!host_.over) {
       auto events = host_.events.takeUntil(steadyAt(nextMs()), kOrdinaryAtOnce);
       Wants wants;
+      const auto beganUs = threadProcessorTime();
       for (const auto& event : events) take(event, wants);
-      tick(wants);
+      eventsUs_ += threadProcessorTime() - beganUs;
+      if (mayTick(events.size())) tick(wants);
       for (int round = 0; round < kMostRounds && !inside_.empty(); ++round) {
         const auto heard = std::exchange(inside_, {});
         for (const auto& event : heard) step(event, wants);
@@ -167,8 +171,23 @@
     return next;
   }
 
+  /// Ticks that take longer than the pause between two of them would leave no time for the events that wait.
+  bool mayTick(std::size_t eventsTaken) const {
+    const bool noneWaits = eventsTaken < kOrdinaryAtOnce;
+    const bool late = clockNow().steadyMs - tickedMs_ >= host_.settings().bounds.leaseMs / kLatestTicksPerLease;
+    return noneWaits || late || eventsUs_ >= kEventsPerTick * tickUs_;
+  }
+
   void tick(Wants& wants) {
+    const auto beganUs = threadProcessorTime();
+    tickAll(wants);
+    tickUs_ = threadProcessorTime() - beganUs;
+    eventsUs_ = 0;
+  }
+
+  void tickAll(Wants& wants) {
     const auto now = clockNow();
+    tickedMs_ = now.steadyMs;
     const bool all = now.steadyMs >= nextTickMs_;
     for (std::size_t node = 0; node < host_.berthed.size(); ++node) {
       auto& one = host_.berthed[node];
@@ -316,6 +335,9 @@
   Host& host_;
   std::vector<QueuedEvent> inside_;
   Millis nextTickMs_ = 0;
+  Millis tickedMs_ = 0;
+  ProcessorMicros tickUs_ = 0;    // that the last tick took
+  ProcessorMicros eventsUs_ = 0;  // that events took since then
   Millis slowStepsToldMs_ = 0;
   Millis lookAtMs_ = -1;
   struct stat seen_ {};
