Configurations: one replica proposes for all, and a value is sent where it is missing only

Each attempt, each refusal, each repeated prepare or accept, and a heartbeat after every change to every voter carried the whole value, 490 kB for a change of one number. Ruled out: processor time as the only cause (the test charges none); the narrow links (the slow rounds were between replicas). Changed test: model, messages_to_different_nodes_commute follows the edit to the replica that proposes.

--- a/src/control/client.hpp
+++ b/src/control/client.hpp
@@ -32,6 +32,7 @@
   Version configVersion = 0;
   std::string configText;
   std::shared_ptr<const config::Config> config = std::make_shared<config::Config>();
+  bool configReads = false;       // config was read from configText without a fault
   ConfigTransfer configTransfer;  // of a newer version, where it is read in pieces
   transport::LeaderHint leader;
   transport::Membership membership;
@@ -50,6 +51,10 @@
   std::uint64_t namesGiven = 0;  // to edits that came without one
   Ballot knownBallot;            // a ballot of the configuration's register and its value
   std::string knownValue;
+  Ballot chosenBallot;          // the newest of that register under which a proposal of this daemon was chosen
+  Millis changedMs = -1000000;  // when the rounds of the last change began
+  Millis roundsMs = 0;          // how long the two rounds of its last chosen value there took
+  Address configProposer;       // on a replica: the other that proposes changes for all; empty: itself
   std::uint64_t proposed = 0, chosen = 0, contended = 0;
 };
 
--- a/src/control/edit.cpp
+++ b/src/control/edit.cpp
@@ -234,7 +234,7 @@
 }  // namespace
 
 EditOutcome judgeEdit(const Edit& edit, const std::string& current) {
-  const auto history = readHistory(current);
+  auto history = readHistory(current);
   const auto& stored = history.stored;
   if (const auto made = takenAs(edit, stored)) return accepted(*made, stored.version, current);
   if (const auto kind = rejectedAs(edit, stored)) return rejected(*kind, config::faultsJson(*kind, {}), current);
@@ -245,7 +245,7 @@
   if (edit.basedOn && *edit.basedOn != history.operatorVersion)
     return reject(edit, history, Kind::raced, racedBody("basedOn", *edit.basedOn, "edition", history.operatorVersion),
                   current);
-  const Json next = applyEdit(edit, Json(json_deep_copy(history.text.get())));
+  const Json next = applyEdit(edit, std::move(history.text));
   const auto faults = next ? check(edit, next.get(), history.operatorVersion) : std::vector<config::Fault>{};
   if (!next || !faults.empty())
     return reject(edit, history, Kind::invalidConfig, config::faultsJson(Kind::invalidConfig, faults), current);
--- a/src/control/heartbeats.cpp
+++ b/src/control/heartbeats.cpp
@@ -30,6 +30,8 @@
   heartbeat.diskless = replica.diskless;
   heartbeat.voting = mayVote(replica) && !replica.waiting.contains(replica.votingTicket);
   heartbeat.firstBoot = replica.client.settings.firstBoot;
+  heartbeat.takesEdits = true;
+  heartbeat.checksConfigBallot = true;
   heartbeat.joined = replica.joined;
   if (!replica.diskless) {
     heartbeat.sessions = ownSessions(replica, now);
@@ -45,16 +47,23 @@
   return replica.image.voting && !replica.fenced && !(replica.learnedBallot < replica.image.learned);
 }
 
-// Sends one heartbeat, with the acknowledgement and the configuration as the target needs them.
-// Whether a peer that is behind is sent the chosen value itself: a heartbeat after the last change, or, while changes
-// come faster than that, a heartbeat after it fell behind. Without the latter a storm of changes would withhold every
-// acknowledgement, and with it the peer's quorum lease.
+// Whether a peer that is behind is sent the chosen value itself. A peer that checks the ballot learns what it has
+// accepted from the ballot alone, so only one that has learned nothing for two heartbeats is sent it: copies of a large
+// value to voters that have it would hold up the rounds that bring the next. Any other peer is sent it a heartbeat
+// after the last change, or, while changes come faster than that, a heartbeat after it fell behind: a storm of changes
+// would else withhold every acknowledgement, and with it the peer's quorum lease.
 bool valueDue(const ReplicaState& replica, PeerReplica& peer, Now now) {
   const auto pauseMs = bounds(replica).heartbeatMs();
-  if (!peer.behindSinceMs) peer.behindSinceMs = now.steadyMs;
+  const bool checks = peer.last.checksConfigBallot;
+  if (!peer.behindSinceMs || (checks && peer.behindAt < peer.last.configBallot)) {
+    peer.behindSinceMs = now.steadyMs;
+    peer.behindAt = peer.last.configBallot;
+  }
+  if (checks) return now.steadyMs - *peer.behindSinceMs >= 2 * pauseMs;
   return now.steadyMs - replica.learnedMs >= pauseMs || now.steadyMs - *peer.behindSinceMs >= pauseMs;
 }
 
+// Sends one heartbeat, with the acknowledgement and the configuration as the target needs them.
 void sendReplicaHeartbeat(ReplicaState& replica, const Address& target, ReplicaHeartbeat heartbeat, Now now,
                           Outbox& out) {
   heartbeat.number = ++replica.heartbeatNumber;
@@ -64,8 +73,8 @@
     other.repliedMs = now.steadyMs;
     heartbeat.acknowledgedDigest = other.sessionsDigest;
     heartbeat.sameSessions = heartbeat.sessionsDigest != 0 && other.last.acknowledgedDigest == heartbeat.sessionsDigest;
-    // No echo lets a replica stand that was not given what is chosen: it comes with the value, or after the replica
-    // has it.
+    // No acknowledgement gives a replica a quorum lease that lacks what is chosen: the replica checks that itself, or
+    // it is withheld until the value has come, or comes with it.
     const bool behind = other.last.configBallot < replica.learnedBallot && !other.last.diskless;
     const bool give = behind && valueDue(replica, other, now);
     if (!behind) other.behindSinceMs.reset();
@@ -73,7 +82,7 @@
       heartbeat.configValue = replica.learnedValue;
       other.behindSinceMs = now.steadyMs;
     }
-    if (mayAcknowledge(replica) && (!behind || give)) {
+    if (mayAcknowledge(replica) && (!behind || give || other.last.checksConfigBallot)) {
       heartbeat.acknowledgedMs = other.last.sentMs;
       heartbeat.acknowledgedIncarnation = other.incarnation;
     }
@@ -129,6 +138,18 @@
   return heartbeat.number == 0 || heartbeat.acknowledgedIncarnation == replica.client.process;
 }
 
+// The sender has learned that the value of its ballot was chosen. If this replica accepted it, it holds that value.
+void learnFromHeartbeat(ReplicaState& replica, const ReplicaHeartbeat& heartbeat, Now now, Outbox& out) {
+  const auto held = replica.image.registers.find(kConfigKey);
+  const bool holds = held != replica.image.registers.end() && held->second.accepted == heartbeat.configBallot;
+  learnConfig(replica, heartbeat.configBallot, holds ? held->second.value : heartbeat.configValue, now, out);
+}
+
+// Whether this replica knows everything of the configuration that the sender of the heartbeat knew.
+bool knowsConfigOf(const ReplicaState& replica, const ReplicaHeartbeat& heartbeat) {
+  return replica.diskless || heartbeat.configBallot <= replica.learnedBallot;
+}
+
 }  // namespace
 
 void onReplicaHeartbeat(ReplicaState& replica, const Heard& heard, const ReplicaHeartbeat& heartbeat, Now now,
@@ -146,7 +167,8 @@
   other.heardMs = now.steadyMs;
   if (!heartbeat.ailing) other.soundMs = now.steadyMs;
   if (!sameVoter) other.acknowledgedMs = -1000000;
-  const bool acknowledges = acknowledgesThisProcess(replica, heartbeat, now);
+  if (!replica.diskless) learnFromHeartbeat(replica, heartbeat, now, out);
+  const bool acknowledges = acknowledgesThisProcess(replica, heartbeat, now) && knowsConfigOf(replica, heartbeat);
   if (acknowledges) other.acknowledgedMs = std::max(other.acknowledgedMs, heartbeat.acknowledgedMs);
   if (!heartbeat.sameSessions) {
     other.sessions = heartbeat.sessions;
@@ -154,7 +176,6 @@
   } else if (!sameVoter || other.sessionsDigest != heartbeat.sessionsDigest) {
     other.sessionsDigest = 0;
   }
-  if (!replica.diskless) learnConfig(replica, heartbeat.configBallot, heartbeat.configValue, now, out);
   if (heartbeat.membership.version > replica.image.membership.version &&
       (!replica.image.empty() || isVoter(heartbeat.membership, replica.image.id))) {
     installMembership(replica, heartbeat.membership, now, out);
--- a/src/control/learned_config.cpp
+++ b/src/control/learned_config.cpp
@@ -9,6 +9,13 @@
 
 using namespace transport;
 
+namespace {
+
+/// For how many heartbeats a replica leaves the completion of a round to one before it.
+constexpr int kMostCompletionsLeft = 2;
+
+}  // namespace
+
 void learnConfig(ReplicaState& replica, const Ballot& ballot, const std::string& value, Now now, Outbox& out) {
   if (value.empty() || ballot <= replica.learnedBallot) return;
   auto stored = config::readStored(value);
@@ -66,6 +73,46 @@
   out.reply(heard, std::move(state));
 }
 
+namespace {
+
+// Whether the first voter that the condition holds of stands before this replica.
+template <class Condition>
+const Voter* voterBefore(const ReplicaState& replica, Condition holds) {
+  for (const auto& voter : replica.image.membership.voters) {
+    if (voter.id == replica.image.id) return nullptr;
+    const auto found = replica.others.find(voter.peerAddress);
+    if (found != replica.others.end() && found->second.last.voter.id == voter.id && holds(found->second)) return &voter;
+  }
+  return nullptr;
+}
+
+// Whether another replica that is short of the value as well is to complete the open round, and has time left for it:
+// replicas that come back together would outbid each other, each with the whole value.
+bool leavesCompletionToAnother(ReplicaState& replica, Now now) {
+  const auto open = replica.image.registers.find(kConfigKey);
+  if (open == replica.image.registers.end()) return false;
+  const auto awakeSinceMs = now.steadyMs - bounds(replica).leaseMs;
+  const auto* earlier = voterBefore(replica, [&](const PeerReplica& other) {
+    const bool isShort = other.last.configBallot < open->second.accepted;
+    return isShort && other.last.voting && !other.last.ailing && other.heardMs >= awakeSinceMs;
+  });
+  if (!earlier || replica.completionsLeft >= kMostCompletionsLeft) {
+    replica.completionsLeft = 0;
+    return false;
+  }
+  ++replica.completionsLeft;
+  return true;
+}
+
+}  // namespace
+
+Address configProposer(const ReplicaState& replica, Now now) {
+  const auto* earlier = voterBefore(replica, [&](const PeerReplica& other) {
+    return other.last.takesEdits && other.last.voting && !other.last.ailing && inTouch(replica, other, now);
+  });
+  return earlier ? earlier->peerAddress : Address();
+}
+
 void completeConfigRound(ReplicaState& replica, Now now, Outbox& out) {
   auto found = replica.image.registers.find(kConfigKey);
   const bool open = found != replica.image.registers.end() && replica.learnedBallot < found->second.accepted;
@@ -78,6 +125,8 @@
       open && hasQuorumLease(replica, now) && now.steadyMs - replica.openSinceMs >= bounds(replica).leaseMs / 2;
   if ((!replica.configKnown || abandoned) && now.steadyMs >= replica.completeAtMs &&
       !proposing(replica.client, kConfigKey)) {
+    replica.completeAtMs = now.steadyMs + bounds(replica).heartbeatMs();
+    if (leavesCompletionToAnother(replica, now)) return;
     replica.completeAtMs = now.steadyMs + bounds(replica).leaseMs;
     proposeFixed(replica.client, kConfigKey, "", now, out);
   }
--- a/src/control/proposal.cpp
+++ b/src/control/proposal.cpp
@@ -11,14 +11,20 @@
 
 namespace {
 
-constexpr std::size_t kMostProposals = 64;
 constexpr Millis kShortestResendMs = 5;
 constexpr int kMostSpread = 6;
+constexpr int kMostDoublings = 2;
 
-Millis resendMs(Phase phase, const Bounds& bounds) {
-  if (phase == Phase::learn) return bounds.heartbeatMs() / 5;
-  if (phase == Phase::accept) return bounds.heartbeatMs();
-  return bounds.heartbeatMs() / 2;
+/// The pause before the messages of the present phase are sent again. In a round of the configuration's register each
+/// of them, or its answer, may hold the whole value: copies would make a slow round slower, so the pause follows what
+/// rounds take, and doubles.
+Millis resendMs(const ControlClient& client, const Proposal& proposal) {
+  const auto& bounds = client.settings.bounds;
+  if (proposal.phase == Phase::learn) return bounds.heartbeatMs() / 5;
+  const auto usualMs = proposal.phase == Phase::accept ? bounds.heartbeatMs() : bounds.heartbeatMs() / 2;
+  if (proposal.key != kConfigKey) return usualMs;
+  const auto roundsMs = std::min(2 * client.roundsMs, bounds.leaseMs);
+  return std::max(usualMs, roundsMs) << std::min(proposal.resends, kMostDoublings);
 }
 
 bool isVoterAddress(const ControlClient& client, const Address& address) {
@@ -52,12 +58,14 @@
                                   config ? client.knownBallot : Ballot{}});
 }
 
-// The value itself goes only to a voter that did not accept it, or that has not learned it a heartbeat later.
+// The value of an edit goes only to a voter that has not learned it a heartbeat later: the others hold it, or receive
+// it before this message, as it was sent to them to accept. A proposal without an edit doesn't wait to see who learned
+// it, so voters that did not accept are sent the value at once.
 void sendChosen(const ControlClient& client, Proposal& proposal, const Address& voter, Now now, Outbox& out) {
   const auto [last, first] = proposal.committedMs.emplace(voter, now.steadyMs);
   if (first) {
-    const bool holds = proposal.accepts.contains(voter);
-    out.send(voter, RegisterChosen{proposal.key, proposal.ballot, holds ? std::string() : proposal.value});
+    const bool comesAnyway = proposal.edit.has_value() || proposal.accepts.contains(voter);
+    out.send(voter, RegisterChosen{proposal.key, proposal.ballot, comesAnyway ? std::string() : proposal.value});
     return;
   }
   if (now.steadyMs - last->second < client.settings.bounds.heartbeatMs()) return;
@@ -75,7 +83,7 @@
 
 void sendPhase(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   proposal.sentMs = now.steadyMs;
-  out.wakeBy(now.steadyMs + resendMs(proposal.phase, client.settings.bounds));
+  out.wakeBy(now.steadyMs + resendMs(client, proposal));
   for (const auto& voter : voterAddresses(client)) {
     if (proposal.phase == Phase::prepare && !proposal.promises.contains(voter))
       sendPrepare(client, proposal, voter, out);
@@ -85,32 +93,64 @@
   }
 }
 
+void startPhase(ControlClient& client, Proposal& proposal, Phase phase, Now now, Outbox& out) {
+  proposal.phase = phase;
+  proposal.resends = 0;
+  sendPhase(client, proposal, now, out);
+}
+
 void startRounds(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   proposal.ballot = Ballot{++client.ballotNumber, client.id.value + "/" + client.incarnation};
-  proposal.phase = Phase::prepare;
   proposal.promises.clear();
   proposal.accepts.clear();
   proposal.retryAtMs = 0;
+  proposal.roundsAtMs = now.steadyMs;
   ++proposal.attempts;
-  sendPhase(client, proposal, now, out);
+  startPhase(client, proposal, Phase::prepare, now, out);
 }
 
 bool inRounds(const Proposal& proposal) { return proposal.phase == Phase::prepare || proposal.phase == Phase::accept; }
 
+// The pause between the starts of two changes of the configuration.
+Millis changePauseMs(const Bounds& bounds) { return bounds.heartbeatMs() / 5; }
+
+// The shortest pause after being outbid.
+Millis shortestPauseMs(const Bounds& bounds) { return std::max<Millis>(1, bounds.heartbeatMs() / 8); }
+
+// Each version goes to every daemon and back. While they come faster than that, the fleet does little else.
+bool tooSoon(const ControlClient& client, const Proposal& proposal, Now now, Outbox& out) {
+  if (!proposal.edit) return false;
+  const auto soonestMs = client.changedMs + changePauseMs(client.settings.bounds);
+  if (now.steadyMs >= soonestMs) return false;
+  out.wakeBy(soonestMs);
+  return true;
+}
+
 // Proposals of one daemon for the same register go one after another: side by side they would outbid each other.
 void startQueued(ControlClient& client, Now now, Outbox& out) {
   for (auto& proposal : client.proposals) {
     if (proposal.phase != Phase::queued) continue;
     const bool busy = std::any_of(client.proposals.begin(), client.proposals.end(),
                                   [&](const Proposal& other) { return other.key == proposal.key && inRounds(other); });
-    if (!busy) startRounds(client, proposal, now, out);
+    if (busy || tooSoon(client, proposal, now, out)) continue;
+    if (proposal.edit) client.changedMs = now.steadyMs;
+    startRounds(client, proposal, now, out);
   }
 }
 
+// How long whoever outbid this proposal needs for its own rounds: who comes back sooner outbids it in the middle of
+// them, and neither ends. Only the configuration is large enough for rounds to take more than the shortest pause.
+Millis rivalRoundsMs(const ControlClient& client, const Proposal& proposal, Now now) {
+  const auto& bounds = client.settings.bounds;
+  if (proposal.key != kConfigKey) return shortestPauseMs(bounds);
+  const auto takenMs = std::max(client.roundsMs, now.steadyMs - proposal.roundsAtMs);
+  return std::clamp(takenMs, shortestPauseMs(bounds), std::max(shortestPauseMs(bounds), bounds.leaseMs / 4));
+}
+
 void backOff(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   if (proposal.retryAtMs) return;
   ++client.contended;
-  const Millis span = std::max<Millis>(1, client.settings.bounds.heartbeatMs() / 8);
+  const Millis span = rivalRoundsMs(client, proposal, now);
   const auto spread =
       mix(client.id.value + std::to_string(proposal.ballot.number)) % (1 + std::min(proposal.attempts, kMostSpread));
   proposal.retryAtMs = now.steadyMs + span * static_cast<Millis>(1 + spread);
@@ -119,9 +159,9 @@
 
 // Tells whoever asked, once; with an empty body, what the kind means.
 void tell(const ControlClient& client, Proposal& proposal, Kind kind, int status, std::string body, Outbox& out) {
-  if (const auto asker = std::exchange(proposal.asker, {}))
+  for (const auto& asker : std::exchange(proposal.askers, {}))
     out.sends.push_back(
-        {asker->from, EditAnswer{asker->id, static_cast<std::int64_t>(kind), status, body}, asker->incarnation});
+        {asker.from, EditAnswer{asker.id, static_cast<std::int64_t>(kind), status, body}, asker.incarnation});
   const auto requestId = std::exchange(proposal.requestId, 0);
   if (!requestId) return;
   if (body.empty())
@@ -184,28 +224,44 @@
   return client.knownValue;
 }
 
+// From here on the proposal only waits for those that are to have the change.
+void learnRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+  proposal.chosenMs = now.steadyMs;
+  proposal.retryAtMs = 0;
+  if (proposal.key == kConfigKey) client.roundsMs = now.steadyMs - proposal.roundsAtMs;
+  startPhase(client, proposal, Phase::learn, now, out);
+  if (!proposal.changes) finish(client, proposal, now, out);
+  startQueued(client, now, out);
+}
+
+// Whether the register already holds, as chosen, what the proposal would put there. A majority has promised and none of
+// it accepted anything newer, so nothing newer was chosen before: a second round with the same value says no more.
+bool holdsItAlready(const ControlClient& client, const Proposal& proposal, const RegisterPromise& newest) {
+  return proposal.key == kConfigKey && newest.accepted != Ballot{} && newest.accepted == client.chosenBallot &&
+         proposal.value == client.knownValue;
+}
+
 void acceptRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   const auto& newest = newestPromise(proposal);
   judge(proposal, newest.accepted, valueOf(client, proposal, newest));
   if (proposal.value.empty()) return finish(client, proposal, now, out);
+  if (holdsItAlready(client, proposal, newest)) {
+    proposal.ballot = newest.accepted;
+    return learnRound(client, proposal, now, out);
+  }
   if (proposal.key == kConfigKey) {
     client.knownBallot = proposal.ballot;
     client.knownValue = proposal.value;
   }
-  proposal.phase = Phase::accept;
   proposal.acceptingMs = now.steadyMs;
   ++client.proposed;
-  sendPhase(client, proposal, now, out);
+  startPhase(client, proposal, Phase::accept, now, out);
 }
 
-void learnRound(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
+void valueChosen(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
   ++client.chosen;
-  proposal.phase = Phase::learn;
-  proposal.chosenMs = now.steadyMs;
-  proposal.retryAtMs = 0;
-  sendPhase(client, proposal, now, out);
-  if (!proposal.changes) finish(client, proposal, now, out);
-  startQueued(client, now, out);
+  if (proposal.key == kConfigKey) client.chosenBallot = proposal.ballot;
+  learnRound(client, proposal, now, out);
 }
 
 const AckState* learnedState(const Proposal& proposal, const Voter& voter) {
@@ -242,8 +298,8 @@
   });
 }
 
-bool due(const Proposal& proposal, Now now, const Bounds& bounds) {
-  return now.steadyMs - proposal.sentMs >= std::max(kShortestResendMs, resendMs(proposal.phase, bounds));
+bool due(const ControlClient& client, const Proposal& proposal, Now now) {
+  return now.steadyMs - proposal.sentMs >= std::max(kShortestResendMs, resendMs(client, proposal));
 }
 
 void tick(ControlClient& client, Proposal& proposal, Now now, Outbox& out) {
@@ -255,7 +311,8 @@
   if (proposal.phase == Phase::queued) return;
   if (proposal.retryAtMs) {
     if (now.steadyMs >= proposal.retryAtMs) startRounds(client, proposal, now, out);
-  } else if (due(proposal, now, bounds)) {
+  } else if (due(client, proposal, now)) {
+    ++proposal.resends;
     sendPhase(client, proposal, now, out);
   }
 }
@@ -294,7 +351,7 @@
     if (!reply.ok) return backOff(client, proposal, now, out);
     if (!isVoterAddress(client, from)) return;
     proposal.accepts.insert(from);
-    if (isMajority(client, proposal.accepts.size())) learnRound(client, proposal, now, out);
+    if (isMajority(client, proposal.accepts.size())) valueChosen(client, proposal, now, out);
     return;
   }
 }
@@ -348,20 +405,46 @@
     return answerKind(out, requestId, Kind::overloaded, bounds);
   if (edit.name.empty()) giveName(client, edit);
   if (forwardsEdits(client, now)) return forwardEdit(client, requestId, std::move(edit), deadlineMs, now, out);
+  proposeHere(client, requestId, std::move(edit), deadlineMs, now, out);
+}
+
+namespace {
+
+bool sameEdit(const Edit& one, const Edit& other) {
+  return !one.name.empty() && one.name == other.name && one.body == other.body && one.whole == other.whole &&
+         one.expected == other.expected && one.operatorVersion == other.operatorVersion && one.basedOn == other.basedOn;
+}
+
+/// An edit that came again, through whichever daemon, has one outcome: its asker waits for the one under way.
+bool joinSameEdit(ControlClient& client, const EditAsker& asker, const Edit& edit, Millis deadlineMs, Now now) {
+  for (auto& proposal : client.proposals) {
+    if (!proposal.edit || proposal.phase == Phase::done || !sameEdit(*proposal.edit, edit)) continue;
+    std::erase_if(proposal.askers, [&](const EditAsker& earlier) { return earlier.id == asker.id; });
+    proposal.askers.push_back(asker);
+    if (!proposal.requestId) proposal.deadlineMs = std::max(proposal.deadlineMs, now.steadyMs + deadlineMs);
+    return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+void proposeConfigFor(ControlClient& client, EditAsker asker, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
+  if (joinSameEdit(client, asker, edit, deadlineMs, now)) return;
   Proposal proposal;
-  proposal.requestId = requestId;
+  proposal.askers.push_back(std::move(asker));
   proposal.key = kConfigKey;
   proposal.edit = std::move(edit);
+  if (client.proposals.size() >= kMostProposals)
+    return tell(client, proposal, Kind::overloaded, rowOf(Kind::overloaded).status, {}, out);
   propose(client, std::move(proposal), deadlineMs, now, out);
 }
 
-void proposeConfigFor(ControlClient& client, EditAsker asker, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
+void proposeHere(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, Now now, Outbox& out) {
   Proposal proposal;
-  proposal.asker = std::move(asker);
+  proposal.requestId = requestId;
   proposal.key = kConfigKey;
   proposal.edit = std::move(edit);
-  if (client.proposals.size() >= kMostProposals)
-    return tell(client, proposal, Kind::overloaded, rowOf(Kind::overloaded).status, {}, out);
   propose(client, std::move(proposal), deadlineMs, now, out);
 }
 
--- a/src/control/proposal.hpp
+++ b/src/control/proposal.hpp
@@ -5,8 +5,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
-#include "control/edit.hpp"
+#include "control/edit_forwarding.hpp"
 #include "transport/core.hpp"
 
 namespace tulip::control {
@@ -16,19 +17,15 @@
 /// The register that holds the configuration.
 inline const std::string kConfigKey = "chart";
 
-enum class Phase { queued, prepare, accept, learn, done };
+/// Changes on their way at one daemon, and as many more that it has handed on.
+constexpr std::size_t kMostProposals = 64;
 
-/// The daemon that a replica proposes an edit for, and the edit's id there.
-struct EditAsker {
-  Address from;
-  Incarnation incarnation;
-  EditId id;
-};
+enum class Phase { queued, prepare, accept, learn, done };
 
 /// One change on its way, from the request until its answer.
 struct Proposal {
   std::uint64_t requestId = 0;
-  std::optional<EditAsker> asker;  // that is answered in place of a request
+  std::vector<EditAsker> askers;  // that are answered in place of a request
   std::string key;
   std::optional<Edit> edit;
   std::string fixedValue;
@@ -48,6 +45,8 @@
   Millis chosenMs = -1;
   Millis deadlineMs = 0;
   Millis sentMs = 0;
+  int resends = 0;         // of the present phase's messages
+  Millis roundsAtMs = -1;  // when the present ballot's rounds began
   Millis retryAtMs = 0;
   Millis learnedMs = -1;
   std::map<Address, transport::AckState> states;
@@ -60,6 +59,10 @@
 void proposeConfig(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, transport::Now now,
                    transport::Outbox& out);
 
+/// Proposes a change of the configuration at this daemon, whoever proposes for others.
+void proposeHere(ControlClient& client, std::uint64_t requestId, Edit edit, Millis deadlineMs, transport::Now now,
+                 transport::Outbox& out);
+
 /// On a replica: proposes a change of the configuration for another daemon.
 void proposeConfigFor(ControlClient& client, EditAsker asker, Edit edit, Millis deadlineMs, transport::Now now,
                       transport::Outbox& out);
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -130,6 +130,7 @@
                                           : "the disk takes writes again: this replica votes");
   }
   doPeriodicWork(replica, now, out);
+  replica.client.configProposer = configProposer(replica, now);
   clientTick(replica.client, now, out);
   replica.client.ready = mayVote(replica) && hasQuorumLease(replica, now) && sessionLive(replica.client, now) &&
                          !replica.client.leader.http.empty() && !replica.client.leaving;
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -16,6 +16,7 @@
   Millis acknowledgedMs = -1000000;
   Millis repliedMs = -1000000;
   std::optional<Millis> behindSinceMs;  // since when it is not known to have what is chosen, or was last sent it
+  Ballot behindAt;                      // what it had learned then
   std::vector<transport::Member> sessions;
   std::uint64_t sessionsDigest = 0;
 };
@@ -92,6 +93,7 @@
   Millis rememberedMs = -1000000;
   bool refusesBootstrap = false;
   Millis completeAtMs = 0;
+  int completionsLeft = 0;  // how often in a row this replica has left the completion of a round to another
   Millis openSinceMs = -1;
   Millis stepSinceMs = -1;
   Millis askedMs = -1000000;
--- a/src/control/replica_internal.hpp
+++ b/src/control/replica_internal.hpp
@@ -82,6 +82,12 @@
 void onAckQuery(ReplicaState& replica, const transport::Heard& heard, const transport::AckQuery& ask,
                 transport::Now now, transport::Outbox& out);
 
+// The replica that proposes changes of the configuration for all, as seen from here: the first voter that is in touch
+// with this one, or this one itself (empty) where none before it is. Rounds of several would outbid each other, and
+// each costs the whole configuration's way to every voter. Two views may differ for a while; that costs rounds, no
+// safety.
+Address configProposer(const ReplicaState& replica, transport::Now now);
+
 // Reads the configuration's register to completion after a start, and when a proposer left it open.
 void completeConfigRound(ReplicaState& replica, transport::Now now, transport::Outbox& out);
 
--- a/src/storage/image.cpp
+++ b/src/storage/image.cpp
@@ -126,11 +126,12 @@
   static const Register none;
   auto found = image.registers.find(ask.key);
   const Register& slot = found == image.registers.end() ? none : found->second;
-  transport::RegisterPromise reply{
-      ask.key,       ask.ballot,    slot.promised < ask.ballot,
-      slot.promised, slot.accepted, slot.accepted == ask.known ? std::string() : slot.value};
-  if (slot.promised == ask.ballot && slot.accepted < ask.ballot) reply.ok = true;
-  if (reply.ok) writes.push_back(entry::registerPromise(ask.key, ask.ballot));
+  transport::RegisterPromise reply{ask.key, ask.ballot, false, slot.promised, slot.accepted, {}};
+  reply.ok = slot.promised < ask.ballot || (slot.promised == ask.ballot && slot.accepted < ask.ballot);
+  // A refused proposer starts anew and is given the value then.
+  if (!reply.ok) return reply;
+  if (slot.accepted != ask.known) reply.value = slot.value;
+  writes.push_back(entry::registerPromise(ask.key, ask.ballot));
   return reply;
 }
 
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -238,9 +238,12 @@
   bool sameSessions = false;              // left out, since the receiver echoed their digest
   std::uint64_t number = 0;               // rises within the sender's incarnation
   Incarnation acknowledgedIncarnation{};  // whose heartbeat acknowledgedMs echoes: a time of its clock
+  bool takesEdits = false;                // the sender answers EditAsk of other replicas
+  bool checksConfigBallot = false;  // it counts no acknowledgement that comes with a newer configBallot than its own
   MSGPACK_DEFINE(voter, seeds, empty, membership, sentMs, acknowledgedMs, configBallot, configValue, leader,
                  leaseLeftMs, fleetMs, sessions, ailing, remembered, zone, diskless, voting, firstBoot, joined,
-                 sessionsDigest, acknowledgedDigest, sameSessions, number, acknowledgedIncarnation)
+                 sessionsDigest, acknowledgedDigest, sameSessions, number, acknowledgedIncarnation, takesEdits,
+                 checksConfigBallot)
 };
 
 // The answer to a session heartbeat that is not granted: where to ask instead.
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -131,6 +131,14 @@
     }
   }
   LONGS_EQUAL(2, others.size());
+  // The replica that grants the session hands the edit to the one that proposes for all.
+  for (auto& other : others) {
+    auto asked = from;
+    if (!asked.apply(choiceOf(("deliver " + home + " " + other + " EditAsk").c_str()))) continue;
+    std::swap(home, other);
+    from = asked;
+    break;
+  }
   const auto toFirst = "deliver " + home + " " + others.front() + " RegisterPrepare";
   const auto toSecond = "deliver " + home + " " + others.back() + " RegisterPrepare";
   auto one = from;
