Configurations: a daemon reads of a new version what differs from the one it has

Now the entries that stand unchanged in the earlier text are kept, by a scan of both texts, and only the others are parsed; a text of another form is read whole.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 #include <array>
 
 #include "config/reader.hpp"
+#include "config/text_difference.hpp"
 
 namespace tulip::config {
 namespace {
@@ -280,12 +281,8 @@
   }
 }
 
-}  // namespace
-
-std::string_view ruleName(Rule rule) { return rule == Rule::las ? "las" : rule == Rule::gittins ? "gittins" : "fifo"; }
-
-bool readConfig(const json_t* root, Config& config, std::vector<Fault>& faults) {
-  config = Config{};
+// Reads the sections that the root names into a configuration that may hold entries of them already, then checks all.
+bool readInto(const json_t* root, Config& config, std::vector<Fault>& faults) {
   Reader reader{faults};
   const std::size_t before = faults.size();
   reader.object(root, configFields, config);
@@ -294,6 +291,45 @@
   return faults.size() == before;
 }
 
+template <class Entries>
+void keepEntries(const Entries& earlier, const std::vector<std::string_view>& dropped, Entries& into) {
+  into = earlier;
+  for (const auto name : dropped) into.erase(std::string(name));
+}
+
+// The entries of an earlier configuration that the difference leaves as they are.
+Config keptOf(const Config& earlier, const TextDifference& difference) {
+  Config kept;
+  for (const auto& section : difference.kept) {
+    if (section.name == "pendings") keepEntries(earlier.queues, section.dropped, kept.queues);
+    if (section.name == "pools") keepEntries(earlier.pools, section.dropped, kept.pools);
+    if (section.name == "tenants") keepEntries(earlier.tenants, section.dropped, kept.tenants);
+  }
+  return kept;
+}
+
+}  // namespace
+
+std::string_view ruleName(Rule rule) { return rule == Rule::las ? "las" : rule == Rule::gittins ? "gittins" : "fifo"; }
+
+bool readConfig(const json_t* root, Config& config, std::vector<Fault>& faults) {
+  config = Config{};
+  return readInto(root, config, faults);
+}
+
+bool readNextText(const ReadText& earlier, std::string_view text, Config& config, std::vector<Fault>& faults) {
+  if (const auto difference = differenceOf(earlier.text, text)) {
+    const Json changed = parseJson(difference->changed);
+    std::vector<Fault> found;
+    auto next = keptOf(earlier.config, *difference);
+    if (changed && readInto(changed.get(), next, found)) {
+      config = std::move(next);
+      return true;
+    }
+  }
+  return readConfigText(text, config, faults);
+}
+
 bool readConfigText(std::string_view text, Config& config, std::vector<Fault>& faults) {
   Json root = parseJson(text);
   if (!root) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/errors.hpp"
@@ -23,6 +24,7 @@
   Millis aimMs = 0;  // wanted from hand-in to end beyond stretch times the work; 0: none
   double stretch = 0;
   bool needsKey = true;  // of a tenant, where there are tenants
+  bool operator==(const Queue&) const = default;
   MSGPACK_DEFINE(name, rank, failureLimit, backoffMs, quotaSlots, mostJobs, host, prefix, pool, aimMs, stretch)
 };
 
@@ -35,6 +37,7 @@
   bool selfStop = true;
   std::int64_t lostAfterLeases = 5;
   bool guards = false;  // its workers reject what doesn't fit
+  bool operator==(const Pool&) const = default;
 };
 
 /// Whose keys callers come with, and what its jobs may have running at a time.
@@ -42,6 +45,7 @@
   TenantName name;
   std::vector<std::string> keys;
   std::map<std::string, std::int64_t> atMost;  // of each kind of capacity; absent or 0: no limit
+  bool operator==(const Tenant&) const = default;
 };
 
 enum class Rule { las, gittins, fifo };
@@ -59,17 +63,20 @@
   std::int64_t mostPushes = 3;
   bool rankFirst = false;  // rank goes before the lane, and higher rank may preempt lower
   double mostLoss = 0;     // work a preemption may lose, as a multiple of the work it lets start; 0: no bound
+  bool operator==(const Admission&) const = default;
 };
 
 struct Keep {
   Millis finishedMs = 7LL * 24 * 3600 * 1000;
   std::int64_t finishedMost = 100000;
+  bool operator==(const Keep&) const = default;
 };
 
 struct Http {
   std::int64_t maxBodyBytes = 1 << 18;
   std::int64_t mostTasks = 256;
   std::int64_t mostOpenJobs = 20000;
+  bool operator==(const Http&) const = default;
 };
 
 struct Config {
@@ -85,6 +92,7 @@
   bool admissionGiven = false;  // otherwise a daemon's settings may bring usual rules of their own
   Keep keep;
   Http http;
+  bool operator==(const Config&) const = default;
 };
 
 struct Fault {
@@ -94,6 +102,13 @@
 
 bool readConfig(const json_t* root, Config& config, std::vector<Fault>& faults);
 bool readConfigText(std::string_view text, Config& config, std::vector<Fault>& faults);
+/// A text and the configuration that was read from it without a fault.
+struct ReadText {
+  std::string_view text;
+  const Config& config;
+};
+/// As readConfigText, for a text of which the most stands in an earlier one: costs what differs, not what there is.
+bool readNextText(const ReadText& earlier, std::string_view text, Config& config, std::vector<Fault>& faults);
 // RFC 7396. mergeInto changes target, an object that shares no part with another owner; patch is an object.
 void mergeInto(json_t* target, const json_t* patch);
 Json mergePatch(const json_t* target, const json_t* patch);
--- a/src/control/session.cpp
+++ b/src/control/session.cpp
@@ -142,8 +142,10 @@
 void installConfig(ControlClient& client, Version version, std::string text, Now now, Outbox& out) {
   auto made = std::make_shared<config::Config>();
   std::vector<config::Fault> faults;
-  if (!config::readConfigText(text, *made, faults))
-    out.alarms.push_back("a confirmed configuration does not read here");
+  client.configReads = client.configReads
+                           ? config::readNextText({client.configText, *client.config}, text, *made, faults)
+                           : config::readConfigText(text, *made, faults);
+  if (!client.configReads) out.alarms.push_back("a confirmed configuration does not read here");
   client.config = made;
   client.configText = std::move(text);
   client.configVersion = version;
