--- a/src/model/replays.cpp
+++ b/src/model/replays.cpp
@@ -52,26 +52,9 @@
        "start all lower\n"},
       {"replaced-voter-returns-with-a-lower-clock",
        "a voter is replaced while an order is under way, and the one before comes back with a lower clock",
-       "world spares=0 settled\n"
-       "run 300\n"
-       "run 300\n"
-       "run 100\n"
-       "run 5\n"
-       "run 5\n"
-       "run 20\n"
-       "run 300\n"
-       "run 20\n"
-       "order s2 0\n"
-       "replace r1\n"
-       "lose-power r1\n"
-       "advance 1100\n"
-       "run 300\n"
-       "run 50\n"
-       "start r1 lower\n"
-       "run 100\n"
-       "order r2 5\n"
-       "duplicate r2 r3 RegisterPrepare\n"
-       "advance 1100\n"},
+       "world spares=0 settled\nrun 300\nrun 300\nrun 100\nrun 5\nrun 5\nrun 20\nrun 300\nrun 20\n"
+       "order s2 0\nreplace r1\nlose-power r1\nadvance 1100\nrun 300\n"
+       "run 50\nstart r1 lower\nrun 100\norder r2 5\nduplicate r2 r3 RegisterPrepare\nadvance 1100\n"},
       {"two-power-losses-in-turn",
        "one voter after the other loses power and comes back with a lower "
        "clock",
