Workers are judged by the peers of a step, not by estimates that are off

Cause: a worker's pace was the time taken over the estimate. Now: tasks of one step are held against one another (ends, or projections of those at work), narrow steps against the estimate less the error that its queue's estimates usually have, which is learned.

--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -41,10 +41,12 @@
 void finishRun(SchedulerState& scheduler, const JobId& id, std::size_t at, transport::AttemptOutcome outcome,
                const std::string& detail, transport::Now now);
 
-void judgeWorker(SchedulerState& scheduler, WorkerRow& row, const Job& job, std::size_t task,
+void judgeWorker(SchedulerState& scheduler, WorkerRow& row, Job& job, std::size_t task,
                  transport::AttemptOutcome outcome, transport::Now now);
 void judgeProgress(SchedulerState& scheduler, transport::Now now);
-// How many times as long as estimated a run at work takes there; 0 while it can't be told.
+/// How long a task at work will have taken by its end, near its data; 0 while that can't be told.
+Millis projectedMs(const SchedulerState& scheduler, const Job& job, std::size_t task, Millis fleetMs);
+// How many times as long as expected a run at work takes there; 0 while it can't be told.
 double paceOf(const SchedulerState& scheduler, const Job& job, std::size_t task, Millis fleetMs);
 void observeRuns(SchedulerState& scheduler, WorkerRow& row, std::vector<double> paces, transport::Now now);
 Millis leftMs(const Job& job, std::size_t task, Millis fleetMs, double pace);
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -156,6 +156,8 @@
       if (seen.state != AttemptState::ordered && !seen.saved.empty()) task.seenSaved = seen.saved;
       if (seen.state == AttemptState::running) {
         noteProgress(job, where.second, seen, fleetMs);
+        if (const auto wholeMs = projectedMs(scheduler, job, where.second, fleetMs); wholeMs > 0)
+          noteProjection(job, where.second, wholeMs);
         if (const auto pace = paceOf(scheduler, job, where.second, fleetMs); pace > 0) paces.push_back(pace);
       }
       if (seen.state == AttemptState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -13,6 +13,7 @@
 #include "http/call_policy.hpp"
 #include "jobs/job.hpp"
 #include "scheduler/held_attempts.hpp"
+#include "scheduler/pace.hpp"
 #include "scheduler/promised_state.hpp"
 #include "scheduler/run_waits.hpp"
 
@@ -152,7 +153,8 @@
   std::optional<config::Admission> usual;  // rules that the settings bring, for a configuration without any
   std::map<WorkerId, WorkerRow> workers;
   std::set<WorkerId> ordersDue;
-  std::map<QueueName, LinePace> paces;
+  std::map<QueueName, LinePace> paces;                // of queues whose work comes without estimates
+  std::map<QueueName, EstimateError> estimateErrors;  // of queues whose work comes with them
   RunWaits runWaits;
   std::set<JobId> longWaits;  // told of in the log, once each
   std::deque<std::int64_t> sizes;
--- a/src/scheduler/worker_health.cpp
+++ b/src/scheduler/worker_health.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "scheduler/internal.hpp"
 
@@ -38,6 +39,15 @@
     usual.meanMs += weight * (static_cast<double>(tookMs) - usual.meanMs);
 }
 
+void judgeEstimated(SchedulerState& scheduler, WorkerRow& row, Job& job, std::size_t at, Millis tookMs, Now now) {
+  auto& error = scheduler.estimateErrors[job.pending()];
+  notePace(scheduler, row, slowness(job, at, tookMs, error), now);
+  if (!noteEnd(job, at, tookMs)) return;
+  const auto& tally = job.tallyOf(at);
+  noteEstimate(error,
+               static_cast<double>(tally.timedMs) / tally.timed / static_cast<double>(job.stepOf(at).estimateMs));
+}
+
 void blame(SchedulerState& scheduler, const WorkerId& id, Now now) {
   auto found = scheduler.workers.find(id);
   if (found == scheduler.workers.end()) return;
@@ -51,8 +61,7 @@
 
 }  // namespace
 
-void judgeWorker(SchedulerState& scheduler, WorkerRow& row, const Job& job, std::size_t at, AttemptOutcome outcome,
-                 Now now) {
+void judgeWorker(SchedulerState& scheduler, WorkerRow& row, Job& job, std::size_t at, AttemptOutcome outcome, Now now) {
   const auto& task = job.tasks[at];
   auto& standing = row.standing;
   if (outcome == AttemptOutcome::failed) ++standing.failed;
@@ -65,14 +74,13 @@
   if (step.estimateMs <= 0)
     judgePace(scheduler, row, job.pending(), tookMs, now);
   else if (task.runningMs >= 0 && task.runningPercent == 0 && !step.oneRack && step.near.empty())
-    notePace(scheduler, row,
-             static_cast<double>(fleet(scheduler, now) - task.runningMs) / static_cast<double>(step.estimateMs), now);
+    judgeEstimated(scheduler, row, job, at, fleet(scheduler, now) - task.runningMs, now);
   if (standing.failRate < 0.1 && standing.pace < 1.5) standing.shuns = 0;
   const bool once = !step.together || at == gangBegin(job, at);
   if (once && !task.failedOn.empty() && task.failedOn != row.id) blame(scheduler, task.failedOn, now);
 }
 
-double paceOf(const SchedulerState& scheduler, const Job& job, std::size_t at, Millis fleetMs) {
+Millis projectedMs(const SchedulerState& scheduler, const Job& job, std::size_t at, Millis fleetMs) {
   const auto& task = job.tasks[at];
   const auto& step = job.stepOf(at);
   if (task.runningMs < 0 || step.estimateMs <= 0 || step.standing || task.stopping || task.percent >= 100) return 0;
@@ -81,7 +89,14 @@
   if (ranMs < std::max<Millis>(bounds(scheduler).leaseMs / 3, step.estimateMs / 8)) return 0;
   const auto done = std::max<double>(1.0, static_cast<double>(task.percent - task.runningPercent)) / 100.0;
   const auto far = step.oneRack || !step.near.empty() ? bounds(scheduler).farFactor : 1.0;
-  return static_cast<double>(ranMs) / (far * done * static_cast<double>(step.estimateMs));
+  return std::max<Millis>(1, std::llround(static_cast<double>(ranMs) / (far * done)));
+}
+
+double paceOf(const SchedulerState& scheduler, const Job& job, std::size_t at, Millis fleetMs) {
+  const auto wholeMs = projectedMs(scheduler, job, at, fleetMs);
+  if (wholeMs == 0) return 0;
+  const auto found = scheduler.estimateErrors.find(job.pending());
+  return slowness(job, at, wholeMs, found == scheduler.estimateErrors.end() ? EstimateError{} : found->second);
 }
 
 void observeRuns(SchedulerState& scheduler, WorkerRow& row, std::vector<double> paces, Now now) {
@@ -132,11 +147,10 @@
         continue;
       }
       if (!slow || paceOf(scheduler, job, where.second, fleetMs) < kSlow) continue;
-      const auto leftHere =
-          static_cast<double>(step.estimateMs) * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
+      const auto expected = static_cast<double>(expectedMs(job, where.second));
+      const auto leftHere = expected * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
       const auto kept = step.saves ? static_cast<double>(task.percent) / 200.0 : 0.0;
-      const auto anew =
-          static_cast<double>(step.estimateMs) * (1.1 - kept) + static_cast<double>(bounds(scheduler).leaseMs) / 4;
+      const auto anew = expected * (1.1 - kept) + static_cast<double>(bounds(scheduler).leaseMs) / 4;
       if (leftHere > (step.together ? 2.0 : 1.3) * anew) moved.push_back({worker, where.first, where.second, false});
     }
   }
