Mechanisms of the scheduler can be switched off one by one in the rule's options

`admission.without` lists what is off: rackWait, reservation, lastStretch, avoidFailed, shunning, moves, peerPace. It is checked (an unknown name is rejected with its place), and swapped live as the rest of the rule. With the option absent nothing changes. Tests: config, placement (one each, and drawn in the random loads), pace.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -36,6 +36,7 @@
 std::optional<ReadyUnit> longestWaiting(std::span<const Candidate> jobs, std::span<const std::size_t> ranking,
                                         const config::Admission& rules, const Planner& planner) {
   std::optional<ReadyUnit> longest;
+  if (rules.without.contains(config::Mechanism::reservation)) return longest;
   const auto key = [&](const Candidate& each) {
     return std::tuple(rules.rankFirst ? -each.rank : 0, -each.readyForMs, each.id.view());
   };
--- a/src/admission/planner.cpp
+++ b/src/admission/planner.cpp
@@ -82,7 +82,7 @@
   if (!unit.near.empty())
     if (auto found = rackAt.find(unit.near); found != rackAt.end()) demand.near = found->second;
   avoid.clear();
-  if (unit.avoid.size() == unit.tasks.size() &&
+  if (!rules.without.contains(config::Mechanism::avoidFailed) && unit.avoid.size() == unit.tasks.size() &&
       std::any_of(unit.avoid.begin(), unit.avoid.end(), [](const auto& worker) { return !worker.empty(); })) {
     for (const auto& worker : unit.avoid) avoid.push_back(worker.empty() ? kNowhere : indexOf(worker));
     demand.avoid = avoid;
--- a/src/admission/reservation.cpp
+++ b/src/admission/reservation.cpp
@@ -62,6 +62,7 @@
 
 // Whether work that would start away from its rack does better to wait a little for capacity there.
 bool Planner::waitsForRack(const Batch& batch, bool whole, const Scope& scope) {
+  if (rules.without.contains(config::Mechanism::rackWait)) return false;
   const auto& job = jobs[batch.job];
   const auto extraMs = static_cast<Millis>((field.farFactor - 1) * static_cast<double>(batch.unit.estimateMs)) / 2;
   if (!job.runs.empty() || job.readyForMs >= std::min(extraMs, rules.reserveAfterMs / 10)) return false;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -166,6 +166,25 @@
     reader.fault("a number from 0 to 1000000");
 }
 
+std::string mechanismNames() {
+  std::string names;
+  for (const auto name : kMechanismNames) names += (names.empty() ? "\"" : ", \"") + std::string(name) + "\"";
+  return names;
+}
+
+void readWithout(Reader& reader, const json_t* value, Admission& into) {
+  into.without = {};
+  if (!json_is_array(value)) return reader.fault("a list of mechanisms");
+  for (std::size_t i = 0; i < json_array_size(value); ++i)
+    reader.within(std::to_string(i), [&] {
+      const json_t* item = json_array_get(value, i);
+      const std::string_view text = json_is_string(item) ? json_string_value(item) : "";
+      const auto* const found = std::find(kMechanismNames.begin(), kMechanismNames.end(), text);
+      if (found == kMechanismNames.end()) return reader.fault("one of " + mechanismNames());
+      into.without.insert(static_cast<Mechanism>(found - kMechanismNames.begin()));
+    });
+}
+
 constexpr std::array admissionFields{
     Fields<Admission>{"rule", readRule},
     Fields<Admission>{"lanes", readNumber<&Admission::lanes, 1, 16, Admission>},
@@ -176,6 +195,7 @@
     Fields<Admission>{"epochMs", readNumber<&Admission::epochMs, 5, 1000, Admission>},
     Fields<Admission>{"rankFirst", readFlag<&Admission::rankFirst, Admission>},
     Fields<Admission>{"mostLoss", readMostLoss},
+    Fields<Admission>{"without", readWithout},
     Fields<Admission>{"mostPushes", readNumber<&Admission::mostPushes, 0, 1000000, Admission>},
     Fields<Admission>{"gangStartMs", readNumber<&Admission::gangStartMs, 100, 600000, Admission>},
 };
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,6 +8,7 @@
 #include "base/errors.hpp"
 #include "base/json.hpp"
 #include "base/types.hpp"
+#include "config/mechanisms.hpp"
 
 namespace tulip::config {
 
@@ -63,6 +64,7 @@
   std::int64_t mostPushes = 3;
   bool rankFirst = false;  // rank goes before the lane, and higher rank may preempt lower
   double mostLoss = 0;     // work a preemption may lose, as a multiple of the work it lets start; 0: no bound
+  Mechanisms without;      // mechanisms that are switched off
   bool operator==(const Admission&) const = default;
 };
 
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -13,6 +13,9 @@
   const auto& config = *scheduler.client.config;
   return scheduler.usual && !config.admissionGiven ? *scheduler.usual : config.admission;
 }
+inline bool isOn(const SchedulerState& scheduler, config::Mechanism mechanism) {
+  return !rulesOf(scheduler).without.contains(mechanism);
+}
 inline std::string specKey(const JobId& id) { return "~" + id.value; }
 
 const config::Queue& queueOf(const SchedulerState& scheduler, const Job& job);
--- a/src/scheduler/worker_health.cpp
+++ b/src/scheduler/worker_health.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 void shun(SchedulerState& scheduler, WorkerRow& row, Now now) {
+  if (!isOn(scheduler, config::Mechanism::shunning)) return;
   auto& standing = row.standing;
   const auto already = std::count_if(scheduler.workers.begin(), scheduler.workers.end(), [&](const auto& other) {
     return now.steadyMs < other.second.standing.shunnedUntilMs;
@@ -39,9 +40,17 @@
     usual.meanMs += weight * (static_cast<double>(tookMs) - usual.meanMs);
 }
 
+/// How many times as long as expected a task takes whose whole time is `wholeMs`.
+double paceOfWhole(const SchedulerState& scheduler, const Job& job, std::size_t at, Millis wholeMs) {
+  if (!isOn(scheduler, config::Mechanism::peerPace))
+    return static_cast<double>(wholeMs) / static_cast<double>(job.stepOf(at).estimateMs);
+  const auto found = scheduler.estimateErrors.find(job.pending());
+  return slowness(job, at, wholeMs, found == scheduler.estimateErrors.end() ? EstimateError{} : found->second);
+}
+
 void judgeEstimated(SchedulerState& scheduler, WorkerRow& row, Job& job, std::size_t at, Millis tookMs, Now now) {
   auto& error = scheduler.estimateErrors[job.pending()];
-  notePace(scheduler, row, slowness(job, at, tookMs, error), now);
+  notePace(scheduler, row, paceOfWhole(scheduler, job, at, tookMs), now);
   if (!noteEnd(job, at, tookMs)) return;
   const auto& tally = job.tallyOf(at);
   noteEstimate(error,
@@ -95,8 +104,7 @@
 double paceOf(const SchedulerState& scheduler, const Job& job, std::size_t at, Millis fleetMs) {
   const auto wholeMs = projectedMs(scheduler, job, at, fleetMs);
   if (wholeMs == 0) return 0;
-  const auto found = scheduler.estimateErrors.find(job.pending());
-  return slowness(job, at, wholeMs, found == scheduler.estimateErrors.end() ? EstimateError{} : found->second);
+  return paceOfWhole(scheduler, job, at, wholeMs);
 }
 
 void observeRuns(SchedulerState& scheduler, WorkerRow& row, std::vector<double> paces, Now now) {
@@ -118,6 +126,7 @@
     bool stuck;
   };
   std::vector<Moved> moved;
+  const bool moves = isOn(scheduler, config::Mechanism::moves);
   std::size_t usable = 0;
   for (const auto& [worker, row] : scheduler.workers) usable += usableWorker(scheduler, row, now);
   for (const auto& [worker, runs] : scheduler.held) {
@@ -139,7 +148,7 @@
           continue;
         }
       }
-      if (step.standing || step.estimateMs <= 0 || task.runningMs < 0) continue;
+      if (!moves || step.standing || step.estimateMs <= 0 || task.runningMs < 0) continue;
       const Millis patienceMs =
           std::max<Millis>(bounds(scheduler).leaseMs * 3 / 5, step.estimateMs / 8) + bounds(scheduler).reportMs();
       if (task.percent < 100 && fleetMs - task.movedMs >= patienceMs) {
@@ -147,7 +156,8 @@
         continue;
       }
       if (!slow || paceOf(scheduler, job, where.second, fleetMs) < kSlow) continue;
-      const auto expected = static_cast<double>(expectedMs(job, where.second));
+      const auto expected = static_cast<double>(
+          isOn(scheduler, config::Mechanism::peerPace) ? expectedMs(job, where.second) : step.estimateMs);
       const auto leftHere = expected * static_cast<double>(100 - task.percent) / 100.0 * row.standing.pace;
       const auto kept = step.saves ? static_cast<double>(task.percent) / 200.0 : 0.0;
       const auto anew = expected * (1.1 - kept) + static_cast<double>(bounds(scheduler).leaseMs) / 4;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -43,6 +43,10 @@
   STRCMP_EQUAL("/admission/thresholdsMs", firstFault(R"({"admission":{"lanes":3,"thresholdsMs":[5]}})").c_str());
   STRCMP_EQUAL("/admission/thresholdsMs/1", firstFault(R"({"admission":{"lanes":3,"thresholdsMs":[5,5]}})").c_str());
   STRCMP_EQUAL("/admission/promoteKnob", firstFault(R"({"admission":{"promoteKnob":0}})").c_str());
+  STRCMP_EQUAL("/admission/mostLoss", firstFault(R"({"admission":{"mostLoss":-0.1}})").c_str());
+  STRCMP_EQUAL("/admission/without", firstFault(R"({"admission":{"without":"moves"}})").c_str());
+  STRCMP_EQUAL("/admission/without/1", firstFault(R"({"admission":{"without":["moves","unknown"]}})").c_str());
+  STRCMP_EQUAL("", firstFault(R"({"admission":{"without":["moves","rackWait","peerPace"]}})").c_str());
   STRCMP_EQUAL("/", firstFault(R"({"cells":{},"cells":{}})").c_str());
 }
 
--- a/tests/pace_test.cpp
+++ b/tests/pace_test.cpp
@@ -111,6 +111,12 @@
     }
   }
 
+  void switchOff(const char* mechanism) {
+    const auto text = std::string(R"({"pools":{"side":{"slots":8,"lostAfterTerms":1}},"pendings":{"q":{}},)") +
+                      R"("admission":{"without":[")" + mechanism + R"("]}})";
+    scheduler.client.config = configWith(text.c_str());
+  }
+
   double paceAt(std::size_t worker) const { return scheduler.workers.at(WorkerId(workerName(worker))).standing.pace; }
   std::vector<double> sound() const { return std::vector<double>(kWorkers, 1.0); }
 };
@@ -148,6 +154,36 @@
     if (worker != 4) LONGS_EQUAL(0, scheduler.workers.at(WorkerId(workerName(worker))).standing.shuns);
 }
 
+TEST(pace, no_worker_is_shunned_if_shunning_is_switched_off) {
+  switchOff("shunning");
+  auto slowness = sound();
+  slowness[4] = 4;
+  for (int i = 0; i < 4; ++i) runStep(2000, 4000, slowness);
+  LONGS_EQUAL(0, scheduler.counts.shuns);
+  CHECK(paceAt(4) > 2.4);
+}
+
+TEST(pace, estimates_count_as_given_if_peers_are_switched_off) {
+  switchOff("peerPace");
+  for (int i = 0; i < 4; ++i) runStep(2000, 400, sound());
+  CHECK(paceAt(0) > 2);
+}
+
+TEST(pace, an_attempt_that_is_far_too_slow_moves_unless_moves_are_switched_off) {
+  auto slowness = sound();
+  slowness[4] = 8;
+  for (int i = 0; i < 4; ++i) runStep(2000, 2000, slowness);
+  CHECK(scheduler.counts.stops > 0);
+}
+
+TEST(pace, an_attempt_that_is_far_too_slow_stays_if_moves_are_switched_off) {
+  switchOff("moves");
+  auto slowness = sound();
+  slowness[4] = 8;
+  for (int i = 0; i < 4; ++i) runStep(2000, 2000, slowness);
+  LONGS_EQUAL(0, scheduler.counts.stops);
+}
+
 TEST(pace, the_usual_error_of_a_queues_estimates_is_learned_and_explains_what_lies_within_it) {
   scheduler::EstimateError error;
   std::lognormal_distribution<double> ratio(0.5, 0.4);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -91,6 +91,12 @@
   return rules;
 }
 
+config::Admission without(config::Mechanism mechanism) {
+  config::Admission rules;
+  rules.without.insert(mechanism);
+  return rules;
+}
+
 struct Dice {
   std::mt19937_64 source;
   explicit Dice(std::uint64_t seed) : source(seed) {}
@@ -115,6 +121,8 @@
   made.rules.layout = dice.oneIn(4) ? config::Layout::spread : config::Layout::pack;
   if (dice.oneIn(5)) made.rules.mostLoss = 4;
   if (dice.oneIn(8)) made.rules.rule = config::Rule::fifo;
+  for (std::size_t i = 0; i < config::kMechanismNames.size(); ++i)
+    if (dice.oneIn(10)) made.rules.without.insert(static_cast<config::Mechanism>(i));
   const auto workers = dice.between(1, 14);
   for (int i = 0; i < workers; ++i) {
     const Load total{dice.oneIn(3) ? 8 : 0, 16000, 65536, dice.oneIn(5) ? 2 : 0};
@@ -579,6 +587,46 @@
   CHECK(workersOf(plan(jobs, where, {}, {})) == std::vector<std::size_t>{0});
 }
 
+TEST(placement, a_wait_for_the_rack_that_is_switched_off_is_not_waited) {
+  auto where = fieldOf({worker(0, load(0), load(8), "r0"), worker(1, load(8), load(8), "r1")});
+  auto unit = tasks(1, load(2));
+  unit.near = "r0";
+  unit.estimateMs = 2000;
+  std::vector<Candidate> jobs{waiting("job", unit), busy("held", {held(0, 0, load(8))}, 0)};
+  jobs[1].runs[0].endsInMs = 400;
+  LONGS_EQUAL(0, plan(jobs, where, {}, {}).starts.size());
+  CHECK(workersOf(plan(jobs, where, without(config::Mechanism::rackWait), {})) == std::vector<std::size_t>{1});
+}
+
+TEST(placement, a_task_may_go_where_it_failed_last_if_avoiding_is_switched_off) {
+  auto unit = tasks(1, load(2));
+  unit.avoid = {WorkerId("w0")};
+  const auto where = freeField({4, 8});
+  CHECK(workersOf(plan(std::vector{waiting("job", unit)}, where, {}, {})) == std::vector<std::size_t>{1});
+  CHECK(workersOf(plan(std::vector{waiting("job", unit)}, where, without(config::Mechanism::avoidFailed), {})) ==
+        std::vector<std::size_t>{0});
+}
+
+TEST(placement, nothing_is_reserved_if_reservations_are_switched_off) {
+  auto gang = waiting("gang", tasks(2, load(8), true));
+  gang.gang = true;
+  gang.readyForMs = 20000;
+  std::vector<Candidate> jobs{gang, busy("held", {held(0, 0, load(4))}, 0)};
+  const auto where = freeField({4, 8});
+  CHECK(plan(jobs, where, {}, {}).reservedFor == std::optional<std::size_t>(0));
+  CHECK(plan(jobs, where, without(config::Mechanism::reservation), {}).reservedFor == std::nullopt);
+}
+
+TEST(placement, an_aim_pushes_at_once_if_the_last_stretch_is_switched_off) {
+  std::vector<Candidate> jobs{waiting("urgent", tasks(1, load(8)), 2), busy("held", {held(0, 0, load(8))}, 0, 1)};
+  jobs[0].ready[0].estimateMs = 1000;
+  jobs[0].dueInMs = 5000;
+  auto rules = byRank();
+  LONGS_EQUAL(0, plan(jobs, freeField({0}), rules, {}).stops.size());
+  rules.without.insert(config::Mechanism::lastStretch);
+  LONGS_EQUAL(1, plan(jobs, freeField({0}), rules, {}).stops.size());
+}
+
 TEST(placement, a_gang_goes_whole_on_one_rack_where_one_holds_it_and_spreads_otherwise) {
   auto where = fieldOf({worker(0, load(4), load(8), "r0"), worker(1, load(8), load(8), "r1"),
                         worker(2, load(3), load(8), "r0"), worker(3, load(8), load(8), "r1")});
