Lower rank makes way on a rack for work that asks for it, at less loss than running away costs

Nothing was preempted for a rack. Now: a task that would start elsewhere, and can still make its aim, stops lower-ranked work on its rack if at most mostRackLoss (1) times what running elsewhere would cost has to be done again, and waits for capacity there that is being given up. Such stops don't count against mostPushes. The random loads found that the switch lastStretch let late work preempt: mended, it doesn't.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -89,6 +89,7 @@
 struct Stop {
   std::size_t job = 0;
   std::size_t task = 0;
+  bool forRack = false;  // so that work that asks for the rack need not run away from it
   bool operator==(const Stop&) const = default;
 };
 
--- a/src/admission/planner.cpp
+++ b/src/admission/planner.cpp
@@ -237,6 +237,7 @@
     if (const auto found = pick(deck, demand, task, scope.workers, free, tally); found != kNowhere) {
       const bool far = demand.near != kNowhere && deck.rack[found] != demand.near;
       if (far && waitsForRack(batch, false, scope)) return false;
+      if (far && (rackIsComing(batch, scope) || preemptOnRack(batch, scope))) return true;
       start(batch.job, batch.unit.tasks[task], found, need);
       tally.put(found, 1);
       return true;
--- a/src/admission/planner.hpp
+++ b/src/admission/planner.hpp
@@ -71,7 +71,8 @@
   std::size_t place = 0;  // of its job in the order of the plan
   std::int64_t lane = 0;
   std::int64_t rank = 0;
-  std::int64_t lost = 0;  // by stopping it, in thousandths of a worker times milliseconds
+  std::int64_t lost = 0;    // by stopping it, in thousandths of a worker times milliseconds
+  std::int64_t redone = 0;  // of that, work that has to be done again
   bool longRunning = false;
   bool stopped = false;
   bool chosen = false;  // by the preemption that is being looked for
@@ -150,10 +151,15 @@
                Price& price) const;
   void dropNeedless(const placement::Load& need, placement::Load capacity, Price& price) const;
   bool preemptionMayHelp(const Batch& batch, const Scope& scope);
-  bool preemptForTask(const Batch& batch, std::size_t task, const Scope& scope, Preemption& found);
-  bool findPreemption(const Batch& batch, const Scope& scope, Preemption& found);
+  bool preemptForTask(const Batch& batch, std::size_t task, std::span<const std::uint32_t> among, Preemption& found);
+  bool findPreemption(const Batch& batch, std::span<const std::uint32_t> among, Preemption& found);
+  std::span<const std::uint32_t> workersOnRack(const Batch& batch, const Scope& scope);
   void spareNeedless(std::vector<std::size_t>& picks);
   bool losesTooMuch(const Batch& batch, const Preemption& found) const;
+  std::int64_t workOf(const Batch& batch, const Preemption& found) const;
+  void stopFor(const Batch& batch, const Preemption& found, bool forRack);
+  bool rackIsComing(const Batch& batch, const Scope& scope);
+  bool preemptOnRack(const Batch& batch, const Scope& scope);
   bool preempt(const Batch& batch, Scope& scope);
 
   std::span<const Candidate> jobs;
@@ -186,7 +192,8 @@
   Tally tally;
   Matcher matcher;
   Price price, best;  // of one task's preemption, kept for their memory
-  std::size_t preemptionTries = 0, forecasts = 0, fills = 0;
+  std::vector<std::uint32_t> onRack;
+  std::size_t preemptionTries = 0, rackTries = 0, forecasts = 0, fills = 0;
 };
 
 inline constexpr std::size_t kMostForecasts = 32;
--- a/src/admission/preemption.cpp
+++ b/src/admission/preemption.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kMostPreemptionTries = 24;
+constexpr std::size_t kMostRackTries = 64;
 
 std::int64_t thousandths(const placement::Load& load, const placement::Load& total) {
   return std::max<std::int64_t>(1, static_cast<std::int64_t>(1000 * placement::dominantShare(load, total)));
@@ -54,7 +55,9 @@
   victim.runs.push_back(at);
   victim.longRunning = victim.longRunning || run.standing;
   const auto delayMs = job.dueInMs > 0 ? std::max<Millis>(0, run.endsInMs) : 0;
-  victim.lost += (run.lossMs + delayMs + 1) * thousandths(run.load, field.workers[run.worker].total);
+  const auto share = thousandths(run.load, field.workers[run.worker].total);
+  victim.lost += (run.lossMs + delayMs + 1) * share;
+  victim.redone += (run.lossMs + 1) * share;
   const auto part = std::find_if(victim.parts.begin(), victim.parts.end(),
                                  [&](const auto& each) { return each.worker == run.worker; });
   if (part == victim.parts.end())
@@ -144,21 +147,24 @@
            (lane >= vain.lane || (rules.rankFirst && job.rank < vain.rank));
   };
   if (std::any_of(scope.vainPreemptions.begin(), scope.vainPreemptions.end(), covers)) return false;
-  if (job.dueInMs == 0 || rules.without.contains(config::Mechanism::lastStretch)) return true;
-  if (job.dueInMs < 0 || job.dueInMs > batch.unit.estimateMs || forecasts >= kMostForecasts) return false;
+  if (job.dueInMs == 0) return true;
+  if (job.dueInMs < 0) return false;
+  if (rules.without.contains(config::Mechanism::lastStretch)) return true;
+  if (job.dueInMs > batch.unit.estimateMs || forecasts >= kMostForecasts) return false;
   return !fitsBy(batch, batch.count > 1, scope, job.dueInMs / 2, false);
 }
 
 // Chooses the worker where the task costs least, and counts it there as if its victims were stopped.
-bool Planner::preemptForTask(const Batch& batch, std::size_t task, const Scope& scope, Preemption& found) {
+bool Planner::preemptForTask(const Batch& batch, std::size_t task, std::span<const std::uint32_t> among,
+                             Preemption& found) {
   const auto& job = jobs[batch.job];
   const auto& demand = batch.demand;
   const auto lane = laneOf(job.counters, rules);
   const auto& need = demand.load(task);
   std::uint32_t cheapest = kNowhere;
   std::tuple<std::int64_t, int, std::size_t> cheapestKey;
-  tally.looks += scope.workers.size();
-  for (const auto worker : scope.workers) {
+  tally.looks += among.size();
+  for (const auto worker : among) {
     if (demand.apart > 0 && tally.count[worker] >= demand.apart) continue;
     if (!priceAt(job, lane, need, worker, price)) continue;
     const std::tuple key(price.lost, burden(deck, demand, task, worker),
@@ -183,15 +189,15 @@
 
 // Looks for what to stop for all tasks of the batch. False if one of them can't be helped; the victims that `found`
 // names were then considered in vain.
-bool Planner::findPreemption(const Batch& batch, const Scope& scope, Preemption& found) {
+bool Planner::findPreemption(const Batch& batch, std::span<const std::uint32_t> among, Preemption& found) {
   scratch = soon;
   std::fill(placed.begin(), placed.end(), placement::Load{});
   bool all = true;
   if (batch.count == 1) {
-    all = preemptForTask(batch, batch.first, scope, found);
+    all = preemptForTask(batch, batch.first, among, found);
   } else {
     for (const auto task : matcher.bySize(deck, batch.demand)) {
-      all = preemptForTask(batch, task, scope, found);
+      all = preemptForTask(batch, task, among, found);
       if (!all) break;
     }
   }
@@ -219,11 +225,54 @@
   if (rules.mostLoss <= 0 || batch.unit.estimateMs <= 0) return false;
   std::int64_t lost = 0;
   for (const auto v : found.victims) lost += victims[v].lost;
-  double gain = 0;
+  return static_cast<double>(lost) > rules.mostLoss * static_cast<double>(workOf(batch, found));
+}
+
+// The work that could start, by its estimate.
+std::int64_t Planner::workOf(const Batch& batch, const Preemption& found) const {
+  std::int64_t work = 0;
   for (const auto& [task, worker] : found.where)
-    gain +=
-        static_cast<double>(thousandths(batch.demand.load(task), field.workers[worker].total) * batch.unit.estimateMs);
-  return static_cast<double>(lost) > rules.mostLoss * gain;
+    work += thousandths(batch.demand.load(task), field.workers[worker].total) * batch.unit.estimateMs;
+  return work;
+}
+
+std::span<const std::uint32_t> Planner::workersOnRack(const Batch& batch, const Scope& scope) {
+  onRack.clear();
+  for (const auto at : scope.workers)
+    if (deck.rack[at] == batch.demand.near && deck.doubt[at] < deck.farDoubt && at != batch.demand.avoided(batch.first))
+      onRack.push_back(at);
+  return onRack;
+}
+
+// Whether the task may wait for capacity on its rack that others are giving up: it could still make its aim.
+bool Planner::rackIsComing(const Batch& batch, const Scope& scope) {
+  if (rules.mostRackLoss <= 0 || jobs[batch.job].dueInMs <= 0) return false;
+  const auto found = pick(deck, batch.demand, batch.first, workersOnRack(batch, scope), soon, tally);
+  if (found == kNowhere) return false;
+  claim(found, batch.low, false);
+  tally.put(found, 1);
+  return true;
+}
+
+// Stops work of lower rank on the task's rack, if less has to be done again than running elsewhere would cost. What is
+// stopped can go on where the task would have gone.
+bool Planner::preemptOnRack(const Batch& batch, const Scope& scope) {
+  const auto& job = jobs[batch.job];
+  if (rules.mostRackLoss <= 0 || !rules.rankFirst || rules.rule == config::Rule::fifo || job.dueInMs <= 0) return false;
+  if (++rackTries > kMostRackTries) return false;
+  findVictims();
+  if (lowestLane < 0 || lowestRank >= job.rank) return false;
+  Preemption found;
+  if (!findPreemption(batch, workersOnRack(batch, scope), found)) return false;
+  std::int64_t redone = 0;
+  for (const auto v : found.victims) {
+    if (victims[v].rank >= job.rank || victims[v].longRunning) return false;
+    redone += victims[v].redone;
+  }
+  const double costAway = (field.farFactor - 1) * static_cast<double>(workOf(batch, found));
+  if (static_cast<double>(redone) > rules.mostRackLoss * costAway) return false;
+  stopFor(batch, found, true);
+  return true;
 }
 
 // Stops what must make way for the tasks, all or none, and keeps that capacity for them.
@@ -231,17 +280,24 @@
   if (!preemptionMayHelp(batch, scope)) return false;
   ++preemptionTries;
   Preemption found;
-  if (!findPreemption(batch, scope, found)) {
+  if (!findPreemption(batch, scope.workers, found)) {
     const auto& job = jobs[batch.job];
     if (batch.demand.apart == 0 && scope.vainPreemptions.size() < kMostKnown)
       scope.vainPreemptions.push_back({{batch.count, batch.high}, laneOf(job.counters, rules), job.rank});
     return false;
   }
   if (losesTooMuch(batch, found)) return false;
+  stopFor(batch, found, false);
+  return true;
+}
+
+// Stops what was found and keeps its capacity for the tasks.
+void Planner::stopFor(const Batch& batch, const Preemption& found, bool forRack) {
   for (const auto v : found.victims) {
     victims[v].stopped = true;
     for (const auto& part : victims[v].parts) deck.add(soon, part.worker, part.load);
-    for (const auto r : victims[v].runs) out.stops.push_back({victims[v].job, jobs[victims[v].job].runs[r].task});
+    for (const auto r : victims[v].runs)
+      out.stops.push_back({victims[v].job, jobs[victims[v].job].runs[r].task, forRack});
   }
   for (const auto& [task, worker] : found.where) {
     claim(worker, batch.demand.load(task), false);
@@ -251,7 +307,6 @@
     each.misfits.clear();
     each.vainPreemptions.clear();
   }
-  return true;
 }
 
 }  // namespace tulip::admission
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -159,9 +159,10 @@
     reader.fault("a number above 0, or \"infinity\"");
 }
 
-void readMostLoss(Reader& reader, const json_t* value, Admission& into) {
+template <double Admission::*field>
+void readMultiple(Reader& reader, const json_t* value, Admission& into) {
   if (json_is_number(value) && json_number_value(value) >= 0 && json_number_value(value) <= 1e6)
-    into.mostLoss = json_number_value(value);
+    into.*field = json_number_value(value);
   else
     reader.fault("a number from 0 to 1000000");
 }
@@ -194,7 +195,8 @@
     Fields<Admission>{"layout", readLayout},
     Fields<Admission>{"epochMs", readNumber<&Admission::epochMs, 5, 1000, Admission>},
     Fields<Admission>{"rankFirst", readFlag<&Admission::rankFirst, Admission>},
-    Fields<Admission>{"mostLoss", readMostLoss},
+    Fields<Admission>{"mostLoss", readMultiple<&Admission::mostLoss>},
+    Fields<Admission>{"mostRackLoss", readMultiple<&Admission::mostRackLoss>},
     Fields<Admission>{"without", readWithout},
     Fields<Admission>{"mostPushes", readNumber<&Admission::mostPushes, 0, 1000000, Admission>},
     Fields<Admission>{"gangStartMs", readNumber<&Admission::gangStartMs, 100, 600000, Admission>},
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -62,9 +62,11 @@
   Millis epochMs = 50;
   Millis gangStartMs = 5000;
   std::int64_t mostPushes = 3;
-  bool rankFirst = false;  // rank goes before the lane, and higher rank may preempt lower
-  double mostLoss = 0;     // work a preemption may lose, as a multiple of the work it lets start; 0: no bound
-  Mechanisms without;      // mechanisms that are switched off
+  bool rankFirst = false;   // rank goes before the lane, and higher rank may preempt lower
+  double mostLoss = 0;      // work a preemption may lose, as a multiple of the work it lets start; 0: no bound
+  double mostRackLoss = 0;  // work of lower rank on a rack that may be done again for work that asks for the rack, as a
+                            // multiple of what running away from it costs; 0: none
+  Mechanisms without;       // mechanisms that are switched off
   bool operator==(const Admission&) const = default;
 };
 
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -179,7 +179,7 @@
   std::set<std::size_t> pushed;
   for (const auto& stop : plan.stops) {
     ++scheduler.counts.stops;
-    const bool first = pushed.insert(stop.job).second;
+    const bool first = !stop.forRack && pushed.insert(stop.job).second;
     change(scheduler, scene.ids[stop.job], [&](Job& job) {
       accrueTo(job, fleetMs);
       stopRun(job, stop.task, fleetMs);
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -95,6 +95,7 @@
     rules.reserveAfterMs = 2 * settings.bounds.leaseMs;
     rules.rankFirst = true;
     rules.mostLoss = 0.1;
+    rules.mostRackLoss = 1;
     scheduler.usual = std::move(rules);
   }
   return scheduler;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -120,6 +120,7 @@
   made.rules.rankFirst = dice.oneIn(2);
   made.rules.layout = dice.oneIn(4) ? config::Layout::spread : config::Layout::pack;
   if (dice.oneIn(5)) made.rules.mostLoss = 4;
+  if (dice.oneIn(3)) made.rules.mostRackLoss = 2;
   if (dice.oneIn(8)) made.rules.rule = config::Rule::fifo;
   for (std::size_t i = 0; i < config::kMechanismNames.size(); ++i)
     if (dice.oneIn(10)) made.rules.without.insert(static_cast<config::Mechanism>(i));
@@ -627,6 +628,66 @@
   LONGS_EQUAL(1, plan(jobs, freeField({0}), rules, {}).stops.size());
 }
 
+namespace {
+
+// Urgent work that asks for rack r0, which lower work fills, with room elsewhere. Running there costs it 500 ms more.
+struct FullRack {
+  std::vector<Candidate> jobs;
+  Field where = fieldOf({worker(0, load(0), load(8), "r0"), worker(1, load(8), load(8), "r1")});
+  config::Admission rules = byRank();
+
+  FullRack() {
+    auto unit = tasks(1, load(2));
+    unit.near = "r0";
+    unit.estimateMs = 1000;
+    jobs = {waiting("urgent", unit, 2), busy("lower", {held(0, 0, load(4), 200), held(1, 0, load(4), 100)}, 0, 1)};
+    jobs[0].dueInMs = 900;
+    rules.mostRackLoss = 1;
+  }
+  Plan made() const { return plan(jobs, where, rules, {}); }
+  bool runsElsewhere() const {
+    const auto plan = made();
+    return plan.stops.empty() && workersOf(plan) == std::vector<std::size_t>{1};
+  }
+};
+
+}  // namespace
+
+TEST(placement, lower_rank_makes_way_on_a_rack_for_less_than_running_elsewhere_costs) {
+  FullRack full;
+  const auto made = full.made();
+  CHECK(made.starts.empty());
+  CHECK(made.stops == (std::vector<Stop>{{1, 1, true}}));
+}
+
+TEST(placement, lower_rank_keeps_the_rack_where_more_would_be_done_again_than_running_elsewhere_costs) {
+  FullRack full;
+  for (auto& run : full.jobs[1].runs) run.lossMs = 260;
+  CHECK(full.runsElsewhere());
+  full.rules.mostRackLoss = 2;
+  CHECK_FALSE(full.runsElsewhere());
+}
+
+TEST(placement, nothing_makes_way_on_a_rack_for_its_own_rank_for_late_work_or_without_the_option) {
+  FullRack same, late, aimless, off, standing;
+  same.jobs[1].rank = 2;
+  late.jobs[0].dueInMs = -1;
+  aimless.jobs[0].dueInMs = 0;
+  off.rules.mostRackLoss = 0;
+  for (auto& run : standing.jobs[1].runs) run.standing = true;
+  for (const auto* each : {&same, &late, &aimless, &off, &standing}) CHECK(each->runsElsewhere());
+}
+
+TEST(placement, work_waits_for_its_rack_while_others_give_it_up_and_it_could_still_make_its_aim) {
+  FullRack full;
+  full.jobs[1].runs[1].stopping = true;
+  full.jobs[0].readyForMs = 300;  // past the wait for a rack whose capacity comes by itself
+  auto made = full.made();
+  CHECK(made.starts.empty() && made.stops.empty());
+  full.jobs[0].dueInMs = -1;
+  CHECK(full.runsElsewhere());
+}
+
 TEST(placement, a_gang_goes_whole_on_one_rack_where_one_holds_it_and_spreads_otherwise) {
   auto where = fieldOf({worker(0, load(4), load(8), "r0"), worker(1, load(8), load(8), "r1"),
                         worker(2, load(3), load(8), "r0"), worker(3, load(8), load(8), "r1")});
