--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -193,6 +193,29 @@
   return verdict(broken);
 }
 
+// A large job comes: more small tasks than a worker lists ends in one beat end there at the same time.
+int manyEnds(const std::string& root, const std::string& folder, bool trouble) {
+  Stage stage(root, folder, 4);
+  if (!stage.ready) return kNotRun;
+  const auto id = freshId();
+  const Task task{trouble ? 600 : 400, 100, 200, 2000, "b"};
+  if (stage.client.submit(kPrefix, id, jobBody("ms=2000", task), steadyMs() + 8000) != 200) return kNotRun;
+  const bool ends = stage.ended(id, steadyMs() + 60000);
+  record("job " + id + ": " + std::to_string(task.count) + " tasks, " + std::to_string(stage.workers.startsOf(id)) +
+         " starts, " + std::to_string(stage.workers.doneOf(id)) + " ends done, " +
+         std::to_string(stage.workers.endsOf("lapsed")) + " lapsed, " + (ends ? "finished" : "not finished"));
+  if (!ends) return kNotRun;
+  sleepMs(1000);
+  auto broken = stage.workers.twice();
+  const auto count = broken.size();
+  constexpr std::size_t kMostTold = 5;
+  if (count > kMostTold) {
+    broken.resize(kMostTold);
+    broken.push_back("and " + std::to_string(count - kMostTold) + " more like these");
+  }
+  return verdict(broken);
+}
+
 // A large job comes: many small tasks, each with a text of 4,000 bytes.
 int largeJob(const std::string& root, const std::string& folder, bool trouble) {
   constexpr std::size_t kTextBytes = 4000;
@@ -252,6 +275,7 @@
   int code = kNotRun;
   if (which == "late-beat") code = lateBeat(root, folder, trouble);
   if (which == "times-late") code = timesLate(root, folder, trouble);
+  if (which == "many-ends") code = manyEnds(root, folder, trouble);
   if (which == "moved-queue") code = movedQueue(root, folder, trouble);
   if (which == "large-job") code = largeJob(root, folder, trouble);
   record("exit code " + std::to_string(code));
