--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O2 -Wall -Wextra review/standin/main.cpp review/standin/fleet.cpp -o target/review/standin -ljansson -pthread
+g++ -std=c++20 -O2 -Wall -Wextra -Wno-maybe-uninitialized review/standin/main.cpp review/standin/fleet.cpp -o target/review/standin -ljansson -pthread
