--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -249,7 +249,7 @@
 void Fleet::spawn(Machine& machine) {
   const auto program = root_ + "/target/tulippitch";
   const auto variable = "TULIPPITCH_SETTINGS=" + machine.settingsFile;
-  const std::string home = "HOME=/tmp", path = "PATH=/usr/bin:/bin", lang = "LANG=C.UTF-8";
+  const std::string home = "HOME=" + folder_, path = "PATH=/usr/bin:/bin", lang = "LANG=C.UTF-8";
   std::vector<char*> env{const_cast<char*>(variable.c_str()), const_cast<char*>(home.c_str()),
                          const_cast<char*>(path.c_str()), const_cast<char*>(lang.c_str()), nullptr};
   std::vector<char*> args{const_cast<char*>(program.c_str()), const_cast<char*>(machine.role.c_str()), nullptr};
