--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -41,6 +41,18 @@
   Json(const Json&) = delete;
 };
 
+// How long a task works: its job's text is "ms=3000", or "ms=3000 spread=20" where its tasks take up to 20 % longer,
+// each by its name.
+Millis workMsOf(const std::string& task, const std::string& spec) {
+  if (spec.rfind("ms=", 0) != 0) return 0;
+  const auto least = static_cast<Millis>(std::atoll(spec.c_str() + 3));
+  const auto spread = spec.find("spread=");
+  if (spread == std::string::npos) return least;
+  constexpr std::size_t kSteps = 1000;
+  const auto most = least * std::atoll(spec.c_str() + spread + 7) / 100;
+  return least + most * static_cast<Millis>(std::hash<std::string>()(task) % kSteps) / static_cast<Millis>(kSteps);
+}
+
 std::string textAt(json_t* list, std::size_t at) {
   const char* text = json_string_value(json_array_get(list, at));
   return text ? text : "";
@@ -485,6 +497,15 @@
       id_("i-" + freshId()) {
   bornMs_ = steadyMs();
   thread_ = std::thread([this] { loop(); });
+  clock_ = std::thread([this] {
+    while (!quit_) {
+      {
+        const std::lock_guard lock(guard_);
+        if (steadyMs() >= backMs_) settle(steadyMs());
+      }
+      sleepMs(5);
+    }
+  });
 }
 
 Worker::~Worker() { stop(); }
@@ -492,6 +513,7 @@
 void Worker::stop() {
   quit_ = true;
   if (thread_.joinable()) thread_.join();
+  if (clock_.joinable()) clock_.join();
 }
 
 std::size_t Worker::runningNow() {
@@ -615,7 +637,7 @@
     run.attempt = attempt;
     run.spec = textAt(one, 2);
     run.sinceMs = now;
-    run.workMs = std::atoll(run.spec.c_str() + (run.spec.rfind("ms=", 0) == 0 ? 3 : 0));
+    run.workMs = workMsOf(task, run.spec);
     running_[task] = run;
     all_.begin(task, name + "/" + id_, attempt);
     told_ += (told_.empty() ? "" : ", ") + task + " attempt " + std::to_string(attempt);
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -145,7 +145,7 @@
   Millis newsMs_ = -1, backMs_ = -1, bornMs_ = 0, lapsedMs_ = -1, nextMs_ = 0;
   std::string told_;
   std::atomic<bool> quit_{false};
-  std::thread thread_;
+  std::thread thread_, clock_;
 };
 
 class Workers {
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -193,13 +193,20 @@
   return verdict(broken);
 }
 
-// A large job comes: more small tasks than a worker lists ends in one beat end there at the same time.
+// The agent beside a worker freezes for 3 s, while more small tasks end there than a worker lists ends in one beat.
 int manyEnds(const std::string& root, const std::string& folder, bool trouble) {
+  constexpr Millis kRunsMs = 2000, kFrozenMs = 3000;
   Stage stage(root, folder, 4);
   if (!stage.ready) return kNotRun;
   const auto id = freshId();
-  const Task task{trouble ? 600 : 400, 100, 200, 2000, "b"};
-  if (stage.client.submit(kPrefix, id, jobBody("ms=2000", task), steadyMs() + 8000) != 200) return kNotRun;
+  const Task task{600, 100, 200, 3000, "b"};
+  if (stage.client.submit(kPrefix, id, jobBody("ms=3000 spread=20", task), steadyMs() + 8000) != 200) return kNotRun;
+  sleepMs(kRunsMs);
+  if (trouble) {
+    stage.fleet.kill(*stage.fleet.sides.front(), SIGSTOP);
+    sleepMs(kFrozenMs);
+    stage.fleet.kill(*stage.fleet.sides.front(), SIGCONT);
+  }
   const bool ends = stage.ended(id, steadyMs() + 60000);
   record("job " + id + ": " + std::to_string(task.count) + " tasks, " + std::to_string(stage.workers.startsOf(id)) +
          " starts, " + std::to_string(stage.workers.doneOf(id)) + " ends done, " +
