Metrics: how late times of jobs start, and the fleet's time against the time of day

Seen: in the users' record of LOST nothing tells when the leader took a job's times to be due, so that due times mapped to a clock that stood still, a wrong mapping at acceptance, and a due task that something else holds look alike. tulippitch_due_start_delay_seconds counts by the time of day how late each time's first task is ordered; tulippitch_fleet_time_offset_seconds rises by each outage in which the fleet's time stands still. A delay that rises with the offset is the first, one without it the second, none of both with a task that waits the third. What reads the time of day for due times moves to a module of its own; no logic changes.

--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -4,6 +4,7 @@
 
 #include "control/session.hpp"
 #include "daemon/metrics_text.hpp"
+#include "scheduler/due_times.hpp"
 
 namespace tulip::daemon {
 namespace {
@@ -101,6 +102,13 @@
   if (leads) addAttempts(out, labels, attemptsOf(scheduler));
   out.histogram("tulippitch_batch_commit_seconds", "time from sealing a batch to its commit at a majority", labels,
                 scheduler.batchTimes, scheduler.client.settings.bounds.leaseMs);
+  out.histogram("tulippitch_due_start_delay_seconds",
+                "time from when an instance fell due, by the time of day, to the order of its first task", labels,
+                scheduler.dueDelays, scheduler.client.settings.bounds.leaseMs);
+  if (const auto offsetMs = leads ? scheduler::fleetTimeOffsetMs(scheduler, now) : std::nullopt)
+    out.gauge("tulippitch_fleet_time_offset_seconds",
+              "the time of day less the fleet's time, at the leader: rises by each outage of the whole control side",
+              labels, seconds(*offsetMs));
   const std::pair<const char*, std::pair<const char*, std::uint64_t>> rows[] = {
       {"tulippitch_takeovers_total", {"times that the scheduler came to lead", counts.takeovers}},
       {"tulippitch_step_downs_total", {"times that the scheduler ceased to lead", counts.steppedDown}},
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -1,23 +1,13 @@
 #include <algorithm>
 
 #include "http/call_policy.hpp"
+#include "scheduler/due_times.hpp"
 #include "scheduler/internal.hpp"
 
 namespace tulip::scheduler {
 
 using namespace transport;
 
-Millis wallNow(const SchedulerState& scheduler, Now now) {
-  std::vector<Millis> offsets;
-  if (now.wallMs > 0) offsets.push_back(now.wallMs - now.steadyMs);
-  for (const auto& [id, row] : scheduler.workers)
-    if (row.wallKnown && now.steadyMs - row.heardMs <= bounds(scheduler).leaseMs) offsets.push_back(row.wallOffsetMs);
-  if (offsets.empty()) return 0;
-  const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
-  std::nth_element(offsets.begin(), middle, offsets.end());
-  return now.steadyMs + *middle;
-}
-
 void tell(const SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, Outbox& out,
           std::string_view detail) {
   if (caller.alsoElsewhere) kind = http::kindAfterRepeat(*caller.alsoElsewhere, kind);
@@ -83,7 +73,7 @@
   if (job.spec->times > 0) {
     const auto wallMs = wallNow(scheduler, now);
     job.firstDueMs =
-        wallMs > 0 && job.spec->firstWallMs > 0 ? job.acceptedMs + job.spec->firstWallMs - wallMs : job.acceptedMs;
+        wallMs && hasWallTimes(*job.spec) ? job.acceptedMs + dueWallMs(*job.spec, 0) - *wallMs : job.acceptedMs;
   }
   const auto id = job.id;
   scheduler.open.insert(id);
--- /dev/null
+++ b/src/scheduler/due_times.hpp
@@ -0,0 +1,25 @@
+#pragma once
+#include <optional>
+
+#include "scheduler/scheduler.hpp"
+
+/// Due times of jobs that run at times of day (`times`, `firstAtMs`): when they fall due, by which clock, and how late
+/// their starts are.
+namespace tulip::scheduler {
+
+/// The time of day by the median of the clocks that the leader knows; none while it knows none.
+std::optional<Millis> wallNow(const SchedulerState& scheduler, transport::Now now);
+
+/// The time of day less the fleet's time; none while no clock is known.
+std::optional<Millis> fleetTimeOffsetMs(const SchedulerState& scheduler, transport::Now now);
+
+/// Whether the job's steps fall due at times of day.
+bool hasWallTimes(const Spec& spec);
+
+/// When the instance falls due, as a time of day.
+Millis dueWallMs(const Spec& spec, std::uint32_t instance);
+
+/// Counts how late the start of an instance is: called for each task that is about to start.
+void noteDueStart(SchedulerState& scheduler, const Job& job, std::size_t task, transport::Now now);
+
+}  // namespace tulip::scheduler
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "config/pools.hpp"
+#include "scheduler/due_times.hpp"
 #include "scheduler/internal.hpp"
 #include "scheduler/scene.hpp"
 
@@ -203,6 +204,7 @@
                 : std::max<std::int64_t>(
                       1, std::llround(1000 *
                                       placement::dominantShare(job.loads[job.tasks[start->task].step], worker.total)));
+        noteDueStart(scheduler, job, start->task, now);
         startRun(job, start->task, scene.workers[start->worker], scene.incarnations[start->worker], fleetMs, weight);
       }
     });
--- a/src/scheduler/internal.hpp
+++ b/src/scheduler/internal.hpp
@@ -69,7 +69,6 @@
 void tellLongWaits(SchedulerState& scheduler, transport::Now now, transport::Outbox& out);
 void runEpoch(SchedulerState& scheduler, transport::Now now);
 
-Millis wallNow(const SchedulerState& scheduler, transport::Now now);
 void tell(const SchedulerState& scheduler, const Caller& caller, Kind kind, const Job* job, transport::Outbox& out,
           std::string_view detail = {});
 void onCallAsk(SchedulerState& scheduler, const transport::Heard& heard, const transport::CallAsk& ask,
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -164,6 +164,7 @@
   Millis leaderlessSinceMs = -1;  // since when no leader is known here; -1: one is
   SchedulerCounts counts;
   DurationHistogram batchTimes;  // from sealing a batch to its commit
+  DurationHistogram dueDelays;   // from the time of day at which an instance fell due to the order of its first task
   std::string broken;
 };
 
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -78,6 +78,7 @@
   scheduler.scheduler->client.sessionUntilMs = kNowMs + 500;
   scheduler.scheduler->client.configVersion = 12;
   scheduler.scheduler->counts.overdueRuns = 3;
+  scheduler.scheduler->dueDelays.note(250, 1000);
   http::HttpCounts http;
   http.byStatus[503] = 4;
   const std::vector<const daemon::Node*> nodes{&scheduler, &replica};
@@ -87,6 +88,7 @@
   CHECK(has(text, "tulippitch_session_live{role=\"replica\",zone=\"north-a\"} 0"));
   CHECK(has(text, "tulippitch_configuration_version{role=\"scheduler\",zone=\"north-a\"} 12"));
   CHECK(has(text, "tulippitch_attempt_waits_overdue_total{role=\"scheduler\",zone=\"north-a\"} 3"));
+  CHECK(has(text, "tulippitch_due_start_delay_seconds_sum{role=\"scheduler\",zone=\"north-a\"} 0.25"));
   CHECK(has(text, "tulippitch_leading{role=\"scheduler\",zone=\"north-a\"} 0"));
   CHECK(has(text, "tulippitch_disk_sync_seconds_count{role=\"replica\",zone=\"north-a\"} 0"));
   CHECK(has(text, "tulippitch_http_answers_total{code=\"503\"} 4"));
