--- a/src/simulator/faults_power.cpp
+++ b/src/simulator/faults_power.cpp
@@ -16,6 +16,28 @@
   world.loseCore(world.sim.chance(kPowerShare));
 }
 
+/// A job that runs at eight times of day, over 37 s.
+void submitTimedJob(World& world) {
+  JobSketch sketch{"timed-" + std::to_string(++world.nextJob), "gate", false, 0, {}};
+  StepSketch step;
+  step.name = "s";
+  step.count = 2;
+  step.runMs = step.estimateMs = 200;
+  if (!world.plan.fleet.capacity.empty()) step.capacity = {{"cpu", 500}, {"mem_mb", 256}};
+  sketch.steps.push_back(std::move(step));
+  sketch.times = 8;
+  sketch.firstInMs = 2000;
+  sketch.everyMs = 5000;
+  world.submit(sketch.id, world.enter(sketch));
+}
+
+/// All of the control side is without power for several leases.
+void loseCoreForLong(World& world) {
+  const auto spanUs = 5 * kSecond + world.sim.below(9 * kSecond);
+  for (const auto& host : world.sim.all())
+    if (host->settings.role != Role::agent) world.powerLossFor(*host, spanUs + world.sim.below(kSecond / 5));
+}
+
 void acceptedThenLost(World& world) {
   world.submitThen(LineLoad{"checkout"}, [&world](const std::string&) { loseCoreOneWay(world); });
 }
@@ -138,6 +160,13 @@
                  [&world] { world.powerLossFor(world.pick(Role::replica), world.sim.below(3 * kSecond)); });
            });
        }},
+      {"core-lost-for-long",
+       [](World& world) {
+         const auto fromUs = world.fromUs + world.sim.below(4 * kSecond);
+         for (int i = 0; i < 3; ++i)
+           world.sim.at(fromUs - world.sim.below(kSecond), [&world] { submitTimedJob(world); });
+         world.sim.at(fromUs, [&world] { loseCoreForLong(world); });
+       }},
       {"core-lost-after-accept",
        [](World& world) {
          for (int i = 0; i < 2; ++i) world.sim.at(world.faultTime(), [&world] { acceptedThenLost(world); });
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -106,6 +106,22 @@
     keeps(1, {fault});
 }
 
+// Guards against times of jobs that start late for good by as long as the whole control side was down.
+TEST(day, times_hold_to_the_time_of_day_after_the_whole_control_side_was_down_for_long) {
+  for (const char* load : {"leatherwood-steps", "kerala-steps"})
+    for (std::uint64_t seed : {1, 2, 3}) {
+      DayPlan plan;
+      plan.seed = seed;
+      plan.load = builtInLoad(load);
+      plan.fleet = fleetOf(load);
+      plan.seconds = 60;
+      plan.faults = {"core-lost-for-long"};
+      const auto result = runDay(plan);
+      for (const auto& each : result.broken) UT_PRINT((each.rule + ": " + each.what).c_str());
+      LONGS_EQUAL(0, result.broken.size());
+    }
+}
+
 TEST(day, links_stall_and_connections_break) {
   for (const char* fault :
        {"connections-reset", "reader-blocks", "messages-of-earlier-lives", "replica-cut-one-way", "freeze-in-answer"})
