Times of a job hold to the time of day after the whole control side was down

Cause: due times were mapped to the fleet's time once, at acceptance. The fleet's time stands still while the whole control side is down, as it must for service and waits; the mapping was never made again. The time of day is the median of all machines heard within a lease, each once; voters tell theirs with promises and acknowledgements, so that a new leader isn't left with its own clock. The fleet's time, service and waits don't leap. The search for users of the wall clock lists the modules that read it now.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -113,6 +113,7 @@
   reply.leaseLeftMs = leaseLeftMs(replica, ask.term, now);
   reply.ok = ask.term >= reply.promised && reply.leaseLeftMs == 0;
   reply.probe = ask.probe;
+  reply.wallMs = now.wallMs;
   return reply;
 }
 
@@ -144,7 +145,7 @@
 }
 
 void onJobLogAccept(ReplicaState& replica, const Heard& heard, const JobLogAccept& ask, Now now, Outbox& out) {
-  JobLogAccepted reply{ask.term, ask.seq, ask.sentMs, false, ask.seq > 0, replica.image.jobLogPromised};
+  JobLogAccepted reply{ask.term, ask.seq, ask.sentMs, false, ask.seq > 0, replica.image.jobLogPromised, now.wallMs};
   if (!membershipMatches(replica, ask.membership) || ask.term < replica.image.jobLogPromised) {
     ++replica.jobLogRejected;
     out.reply(heard, std::move(reply));
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -56,7 +56,7 @@
   JobId id;
   std::shared_ptr<const Spec> spec;
   Millis acceptedMs = 0;
-  Millis firstDueMs = 0;  // fleet time of the first instance
+  Millis firstDueMs = 0;  // fleet time of the first instance, as last mapped from its time of day
   JobState state = JobState::open;
   JobState ending = JobState::open;
   std::string reason;
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -70,11 +70,7 @@
   spec.pool = line.pool;
   auto job = makeJob(std::make_shared<const Spec>(std::move(spec)));
   job.acceptedMs = job.accountedMs = fleet(scheduler, now);
-  if (job.spec->times > 0) {
-    const auto wallMs = wallNow(scheduler, now);
-    job.firstDueMs =
-        wallMs && hasWallTimes(*job.spec) ? job.acceptedMs + dueWallMs(*job.spec, 0) - *wallMs : job.acceptedMs;
-  }
+  setFirstDue(scheduler, job, now);
   const auto id = job.id;
   scheduler.open.insert(id);
   ++scheduler.openPer[job.pending()];
--- a/src/scheduler/due_times.cpp
+++ b/src/scheduler/due_times.cpp
@@ -1,7 +1,6 @@
 #include "scheduler/due_times.hpp"
 
 #include <algorithm>
-#include <vector>
 
 #include "scheduler/internal.hpp"
 
@@ -10,14 +9,9 @@
 using namespace transport;
 
 std::optional<Millis> wallNow(const SchedulerState& scheduler, Now now) {
-  std::vector<Millis> offsets;
-  if (now.wallMs > 0) offsets.push_back(now.wallMs - now.steadyMs);
-  for (const auto& [id, row] : scheduler.workers)
-    if (row.wallKnown && now.steadyMs - row.heardMs <= bounds(scheduler).leaseMs) offsets.push_back(row.wallOffsetMs);
-  if (offsets.empty()) return std::nullopt;
-  const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
-  std::nth_element(offsets.begin(), middle, offsets.end());
-  return now.steadyMs + *middle;
+  const auto offsetMs = medianOffsetMs(scheduler.clocks, now.steadyMs - bounds(scheduler).leaseMs);
+  if (!offsetMs) return std::nullopt;
+  return now.steadyMs + *offsetMs;
 }
 
 std::optional<Millis> fleetTimeOffsetMs(const SchedulerState& scheduler, Now now) {
@@ -32,6 +26,33 @@
   return spec.firstWallMs + static_cast<Millis>(instance) * spec.everyMs;
 }
 
+namespace {
+
+void readOwnClock(SchedulerState& scheduler, Now now) {
+  noteClock(scheduler.clocks, scheduler.client.settings.peerAddress, now.wallMs, now.steadyMs);
+}
+
+void mapFirstDue(Job& job, Millis fleetTimeOffsetMs) {
+  if (hasWallTimes(*job.spec)) job.firstDueMs = dueWallMs(*job.spec, 0) - fleetTimeOffsetMs;
+}
+
+}  // namespace
+
+void setFirstDue(SchedulerState& scheduler, Job& job, Now now) {
+  if (job.spec->times <= 0) return;
+  readOwnClock(scheduler, now);
+  job.firstDueMs = job.acceptedMs;
+  if (const auto offsetMs = fleetTimeOffsetMs(scheduler, now)) mapFirstDue(job, *offsetMs);
+}
+
+void mapDueTimes(SchedulerState& scheduler, Now now) {
+  readOwnClock(scheduler, now);
+  forgetClocks(scheduler.clocks, now.steadyMs - bounds(scheduler).leaseMs);
+  const auto offsetMs = fleetTimeOffsetMs(scheduler, now);
+  if (!offsetMs) return;
+  for (const auto& id : scheduler.open) mapFirstDue(scheduler.jobs.at(id), *offsetMs);
+}
+
 void noteDueStart(SchedulerState& scheduler, const Job& job, std::size_t task, Now now) {
   if (!hasWallTimes(*job.spec)) return;
   const auto instance = job.tasks[task].instance;
--- a/src/scheduler/election.cpp
+++ b/src/scheduler/election.cpp
@@ -198,6 +198,7 @@
   scheduler.highestSeen = std::max(scheduler.highestSeen, promise.promised.number);
   if (promise.term != scheduler.term) return;
   if (!isVoter(scheduler, heard.fromId) || !ofThisMembership(scheduler, promise)) return;
+  noteClock(scheduler.clocks, heard.from, promise.wallMs, now.steadyMs);
   if (isCandidate(scheduler)) {
     std::erase_if(scheduler.promises, [&](const auto& each) { return !ofThisMembership(scheduler, each.second); });
     if (promise.ok) return onConsent(scheduler, heard.fromId, promise, now, out);
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -157,6 +157,7 @@
 void keepHouse(SchedulerState& scheduler, Now now) {
   const auto fleetMs = fleet(scheduler, now);
   scheduler.houseMs = now.steadyMs;
+  mapDueTimes(scheduler, now);
   judgeProgress(scheduler, now);
   settleJobs(scheduler, now);
   const auto openNow = std::vector<JobId>(scheduler.open.begin(), scheduler.open.end());
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -29,6 +29,7 @@
   scheduler.voters.clear();
   scheduler.batches.clear();
   scheduler.workers.clear();
+  scheduler.clocks.clear();
   scheduler.ordersDue.clear();
   scheduler.sizes.clear();
   scheduler.longWaits.clear();
--- /dev/null
+++ b/src/scheduler/machine_clocks.cpp
@@ -0,0 +1,33 @@
+#include "scheduler/machine_clocks.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace tulip::scheduler {
+
+namespace {
+
+std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
+
+}  // namespace
+
+void noteClock(MachineClocks& clocks, const Address& daemon, Millis wallMs, Millis readMs) {
+  if (wallMs > 0) clocks[std::string(hostOf(daemon))] = {wallMs - readMs, readMs};
+}
+
+std::optional<Millis> medianOffsetMs(const MachineClocks& clocks, Millis sinceMs) {
+  std::vector<Millis> offsets;
+  offsets.reserve(clocks.size());
+  for (const auto& [host, reading] : clocks)
+    if (reading.readMs >= sinceMs) offsets.push_back(reading.offsetMs);
+  if (offsets.empty()) return std::nullopt;
+  const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>((offsets.size() - 1) / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  return *middle;
+}
+
+void forgetClocks(MachineClocks& clocks, Millis beforeMs) {
+  absl::erase_if(clocks, [&](const auto& each) { return each.second.readMs < beforeMs; });
+}
+
+}  // namespace tulip::scheduler
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -109,10 +109,7 @@
   row.last = report;
   row.agent = heard.from;
   row.heardMs = now.steadyMs;
-  if (report.wallMs > 0) {
-    row.wallOffsetMs = report.wallMs - now.steadyMs;
-    row.wallKnown = true;
-  }
+  noteClock(scheduler.clocks, heard.from, report.wallMs, now.steadyMs);
 }
 
 // Keeps what a report says of a task that is running.
--- a/src/scheduler/replication.cpp
+++ b/src/scheduler/replication.cpp
@@ -172,6 +172,9 @@
   auto found = scheduler.voters.find(heard.fromId);
   if (found == scheduler.voters.end()) return;
   auto& voter = found->second;
+  // An answer that waited for the disk tells an old time.
+  if (now.steadyMs - reply.sentMs <= bounds(scheduler).heartbeatMs())
+    noteClock(scheduler.clocks, heard.from, reply.wallMs, now.steadyMs);
   if (!reply.ok) {
     if (reply.promised == scheduler.term) return;
     voter.promised = false;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -13,6 +13,7 @@
 #include "http/call_policy.hpp"
 #include "jobs/job.hpp"
 #include "scheduler/held_attempts.hpp"
+#include "scheduler/machine_clocks.hpp"
 #include "scheduler/pace.hpp"
 #include "scheduler/promised_state.hpp"
 #include "scheduler/run_waits.hpp"
@@ -43,8 +44,6 @@
   std::uint64_t ordersSeq = 0;
   absl::flat_hash_map<std::string, std::uint64_t> firstOrdered;
   absl::flat_hash_set<std::string> listed;
-  Millis wallOffsetMs = 0;
-  bool wallKnown = false;
   Millis pacedMs = -1000000;
   bool leaseWithheld = false;  // it is sent nothing, so that its worker's lease lapses and all that runs there is over
   WorkerHealth standing;
@@ -152,6 +151,7 @@
   placement::Kinds kinds;
   std::optional<config::Admission> usual;  // rules that the settings bring, for a configuration without any
   std::map<WorkerId, WorkerRow> workers;
+  MachineClocks clocks;  // of the machines of voters and agents
   std::set<WorkerId> ordersDue;
   std::map<QueueName, LinePace> paces;                // of queues whose work comes without estimates
   std::map<QueueName, EstimateError> estimateErrors;  // of queues whose work comes with them
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -174,7 +174,8 @@
   Version membership = 0;              // of the question; 0: given by the protocol before incarnations
   bool probe = false;                  // answers a probe: nothing is promised, and no entries are given
   std::vector<std::uint64_t> leftOut;  // entry by entry the bytes of its value, which is left out; empty: none is
-  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership, probe, leftOut)
+  Millis wallMs = 0;                   // the voter's time of day; 0: not told
+  MSGPACK_DEFINE(term, ok, promised, leaseLeftMs, fleetMs, entries, base, membership, probe, leftOut, wallMs)
 };
 
 struct JobLogAccept {
@@ -196,7 +197,8 @@
   bool ok = false;
   bool synced = false;
   Ballot promised;
-  MSGPACK_DEFINE(term, seq, sentMs, ok, synced, promised)
+  Millis wallMs = 0;  // the voter's time of day when it had the accept; 0: not told
+  MSGPACK_DEFINE(term, seq, sentMs, ok, synced, promised, wallMs)
 };
 
 struct Resign {
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -26,8 +26,10 @@
 // may use it.
 TEST(clock, one_place_reads_a_wall_clock_and_only_due_times_use_it) {
   const std::set<std::string> readers{"daemon.cpp"};
-  const std::set<std::string> users{"core.hpp", "messages.hpp", "agent.cpp", "orders.cpp", "calls.cpp", "due_times.cpp",
-                                    "sim.hpp",  "sim.cpp",      "load.hpp",  "load.cpp",   "world.cpp", "scale.cpp"};
+  const std::set<std::string> users{"core.hpp",           "messages.hpp",  "agent.cpp",       "acceptor.cpp",
+                                    "election.cpp",       "orders.cpp",    "replication.cpp", "machine_clocks.hpp",
+                                    "machine_clocks.cpp", "due_times.cpp", "sim.hpp",         "sim.cpp",
+                                    "load.hpp",           "load.cpp",      "world.cpp",       "scale.cpp"};
   std::size_t files = 0, reads = 0;
   for (const auto& item : fs::recursive_directory_iterator(TULIPPITCH_SOURCES)) {
     if (item.path().extension() != ".cpp" && item.path().extension() != ".hpp") continue;
--- a/tests/due_times_test.cpp
+++ b/tests/due_times_test.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "config_of.hpp"
+#include "scheduler/due_times.hpp"
 #include "scheduler/internal.hpp"
 
 using namespace tulip;
@@ -33,6 +34,7 @@
   Millis steadyStartMs = 100000;  // what the leader's steady clock showed at the start
   Millis leaderSkewMs = 0;
   std::vector<Millis> workerSkewMs = std::vector<Millis>(kWorkers, 0);
+  int workers = kWorkers;  // that report
   std::uint64_t reportSeq = 0;
   Millis firstWallMs = 0;
   std::map<std::uint32_t, std::vector<Millis>> startsOf;  // by instance, as true times of day
@@ -83,7 +85,7 @@
 
   /// Each worker's agent reports; what was started before has ended cleanly.
   void report() {
-    for (int worker = 0; worker < kWorkers; ++worker) {
+    for (int worker = 0; worker < workers; ++worker) {
       AgentReport message;
       message.agent = DaemonId("agent-" + workerName(worker));
       message.worker = WorkerId(workerName(worker));
@@ -147,6 +149,7 @@
     made.course = scheduler::Course::preparing;
     made.term = promise.term = promise.promised = {scheduler.term.number + 2, "me/i"};
     made.prepareStartMs = now().steadyMs;
+    promise.wallMs = trueWallMs();
     scheduler = std::move(made);
     Outbox out;
     scheduler::schedulerHeard(scheduler, Heard{DaemonId("a"), kA, promise}, now(), out);
@@ -236,6 +239,42 @@
   eachTimeStartedOnceAndOnTime();
 }
 
+// Guards against starting early when only two clocks are known and one of them is ahead.
+TEST(due_times, of_two_clocks_the_earlier_one_counts) {
+  workers = 1;
+  leaderSkewMs = 3000;
+  submit();
+  run(kWholeMs);
+  eachTimeStartedOnceAndOnTime();
+}
+
+// Guards against a first plan by the new leader's clock alone: its voters have told theirs with their promises.
+TEST(due_times, a_new_leader_knows_the_clocks_of_its_voters) {
+  submit();
+  leaderSkewMs = 3000;
+  outage(5000);
+  LONGS_EQUAL(trueWallMs(), *scheduler::wallNow(scheduler, now()));
+}
+
+// Guards against times of day that are old by as long as a voter's disk took.
+TEST(due_times, an_acknowledgement_that_took_long_tells_no_time_of_day) {
+  submit();
+  outage(5000);
+  const auto accepted = [&](Millis tookMs) {
+    JobLogAccepted reply;
+    reply.term = scheduler.term;
+    reply.ok = true;
+    reply.sentMs = now().steadyMs - tookMs;
+    reply.wallMs = trueWallMs() - 1000;
+    scheduler.leaseUntilMs = now().steadyMs + 100000000;
+    Outbox out;
+    scheduler::schedulerHeard(scheduler, Heard{DaemonId("c"), kC, reply}, now(), out);
+    return scheduler.clocks.contains("10.0.0.3");
+  };
+  CHECK_FALSE(accepted(scheduler.client.settings.bounds.heartbeatMs() + 1));
+  CHECK(accepted(1));
+}
+
 // Service, and the wait that promotion goes by, are of the time in which the fleet could act.
 TEST(due_times, an_outage_is_no_wait_and_no_service) {
   submit();
