Times without a first one count from the acceptance by the time of day

Callers saw: a job with times that leaves out firstAtMs starts its later times late by each outage of the whole control side: the same cause as before, on the path that kept the fleet's time of the acceptance as the first. Now the acceptance's time of day is the first, in the spec, where firstAtMs stands.

--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -68,6 +68,7 @@
   ++scheduler.counts.submitted;
   spec.line = line;
   spec.pool = line.pool;
+  acceptDueTimes(scheduler, spec, now);
   auto job = makeJob(std::make_shared<const Spec>(std::move(spec)));
   job.acceptedMs = job.accountedMs = fleet(scheduler, now);
   setFirstDue(scheduler, job, now);
--- a/src/scheduler/due_times.cpp
+++ b/src/scheduler/due_times.cpp
@@ -38,6 +38,12 @@
 
 }  // namespace
 
+void acceptDueTimes(SchedulerState& scheduler, Spec& spec, Now now) {
+  if (spec.times <= 0 || spec.firstWallMs > 0) return;
+  readOwnClock(scheduler, now);
+  spec.firstWallMs = wallNow(scheduler, now).value_or(0);
+}
+
 void setFirstDue(SchedulerState& scheduler, Job& job, Now now) {
   if (job.spec->times <= 0) return;
   readOwnClock(scheduler, now);
--- a/src/scheduler/due_times.hpp
+++ b/src/scheduler/due_times.hpp
@@ -20,6 +20,9 @@
 /// When the instance falls due, as a time of day.
 Millis dueWallMs(const Spec& spec, std::uint32_t instance);
 
+/// Gives a job with times that leaves out the first one the time of day of its acceptance as the first.
+void acceptDueTimes(SchedulerState& scheduler, Spec& spec, transport::Now now);
+
 /// Maps the time of day at which a job that is accepted first falls due to the fleet's time, as the two differ now.
 void setFirstDue(SchedulerState& scheduler, Job& job, transport::Now now);
 
--- a/tests/due_times_test.cpp
+++ b/tests/due_times_test.cpp
@@ -64,13 +64,16 @@
     if (scheduler.client.fleetAtMs < 0) control::setFleet(scheduler.client, 5000, now());
   }
 
-  void submit() {
+  enum class First { given, ofAcceptance };
+
+  void submit(First first = First::given) {
     jobs::Spec spec;
     spec.id = kJob;
     spec.pending = QueueName("q");
     spec.plainNames = false;
     spec.times = kTimes;
-    spec.firstWallMs = firstWallMs = trueWallMs() + kFirstInMs;
+    firstWallMs = trueWallMs();
+    if (first == First::given) spec.firstWallMs = firstWallMs += kFirstInMs;
     spec.everyMs = kEveryMs;
     spec.steps.resize(1);
     spec.steps[0].name = "s";
@@ -209,6 +212,16 @@
   eachTimeStartedOnceAndOnTime(outages);
 }
 
+// Guards against the same for a job that leaves its first time to the acceptance.
+TEST(due_times, those_that_count_from_the_acceptance_hold_to_the_time_of_day_too) {
+  submit(First::ofAcceptance);
+  run(4000);
+  const auto fromMs = elapsedMs;
+  outage(9500);
+  run(kWholeMs);
+  eachTimeStartedOnceAndOnTime({{fromMs, fromMs + 9500}});
+}
+
 // Guards against times taken from one clock: the new leader's own is off, and few workers are there.
 TEST(due_times, a_takeover_by_a_machine_whose_clock_is_off_moves_none) {
   for (const Millis skewMs : {-3000, 3000}) {
