--- a/src/daemon/config_reader.cpp
+++ b/src/daemon/config_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/address.hpp"
+
 namespace tulip::daemon {
 namespace {
 
@@ -12,10 +14,6 @@
   return static_cast<Millis>(bytes * kBitsPerByte) / settings.linkKbps;
 }
 
-std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
-
-std::string_view portOf(const Address& address) { return address.view().substr(address.view().rfind(':') + 1); }
-
 /// The listener beside the replica that grants this daemon's session, where the text would hold the own link for longer
 /// than the pause between two heartbeats.
 std::optional<Address> listenerBesideHome(const control::ControlClient& client, std::size_t textBytes) {
--- a/src/scheduler/election.cpp
+++ b/src/scheduler/election.cpp
@@ -6,6 +6,7 @@
 // can't win any more gives these leases back and is repeated after a random wait, whose span doubles with each failure.
 #include <algorithm>
 
+#include "base/address.hpp"
 #include "scheduler/leadership.hpp"
 
 namespace tulip::scheduler {
@@ -27,8 +28,6 @@
   return std::any_of(voters.begin(), voters.end(), [&](const Voter& voter) { return voter.id == id; });
 }
 
-std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
-
 // Whether a voter of the membership runs on the host of the address.
 bool besideVoter(const control::ControlClient& client, const Address& address) {
   const auto host = hostOf(address);
--- a/src/scheduler/machine_clocks.cpp
+++ b/src/scheduler/machine_clocks.cpp
@@ -3,13 +3,9 @@
 #include <algorithm>
 #include <vector>
 
-namespace tulip::scheduler {
-
-namespace {
+#include "base/address.hpp"
 
-std::string_view hostOf(const Address& address) { return address.view().substr(0, address.view().rfind(':')); }
-
-}  // namespace
+namespace tulip::scheduler {
 
 void noteClock(MachineClocks& clocks, const Address& daemon, Millis wallMs, Millis readMs) {
   if (wallMs > 0) clocks[std::string(hostOf(daemon))] = {wallMs - readMs, readMs};
