What a part of a worker's ends leaves out is not taken for gone

Cause: a worker lists 500 ends at a time, and the agent took a run that is in neither list for gone; the leader ordered the next attempt. Four more places in the agent concluded from the same list: a stop of what was never heard of, a stop and a drain before the hand-over, and handing over again. Ruled out: the leader, whose conclusions rest on a list that is always whole; the hold, which no run outlived. Why this works: a report says whether it lists all ends, and absence counts only then. Meanwhile nothing is started or ended; the oldest ends are acknowledged first, so each report brings the list nearer to whole.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -22,9 +22,13 @@
          (drain != config.drained.end() && drain->second);
 }
 
+/// Whether what the worker's last report doesn't list isn't there. Before the worker is heard, and while some of its
+/// ends wait for their place in a report, a run that isn't listed may be at work or may have ended.
+bool absentMeansGone(const AgentState& agent) { return agent.heard && agent.knowsAllEnds; }
+
 bool mayStart(const AgentState& agent, Now now) {
   return control::sessionLive(agent.client, now) && agent.client.configVersion >= agent.orderedVersion &&
-         !drained(agent) && now.steadyMs - agent.acknowledgedMs <= bounds(agent).freshMs();
+         !drained(agent) && absentMeansGone(agent) && now.steadyMs - agent.acknowledgedMs <= bounds(agent).freshMs();
 }
 
 Millis goOnMs(const AgentState& agent, Now now) {
@@ -151,7 +155,7 @@
       run.saved = wanted.saved;
       run.workerIncarnation = wanted.workerIncarnation;
       if (wanted.stop) {
-        if (agent.heard)
+        if (absentMeansGone(agent))
           end(agent, run, AttemptOutcome::lost, "never started");
         else
           run.state = AttemptState::stopping;
@@ -167,9 +171,9 @@
     }
     if (unhanded && agent.heard && run.workerIncarnation != agent.incarnation)
       end(agent, run, AttemptOutcome::lost, "ordered for another life of the worker");
-    else if (unhanded && agent.heard && run.stop)
+    else if (unhanded && absentMeansGone(agent) && run.stop)
       end(agent, run, AttemptOutcome::stopped, "stopped before its start");
-    else if (unhanded && agent.heard && drained(agent)) {
+    else if (unhanded && absentMeansGone(agent) && drained(agent)) {
       ++agent.counts.rejectedStarts;
       end(agent, run, AttemptOutcome::lost, "denied: draining");
     } else if ((run.stop || !run.wanted) && run.state != AttemptState::ended)
@@ -238,7 +242,7 @@
 
 /// Ends what was ordered and not handed over, now that nothing may start here.
 void endDrainedStarts(AgentState& agent) {
-  if (!agent.heard || !drained(agent)) return;
+  if (!absentMeansGone(agent) || !drained(agent)) return;
   for (auto& [id, run] : agent.runs) {
     if (run.state != AttemptState::ordered || run.handedReport > 0) continue;
     ++agent.counts.rejectedStarts;
@@ -306,6 +310,7 @@
   if (!same || leaving != agent.leaving) agent.reportDue = true;
   if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
   agent.heard = true;
+  agent.knowsAllEnds = !report.moreEnded;
   agent.incarnation = report.incarnation;
   agent.lastReport = report.number;
   agent.workerMs = now.steadyMs;
@@ -371,7 +376,7 @@
       end(agent, run, AttemptOutcome::lost, "ordered for an earlier life of the worker");
   for (auto at = agent.runs.begin(); at != agent.runs.end();) {
     auto& run = at->second;
-    if (!run.listed) judgeAbsent(agent, run, report, now);
+    if (!run.listed && absentMeansGone(agent)) judgeAbsent(agent, run, report, now);
     if (!run.listed && run.state == AttemptState::ended && !run.wanted && agent.ordersSeq > 0)
       at = agent.runs.erase(at);
     else
@@ -379,16 +384,20 @@
   }
 }
 
+bool isNumbered(const AgentState& agent) { return !agent.client.settings.adapter.empty(); }
+
+/// For how long a report may wait for something to say. The next part of a list of ends follows the answer.
+Millis holdMsOf(const AgentState& agent, const WorkerReport& report, bool news) {
+  if (report.moreEnded) return bounds(agent).newsHoldMs();
+  if (!isNumbered(agent)) return bounds(agent).longPollMs();
+  if (news) return bounds(agent).newsHoldMs();
+  return report.running.empty() ? bounds(agent).idleHoldMs() : 0;
+}
+
 /// The report is answered when there is something to say, or once its time is over.
 void holdPoll(AgentState& agent, std::uint64_t requestId, const WorkerReport& report, bool news, Now now) {
-  const bool numbered = !agent.client.settings.adapter.empty();
-  agent.poll = Poll{requestId, report.number, now.steadyMs, bounds(agent).longPollMs(), numbered, {}};
-  if (!numbered) return;
-  agent.poll->ended = report.ended;
-  if (news)
-    agent.poll->holdMs = bounds(agent).newsHoldMs();
-  else
-    agent.poll->holdMs = report.running.empty() ? bounds(agent).idleHoldMs() : 0;
+  agent.poll = Poll{requestId, report.number, now.steadyMs, holdMsOf(agent, report, news), isNumbered(agent), {}};
+  if (agent.poll->brief) agent.poll->ended = report.ended;
 }
 
 }  // namespace
@@ -453,6 +462,7 @@
       report.ended.push_back(
           {0, AttemptId(run), outcomeOf(textAt(item, "outcome")), textAt(item, "saved"), textAt(item, "detail")});
   }
+  report.moreEnded = flagAt(root.get(), "moreEnded");
   const bool same = agent.heard && report.incarnation == agent.incarnation;
   if (same && report.number <= agent.lastReport) {
     ++agent.counts.staleReports;
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -41,6 +41,7 @@
   WorkerId worker;
   std::string incarnation;
   bool heard = false;
+  bool knowsAllEnds = false;  // the worker's last report listed all of its ends
   std::uint64_t lastReport = 0;
   Millis workerMs = 0;
   Millis workerUntilMs = 0;
--- a/src/commands/stub_worker.cpp
+++ b/src/commands/stub_worker.cpp
@@ -40,7 +40,7 @@
 void finish(Worker& worker, const std::string& run, const char* outcome, const char* detail) {
   auto found = worker.running.find(run);
   if (found == worker.running.end()) return;
-  worker.ended[run] = {outcome, detail, found->second.saved};
+  worker.ended[run] = {outcome, detail, found->second.saved, ++worker.endedCount};
   worker.running.erase(found);
   passBy(worker, run);
   worker.journal.push_back("end " + run + " " + outcome);
@@ -112,6 +112,31 @@
   }
 }
 
+struct ListedEnd {
+  std::string_view run;
+  const EndedAttempt* ended;
+};
+
+/// The ends that the next report lists: the oldest, as many as it takes.
+std::vector<ListedEnd> listedEnds(const Worker& worker) {
+  std::vector<ListedEnd> ends;
+  ends.reserve(worker.ended.size());
+  for (const auto& [run, ended] : worker.ended) ends.push_back({run, &ended});
+  if (ends.size() <= worker.traits.mostEndsListed) return ends;
+  std::ranges::sort(ends, {}, [](const ListedEnd& end) { return end.ended->number; });
+  ends.resize(worker.traits.mostEndsListed);
+  return ends;
+}
+
+json_t* endedJson(const ListedEnd& end) {
+  json_t* item = json_object();
+  json_object_set_new(item, "run", jsonText(end.run));
+  json_object_set_new(item, "outcome", jsonText(end.ended->outcome));
+  json_object_set_new(item, "detail", jsonText(end.ended->detail));
+  if (!end.ended->saved.empty()) json_object_set_new(item, "saved", jsonText(end.ended->saved));
+  return item;
+}
+
 }  // namespace
 
 std::string digestOf(std::string_view text) { return hex8(fnv(text)); }
@@ -150,18 +175,13 @@
     json_object_set_new(item, "percent", json_integer(static_cast<json_int_t>(share * 100)));
     json_array_append_new(running, item);
   }
-  for (const auto& [run, state] : worker.ended) {
-    json_t* item = json_object();
-    json_object_set_new(item, "run", jsonText(run));
-    json_object_set_new(item, "outcome", jsonText(state.outcome));
-    json_object_set_new(item, "detail", jsonText(state.detail));
-    if (!state.saved.empty()) json_object_set_new(item, "saved", jsonText(state.saved));
-    json_array_append_new(ended, item);
-  }
+  const auto ends = listedEnds(worker);
+  for (const auto& end : ends) json_array_append_new(ended, endedJson(end));
   json_object_set_new(root.get(), "labels", labels);
   json_object_set_new(root.get(), "room", capacity);
   json_object_set_new(root.get(), "going", running);
   json_object_set_new(root.get(), "ended", ended);
+  if (ends.size() < worker.ended.size()) json_object_set_new(root.get(), "moreEnded", json_true());
   return dumpJson(root.get());
 }
 
@@ -221,7 +241,7 @@
     if (run.empty() || !fresh || worker.running.contains(run) || worker.ended.contains(run)) continue;
     if (auto passed = worker.passed.find(taskOf(run));
         passed != worker.passed.end() && attemptOf(run) <= passed->second) {
-      worker.ended[run] = {"refused", "not above one that was stopped or ended here", ""};
+      worker.ended[run] = {"refused", "not above one that was stopped or ended here", "", ++worker.endedCount};
       worker.journal.push_back("refused " + run);
       continue;
     }
--- a/src/commands/stub_worker.hpp
+++ b/src/commands/stub_worker.hpp
@@ -24,10 +24,11 @@
   bool standsStill = false;  // work and percent do not move
   bool mute = false;         // sends no reports
   Millis gangWaitMs = 5000;
-  Millis checkpointMs = 1000;  // work between two checkpoints
-  Millis restoreMs = 250;      // to resume from a checkpoint
-  Millis holdMostMs = 0;       // a longer hold is cut to this; 0: any
-  double farFactor = 1.5;      // away from the rack that a run names as near
+  Millis checkpointMs = 1000;        // work between two checkpoints
+  Millis restoreMs = 250;            // to resume from a checkpoint
+  Millis holdMostMs = 0;             // a longer hold is cut to this; 0: any
+  double farFactor = 1.5;            // away from the rack that a run names as near
+  std::size_t mostEndsListed = 500;  // in one report, the oldest first
 };
 
 struct RunningAttempt {
@@ -55,7 +56,8 @@
   std::string outcome;
   std::string detail;
   std::string saved;
-  bool holdLapsed = false;  // since its end, before an answer acknowledged it
+  std::uint64_t number = 0;  // rises with each end of the worker's life
+  bool holdLapsed = false;   // since its end, before an answer acknowledged it
 };
 
 struct Worker {
@@ -71,6 +73,7 @@
   bool leaving = false;
   Millis leavesAtMs = -1;
   std::int64_t started = 0;
+  std::uint64_t endedCount = 0;
   std::vector<std::string> journal;
 };
 
--- a/src/simulator/faults_processes.cpp
+++ b/src/simulator/faults_processes.cpp
@@ -2,6 +2,17 @@
 
 /// Killed, frozen and restarted processes, and clocks that are stepped.
 namespace tulip::simulator {
+namespace {
+
+/// Workers whose reports have place for few ends.
+void listFewEnds(World& world) {
+  constexpr std::size_t kMostEndsListed = 2;
+  world.sim.at(world.fromUs, [&world] {
+    for (const auto& simWorker : world.sim.simWorkers()) simWorker->worker.traits.mostEndsListed = kMostEndsListed;
+  });
+}
+
+}  // namespace
 
 FaultTable processesFaults() {
   return {
@@ -74,6 +85,21 @@
              world.sim.freeze(world.pick(Role::agent), kSecond / 4 + world.sim.below(5 * kSecond));
            });
        }},
+      {"agent-freeze-many-ends",
+       [](World& world) {
+         listFewEnds(world);
+         for (int i = 0; i < 6; ++i)
+           world.sim.at(world.faultTime(), [&world] {
+             world.sim.freeze(world.pick(Role::agent), kSecond + world.sim.below(2 * kSecond));
+           });
+       }},
+      {"agent-kill-many-ends",
+       [](World& world) {
+         listFewEnds(world);
+         for (int i = 0; i < 6; ++i)
+           world.sim.at(world.faultTime(),
+                        [&world] { world.crashFor(world.pick(Role::agent), kSecond + world.sim.below(kSecond)); });
+       }},
       {"all-restart",
        [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
--- a/src/transport/core.hpp
+++ b/src/transport/core.hpp
@@ -66,6 +66,7 @@
   Millis leavesMs = -1;  // time left at least until it goes; -1: not said
   std::vector<RunningAttempt> running;
   std::vector<EndedAttempt> ended;
+  bool moreEnded = false;  // than are listed: what is in neither list may have ended
 };
 
 struct StartOrder {
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -43,6 +43,20 @@
     return out;
   }
 
+  /// A report that lists ends, and says whether there are more than it has place for.
+  Outbox reportsEnds(const std::string& running, const std::string& ended, bool more) {
+    Outbox out;
+    ++report;
+    agent::workerReport(agent, report,
+                        R"({"worker":"w","incarnation":"w1","report":)" + std::to_string(report) +
+                            R"(,"pool":"side","slots":8,"going":)" + running + R"(,"ended":)" + ended +
+                            R"(,"moreEnded":)" + (more ? "true" : "false") + "}",
+                        {nowMs}, out);
+    return out;
+  }
+
+  const agent::AgentAttempt& run(const char* id) const { return agent.runs.at(AttemptId(id)); }
+
   Outbox ordered(std::vector<WantedAttempt> wanted, Millis acknowledgedMs, std::uint64_t term = 3) {
     Outbox out;
     Orders message;
@@ -257,6 +271,47 @@
   LONGS_EQUAL(0, agent.runs.size());
 }
 
+// Guards against tasks that are done twice: an end that waits for its place in the list was taken for a run that is
+// gone.
+TEST(agent, what_a_part_of_the_ends_leaves_out_is_neither_gone_nor_handed_again) {
+  reports();
+  ordered({go("j:a:1"), go("j:b:1"), go("j:c:1")}, nowMs);
+  reports(R"(["j:a:1","j:b:1"])");
+  const auto part = reportsEnds("[]", R"([{"run":"j:a:1","outcome":"clean"}])", true);
+  LONGS_EQUAL(0, started(part));
+  CHECK(run("j:a:1").outcome == AttemptOutcome::clean);
+  CHECK(run("j:b:1").state == AttemptState::running);
+  CHECK(run("j:c:1").state == AttemptState::ordered);
+  ordered({stop("j:a:1"), go("j:b:1"), go("j:c:1")}, nowMs);
+  reportsEnds("[]", R"([{"run":"j:b:1","outcome":"clean"},{"run":"j:c:1","outcome":"failed"}])", false);
+  CHECK(run("j:b:1").outcome == AttemptOutcome::clean);
+  CHECK(run("j:c:1").outcome == AttemptOutcome::failed);
+}
+
+// Guards against the same after a restart: the agent knows of a run from the worker's list alone.
+TEST(agent, after_its_restart_it_says_of_no_run_that_it_never_started_while_it_knows_a_part_of_the_ends) {
+  reportsEnds("[]", R"([{"run":"j:a:1","outcome":"clean"}])", true);
+  LONGS_EQUAL(0, started(ordered({go("j:b:1"), stop("j:c:1")}, nowMs)));
+  configure(R"({"cells":{"a":{"emptied":true}}})", 2);
+  ordered({go("j:b:1"), stop("j:c:1")}, nowMs);
+  Outbox out;
+  agent::agentTick(agent, {nowMs + 5}, out);
+  CHECK(run("j:b:1").state == AttemptState::ordered);
+  CHECK(run("j:c:1").state == AttemptState::stopping);
+  reportsEnds("[]", R"([{"run":"j:b:1","outcome":"clean"},{"run":"j:c:1","outcome":"clean"}])", false);
+  CHECK(run("j:b:1").outcome == AttemptOutcome::clean);
+  CHECK(run("j:c:1").outcome == AttemptOutcome::clean);
+}
+
+TEST(agent, once_it_knows_all_ends_a_run_that_is_not_listed_is_over) {
+  reports();
+  ordered({go("j:a:1")}, nowMs);
+  reports(R"(["j:a:1"])");
+  reportsEnds("[]", R"([{"run":"j:z:1","outcome":"clean"}])", true);
+  reportsEnds("[]", "[]", false);
+  CHECK(run("j:a:1").outcome == AttemptOutcome::lost);
+}
+
 TEST(agent, until_it_has_heard_its_worker_it_says_of_no_run_that_it_never_started) {
   configure(R"({"cells":{"a":{"emptied":true}}})", 2);
   ordered({go("j:a:1")}, nowMs);
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -79,6 +79,15 @@
   for (const auto& [seed, faults] : days) keeps(seed, faults, seed % 2 ? "leatherwood-steps" : "kerala-steps");
 }
 
+// Guards against tasks that are done twice when more of them end at a worker than it lists at a time.
+TEST(day, workers_that_list_a_part_of_their_ends_beside_agents_that_freeze_or_restart) {
+  for (const char* fault : {"agent-freeze-many-ends", "agent-kill-many-ends"})
+    for (std::uint64_t seed : {1, 2, 3}) {
+      keeps(seed, {fault});
+      keeps(seed, {fault}, "kerala-steps");
+    }
+}
+
 TEST(day, replicas_lost_and_replaced) {
   keeps(3, {"replica-disk-lost"});
   keeps(4, {"replica-replaced-elsewhere"});
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -621,6 +621,22 @@
   CHECK(ask(FaceKind::control, "POST", "/api/Servers.Heartbeat/i-1", "{}").rejection == Kind::noSuchRoute);
 }
 
+// A worker lists 500 ends at once; a list of that length may be a part.
+TEST(platform, a_heartbeat_with_a_full_list_of_ends_may_have_more) {
+  const auto moreOf = [](int ends) {
+    std::string body = R"({"backend":"b","ended":[)";
+    for (int i = 1; i <= ends; ++i)
+      body += (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"j.0.0.)" + std::to_string(i) + R"(",1,"done",""])";
+    transport::WorkerReport report;
+    CHECK(platform::readReport(body + "]}", report));
+    LONGS_EQUAL(ends, report.ended.size());
+    return report.moreEnded;
+  };
+  CHECK_FALSE(moreOf(0));
+  CHECK_FALSE(moreOf(499));
+  CHECK(moreOf(500));
+}
+
 TEST(platform, every_kind_of_end_has_its_word) {
   using transport::AttemptOutcome;
   const std::vector<std::pair<const char*, AttemptOutcome>> ends{
--- a/tests/worker_test.cpp
+++ b/tests/worker_test.cpp
@@ -53,6 +53,24 @@
   CHECK(journalled("acked j:a:1"));
 }
 
+TEST(worker, a_report_lists_the_oldest_ends_and_says_that_there_are_more) {
+  worker.traits.mostEndsListed = 2;
+  for (const char* run : {"j:c:1", "j:b:1", "j:a:1"}) {
+    start(run, R"({"runMs":100})");
+    pass(200);
+  }
+  const auto listed = [&] {
+    Json root = parseJson(nextReport(worker, nowMs));
+    std::vector<std::string> runs;
+    const json_t* ended = json_object_get(root.get(), "ended");
+    for (std::size_t i = 0; i < json_array_size(ended); ++i) runs.push_back(textAt(json_array_get(ended, i), "run"));
+    return std::pair(runs, flagAt(root.get(), "moreEnded"));
+  };
+  CHECK(listed() == std::pair(std::vector<std::string>{"j:c:1", "j:b:1"}, true));
+  hear(R"(,"ack":["j:c:1"])");
+  CHECK(listed() == std::pair(std::vector<std::string>{"j:a:1", "j:b:1"}, false));
+}
+
 TEST(worker, an_end_that_is_acknowledged_after_the_hold_lapsed_is_journalled_so) {
   hear(R"(,"start":[{"run":"j:a:1","payload":{"runMs":100}},{"run":"j:b:1","payload":{"runMs":100}}])", 300);
   pass(200);
