--- a/src/simulator/world.hpp
+++ b/src/simulator/world.hpp
@@ -33,6 +33,8 @@
   Micros faultTime();
   void call(transport::Ask ask, std::function<void(Reply)> done);
   void callAt(Host& host, transport::Ask ask, std::function<void(Reply)> done);
+  /// Where a caller asks about a job, by either interface.
+  Host& hostForJob(transport::Ask& ask);
   void callForJob(transport::Ask ask, std::function<void(Reply)> done);
   void submit(std::string id, std::string body);
   void poll(const std::string& id);
