A life of a worker is believed once it has followed an answer

With an agent that was restarted one crash is enough. Cause: the first report of any life that the agent had not heard counted as a newer one, and ended what runs in the present one as lost. Lives were ordered as they were heard. Ruled out: the leader, which acts on what the agent says; the remembered earlier lives, which guard against lives that were heard. Why this works: only a life that is there answers an answer. Another life's first report is told to report again, and displaces the present one when it does, with none of the present one between. The first life that an agent hears after its own start is held for unproven in the same way: nothing starts, and nothing is concluded from it. Cost: a crash and return takes one more pause between heartbeats. Not done: holding the displaced life's runs until its lease has lapsed, against two late reports in a row with the present life silent between them.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -14,6 +14,8 @@
 
 const Bounds& bounds(const AgentState& agent) { return agent.client.settings.bounds; }
 
+bool isNumbered(const AgentState& agent) { return !agent.client.settings.adapter.empty(); }
+
 bool drained(const AgentState& agent) {
   const auto& config = *agent.client.config;
   auto zone = config.emptied.find(agent.client.settings.zone.value);
@@ -22,9 +24,9 @@
          (drain != config.drained.end() && drain->second);
 }
 
-/// Whether what the worker's last report doesn't list isn't there. Before the worker is heard, and while some of its
-/// ends wait for their place in a report, a run that isn't listed may be at work or may have ended.
-bool absentMeansGone(const AgentState& agent) { return agent.heard && agent.knowsAllEnds; }
+/// Whether what the worker's last report doesn't list isn't there. Before its present life is known, and while some of
+/// its ends wait for their place in a report, a run that isn't listed may be at work or may have ended.
+bool absentMeansGone(const AgentState& agent) { return agent.proven && agent.knowsAllEnds; }
 
 bool mayStart(const AgentState& agent, Now now) {
   return control::sessionLive(agent.client, now) && agent.client.configVersion >= agent.orderedVersion &&
@@ -85,6 +87,13 @@
   return run.state == AttemptState::ended && run.listed && !run.wanted && agent.ordersSeq > 0;
 }
 
+void sendAnswer(std::uint64_t requestId, bool brief, WorkerAnswer answer, Outbox& out) {
+  if (!brief) return out.answer(requestId, 200, answerJson(answer));
+  CallResult result;
+  result.worker = std::move(answer);
+  out.tell(requestId, Kind::ok, std::move(result));
+}
+
 void answerPoll(AgentState& agent, Now now, Outbox& out) {
   const auto poll = std::move(*agent.poll);
   agent.poll.reset();
@@ -118,10 +127,7 @@
   answer.goOnMs = goOnMs(agent, now);
   agent.answeredMs = now.steadyMs;
   agent.workerUntilMs = std::max(agent.workerUntilMs, poll.sinceMs + answer.goOnMs);
-  if (!poll.brief) return out.answer(poll.requestId, 200, answerJson(answer));
-  CallResult brief;
-  brief.worker = std::move(answer);
-  out.tell(poll.requestId, Kind::ok, std::move(brief));
+  sendAnswer(poll.requestId, poll.brief, std::move(answer), out);
 }
 
 void onOrders(AgentState& agent, const Orders& orders, Now now, Outbox& out) {
@@ -169,7 +175,7 @@
       at = agent.runs.erase(at);
       continue;
     }
-    if (unhanded && agent.heard && run.workerIncarnation != agent.incarnation)
+    if (unhanded && agent.proven && run.workerIncarnation != agent.incarnation)
       end(agent, run, AttemptOutcome::lost, "ordered for another life of the worker");
     else if (unhanded && absentMeansGone(agent) && run.stop)
       end(agent, run, AttemptOutcome::stopped, "stopped before its start");
@@ -215,7 +221,7 @@
   report.zone = agent.client.settings.zone;
   report.worker = agent.worker;
   report.workerIncarnation = agent.incarnation;
-  report.workerHeard = agent.heard;
+  report.workerHeard = agent.proven;
   report.workerAgeMs = agent.heard ? now.steadyMs - agent.workerMs : 0;
   report.pool = agent.pool;
   report.labels = agent.labels;
@@ -250,17 +256,17 @@
   }
 }
 
-/// The policy of this worker's pool, which isn't known until the worker is heard.
+/// The policy of this worker's pool, which isn't known until its present life is.
 config::SilencePolicy policyOf(const AgentState& agent) {
-  return config::silencePolicy(*agent.client.config, agent.heard ? &agent.pool : nullptr);
+  return config::silencePolicy(*agent.client.config, agent.proven ? &agent.pool : nullptr);
 }
 
 /// When a run that has not ended is surely over, or was surely never started, if the worker stays silent until then.
 Millis surelyOverAtMs(const AgentState& agent, const AgentAttempt& run, const config::SilencePolicy& policy) {
   const Millis sureMs = bounds(agent).sureMs(policy.lostAfterLeases);
   const bool unhanded = run.state == AttemptState::ordered && run.handedReport == 0;
-  // Before the worker was heard, an earlier life of this agent may have granted it a lease up to this life's start.
-  if (unhanded || !agent.heard) return std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) + sureMs;
+  // Before the worker was known, an earlier life of this agent may have granted it a lease up to this life's start.
+  if (unhanded || !agent.proven) return std::max({run.sinceMs, agent.workerMs, agent.workerUntilMs}) + sureMs;
   return std::max(agent.workerUntilMs, agent.answeredMs) + sureMs - bounds(agent).workerLeaseMs;
 }
 
@@ -283,6 +289,23 @@
          now.steadyMs - agent.workerMs <= bounds(agent).freshMs();
 }
 
+/// Whether a report of a life that is not the present one shows that it is: it follows an answer, and the present one
+/// has not reported in between. A single report may be a late one of a life that is over.
+bool provesItself(const AgentState& agent, const WorkerReport& report) {
+  return agent.claim && agent.claim->incarnation == report.incarnation && report.number > agent.claim->report;
+}
+
+/// A life that has not proven itself is asked to report again, and is given nothing to run and no lease.
+void answerClaim(AgentState& agent, std::uint64_t requestId, const WorkerReport& report, Outbox& out) {
+  agent.claim = LifeClaim{report.incarnation, report.number};
+  WorkerAnswer answer;
+  answer.number = report.number;
+  answer.startWithinMs = bounds(agent).freshMs();
+  answer.nextMs = bounds(agent).nextHeartbeatMs();
+  answer.fence = agent.term.number;
+  sendAnswer(requestId, isNumbered(agent), std::move(answer), out);
+}
+
 /// A new life of the worker runs nothing that an earlier one was given.
 void beginLife(AgentState& agent, const std::string& incarnation) {
   std::erase(agent.earlierLives, incarnation);
@@ -307,9 +330,12 @@
 void noteWorker(AgentState& agent, const WorkerReport& report, Now now) {
   const bool same = agent.heard && report.incarnation == agent.incarnation;
   const bool leaving = report.leaving || report.incarnation == agent.leavingLife;
-  if (!same || leaving != agent.leaving) agent.reportDue = true;
+  const bool newlyKnown = same ? !agent.proven : agent.proven;
+  if (newlyKnown || leaving != agent.leaving) agent.reportDue = true;
   if (!agent.heard) agent.workerUntilMs = std::max(agent.workerUntilMs, now.steadyMs + bounds(agent).workerLeaseMs);
   agent.heard = true;
+  agent.proven = agent.proven || same;
+  agent.claim.reset();
   agent.knowsAllEnds = !report.moreEnded;
   agent.incarnation = report.incarnation;
   agent.lastReport = report.number;
@@ -372,7 +398,8 @@
 /// What the report doesn't list.
 void noteAbsent(AgentState& agent, const WorkerReport& report, Now now) {
   for (auto& [id, run] : agent.runs)
-    if (!run.listed && run.state == AttemptState::ordered && run.workerIncarnation != report.incarnation)
+    if (!run.listed && agent.proven && run.state == AttemptState::ordered &&
+        run.workerIncarnation != report.incarnation)
       end(agent, run, AttemptOutcome::lost, "ordered for an earlier life of the worker");
   for (auto at = agent.runs.begin(); at != agent.runs.end();) {
     auto& run = at->second;
@@ -384,10 +411,9 @@
   }
 }
 
-bool isNumbered(const AgentState& agent) { return !agent.client.settings.adapter.empty(); }
-
 /// For how long a report may wait for something to say. The next part of a list of ends follows the answer.
 Millis holdMsOf(const AgentState& agent, const WorkerReport& report, bool news) {
+  if (!agent.proven) return 0;
   if (report.moreEnded) return bounds(agent).newsHoldMs();
   if (!isNumbered(agent)) return bounds(agent).longPollMs();
   if (news) return bounds(agent).newsHoldMs();
@@ -478,7 +504,10 @@
     return out.reject(requestId, Kind::staleTerm, {});
   }
   if (agent.poll) answerPoll(agent, now, out);
-  if (agent.heard && !same) beginLife(agent, report.incarnation);
+  if (agent.proven && !same) {
+    if (!provesItself(agent, report)) return answerClaim(agent, requestId, report, out);
+    beginLife(agent, report.incarnation);
+  }
   takeUpAcknowledgement(agent, report);
   noteWorker(agent, report, now);
   for (auto& [id, run] : agent.runs) run.listed = false;
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -31,6 +31,12 @@
   std::vector<transport::EndedAttempt> ended;
 };
 
+/// A life of the worker that has reported while another one is believed to be the present.
+struct LifeClaim {
+  std::string incarnation;
+  std::uint64_t report = 0;  // the number of its report, which was answered
+};
+
 struct AgentCounts {
   std::uint64_t reports = 0, orders = 0, rejectedOrders = 0, handed = 0, rehanded = 0, rejectedStarts = 0,
                 staleReports = 0, silences = 0;
@@ -41,6 +47,8 @@
   WorkerId worker;
   std::string incarnation;
   bool heard = false;
+  bool proven = false;  // the present life has followed an answer, so it was alive then
+  std::optional<LifeClaim> claim;
   bool knowsAllEnds = false;  // the worker's last report listed all of its ends
   std::uint64_t lastReport = 0;
   Millis workerMs = 0;
--- a/src/simulator/faults_workers.cpp
+++ b/src/simulator/faults_workers.cpp
@@ -2,6 +2,22 @@
 
 /// Workers and their machines.
 namespace tulip::simulator {
+namespace {
+
+/// The worker crashes, comes back and crashes again before it was heard: the one report of the life between is late.
+void liveShortly(World& world, SimWorker& simWorker) {
+  if (!simWorker.up) return;
+  world.sim.crashWorker(simWorker);
+  world.sim.startWorker(simWorker);
+  simWorker.worker.traits.mute = true;
+  world.sim.after(kSecond / 4, [&world, &simWorker] {
+    world.sim.crashWorker(simWorker);
+    simWorker.worker.traits.mute = false;
+    world.sim.startWorker(simWorker);
+  });
+}
+
+}  // namespace
 
 FaultTable workersFaults() {
   return {
@@ -15,6 +31,11 @@
                              [&world, &simWorker] { world.sim.startWorker(simWorker); });
            });
        }},
+      {"worker-life-heard-late",
+       [](World& world) {
+         for (int i = 0; i < 6; ++i)
+           world.sim.at(world.faultTime(), [&world] { liveShortly(world, world.pickWorker()); });
+       }},
       {"worker-vanish",
        [](World& world) {
          world.sim.at(world.faultTime(), [&world] {
--- a/src/simulator/sim.hpp
+++ b/src/simulator/sim.hpp
@@ -171,6 +171,8 @@
   void startWorker(SimWorker& simWorker);
   void crashWorker(SimWorker& simWorker);
   void freezeWorker(SimWorker& simWorker, Micros spanUs);
+  /// What the crashed life would have reported next is heard seconds later, if another life has begun by then.
+  void sendLastReportLate(SimWorker& simWorker);
 
   std::vector<Host*> hosts(Role role) const;
   Host* leader();
--- a/src/simulator/sim_workers.cpp
+++ b/src/simulator/sim_workers.cpp
@@ -4,6 +4,12 @@
 
 using namespace transport;
 
+namespace {
+
+constexpr Micros kLeastLateUs = 400000;  // by which the last report of a life that crashed is late
+
+}  // namespace
+
 void Sim::startWorker(SimWorker& simWorker) {
   if (simWorker.up) return;
   simWorker.up = true;
@@ -27,12 +33,25 @@
   if (onWorkerCrash) onWorkerCrash(simWorker);
   simWorker.up = false;
   ++simWorker.lives;
+  sendLastReportLate(simWorker);
   for (const auto& [run, running] : simWorker.worker.running)
     simWorker.worker.journal.push_back("end " + run + " crashed");
   simWorker.worker.running.clear();
   drainJournal(simWorker);
 }
 
+void Sim::sendLastReportLate(SimWorker& simWorker) {
+  constexpr int kDelays = 8;
+  Ask text;
+  text.method = "POST";
+  text.path = "/worker/report";
+  text.body = commands::nextReport(simWorker.worker, clockOf(simWorker));
+  const Micros lateUs = kLeastLateUs + simWorker.lives % kDelays * kLeastLateUs;
+  after(lateUs, [this, &simWorker, text] {
+    if (simWorker.up && simWorker.agent) ask(*simWorker.agent, text, [](const Reply&) {});
+  });
+}
+
 void Sim::freezeWorker(SimWorker& simWorker, Micros spanUs) { simWorker.frozenUntilUs = now_ + spanUs; }
 
 void Sim::drainJournal(SimWorker& simWorker) {
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <set>
 
 #include "agent/agent.hpp"
 
@@ -11,6 +12,7 @@
   agent::AgentState agent;
   Millis nowMs = 100000;
   std::uint64_t report = 0, orders = 0;
+  std::set<std::string> lives;  // that have reported
 
   void setup() override {
     Settings settings;
@@ -33,7 +35,13 @@
     agent.client.configVersion = version;
   }
 
+  /// What a life of the worker reports; its first report comes twice, so that it has followed an answer.
   Outbox reports(const std::string& running = "[]", const std::string& life = "w1") {
+    if (lives.insert(life).second) reportsOnce(running, life);
+    return reportsOnce(running, life);
+  }
+
+  Outbox reportsOnce(const std::string& running = "[]", const std::string& life = "w1") {
     Outbox out;
     ++report;
     agent::workerReport(agent, report,
@@ -160,6 +168,18 @@
   CHECK(agent.runs.at(AttemptId("j:a:1")).outcome == AttemptOutcome::lost);
 }
 
+TEST(agent, an_order_for_another_life_of_the_worker_starts_nothing) {
+  reports("[]", "w2");
+  LONGS_EQUAL(0, started(ordered({go("j:a:1", "w1")}, nowMs)));
+  CHECK(run("j:a:1").outcome == AttemptOutcome::lost);
+}
+
+TEST(agent, nor_does_one_that_came_before_the_worker_was_heard) {
+  ordered({go("j:a:1", "w1")}, nowMs);
+  LONGS_EQUAL(0, started(reports("[]", "w2")));
+  CHECK(run("j:a:1").outcome == AttemptOutcome::lost);
+}
+
 TEST(agent, a_run_nobody_wants_is_stopped) {
   reports("[\"stranger:a:1\"]");
   ordered({}, nowMs);
@@ -412,11 +432,55 @@
   STRCMP_EQUAL("w2", agent.incarnation.c_str());
   nowMs += 1;
   reports();
+  STRCMP_EQUAL("w2", agent.incarnation.c_str());
+  reports();
   STRCMP_EQUAL("w1", agent.incarnation.c_str());
   reports();
   STRCMP_EQUAL("w1", agent.incarnation.c_str());
 }
 
+// Guards against tasks that are done twice: the late report of a life that nobody had heard ended what ran in the
+// present one.
+TEST(agent, a_late_report_of_a_life_that_was_never_heard_displaces_nobody_who_reports) {
+  reports();
+  ordered({go("j:a:1")}, nowMs);
+  reports(R"(["j:a:1"])");
+  for (int i = 0; i < 2; ++i) {
+    const auto late = reportsOnce("[]", "w0");
+    LONGS_EQUAL(200, late.answers.back().status);
+    LONGS_EQUAL(0, started(late));
+    STRCMP_EQUAL("w1", agent.incarnation.c_str());
+    CHECK(run("j:a:1").state == AttemptState::running);
+    for (const auto& answer : reportsOnce(R"(["j:a:1"])").answers) LONGS_EQUAL(200, answer.status);
+  }
+}
+
+TEST(agent, a_new_life_is_believed_once_it_has_followed_an_answer) {
+  reports();
+  ordered({go("j:a:1")}, nowMs);
+  reports(R"(["j:a:1"])");
+  const auto first = reportsOnce("[]", "w2");
+  LONGS_EQUAL(200, first.answers.back().status);
+  CHECK(run("j:a:1").state == AttemptState::running);
+  reportsOnce("[]", "w2");
+  STRCMP_EQUAL("w2", agent.incarnation.c_str());
+  CHECK(run("j:a:1").outcome == AttemptOutcome::lost);
+}
+
+// Guards against the same after the agent's restart, when the late report is the first that it hears.
+TEST(agent, after_its_restart_a_late_report_of_an_earlier_life_ends_nothing) {
+  reportsOnce("[]", "w0");
+  CHECK_FALSE(nextReport().workerHeard);
+  LONGS_EQUAL(0, started(ordered({go("j:a:1"), stop("j:b:1")}, nowMs)));
+  CHECK(run("j:a:1").state == AttemptState::ordered);
+  CHECK(run("j:b:1").state == AttemptState::stopping);
+  reports(R"(["j:a:1","j:b:1"])");
+  STRCMP_EQUAL("w1", agent.incarnation.c_str());
+  CHECK(nextReport().workerHeard);
+  CHECK(run("j:a:1").state == AttemptState::running);
+  CHECK(run("j:b:1").state == AttemptState::stopping);
+}
+
 TEST(agent, a_life_of_another_kind_has_nothing_of_the_one_before) {
   Outbox out;
   WorkerReport message;
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -88,6 +88,15 @@
     }
 }
 
+// Guards against tasks that are done twice when the only report of a worker's short life comes after the next life's.
+TEST(day, a_short_life_of_a_worker_is_heard_late) {
+  for (std::uint64_t seed : {1, 2, 3}) {
+    keeps(seed, {"worker-life-heard-late"});
+    keeps(seed, {"worker-life-heard-late"}, "kerala-steps");
+    keeps(seed, {"worker-life-heard-late", "agent-kill"});
+  }
+}
+
 TEST(day, replicas_lost_and_replaced) {
   keeps(3, {"replica-disk-lost"});
   keeps(4, {"replica-replaced-elsewhere"});
