Agent: reading workers' reports and writing their answers as JSON is a module of its own

agent/worker_json holds what agent.cpp had of the product's own format; a fault is a value, and the parts of a report are read by a function each. No behaviour changes; suites agent, worker, fuzz, run_path, run_waits pass.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "agent/worker_json.hpp"
 #include "config/pools.hpp"
 
 namespace tulip::agent {
@@ -53,36 +54,6 @@
   });
 }
 
-AttemptOutcome outcomeOf(std::string_view text) {
-  constexpr std::pair<std::string_view, AttemptOutcome> rows[] = {
-      {"clean", AttemptOutcome::clean},   {"stopped", AttemptOutcome::stopped}, {"lapsed", AttemptOutcome::lapsed},
-      {"broken", AttemptOutcome::broken}, {"alone", AttemptOutcome::alone},     {"refused", AttemptOutcome::refused}};
-  for (const auto& [name, outcome] : rows)
-    if (name == text) return outcome;
-  return AttemptOutcome::failed;
-}
-
-std::string answerJson(const WorkerAnswer& answer) {
-  Json root(json_object());
-  json_t *start = json_array(), *stop = json_array(), *ack = json_array();
-  for (const auto& each : answer.start) {
-    Json spec = parseJson(each.spec);
-    if (!json_is_object(spec.get())) spec.reset(json_object());
-    json_object_set_new(spec.get(), "run", jsonText(each.run.view()));
-    if (!each.saved.empty()) json_object_set_new(spec.get(), "saved", jsonText(each.saved));
-    json_array_append_new(start, spec.release());
-  }
-  for (const auto& run : answer.stop) json_array_append_new(stop, jsonText(run.view()));
-  for (const auto& run : answer.acknowledged) json_array_append_new(ack, jsonText(run.view()));
-  json_object_set_new(root.get(), "report", json_integer(static_cast<json_int_t>(answer.number)));
-  json_object_set_new(root.get(), "goOnMs", json_integer(answer.goOnMs));
-  json_object_set_new(root.get(), "startWithinMs", json_integer(answer.startWithinMs));
-  json_object_set_new(root.get(), "start", start);
-  json_object_set_new(root.get(), "stop", stop);
-  json_object_set_new(root.get(), "ack", ack);
-  return dumpJson(root.get());
-}
-
 bool released(const AgentState& agent, const AgentAttempt& run) {
   return run.state == AttemptState::ended && run.listed && !run.wanted && agent.ordersSeq > 0;
 }
@@ -446,53 +417,16 @@
 }
 
 void workerReport(AgentState& agent, std::uint64_t requestId, std::string_view body, Now now, Outbox& out) {
-  auto reject = [&](Kind kind, const char* field, const char* allowed) {
-    out.reject(requestId, kind, config::faultsJson(kind, {{field, allowed}}));
+  const auto reject = [&](const ReportFault& fault) {
+    out.reject(requestId, fault.kind, config::faultsJson(fault.kind, {{fault.field, fault.allowed}}));
   };
-  Json root = parseJson(body);
-  if (!root || !json_is_object(root.get())) return reject(Kind::malformed, "/", "one JSON object");
-  if (textAt(root.get(), "worker") != agent.worker.value)
-    return reject(Kind::badValue, "/worker", "the name of this agent's worker");
-  WorkerReport report;
-  report.incarnation = textAt(root.get(), "incarnation");
-  const auto number = numberAt(root.get(), "report");
-  if (report.incarnation.empty())
-    return reject(Kind::badValue, "/incarnation", "a text, new at each start of the worker");
-  if (number < 1) return reject(Kind::badValue, "/report", "a number that grows with each report");
-  report.slots = numberAt(root.get(), "slots");
-  if (report.slots < 1) return reject(Kind::badValue, "/slots", "a whole number of at least 1");
-  report.number = static_cast<std::uint64_t>(number);
-  report.leaving = flagAt(root.get(), "leaving");
-  report.leavesMs = numberAt(root.get(), "leavesMs", -1);
-  report.pool = PoolName(textAt(root.get(), "pool"));
-  const char* key;
-  json_t* value;
-  json_object_foreach(json_object_get(root.get(), "labels"), key, value) {
-    if (json_is_string(value)) report.labels[key] = json_string_value(value);
-  }
-  json_object_foreach(json_object_get(root.get(), "room"), key, value) {
-    if (json_is_integer(value)) report.capacity[key] = json_integer_value(value);
-  }
-  const json_t* running = json_object_get(root.get(), "going");
-  for (std::size_t i = 0; i < json_array_size(running); ++i) {
-    const json_t* item = json_array_get(running, i);
-    if (json_is_string(item))
-      report.running.push_back({AttemptId(json_string_value(item)), {}, 0});
-    else if (auto run = textAt(item, "run"); !run.empty())
-      report.running.push_back({AttemptId(run), textAt(item, "saved"), numberAt(item, "percent")});
-  }
-  const json_t* ended = json_object_get(root.get(), "ended");
-  for (std::size_t i = 0; i < json_array_size(ended); ++i) {
-    const json_t* item = json_array_get(ended, i);
-    if (auto run = textAt(item, "run"); !run.empty())
-      report.ended.push_back(
-          {0, AttemptId(run), outcomeOf(textAt(item, "outcome")), textAt(item, "saved"), textAt(item, "detail")});
-  }
-  report.moreEnded = flagAt(root.get(), "moreEnded");
+  const auto read = readWorkerReport(body, agent.worker);
+  if (const auto* fault = std::get_if<ReportFault>(&read)) return reject(*fault);
+  const auto& report = std::get<WorkerReport>(read);
   const bool same = agent.heard && report.incarnation == agent.incarnation;
   if (same && report.number <= agent.lastReport) {
     ++agent.counts.staleReports;
-    return reject(Kind::staleTerm, "/report", "a number above the last one reported");
+    return reject({Kind::staleTerm, "/report", "a number above the last one reported"});
   }
   workerReport(agent, requestId, report, now, out);
 }
