--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -43,6 +43,8 @@
     {"link-kbps", 8, 1000000000, [](Settings& e, std::int64_t v) { e.linkKbps = v; }},
     {"max-body-bytes", 1024, 67108864,
      [](Settings& e, std::int64_t v) { e.maxBodyBytes = static_cast<std::size_t>(v); }},
+    {"memory-mb", 16, 1048576, [](Settings& e, std::int64_t v) { e.limits.memoryBytes = v << 20; }},
+    {"file-handles", 64, 1048576, [](Settings& e, std::int64_t v) { e.limits.descriptors = v; }},
 };
 
 bool putKey(Settings& settings, const std::string& key, const std::string& value, std::string& allowed) {
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "base/resource_limits.hpp"
 #include "base/types.hpp"
 
 namespace tulip {
@@ -62,6 +63,7 @@
   Bounds bounds;
   std::size_t ringItems = 4096;
   std::size_t maxBodyBytes = 1 << 20;
+  ResourceLimits limits;
 };
 
 struct SettingsFault {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -128,6 +128,30 @@
   }
 };
 
+TEST(platform, the_limits_of_the_machine_are_read) {
+  CHECK(settings(kSettings));
+  LONGS_EQUAL(kDefaultMemoryBytes, envs[0].limits.memoryBytes);
+  LONGS_EQUAL(0, envs[0].limits.descriptors);
+  CHECK(settings(kSettings + "[limits]\nmemory_mb = 160\nfile_handles = 4100\n"));
+  LONGS_EQUAL(160LL << 20, envs[0].limits.memoryBytes);
+  LONGS_EQUAL(3900, envs[0].limits.descriptors);
+  CHECK(envs[1].limits.memoryBytes == envs[0].limits.memoryBytes);
+  CHECK_FALSE(settings(kSettings + "[limits]\nmemory_mb = 1\n"));
+  STRCMP_EQUAL("limits.memory_mb", fault.key.c_str());
+}
+
+TEST(platform, what_clients_may_hold_is_a_part_of_the_smallest_machines) {
+  for (const std::int64_t megabytes : {128, 160}) {
+    const auto limits = connectionLimits({megabytes << 20, 3900});
+    const auto unread = limits.clientConnections * limits.receiveBytes;
+    CHECK(limits.clientBytes + unread + limits.parsedBytes + limits.unprovenPeerBytes <=
+          static_cast<std::size_t>(megabytes) * (1 << 20) * 3 / 4);
+    CHECK(limits.clientBytes >= std::size_t{4} << 20);
+    CHECK(limits.clientConnections >= 512);
+    CHECK(2 * limits.clientConnections + limits.unprovenPeers <= 3900);
+  }
+}
+
 TEST(platform, settings_become_a_scheduler_and_a_replica_with_their_own_ports) {
   CHECK(settings(kSettings));
   LONGS_EQUAL(2, envs.size());
