--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -495,7 +495,7 @@
             queued(found->second, Heard{std::move(frame.fromId), std::move(frame.from), std::move(frame.message),
                                         std::move(frame.to), frame.fromIncarnation, frame.toIncarnation}));
       },
-      [](const std::string& text) { alarm(text); });
+      [](const std::string& text) { alarm(text); }, connectionLimits(host.settings().limits));
   for (auto& one : host.berthed) one.node.wire = &host.wire->counts();
   for (auto& one : host.berthed) one.node.stepTimes = &host.stepTimes;
 }
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -46,9 +46,9 @@
   return std::string(buffer.data(), buffer.size());
 }
 
-Decoded decode(std::string_view bytes, Frame& frame) {
+Decoded decode(std::string_view bytes, Frame& frame, std::size_t mostBytes) {
   try {
-    const auto handle = unpackBounded(bytes);
+    const auto handle = unpackBounded(bytes, mostBytes);
     const auto& root = handle.get();
     if (root.type != msgpack::type::ARRAY || root.via.array.size < kFewestFrameParts) return Decoded::malformed;
     const auto* parts = root.via.array.ptr;
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/types.hpp"
+#include "base/unpack.hpp"
 
 namespace tulip::transport {
 
@@ -437,7 +438,8 @@
 std::uint32_t protocolVersionOf(const Message& message);
 std::string encode(const Frame& frame);
 enum class Decoded { ok, malformed, foreignVersion };
-Decoded decode(std::string_view bytes, Frame& frame);
+/// What unpacks to more than `mostBytes` is malformed.
+Decoded decode(std::string_view bytes, Frame& frame, std::size_t mostBytes = kAnyUnpackedBytes);
 
 }  // namespace tulip::transport
 MSGPACK_ADD_ENUM(tulip::transport::AttemptState)
--- a/src/transport/wire.cpp
+++ b/src/transport/wire.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint32_t kMostFrameBytes = 256u << 20;
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kKeptBytes = 64u << 10;
+constexpr std::size_t kDecodedPerHeld = 2;          // bytes of a decoded frame, as a multiple of what is held for it
+constexpr std::size_t kLengthBytes = 4;             // of a frame's length, before it
+constexpr std::size_t kLeastRoom = kReadBytes / 4;  // in a buffer that is read into
+constexpr Millis kAcceptPausesPerLease = 20;        // while there is no descriptor for a connection
 
 void setPatience(tcp::socket& socket, Millis leaseMs) {
   boost::system::error_code ignored;
@@ -167,6 +171,8 @@
   std::string running;  // is being written
   std::string in;
   std::size_t filled = 0;
+  std::size_t frameBytes = 0;  // of the frame that is being read, with its length; 0: not known yet
+  std::uint64_t arrival = 0;   // among the unproven lines; 0: it is none of them
   Steady::time_point dialed;
   bool up = false;
   bool unflushed = false;
@@ -175,13 +181,15 @@
 };
 
 struct Wire::Door {
-  Door(asio::io_context& context, Address at) : acceptor(context), self(std::move(at)) {}
+  Door(asio::io_context& context, Address at) : acceptor(context), pause(context), self(std::move(at)) {}
   tcp::acceptor acceptor;
+  asio::steady_timer pause;  // before accepting is tried again
   Address self;
 };
 
-Wire::Wire(asio::io_context& context, Millis leaseMs, Receive receive, std::function<void(std::string)> alarm)
-    : context_(context), termMs_(leaseMs), receive_(std::move(receive)), alarm_(std::move(alarm)) {}
+Wire::Wire(asio::io_context& context, Millis leaseMs, Receive receive, std::function<void(std::string)> alarm,
+           const ConnectionLimits& limits)
+    : context_(context), termMs_(leaseMs), receive_(std::move(receive)), alarm_(std::move(alarm)), limits_(limits) {}
 
 Wire::~Wire() { close(); }
 
@@ -208,15 +216,75 @@
   auto line = std::make_shared<Line>(context_, counts_);
   door.acceptor.async_accept(line->socket, [this, &door, line](boost::system::error_code failed) {
     if (closed_ || failed == asio::error::operation_aborted) return;
-    if (!failed) {
-      all_.insert(line);
-      setPatience(line->socket, termMs_);
-      start(line);
-    }
+    if (failed) return acceptLater(door);
+    take(line);
     accept(door);
   });
 }
 
+/// Without a free descriptor, accepting fails at once and would be tried without a pause.
+void Wire::acceptLater(Door& door) {
+  door.pause.expires_after(std::chrono::milliseconds(std::max<Millis>(1, termMs_ / kAcceptPausesPerLease)));
+  door.pause.async_wait([this, &door](boost::system::error_code cancelled) {
+    if (!cancelled && !closed_) accept(door);
+  });
+}
+
+/// Until it has sent a frame that can be read, a line is unproven, and the one that has been so for longest gives way.
+void Wire::take(const std::shared_ptr<Line>& line) {
+  all_.insert(line);
+  line->arrival = ++arrivals_;
+  unproven_[line->arrival] = line;
+  while (unproven_.size() > limits_.unprovenPeers) {
+    ++counts_.closedUnproven;
+    drop(std::shared_ptr<Line>(unproven_.begin()->second));
+  }
+  if (line->gone) return;
+  setPatience(line->socket, termMs_);
+  start(line);
+}
+
+void Wire::prove(const std::shared_ptr<Line>& line) {
+  if (line->arrival == 0) return;
+  unproven_.erase(line->arrival);
+  unprovenBytes_ -= line->in.size();
+  line->arrival = 0;
+}
+
+std::size_t Wire::mostFrameBytes(const Line& line) const {
+  if (line.arrival == 0) return kMostFrameBytes;
+  return std::min<std::size_t>(kMostFrameBytes, limits_.unprovenPeerBytes - kLengthBytes);
+}
+
+/// Whether the line may hold so many bytes. Of the unproven lines, those that hold most give way.
+bool Wire::mayHold(const std::shared_ptr<Line>& line, std::size_t bytes) {
+  if (line->arrival == 0) return true;
+  const auto more = bytes - line->in.size();
+  while (unprovenBytes_ + more > limits_.unprovenPeerBytes) {
+    const auto size = [](const auto& entry) { return entry.second->in.size(); };
+    const auto largest = std::ranges::max_element(unproven_, {}, size)->second;
+    ++counts_.closedUnproven;
+    if (largest == line) return false;
+    drop(largest);
+  }
+  unprovenBytes_ += more;
+  return true;
+}
+
+/// The buffer grows with what has arrived and not with what a length announces. False: the line may hold no more.
+bool Wire::makeRoomToRead(const std::shared_ptr<Line>& line) {
+  const bool holdsFrame = line->frameBytes > 0 && line->in.size() >= line->frameBytes;
+  if (holdsFrame || line->in.size() - line->filled >= kLeastRoom) return true;
+  const auto size = std::max(line->filled + kReadBytes, std::min(line->frameBytes, 2 * line->filled));
+  if (!mayHold(line, size)) return false;
+  std::string grown;
+  grown.reserve(size);
+  grown.append(line->in, 0, line->filled);
+  grown.resize(size);
+  line->in = std::move(grown);
+  return true;
+}
+
 void Wire::start(const std::shared_ptr<Line>& line) {
   line->up = true;
   read(line);
@@ -305,7 +373,7 @@
 }
 
 void Wire::read(const std::shared_ptr<Line>& line) {
-  if (line->in.size() - line->filled < kReadBytes / 4) line->in.resize(std::max(kReadBytes, line->filled + kReadBytes));
+  if (!makeRoomToRead(line)) return drop(line);
   line->socket.async_read_some(asio::buffer(line->in.data() + line->filled, line->in.size() - line->filled),
                                [this, line](boost::system::error_code failed, std::size_t count) {
                                  if (closed_ || line->gone) return;
@@ -322,16 +390,17 @@
 bool Wire::takeFrames(const std::shared_ptr<Line>& line) {
   std::size_t at = 0;
   std::uint32_t size = 0;
-  while (line->filled - at >= 4) {
+  while (line->filled - at >= kLengthBytes) {
     size = 0;
-    for (std::size_t i = 0; i < 4; ++i) size = (size << 8) | static_cast<unsigned char>(line->in[at + i]);
-    if (size == 0 || size > kMostFrameBytes) {
+    for (std::size_t i = 0; i < kLengthBytes; ++i) size = (size << 8) | static_cast<unsigned char>(line->in[at + i]);
+    if (size == 0 || size > mostFrameBytes(*line)) {
       ++counts_.malformed;
       return false;
     }
-    if (line->filled - at - 4 < size) break;
+    if (line->filled - at - kLengthBytes < size) break;
     Frame frame;
-    const auto decoded = decode(std::string_view(line->in).substr(at + 4, size), frame);
+    const auto mostDecoded = line->arrival == 0 ? kAnyUnpackedBytes : kDecodedPerHeld * limits_.unprovenPeerBytes;
+    const auto decoded = decode(std::string_view(line->in).substr(at + kLengthBytes, size), frame, mostDecoded);
     if (decoded != Decoded::ok) {
       auto& count = decoded == Decoded::foreignVersion ? counts_.foreign : counts_.malformed;
       if (count++ == 0)
@@ -340,7 +409,8 @@
                                                   : "a malformed frame arrived");
       return false;
     }
-    at += 4 + size;
+    at += kLengthBytes + size;
+    prove(line);
     ++counts_.received;
     const bool ours = std::ranges::any_of(doors_, [&](const auto& door) { return door->self == frame.to; });
     if (!ours) continue;
@@ -351,10 +421,8 @@
   }
   std::memmove(line->in.data(), line->in.data() + at, line->filled - at);
   line->filled -= at;
-  if (line->filled >= 4 && line->in.size() < size + 4u)
-    line->in.resize(size + 4u);
-  else if (line->filled == 0 && line->in.size() > kKeptBytes)
-    release(line->in);
+  line->frameBytes = line->filled >= kLengthBytes ? size + kLengthBytes : 0;
+  if (line->filled == 0 && line->in.size() > kKeptBytes) release(line->in);
   return true;
 }
 
@@ -381,6 +449,8 @@
   boost::system::error_code ignored;
   line->socket.close(ignored);
   all_.erase(line);
+  prove(line);
+  release(line->in);
   for (const auto& other : line->others) {
     auto found = lines_.find(other);
     if (found != lines_.end() && found->second == line) lines_.erase(found);
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -246,3 +246,100 @@
   wire.send(frameOf(transport::JobLogPromise{}, to.c_str()));
   CHECK(wire.counts().queuedBytes > 0);
 }
+
+namespace {
+
+/// Connections that send what they are told to a wire, and are closed by it or not.
+struct StrangePeers {
+  explicit StrangePeers(const ConnectionLimits& limits)
+      : at("127.0.0.1:" + std::to_string(freePort())),
+        wire(
+            context, kNeverMs, [this](transport::Frame&&) { ++frames; }, [](std::string) {}, limits) {
+    wire.listen(at);
+  }
+
+  int freePort() {
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+  }
+
+  boost::asio::ip::tcp::socket& connect() {
+    sockets.push_back(std::make_unique<boost::asio::ip::tcp::socket>(context));
+    sockets.back()->connect(transport::endpointOf(at));
+    settle();
+    return *sockets.back();
+  }
+
+  void send(boost::asio::ip::tcp::socket& socket, const std::string& bytes) {
+    socket.non_blocking(true);
+    std::size_t sent = 0;
+    boost::system::error_code failed;
+    while (sent < bytes.size() && (!failed || failed == boost::asio::error::would_block)) {
+      sent += socket.write_some(boost::asio::buffer(bytes.data() + sent, bytes.size() - sent), failed);
+      settle();
+    }
+  }
+
+  void settle() {
+    context.restart();
+    while (context.poll() > 0) context.restart();
+  }
+
+  boost::asio::io_context context;
+  Address at;
+  int frames = 0;
+  transport::Wire wire;
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> sockets;
+};
+
+std::string lengthOf(std::uint32_t size) {
+  return {static_cast<char>(size >> 24), static_cast<char>(size >> 16), static_cast<char>(size >> 8),
+          static_cast<char>(size)};
+}
+
+std::string wholeFrame(const Address& to) {
+  const auto body = transport::encode(frameOf(transport::JobLogPromise{}, to.value.c_str()));
+  return lengthOf(static_cast<std::uint32_t>(body.size())) + body;
+}
+
+}  // namespace
+
+TEST(overload, connections_that_send_nothing_readable_give_way_and_a_peer_stays) {
+  auto limits = connectionLimits({});
+  limits.unprovenPeers = 4;
+  StrangePeers peers(limits);
+  auto& peer = peers.connect();
+  peers.send(peer, wholeFrame(peers.at));
+  LONGS_EQUAL(1, peers.frames);
+  for (int i = 0; i < 20; ++i) peers.connect();
+  LONGS_EQUAL(16, peers.wire.counts().closedUnproven);
+  LONGS_EQUAL(5, peers.wire.connections());
+  peers.send(peer, wholeFrame(peers.at));
+  LONGS_EQUAL(2, peers.frames);
+}
+
+TEST(overload, unreadable_frames_hold_no_more_than_their_part_of_the_memory) {
+  constexpr std::size_t kPart = 300000;
+  auto limits = connectionLimits({});
+  limits.unprovenPeerBytes = 1 << 20;
+  StrangePeers peers(limits);
+  for (int i = 0; i < 10; ++i) peers.send(peers.connect(), lengthOf(1000000) + std::string(kPart, 'f'));
+  CHECK(peers.wire.counts().closedUnproven >= 6);
+  CHECK(peers.wire.connections() <= 4);
+  peers.send(peers.connect(), lengthOf(200u << 20) + "more than may be held");
+  LONGS_EQUAL(1, peers.wire.counts().malformed);
+  auto& peer = peers.connect();
+  peers.send(peer, wholeFrame(peers.at));
+  LONGS_EQUAL(1, peers.frames);
+}
+
+TEST(overload, a_frame_of_more_elements_than_memory_bears_is_malformed) {
+  constexpr std::uint32_t kElements = 100000;
+  constexpr char kList32 = static_cast<char>(0xdd);
+  const auto list = std::string(1, kList32) + lengthOf(kElements) + std::string(kElements, '\x90');
+  transport::Frame frame;
+  CHECK(transport::decode(list, frame, kElements) == transport::Decoded::malformed);
+  const auto whole = transport::encode(frameOf(wholePromise(1), "127.0.0.1:2"));
+  CHECK(transport::decode(whole, frame, kJobs * sizeof(msgpack::object)) == transport::Decoded::malformed);
+  CHECK(transport::decode(whole, frame, 100 * whole.size()) == transport::Decoded::ok);
+}
