HTTP: one bound for what isn't yet a body, and one sum for what all clients make a process hold

Seen: 12 clients with trailers, or a chunk extension, without end: 69 to 86 MB on a machine of 48; 120 bodies of 1 MB that stop short: 62 and 65 MB; 200 requests of 15 KB of short headers: 70 MB; 100 clients that read no answer: 55 MB. Cause: headers and body have bounds of their own; what lies between and behind chunks grew in the buffer that reads, which had none. Nothing counted what all connections hold together, and an answer was copied once more. Mend: that buffer is bounded by 16 KB. Requests are read piece by piece, and what each connection holds is summed, with the core's copy of a body; beyond an eighth of the memory, those that hold most are closed, and a request that was not given to the core yet is refused with 503. Ruled out: bodies far over the limit, headers and chunks without end, which were refused before.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -269,7 +269,7 @@
         host_.wire->send({version, from.id, from.settings.peerAddress, send.to, std::move(send.message),
                           from.incarnation, send.toIncarnation});
       }
-      for (const auto& answer : wants.answers) host_.server->answer(answer);
+      for (auto& answer : wants.answers) host_.server->answer(std::move(answer));
       for (const auto& forward : wants.forwards) host_.server->forward(forward);
       host_.wire->flush();
     });
@@ -314,6 +314,8 @@
       differs(read.bounds.workerLeaseMs == then.bounds.workerLeaseMs, "worker-term-ms");
       differs(read.ringItems == then.ringItems, "ring-items");
       differs(read.maxBodyBytes == then.maxBodyBytes, "max-body-bytes");
+      differs(read.limits.memoryBytes == then.limits.memoryBytes, "memory-mb");
+      differs(read.limits.descriptors == then.limits.descriptors, "file-handles");
       if (then.role == Role::replica) differs(read.seeds == then.seeds, "seeds");
       auto bounds = read.bounds;
       bounds.leaseMs = then.bounds.leaseMs;
@@ -508,7 +510,7 @@
       [&host](std::size_t node, Ask&& ask) {
         return host.events.offerWithin(queued(node, std::move(ask)), host.settings().ringItems / 4);
       },
-      adapter);
+      adapter, connectionLimits(host.settings().limits));
 }
 
 // Runs the host's threads until its nodes have left, then closes what they used.
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -171,7 +171,11 @@
       out.counter("tulippitch_http_answers_total", "answers by status", {{"code", std::to_string(status)}}, count);
   out.counter("tulippitch_http_deadlines_total", "requests whose deadline passed first", {}, http.deadlines);
   out.counter("tulippitch_http_overloaded_total", "requests rejected since too many waited", {}, http.overloaded);
+  out.counter("tulippitch_http_closed_for_others_total", "connections that gave their place or memory to others", {},
+              http.closedForOthers);
   if (!wire) return;
+  out.counter("tulippitch_peer_closed_unproven_total", "connections that gave way before a readable frame", {},
+              wire->closedUnproven);
   out.gauge("tulippitch_peer_queued_bytes", "bytes that wait for connections to other daemons", {},
             static_cast<double>(wire->queuedBytes.load()));
   out.counter("tulippitch_peer_frames_sent_total", "frames sent to other daemons", {}, wire->sent);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kMostReplyBytes = 64u << 20;
+constexpr std::size_t kMostUnparsedBytes = 16384;
 
 struct Outgoing : std::enable_shared_from_this<Outgoing> {
   Outgoing(asio::io_context& context, CallOut out, std::function<void(CallReply)> finished)
@@ -32,7 +32,7 @@
       self->reply.sent = true;
       beast_http::async_write(self->stream, self->request, [self](beast::error_code lost, std::size_t) {
         if (lost) return self->finish();
-        self->parser.body_limit(kMostReplyBytes);
+        self->parser.body_limit(self->call.mostReplyBytes);
         beast_http::async_read(self->stream, self->buffer, self->parser, [self](beast::error_code gone, std::size_t) {
           if (!gone) {
             auto& got = self->parser.get();
@@ -60,7 +60,7 @@
   std::function<void(CallReply)> done;
   beast_http::request<beast_http::string_body> request;
   beast_http::response_parser<beast_http::string_body> parser;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMostUnparsedBytes};
   CallReply reply;
 };
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -66,14 +66,19 @@
   std::unique_ptr<http::HttpServer> server;
   std::vector<std::unique_ptr<Client>> clients;
 
-  void setup() override {
+  void setup() override { begin(connectionLimits({})); }
+
+  void begin(const ConnectionLimits& limits) {
     Bounds bounds;
     bounds.leaseMs = 10;
     bounds.callMs = 60000;
-    server = std::make_unique<http::HttpServer>(context, bounds, 1 << 20, [this](std::size_t, transport::Ask&& ask) {
-      asks.push_back(std::move(ask));
-      return true;
-    });
+    server = std::make_unique<http::HttpServer>(
+        context, bounds, 1 << 20,
+        [this](std::size_t, transport::Ask&& ask) {
+          asks.push_back(std::move(ask));
+          return true;
+        },
+        nullptr, limits);
     server->listen(Address("127.0.0.1:0"), FaceKind::own, 0);
   }
 
@@ -407,3 +412,46 @@
   runUntil([&] { return leader.connections == 1 && allClosed(); });
   CHECK(server->answered());
 }
+
+TEST(http_server, the_requests_that_hold_most_give_way_and_a_small_one_is_served) {
+  constexpr std::size_t kAnnounced = 1000000, kSent = 200000;
+  auto limits = connectionLimits({});
+  limits.clientBytes = 1 << 20;
+  begin(limits);
+  for (int i = 0; i < 20; ++i) {
+    auto& large = client();
+    large.send("POST /jobs HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(kAnnounced) + "\r\n\r\n");
+    boost::system::error_code ignored;
+    asio::write(large.socket, asio::buffer(std::string(kSent, 'x')), ignored);
+    settle();
+  }
+  CHECK(server->counts().closedForOthers > 0);
+  CHECK(server->counts().open < 20);
+  auto& small = client();
+  small.send(requestText("POST", "/jobs", "{}"));
+  runUntil([&] { return asks.size() == 1; });
+  answer(0, "\"small\"");
+  runUntil([&] { return small.holds("\"small\""); });
+}
+
+TEST(http_server, what_lies_between_and_behind_chunks_is_bounded) {
+  for (const std::string part : {"4;name=", "4\r\nabcd\r\n0\r\nTrailer: "}) {
+    auto& caller = client();
+    caller.send("POST /jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + part);
+    for (int i = 0; i < 20 && caller.received.empty(); ++i) {
+      caller.send(std::string(1000, 'x'));
+      settle();
+    }
+    runUntil([&] { return caller.holds("HTTP/1.1 413"); });
+  }
+  LONGS_EQUAL(0, asks.size());
+}
+
+TEST(http_server, chunks_with_extensions_and_trailers_within_the_bound_are_read) {
+  auto& caller = client();
+  caller.send(
+      "POST /jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2;name=value\r\n{}\r\n0\r\nTrailer: " +
+      std::string(8000, 'x') + "\r\n\r\n");
+  runUntil([&] { return asks.size() == 1; });
+  STRCMP_EQUAL("{}", asks[0].body.c_str());
+}
