HTTP: a body that takes too much memory as JSON is refused before it is read

Seen: three bodies of 1 MB of empty objects, within max-body-bytes: 86 to 89 MB on a machine of 48, at the control listener, the own interface and beside a worker. Cause: the core reads a body as JSON whole, and `{}` with its comma takes over 250 bytes. Bodies too small to matter are not looked at.

--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/beast/http.hpp>
 
-#include "base/errors.hpp"
+#include "base/json_footprint.hpp"
 
 namespace tulip::http {
 namespace asio = boost::asio;
@@ -19,6 +19,7 @@
 constexpr std::size_t kBodyReadBytes = 8192;          // at once, once a request has begun
 constexpr std::size_t kKeptBytes = 16384;
 constexpr std::size_t kFieldBytes = 96;       // that a header field takes beside its text
+constexpr std::size_t kMostJsonGrowth = 128;  // of a text once it is read, at most
 constexpr std::size_t kCopiesOfBody = 2;      // one here and one at the core or on its way to the leader
 constexpr Millis kIdleCalls = 20;
 constexpr Millis kMostCalls = 12;
@@ -128,6 +129,8 @@
 
 void HttpServer::Session::onRequest() {
   const auto& body = parser->get().body();
+  if (body.size() > server.limits_.parsedBytes / kMostJsonGrowth && jsonFootprint(body) > server.limits_.parsedBytes)
+    return reject(Kind::tooLarge);
   if (!server.hold(*this, requestBytes() + (kCopiesOfBody - 1) * body.size())) return reject(Kind::overloaded);
   auto ask = makeAsk();
   ask.requestId = requestId = ++server.next_;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -455,3 +455,18 @@
   runUntil([&] { return asks.size() == 1; });
   STRCMP_EQUAL("{}", asks[0].body.c_str());
 }
+
+TEST(http_server, a_body_that_would_grow_beyond_memory_is_refused_unread) {
+  auto limits = connectionLimits({});
+  limits.parsedBytes = 1 << 20;
+  begin(limits);
+  std::string objects = "[{}";
+  while (objects.size() < 100000) objects += ",{}";
+  auto& refused = client();
+  refused.send(requestText("POST", "/jobs", objects + "]"));
+  runUntil([&] { return refused.holds("HTTP/1.1 413"); });
+  LONGS_EQUAL(0, asks.size());
+  auto& served = client();
+  served.send(requestText("POST", "/jobs", "{\"text\":\"" + std::string(100000, '{') + "\"}"));
+  runUntil([&] { return asks.size() == 1; });
+}
