HTTP: idle connections give way, and accepting waits where there is no descriptor

Seen: 400 idle connections hold 400 descriptors where 128 are allowed; at the bound of sessions an ordinary caller is reset while they stay; without a free descriptor the process takes a whole core and answers nobody. Cause: a new connection over the bound was dropped in favour of idle ones, the bound knew nothing of the machine's descriptors, and a failed accept was tried again at once. Mend: connections of clients are bounded by parts of the memory and of the descriptors, and give way to those of peers. At the bound the one that has waited longest for its client is closed, at the listener that has most; requests that are being answered stay. Without a descriptor some of these are closed and accepting waits for a part of a lease.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -511,6 +511,7 @@
         return host.events.offerWithin(queued(node, std::move(ask)), host.settings().ringItems / 4);
       },
       adapter, connectionLimits(host.settings().limits));
+  host.server->countPeers([&host] { return host.wire->connections(); });
 }
 
 // Runs the host's threads until its nodes have left, then closes what they used.
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -21,7 +21,8 @@
 
 namespace {
 
-constexpr std::size_t kMostSessions = 3072;
+constexpr Millis kAcceptPausesPerLease = 20;           // while there is no descriptor for a connection
+constexpr std::size_t kClosedWithoutDescriptors = 16;  // this part of the connections, one at least
 constexpr std::size_t kCrowdedPart = 2;                // of the bytes that clients may hold
 constexpr std::size_t kCalmPart = 8;
 
@@ -31,6 +32,11 @@
   return static_cast<std::uint64_t>(device()) << 32;
 }
 
+bool isWithoutDescriptors(beast::error_code failed) {
+  return failed == boost::system::errc::too_many_files_open ||
+         failed == boost::system::errc::too_many_files_open_in_system;
+}
+
 /// The kind that a forwarded call was answered with.
 Kind kindOfReply(const CallReply& reply) {
   if (reply.status >= 200 && reply.status < 300) return Kind::ok;
@@ -86,17 +92,54 @@
 void HttpServer::accept(Door& door) {
   door.acceptor.async_accept([this, &door](beast::error_code failed, tcp::socket socket) {
     if (closed_ || failed == asio::error::operation_aborted) return;
-    if (!failed && counts_->open < kMostSessions) {
-      beast::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      auto session = std::make_shared<Session>(*this, std::move(socket), door);
-      session->read();
-      arm(session->idleUntil());
-    }
+    if (failed) return acceptLater(door, failed);
+    take(door, std::move(socket));
     accept(door);
   });
 }
 
+/// Without a free descriptor, accepting fails at once and would be tried without a pause.
+void HttpServer::acceptLater(Door& door, beast::error_code failed) {
+  const auto most = isWithoutDescriptors(failed) ? 1 + sessions_.size() / kClosedWithoutDescriptors : 0;
+  for (std::size_t closed = 0; closed < most && closeLongestWaiting(); ++closed) {
+  }
+  door.pause.expires_after(std::chrono::milliseconds(std::max<Millis>(1, bounds_.leaseMs / kAcceptPausesPerLease)));
+  door.pause.async_wait([this, &door](beast::error_code cancelled) {
+    if (!cancelled && !closed_) accept(door);
+  });
+}
+
+void HttpServer::take(Door& door, tcp::socket socket) {
+  while (sessions_.size() - goneSessions_ >= mostSessions())
+    if (!closeLongestWaiting()) return;
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto session = std::make_shared<Session>(*this, std::move(socket), door);
+  session->read();
+  arm(session->idleUntil());
+}
+
+/// Connections to peers go first: a leader has one to each agent, however many clients there are.
+std::size_t HttpServer::mostSessions() const {
+  const auto peers = peerConnections_ ? peerConnections_() : 0;
+  const auto left = limits_.descriptors - std::min(limits_.descriptors, peers);
+  return std::max<std::size_t>(1, std::min(limits_.clientConnections, left));
+}
+
+/// Closes the connection that has waited longest for its client, at the listener that has most of them. Those whose
+/// request is being answered stay. False: there is none to close.
+bool HttpServer::closeLongestWaiting() {
+  Session* longest = nullptr;
+  const auto before = [](const Session& a, const Session& b) {
+    return a.door.sessions != b.door.sessions ? a.door.sessions > b.door.sessions : a.waitsSince < b.waitsSince;
+  };
+  for (auto* session : sessions_)
+    if (mayClose(*session) && (!longest || before(*session, *longest))) longest = session;
+  if (!longest) return false;
+  closeForOthers(*longest);
+  return true;
+}
+
 bool HttpServer::mayClose(const Session& session) const {
   return !session.gone && !asking_.contains(session.requestId);
 }
@@ -252,7 +295,10 @@
 
 void HttpServer::stopListening() {
   beast::error_code ignored;
-  for (auto& door : doors_) door->acceptor.close(ignored);
+  for (auto& door : doors_) {
+    door->acceptor.close(ignored);
+    door->pause.cancel();
+  }
 }
 
 void HttpServer::close() {
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -67,11 +67,17 @@
   void close();
   const HttpCounts& counts() const { return *counts_; }
   void rebound(const Bounds& bounds) { bounds_ = bounds; }
+  /// How many descriptors connections to peers take.
+  void countPeers(std::function<std::size_t()> connections) { peerConnections_ = std::move(connections); }
 
  private:
   struct Session;
   struct Door;
   void accept(Door& door);
+  void acceptLater(Door& door, boost::system::error_code failed);
+  void take(Door& door, boost::asio::ip::tcp::socket socket);
+  std::size_t mostSessions() const;
+  bool closeLongestWaiting();
   bool mayClose(const Session& session) const;
   void closeForOthers(Session& session);
   bool hold(Session& session, std::size_t bytes, bool answered = false);
@@ -87,6 +93,7 @@
   Bounds bounds_;
   std::size_t maxBodyBytes_;
   ConnectionLimits limits_;
+  std::function<std::size_t()> peerConnections_;
   Give give_;
   std::shared_ptr<const ProtocolAdapter> adapter_;
   HeaderNames headers_;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -2,6 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "transport/wire.hpp"
 
 using namespace tulip;
@@ -413,6 +417,48 @@
   CHECK(server->answered());
 }
 
+TEST(http_server, the_connection_that_waited_longest_gives_way_to_a_new_one) {
+  auto limits = connectionLimits({});
+  limits.clientConnections = 3;
+  begin(limits);
+  auto& asked = client();
+  asked.send(requestText("GET", "/asked"));
+  runUntil([&] { return asks.size() == 1; });
+  auto& longest = client();
+  runUntil([&] { return server->counts().open == 2; });
+  auto& later = client();
+  runUntil([&] { return server->counts().open == 3; });
+  auto& fresh = client();
+  fresh.send(requestText("GET", "/fresh"));
+  runUntil([&] { return asks.size() == 2; });
+  runUntil([&] { return longest.ended; });
+  CHECK_FALSE(later.ended);
+  CHECK_FALSE(asked.ended);
+  answer(0, "\"asked\"");
+  answer(1, "\"fresh\"");
+  runUntil([&] { return asked.holds("\"asked\"") && fresh.holds("\"fresh\""); });
+  LONGS_EQUAL(1, server->counts().closedForOthers.load());
+}
+
+TEST(http_server, a_crowd_at_one_listener_leaves_the_connections_of_another_alone) {
+  auto limits = connectionLimits({});
+  limits.clientConnections = 6;
+  begin(limits);
+  server->listen(Address("127.0.0.1:0"), FaceKind::ready, 0);
+  clients.push_back(std::make_unique<Client>(context));
+  auto& probe = *clients.back();
+  probe.connect(server->boundAddresses().at(1));
+  runUntil([&] { return server->counts().open == 1; });
+  for (int i = 0; i < 20; ++i) {
+    const auto closed = server->counts().closedForOthers.load();
+    client();
+    runUntil([&] { return i < 5 ? server->counts().open >= 2u + i : server->counts().closedForOthers > closed; });
+  }
+  settle();
+  CHECK_FALSE(probe.ended);
+  CHECK(server->counts().open <= limits.clientConnections);
+}
+
 TEST(http_server, the_requests_that_hold_most_give_way_and_a_small_one_is_served) {
   constexpr std::size_t kAnnounced = 1000000, kSent = 200000;
   auto limits = connectionLimits({});
@@ -470,3 +516,42 @@
   served.send(requestText("POST", "/jobs", "{\"text\":\"" + std::string(100000, '{') + "\"}"));
   runUntil([&] { return asks.size() == 1; });
 }
+
+namespace {
+
+/// Leaves the process no descriptor but those that are open.
+class NoFreeDescriptor {
+ public:
+  NoFreeDescriptor() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const int lowest = open("/dev/null", O_RDONLY);
+    close(lowest);
+    auto fewer = before_;
+    fewer.rlim_cur = static_cast<rlim_t>(lowest);
+    setrlimit(RLIMIT_NOFILE, &fewer);
+  }
+  ~NoFreeDescriptor() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoFreeDescriptor(const NoFreeDescriptor&) = delete;
+  NoFreeDescriptor& operator=(const NoFreeDescriptor&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+}  // namespace
+
+TEST(http_server, without_a_free_descriptor_an_idle_connection_gives_way_and_accepting_does_not_spin) {
+  constexpr int kMostHandlers = 1000;
+  auto& idle = client();
+  runUntil([&] { return server->counts().open == 1; });
+  clients.push_back(std::make_unique<Client>(context));
+  auto& caller = *clients.back();
+  caller.socket.open(tcp::v4());
+  const NoFreeDescriptor none;
+  caller.connect(server->boundAddresses().front());
+  caller.send(requestText("GET", "/a"));
+  int handlers = 0;
+  runUntil([&] { return !asks.empty() || ++handlers > kMostHandlers; });
+  LONGS_EQUAL(1, asks.size());
+  runUntil([&] { return idle.ended; });
+}
