Tests: a process that is started again inherits none of the crowd's connections

The fixture closed the first 64 descriptors after its fork only, so the program began with the test's own ends of 130 connections. The check and its bound stay as they are.

--- a/tests/process_fleet.hpp
+++ b/tests/process_fleet.hpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <random>
 #include <set>
 #include <sstream>
@@ -151,7 +152,7 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, 1);
     dup2(out, 2);
-    for (int inherited = 3; inherited < 64; ++inherited) close(inherited);
+    close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
     execl(TULIPPITCH_PROGRAM, "tulippitch", process.role.c_str(), nullptr);
     _exit(127);
   }
