--- a/tests/process_fleet.hpp
+++ b/tests/process_fleet.hpp
@@ -97,6 +97,35 @@
   return use;
 }
 
+/// Tells a parent when its child runs the program: until then the child's memory and descriptors are the parent's own.
+class ExecWatch {
+ public:
+  ExecWatch() { CHECK(pipe2(ends_, O_CLOEXEC) == 0); }
+  ~ExecWatch() {
+    close(ends_[0]);
+    if (ends_[1] >= 0) close(ends_[1]);
+  }
+  ExecWatch(const ExecWatch&) = delete;
+  ExecWatch& operator=(const ExecWatch&) = delete;
+
+  /// In the child: closes every descriptor but the standard ones and the pipe's end, which goes with the exec.
+  void keepAlone() {
+    constexpr int kKept = STDERR_FILENO + 1;
+    dup3(ends_[1], kKept, O_CLOEXEC);
+    close_range(kKept + 1, std::numeric_limits<unsigned>::max(), 0);
+  }
+
+  void awaitExec() {
+    char none = 0;
+    close(std::exchange(ends_[1], -1));
+    while (read(ends_[0], &none, 1) < 0 && errno == EINTR) {
+    }
+  }
+
+ private:
+  int ends_[2] = {-1, -1};
+};
+
 /// A process of the fleet and where it listens.
 struct FleetProcess {
   std::string name, role, ip;
@@ -146,13 +175,14 @@
     const auto settings = (process.folder / "settings.toml").string();
     std::ofstream(settings) << settingsText(process, firstBoot);
     const auto log = (process.folder / "log").string();
+    ExecWatch watch;
     process.pid = fork();
-    if (process.pid != 0) return;
+    if (process.pid != 0) return watch.awaitExec();
     setenv("TULIPPITCH_SETTINGS", settings.c_str(), 1);
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(out, 1);
-    dup2(out, 2);
-    close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    watch.keepAlone();
     execl(TULIPPITCH_PROGRAM, "tulippitch", process.role.c_str(), nullptr);
     _exit(127);
   }
