--- /dev/null
+++ b/review/standin-2/starve.cpp
@@ -0,0 +1,75 @@
+#include <algorithm>
+
+#include "fleet.hpp"
+#include "parts.hpp"
+
+namespace review {
+
+namespace {
+
+// Ordinary small jobs of the most urgent queue come all the time, each one task of a second; the service is nearly
+// idle. Then one large gang job comes, and after it ordinary jobs of a less urgent queue.
+constexpr Millis kUrgentEveryMs = 400;
+constexpr Millis kWatchMs = 40000;
+constexpr Millis kStarvedMs = 3000;  // of the rule
+
+}  // namespace
+
+int starve(bool trouble) {
+  Fleet fleet(3, 11);
+  fleet.config = configOf({{"urgent", 0, 4, 1000, 1.5}, {"layout", 1, 4, 2000, 2.2}, {"refresh", 2, 3, 4000, 3.2}});
+  if (!fleet.boot()) return 2;
+  std::atomic<bool> over{false};
+  std::thread urgent([&] {
+    for (int i = 0; !over; ++i) {
+      fleet.clientCall("POST", "/urgent/" + idOf(0xa, i), jobOf(1, 1100, 3300, 1000, "1000,0,1100", false), i);
+      sleepMs(kUrgentEveryMs);
+    }
+  });
+  sleepMs(5000);
+  if (trouble) {
+    const auto reply = fleet.clientCall("POST", "/layout/" + idOf(0xb, 1),
+                                        jobOf(22, 8000, 8200, 5000, "5000,22,8000", true));
+    if (reply.status != 200) return over = true, urgent.join(), 2;
+  }
+  sleepMs(4000);
+  const auto sentMs = steadyMs();
+  const auto id = idOf(0xc, 1);
+  const auto reply = fleet.clientCall("POST", "/refresh/" + id, jobOf(2, 800, 2300, 4000, "1800,0,800", false));
+  if (reply.status != 200) return over = true, urgent.join(), 2;
+  Millis idleMs = 0;
+  bool begun = false, starved = false;
+  Millis lastMs = steadyMs();
+  while (steadyMs() - sentMs < kWatchMs) {
+    sleepMs(50);
+    const auto nowMs = steadyMs();
+    {
+      const std::lock_guard held(fleet.journal.lock);
+      for (const auto& start : fleet.journal.starts) begun = begun || start.task.rfind(id, 0) == 0;
+    }
+    if (begun) break;
+    long long used = 0;
+    int roomy = 0;  // tasks of 800 thousandths of a core for which there is room
+    for (auto& worker : fleet.workers) {
+      const auto mine = worker->cpuInUse();
+      used += mine;
+      roomy += static_cast<int>((worker->cpu - mine) / 800);
+    }
+    const bool counts = roomy >= 4 && used * 2 < 16000LL * 11;
+    idleMs = counts ? idleMs + nowMs - lastMs : 0;
+    lastMs = nowMs;
+    if (idleMs > kStarvedMs && !starved) {
+      starved = true;
+      note("RULE: for 3 s the job has nothing running, room for " + std::to_string(roomy) + " such tasks, " +
+           std::to_string(used) + " of 176000 thousandths of a core in use");
+    }
+  }
+  note(begun ? "the job's first task began " + std::to_string(steadyMs() - sentMs) + " ms after it was sent"
+             : "no task of the job began in " + std::to_string(kWatchMs) + " ms");
+  fleet.clientCall("GET", "/refresh/" + id, "");
+  over = true;
+  urgent.join();
+  return starved ? 1 : 0;
+}
+
+}  // namespace review
