--- a/review/standin-2/firstboot.cpp
+++ b/review/standin-2/firstboot.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Millis kDownMs = 1000;
-constexpr Millis kWatchMs = 60000;
+constexpr Millis kWatchMs = 45000;
 
 }  // namespace
 
@@ -21,7 +21,7 @@
   Fleet fleet(3, 3);
   fleet.config = configOf({{"urgent", 0, 4, 1000, 1.5}});
   const char* at = std::getenv("KILL_AT_MS");
-  const Millis killAtMs = at ? std::atoll(at) : 300;
+  const Millis killAtMs = at ? std::atoll(at) : 200;
   const char* which = std::getenv("KILL_EDGE");
   auto& victim = fleet.edges[which ? std::atoi(which) - 1 : 0];
   for (auto& edge : fleet.edges) fleet.spawn(edge, true);
@@ -32,8 +32,10 @@
     ::waitpid(victim.pid, nullptr, 0);
     note("killed " + victim.name + " " + std::to_string(killAtMs) + " ms after its start");
     sleepMs(kDownMs);
-    fleet.spawn(victim, false);
-    note("started " + victim.name + " again, first_boot = false");
+    // For comparison only: a platform that would keep first_boot = true.
+    const bool stays = std::getenv("FIRST_BOOT_STAYS") != nullptr;
+    fleet.spawn(victim, stays);
+    note("started " + victim.name + " again, first_boot = " + (stays ? "true" : "false"));
   }
   const auto sentMs = steadyMs();
   Reply reply;
--- a/review/standin-2/starve.cpp
+++ b/review/standin-2/starve.cpp
@@ -10,7 +10,7 @@
 // Ordinary small jobs of the most urgent queue come all the time, each one task of a second; the service is nearly
 // idle. Then one large gang job comes, and after it ordinary jobs of a less urgent queue.
 constexpr Millis kUrgentEveryMs = 400;
-constexpr Millis kWatchMs = 40000;
+constexpr Millis kWatchMs = 60000;
 constexpr Millis kStarvedMs = 3000;  // of the rule
 
 }  // namespace
