--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -194,7 +195,7 @@
 }
 
 std::string Worker::beat() {
-  const std::lock_guard held(lock_);
+  const std::scoped_lock held(lock_, journal_.lock);
   json_t* root = json_object();
   const auto put = [&](const char* key, const std::string& value) { json_object_set_new(root, key, json_string(value.c_str())); };
   put("backend", service_);
@@ -213,7 +214,12 @@
   json_t* running = json_array();
   const auto nowMs = steadyMs();
   for (const auto& [task, run] : runs_) {
-    const auto percent = run.gang > 0 ? 0 : std::min<Millis>(99, 100 * (nowMs - run.startedMs) / std::max<Millis>(1, run.workMs));
+    auto sinceMs = run.startedMs;  // a gang works from the moment that all of it are there
+    if (run.gang > 0) {
+      const auto whole = journal_.gangWholeMs.find(gangKey(run));
+      sinceMs = whole == journal_.gangWholeMs.end() ? nowMs : whole->second;
+    }
+    const auto percent = std::min<Millis>(99, 100 * (nowMs - sinceMs) / std::max<Millis>(1, run.workMs));
     json_array_append_new(running, json_pack("[s,I,s,I]", task.c_str(), (json_int_t)run.attempt, "", (json_int_t)percent));
   }
   json_object_set_new(root, "running", running);
@@ -412,6 +418,7 @@
     ::close(out);
     return;
   }
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // no daemon outlives the script
   ::dup2(out, 1);
   ::dup2(out, 2);
   ::execve("target/tulippitch", args, env);
