--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -57,6 +57,8 @@
   return failed == 0;
 }
 
+constexpr std::size_t kMostAnswerBytes = 4u << 20;  // that acknowledges a beat
+
 std::string text(const json_t* value) { return json_is_string(value) ? json_string_value(value) : ""; }
 
 std::vector<std::string> split(const std::string& line, char by) {
@@ -151,9 +153,10 @@
   if (thread_.joinable()) thread_.join();
 }
 
-std::size_t Worker::running() {
+std::size_t Worker::runningOf(const std::string& job) {
   const std::lock_guard held(lock_);
-  return runs_.size();
+  return static_cast<std::size_t>(
+      std::count_if(runs_.begin(), runs_.end(), [&](const auto& run) { return run.first.rfind(job, 0) == 0; }));
 }
 
 long long Worker::cpuInUse() {
@@ -173,7 +176,12 @@
   while (!over_) {
     const auto sentMs = steadyMs();
     const auto body = beat();
-    const auto reply = call({ip_, port_, "POST", "/api/Servers.Heartbeat/" + id_, body, {}, 1000});
+    auto reply = call({ip_, port_, "POST", "/api/Servers.Heartbeat/" + id_, body, {}, 1000});
+    if (reply.body.size() > kMostAnswerBytes) {
+      note("worker " + std::to_string(number_) + " got an answer of " + std::to_string(reply.body.size()) +
+           " bytes to its beat, more than 4 MiB: not acknowledged");
+      reply = {};
+    }
     if (reply.status == 200 && steadyMs() - sentMs <= 1000) take(reply.body, sentMs);
     if (reply.status != 200) {
       const std::lock_guard held(lock_);
--- a/review/standin-2/fleet.hpp
+++ b/review/standin-2/fleet.hpp
@@ -96,7 +96,7 @@
   long long cpu = 16000, memMb = 65536;
   std::vector<std::string> labels;
   // What a start's job text means; by default "WORK_MS,GANG,CPU".
-  std::size_t running();
+  std::size_t runningOf(const std::string& job);  // tasks of the job that run here
   long long cpuInUse();
 
  private:
