--- a/review/standin-2/parts.cpp
+++ b/review/standin-2/parts.cpp
@@ -37,6 +37,6 @@
   return text;
 }
 
-std::vector<Case> cases() { return {{"starve", starve}, {"first-boot", firstBoot}, {"bulk", bulk}, {"memory", memory}}; }
+std::vector<Case> cases() { return {{"starve", starve}, {"first-boot", firstBoot}, {"bulk", bulk}, {"timed", timed}}; }
 
 }  // namespace review
--- a/review/standin-2/parts.hpp
+++ b/review/standin-2/parts.hpp
@@ -23,6 +23,6 @@
 int starve(bool trouble);
 int firstBoot(bool trouble);
 int bulk(bool trouble);
-int memory(bool trouble);
+int timed(bool trouble);
 
 }  // namespace review
