--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -71,6 +71,20 @@
   return parts;
 }
 
+constexpr int kPorts = 23;  // of a machine: for daemons to talk to each other, and the three listeners
+
+bool areFree(int first, int count) {
+  for (int port = first; port < first + count; ++port) {
+    Socket socket{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(static_cast<uint16_t>(port));
+    ::inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
+    if (::bind(socket.handle, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) return false;
+  }
+  return true;
+}
+
 std::string gangKey(const Run& run) { return run.task.substr(0, run.task.rfind('.')) + "#" + std::to_string(run.attempt); }
 
 }  // namespace
@@ -349,7 +363,8 @@
 Fleet::Fleet(int edgeCount, int workerCount) {
   std::random_device device;
   net_ = "127." + std::to_string(10 + device() % 200) + "." + std::to_string(device() % 250) + ".";
-  firstPort = 20000 + static_cast<int>(device() % 10000);
+  do firstPort = 20000 + static_cast<int>(device() % 10000);
+  while (!areFree(firstPort, kPorts));
   frontPort = firstPort + 20;
   controlPort = firstPort + 21;
   readyPort = firstPort + 22;
@@ -454,8 +469,7 @@
   for (int i = 0; i < tries; ++i) {
     const auto& edge = edges[static_cast<std::size_t>(first + i) % edges.size()];
     reply = call({edge.ip, frontPort, method, path, body, {"Host: " + host, "Time-Left-Ms: 3000"}, 3000});
-    if (method != "GET" || reply.status != 200)
-      note("client " + method + " " + path + " at " + edge.name + ": " + std::to_string(reply.status) + " " + reply.body);
+    note("client " + method + " " + path + " at " + edge.name + ": " + std::to_string(reply.status) + " " + reply.body);
     if (reply.status != 0 && reply.status != 503 && reply.status != 502 && reply.status != 504 && reply.status != 429)
       return reply;
     sleepMs(200);
