--- a/review/standin-2/starve.cpp
+++ b/review/standin-2/starve.cpp
@@ -11,6 +11,8 @@
 // idle. Then one large gang job comes, and after it ordinary jobs of a less urgent queue.
 constexpr Millis kUrgentEveryMs = 400;
 constexpr Millis kWatchMs = 60000;
+constexpr std::size_t kJobs = 12;
+constexpr Millis kJobEveryMs = 3000;
 constexpr Millis kStarvedMs = 3000;  // of the rule
 
 }  // namespace
@@ -33,21 +35,21 @@
     if (reply.status != 200) return over = true, urgent.join(), 2;
   }
   sleepMs(4000);
-  const auto sentMs = steadyMs();
-  const auto id = idOf(0xc, 1);
-  const auto reply = fleet.clientCall("POST", "/refresh/" + id, jobOf(2, 800, 2300, 4000, "1800,0,800", false));
-  if (reply.status != 200) return over = true, urgent.join(), 2;
-  Millis idleMs = 0;
-  bool begun = false, starved = false;
-  Millis lastMs = steadyMs();
-  while (steadyMs() - sentMs < kWatchMs) {
-    sleepMs(50);
-    const auto nowMs = steadyMs();
-    {
-      const std::lock_guard held(fleet.journal.lock);
-      for (const auto& start : fleet.journal.starts) begun = begun || start.task.rfind(id, 0) == 0;
+  struct Waiting {
+    std::string id;
+    Millis sentMs = 0, idleMs = 0, lastMs = 0;
+    bool begun = false, starved = false;
+  };
+  std::vector<Waiting> jobs;
+  const auto watchMs = steadyMs();
+  while (steadyMs() - watchMs < kWatchMs) {
+    if (jobs.size() < kJobs && steadyMs() - watchMs >= static_cast<Millis>(jobs.size()) * kJobEveryMs) {
+      const auto id = idOf(0xc, static_cast<int>(jobs.size()));
+      const auto reply = fleet.clientCall("POST", "/refresh/" + id, jobOf(2, 800, 2300, 4000, "1800,0,800", false));
+      if (reply.status != 200) return over = true, urgent.join(), 2;
+      jobs.push_back({id, steadyMs(), 0, steadyMs()});
     }
-    if (begun) break;
+    sleepMs(20);
     long long used = 0;
     int roomy = 0;  // tasks of 800 thousandths of a core for which there is room
     for (auto& worker : fleet.workers) {
@@ -56,17 +58,28 @@
       roomy += static_cast<int>((worker->cpu - mine) / 800);
     }
     const bool counts = roomy >= 4 && used * 2 < 16000LL * 11;
-    idleMs = counts ? idleMs + nowMs - lastMs : 0;
-    lastMs = nowMs;
-    if (idleMs > kStarvedMs && !starved) {
-      starved = true;
-      note("RULE: for 3 s the job has nothing running, room for " + std::to_string(roomy) + " such tasks, " +
+    const std::lock_guard held(fleet.journal.lock);
+    for (auto& job : jobs) {
+      if (job.begun) continue;
+      const auto nowMs = steadyMs();
+      for (const auto& start : fleet.journal.starts) job.begun = job.begun || start.task.rfind(job.id, 0) == 0;
+      if (job.begun) note("job " + job.id + " began " + std::to_string(nowMs - job.sentMs) + " ms after it was accepted");
+      job.idleMs = counts ? job.idleMs + nowMs - job.lastMs : 0;
+      job.lastMs = nowMs;
+      if (job.begun || job.starved || job.idleMs <= kStarvedMs) continue;
+      job.starved = true;
+      note("RULE: for 3 s job " + job.id + " has nothing running, room for " + std::to_string(roomy) + " such tasks, " +
            std::to_string(used) + " of 176000 thousandths of a core in use");
     }
   }
-  note(begun ? "the job's first task began " + std::to_string(steadyMs() - sentMs) + " ms after it was sent"
-             : "no task of the job began in " + std::to_string(kWatchMs) + " ms");
-  fleet.clientCall("GET", "/refresh/" + id, "");
+  std::size_t starvedJobs = 0, never = 0;
+  for (const auto& job : jobs) {
+    starvedJobs += job.starved;
+    never += !job.begun;
+  }
+  note(std::to_string(starvedJobs) + " of " + std::to_string(jobs.size()) + " jobs had nothing running for over 3 s, " +
+       std::to_string(never) + " did not begin at all");
+  const bool starved = starvedJobs > 0;
   over = true;
   urgent.join();
   return starved ? 1 : 0;
--- a/review/standin-2/timed.cpp
+++ b/review/standin-2/timed.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr int kTimedJobs = 60, kTimes = 8760;       // every hour for a year
+constexpr int kTimedJobs = 100, kTimes = 8760;      // every hour for a year
+constexpr Millis kHandInMs = 25000;                 // no more of them are handed in after that
+constexpr int kTries = 5;                           // of a client: the first and, at this site, four more
 constexpr Millis kEveryMs = 3600000;
 constexpr Millis kFinishMs = 14000;                 // finish_s
 constexpr Millis kRestartMs = 1000;
@@ -104,9 +106,10 @@
     body.pop_back();
     body += ",\"times\":" + std::to_string(kTimes) + ",\"first_ms\":" + std::to_string(wallMs + kEveryMs) +
             ",\"every_ms\":" + std::to_string(kEveryMs) + "}";
-    for (int i = 0; i < kTimedJobs; ++i) {
+    const auto untilMs = steadyMs() + kHandInMs;
+    for (int i = 0; i < kTimedJobs && steadyMs() < untilMs; ++i) {
       const auto path = "/refresh/" + idOf(0xb, i);
-      if (fleet.clientCall("POST", path, body, i, 1).status == 200) accepted.push_back(path);
+      if (fleet.clientCall("POST", path, body, i, kTries).status == 200) accepted.push_back(path);
       sleepMs(100);
     }
   }
