--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -85,6 +85,12 @@
   return true;
 }
 
+// A task's name ID.K.STEP.INDEX as the record has it, with slashes: with dots its end reads like an address.
+std::string recorded(std::string task) {
+  std::replace(task.begin(), task.end(), '.', '/');
+  return task;
+}
+
 std::string gangKey(const Run& run) { return run.task.substr(0, run.task.rfind('.')) + "#" + std::to_string(run.attempt); }
 
 }  // namespace
@@ -268,7 +274,7 @@
     journal_.gangs[gangKey(run)].erase(run.task);
     if (how != "done") journal_.gangBroken.insert(gangKey(run));
   }
-  note("worker " + std::to_string(number_) + " ends " + run.task + " run " + std::to_string(run.attempt) + " " + how);
+  note("worker " + std::to_string(number_) + " ends " + recorded(run.task) + " run " + std::to_string(run.attempt) + " " + how);
 }
 
 void Worker::take(const std::string& body, Millis sentMs) {
@@ -321,7 +327,7 @@
       }
       runs_[run.task] = run;
       journal_.starts.push_back({run.startedMs, number_, run.task, run.attempt});
-      note("worker " + std::to_string(number_) + " starts " + run.task + " run " + std::to_string(run.attempt));
+      note("worker " + std::to_string(number_) + " starts " + recorded(run.task) + " run " + std::to_string(run.attempt));
       if (run.gang > 0) {
         auto& members = journal_.gangs[gangKey(run)];
         members.insert(run.task);
