--- a/src/base/resource_limits.cpp
+++ b/src/base/resource_limits.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t kUnreadPart = 8;
 constexpr std::int64_t kParsedPart = 4;
 constexpr std::int64_t kUnprovenPeerPart = 4;
+constexpr std::int64_t kJobPart = 4;
 
 // Parts of the descriptors; what is left is for proven peers, listeners and files.
 constexpr std::int64_t kClientDescriptorPart = 3;  // as many again may be on their way to the leader
@@ -42,6 +43,8 @@
   return parts;
 }
 
+std::size_t jobBytes(const ResourceLimits& limits) { return part(limits.memoryBytes, kJobPart); }
+
 std::int64_t usableDescriptors(std::int64_t set) {
   constexpr std::int64_t kUnbounded = 1 << 20;
   rlimit allowed{};
--- a/src/base/resource_limits.hpp
+++ b/src/base/resource_limits.hpp
@@ -26,6 +26,9 @@
 
 ConnectionLimits connectionLimits(const ResourceLimits& limits);
 
+/// What open jobs may hold of a scheduler's memory.
+std::size_t jobBytes(const ResourceLimits& limits);
+
 /// The descriptors that the process may have open: as set, and no more than the system allows.
 std::int64_t usableDescriptors(std::int64_t set);
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -12,28 +12,15 @@
 Job makeJob(std::shared_ptr<const Spec> spec) {
   Job job;
   job.id = spec->id;
-  const auto steps = spec->steps.size();
-  job.tasks.reserve(spec->perInstance() * spec->instances());
-  job.tallies.resize(spec->instances() * steps);
-  for (std::uint32_t instance = 0; instance < spec->instances(); ++instance)
-    for (std::uint32_t step = 0; step < steps; ++step) {
-      job.tallies[instance * steps + step].pending = spec->steps[step].count;
-      for (std::uint32_t i = 0; i < spec->steps[step].count; ++i) {
-        Task task;
-        task.step = step;
-        task.instance = instance;
-        job.tasks.push_back(std::move(task));
-      }
-    }
+  job.tasks = TaskTable(*spec);
   job.spec = std::move(spec);
   return job;
 }
 
 std::string taskName(const Job& job, std::size_t at) {
-  const auto& task = job.tasks[at];
   if (job.spec->plainNames) return job.stepOf(at).name;
-  return std::to_string(task.instance) + "." + std::to_string(task.step) + "." +
-         std::to_string(at - gangBegin(job, at));
+  const auto place = job.tasks.placeOf(at);
+  return std::to_string(place.instance) + "." + std::to_string(place.step) + "." + std::to_string(place.index);
 }
 
 std::optional<std::size_t> taskAt(const Job& job, std::string_view name) {
@@ -47,28 +34,25 @@
   if (std::sscanf(std::string(name).c_str(), "%u.%u.%u%c", &instance, &step, &index, &more) != 3) return std::nullopt;
   if (instance >= job.spec->instances() || step >= job.spec->steps.size() || index >= job.spec->steps[step].count)
     return std::nullopt;
-  std::size_t at = instance * job.spec->perInstance() + index;
-  for (unsigned i = 0; i < step; ++i) at += job.spec->steps[i].count;
-  return at;
+  return job.tasks.beginOf(instance, step) + index;
 }
 
 std::size_t gangBegin(const Job& job, std::size_t at) {
-  const auto& task = job.tasks[at];
-  std::size_t begin = task.instance * job.spec->perInstance();
-  for (std::uint32_t i = 0; i < task.step; ++i) begin += job.spec->steps[i].count;
-  return begin;
+  const auto place = job.tasks.placeOf(at);
+  return job.tasks.beginOf(place.instance, place.step);
 }
 
 std::int64_t heldSlots(const Job& job) {
   std::int64_t sum = 0;
   if (job.holding > 0)
-    for (std::size_t i = 0; i < job.tasks.size(); ++i)
-      if (job.tasks[i].holds()) sum += job.stepOf(i).need.slots;
+    for (const auto& [at, task] : job.tasks.rows())
+      if (task.holds()) sum += job.stepOf(at).need.slots;
   return sum;
 }
 
 bool hasBegun(const Job& job) {
-  return job.doneTasks > 0 || std::ranges::any_of(job.tasks, [](const Task& task) {
+  return job.doneTasks > 0 || std::ranges::any_of(job.tasks.rows(), [](const auto& row) {
+           const auto& task = row.second;
            return task.confirmed || task.failures > 0 || task.ranMs > 0;
          });
 }
@@ -76,11 +60,10 @@
 bool hasRuns(const Job& job) { return job.holding > 0; }
 
 bool depsDone(const Job& job, std::size_t at) {
-  const auto& task = job.tasks[at];
+  const auto place = job.tasks.placeOf(at);
   const auto& steps = job.spec->steps;
-  const auto* tallies = &job.tallies[task.instance * steps.size()];
-  return std::all_of(steps[task.step].after.begin(), steps[task.step].after.end(),
-                     [&](auto dep) { return tallies[dep].done == steps[dep].count; });
+  return std::ranges::all_of(steps[place.step].after,
+                             [&](auto dep) { return job.tasks.tally(place.instance, dep).done == steps[dep].count; });
 }
 
 Millis dueMs(const Job& job, std::uint32_t instance) {
@@ -89,15 +72,22 @@
                   job.firstDueMs + static_cast<Millis>(instance) * job.spec->everyMs);
 }
 
+std::uint32_t dueInstances(const Job& job, Millis fleetMs) {
+  const auto all = static_cast<std::uint32_t>(job.spec->instances());
+  if (dueMs(job, 0) > fleetMs) return 0;
+  if (job.spec->times <= 0 || job.spec->everyMs <= 0) return all;
+  const auto due = static_cast<std::uint64_t>(fleetMs - job.firstDueMs) / static_cast<std::uint64_t>(job.spec->everyMs);
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(due + 1, all));
+}
+
 Millis chainMs(const Job& job, std::uint32_t instance, bool whole) {
   const auto& steps = job.spec->steps;
-  const auto* tallies = &job.tallies[instance * steps.size()];
   std::vector<Millis> longest(steps.size(), -1);
   const auto walk = [&](const auto& self, std::size_t at) -> Millis {
     if (longest[at] >= 0) return longest[at];
     Millis before = 0;
     for (const auto dep : steps[at].after) before = std::max(before, self(self, dep));
-    const bool done = !whole && tallies[at].done == steps[at].count;
+    const bool done = !whole && job.tasks.tally(instance, static_cast<std::uint32_t>(at)).done == steps[at].count;
     return longest[at] = before + (done ? 0 : steps[at].estimateMs);
   };
   Millis most = 0;
@@ -105,38 +95,51 @@
   return most;
 }
 
+namespace {
+
+/// Tasks of one step of one instance that may start now.
+struct ReadyStep {
+  std::vector<std::uint32_t> tasks;
+  bool waits = false;  // a gang that isn't whole
+  bool early = false;  // some may not start again yet
+};
+
+ReadyStep readyOf(const Job& job, std::uint32_t instance, std::uint32_t step, Millis fleetMs) {
+  ReadyStep ready;
+  const auto begin = job.tasks.beginOf(instance, step);
+  if (job.tasks.tally(instance, step).pending == 0 || !depsDone(job, begin)) return ready;
+  const bool together = job.spec->steps[step].together;
+  job.tasks.forEachOpen(begin, begin + job.spec->steps[step].count, [&](std::uint32_t index, const Task& task) {
+    if (together && task.holds()) ready.waits = true;
+    if (task.state != TaskState::pending || task.holds()) return;
+    if (task.notBeforeMs <= fleetMs) return ready.tasks.push_back(index);
+    ready.waits = ready.waits || together;
+    ready.early = true;
+  });
+  return ready;
+}
+
+}  // namespace
+
 std::vector<std::vector<std::uint32_t>> readyGroups(const Job& job, Millis fleetMs) {
   std::vector<std::vector<std::uint32_t>> groups;
   if (job.state != JobState::open || job.ending != JobState::open || fleetMs < job.acceptedMs + job.spec->notBeforeMs)
     return groups;
   const bool gang = job.spec->gang;
   if (gang && hasRuns(job)) return groups;
-  const auto& steps = job.spec->steps;
   bool early = false;
-  std::size_t begin = 0;
-  for (std::uint32_t instance = 0; instance < job.spec->instances(); ++instance) {
-    const bool due = dueMs(job, instance) <= fleetMs;
-    for (std::uint32_t s = 0; s < steps.size(); begin += steps[s].count, ++s) {
-      const auto& tally = job.tallies[instance * steps.size() + s];
-      if (!due || tally.pending == 0 || !depsDone(job, begin)) continue;
-      std::vector<std::uint32_t> group;
-      bool wait = false;
-      for (std::size_t i = begin; i < begin + steps[s].count; ++i) {
-        const auto& task = job.tasks[i];
-        if (steps[s].together && task.holds()) wait = true;
-        if (task.state != TaskState::pending || task.holds()) continue;
-        if (task.notBeforeMs > fleetMs)
-          wait = wait || steps[s].together, early = true;
-        else
-          group.push_back(static_cast<std::uint32_t>(i));
-      }
-      if (wait || group.empty()) continue;
+  const auto due = dueInstances(job, fleetMs);
+  for (auto instance = job.tasks.nextOpenInstance(0); instance < due;
+       instance = job.tasks.nextOpenInstance(instance + 1))
+    for (std::uint32_t step = 0; step < job.spec->steps.size(); ++step) {
+      auto ready = readyOf(job, instance, step, fleetMs);
+      early = early || ready.early;
+      if (ready.waits || ready.tasks.empty()) continue;
       if (gang && !groups.empty())
-        groups.front().insert(groups.front().end(), group.begin(), group.end());
+        groups.front().insert(groups.front().end(), ready.tasks.begin(), ready.tasks.end());
       else
-        groups.push_back(std::move(group));
+        groups.push_back(std::move(ready.tasks));
     }
-  }
   if (gang && early) groups.clear();
   return groups;
 }
@@ -157,8 +160,8 @@
 namespace {
 
 void setState(Job& job, std::size_t at, TaskState state) {
-  auto& task = job.tasks[at];
-  auto& tally = job.tallyOf(at);
+  auto& task = job.tasks.edit(at);
+  auto& tally = job.editTallyOf(at);
   auto slot = [&](TaskState each) -> std::uint32_t& {
     return each == TaskState::pending ? tally.pending : each == TaskState::placed ? tally.placed : tally.done;
   };
@@ -170,7 +173,7 @@
 }
 
 void freeCapacity(Job& job, std::size_t at) {
-  auto& task = job.tasks[at];
+  auto& task = job.tasks.edit(at);
   if (task.holds()) {
     --job.holding;
     job.held -= task.weight;
@@ -181,12 +184,33 @@
   task.confirmed = task.stopping = false;
 }
 
+std::size_t stepEnd(const Job& job, std::size_t at) { return gangBegin(job, at) + job.stepOf(at).count; }
+
+/// Stops what is placed of the tasks [begin, end).
+void stopPlaced(Job& job, std::size_t begin, std::size_t end) {
+  auto& rows = job.tasks.rows();
+  for (auto row = rows.lower_bound(static_cast<std::uint32_t>(begin)); row != rows.end() && row->first < end; ++row)
+    if (row->second.state == TaskState::placed) row->second.stopping = true;
+}
+
+/// One clean end stands for all of the gang at [begin, end).
+void endGang(Job& job, std::size_t begin, std::size_t end, Millis ranMs, Millis fleetMs) {
+  for (auto i = begin; i < end; ++i) {
+    if (job.tasks[i].state == TaskState::done) continue;
+    setState(job, i, TaskState::done);
+    auto& task = job.tasks.edit(i);
+    task.ranMs = task.holds() ? fleetMs - task.orderedMs : ranMs;
+    task.stopping = false;
+    if (!task.holds()) job.tasks.foldIfOver(i);
+  }
+}
+
 }  // namespace
 
 void startRun(Job& job, std::size_t at, const WorkerId& worker, const std::string& incarnation, Millis fleetMs,
               std::int64_t weight) {
   accrueTo(job, fleetMs);
-  auto& task = job.tasks[at];
+  auto& task = job.tasks.edit(at);
   std::int64_t attempt = task.attempts + 1;
   if (job.stepOf(at).together)
     for (std::size_t i = gangBegin(job, at), end = i + job.stepOf(at).count; i < end; ++i)
@@ -211,30 +235,72 @@
 
 void stopRun(Job& job, std::size_t at, Millis fleetMs) {
   accrueTo(job, fleetMs);
-  const bool gang = job.spec->gang || job.stepOf(at).together;
-  if (!gang) {
-    job.tasks[at].stopping = job.tasks[at].stopping || job.tasks[at].state == TaskState::placed;
-    return;
-  }
-  const auto begin = job.spec->gang ? 0 : gangBegin(job, at);
-  const auto end = job.spec->gang ? job.tasks.size() : begin + job.stepOf(at).count;
-  for (auto i = begin; i < end; ++i)
-    if (job.tasks[i].state == TaskState::placed) job.tasks[i].stopping = true;
+  if (job.spec->gang) return stopPlaced(job, 0, job.tasks.size());
+  if (job.stepOf(at).together) return stopPlaced(job, gangBegin(job, at), stepEnd(job, at));
+  stopPlaced(job, at, at + 1);
 }
 
 void stopRuns(Job& job, Millis fleetMs) {
   accrueTo(job, fleetMs);
-  for (auto& task : job.tasks)
-    if (task.state == TaskState::placed) task.stopping = true;
+  stopPlaced(job, 0, job.tasks.size());
+}
+
+namespace {
+
+/// Counts a failure of the attempt that has just ended, and puts off the next one; ends the job past its limit.
+void noteFailure(Job& job, std::size_t at, const config::Queue& line, Millis fleetMs) {
+  auto& task = job.tasks.edit(at);
+  ++task.failures;
+  auto failures = task.failures;
+  if (job.stepOf(at).together) {
+    auto& tally = job.editTallyOf(at);
+    tally.failures += tally.failedAttempt != task.attempts;
+    tally.failedAttempt = task.attempts;
+    failures = std::max<std::int64_t>(failures, tally.failures);
+  }
+  constexpr std::int64_t kMostDoublings = 6;
+  const auto doublings = std::min<std::int64_t>(failures - 1, kMostDoublings);
+  task.notBeforeMs = fleetMs + line.backoffMs * (1LL << doublings);
+  if (failures < line.failureLimit || job.ending != JobState::open) return;
+  endJob(job, JobState::failed, "task " + taskName(job, at) + " failed " + std::to_string(failures) + " times",
+         fleetMs);
 }
 
+void endCleanly(Job& job, std::size_t at, Millis fleetMs) {
+  setState(job, at, TaskState::done);
+  auto& task = job.tasks.edit(at);
+  task.ranMs = fleetMs - task.orderedMs;
+  task.saved.clear();
+  if (job.stepOf(at).together) endGang(job, gangBegin(job, at), stepEnd(job, at), task.ranMs, fleetMs);
+}
+
+/// The task goes back to the queue, with the rest of its gang.
+void endUncleanly(Job& job, std::size_t at, bool failed, const config::Queue& line, Millis fleetMs) {
+  const auto& step = job.stepOf(at);
+  const auto begin = gangBegin(job, at), end = stepEnd(job, at);
+  setState(job, at, TaskState::pending);
+  if (const auto saved = job.tasks[at].saved; step.together && !saved.empty())
+    for (auto i = begin; i < end; ++i) job.tasks.edit(i).saved = saved;
+  if (failed)
+    noteFailure(job, at, line, fleetMs);
+  else if (step.standing)
+    job.tasks.edit(at).notBeforeMs = fleetMs + line.backoffMs;
+  if (job.spec->gang)
+    stopRuns(job, fleetMs);
+  else if (step.together)
+    stopPlaced(job, begin, end);
+}
+
+}  // namespace
+
 void endRun(Job& job, std::size_t at, AttemptOutcome outcome, const std::string& detail, const config::Queue& line,
             Millis fleetMs) {
   accrueTo(job, fleetMs);
-  auto& task = job.tasks[at];
+  auto& task = job.tasks.edit(at);
   const auto& step = job.stepOf(at);
   if (task.state == TaskState::done) {
     freeCapacity(job, at);
+    job.tasks.foldIfOver(at);
     closeIfOver(job, fleetMs);
     return;
   }
@@ -243,46 +309,14 @@
   if (outcome != AttemptOutcome::clean && !task.seenSaved.empty()) task.saved = task.seenSaved;
   task.seenSaved.clear();
   freeCapacity(job, at);
-  task.detail = outcome == AttemptOutcome::clean ? std::string() : detail.substr(0, 256);
-  if (job.spec->plainNames) task.detail = detail.substr(0, 256);
-  const auto begin = gangBegin(job, at), end = begin + step.count;
+  constexpr std::size_t kMostDetailBytes = 256;
+  const bool keepsDetail = outcome != AttemptOutcome::clean || job.spec->plainNames;
+  task.detail = keepsDetail ? detail.substr(0, kMostDetailBytes) : std::string();
   if (outcome == AttemptOutcome::clean && !step.standing) {
-    setState(job, at, TaskState::done);
-    task.ranMs = fleetMs - task.orderedMs;
-    task.saved.clear();
-    if (step.together)
-      for (auto i = begin; i < end; ++i)
-        if (job.tasks[i].state != TaskState::done) {
-          setState(job, i, TaskState::done);
-          job.tasks[i].ranMs = job.tasks[i].holds() ? fleetMs - job.tasks[i].orderedMs : task.ranMs;
-          job.tasks[i].stopping = false;
-        }
+    endCleanly(job, at, fleetMs);
+    job.tasks.foldIfOver(at);
   } else {
-    setState(job, at, TaskState::pending);
-    if (step.together && !task.saved.empty())
-      for (auto i = begin; i < end; ++i) job.tasks[i].saved = task.saved;
-    if (failed) {
-      ++task.failures;
-      auto& tally = job.tallyOf(at);
-      auto failures = task.failures;
-      if (step.together) {
-        tally.failures += tally.failedAttempt != task.attempts;
-        tally.failedAttempt = task.attempts;
-        failures = std::max<std::int64_t>(failures, tally.failures);
-      }
-      const auto doublings = std::min<std::int64_t>(failures - 1, 6);
-      task.notBeforeMs = fleetMs + line.backoffMs * (1LL << doublings);
-      if (failures >= line.failureLimit && job.ending == JobState::open)
-        endJob(job, JobState::failed, "task " + taskName(job, at) + " failed " + std::to_string(failures) + " times",
-               fleetMs);
-    } else if (step.standing) {
-      task.notBeforeMs = fleetMs + line.backoffMs;
-    }
-    if (job.spec->gang)
-      stopRuns(job, fleetMs);
-    else if (step.together)
-      for (auto i = begin; i < end; ++i)
-        if (job.tasks[i].state == TaskState::placed) job.tasks[i].stopping = true;
+    endUncleanly(job, at, failed, line, fleetMs);
   }
   closeIfOver(job, fleetMs);
 }
@@ -306,24 +340,22 @@
 
 std::string checkJob(const Job& job) {
   if (job.state != JobState::open && job.holding != 0) return "an ended job still holds room";
-  std::int64_t holding = 0, done = 0;
-  const auto steps = job.spec->steps.size();
-  std::vector<std::int8_t> ready(job.tallies.size(), -1);
-  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-    const auto& task = job.tasks[i];
+  if (job.state == JobState::finished && job.doneTasks != static_cast<std::int64_t>(job.tasks.size()))
+    return "a finished job with an unfinished task";
+  std::int64_t holding = 0, done = static_cast<std::int64_t>(job.tasks.folded().size());
+  std::optional<std::pair<std::size_t, bool>> ready;  // of the step that was looked at last: its begin, its answer
+  for (const auto& [index, task] : job.tasks.rows()) {
     holding += task.holds();
     done += task.state == TaskState::done;
-    if (task.state == TaskState::pending && job.state == JobState::finished)
-      return "a finished job with an unfinished task";
     if (task.state == TaskState::pending && task.holds()) return "a pending task holds room";
     if (task.state != TaskState::placed) continue;
     if (!task.holds()) return "a placed task without a worker";
-    auto& known = ready[task.instance * steps + task.step];
-    if (known < 0) known = depsDone(job, i);
-    if (!known) return "a task runs before its steps are done";
+    const auto begin = gangBegin(job, index);
+    if (!ready || ready->first != begin) ready.emplace(begin, depsDone(job, index));
+    if (!ready->second) return "a task runs before its steps are done";
   }
   if (holding != job.holding || done != job.doneTasks) return "its tallies are off";
-  return {};
+  return job.tasks.check();
 }
 
 }  // namespace tulip::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -7,50 +7,13 @@
 
 #include "admission/admission.hpp"
 #include "jobs/spec.hpp"
+#include "jobs/task_table.hpp"
 #include "transport/core.hpp"
 
 // The job model: a job's tasks, their attempts, and the invariants that hold between them. Pure.
 namespace tulip::jobs {
 
 enum class JobState : std::uint8_t { open, finished, failed, cancelled, expired };
-enum class TaskState : std::uint8_t { pending, placed, done };
-
-struct Task {
-  TaskState state = TaskState::pending;
-  std::uint32_t step = 0;
-  std::uint32_t instance = 0;
-  std::int64_t failures = 0;
-  std::int64_t attempts = 0;
-  Millis notBeforeMs = 0;
-  WorkerId worker;  // set while room is held, which may outlast the clean end of a gang
-  std::string workerIncarnation;
-  Millis orderedMs = 0;
-  bool confirmed = false;
-  bool stopping = false;
-  std::string saved;
-  std::string detail;
-  Millis ranMs = 0;
-  WorkerId failedOn;
-  std::int64_t weight = 0;   // its part of W_J while it holds room, in thousandths
-  std::int64_t percent = 0;  // as last reported; not kept
-  Millis movedMs = 0;        // when percent last moved; not kept
-  Millis runningMs = -1;     // when it was first seen at work under this leader, and how far it was; not kept
-  std::int64_t runningPercent = 0;
-  std::string seenSaved;  // as last reported; kept once it is used
-
-  bool holds() const { return !worker.empty(); }
-};
-
-// How many tasks of one step of one instance are where.
-struct Tally {
-  std::uint32_t pending = 0, placed = 0, done = 0;
-  std::uint32_t failures = 0;
-  std::int64_t failedAttempt = 0;
-  std::uint32_t timed = 0;        // clean ends whose time at work is known; not kept
-  Millis timedMs = 0;             // their times, added up; not kept
-  std::uint32_t projections = 0;  // of whole times, from tasks at work; not kept
-  double projectedMs = 0;         // their moving mean; not kept
-};
 
 struct Job {
   JobId id;
@@ -63,19 +26,24 @@
   admission::Counters counters;
   Millis accountedMs = 0;
   Millis finishedMs = 0;
-  std::vector<Task> tasks;
-  std::vector<Tally> tallies;  // instance by instance, step by step
-  std::int64_t held = 0;       // sum of the weights of what holds room
-  std::int64_t holding = 0;    // tasks that hold room
+  TaskTable tasks;
+  std::int64_t held = 0;     // sum of the weights of what holds room
+  std::int64_t holding = 0;  // tasks that hold room
   std::int64_t doneTasks = 0;
   std::vector<placement::Load> loads;  // step by step, in the leader's kinds; not kept
 
   const QueueName& pending() const { return spec->pending; }
-  const Step& stepOf(std::size_t task) const { return spec->steps[tasks[task].step]; }
-  const Tally& tallyOf(std::size_t task) const {
-    return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step];
+  std::uint32_t instanceOf(std::size_t task) const { return tasks.placeOf(task).instance; }
+  std::uint32_t stepIndexOf(std::size_t task) const { return tasks.placeOf(task).step; }
+  const Step& stepOf(std::size_t task) const { return spec->steps[stepIndexOf(task)]; }
+  Tally tallyOf(std::size_t task) const {
+    const auto place = tasks.placeOf(task);
+    return tasks.tally(place.instance, place.step);
+  }
+  Tally& editTallyOf(std::size_t task) {
+    const auto place = tasks.placeOf(task);
+    return tasks.editTally(place.instance, place.step);
   }
-  Tally& tallyOf(std::size_t task) { return tallies[tasks[task].instance * spec->steps.size() + tasks[task].step]; }
 };
 
 Job makeJob(std::shared_ptr<const Spec> spec);
@@ -97,6 +65,8 @@
 bool hasBegun(const Job& job);  // a task of it has been seen at work; an order alone does not show that
 bool depsDone(const Job& job, std::size_t task);
 Millis dueMs(const Job& job, std::uint32_t instance);
+/// How many instances, the first ones, have fallen due.
+std::uint32_t dueInstances(const Job& job, Millis fleetMs);
 // The longest chain of estimates through the steps that aren't done; of all steps with whole.
 Millis chainMs(const Job& job, std::uint32_t instance, bool whole);
 // Tasks that may start now, in groups: each a step's of one instance, or all of a gang job's.
--- a/src/jobs/record.cpp
+++ b/src/jobs/record.cpp
@@ -112,25 +112,95 @@
   return true;
 }
 
-// Gives the task at this index the state that was read, and counts it.
-void setTask(Job& job, std::size_t index, const Task& read) {
-  auto& task = job.tasks[index];
-  const auto step = task.step, instance = task.instance;
-  task = read;
-  task.step = step;
-  task.instance = instance;
-  auto& tally = job.tallyOf(index);
-  ++(task.state == TaskState::pending ? tally.pending : task.state == TaskState::placed ? tally.placed : tally.done);
-  job.doneTasks += task.state == TaskState::done;
-  job.holding += task.holds();
-  if (task.holds()) job.held += task.weight;
+/// Gives the tasks [begin, end), which are alike, the state that was read. Those without anything to remember get no
+/// row.
+void setTasks(Job& job, std::uint32_t begin, std::uint32_t end, const Task& read) {
+  const bool started = read.attempts > 0 || read.state != TaskState::pending || read.notBeforeMs > 0 ||
+                       read.failures > 0 || read.ranMs > 0 || !read.saved.empty();
+  if (!started) return;
+  const auto count = static_cast<std::int64_t>(end - begin);
+  if (read.state == TaskState::done) job.doneTasks += count;
+  if (read.holds()) {
+    job.holding += count;
+    job.held += count * read.weight;
+  }
+  if (read.state == TaskState::done && !read.holds() && !job.spec->plainNames)
+    return job.tasks.addFolded(begin, end, read.ranMs);
+  for (auto index = begin; index < end; ++index) job.tasks.edit(index) = read;
+}
+
+/// Writes sequences of like tasks as one.
+class TaskWriter {
+ public:
+  explicit TaskWriter(std::string& into) : into_(into) {}
+
+  void add(const Job& job, const Task& task, std::size_t place, std::uint64_t count) {
+    packed_.clear();
+    packTask(packed_, job, task, place);
+    if (alike_ > 0 && packed_ != last_) flush();
+    last_.swap(packed_);
+    alike_ += count;
+  }
+
+  void flush() {
+    if (alike_ == 0) return;
+    putCount(into_, alike_);
+    into_ += last_;
+    alike_ = 0;
+  }
+
+ private:
+  std::string& into_;
+  std::string last_, packed_;
+  std::uint64_t alike_ = 0;
+};
+
+using Places = std::map<std::pair<std::string_view, std::string_view>, std::size_t>;
+
+/// Tasks that are over without rows, from one index up to another. The mean time at work stands for that of each, in
+/// jobs that run once; a job that runs many times would cost a sequence for each of its steps each time.
+void writeFolded(TaskWriter& writer, const Job& job, std::uint32_t begin, std::uint32_t end) {
+  Task task = job.tasks[begin];
+  if (job.spec->instances() > 1) return writer.add(job, task, 0, end - begin);
+  while (begin < end) {
+    const auto place = job.tasks.placeOf(begin);
+    const auto alike = std::min(end - begin, job.spec->steps[place.step].count - place.index);
+    task.ranMs = job.tasks.foldedRanMs(place.step);
+    writer.add(job, task, 0, alike);
+    begin += alike;
+  }
+}
+
+void writeTasks(std::string& bytes, const Job& job, const Places& places) {
+  TaskWriter writer(bytes);
+  const Task neverStarted;
+  const auto size = static_cast<std::uint32_t>(job.tasks.size());
+  auto row = job.tasks.rows().begin();
+  auto folded = job.tasks.folded().ranges().begin();
+  for (std::uint32_t index = 0; index < size;) {
+    const auto nextRow = row == job.tasks.rows().end() ? size : row->first;
+    const auto nextFolded = folded == job.tasks.folded().ranges().end() ? size : folded->first;
+    if (const auto next = std::min(nextRow, nextFolded); index < next) {
+      writer.add(job, neverStarted, 0, next - index);
+      index = next;
+    } else if (index == nextRow) {
+      const auto& task = row->second;
+      writer.add(job, task, task.holds() ? places.at({task.worker.view(), task.workerIncarnation}) : 0, 1);
+      ++row;
+      ++index;
+    } else {
+      writeFolded(writer, job, index, folded->second);
+      index = folded->second;
+      ++folded;
+    }
+  }
+  writer.flush();
 }
 
 }  // namespace
 
 std::string packJob(const Job& job) {
   std::string bytes;
-  bytes.reserve(64 + 6 * job.tasks.size());
   putCount(bytes, 1);
   putText(bytes, job.id.value);
   for (const auto number : {job.acceptedMs, job.firstDueMs, job.accountedMs, job.finishedMs}) putSigned(bytes, number);
@@ -141,8 +211,8 @@
   for (const auto number :
        {c.lane, c.servedMs, c.ranMs, c.waitMs, c.firstStartMs, c.totalServedMs, c.promotions, c.preemptions})
     putSigned(bytes, number);
-  std::map<std::pair<std::string_view, std::string_view>, std::size_t> places;
-  for (const auto& task : job.tasks)
+  Places places;
+  for (const auto& [index, task] : job.tasks.rows())
     if (task.holds())
       places.emplace(std::pair<std::string_view, std::string_view>(task.worker.view(), task.workerIncarnation), 0);
   putCount(bytes, places.size());
@@ -153,31 +223,15 @@
     putText(bytes, where.second);
   }
   std::size_t failing = 0;
-  for (const auto& tally : job.tallies) failing += tally.failures > 0;
+  for (const auto& [key, tally] : job.tasks.tallies()) failing += tally.failures > 0;
   putCount(bytes, failing);
-  for (std::size_t i = 0; i < job.tallies.size(); ++i)
-    if (job.tallies[i].failures > 0) {
-      putCount(bytes, i);
-      putCount(bytes, job.tallies[i].failures);
-      putCount(bytes, static_cast<std::uint64_t>(job.tallies[i].failedAttempt));
+  for (const auto& [key, tally] : job.tasks.tallies())
+    if (tally.failures > 0) {
+      putCount(bytes, key);
+      putCount(bytes, tally.failures);
+      putCount(bytes, static_cast<std::uint64_t>(tally.failedAttempt));
     }
-  std::string last, packed;
-  std::uint64_t alike = 0;
-  auto flush = [&] {
-    if (alike) putCount(bytes, alike), bytes += last;
-  };
-  for (const auto& task : job.tasks) {
-    packed.clear();
-    packTask(packed, job, task, task.holds() ? places.at({task.worker.view(), task.workerIncarnation}) : 0);
-    if (alike && packed == last) {
-      ++alike;
-      continue;
-    }
-    flush();
-    last.swap(packed);
-    alike = 1;
-  }
-  flush();
+  writeTasks(bytes, job, places);
   return bytes;
 }
 
@@ -200,20 +254,23 @@
     incarnation = taker.text();
   }
   const auto failing = taker.count();
+  const auto steps = job.spec->steps.size();
   for (std::uint64_t i = 0; i < failing && taker.good; ++i) {
     const auto at = taker.count();
-    if (at >= job.tallies.size()) return false;
-    job.tallies[at].failures = static_cast<std::uint32_t>(taker.count());
-    job.tallies[at].failedAttempt = static_cast<std::int64_t>(taker.count());
+    if (at >= job.spec->instances() * steps) return false;
+    auto& tally = job.tasks.editTally(static_cast<std::uint32_t>(at / steps), static_cast<std::uint32_t>(at % steps));
+    tally.failures = static_cast<std::uint32_t>(taker.count());
+    tally.failedAttempt = static_cast<std::int64_t>(taker.count());
   }
-  for (auto& tally : job.tallies) tally.pending = 0;
   for (std::size_t i = 0; i < job.tasks.size();) {
     const auto alike = taker.count();
     if (!taker.good || taker.rest.empty() || alike < 1 || alike > job.tasks.size() - i) return false;
-    Task read = job.tasks[i];
+    Task read;
     if (!takeTask(taker, job, places, read)) return false;
-    for (std::uint64_t k = 0; k < alike; ++k, ++i) setTask(job, i, read);
+    setTasks(job, static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(i + alike), read);
+    i += alike;
   }
+  job.tasks.countTallies();
   return taker.good && taker.rest.empty();
 }
 
--- a/src/jobs/view.cpp
+++ b/src/jobs/view.cpp
@@ -69,6 +69,17 @@
   return root;
 }
 
+namespace {
+
+/// How long a task was at work; for one that was folded, the mean of its step or, where that isn't known, its estimate.
+Millis ranMsOf(const Job& job, std::size_t at) {
+  if (!job.tasks.folded().contains(static_cast<std::uint32_t>(at))) return job.tasks[at].ranMs;
+  const auto meanMs = job.tasks.foldedRanMs(job.stepIndexOf(at));
+  return meanMs > 0 ? meanMs : job.stepOf(at).estimateMs;
+}
+
+}  // namespace
+
 std::string traceLine(const Job& job) {
   Json root(json_object());
   json_object_set_new(root.get(), "atMs", json_integer(job.acceptedMs));
@@ -78,17 +89,16 @@
   json_object_set_new(root.get(), "notBeforeMs", json_integer(job.spec->notBeforeMs));
   json_t* tasks = json_array();
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-    const auto& task = job.tasks[i];
+    const auto place = job.tasks.placeOf(i);
     json_t *item = json_object(), *after = json_array();
     for (auto dep : job.stepOf(i).after) {
-      std::size_t first = task.instance * job.spec->perInstance();
-      for (std::uint32_t k = 0; k < dep; ++k) first += job.spec->steps[k].count;
+      const std::size_t first = job.tasks.beginOf(place.instance, dep);
       const std::size_t end = first + job.spec->steps[dep].count;
       for (std::size_t at = first; at < end; ++at)
         json_array_append_new(after, json_integer(static_cast<json_int_t>(at)));
     }
     json_object_set_new(item, "slots", json_integer(std::max<std::int64_t>(1, job.stepOf(i).need.slots)));
-    json_object_set_new(item, "runMs", json_integer(std::max<Millis>(1, task.ranMs)));
+    json_object_set_new(item, "runMs", json_integer(std::max<Millis>(1, ranMsOf(job, i))));
     json_object_set_new(item, "after", after);
     json_array_append_new(tasks, item);
   }
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -3,6 +3,7 @@
 #include "http/call_policy.hpp"
 #include "scheduler/due_times.hpp"
 #include "scheduler/internal.hpp"
+#include "scheduler/job_memory.hpp"
 
 namespace tulip::scheduler {
 
@@ -61,7 +62,8 @@
   const auto open = static_cast<std::int64_t>(scheduler.open.size());
   const auto share = std::max<std::int64_t>(1, most / 2 / static_cast<std::int64_t>(config.queues.size()));
   const auto mine = scheduler.openPer[spec.pending];
-  if (mine >= line.mostJobs || open >= most || (mine >= share && open >= most - most / 2)) {
+  const bool full = mine >= line.mostJobs || open >= most || (mine >= share && open >= most - most / 2);
+  if (full || !bears(scheduler, spec)) {
     ++scheduler.counts.rejected;
     return tell(scheduler, caller, Kind::overloaded, nullptr, out, spec.pending.view());
   }
@@ -75,6 +77,7 @@
   const auto id = job.id;
   scheduler.open.insert(id);
   ++scheduler.openPer[job.pending()];
+  scheduler.openJobBytes += acceptedBytes(*job.spec);
   scheduler.jobs.emplace(id, std::move(job));
   scheduler.dirty.insert(id);
   scheduler.fresh.insert(id);
@@ -413,6 +416,7 @@
                                                         {"promotions", c.promotions},
                                                         {"dropped", c.dropped},
                                                         {"openJobs", scheduler.open.size()},
+                                                        {"openJobBytes", scheduler.openJobBytes},
                                                         {"knownJobs", scheduler.committedJobs.size()}};
   for (const auto& [name, value] : rows)
     json_object_set_new(root.get(), name, json_integer(static_cast<json_int_t>(value)));
--- a/src/scheduler/due_times.cpp
+++ b/src/scheduler/due_times.cpp
@@ -1,7 +1,6 @@
 #include "scheduler/due_times.hpp"
 
 #include <algorithm>
-#include <span>
 
 #include "scheduler/internal.hpp"
 
@@ -62,9 +61,8 @@
 
 void noteDueStart(SchedulerState& scheduler, const Job& job, std::size_t task, Now now) {
   if (!hasWallTimes(*job.spec)) return;
-  const auto instance = job.tasks[task].instance;
-  const auto tasks = std::span(job.tasks).subspan(instance * job.spec->perInstance(), job.spec->perInstance());
-  if (std::ranges::any_of(tasks, [](const Task& each) { return each.attempts > 0; })) return;
+  const auto instance = job.instanceOf(task);
+  if (!job.tasks.untouched(instance)) return;
   if (const auto wallMs = wallNow(scheduler, now))
     scheduler.dueDelays.note(std::max<Millis>(0, *wallMs - dueWallMs(*job.spec, instance)), bounds(scheduler).leaseMs);
 }
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -53,8 +53,8 @@
     if (groups.empty()) text += ", nothing of it ready, due in " + std::to_string(dueMs(job, 0) - fleetMs) + " ms";
     for (const auto& group : groups) {
       const auto& step = job.stepOf(group.front());
-      text += ", step " + std::to_string(job.tasks[group.front()].step) + ": " + std::to_string(group.size()) + " of " +
-              std::to_string(step.count);
+      text += ", step " + std::to_string(job.stepIndexOf(group.front())) + ": " + std::to_string(group.size()) +
+              " of " + std::to_string(step.count);
       for (const auto& [name, amount] : step.need.more) text += " " + name + " " + std::to_string(amount);
       if (step.together) text += " together";
       if (step.oneRack) text += " on one rack";
@@ -140,8 +140,7 @@
 void stopLateGang(SchedulerState& scheduler, const Job& job, Millis fleetMs) {
   if (job.ending != JobState::open || job.holding == 0) return;
   std::vector<std::size_t> late;
-  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-    const auto& task = job.tasks[i];
+  for (const auto& [i, task] : job.tasks.rows()) {
     if (task.state != TaskState::placed || task.confirmed || task.stopping || !belongsToGang(job, i)) continue;
     if (fleetMs - std::max(task.orderedMs, task.movedMs) >= rulesOf(scheduler).gangStartMs) late.push_back(i);
   }
@@ -204,7 +203,7 @@
                 ? 0
                 : std::max<std::int64_t>(
                       1, std::llround(1000 *
-                                      placement::dominantShare(job.loads[job.tasks[start->task].step], worker.total)));
+                                      placement::dominantShare(job.loads[job.stepIndexOf(start->task)], worker.total)));
         noteDueStart(scheduler, job, start->task, now);
         startRun(job, start->task, scene.workers[start->worker], scene.incarnations[start->worker], fleetMs, weight);
       }
@@ -226,7 +225,7 @@
   for (const auto& [attempt, where] : held->second) {
     const auto& job = scheduler.jobs.at(where.first);
     placement::add(sum, job.loads.empty() ? scheduler.kinds.load(job.stepOf(where.second).need)
-                                          : job.loads[job.tasks[where.second].step]);
+                                          : job.loads[job.stepIndexOf(where.second)]);
   }
   placement::Capacity capacity{std::max(pool->slots, row->second.last.slots), {}};
   for (const auto& [name, amount] : row->second.last.capacity) capacity.more[name] = amount;
--- a/src/scheduler/held_attempts.cpp
+++ b/src/scheduler/held_attempts.cpp
@@ -20,10 +20,8 @@
   std::vector<Holding> holdings;
   if (job.holding == 0) return holdings;
   holdings.reserve(static_cast<std::size_t>(job.holding));
-  for (std::size_t task = 0; task < job.tasks.size(); ++task) {
-    const auto& each = job.tasks[task];
+  for (const auto& [task, each] : job.tasks.rows())
     if (each.holds()) holdings.push_back({task, each.attempts, each.worker, each.stopping});
-  }
   return holdings;
 }
 
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "scheduler/internal.hpp"
+#include "scheduler/job_memory.hpp"
 
 namespace tulip::scheduler {
 
@@ -22,6 +23,7 @@
 void noteEnded(SchedulerState& scheduler, const Job& job) {
   scheduler.open.erase(job.id);
   --scheduler.openPer[job.pending()];
+  scheduler.openJobBytes -= acceptedBytes(*job.spec);
   scheduler.ended.emplace_back(job.finishedMs, job.id);
   if (job.state == JobState::finished) {
     scheduler.sizes.push_back(job.counters.totalServedMs);
@@ -114,7 +116,7 @@
 
 // Keeps what a report says of a task that is running.
 void noteProgress(Job& job, std::size_t index, const AttemptReport& seen, Millis fleetMs) {
-  auto& task = job.tasks[index];
+  auto& task = job.tasks.edit(index);
   if (!task.confirmed || task.percent != seen.percent) task.movedMs = fleetMs;
   task.confirmed = true;
   task.percent = seen.percent;
@@ -153,7 +155,7 @@
   absl::flat_hash_set<std::string_view> known;
   for (const auto& [run, where] : scheduler.held[report.worker]) {
     auto& job = scheduler.jobs.at(where.first);
-    auto& task = job.tasks[where.second];
+    auto& task = job.tasks.edit(where.second);
     auto found = listed.find(run.view());
     if (found != listed.end()) {
       const auto& seen = *found->second;
--- a/src/scheduler/pace.cpp
+++ b/src/scheduler/pace.cpp
@@ -28,28 +28,28 @@
 }
 
 Millis expectedMs(const jobs::Job& job, std::size_t task) {
-  const auto& tally = job.tallyOf(task);
+  const auto tally = job.tallyOf(task);
   if (tally.timed >= kFewestPeers) return std::max<Millis>(1, tally.timedMs / tally.timed);
   if (tally.projections >= kFewestPeers) return std::max<Millis>(1, std::llround(tally.projectedMs));
   return job.stepOf(task).estimateMs;
 }
 
 double slowness(const jobs::Job& job, std::size_t task, Millis tookMs, const EstimateError& error) {
-  const auto& tally = job.tallyOf(task);
+  const auto tally = job.tallyOf(task);
   const bool byPeers = std::max(tally.timed, tally.projections) >= kFewestPeers;
   const double ratio = static_cast<double>(tookMs) / static_cast<double>(expectedMs(job, task));
   return byPeers ? ratio : unexplained(error, ratio);
 }
 
 bool noteEnd(jobs::Job& job, std::size_t task, Millis tookMs) {
-  auto& tally = job.tallyOf(task);
+  auto& tally = job.editTallyOf(task);
   ++tally.timed;
   tally.timedMs += tookMs;
   return tally.timed == (job.stepOf(task).count + 1) / 2;
 }
 
 void noteProjection(jobs::Job& job, std::size_t task, Millis wholeMs) {
-  auto& tally = job.tallyOf(task);
+  auto& tally = job.editTallyOf(task);
   tally.projections = std::min(tally.projections + 1, kMostProjections);
   tally.projectedMs += (static_cast<double>(wholeMs) - tally.projectedMs) / tally.projections;
 }
--- a/src/scheduler/scene.cpp
+++ b/src/scheduler/scene.cpp
@@ -147,12 +147,11 @@
   /// What the job holds, taken off what is free.
   void addRuns(const Job& job, admission::Candidate& candidate) {
     std::map<std::size_t, std::size_t> gangs;
-    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-      const auto& task = job.tasks[i];
+    for (const auto& [i, task] : job.tasks.rows()) {
       if (!task.holds()) continue;
       const auto where = placeOf_.at(task.worker.view());
       const auto& step = job.stepOf(i);
-      const auto& load = job.loads[task.step];
+      const auto& load = job.loads[job.stepIndexOf(i)];
       placement::take(scene_.field.workers[where].free, load);
       if (candidate.tenant != admission::kNoTenant) placement::add(scene_.field.tenants[candidate.tenant].held, load);
       const bool over = task.stopping || task.state == TaskState::done;
@@ -179,14 +178,14 @@
 
   /// `pool`: where the job's queue is sent; where it was sent at acceptance may be gone.
   admission::Unit unitOf(const Job& job, const PoolName& pool, const std::vector<std::uint32_t>& group) const {
-    const auto& first = job.tasks[group.front()];
-    const auto& step = job.spec->steps[first.step];
+    const auto stepIndex = job.stepIndexOf(group.front());
+    const auto& step = job.spec->steps[stepIndex];
     admission::Unit unit;
     unit.tasks = group;
     if (job.spec->gang)
-      for (const auto i : group) unit.loads.push_back(job.loads[job.tasks[i].step]);
+      for (const auto i : group) unit.loads.push_back(job.loads[job.stepIndexOf(i)]);
     else
-      unit.loads.push_back(job.loads[first.step]);
+      unit.loads.push_back(job.loads[stepIndex]);
     unit.whole = job.spec->gang || step.together;
     unit.oneRack = step.oneRack;
     unit.saves = step.saves;
@@ -209,7 +208,7 @@
   /// Until what is left of the job must start for its queue's aim; negative: that has passed.
   Millis dueInMs(const Job& job, const config::Queue& queue,
                  const std::vector<std::vector<std::uint32_t>>& groups) const {
-    const auto instance = groups.empty() ? 0 : job.tasks[groups.front().front()].instance;
+    const auto instance = groups.empty() ? 0 : job.instanceOf(groups.front().front());
     const auto aimMs =
         queue.aimMs + static_cast<Millis>(queue.stretch * static_cast<double>(chainMs(job, instance, true)));
     return dueMs(job, instance) + aimMs - chainMs(job, instance, false) - fleetMs_;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -160,6 +160,7 @@
   std::deque<std::int64_t> sizes;
   std::deque<std::pair<Millis, JobId>> ended;
   std::map<QueueName, std::int64_t> openPer;
+  std::size_t openJobBytes = 0;  // that the open jobs hold
   std::map<std::uint64_t, Forward> forwards;
   Millis leaderlessSinceMs = -1;  // since when no leader is known here; -1: one is
   SchedulerCounts counts;
--- a/src/scheduler/takeover.cpp
+++ b/src/scheduler/takeover.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduler/job_memory.hpp"
 #include "scheduler/leadership.hpp"
 
 namespace tulip::scheduler {
@@ -71,6 +72,7 @@
   if (job.state == JobState::open) {
     scheduler.open.insert(job.id);
     ++scheduler.openPer[job.pending()];
+    scheduler.openJobBytes += acceptedBytes(*job.spec);
     addHoldings(scheduler.held, job);
   } else {
     scheduler.ended.emplace_back(job.finishedMs, job.id);
@@ -91,7 +93,7 @@
       out.alarms.push_back("a stored job does not read: " + key);
       continue;
     }
-    for (auto& task : job.tasks) task.movedMs = fleetMs;
+    for (auto& [index, task] : job.tasks.rows()) task.movedMs = fleetMs;
     batch.jobs.push_back(std::make_shared<const Job>(job));
     addJob(scheduler, std::move(job));
   }
--- a/src/scheduler/worker_health.cpp
+++ b/src/scheduler/worker_health.cpp
@@ -53,7 +53,7 @@
   auto& error = scheduler.estimateErrors[job.pending()];
   notePace(scheduler, row, paceOfWhole(scheduler, job, at, tookMs), now);
   if (!noteEnd(job, at, tookMs)) return;
-  const auto& tally = job.tallyOf(at);
+  const auto tally = job.tallyOf(at);
   noteEstimate(error,
                static_cast<double>(tally.timedMs) / tally.timed / static_cast<double>(job.stepOf(at).estimateMs));
 }
@@ -173,7 +173,7 @@
     }
     ++scheduler.counts.stops;
     change(scheduler, each.job, [&](Job& job) {
-      job.tasks[each.task].failedOn = each.worker;
+      job.tasks.edit(each.task).failedOn = each.worker;
       stopRun(job, each.task, fleetMs);
     });
   }
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -110,7 +110,7 @@
   }
   for (const char* id : {"is-ordered", "runs"})
     jobs::startRun(scheduler.jobs.at(JobId(id)), 0, WorkerId("w"), "life", kNowMs);
-  scheduler.jobs.at(JobId("runs")).tasks[0].confirmed = true;
+  scheduler.jobs.at(JobId("runs")).tasks.edit(0).confirmed = true;
   const auto count = [&](const char* queue) {
     scheduler::countPending(scheduler, {kRequest, true, {}}, QueueName(queue), out);
     return out.answers.back().brief.count;
--- a/tests/due_times_test.cpp
+++ b/tests/due_times_test.cpp
@@ -115,7 +115,7 @@
     if (found == scheduler.jobs.end()) return;
     for (std::size_t at = 0; at < found->second.tasks.size(); ++at) {
       const auto& task = found->second.tasks[at];
-      auto& starts = startsOf[task.instance];
+      auto& starts = startsOf[found->second.instanceOf(at)];
       while (static_cast<std::int64_t>(starts.size()) < task.attempts) starts.push_back(trueWallMs());
     }
   }
--- a/tests/job_test.cpp
+++ b/tests/job_test.cpp
@@ -56,7 +56,7 @@
       if (!held.empty()) {
         const auto at = held[dice() % held.size()];
         const auto draw = dice() % 10;
-        job.tasks[at].seenSaved = draw % 2 ? "text" : "";
+        job.tasks.edit(at).seenSaved = draw % 2 ? "text" : "";
         endRun(job, at,
                draw < 6   ? AttemptOutcome::clean
                : draw < 7 ? AttemptOutcome::failed
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -22,7 +22,7 @@
 std::string jobOn(const char* worker, std::int64_t attempts) {
   auto job = jobs::makeJob(oneTask());
   if (attempts > 0) {
-    job.tasks[0].attempts = attempts - 1;
+    job.tasks.edit(0).attempts = attempts - 1;
     jobs::startRun(job, 0, WorkerId(worker), "life", 10);
   }
   return jobs::packJob(job);
