--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -36,9 +36,9 @@
 std::optional<ReadyUnit> longestWaiting(std::span<const Candidate> jobs, std::span<const std::size_t> ranking,
                                         const config::Admission& rules, const Planner& planner) {
   std::optional<ReadyUnit> longest;
-  if (rules.without.contains(config::Mechanism::reservation)) return longest;
+  if (!planner.mayReserve() || rules.without.contains(config::Mechanism::reservation)) return longest;
   const auto key = [&](const Candidate& each) {
-    return std::tuple(rules.rankFirst ? -each.rank : 0, -each.readyForMs, each.id.view());
+    return std::tuple(planner.gaveUp(each), rules.rankFirst ? -each.rank : 0, -each.readyForMs, each.id.view());
   };
   for (const auto at : ranking) {
     const auto& job = jobs[at];
@@ -84,6 +84,7 @@
   };
   const auto longest = longestWaiting(jobs, ranking, rules, planner);
   std::optional<std::size_t> reservedFor;
+  bool poolIdle = false;
   bool considered = !longest;
   for (const auto at : ranking) {
     const auto& job = jobs[at];
@@ -91,7 +92,10 @@
       considered = true;
       const auto& unit = jobs[longest->job].ready[longest->unit];
       const auto count = jobs[longest->job].gang || unit.whole ? unit.tasks.size() : 1;
-      if (!unit.tasks.empty() && !place(longest->job, unit) && planner.reserve(unit, count)) reservedFor = longest->job;
+      if (!unit.tasks.empty() && !place(longest->job, unit) && planner.reserve(unit, count)) {
+        reservedFor = longest->job;
+        poolIdle = planner.poolIdle(unit);
+      }
     }
     for (std::size_t u = 0; u < job.ready.size(); ++u) {
       if (longest && longest->job == at && longest->unit == u) continue;
@@ -100,6 +104,7 @@
   }
   auto made = planner.finish();
   made.reservedFor = reservedFor;
+  made.reservedInIdlePool = poolIdle;
   return made;
 }
 
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -97,6 +97,7 @@
   std::vector<Start> starts;
   std::vector<Stop> stops;
   std::optional<std::size_t> reservedFor;
+  bool reservedInIdlePool = false;  // under half of the pool is in use, of all that the reserved capacity is made of
   std::size_t passedOver = 0;
   std::size_t tries = 0;
   std::size_t looks = 0;  // at a worker for a task: what a plan costs
@@ -110,6 +111,8 @@
   double farFactor = 1.5;
   bool rankFirst = false;  // as the option of that name, for fleets whose settings ask for it
   double mostLoss = 0;     // as the option of that name, where above 0
+  bool mayReserve = true;  // capacity may be kept for a unit that does not fit
+  JobId gaveUp;            // for which capacity was kept last, in vain; empty: for none
 };
 
 /// Whether tasks with these needs may start together: the tenant then stays within its limit, or holds no more than
--- a/src/admission/planner.hpp
+++ b/src/admission/planner.hpp
@@ -99,6 +99,11 @@
   std::size_t placeEach(std::size_t job, const Unit& unit);
   /// Keeps capacity for the first tasks of a unit, on the workers that are nearest to having it.
   bool reserve(const Unit& unit, std::size_t count);
+  bool mayReserve() const { return field.mayReserve; }
+  /// Whether capacity was kept for the job last, in vain.
+  bool gaveUp(const Candidate& job) const { return job.id == field.gaveUp; }
+  /// Whether under half of the unit's pool is in use, of all that the unit needs.
+  bool poolIdle(const Unit& unit) const;
   /// Whether a stream of smaller work could keep the unit from ever starting.
   bool wide(const Candidate& job, const Unit& unit) const;
   std::int64_t quotaLeft(const Candidate& job) const;
--- a/src/admission/preemption.cpp
+++ b/src/admission/preemption.cpp
@@ -148,7 +148,7 @@
   };
   if (std::any_of(scope.vainPreemptions.begin(), scope.vainPreemptions.end(), covers)) return false;
   if (job.dueInMs == 0) return true;
-  if (job.dueInMs < 0) return false;
+  if (job.dueInMs < 0) return gaveUp(job);
   if (rules.without.contains(config::Mechanism::lastStretch)) return true;
   if (job.dueInMs > batch.unit.estimateMs || forecasts >= kMostForecasts) return false;
   return !fitsBy(batch, batch.count > 1, scope, job.dueInMs / 2, false);
--- a/src/admission/reservation.cpp
+++ b/src/admission/reservation.cpp
@@ -125,6 +125,20 @@
   return true;
 }
 
+bool Planner::poolIdle(const Unit& unit) const {
+  placement::Load total{}, unused{};
+  for (const auto& worker : field.workers) {
+    if (!worker.usable || (!unit.pool.empty() && worker.pool != unit.pool)) continue;
+    placement::add(total, worker.total);
+    placement::add(unused, worker.free);
+  }
+  for (std::size_t kind = 0; kind < deck.kinds; ++kind) {
+    const bool needed = std::ranges::any_of(unit.loads, [&](const auto& load) { return load[kind] > 0; });
+    if (needed && 2 * unused[kind] <= total[kind]) return false;
+  }
+  return true;
+}
+
 // Capacity kept for a reservation may be used by work that is thought to end before the reserved capacity has come
 // together.
 std::uint32_t Planner::fill(const Unit& unit, const Demand& demand, std::size_t task, const Scope& scope) {
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -404,6 +404,7 @@
                                                         {"denied", c.rejected},
                                                         {"passedOver", c.passedOver},
                                                         {"reservations", c.reservations},
+                                                        {"vainReservations", c.vainReservations},
                                                         {"reports", c.reports},
                                                         {"shuns", c.shuns},
                                                         {"rewritten", c.rewritten},
--- a/src/scheduler/epoch.cpp
+++ b/src/scheduler/epoch.cpp
@@ -174,9 +174,14 @@
   const auto fleetMs = fleet(scheduler, now);
   auto scene = makeScene(scheduler, now);
   const std::vector<std::int64_t> sizes(scheduler.sizes.begin(), scheduler.sizes.end());
+  auto& limit = scheduler.reservationLimit;
+  scene.field.mayReserve = admission::mayReserve(limit, now.steadyMs);
+  scene.field.gaveUp = limit.gaveUp;
   const auto plan = admission::plan(scene.candidates, scene.field, rulesOf(scheduler), sizes);
   scheduler.counts.passedOver += plan.passedOver;
   scheduler.counts.reservations += plan.reservedFor.has_value();
+  scheduler.counts.vainReservations +=
+      admission::notePlan(limit, scene.candidates, plan, rulesOf(scheduler), now.steadyMs);
   std::set<std::size_t> pushed;
   for (const auto& stop : plan.stops) {
     ++scheduler.counts.stops;
--- a/src/scheduler/leadership.cpp
+++ b/src/scheduler/leadership.cpp
@@ -35,6 +35,7 @@
   scheduler.longWaits.clear();
   scheduler.ended.clear();
   scheduler.openPer.clear();
+  scheduler.reservationLimit = {};
   scheduler.openJobBytes = 0;
   scheduler.seq = scheduler.committed = 0;
   scheduler.leaseUntilMs = -1000000;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 
+#include "admission/reservation_limit.hpp"
 #include "base/duration_histogram.hpp"
 #include "control/client.hpp"
 #include "http/call_policy.hpp"
@@ -106,7 +107,7 @@
   std::uint64_t takeovers = 0, epochs = 0, batches = 0, starts = 0, stops = 0, preempted = 0, lost = 0, failures = 0,
                 cleans = 0, submitted = 0, rejected = 0, passedOver = 0, reservations = 0, reports = 0, shuns = 0,
                 rewritten = 0, steppedDown = 0, gangRetries = 0, promotions = 0, dropped = 0, lateEnds = 0, stalls = 0,
-                forwarded = 0, outbid = 0, overdueRuns = 0;
+                forwarded = 0, outbid = 0, overdueRuns = 0, vainReservations = 0;
 };
 
 struct SchedulerState {
@@ -149,6 +150,7 @@
   Millis fencedMs = -1000000;
   bool planDue = false;
   placement::Kinds kinds;
+  admission::ReservationLimit reservationLimit;
   std::optional<config::Admission> usual;  // rules that the settings bring, for a configuration without any
   std::map<WorkerId, WorkerRow> workers;
   MachineClocks clocks;  // of the machines of voters and agents
