A reservation that holds nobody back has no end

Change: only time counts in which ready work found no place after the reservation was made.

The suite reservation holds.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -85,6 +85,7 @@
   const auto longest = longestWaiting(jobs, ranking, rules, planner);
   std::optional<std::size_t> reservedFor;
   bool poolIdle = false;
+  std::size_t passedOverBefore = 0;
   bool considered = !longest;
   for (const auto at : ranking) {
     const auto& job = jobs[at];
@@ -95,6 +96,7 @@
       if (!unit.tasks.empty() && !place(longest->job, unit) && planner.reserve(unit, count)) {
         reservedFor = longest->job;
         poolIdle = planner.poolIdle(unit);
+        passedOverBefore = planner.passedOver();
       }
     }
     for (std::size_t u = 0; u < job.ready.size(); ++u) {
@@ -102,9 +104,11 @@
       place(at, job.ready[u]);
     }
   }
+  const bool heldBack = reservedFor && planner.passedOver() > passedOverBefore;
   auto made = planner.finish();
   made.reservedFor = reservedFor;
-  made.reservedInIdlePool = poolIdle;
+  made.heldBack = heldBack;
+  made.heldBackInIdlePool = heldBack && poolIdle;
   return made;
 }
 
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -97,7 +97,10 @@
   std::vector<Start> starts;
   std::vector<Stop> stops;
   std::optional<std::size_t> reservedFor;
-  bool reservedInIdlePool = false;  // under half of the pool is in use, of all that the reserved capacity is made of
+  // The reserved capacity holds back other work that is ready, while under half of the pool is in use of all that the
+  // reserved capacity is made of.
+  bool heldBackInIdlePool = false;
+  bool heldBack = false;  // the reserved capacity holds back other work that is ready
   std::size_t passedOver = 0;
   std::size_t tries = 0;
   std::size_t looks = 0;  // at a worker for a task: what a plan costs
--- a/src/admission/planner.hpp
+++ b/src/admission/planner.hpp
@@ -100,6 +100,8 @@
   /// Keeps capacity for the first tasks of a unit, on the workers that are nearest to having it.
   bool reserve(const Unit& unit, std::size_t count);
   bool mayReserve() const { return field.mayReserve; }
+  /// How often work found no place so far.
+  std::size_t passedOver() const { return out.passedOver; }
   /// Whether capacity was kept for the job last, in vain.
   bool gaveUp(const Candidate& job) const { return job.id == field.gaveUp; }
   /// Whether under half of the unit's pool is in use, of all that the unit needs.
--- a/src/admission/reservation_limit.cpp
+++ b/src/admission/reservation_limit.cpp
@@ -48,8 +48,8 @@
   }
   if (limit.notedMs >= 0) {
     const auto spanMs = nowMs - limit.notedMs;
-    limit.keptMs += spanMs;
-    limit.idleMs = plan.reservedInIdlePool ? limit.idleMs + spanMs : 0;
+    limit.keptMs = plan.heldBack ? limit.keptMs + spanMs : 0;
+    limit.idleMs = plan.heldBackInIdlePool ? limit.idleMs + spanMs : 0;
   }
   limit.notedMs = nowMs;
   if (limit.idleMs < kMostIdleMs && limit.keptMs < mostKeptMs(rules)) return false;
--- a/src/admission/reservation_limit.hpp
+++ b/src/admission/reservation_limit.hpp
@@ -7,8 +7,8 @@
 namespace tulip::admission {
 
 struct ReservationLimit {
-  Millis idleMs = 0;    // kept without a pause while most of the pool was idle
-  Millis keptMs = 0;    // kept without a pause
+  Millis idleMs = 0;    // for which other work was held back without a pause, most of the pool being idle
+  Millis keptMs = 0;    // for which other work was held back without a pause
   Millis notedMs = -1;  // of the last plan that kept capacity; -1: the last one kept none
   Millis pausedUntilMs = 0;
   std::int64_t failures = 0;  // windows that ended in vain, since one brought a unit to its start
