--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -38,6 +38,7 @@
   [[ $name == edge-* ]] && core=$((core + 1))
 done
 for n in 1 2 3; do say "worker $n: $(grep -c ' start ' "$folder/worker-$n.txt") starts"; done
+say_runs
 if [ "$core" -ge 2 ]; then
   say "Fault: on $core of the 3 machines of the core processes ended three times or more, with no trouble there"
   exit 1
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -50,6 +50,7 @@
 done
 say "starts from $before to $(starts) meanwhile; $(cat "$folder"/edge-*.log | grep -c 'ALARM leads term') times a scheduler began to lead, $(cat "$folder"/edge-*.log | grep -c 'its lease lapsed') times one lost its lease"
 grep -h 'longest [0-9]\{4,\}' "$folder"/edge-*.log | tail -n 2 | cut -c1-200 >>"$record"
+say_runs
 if [ "$done_wide" = yes ]; then
   say "held"
   exit 0
--- a/review/stand-in-3/fleet.sh
+++ b/review/stand-in-3/fleet.sh
@@ -185,6 +185,16 @@
   [ "${answer%% *}" = 200 ]
 }
 
+# say_runs: what each worker's own log says that it started and ended, in short: its first and last lines.
+say_runs() {
+  local name
+  for name in "$folder"/worker-*.txt; do
+    [ "$(wc -l <"$name")" -gt 0 ] || continue
+    say "log of $(basename "$name" .txt), $(wc -l <"$name") lines:"
+    { head -n 3 "$name"; echo ...; tail -n 3 "$name"; } | sed 's/^/    /' >>"$record"
+  done
+}
+
 # What the platform does beside that (DEPLOY.md): "A process that goes over `memory_mb` is killed", and "When a process ends
 # or is killed, it is started again after a short delay". To be called about every 100 ms. ended[NAME] counts.
 declare -A ended back_at
