--- a/review/stand-in-3/stand_in.cpp
+++ b/review/stand-in-3/stand_in.cpp
@@ -128,7 +128,8 @@
 }
 
 // A worker. Its tasks take `work=MS` of their text, or the usual time; with `lasts` in it they go on until stopped, with
-// `saves` they have a checkpoint of 16 characters once they have worked for checkpoint_s.
+// `saves` they have a checkpoint of 16 characters once they have worked for checkpoint_s, with `binary` one whose first
+// character is U+0000.
 
 constexpr std::size_t kMostAnswerBytes = 4u << 20;  // "holds 4 MiB at most"
 constexpr Millis kAnswerWithinMs = 1000;            // "if it comes within a second"
@@ -141,7 +142,7 @@
   Millis startedMs = 0;
   Millis workMs = 0;  // 0: lasts
   std::string saved;
-  bool saves = false;
+  std::string checkpoint;  // what it will have saved; empty: it saves nothing
 };
 
 struct End {
@@ -149,8 +150,11 @@
   std::string task;
   std::int64_t attempt = 0;
   std::string how;
+  std::string saved;
 };
 
+json_t* textOf(const std::string& text) { return json_stringn(text.data(), text.size()); }
+
 struct Worker {
   Options options;
   std::string id, control;
@@ -171,8 +175,8 @@
     std::fflush(log);
   }
 
-  void end(const std::string& task, std::int64_t attempt, const std::string& how) {
-    ended.push_back({++ends, task, attempt, how});
+  void end(const std::string& task, std::int64_t attempt, const std::string& how, const std::string& saved = {}) {
+    ended.push_back({++ends, task, attempt, how, saved});
     over[task] = std::max(over[task], attempt);
     say("end %s %lld %s", task.c_str(), static_cast<long long>(attempt), how.c_str());
   }
@@ -188,7 +192,7 @@
         ++at;
         continue;
       }
-      end(at->first, at->second.attempt, done ? "done" : "lapsed");
+      end(at->first, at->second.attempt, done ? "done" : "lapsed", done ? std::string() : at->second.saved);
       at = running.erase(at);
     }
     return ends != before;
@@ -216,17 +220,17 @@
                                   optionOr(options, "rack", "r1-1").c_str()));
     json_t* runs = json_array();
     for (auto& [task, run] : running) {
-      if (run.saves && run.saved.empty() && steadyMs() - run.startedMs >= kCheckpointMs) run.saved = "00000bb87a21d94b";
+      if (steadyMs() - run.startedMs >= kCheckpointMs && !run.checkpoint.empty()) run.saved = run.checkpoint;
       const auto percent = run.workMs > 0 ? std::min<Millis>(99, 100 * (steadyMs() - run.startedMs) / run.workMs) : 0;
-      json_array_append_new(runs, json_pack("[s,I,s,I]", task.c_str(), static_cast<json_int_t>(run.attempt),
-                                            run.saved.c_str(), static_cast<json_int_t>(percent)));
+      json_array_append_new(runs, json_pack("[s,I,o,I]", task.c_str(), static_cast<json_int_t>(run.attempt),
+                                            textOf(run.saved), static_cast<json_int_t>(percent)));
     }
     json_object_set_new(root, "running", runs);
     json_t* list = json_array();
     for (std::size_t i = 0; i < std::min(ended.size(), kMostEndsListed); ++i)
-      json_array_append_new(list, json_pack("[I,s,I,s,s]", static_cast<json_int_t>(ended[i].number),
+      json_array_append_new(list, json_pack("[I,s,I,s,o]", static_cast<json_int_t>(ended[i].number),
                                             ended[i].task.c_str(), static_cast<json_int_t>(ended[i].attempt),
-                                            ended[i].how.c_str(), ""));
+                                            ended[i].how.c_str(), textOf(ended[i].saved)));
     json_object_set_new(root, "ended", list);
     char* raw = json_dumps(root, JSON_COMPACT);
     std::string body = raw;
@@ -236,8 +240,8 @@
   }
 
   static std::string textAt(const json_t* list, std::size_t at) {
-    const char* text = json_string_value(json_array_get(list, at));
-    return text ? text : "";
+    const json_t* found = json_array_get(list, at);
+    return found ? std::string(json_string_value(found), json_string_length(found)) : std::string();
   }
 
   void start(const json_t* each) {
@@ -247,10 +251,11 @@
     if (known != running.end() && known->second.attempt >= attempt) return;
     if (const auto before = over.find(task); before != over.end() && before->second >= attempt)
       return end(task, attempt, "refused");
-    Run run{attempt, steadyMs(), numberOr(options, "work", 500), textAt(each, 3), false};
+    Run run{attempt, steadyMs(), numberOr(options, "work", 500), textAt(each, 3), {}};
     if (const auto at = spec.find("work="); at != std::string::npos) run.workMs = std::atoll(spec.c_str() + at + 5);
     if (spec.find("lasts") != std::string::npos) run.workMs = 0;
-    run.saves = spec.find("saves") != std::string::npos;
+    if (spec.find("saves") != std::string::npos) run.checkpoint = "00000bb87a21d94b";
+    if (spec.find("binary") != std::string::npos) run.checkpoint = std::string("\0checkpoint", 11);
     running[task] = run;
     say("start %s %lld", task.c_str(), static_cast<long long>(attempt));
   }
@@ -261,7 +266,7 @@
     over[task] = std::max(over[task], attempt);
     const auto found = running.find(task);
     if (found == running.end() || found->second.attempt != attempt) return;
-    end(task, attempt, "stopped");
+    end(task, attempt, "stopped", found->second.saved);
     running.erase(found);
   }
 
@@ -305,7 +310,7 @@
         say("beat %lld not acknowledged: its answer holds %zu bytes", static_cast<long long>(calls), reply.body.size());
         continue;
       }
-      if (json_t* answer = json_loadb(reply.body.data(), reply.body.size(), 0, nullptr)) {
+      if (json_t* answer = json_loadb(reply.body.data(), reply.body.size(), JSON_ALLOW_NUL, nullptr)) {
         nextMs = steadyMs() + obey(answer, sentMs);
         json_decref(answer);
       }
