--- a/review/stand-in-3/stand_in.cpp
+++ b/review/stand-in-3/stand_in.cpp
@@ -128,8 +128,8 @@
 }
 
 // A worker. Its tasks take `work=MS` of their text, or the usual time; with `lasts` in it they go on until stopped, with
-// `saves` they have a checkpoint of 16 characters once they have worked for checkpoint_s, with `binary` one whose first
-// character is U+0000.
+// `saves` they have a checkpoint of 16 characters once they have worked for checkpoint_s, with `saves=N` one of N, with
+// `binary` one whose first character is U+0000.
 
 constexpr std::size_t kMostAnswerBytes = 4u << 20;  // "holds 4 MiB at most"
 constexpr Millis kAnswerWithinMs = 1000;            // "if it comes within a second"
@@ -255,6 +255,8 @@
     if (const auto at = spec.find("work="); at != std::string::npos) run.workMs = std::atoll(spec.c_str() + at + 5);
     if (spec.find("lasts") != std::string::npos) run.workMs = 0;
     if (spec.find("saves") != std::string::npos) run.checkpoint = "00000bb87a21d94b";
+    if (const auto at = spec.find("saves="); at != std::string::npos)
+      run.checkpoint = std::string(static_cast<std::size_t>(std::atoll(spec.c_str() + at + 6)), 'x');
     if (spec.find("binary") != std::string::npos) run.checkpoint = std::string("\0checkpoint", 11);
     running[task] = run;
     say("start %s %lld", task.c_str(), static_cast<long long>(attempt));
