Specs and checkpoints on their way to a worker are bounded, and given once

Cause: orders named the whole spec once an attempt and were made anew at each report, the agent kept a copy an attempt, and one answer carried all of them. 16,000 runs made orders and answers of 64 MB, with the encoder's copies beside them.

Ruled out: what is accepted. The sixteen texts are 64 KB, which every role bears, so refusing them would be no mend.

Mend: orders name a spec once for all attempts that have it, to agents whose reports say that they read that; others get the form of before. Specs and checkpoints that are ordered at a worker and not shown by it yet are 4 MiB at most: the rest is named as deferred, by rank and age, and follows as these start. An agent keeps one copy of a spec and drops it once the worker lists the run. It hands over 2 MiB of starts an answer, counted as JSON, in the order of the orders, and the hold is never what is left out. Orders that wait for a slow connection give way to newer ones.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kMostEarlierLives = 8;  // of the worker that are remembered
+// Of one answer. A worker takes 4 MiB; its list of stops, as long as the worker's own list of runs, is beside them.
+constexpr std::size_t kMostStartBytes = 2u << 20;
 
 const Bounds& bounds(const AgentState& agent) { return agent.client.settings.bounds; }
 
@@ -40,6 +42,7 @@
 
 void end(AgentState& agent, AgentAttempt& run, AttemptOutcome outcome, std::string detail) {
   run.state = AttemptState::ended;
+  run.spec.reset();
   run.outcome = outcome;
   run.detail = std::move(detail);
   agent.reportDue = true;
@@ -65,6 +68,34 @@
   out.tell(requestId, Kind::ok, std::move(result));
 }
 
+/// What a start takes of an answer, as JSON.
+std::size_t startBytes(const AttemptId& id, const AgentAttempt& run) {
+  constexpr std::size_t kFrameBytes = 32;  // brackets, commas and the attempt's number
+  return kFrameBytes + id.value.size() + jsonTextBytes(*run.spec) + jsonTextBytes(run.saved);
+}
+
+/// The starts that were ordered and not handed over, in the order in which the leader named them.
+std::vector<std::pair<const AttemptId, AgentAttempt>*> pendingStarts(AgentState& agent) {
+  std::vector<std::pair<const AttemptId, AgentAttempt>*> pending;
+  for (auto& row : agent.runs)
+    if (row.second.state == AttemptState::ordered && row.second.handedReport == 0) pending.push_back(&row);
+  std::ranges::stable_sort(pending, {}, [](const auto* row) { return row->second.place; });
+  return pending;
+}
+
+/// Adds starts to the answer until it is full: the worker takes no answer that is larger. The others wait for the next.
+void handOver(AgentState& agent, std::uint64_t report, WorkerAnswer& answer) {
+  std::size_t bytes = 0;
+  for (auto* row : pendingStarts(agent)) {
+    auto& [id, run] = *row;
+    bytes += startBytes(id, run);
+    if (bytes > kMostStartBytes && !answer.start.empty()) return;
+    run.handedReport = report;
+    ++agent.counts.handed;
+    answer.start.push_back({id, run.spec, run.saved});
+  }
+}
+
 void answerPoll(AgentState& agent, Now now, Outbox& out) {
   const auto poll = std::move(*agent.poll);
   agent.poll.reset();
@@ -73,13 +104,8 @@
   answer.startWithinMs = bounds(agent).freshMs();
   answer.nextMs = bounds(agent).nextHeartbeatMs();
   answer.fence = agent.term.number;
-  const bool may = mayStart(agent, now);
+  if (mayStart(agent, now)) handOver(agent, poll.report, answer);
   for (auto& [id, run] : agent.runs) {
-    if (run.state == AttemptState::ordered && run.handedReport == 0 && may) {
-      run.handedReport = poll.report;
-      ++agent.counts.handed;
-      answer.start.push_back({id, run.spec, run.saved});
-    }
     if (run.state == AttemptState::stopping) {
       run.stopReport = poll.report;
       answer.stop.push_back(id);
@@ -101,6 +127,46 @@
   sendAnswer(poll.requestId, poll.brief, std::move(answer), out);
 }
 
+/// Keeps an attempt that the agent hears of for the first time.
+void takeNew(AgentState& agent, AgentAttempt& run, const WantedAttempt& wanted, SharedText spec, Now now) {
+  run.sinceMs = now.steadyMs;
+  run.spec = std::move(spec);
+  run.saved = wanted.saved;
+  run.workerIncarnation = wanted.workerIncarnation;
+  if (!wanted.stop) return;
+  if (absentMeansGone(agent))
+    end(agent, run, AttemptOutcome::lost, "never started");
+  else
+    run.state = AttemptState::stopping;
+}
+
+/// Takes over which attempts the leader wants at the worker. One that is unknown here, and comes without its spec, is
+/// not taken.
+void takeWanted(AgentState& agent, const Orders& orders, Now now) {
+  std::vector<SharedText> shared;
+  for (const auto& spec : orders.sharedSpecs) shared.push_back(agent.specs.share(spec));
+  const auto specOf = [&](const WantedAttempt& wanted) {
+    return wanted.sharedSpec < shared.size() ? shared[wanted.sharedSpec] : agent.specs.share(wanted.spec);
+  };
+  for (auto& [id, run] : agent.runs) run.wanted = false;
+  std::size_t place = 0;
+  for (const auto& wanted : orders.wanted) {
+    auto found = agent.runs.find(wanted.id);
+    if (found == agent.runs.end()) {
+      if (!wanted.stop && !wanted.whole) {
+        agent.reportDue = agent.reportDue || !wanted.deferred;
+        continue;
+      }
+      found = agent.runs.try_emplace(wanted.id).first;
+      takeNew(agent, found->second, wanted, wanted.stop ? nullptr : specOf(wanted), now);
+    }
+    found->second.wanted = true;
+    found->second.stop = wanted.stop;
+    found->second.place = place++;
+  }
+  agent.specs.dropUnused();
+}
+
 void onOrders(AgentState& agent, const Orders& orders, Now now, Outbox& out) {
   const auto newest = std::max(agent.term, agent.client.leader.term);
   if (orders.agent != agent.client.id || orders.term < newest || orders.acknowledgedSeq > agent.reportSeq ||
@@ -115,30 +181,7 @@
   agent.orderedVersion = orders.configVersion;
   agent.acknowledgedMs = std::max(agent.acknowledgedMs, orders.acknowledgedMs);
   control::raiseFleet(agent.client, orders.fleetMs, now);
-  for (auto& [id, run] : agent.runs) run.wanted = false;
-  for (const auto& wanted : orders.wanted) {
-    auto [slot, fresh] = agent.runs.try_emplace(wanted.id);
-    auto& run = slot->second;
-    run.wanted = true;
-    run.stop = wanted.stop;
-    if (fresh && !wanted.stop && !wanted.whole) {
-      agent.runs.erase(slot);
-      agent.reportDue = true;
-      continue;
-    }
-    if (fresh) {
-      run.sinceMs = now.steadyMs;
-      run.spec = wanted.spec;
-      run.saved = wanted.saved;
-      run.workerIncarnation = wanted.workerIncarnation;
-      if (wanted.stop) {
-        if (absentMeansGone(agent))
-          end(agent, run, AttemptOutcome::lost, "never started");
-        else
-          run.state = AttemptState::stopping;
-      }
-    }
-  }
+  takeWanted(agent, orders, now);
   for (auto at = agent.runs.begin(); at != agent.runs.end();) {
     auto& run = at->second;
     const bool unhanded = run.state == AttemptState::ordered && run.handedReport == 0;
@@ -206,6 +249,7 @@
   report.sentMs = now.steadyMs;
   report.leavesMs = agent.leavesAtMs < 0 ? -1 : std::max<Millis>(0, agent.leavesAtMs - now.steadyMs);
   report.wallMs = now.wallMs;
+  report.takesSharedSpecs = true;
   report.runs.reserve(agent.runs.size());
   for (const auto& [id, run] : agent.runs) {
     const bool seen = run.state == AttemptState::stopping && !run.listed;
@@ -328,6 +372,7 @@
     run.listed = true;
     run.percent = running.percent;
     if (run.saved != running.saved) run.saved = running.saved;
+    run.spec.reset();
     if (run.state == AttemptState::ordered) {
       run.state = AttemptState::running;
       agent.reportDue = true;
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -1,12 +1,13 @@
 #pragma once
 #include <deque>
 
+#include "agent/shared_texts.hpp"
 #include "control/client.hpp"
 
 namespace tulip::agent {
 
 struct AgentAttempt {
-  std::string spec;
+  transport::SharedText spec;  // until the worker lists the attempt; null otherwise
   std::string workerIncarnation;
   transport::AttemptState state = transport::AttemptState::ordered;
   transport::AttemptOutcome outcome = transport::AttemptOutcome::none;
@@ -19,7 +20,8 @@
   std::uint64_t handedReport = 0;
   std::uint64_t stopReport = 0;
   std::uint64_t number = 0;
-  Millis sinceMs = 0;  // when this life of the agent first heard of it
+  Millis sinceMs = 0;     // when this life of the agent first heard of it
+  std::size_t place = 0;  // in the newest orders, which name what goes first before what may wait
 };
 
 struct Poll {
@@ -64,6 +66,7 @@
   std::deque<std::string> earlierLives;  // of the worker, the latest last: nothing that they say counts any more
   std::optional<Poll> poll;
   std::map<AttemptId, AgentAttempt> runs;
+  SharedTexts specs;  // of the runs
   Ballot term;
   std::uint64_t ordersSeq = 0;
   Version orderedVersion = 0;
--- a/src/agent/worker_json.cpp
+++ b/src/agent/worker_json.cpp
@@ -84,7 +84,7 @@
   Json root(json_object());
   json_t *start = json_array(), *stop = json_array(), *ack = json_array();
   for (const auto& each : answer.start) {
-    Json spec = parseJson(each.spec);
+    Json spec = parseJson(*each.spec);
     if (!json_is_object(spec.get())) spec.reset(json_object());
     json_object_set_new(spec.get(), "run", jsonText(each.run.view()));
     if (!each.saved.empty()) json_object_set_new(spec.get(), "saved", jsonText(each.saved));
--- a/src/base/json.hpp
+++ b/src/base/json.hpp
@@ -43,6 +43,14 @@
   into.push_back('"');
 }
 
+/// The bytes that appendJsonText writes.
+inline std::size_t jsonTextBytes(std::string_view text) {
+  constexpr std::size_t kQuotes = 2, kControlEscape = 6, kShortEscape = 2;
+  std::size_t bytes = kQuotes;
+  for (const unsigned char c : text) bytes += c < 0x20 ? kControlEscape : c == '"' || c == '\\' ? kShortEscape : 1;
+  return bytes;
+}
+
 inline std::string textAt(const json_t* object, const char* key, std::string_view fallback = {}) {
   const json_t* found = json_object_get(object, key);
   return json_is_string(found) ? std::string(json_string_value(found), json_string_length(found))
--- a/src/scheduler/orders.cpp
+++ b/src/scheduler/orders.cpp
@@ -41,49 +41,6 @@
          [&](Job& job) { endRun(job, at, outcome, detail, queueOf(scheduler, job), fleet(scheduler, now)); });
 }
 
-void sendOrders(SchedulerState& scheduler, WorkerRow& row, Now now, Outbox& out) {
-  if (row.heardMs < 0 || row.leaseWithheld || !leads(scheduler, now)) return;
-  Orders orders;
-  orders.term = scheduler.term;
-  orders.seq = ++row.ordersSeq;
-  orders.agent = row.last.agent;
-  orders.acknowledgedSeq = row.last.seq;
-  orders.acknowledgedMs = row.last.sentMs;
-  orders.configVersion = scheduler.client.configVersion;
-  orders.fleetMs = fleet(scheduler, now);
-  absl::flat_hash_map<std::string, std::uint64_t> ordered;
-  const auto& stillHeld = scheduler.held[row.id];
-  for (const auto& [run, where] : scheduler.committedHeld[row.id]) {
-    const auto& job = *scheduler.committedJobs.at(where.first);
-    const auto& task = job.tasks[where.second];
-    auto first = row.firstOrdered.find(run.value);
-    ordered[run.value] = first == row.firstOrdered.end() ? orders.seq : first->second;
-    // What was given up, and is not committed as such yet, must not start any more: a start is good from the report
-    // that these orders answer. An end that the agent lists is kept there by a stop as well.
-    const bool stop = task.stopping || !stillHeld.contains(run);
-    WantedAttempt wanted{run, stop, {}, task.workerIncarnation, {}, false};
-    if (!stop && !row.listed.contains(run.value)) {
-      const auto& step = job.stepOf(where.second);
-      wanted.whole = true;
-      wanted.saved = task.saved;
-      if (job.spec->plainNames || scheduler.client.settings.adapter.empty()) {
-        Json spec(json_object());
-        json_object_set_new(spec.get(), "job", jsonText(job.id.view()));
-        json_object_set_new(spec.get(), "task", jsonText(taskName(job, where.second)));
-        json_object_set_new(spec.get(), "slots", json_integer(step.need.slots));
-        const auto& payload = step.payload.empty() ? job.spec->payload : step.payload;
-        if (Json own = parseJson(payload)) json_object_set_new(spec.get(), "payload", own.release());
-        wanted.spec = dumpJson(spec.get());
-      } else {
-        wanted.spec = step.payload.empty() ? job.spec->payload : step.payload;
-      }
-    }
-    orders.wanted.push_back(std::move(wanted));
-  }
-  row.firstOrdered = std::move(ordered);
-  out.send(row.agent, std::move(orders));
-}
-
 namespace {
 
 void takeLateEnd(SchedulerState& scheduler, const AttemptId& run, const AttemptReport& seen, Now now) {
@@ -127,66 +84,96 @@
   }
 }
 
-}  // namespace
+/// A run that a report shows to be over.
+struct EndedRun {
+  JobId job;
+  std::size_t task = 0;
+  AttemptOutcome outcome = AttemptOutcome::none;
+  std::string detail;
+};
 
-void onReport(SchedulerState& scheduler, const Heard& heard, const AgentReport& report, Now now, Outbox& out) {
-  if (!leads(scheduler, now)) return;
-  ++scheduler.counts.reports;
-  auto& row = scheduler.workers[report.worker];
-  row.id = report.worker;
-  if (row.leaseWithheld) return;
-  if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
-  noteReport(scheduler, row, heard, report, now);
-  const auto fleetMs = fleet(scheduler, now);
-  std::map<std::string_view, const AttemptReport*> listed;
+using ListedRuns = std::map<std::string_view, const AttemptReport*>;
+
+ListedRuns noteListed(WorkerRow& row, const AgentReport& report) {
+  ListedRuns listed;
   row.listed.clear();
+  row.unstarted.clear();
   for (const auto& run : report.runs) {
     listed[run.id.view()] = &run;
     row.listed.insert(run.id.value);
+    if (run.state == AttemptState::ordered) row.unstarted.insert(run.id.value);
   }
-  struct Over {
-    JobId job;
-    std::size_t task;
-    AttemptOutcome outcome;
-    std::string detail;
-  };
-  std::vector<Over> over;
+  return listed;
+}
+
+/// Why a run that the report doesn't list is over; nothing if it may still be at work, or start.
+std::optional<std::string> whyGone(const SchedulerState& scheduler, const WorkerRow& row, const AgentReport& report,
+                                   const AttemptId& run, const Task& task) {
+  if (!report.workerHeard) return std::nullopt;
+  if (!task.workerIncarnation.empty() && task.workerIncarnation != report.workerIncarnation) return "worker restarted";
+  const auto first = row.firstOrdered.find(run.value);
+  const bool processed =
+      first != row.firstOrdered.end() && report.ordersTerm == scheduler.term && report.ordersSeq >= first->second;
+  return processed ? std::optional<std::string>("run is gone") : std::nullopt;
+}
+
+/// Keeps what the report says of the runs that are held at the worker, and gives those that are over.
+std::vector<EndedRun> takeRuns(SchedulerState& scheduler, WorkerRow& row, const AgentReport& report,
+                               const ListedRuns& listed, Now now) {
+  const auto fleetMs = fleet(scheduler, now);
+  std::vector<EndedRun> over;
   std::vector<double> paces;
-  absl::flat_hash_set<std::string_view> known;
   for (const auto& [run, where] : scheduler.held[report.worker]) {
     auto& job = scheduler.jobs.at(where.first);
     auto& task = job.tasks.edit(where.second);
-    auto found = listed.find(run.view());
-    if (found != listed.end()) {
-      const auto& seen = *found->second;
-      known.insert(found->first);
-      if (seen.state != AttemptState::ordered && !seen.saved.empty()) task.seenSaved = seen.saved;
-      if (seen.state == AttemptState::running) {
-        noteProgress(job, where.second, seen, fleetMs);
-        if (const auto wholeMs = projectedMs(scheduler, job, where.second, fleetMs); wholeMs > 0)
-          noteProjection(job, where.second, wholeMs);
-        if (const auto pace = paceOf(scheduler, job, where.second, fleetMs); pace > 0) paces.push_back(pace);
-      }
-      if (seen.state == AttemptState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
+    const auto found = listed.find(run.view());
+    if (found == listed.end()) {
+      if (auto why = whyGone(scheduler, row, report, run, task))
+        over.push_back({where.first, where.second, AttemptOutcome::lost, std::move(*why)});
       continue;
     }
-    if (!report.workerHeard) continue;
-    const bool reborn = !task.workerIncarnation.empty() && task.workerIncarnation != report.workerIncarnation;
-    auto first = row.firstOrdered.find(run.value);
-    const bool processed =
-        first != row.firstOrdered.end() && report.ordersTerm == scheduler.term && report.ordersSeq >= first->second;
-    if (reborn || processed)
-      over.push_back({where.first, where.second, AttemptOutcome::lost, reborn ? "worker restarted" : "run is gone"});
+    const auto& seen = *found->second;
+    if (seen.state != AttemptState::ordered && !seen.saved.empty()) task.seenSaved = seen.saved;
+    if (seen.state == AttemptState::running) {
+      noteProgress(job, where.second, seen, fleetMs);
+      if (const auto wholeMs = projectedMs(scheduler, job, where.second, fleetMs); wholeMs > 0)
+        noteProjection(job, where.second, wholeMs);
+      if (const auto pace = paceOf(scheduler, job, where.second, fleetMs); pace > 0) paces.push_back(pace);
+    }
+    if (seen.state == AttemptState::ended) over.push_back({where.first, where.second, seen.outcome, seen.detail});
   }
   observeRuns(scheduler, row, std::move(paces), now);
-  for (const auto& each : over) {
+  return over;
+}
+
+/// Clean ends of runs that are no longer held.
+std::vector<const AttemptReport*> lateEnds(SchedulerState& scheduler, const AgentReport& report) {
+  const auto& held = scheduler.held[report.worker];
+  std::vector<const AttemptReport*> late;
+  for (const auto& seen : report.runs)
+    if (seen.state == AttemptState::ended && seen.outcome == AttemptOutcome::clean && !held.contains(seen.id))
+      late.push_back(&seen);
+  return late;
+}
+
+}  // namespace
+
+void onReport(SchedulerState& scheduler, const Heard& heard, const AgentReport& report, Now now, Outbox& out) {
+  if (!leads(scheduler, now)) return;
+  ++scheduler.counts.reports;
+  auto& row = scheduler.workers[report.worker];
+  row.id = report.worker;
+  if (row.leaseWithheld) return;
+  if (row.last.agent == report.agent && report.seq <= row.last.seq && row.heardMs >= 0) return;
+  noteReport(scheduler, row, heard, report, now);
+  const auto listed = noteListed(row, report);
+  const auto late = lateEnds(scheduler, report);
+  for (const auto& each : takeRuns(scheduler, row, report, listed, now)) {
     if (each.outcome != AttemptOutcome::lost || listed.contains(runIdOf(scheduler.jobs.at(each.job), each.task).view()))
       judgeWorker(scheduler, row, scheduler.jobs.at(each.job), each.task, each.outcome, now);
     finishRun(scheduler, each.job, each.task, each.outcome, each.detail, now);
   }
-  for (const auto& [run, seen] : listed)
-    if (seen->state == AttemptState::ended && seen->outcome == AttemptOutcome::clean && !known.contains(run))
-      takeLateEnd(scheduler, seen->id, *seen, now);
+  for (const auto* seen : late) takeLateEnd(scheduler, seen->id, *seen, now);
   sendOrders(scheduler, row, now, out);
 }
 
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -45,6 +45,7 @@
   std::uint64_t ordersSeq = 0;
   absl::flat_hash_map<std::string, std::uint64_t> firstOrdered;
   absl::flat_hash_set<std::string> listed;
+  absl::flat_hash_set<std::string> unstarted;  // of the listed ones, those that its worker has not shown yet
   Millis pacedMs = -1000000;
   bool leaseWithheld = false;  // it is sent nothing, so that its worker's lease lapses and all that runs there is over
   WorkerHealth standing;
--- a/src/transport/core.hpp
+++ b/src/transport/core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -69,9 +70,12 @@
   bool moreEnded = false;  // than are listed: what is in neither list may have ended
 };
 
+/// A text that many attempts have, held once.
+using SharedText = std::shared_ptr<const std::string>;
+
 struct StartOrder {
   AttemptId run;
-  std::string spec;
+  SharedText spec;  // never null
   std::string saved;
 };
 
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -309,18 +309,23 @@
   std::vector<AttemptReport> runs;
   Millis leavesMs = -1;
   Millis wallMs = 0;
+  bool takesSharedSpecs = false;  // orders may give a spec once for all attempts that have it
   MSGPACK_DEFINE(agent, zone, worker, workerIncarnation, workerHeard, workerAgeMs, pool, labels, slots, capacity,
-                 leaving, acked, ordersTerm, ordersSeq, seq, sentMs, runs, leavesMs, wallMs)
+                 leaving, acked, ordersTerm, ordersSeq, seq, sentMs, runs, leavesMs, wallMs, takesSharedSpecs)
 };
 
+inline constexpr std::uint32_t kOwnSpec = 0xffffffff;
+
 struct WantedAttempt {
   AttemptId id;
   bool stop = false;
   std::string spec;
   std::string workerIncarnation;
   std::string saved = {};
-  bool whole = false;  // spec and saved are given; not so once the agent lists the run
-  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved, whole)
+  bool whole = false;                   // spec and saved are given; not so once the agent lists the run
+  std::uint32_t sharedSpec = kOwnSpec;  // the place of its spec in the orders' sharedSpecs; its own spec is empty then
+  bool deferred = false;                // spec and saved come with later orders
+  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved, whole, sharedSpec, deferred)
 };
 
 struct Orders {
@@ -332,7 +337,8 @@
   Version configVersion = 0;
   Millis fleetMs = 0;
   std::vector<WantedAttempt> wanted;
-  MSGPACK_DEFINE(term, seq, agent, acknowledgedSeq, acknowledgedMs, configVersion, fleetMs, wanted)
+  std::vector<std::string> sharedSpecs;  // of several attempts; only to agents whose reports say that they take them
+  MSGPACK_DEFINE(term, seq, agent, acknowledgedSeq, acknowledgedMs, configVersion, fleetMs, wanted, sharedSpecs)
 };
 
 enum class CallKind : std::uint8_t { submit, getJob, cancelJob, countPending };
--- a/src/transport/wire.cpp
+++ b/src/transport/wire.cpp
@@ -48,6 +48,7 @@
   if (const auto* promise = std::get_if<JobLogPromise>(&message))
     return !promise->entries.empty() && promise->leftOut.empty();
   if (const auto* accept = std::get_if<JobLogAccept>(&message)) return accept->seq > 0;
+  if (std::holds_alternative<Orders>(message)) return true;
   return std::holds_alternative<CatchUpGive>(message);
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -683,8 +683,9 @@
   orders.lastSeen = 58;
   orders.fence = 7;
   orders.nextMs = 200;
-  orders.start = {{AttemptId("5c0e7a21d94b36f8:0.1.18:1"), "a \"text\"\n\x01 \u00e9 \\", ""},
-                  {AttemptId("5c0e7a21d94b36f8:3.0.2:12"), "t", "saved"}};
+  const auto text = [](const char* content) { return std::make_shared<const std::string>(content); };
+  orders.start = {{AttemptId("5c0e7a21d94b36f8:0.1.18:1"), text("a \"text\"\n\x01 \u00e9 \\"), ""},
+                  {AttemptId("5c0e7a21d94b36f8:3.0.2:12"), text("t"), "saved"}};
   orders.stop = {AttemptId("5c0e7a21d94b36f8:0.1.17:2")};
   answer = adapter.write(Call::report, answer);
   LONGS_EQUAL(200, answer.status);
