Runs that are overdue together are told in a few lines

A line in the log for each run that is past its bound: 1,000 runs of one job that stand still and are not stopped made 1,000 lines in one step, each built from strings. Now 16 lines and one with the count of the others; each run still goes to its way out, and the counter counts all. Test: wide_jobs, runs_that_are_overdue_together_are_told_in_a_few_lines.

--- a/src/scheduler/run_waits.cpp
+++ b/src/scheduler/run_waits.cpp
@@ -38,6 +38,8 @@
 
 namespace {
 
+constexpr std::size_t kMostAlarms = 16;  // of runs that are overdue at once, each in a line of its own
+
 struct OverdueRun {
   AttemptId run;
   WorkerId worker;
@@ -132,12 +134,15 @@
 void checkRunWaits(SchedulerState& scheduler, Now now, Outbox& out) {
   renewLeases(scheduler);
   recordWaits(scheduler, now);
-  for (const auto& overdue : overdueRuns(scheduler, now)) {
+  const auto overdueNow = overdueRuns(scheduler, now);
+  std::size_t told = 0;
+  for (const auto& overdue : overdueNow) {
     ++scheduler.counts.overdueRuns;
     scheduler.runWaits.at(overdue.run).overdue = true;
-    out.alarms.push_back(alarmText(scheduler, overdue, now));
+    if (++told <= kMostAlarms) out.alarms.push_back(alarmText(scheduler, overdue, now));
     takeWayOut(scheduler, overdue, now);
   }
+  if (told > kMostAlarms) out.alarms.push_back(std::to_string(told - kMostAlarms) + " more runs are past their bounds");
 }
 
 void endSilentRuns(SchedulerState& scheduler, Now now) {
--- a/tests/wide_jobs_test.cpp
+++ b/tests/wide_jobs_test.cpp
@@ -64,7 +64,7 @@
   }
 
   double longestStepMs() const { return longestMs_; }
-  void forgetSteps() { longestMs_ = 0; }
+  std::size_t mostAlarms() const { return mostAlarms_; }
   fixture::LeadingScheduler& leader() { return leader_; }
   std::size_t held() { return leader_.state.held[kWorker].size(); }
   const jobs::Job& job() const { return leader_.state.jobs.at(ids_.front()); }
@@ -96,6 +96,7 @@
     for (Millis passedMs = 0; passedMs < spanMs; passedMs += heartbeatMs) {
       step([&] { leader_.passEpoch(); });
       step([&] { leader_.acknowledge(); });
+      mostAlarms_ = std::max(mostAlarms_, leader_.out.alarms.size());
       leader_.out = {};
     }
   }
@@ -133,6 +134,7 @@
   std::string life_ = "life";
   std::uint64_t reports_ = 0;
   double longestMs_ = 0;
+  std::size_t mostAlarms_ = 0;
 };
 
 /// What happens to all attempts of a job at once.
@@ -236,6 +238,15 @@
     }
 }
 
+// Guards against a line in the log for each run, where thousands are past their bounds at once.
+TEST(wide_jobs, runs_that_are_overdue_together_are_told_in_a_few_lines) {
+  WideLeader wide(1000, false, 1);
+  standStill(wide);
+  LONGS_EQUAL(1000, wide.leader().state.counts.overdueRuns);
+  CHECK(wide.mostAlarms() > 0);
+  CHECK(wide.mostAlarms() < 40);
+}
+
 // Prints what docs/CAPACITY.md tells of, by hand: TULIPPITCH_WIDE_JOBS=1.
 TEST(wide_jobs, step_times_by_width) {
   if (!std::getenv("TULIPPITCH_WIDE_JOBS")) return;
