--- a/src/jobs/holding.hpp
+++ b/src/jobs/holding.hpp
@@ -24,10 +24,10 @@
 /// All that the job holds, in the order of the tasks.
 std::vector<Holding> holdingsOf(const Job& job);
 
-/// Keeps, before a change, what the task holds.
+/// Keeps what the task holds, before it takes or frees capacity.
 void noteHolding(Job& job, std::size_t task);
-/// What the tasks held that were changed since the last call, each as it was before its first change; in the order of
-/// the tasks.
+/// What the tasks held that have taken or freed capacity since the last call, each as it was before; in the order of the
+/// tasks.
 std::vector<Holding> takeChangedHoldings(Job& job);
 
 }  // namespace tulip::jobs
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -191,17 +191,13 @@
 void stopPlaced(Job& job, std::size_t begin, std::size_t end) {
   auto& rows = job.tasks.rows();
   for (auto row = rows.lower_bound(static_cast<std::uint32_t>(begin)); row != rows.end() && row->first < end; ++row)
-    if (row->second.state == TaskState::placed && !row->second.stopping) {
-      noteHolding(job, row->first);
-      row->second.stopping = true;
-    }
+    if (row->second.state == TaskState::placed) row->second.stopping = true;
 }
 
 /// One clean end stands for all of the gang at [begin, end).
 void endGang(Job& job, std::size_t begin, std::size_t end, Millis ranMs, Millis fleetMs) {
   for (auto i = begin; i < end; ++i) {
     if (job.tasks[i].state == TaskState::done) continue;
-    noteHolding(job, i);
     setState(job, i, TaskState::done);
     auto& task = job.tasks.edit(i);
     task.ranMs = task.holds() ? fleetMs - task.orderedMs : ranMs;
--- a/tests/start_bytes_test.cpp
+++ b/tests/start_bytes_test.cpp
@@ -16,19 +16,20 @@
 
 constexpr std::size_t kTextBytes = 4000;
 constexpr std::size_t kMostAnswerBytes = 4u << 20;  // that a worker takes
-constexpr std::size_t kMostOrdersBytes = 6u << 20;  // a window of starts, and the names of 16,000 attempts
+constexpr std::size_t kMostNamesBytes = 2u << 20;   // of 16,000 attempts in orders
+constexpr std::size_t kMostOrdersBytes = 4 * kMostNamesBytes;
 const WorkerId kWorker("w");
 const Address kAgent("10.1.0.1:1");
 
 JobId jobName(std::size_t number) { return JobId("j" + std::to_string(100000 + number)); }
 
 /// A job whose tasks all run at the worker, with a text of its own.
-jobs::Job jobAtWorker(std::size_t number, std::uint32_t tasks, const std::string& queue = "q") {
+jobs::Job jobAtWorker(std::size_t number, std::uint32_t tasks, const std::string& queue = "q", char filler = 'x') {
   jobs::Spec spec;
   spec.id = jobName(number);
   spec.pending = QueueName(queue);
   spec.plainNames = false;
-  spec.payload = std::to_string(number) + std::string(kTextBytes, 'x');
+  spec.payload = std::to_string(number) + std::string(kTextBytes, filler);
   spec.steps.resize(1);
   spec.steps[0].name = "0";
   spec.steps[0].count = tasks;
@@ -143,7 +144,7 @@
   lead(wide);
   CHECK(agent.specs.size() <= kJobs);
   beatUntilStarted(kJobs * kTasks);
-  CHECK(mostOrdersBytes < kMostOrdersBytes);
+  CHECK(mostOrdersBytes < kMostNamesBytes);
   CHECK(mostAnswerBytes < kMostAnswerBytes);
   beat();
   beat();
@@ -162,6 +163,13 @@
   CHECK(mostAnswerBytes < kMostAnswerBytes);
 }
 
+// Guards against answers that are counted by their texts and not by what these take as JSON.
+TEST(start_bytes, texts_that_take_six_bytes_a_character_fit_the_answers_that_a_worker_takes) {
+  lead({jobAtWorker(0, 3000, "q", '\x01')});
+  beatUntilStarted(3000);
+  CHECK(mostAnswerBytes < kMostAnswerBytes);
+}
+
 // Guards against an agent of an earlier build that is sent texts in a form that it doesn't know.
 TEST(start_bytes, an_agent_that_takes_no_shared_specs_is_sent_each_with_its_attempt) {
   takesSharedSpecs = false;
