--- a/tests/job_memory_test.cpp
+++ b/tests/job_memory_test.cpp
@@ -4,6 +4,7 @@
 #include <malloc.h>
 
 #include "config_of.hpp"
+#include "leading_scheduler.hpp"
 #include "scheduler/internal.hpp"
 #include "scheduler/job_memory.hpp"
 
@@ -12,10 +13,9 @@
 
 namespace {
 
-constexpr Millis kNowMs = 1000000;
+constexpr Millis kWallMs = 1796420400000;
 constexpr std::size_t kMostHeapBytes = 64u << 20;  // of a daemon
 constexpr int kJobs = 60;
-const Address kVoterA("10.0.0.1:1"), kVoterB("10.0.0.2:1"), kVoterC("10.0.0.3:1");
 
 JobId jobName(int number) { return JobId("j" + std::to_string(100000 + number)); }
 
@@ -27,7 +27,7 @@
   spec.plainNames = false;
   spec.times = 8760;
   spec.everyMs = 3600000;
-  spec.firstWallMs = 1796420400000;
+  spec.firstWallMs = kWallMs;
   spec.steps.resize(1);
   spec.steps[0].name = "0";
   spec.steps[0].need.more["cpu"] = 500;
@@ -43,54 +43,22 @@
 }  // namespace
 
 TEST_GROUP(job_memory) {
-  scheduler::SchedulerState scheduler;
-  const Ballot term{3, "me/i"}, base{2, "p2"};
-  Outbox out;
-  Millis nowMs = kNowMs;
-
-  void lead(std::vector<Entry> entries) {
-    Settings settings;
-    settings.role = Role::scheduler;
-    settings.peerAddress = Address("10.0.0.9:1");
-    scheduler = scheduler::makeScheduler(settings, DaemonId("me"), "i");
-    scheduler.client.membership = {1, {{DaemonId("a"), kVoterA}, {DaemonId("b"), kVoterB}, {DaemonId("c"), kVoterC}}};
-    scheduler.client.config = fixture::configOf(R"({"pools":{"p":{"slots":0}},"pendings":{"q":{"pool":"p"}}})");
-    scheduler.client.sessionUntilMs = kNowMs + 1000000;
-    scheduler.course = scheduler::Course::preparing;
-    scheduler.term = term;
-    scheduler.prepareStartMs = kNowMs;
-    for (const auto& [id, from] : {std::pair("a", kVoterA), std::pair("b", kVoterB)}) {
-      JobLogPromise promise;
-      promise.term = promise.promised = term;
-      promise.ok = true;
-      promise.base = base;
-      promise.entries = entries;
-      hear(id, from, std::move(promise));
-    }
-    acknowledge();
-    CHECK(scheduler::leads(scheduler, {nowMs}));
-  }
+  fixture::LeadingScheduler leader;
+  scheduler::SchedulerState& scheduler = leader.state;
 
-  void hear(const char* id, const Address& from, Message message) {
-    scheduler::schedulerHeard(scheduler, Heard{DaemonId(id), from, std::move(message)}, {nowMs}, out);
-  }
-
-  void acknowledge() {
-    for (const auto& [id, from] : {std::pair("a", kVoterA), std::pair("b", kVoterB)})
-      hear(id, from, JobLogAccepted{term, scheduler.seq, nowMs, true, true, term});
+  void lead(const std::vector<Entry>& entries) {
+    leader.wallMs = kWallMs;
+    leader.lead(entries);
+    scheduler.client.config = fixture::configOf(R"({"pools":{"p":{"slots":0}},"pendings":{"q":{"pool":"p"}}})");
   }
 
   void submit(jobs::Spec spec) {
-    scheduler::submitSpec(scheduler, {1, true, {}}, std::move(spec), {nowMs, 1796420400000}, out);
+    scheduler::submitSpec(scheduler, {1, true, {}}, std::move(spec), leader.now(), leader.out);
   }
 
   void commit() {
-    for (int turn = 0; turn < 6; ++turn) {
-      nowMs += 100;
-      scheduler::schedulerTick(scheduler, {nowMs, 1796420400000}, out);
-      acknowledge();
-    }
-    out = {};
+    leader.commit();
+    leader.out = {};
   }
 };
 
@@ -109,11 +77,10 @@
   std::vector<Entry> entries;
   for (int i = 0; i < kJobs; ++i) {
     const auto spec = std::make_shared<const jobs::Spec>(hourly(i));
-    entries.push_back({spec->id.value, {base, 1}, jobs::packJob(jobs::makeJob(spec))});
-    entries.push_back({"~" + spec->id.value, {base, 1}, jobs::packSpec(*spec)});
+    for (auto& entry : leader.entriesOf(jobs::makeJob(spec))) entries.push_back(std::move(entry));
   }
   const auto before = heapBytes();
-  lead(std::move(entries));
+  lead(entries);
   LONGS_EQUAL(kJobs, scheduler.committedJobs.size());
   CHECK(heapBytes() < before + kMostHeapBytes);
 }
@@ -145,6 +112,6 @@
   for (const auto& id : scheduler.open) sum += scheduler::acceptedBytes(*scheduler.jobs.at(id).spec);
   LONGS_EQUAL(sum, scheduler.openJobBytes);
   for (const auto& id : std::vector<JobId>(scheduler.open.begin(), scheduler.open.end()))
-    scheduler::cancelJob(scheduler, {1, true, {}}, id, {nowMs}, out);
+    scheduler::cancelJob(scheduler, {1, true, {}}, id, leader.now(), leader.out);
   LONGS_EQUAL(0, scheduler.openJobBytes);
 }
--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
-#include "scheduler/scheduler.hpp"
+#include "config_of.hpp"
+#include "leading_scheduler.hpp"
 
 using namespace tulip;
 using namespace tulip::transport;
@@ -8,8 +9,6 @@
 namespace {
 
 constexpr std::uint32_t kTasks = 40;
-constexpr Millis kNowMs = 100000;
-const Address kVoterA("10.0.0.1:1"), kVoterB("10.0.0.2:1"), kVoterC("10.0.0.3:1");
 const JobId kJob("j");
 
 std::string workerName(std::size_t number) { return "w" + std::to_string(number); }
@@ -37,43 +36,11 @@
 
 /// What a leader does for each event, as jobs and workers grow in number.
 TEST_GROUP(leader_load) {
-  scheduler::SchedulerState scheduler;
-  const Ballot term{3, "me/i"}, base{2, "p2"};
-  Outbox out;
-  Millis nowMs = kNowMs;
+  fixture::LeadingScheduler leader;
+  scheduler::SchedulerState& scheduler = leader.state;
+  Outbox& out = leader.out;
 
-  void setup() override {
-    Settings settings;
-    settings.role = Role::scheduler;
-    settings.peerAddress = Address("10.0.0.9:1");
-    scheduler = scheduler::makeScheduler(settings, DaemonId("me"), "i");
-    scheduler.client.membership = {1, {{DaemonId("a"), kVoterA}, {DaemonId("b"), kVoterB}, {DaemonId("c"), kVoterC}}};
-    scheduler.client.sessionUntilMs = kNowMs + 1000000;
-    scheduler.course = scheduler::Course::preparing;
-    scheduler.term = term;
-    scheduler.prepareStartMs = kNowMs;
-    const auto job = wideJob();
-    for (const auto& [id, from] : {std::pair("a", kVoterA), std::pair("b", kVoterB)}) {
-      JobLogPromise promise;
-      promise.term = promise.promised = term;
-      promise.ok = true;
-      promise.base = base;
-      promise.entries = {{kJob.value, {base, 1}, jobs::packJob(job)}, {"~j", {base, 1}, jobs::packSpec(*job.spec)}};
-      hear(id, from, std::move(promise));
-    }
-    acknowledge();
-    CHECK(scheduler::leads(scheduler, {nowMs}));
-  }
-
-  void hear(const char* id, const Address& from, Message message) {
-    scheduler::schedulerHeard(scheduler, Heard{DaemonId(id), from, std::move(message)}, {nowMs}, out);
-  }
-
-  /// Two of the three voters have synced everything that was sent.
-  void acknowledge() {
-    for (const auto& [id, from] : {std::pair("a", kVoterA), std::pair("b", kVoterB)})
-      hear(id, from, JobLogAccepted{term, scheduler.seq, nowMs, true, true, term});
-  }
+  void setup() override { leader.lead(leader.entriesOf(wideJob())); }
 
   void report(std::size_t number, std::uint64_t seq, AttemptState state) {
     AgentReport report;
@@ -84,7 +51,7 @@
     report.seq = seq;
     const auto outcome = state == AttemptState::ended ? AttemptOutcome::clean : AttemptOutcome::none;
     report.runs = {{jobs::runIdOf(scheduler.jobs.at(kJob), number), state, outcome, "", "", 0}};
-    hear(report.agent.value.c_str(), agentAddress(number), report);
+    leader.hear(report.agent.value, agentAddress(number), report);
   }
 
   std::map<Address, std::size_t> ordersSent() const {
@@ -93,22 +60,17 @@
       if (std::holds_alternative<Orders>(send.message)) ++sent[send.to];
     return sent;
   }
-
-  void passEpoch() {
-    nowMs += scheduler.client.settings.bounds.heartbeatMs();
-    scheduler::schedulerTick(scheduler, {nowMs}, out);
-  }
 };
 
 // All workers of the job were sent their whole list of orders anew: a job of n tasks cost n times n lists.
 TEST(leader_load, the_end_of_one_attempt_is_told_to_its_worker_and_to_no_other) {
   for (std::size_t number = 0; number < kTasks; ++number) report(number, 1, AttemptState::running);
-  passEpoch();
-  acknowledge();
+  leader.passEpoch();
+  leader.acknowledge();
   report(7, 2, AttemptState::ended);
-  passEpoch();
+  leader.passEpoch();
   out = {};
-  acknowledge();
+  leader.acknowledge();
   const auto sent = ordersSent();
   LONGS_EQUAL(1, sent.size());
   LONGS_EQUAL(1, sent.count(agentAddress(7)));
@@ -120,13 +82,10 @@
 // was committed.
 TEST(leader_load, an_attempt_given_up_for_silence_is_not_started_before_that_is_committed) {
   constexpr std::size_t kWorker = 7;
-  auto config = std::make_shared<config::Config>();
-  std::vector<config::Fault> faults;
-  CHECK(config::readConfigText(R"({"pools":{"side":{"slots":8,"lostAfterTerms":1}}})", *config, faults));
-  scheduler.client.config = config;
-  nowMs += scheduler.client.settings.bounds.sureMs(1);
-  scheduler.leaseUntilMs = nowMs + scheduler.client.settings.bounds.leaseMs;
-  scheduler::schedulerTick(scheduler, {nowMs}, out);
+  scheduler.client.config = fixture::configOf(R"({"pools":{"side":{"slots":8,"lostAfterTerms":1}}})");
+  leader.nowMs += scheduler.client.settings.bounds.sureMs(1);
+  scheduler.leaseUntilMs = leader.nowMs + scheduler.client.settings.bounds.leaseMs;
+  leader.tick();
   CHECK(scheduler.held[WorkerId(workerName(kWorker))].empty());
   out = {};
   AgentReport report;
@@ -136,7 +95,7 @@
   report.workerHeard = true;
   report.pool = PoolName("side");
   report.seq = 1;
-  hear(report.agent.value.c_str(), agentAddress(kWorker), report);
+  leader.hear(report.agent.value, agentAddress(kWorker), report);
   std::size_t told = 0;
   for (const auto& send : out.sends)
     if (const auto* orders = std::get_if<Orders>(&send.message))
