--- a/src/scheduler/send_orders.cpp
+++ b/src/scheduler/send_orders.cpp
@@ -19,18 +19,18 @@
   const AttemptId* run = nullptr;
   const Job* job = nullptr;
   std::size_t task = 0;
+  const Task* row = nullptr;
   bool stop = false;
-  bool listed = false;   // by the agent, which has all that it needs of it
-  bool ordered = false;  // in earlier orders, which may not have arrived
+  bool listed = false;             // by the agent, which has all that it needs of it
+  std::uint64_t firstOrdered = 0;  // the first orders that told of it, by their number; 0: none did
   std::int64_t rank = 0;
 
-  const Task& row() const { return job->tasks[task]; }
   const std::string& payload() const {
     const auto& own = job->stepOf(task).payload;
     return own.empty() ? job->spec->payload : own;
   }
   /// What the worker is given to start it.
-  std::size_t startBytes() const { return payload().size() + row().saved.size(); }
+  std::size_t startBytes() const { return payload().size() + row->saved.size(); }
 };
 
 class OrdersMaker {
@@ -61,12 +61,14 @@
     std::vector<Wanted> known, fresh;
     for (const auto& [run, where] : scheduler_.committedHeld[row_.id]) {
       Wanted wanted{&run, scheduler_.committedJobs.at(where.first).get(), where.second};
+      wanted.row = &wanted.job->tasks[wanted.task];
       // What was given up, and is not committed as such yet, must not start any more: a start is good from the report
       // that these orders answer. An end that the agent lists is kept there by a stop as well.
-      wanted.stop = wanted.row().stopping || !stillHeld.contains(run);
+      wanted.stop = wanted.row->stopping || !stillHeld.contains(run);
       wanted.listed = row_.listed.contains(run.value);
-      wanted.ordered = row_.firstOrdered.contains(run.value);
-      if (wanted.stop || wanted.listed || wanted.ordered) {
+      if (const auto first = row_.firstOrdered.find(run.value); first != row_.firstOrdered.end())
+        wanted.firstOrdered = first->second;
+      if (wanted.stop || wanted.listed || wanted.firstOrdered > 0) {
         if (!wanted.stop && (!wanted.listed || row_.unstarted.contains(run.value)))
           unstartedBytes_ += wanted.startBytes();
         known.push_back(wanted);
@@ -77,24 +79,23 @@
     }
     std::ranges::stable_sort(fresh, [](const Wanted& one, const Wanted& other) {
       if (one.rank != other.rank) return one.rank > other.rank;
-      return one.row().orderedMs < other.row().orderedMs;
+      return one.row->orderedMs < other.row->orderedMs;
     });
     known.insert(known.end(), fresh.begin(), fresh.end());
     return known;
   }
 
   void add(const Wanted& wanted) {
-    WantedAttempt order{*wanted.run, wanted.stop, {}, wanted.row().workerIncarnation, {}, false};
+    WantedAttempt order{*wanted.run, wanted.stop, {}, wanted.row->workerIncarnation, {}, false};
     if (!wanted.stop && !wanted.listed) {
-      if (!wanted.ordered && !fits(wanted)) {
+      if (wanted.firstOrdered == 0 && !fits(wanted)) {
         order.deferred = true;
         orders_.wanted.push_back(std::move(order));
         return;
       }
       addStart(wanted, order);
     }
-    const auto first = row_.firstOrdered.find(wanted.run->value);
-    ordered_[wanted.run->value] = first == row_.firstOrdered.end() ? orders_.seq : first->second;
+    ordered_[wanted.run->value] = wanted.firstOrdered > 0 ? wanted.firstOrdered : orders_.seq;
     orders_.wanted.push_back(std::move(order));
   }
 
@@ -109,7 +110,7 @@
 
   void addStart(const Wanted& wanted, WantedAttempt& order) {
     order.whole = true;
-    order.saved = wanted.row().saved;
+    order.saved = wanted.row->saved;
     const auto& job = *wanted.job;
     if (job.spec->plainNames || scheduler_.client.settings.adapter.empty())
       order.spec = ownSpec(wanted);
