--- a/src/jobs/holding.hpp
+++ b/src/jobs/holding.hpp
@@ -26,8 +26,8 @@
 
 /// Keeps what the task holds, before it takes or frees capacity.
 void noteHolding(Job& job, std::size_t task);
-/// What the tasks held that have taken or freed capacity since the last call, each as it was before; in the order of the
-/// tasks.
+/// What the tasks held that have taken or freed capacity since the last call, each as it was before; in the order of
+/// the tasks.
 std::vector<Holding> takeChangedHoldings(Job& job);
 
 }  // namespace tulip::jobs
