Orders name shared specs and deferred attempts in lists of their own

Both fields are empty nearly always, so they are lists beside the attempts now, and an attempt is as long as before.

An agent of an earlier build isn't told of deferred attempts: it would ask for what it doesn't know at once, and be told the same again.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -130,39 +130,50 @@
 /// Keeps an attempt that the agent hears of for the first time.
 void takeNew(AgentState& agent, AgentAttempt& run, const WantedAttempt& wanted, SharedText spec, Now now) {
   run.sinceMs = now.steadyMs;
-  run.spec = std::move(spec);
   run.saved = wanted.saved;
   run.workerIncarnation = wanted.workerIncarnation;
-  if (!wanted.stop) return;
+  if (!wanted.stop) {
+    run.spec = std::move(spec);
+    return;
+  }
   if (absentMeansGone(agent))
     end(agent, run, AttemptOutcome::lost, "never started");
   else
     run.state = AttemptState::stopping;
 }
 
+/// The specs of the attempts that share theirs, by their places among the wanted ones.
+absl::flat_hash_map<std::size_t, SharedText> takeSharedSpecs(AgentState& agent, const Orders& orders) {
+  absl::flat_hash_map<std::size_t, SharedText> specs;
+  for (const auto& shared : orders.sharedSpecs) {
+    const auto spec = agent.specs.share(shared.spec);
+    for (const auto place : shared.attempts) specs[place] = spec;
+  }
+  return specs;
+}
+
 /// Takes over which attempts the leader wants at the worker. One that is unknown here, and comes without its spec, is
 /// not taken.
 void takeWanted(AgentState& agent, const Orders& orders, Now now) {
-  std::vector<SharedText> shared;
-  for (const auto& spec : orders.sharedSpecs) shared.push_back(agent.specs.share(spec));
-  const auto specOf = [&](const WantedAttempt& wanted) {
-    return wanted.sharedSpec < shared.size() ? shared[wanted.sharedSpec] : agent.specs.share(wanted.spec);
-  };
+  const auto shared = takeSharedSpecs(agent, orders);
   for (auto& [id, run] : agent.runs) run.wanted = false;
-  std::size_t place = 0;
-  for (const auto& wanted : orders.wanted) {
+  for (const auto& id : orders.deferred)
+    if (const auto known = agent.runs.find(id); known != agent.runs.end()) known->second.wanted = true;
+  for (std::size_t place = 0; place < orders.wanted.size(); ++place) {
+    const auto& wanted = orders.wanted[place];
     auto found = agent.runs.find(wanted.id);
     if (found == agent.runs.end()) {
       if (!wanted.stop && !wanted.whole) {
-        agent.reportDue = agent.reportDue || !wanted.deferred;
+        agent.reportDue = true;
         continue;
       }
+      const auto spec = shared.find(place);
       found = agent.runs.try_emplace(wanted.id).first;
-      takeNew(agent, found->second, wanted, wanted.stop ? nullptr : specOf(wanted), now);
+      takeNew(agent, found->second, wanted, spec == shared.end() ? agent.specs.share(wanted.spec) : spec->second, now);
     }
     found->second.wanted = true;
     found->second.stop = wanted.stop;
-    found->second.place = place++;
+    found->second.place = place;
   }
   agent.specs.dropUnused();
 }
--- a/src/scheduler/send_orders.cpp
+++ b/src/scheduler/send_orders.cpp
@@ -88,11 +88,7 @@
   void add(const Wanted& wanted) {
     WantedAttempt order{*wanted.run, wanted.stop, {}, wanted.row->workerIncarnation, {}, false};
     if (!wanted.stop && !wanted.listed) {
-      if (wanted.firstOrdered == 0 && !fits(wanted)) {
-        order.deferred = true;
-        orders_.wanted.push_back(std::move(order));
-        return;
-      }
+      if (wanted.firstOrdered == 0 && !fits(wanted)) return defer(std::move(order.id));
       addStart(wanted, order);
     }
     ordered_[wanted.run->value] = wanted.firstOrdered > 0 ? wanted.firstOrdered : orders_.seq;
@@ -108,6 +104,12 @@
     return !full_;
   }
 
+  /// It is named, so that an agent that knows it from an earlier leader keeps it. An agent of an earlier build would
+  /// ask for it again at once.
+  void defer(AttemptId run) {
+    if (row_.last.takesSharedSpecs) orders_.deferred.push_back(std::move(run));
+  }
+
   void addStart(const Wanted& wanted, WantedAttempt& order) {
     order.whole = true;
     order.saved = wanted.row->saved;
@@ -115,7 +117,7 @@
     if (job.spec->plainNames || scheduler_.client.settings.adapter.empty())
       order.spec = ownSpec(wanted);
     else if (row_.last.takesSharedSpecs)
-      order.sharedSpec = sharedSpec(wanted.payload());
+      shareSpec(wanted.payload());
     else
       order.spec = wanted.payload();
   }
@@ -131,11 +133,11 @@
     return dumpJson(spec.get());
   }
 
-  std::uint32_t sharedSpec(const std::string& payload) {
-    const auto next = static_cast<std::uint32_t>(orders_.sharedSpecs.size());
-    const auto [found, added] = specPlaces_.try_emplace(payload, next);
-    if (added) orders_.sharedSpecs.push_back(payload);
-    return found->second;
+  /// Gives the spec of the attempt that is wanted next.
+  void shareSpec(const std::string& payload) {
+    const auto [found, added] = specPlaces_.try_emplace(payload, orders_.sharedSpecs.size());
+    if (added) orders_.sharedSpecs.push_back({payload, {}});
+    orders_.sharedSpecs[found->second].attempts.push_back(static_cast<std::uint32_t>(orders_.wanted.size()));
   }
 
   SchedulerState& scheduler_;
@@ -144,8 +146,8 @@
   Orders orders_;
   std::size_t unstartedBytes_ = 0;
   bool full_ = false;
-  absl::flat_hash_map<std::string, std::uint64_t> ordered_;          // becomes the worker's firstOrdered
-  absl::flat_hash_map<std::string_view, std::uint32_t> specPlaces_;  // of the specs among the shared ones
+  absl::flat_hash_map<std::string, std::uint64_t> ordered_;        // becomes the worker's firstOrdered
+  absl::flat_hash_map<std::string_view, std::size_t> specPlaces_;  // of the specs among the shared ones
 };
 
 }  // namespace
--- a/src/transport/messages.hpp
+++ b/src/transport/messages.hpp
@@ -314,18 +314,21 @@
                  leaving, acked, ordersTerm, ordersSeq, seq, sentMs, runs, leavesMs, wallMs, takesSharedSpecs)
 };
 
-inline constexpr std::uint32_t kOwnSpec = 0xffffffff;
-
 struct WantedAttempt {
   AttemptId id;
   bool stop = false;
   std::string spec;
   std::string workerIncarnation;
   std::string saved = {};
-  bool whole = false;                   // spec and saved are given; not so once the agent lists the run
-  std::uint32_t sharedSpec = kOwnSpec;  // the place of its spec in the orders' sharedSpecs; its own spec is empty then
-  bool deferred = false;                // spec and saved come with later orders
-  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved, whole, sharedSpec, deferred)
+  bool whole = false;  // spec and saved are given; not so once the agent lists the run
+  MSGPACK_DEFINE(id, stop, spec, workerIncarnation, saved, whole)
+};
+
+/// A spec that several wanted attempts have, which leave theirs empty.
+struct SharedSpec {
+  std::string spec;
+  std::vector<std::uint32_t> attempts;  // their places among the wanted ones
+  MSGPACK_DEFINE(spec, attempts)
 };
 
 struct Orders {
@@ -337,8 +340,11 @@
   Version configVersion = 0;
   Millis fleetMs = 0;
   std::vector<WantedAttempt> wanted;
-  std::vector<std::string> sharedSpecs;  // of several attempts; only to agents whose reports say that they take them
-  MSGPACK_DEFINE(term, seq, agent, acknowledgedSeq, acknowledgedMs, configVersion, fleetMs, wanted, sharedSpecs)
+  // Only to agents whose reports say that they take them:
+  std::vector<SharedSpec> sharedSpecs;
+  std::vector<AttemptId> deferred;  // are wanted too; what is needed to start them comes with later orders
+  MSGPACK_DEFINE(term, seq, agent, acknowledgedSeq, acknowledgedMs, configVersion, fleetMs, wanted, sharedSpecs,
+                 deferred)
 };
 
 enum class CallKind : std::uint8_t { submit, getJob, cancelJob, countPending };
